--- /dev/null
+++ b/kernel/clock.c
@@ -0,0 +1,38 @@
+#include "clock.h"
+
+#include <time.h>
+
+static usec_t system_now(const run_clock_t *clock)
+{
+	struct timespec ts;
+
+	(void)clock;
+	/* A VM that was suspended must see the gap, or its leases and ages look young. */
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (usec_t)ts.tv_sec * USEC_PER_SEC + (usec_t)ts.tv_nsec / 1000;
+}
+
+static usec_t paused_now(const run_clock_t *clock)
+{
+	return ((const paused_clock_t *)clock)->now;
+}
+
+static const clock_ops_t system_ops = {.now = system_now};
+static const clock_ops_t paused_ops = {.now = paused_now};
+static const run_clock_t system_clock = {.ops = &system_ops};
+
+const run_clock_t *clock_system(void)
+{
+	return &system_clock;
+}
+
+void paused_clock_init(paused_clock_t *clock, usec_t now)
+{
+	clock->base.ops = &paused_ops;
+	clock->now = now;
+}
+
+void paused_clock_advance(paused_clock_t *clock, usec_t by)
+{
+	clock->now += by;
+}
--- /dev/null
+++ b/kernel/clock.h
@@ -0,0 +1,40 @@
+/*
+ * The run-time's clock. All time in the project is a usec_t read from such a
+ * clock: microseconds, monotonic, going on while the process is stopped.
+ */
+#pragma once
+
+#include <stdint.h>
+
+typedef uint64_t usec_t;
+
+#define USEC_PER_MSEC ((usec_t)1000)
+#define USEC_PER_SEC  ((usec_t)1000000)
+#define USEC_NEVER    UINT64_MAX
+
+struct run_clock;
+
+typedef struct clock_ops {
+	usec_t (*now)(const struct run_clock *clock);
+} clock_ops_t;
+
+typedef struct run_clock {
+	const clock_ops_t *ops;
+} run_clock_t;
+
+/* A clock that stands still until it is advanced. */
+typedef struct paused_clock {
+	run_clock_t base;
+	usec_t now;
+} paused_clock_t;
+
+static inline usec_t clock_now(const run_clock_t *clock)
+{
+	return clock->ops->now(clock);
+}
+
+/* The machine's clock. It counts suspended time too (CLOCK_BOOTTIME). */
+const run_clock_t *clock_system(void);
+
+void paused_clock_init(paused_clock_t *clock, usec_t now);
+void paused_clock_advance(paused_clock_t *clock, usec_t by);
--- /dev/null
+++ b/kernel/loop.c
@@ -0,0 +1,101 @@
+#include "loop.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+/* Longest sleep in h2o's loop, milliseconds: bounds the wait for a signal flag. */
+#define MAX_WAIT_MSEC 100
+
+int loop_init(loop_t *loop, const run_clock_t *clock)
+{
+	loop->h2o = h2o_evloop_create();
+	if (loop->h2o == NULL)
+		return -ENOMEM;
+	loop->clock = clock;
+	loop->stopping = false;
+	timers_init(&loop->timers);
+	return 0;
+}
+
+void loop_destroy(loop_t *loop)
+{
+	timers_destroy(&loop->timers);
+	/* h2o 2.2's evloop has no complete destructor; the process is about to end. */
+}
+
+static int32_t wait_msec(const loop_t *loop)
+{
+	usec_t next = timers_next(&loop->timers);
+	usec_t now = clock_now(loop->clock);
+	usec_t msec;
+
+	if (next == USEC_NEVER)
+		return MAX_WAIT_MSEC;
+	if (next <= now)
+		return 0;
+	msec = (next - now + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
+	return msec < MAX_WAIT_MSEC ? (int32_t)msec : MAX_WAIT_MSEC;
+}
+
+void loop_run(loop_t *loop)
+{
+	while (!loop->stopping) {
+		h2o_evloop_run(loop->h2o, wait_msec(loop));
+		timers_expire(&loop->timers, clock_now(loop->clock));
+	}
+}
+
+void loop_stop(loop_t *loop)
+{
+	loop->stopping = true;
+}
+
+static void on_readable(h2o_socket_t *sock, const char *err)
+{
+	loop_watch_t *watch = sock->data;
+
+	(void)err; /* the library that owns the descriptor meets the error itself */
+	watch->on_readable(watch);
+}
+
+static void on_writable(h2o_socket_t *sock, const char *err)
+{
+	loop_watch_t *watch = sock->data;
+
+	(void)err;
+	watch->on_writable(watch);
+}
+
+int loop_watch_start(loop_t *loop, loop_watch_t *watch, int fd, loop_watch_cb_t cb)
+{
+	int copy = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+
+	if (copy < 0)
+		return -errno;
+	watch->sock = h2o_evloop_socket_create(loop->h2o, copy, H2O_SOCKET_FLAG_DONT_READ);
+	if (watch->sock == NULL) {
+		close(copy);
+		return -ENOMEM;
+	}
+	watch->sock->data = watch;
+	watch->on_readable = cb;
+	h2o_socket_read_start(watch->sock, on_readable);
+	return 0;
+}
+
+void loop_watch_writable(loop_watch_t *watch, loop_watch_cb_t cb)
+{
+	watch->on_writable = cb;
+	if (!h2o_socket_is_writing(watch->sock))
+		h2o_socket_notify_write(watch->sock, on_writable);
+}
+
+void loop_watch_stop(loop_watch_t *watch)
+{
+	if (watch->sock == NULL)
+		return;
+	h2o_socket_read_stop(watch->sock);
+	h2o_socket_close(watch->sock);
+	watch->sock = NULL;
+}
--- /dev/null
+++ b/kernel/plugin.c
@@ -0,0 +1,71 @@
+#include "plugin.h"
+
+static list_t registered = {.prev = &registered, .next = &registered};
+
+void plugin_register(plugin_t *plugin)
+{
+	list_t *pos = &registered;
+
+	list_for_each (it, &registered) {
+		if (list_entry(it, plugin_t, registered)->ops->order > plugin->ops->order) {
+			pos = it;
+			break;
+		}
+	}
+	list_add_before(pos, &plugin->registered);
+}
+
+int kernel_init(kernel_t *kernel, const run_clock_t *clock, const void *settings, void *context)
+{
+	kernel->settings = settings;
+	kernel->context = context;
+	list_init(&kernel->started);
+	return loop_init(&kernel->loop, clock);
+}
+
+int kernel_start(kernel_t *kernel, err_t *err)
+{
+	list_for_each (it, &registered) {
+		plugin_t *plugin = list_entry(it, plugin_t, registered);
+		int rc = plugin->ops->start(plugin, kernel, err);
+
+		if (rc < 0)
+			return rc;
+		list_add_before(kernel->started.next, &plugin->started);
+	}
+	return 0;
+}
+
+void kernel_drain(kernel_t *kernel)
+{
+	list_for_each (it, &kernel->started) {
+		plugin_t *plugin = list_entry(it, plugin_t, started);
+
+		if (plugin->ops->drain != NULL)
+			plugin->ops->drain(plugin);
+	}
+}
+
+json_t *kernel_dump(const kernel_t *kernel)
+{
+	json_t *out = json_object();
+
+	list_for_each (it, &kernel->started) {
+		const plugin_t *plugin = list_entry(it, plugin_t, started);
+
+		if (plugin->ops->dump != NULL)
+			json_object_set_new(out, plugin->ops->name, plugin->ops->dump(plugin));
+	}
+	return out;
+}
+
+void kernel_destroy(kernel_t *kernel)
+{
+	while (!list_empty(&kernel->started)) {
+		plugin_t *plugin = list_entry(kernel->started.next, plugin_t, started);
+
+		list_del(&plugin->started);
+		plugin->ops->destroy(plugin);
+	}
+	loop_destroy(&kernel->loop);
+}
--- /dev/null
+++ b/kernel/plugin.h
@@ -0,0 +1,56 @@
+/*
+ * Plug-ins. Each outside party (callers, backend servers, platform, peers,
+ * operators) is served by one plug-in that registers itself before main().
+ * The kernel starts them in order, drains and destroys them in reverse.
+ */
+#pragma once
+
+#include <jansson.h>
+
+#include "err.h"
+#include "list.h"
+#include "loop.h"
+
+struct plugin;
+
+/* What a plug-in finds when it starts. */
+typedef struct kernel {
+	loop_t loop;
+	const void *settings; /* the binary's settings structure */
+	void *context;	      /* shared by the binary's plug-ins */
+	list_t started;	      /* of plugin_t, last started first */
+} kernel_t;
+
+typedef struct plugin_ops {
+	const char *name;
+	int order; /* lower starts earlier */
+	int (*start)(struct plugin *plugin, kernel_t *kernel, err_t *err);
+	void (*drain)(struct plugin *plugin);	      /* may be NULL */
+	json_t *(*dump)(const struct plugin *plugin); /* state for operators; may be NULL */
+	void (*destroy)(struct plugin *plugin);
+} plugin_ops_t;
+
+typedef struct plugin {
+	const plugin_ops_t *ops;
+	list_t registered;
+	list_t started;
+} plugin_t;
+
+#define PLUGIN_REGISTER(plugin)                                                                    \
+	__attribute__((constructor)) static void plugin_self_register(void)                        \
+	{                                                                                          \
+		plugin_register(plugin);                                                           \
+	}                                                                                          \
+	_Static_assert(1, "swallow the semicolon")
+
+void plugin_register(plugin_t *plugin);
+
+int kernel_init(kernel_t *kernel, const run_clock_t *clock, const void *settings, void *context);
+
+/* Start every registered plug-in; on an error those started are destroyed. */
+int kernel_start(kernel_t *kernel, err_t *err);
+void kernel_drain(kernel_t *kernel);
+
+/* One object, a key a plug-in. The caller owns it. */
+json_t *kernel_dump(const kernel_t *kernel);
+void kernel_destroy(kernel_t *kernel);
--- /dev/null
+++ b/kernel/timer.h
@@ -0,0 +1,38 @@
+/*
+ * Timers of any length in one ordered set (a binary heap). h2o's own timeouts
+ * hold entries of one fixed interval each, which does not fit deadlines.
+ */
+#pragma once
+
+#include <stddef.h>
+
+#include "clock.h"
+
+struct run_timer;
+
+typedef void (*timer_cb_t)(struct run_timer *timer, usec_t now);
+
+typedef struct run_timer {
+	timer_cb_t cb;
+	usec_t at;
+	size_t index; /* place in the heap plus one, 0 when not armed */
+} run_timer_t;
+
+typedef struct timer_set {
+	run_timer_t **heap;
+	size_t len;
+	size_t size;
+} timer_set_t;
+
+void timers_init(timer_set_t *set);
+void timers_destroy(timer_set_t *set);
+
+/* Arm or re-arm timer. Returns 0 or -ENOMEM. */
+int timers_arm(timer_set_t *set, run_timer_t *timer, usec_t at, timer_cb_t cb);
+void timers_cancel(timer_set_t *set, run_timer_t *timer);
+
+/* When the first timer is due, USEC_NEVER if none is armed. */
+usec_t timers_next(const timer_set_t *set);
+
+/* Run every timer that is due at now. */
+void timers_expire(timer_set_t *set, usec_t now);
