--- /dev/null
+++ b/core/confirm.c
@@ -0,0 +1,109 @@
+#include "confirm.h"
+
+#include "exec.h"
+#include "group.h"
+
+/* Weight of a new measurement in the smoothed time, as a shift. */
+#define SMOOTH_SHIFT 3
+
+/*
+ * Within one term only the primary writes, and replicas follow its log in
+ * order. So the primary holds every entry of its term that a replica holds.
+ */
+static bool holds(const request_t *request, const member_t *member)
+{
+	const group_t *group = request->group;
+	bool is_primary = member == group->primary && member->report.sealed == group->term;
+
+	if (member == request->runner)
+		return true;
+	if (is_primary && request->position.term == group->term)
+		return true;
+	return member->known && member->report.log.term == request->position.term &&
+	       member->report.log.lsn >= request->position.lsn;
+}
+
+/* Asked after the read, the member had promised no later term: nobody could have superseded it. */
+static bool witnesses(const request_t *request, const member_t *member)
+{
+	if (member == request->runner)
+		return request->result->after.sealed == request->position.term;
+	return member->known && member->reported >= request->ran_at &&
+	       member->report.sealed == request->position.term;
+}
+
+static bool is_confirmed(const request_t *request)
+{
+	const group_t *group = request->group;
+	size_t holders = 0;
+	size_t fresh = 0;
+
+	for (size_t i = 0; i < group->member_count; i++) {
+		holders += holds(request, &group->members[i]);
+		fresh += witnesses(request, &group->members[i]);
+	}
+	if (holders < group_majority(group))
+		return false;
+	return !request->strict || fresh >= group_majority(group);
+}
+
+static void smooth(usec_t *mean, usec_t value)
+{
+	*mean += (value >> SMOOTH_SHIFT) - (*mean >> SMOOTH_SHIFT);
+}
+
+static void confirmed(request_t *request)
+{
+	group_t *group = request->group;
+
+	list_del(&request->node);
+	smooth(&group->confirm_time, group->core->now - request->ran_at);
+	group->takeover.stall_backoff = 0;
+	exec_confirmed(request);
+}
+
+void confirm_add(request_t *request)
+{
+	group_t *group = request->group;
+
+	request->state = REQUEST_CONFIRMING;
+	list_add_tail(&group->confirms, &request->node);
+	if (is_confirmed(request))
+		confirmed(request);
+	else if (group->core->now >= request->deadline)
+		exec_deadline(request); /* its timer has fired already, during the run */
+	else
+		group_poll_now(group);
+}
+
+void confirm_check(group_t *group)
+{
+	list_for_each_safe (it, &group->confirms) {
+		request_t *request = list_entry(it, request_t, node);
+
+		if (is_confirmed(request))
+			confirmed(request);
+	}
+}
+
+void confirm_term_changed(group_t *group)
+{
+	list_for_each_safe (it, &group->confirms) {
+		request_t *request = list_entry(it, request_t, node);
+
+		if (request->position.term >= group->term)
+			continue;
+		list_del(&request->node);
+		exec_superseded(request);
+	}
+}
+
+usec_t confirm_oldest(const group_t *group)
+{
+	const request_t *first;
+
+	if (list_empty(&group->confirms))
+		return 0;
+	first = list_entry(group->confirms.next, request_t, node);
+	return group->core->now - first->ran_at;
+}
--- /dev/null
+++ b/core/edit.c
@@ -0,0 +1,194 @@
+#include "edit.h"
+
+#include <stdarg.h>
+
+#include <talloc.h>
+
+#include "tablesync.h"
+
+static void finish(edit_t *edit, edit_status_t status, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+static void finish(edit_t *edit, edit_status_t status, const char *fmt, ...)
+{
+	static const char *const names[] = {
+		[EDIT_ACCEPTED] = "accepted",
+		[EDIT_REFUSED] = "refused",
+		[EDIT_UNKNOWN] = "unknown",
+	};
+	core_t *core = edit->core;
+	action_t *action = core_act(core, ACTION_EDIT_DONE);
+	va_list ap;
+
+	va_start(ap, fmt);
+	action->text = talloc_vasprintf(action, fmt, ap);
+	va_end(ap);
+	action->id = edit->id;
+	action->edit_status = status;
+	action->table_version = core->table->version;
+	core_note(core, status != EDIT_ACCEPTED, "table edit %s id=%s author=%s version=%llu: %s",
+		  names[status], edit->edit_id, edit->author,
+		  (unsigned long long)core->table->version, action->text);
+	timers_cancel(&core->timers, &edit->timer);
+	timers_cancel(&core->timers, &edit->retry_timer);
+	list_del(&edit->node);
+	talloc_free(edit);
+}
+
+static void on_timeout(run_timer_t *timer, usec_t now)
+{
+	edit_t *edit = list_entry(timer, edit_t, timer);
+
+	(void)now;
+	if (edit->commit_sent)
+		finish(edit, EDIT_UNKNOWN,
+		       "the store has not answered; look for the edit's id in the history");
+	else
+		finish(edit, EDIT_REFUSED, "the store could not be asked");
+}
+
+/* The key of a row that somebody changed after the version this operator saw; NULL if none. */
+static const char *find_conflict(const edit_t *edit)
+{
+	for (size_t i = 0; i < edit->entry_count; i++) {
+		const table_entry_t *held = table_find(edit->core->table, edit->entries[i].key);
+
+		if (held != NULL && held->version > edit->base_version)
+			return held->key;
+	}
+	return NULL;
+}
+
+static void commit(edit_t *edit)
+{
+	core_t *core = edit->core;
+	action_t *action;
+	err_t err = {0};
+	const char *conflict = find_conflict(edit);
+
+	if (conflict != NULL) {
+		finish(edit, EDIT_REFUSED, "%s was changed by another operator since version %llu",
+		       conflict, (unsigned long long)edit->base_version);
+		return;
+	}
+	if (table_check(core->table, edit->entries, edit->entry_count, &err) < 0) {
+		finish(edit, EDIT_REFUSED, "%s: %s", err.peer, err.text);
+		return;
+	}
+	edit->commit_sent = true;
+	action = core_act(core, ACTION_STORE_COMMIT);
+	action->id = edit->id;
+	action->head_revision = core->head_revision;
+	action->table_version = core->table->version + 1;
+	action->edit_id = talloc_strdup(action, edit->edit_id);
+	action->author = talloc_strdup(action, edit->author);
+	action->entries = talloc_array(action, table_entry_t, edit->entry_count);
+	action->entry_count = edit->entry_count;
+	for (size_t i = 0; i < edit->entry_count; i++) {
+		action->entries[i] = (table_entry_t){
+			.key = talloc_strdup(action->entries, edit->entries[i].key),
+			.value = talloc_strdup(action->entries, edit->entries[i].value),
+			.version = core->table->version + 1,
+		};
+	}
+}
+
+static void on_retry(run_timer_t *timer, usec_t now)
+{
+	(void)now;
+	commit(list_entry(timer, edit_t, retry_timer));
+}
+
+static void copy_entries(edit_t *edit, const event_t *event)
+{
+	edit->entries = talloc_array(edit, table_entry_t, event->entry_count);
+	edit->entry_count = event->entry_count;
+	for (size_t i = 0; i < event->entry_count; i++) {
+		edit->entries[i] = (table_entry_t){
+			.key = talloc_strdup(edit, event->entries[i].key),
+			.value = talloc_strdup(edit, event->entries[i].value),
+		};
+	}
+}
+
+void edit_start(core_t *core, const event_t *event)
+{
+	const core_timings_t *timings = &core->config.timings;
+	usec_t since = core->now > timings->table_stale ? core->now - timings->table_stale : 1;
+	edit_t *edit = talloc_zero(core, edit_t);
+
+	edit->core = core;
+	edit->id = event->id;
+	edit->edit_id = talloc_strdup(edit, event->edit_id);
+	edit->author = talloc_strdup(edit, event->author);
+	edit->base_version = event->base_version;
+	copy_entries(edit, event);
+	list_add_tail(&core->edits, &edit->node);
+	timers_arm(&core->timers, &edit->timer, core->now + timings->edit_timeout, on_timeout);
+	/*
+	 * Proxies that lose the store go on while they hear more than half of the
+	 * fleet. An edit taken on the smaller side of a cut would not reach them.
+	 */
+	if (!fleet_majority_heard(core->fleet, since)) {
+		finish(edit, EDIT_REFUSED, "this proxy does not hear more than half of the fleet");
+		return;
+	}
+	commit(edit);
+}
+
+static edit_t *find_edit(const core_t *core, uint64_t id)
+{
+	list_for_each (it, &core->edits) {
+		edit_t *edit = list_entry(it, edit_t, node);
+
+		if (edit->id == id)
+			return edit;
+	}
+	return NULL;
+}
+
+/* The edit, as the store now has it, goes into force here first. */
+static void taken(edit_t *edit, const event_t *event)
+{
+	core_t *core = edit->core;
+
+	if (tablesync_merge(core, event->entries, event->entry_count, event->table_version,
+			    "edit") >= 0)
+		core->head_revision = event->head_revision;
+	finish(edit, EDIT_ACCEPTED, "in force here as version %llu",
+	       (unsigned long long)event->table_version);
+}
+
+/* Somebody else's edit came first: take it in, and try on top of it. */
+static void overtaken(edit_t *edit, const event_t *event)
+{
+	core_t *core = edit->core;
+
+	tablesync_merge(core, event->entries, event->entry_count, event->table_version, "store");
+	if (event->head_revision > core->head_revision)
+		core->head_revision = event->head_revision;
+	if (event->edit_found)
+		finish(edit, EDIT_ACCEPTED, "an earlier answer was lost; it had been taken");
+	else
+		commit(edit);
+}
+
+void edit_store_done(core_t *core, const event_t *event)
+{
+	edit_t *edit = find_edit(core, event->id);
+
+	if (edit == NULL)
+		return;
+	switch (event->store_status) {
+	case STORE_OK:
+		taken(edit, event);
+		break;
+	case STORE_CONFLICT:
+		overtaken(edit, event);
+		break;
+	case STORE_FAILED:
+		timers_arm(&core->timers, &edit->retry_timer,
+			   core->now + core->config.timings.store_retry, on_retry);
+		break;
+	}
+}
--- /dev/null
+++ b/core/exec.c
@@ -0,0 +1,426 @@
+#include "exec.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "confirm.h"
+#include "group.h"
+#include "pool.h"
+#include "queue.h"
+#include "request.h"
+#include "retry.h"
+#include "takeover.h"
+#include "tx.h"
+
+#define MAX_ATTEMPTS 5
+#define SMOOTH_SHIFT 3
+#define PERCENT	     100
+/* When a primary is missing, callers are told to come back after this. */
+#define FAILOVER_RETRY_AFTER (300 * USEC_PER_MSEC)
+
+static usec_t now_of(const request_t *request)
+{
+	return request->core->now;
+}
+
+static bool is_safe_to_repeat(const request_t *request)
+{
+	return request->kind == ROW_READ || request->query->repeatable ||
+	       request->query->request_id != NULL;
+}
+
+/* --- choice of a member --- */
+
+static bool has_slot(const member_t *member, int64_t kept_free)
+{
+	return member->running + kept_free < member->spec.slots;
+}
+
+static bool replica_fits(const request_t *request, const member_t *member)
+{
+	const group_t *group = request->group;
+
+	if (member == group->primary || !member_is_current(member) || member->fresh_at == 0)
+		return false;
+	if (!position_covers(member->report.log, request->query->floor))
+		return false;
+	return now_of(request) - member->fresh_at <= request->max_age;
+}
+
+static bool is_less_loaded(const member_t *a, const member_t *b)
+{
+	return a->running * b->spec.slots < b->running * a->spec.slots;
+}
+
+/* The least loaded replica that fits; *any tells whether one fits at all. */
+static member_t *choose_replica(const request_t *request, bool *any)
+{
+	group_t *group = request->group;
+	member_t *best = NULL;
+
+	*any = false;
+	for (size_t i = 0; i < group->member_count; i++) {
+		member_t *member = &group->members[i];
+
+		if (!replica_fits(request, member))
+			continue;
+		*any = true;
+		if (has_slot(member, 0) && (best == NULL || is_less_loaded(member, best)))
+			best = member;
+	}
+	return best;
+}
+
+/* Reads leave one slot of the primary free, so that searches can't crowd out writes. */
+static member_t *choose_primary(const request_t *request)
+{
+	const group_t *group = request->group;
+	member_t *primary = group->primary;
+	int64_t kept_free = 0;
+
+	if (primary == NULL || group->takeover.state != TAKEOVER_NONE)
+		return NULL;
+	if (request->query->floor.term > group->term)
+		return NULL;
+	if (request->kind == ROW_READ && primary->spec.slots > 1)
+		kept_free = 1;
+	return has_slot(primary, kept_free) ? primary : NULL;
+}
+
+static member_t *choose_member(const request_t *request)
+{
+	bool any;
+	member_t *replica;
+
+	if (request->strict || request->kind == ROW_WRITE || !request->lean_replica)
+		return choose_primary(request);
+	replica = choose_replica(request, &any);
+	return any ? replica : choose_primary(request);
+}
+
+/* --- start --- */
+
+void exec_start(request_t *request, conn_t *conn, run_kind_t kind)
+{
+	core_t *core = request->core;
+	action_t *action = core_act(core, ACTION_RUN);
+
+	request->state = REQUEST_RUNNING;
+	request->conn = conn;
+	request->runner = conn->pool->member;
+	request->run_started = core->now;
+	request->runner->running++;
+	conn->request = request;
+	action->id = conn->id;
+	action->member = talloc_strdup(action, request->runner->spec.name);
+	action->run = kind;
+	action->query = query_copy(action, request->query);
+	action->timeout = request->deadline - core->now;
+}
+
+static run_kind_t run_kind(const request_t *request)
+{
+	if (request->query->verb == VERB_BEGIN)
+		return RUN_BEGIN;
+	return request->kind == ROW_READ ? RUN_READ : RUN_WRITE;
+}
+
+static void try_start(request_t *request)
+{
+	core_t *core = request->core;
+	const row_t *row =
+		table_row(core->table, request->query->service, request->query->class_name);
+	member_t *member = choose_member(request);
+	conn_t *conn;
+
+	if (row == NULL || member == NULL)
+		return;
+	conn = pool_take(member, row);
+	if (conn == NULL) {
+		pool_grow(member, row);
+		return;
+	}
+	list_del(&request->node);
+	request->attempts++;
+	/* Against the primary every read is checked like a strict one: it may be superseded. */
+	request->strict |= request->kind == ROW_READ && member == request->group->primary;
+	exec_start(request, conn, run_kind(request));
+}
+
+void exec_dispatch(group_t *group)
+{
+	/* A refusal or an answer on the way may come back here; once is enough. */
+	if (group->dispatching || group->changing)
+		return;
+	group->dispatching = true;
+	list_for_each_safe (it, &group->queue)
+		try_start(list_entry(it, request_t, node));
+	group->dispatching = false;
+}
+
+/* --- arrival --- */
+
+static void read_row(request_t *request, const row_t *row)
+{
+	core_t *core = request->core;
+
+	request->kind = row->kind;
+	request->max_age = row->max_age;
+	request->weight = row->weight;
+	request->lean_replica = (int64_t)core_random(core, PERCENT) < row->replica_lean;
+	/* A session whose token is lost may have written anything: only the primary will do. */
+	request->strict = row->kind == ROW_READ && (row->max_age == 0 || request->query->continued);
+	/* A transaction may write whatever its row says, so it belongs on the primary. */
+	if (request->query->verb == VERB_BEGIN)
+		request->kind = ROW_WRITE;
+}
+
+void exec_submit(request_t *request, group_t *group)
+{
+	const row_t *row = table_row(request->core->table, request->query->service,
+				     request->query->class_name);
+
+	request->group = group;
+	request->group_name = talloc_strdup(request, group->name);
+	read_row(request, row);
+	if (queue_admit(request, row))
+		exec_dispatch(group);
+}
+
+/* --- ends of runs --- */
+
+static void leave_conn(request_t *request)
+{
+	conn_t *conn = request->conn;
+
+	request->runner->running--;
+	request->conn = NULL;
+	conn->request = NULL;
+}
+
+static usec_t come_back(const group_t *group)
+{
+	usec_t wait = queue_wait(group, 0);
+
+	return wait > FAILOVER_RETRY_AFTER ? wait : FAILOVER_RETRY_AFTER;
+}
+
+/* Queue it again if that is safe, worthwhile and within the budget; else it gets its answer. */
+static void retry_or_refuse(request_t *request, refusal_t refusal, const char *why)
+{
+	group_t *group = request->group;
+
+	if (request->maybe_ran && !is_safe_to_repeat(request)) {
+		request_refuse(request, refusal, come_back(group), "%s", why);
+		return;
+	}
+	if (request->attempts >= MAX_ATTEMPTS || now_of(request) >= request->deadline) {
+		request_refuse(request, refusal, come_back(group), "%s, after %d attempts", why,
+			       request->attempts);
+		return;
+	}
+	if (!retry_spend(group)) {
+		request_refuse(request, REFUSAL_RETRY_BUDGET, come_back(group),
+			       "%s; too many retries of late", why);
+		return;
+	}
+	queue_insert(request);
+}
+
+static void answer_done(request_t *request)
+{
+	answer_t answer = {
+		.outcome = OUTCOME_DONE,
+		.position = request->position,
+		.repeated = request->result->repeated,
+		.rows = request->result->rows,
+		.member = request->runner->spec.name,
+		.group = request->group_name,
+		.tx = request->tx != NULL ? request->tx->handle : NULL,
+	};
+
+	if (!request->strict && request->kind == ROW_READ)
+		answer.age = now_of(request) - request->age_base;
+	retry_earn(request->group);
+	request_finish(request, &answer);
+}
+
+void exec_confirmed(request_t *request)
+{
+	answer_done(request);
+}
+
+static void run_lost(request_t *request, bool at_commit, const char *detail)
+{
+	/* Without a commit sent the server rolls back when the connection drops. */
+	request->maybe_ran |= at_commit;
+	retry_or_refuse(request, REFUSAL_CONN_LOST, detail);
+}
+
+static void run_rejected(request_t *request, const char *detail)
+{
+	answer_t answer = {
+		.outcome = OUTCOME_NOT_RUN,
+		.refusal = REFUSAL_SQL,
+		.detail = (char *)detail,
+		.member = request->runner->spec.name,
+		.group = request->group_name,
+	};
+
+	/*
+	 * With a request id the server looked for an earlier attempt before it
+	 * rejected this one; without, an earlier attempt may still have taken.
+	 */
+	if (request->maybe_ran && request->query->request_id == NULL)
+		answer.outcome = OUTCOME_UNKNOWN;
+	request_finish(request, &answer);
+}
+
+static bool ran_on_current_primary(const request_t *request)
+{
+	const report_t *after = &request->result->after;
+
+	return after->primary && after->sealed == request->group->term;
+}
+
+/* The replica may have been reset since its last report: its own word at the run counts. */
+static bool replica_was_fit(request_t *request)
+{
+	const report_t *before = &request->result->before;
+
+	if (before->log.term != request->group->term ||
+	    !position_covers(before->log, request->query->floor))
+		return false;
+	request->age_base = group_data_time(request->group, before->log.lsn);
+	return request->age_base != 0 && now_of(request) - request->age_base <= request->max_age;
+}
+
+static void read_done(request_t *request)
+{
+	if (request->strict ? ran_on_current_primary(request) : replica_was_fit(request)) {
+		confirm_add(request);
+		return;
+	}
+	/* Next time on the primary, which has no age to miss. */
+	request->lean_replica = false;
+	retry_or_refuse(request, REFUSAL_NO_PRIMARY, "the member was no longer fit for the read");
+}
+
+static void write_done(request_t *request)
+{
+	request->maybe_ran = true;
+	if (ran_on_current_primary(request))
+		confirm_add(request);
+	else
+		exec_superseded(request);
+}
+
+void exec_superseded(request_t *request)
+{
+	if (request->tx != NULL) {
+		tx_superseded(request);
+		return;
+	}
+	request->maybe_ran |= request->kind == ROW_WRITE;
+	retry_or_refuse(request, REFUSAL_NO_MAJORITY,
+			"the primary was superseded before a majority held it");
+}
+
+static void smooth_service(group_t *group, usec_t took)
+{
+	group->service_time += (took >> SMOOTH_SHIFT) - (group->service_time >> SMOOTH_SHIFT);
+}
+
+static void keep_result(request_t *request, const run_result_t *result)
+{
+	run_result_t *copy = talloc(request, run_result_t);
+
+	*copy = *result;
+	copy->rows = talloc_strdup(copy, result->rows);
+	copy->detail = talloc_strdup(copy, result->detail);
+	request->result = copy;
+	request->position = copy->after.log;
+	request->ran_at = request->core->now;
+}
+
+static void statement_done(request_t *request, const run_result_t *result)
+{
+	switch (result->status) {
+	case RUN_OK:
+		if (request->kind == ROW_READ)
+			read_done(request);
+		else
+			write_done(request);
+		break;
+	case RUN_REJECTED:
+		run_rejected(request, result->detail);
+		break;
+	case RUN_LOST_BEFORE_COMMIT:
+		run_lost(request, false, result->detail);
+		break;
+	case RUN_LOST_AT_COMMIT:
+		run_lost(request, true, result->detail);
+		break;
+	}
+}
+
+void exec_run_done(core_t *core, const event_t *event)
+{
+	conn_t *conn = pool_find(core, event->id);
+	request_t *request = conn != NULL ? conn->request : NULL;
+	const run_result_t *result = event->result;
+	group_t *group;
+	bool usable;
+
+	if (request == NULL)
+		return;
+	group = request->group;
+	usable = result->status == RUN_OK || result->status == RUN_REJECTED;
+	leave_conn(request);
+	if (usable)
+		smooth_service(group, core->now - request->run_started);
+	keep_result(request, result);
+	if (request->query->verb != VERB_STATEMENT) {
+		tx_run_done(request, conn, usable);
+	} else {
+		if (usable)
+			pool_release(conn);
+		statement_done(request, result);
+	}
+	exec_dispatch(group);
+}
+
+/* --- deadline --- */
+
+void exec_deadline(request_t *request)
+{
+	group_t *group = request->group;
+
+	switch (request->state) {
+	case REQUEST_QUEUED:
+		list_del(&request->node);
+		if (group->primary == NULL)
+			request_refuse(request, REFUSAL_NO_PRIMARY, come_back(group),
+				       "group %s has no primary", group->name);
+		else
+			request_refuse(request, REFUSAL_DEADLINE, come_back(group),
+				       "still queued at the deadline");
+		break;
+	case REQUEST_RUNNING:
+		/*
+		 * Closing tells which it is: without a commit sent the server rolls
+		 * back. The link answers with EVENT_RUN_DONE before anything else.
+		 */
+		pool_close(request->conn);
+		break;
+	case REQUEST_CONFIRMING:
+		list_del(&request->node);
+		request->maybe_ran = true;
+		request_refuse(request, REFUSAL_NO_MAJORITY, come_back(group),
+			       "no majority of group %s held it in time", group->name);
+		break;
+	case REQUEST_FORWARDED:
+		break;
+	}
+}
--- /dev/null
+++ b/core/fleet.c
@@ -0,0 +1,259 @@
+#include "fleet.h"
+
+#include <string.h>
+
+#include <talloc.h>
+#include <xxhash.h>
+
+static proxy_t *proxy_create(fleet_t *fleet, const char *name)
+{
+	proxy_t *proxy = talloc_zero(fleet, proxy_t);
+
+	proxy->name = talloc_strdup(proxy, name);
+	HASH_ADD_KEYPTR(hh, fleet->proxies, proxy->name, strlen(proxy->name), proxy);
+	fleet->epoch++;
+	return proxy;
+}
+
+static int fleet_destructor(fleet_t *fleet)
+{
+	HASH_CLEAR(hh, fleet->proxies);
+	return 0;
+}
+
+fleet_t *fleet_create(void *parent, const char *name, const char *zone, const char *address)
+{
+	fleet_t *fleet = talloc_zero(parent, fleet_t);
+
+	talloc_set_destructor(fleet, fleet_destructor);
+	fleet->self = fleet_add(fleet, 0, name, zone, address, true);
+	fleet->self->self = true;
+	return fleet;
+}
+
+proxy_t *fleet_find(const fleet_t *fleet, const char *name)
+{
+	proxy_t *proxy;
+
+	HASH_FIND_STR(fleet->proxies, name, proxy);
+	return proxy;
+}
+
+static void update_text(fleet_t *fleet, proxy_t *proxy, char **field, const char *text)
+{
+	if (text == NULL || (*field != NULL && strcmp(*field, text) == 0))
+		return;
+	talloc_free(*field);
+	*field = talloc_strdup(proxy, text);
+	fleet->epoch++;
+}
+
+proxy_t *fleet_add(fleet_t *fleet, usec_t now, const char *name, const char *zone,
+		   const char *address, bool listed)
+{
+	proxy_t *proxy = fleet_find(fleet, name);
+
+	if (proxy == NULL) {
+		proxy = proxy_create(fleet, name);
+		proxy->added = now;
+	}
+	update_text(fleet, proxy, &proxy->zone, zone);
+	update_text(fleet, proxy, &proxy->address, address);
+	proxy->listed |= listed;
+	return proxy;
+}
+
+static void remove_unlisted(fleet_t *fleet, usec_t now, usec_t forget_after)
+{
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, fleet->proxies, proxy, next) {
+		usec_t last;
+
+		if (proxy->added == 0)
+			proxy->added = now; /* from the settings, before the clock was known */
+		last = proxy->heard > proxy->added ? proxy->heard : proxy->added;
+		if (proxy->self || proxy->listed || now - last < forget_after)
+			continue;
+		HASH_DEL(fleet->proxies, proxy);
+		talloc_free(proxy);
+		fleet->epoch++;
+	}
+}
+
+void fleet_take_list(fleet_t *fleet, usec_t now, const vm_t *vms, size_t count, usec_t forget_after)
+{
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, fleet->proxies, proxy, next)
+		proxy->listed = false;
+	for (size_t i = 0; i < count; i++) {
+		proxy = fleet_add(fleet, now, vms[i].name, vms[i].zone, vms[i].address, true);
+		if (vms[i].leaving)
+			fleet_set_leaving(fleet, proxy);
+	}
+	remove_unlisted(fleet, now, forget_after);
+}
+
+static void start_incarnation(fleet_t *fleet, proxy_t *proxy, uint64_t incarnation)
+{
+	proxy->incarnation = incarnation;
+	proxy->leaving = false;
+	proxy->our_echo = 0;
+	proxy->their_clock = 0;
+	proxy->table_version = 0;
+	proxy->store_contact = 0;
+	fleet->epoch++;
+}
+
+void fleet_heard(fleet_t *fleet, proxy_t *proxy, usec_t now, const message_t *message)
+{
+	if (message->incarnation < proxy->incarnation)
+		return;
+	if (message->incarnation > proxy->incarnation)
+		start_incarnation(fleet, proxy, message->incarnation);
+	proxy->heard = now;
+	if (message->sent_at > proxy->their_clock)
+		proxy->their_clock = message->sent_at;
+	if (message->echo > proxy->our_echo)
+		proxy->our_echo = message->echo;
+	proxy->suspect = false;
+	if (message->leaving)
+		fleet_set_leaving(fleet, proxy);
+}
+
+void fleet_set_leaving(fleet_t *fleet, proxy_t *proxy)
+{
+	if (proxy->leaving)
+		return;
+	proxy->leaving = true;
+	fleet->epoch++;
+}
+
+void fleet_set_suspect(fleet_t *fleet, proxy_t *proxy)
+{
+	(void)fleet; /* suspicion moves nobody's rank: it is passed over when ranks are used */
+	if (!proxy->self)
+		proxy->suspect = true;
+}
+
+void fleet_suspect_silent(fleet_t *fleet, usec_t silent_since)
+{
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, fleet->proxies, proxy, next) {
+		/* Never heard: not a neighbour, or just added. Only forwarding can tell. */
+		if (proxy->heard != 0 && proxy->heard < silent_since)
+			fleet_set_suspect(fleet, proxy);
+	}
+}
+
+void fleet_forgive(fleet_t *fleet)
+{
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, fleet->proxies, proxy, next) {
+		proxy->heard = 0;
+		proxy->store_contact = 0;
+		proxy->our_echo = 0;
+	}
+}
+
+static uint64_t score(const proxy_t *proxy, const char *key)
+{
+	uint64_t seed = XXH64(key, strlen(key), 0);
+
+	return XXH64(proxy->name, strlen(proxy->name), seed);
+}
+
+static bool zone_taken(const ranks_t *ranks, const char *zone)
+{
+	for (size_t i = 0; i < ranks->len; i++) {
+		if (zone != NULL && ranks->at[i]->zone != NULL &&
+		    strcmp(ranks->at[i]->zone, zone) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool already_ranked(const ranks_t *ranks, const proxy_t *proxy)
+{
+	for (size_t i = 0; i < ranks->len; i++) {
+		if (ranks->at[i] == proxy)
+			return true;
+	}
+	return false;
+}
+
+/* The best proxy not ranked yet, in a zone not taken yet if other_zone is set. */
+static proxy_t *best_of_rest(const fleet_t *fleet, const char *key, const ranks_t *ranks,
+			     bool other_zone)
+{
+	proxy_t *best = NULL;
+	uint64_t best_score = 0;
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, fleet->proxies, proxy, next) {
+		uint64_t mine = score(proxy, key);
+
+		if (proxy->leaving || already_ranked(ranks, proxy))
+			continue;
+		if (other_zone && zone_taken(ranks, proxy->zone))
+			continue;
+		if (best == NULL || mine > best_score) {
+			best = proxy;
+			best_score = mine;
+		}
+	}
+	return best;
+}
+
+void fleet_rank(const fleet_t *fleet, const char *key, ranks_t *ranks)
+{
+	if (ranks->epoch == fleet->epoch)
+		return;
+	ranks->len = 0;
+	while (ranks->len < FLEET_RANKS) {
+		proxy_t *best = best_of_rest(fleet, key, ranks, true);
+
+		if (best == NULL)
+			best = best_of_rest(fleet, key, ranks, false);
+		if (best == NULL)
+			break;
+		ranks->at[ranks->len++] = best;
+	}
+	ranks->epoch = fleet->epoch;
+}
+
+int fleet_acting_rank(const ranks_t *ranks)
+{
+	int rank = 0;
+
+	for (size_t i = 0; i < ranks->len; i++) {
+		if (ranks->at[i]->self)
+			return rank;
+		if (!ranks->at[i]->suspect)
+			rank++;
+	}
+	return -1;
+}
+
+bool fleet_majority_heard(const fleet_t *fleet, usec_t since)
+{
+	size_t all = 0;
+	size_t heard = 0;
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, fleet->proxies, proxy, next) {
+		all++;
+		if (proxy->self || (proxy->heard != 0 && proxy->heard >= since))
+			heard++;
+	}
+	return 2 * heard > all;
+}
--- /dev/null
+++ b/core/fleet.h
@@ -0,0 +1,81 @@
+/*
+ * The fleet: which proxies there are, which of them can be reached, and which
+ * ones serve and watch a group. Ranks come from rendezvous hashing over the
+ * names, so that proxies with the same list agree without talking. Being wrong
+ * about a rank costs time only: safety rests on the group members.
+ *
+ * Three witnesses of unequal age: the platform's list (slow), heartbeats
+ * between neighbours, and whether forwarded requests are accepted (fast).
+ */
+#pragma once
+
+#include <uthash.h>
+
+#include "clock.h"
+#include "event.h"
+
+/* Proxies that watch a group: the first serves it, the others stand by. */
+#define FLEET_RANKS 3
+
+typedef struct proxy {
+	char *name;
+	char *zone;
+	char *address;
+	bool self;
+	bool listed;  /* on the platform's list, or in the settings */
+	bool leaving; /* final for this incarnation */
+	bool suspect; /* does not answer; cleared by the next message */
+	uint64_t incarnation;
+	usec_t added;
+	usec_t heard;	    /* last message, 0 never */
+	usec_t their_clock; /* its clock in its last message, for our echo */
+	usec_t our_echo;    /* our clock as it last saw it: bounds the age of its messages */
+	uint64_t table_version;
+	usec_t store_contact; /* when its table was known to be current, our clock */
+	UT_hash_handle hh;
+} proxy_t;
+
+typedef struct fleet {
+	proxy_t *proxies;
+	proxy_t *self;
+	uint64_t epoch; /* grows with each change that can move a rank */
+} fleet_t;
+
+typedef struct ranks {
+	proxy_t *at[FLEET_RANKS];
+	size_t len;
+	uint64_t epoch; /* of the fleet when it was worked out */
+} ranks_t;
+
+fleet_t *fleet_create(void *parent, const char *name, const char *zone, const char *address);
+
+proxy_t *fleet_find(const fleet_t *fleet, const char *name);
+
+/* Add a proxy or update where it is. Returns it. */
+proxy_t *fleet_add(fleet_t *fleet, usec_t now, const char *name, const char *zone,
+		   const char *address, bool listed);
+
+/* Take the platform's list. What is no longer listed and silent for forget_after goes. */
+void fleet_take_list(fleet_t *fleet, usec_t now, const vm_t *vms, size_t count,
+		     usec_t forget_after);
+
+/* Note a message of a peer; a later incarnation starts with a clean slate. */
+void fleet_heard(fleet_t *fleet, proxy_t *proxy, usec_t now, const message_t *message);
+
+void fleet_set_leaving(fleet_t *fleet, proxy_t *proxy);
+void fleet_set_suspect(fleet_t *fleet, proxy_t *proxy);
+
+/* Suspect the peers that were silent since before silent_since. */
+void fleet_suspect_silent(fleet_t *fleet, usec_t silent_since);
+
+/* After a pause of this process: judge nobody on what was missed meanwhile. */
+void fleet_forgive(fleet_t *fleet);
+
+/* Work out who serves key, unless *ranks is of the current epoch. Leaving proxies have no rank. */
+void fleet_rank(const fleet_t *fleet, const char *key, ranks_t *ranks);
+
+/* This proxy's place among ranks that are not suspect, -1 if it has none. */
+int fleet_acting_rank(const ranks_t *ranks);
+
+/* True if more than half of the fleet, self included, was heard since then. */
+bool fleet_majority_heard(const fleet_t *fleet, usec_t since);
--- /dev/null
+++ b/core/group.c
@@ -0,0 +1,525 @@
+#include "group.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "confirm.h"
+#include "exec.h"
+#include "pool.h"
+#include "takeover.h"
+
+/* Smoothing of round-trip times, as TCP does it (RFC 6298). */
+#define SRTT_SHIFT   3
+#define RTTVAR_SHIFT 2
+/* A member is responsive if it answered within so many polls. */
+#define RESPONSIVE_POLLS     3
+#define INITIAL_SERVICE_TIME (5 * USEC_PER_MSEC)
+#define INITIAL_CONFIRM_TIME (5 * USEC_PER_MSEC)
+#define RETRY_TOKENS_MAX     20.0
+/* A refused connection is asked again soon: two in a row prove that nobody is there. */
+#define UNREACHABLE_RECHECK (10 * USEC_PER_MSEC)
+#define FOLLOW_RETRY	    (300 * USEC_PER_MSEC)
+
+static void on_timer(run_timer_t *timer, usec_t now);
+
+group_t *group_find(const core_t *core, const char *name)
+{
+	group_t *group;
+
+	HASH_FIND_STR(core->groups, name, group);
+	return group;
+}
+
+member_t *group_member(const group_t *group, const char *name)
+{
+	for (size_t i = 0; i < group->member_count; i++) {
+		if (strcmp(group->members[i].spec.name, name) == 0)
+			return &group->members[i];
+	}
+	return NULL;
+}
+
+size_t group_majority(const group_t *group)
+{
+	return group->member_count / 2 + 1;
+}
+
+static usec_t poll_interval(const group_t *group)
+{
+	const core_timings_t *timings = &group->core->config.timings;
+
+	return fleet_acting_rank(&group->ranks) == 0 ? timings->poll : timings->standby_poll;
+}
+
+static bool is_responsive(const member_t *member)
+{
+	const core_t *core = member->group->core;
+	usec_t within = RESPONSIVE_POLLS * poll_interval(member->group) +
+			core->config.timings.order_timeout;
+
+	return member->known && core->now - member->reported < within;
+}
+
+size_t group_responsive(const group_t *group)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < group->member_count; i++)
+		n += is_responsive(&group->members[i]);
+	return n;
+}
+
+bool member_is_current(const member_t *member)
+{
+	return member->known && !member->leaving && member->report.sealed == member->group->term &&
+	       member->report.log.term == member->group->term && is_responsive(member);
+}
+
+uint64_t member_order(member_t *member, order_kind_t kind, uint64_t term, const member_t *target)
+{
+	core_t *core = member->group->core;
+	action_t *action = core_act(core, ACTION_ORDER);
+
+	action->id = core_id(core);
+	action->group = talloc_strdup(action, member->group->name);
+	action->member = talloc_strdup(action, member->spec.name);
+	action->peer = talloc_strdup(action, member->spec.address);
+	action->order = kind;
+	action->term = term;
+	action->timeout = core->config.timings.order_timeout;
+	if (target != NULL)
+		action->target = talloc_strdup(action, target->spec.address);
+	return action->id;
+}
+
+static void ask_report(member_t *member)
+{
+	core_t *core = member->group->core;
+
+	if (member->report_order != 0)
+		return;
+	member->report_order = member_order(member, ORDER_REPORT, 0, NULL);
+	member->report_sent = core->now;
+	member->next_report = core->now + poll_interval(member->group);
+}
+
+void group_poll_now(group_t *group)
+{
+	for (size_t i = 0; i < group->member_count; i++)
+		ask_report(&group->members[i]);
+}
+
+/* While answers wait for a majority, ask more often than the poll. */
+static void set_next_report(member_t *member)
+{
+	group_t *group = member->group;
+	usec_t soon = group->core->now + group->core->config.timings.confirm_poll;
+
+	if (!list_empty(&group->confirms) && member->next_report > soon)
+		member->next_report = soon;
+}
+
+static void arm_timer(group_t *group)
+{
+	core_t *core = group->core;
+	usec_t at = core->now + poll_interval(group);
+
+	for (size_t i = 0; i < group->member_count; i++) {
+		if (group->members[i].report_order == 0 && group->members[i].next_report < at)
+			at = group->members[i].next_report;
+	}
+	timers_arm(&core->timers, &group->timer, at, on_timer);
+}
+
+static void on_timer(run_timer_t *timer, usec_t now)
+{
+	group_t *group = list_entry(timer, group_t, timer);
+
+	for (size_t i = 0; i < group->member_count; i++) {
+		if (group->members[i].next_report <= now)
+			ask_report(&group->members[i]);
+	}
+	takeover_consider(group);
+	pool_close_idle(group);
+	exec_dispatch(group);
+	arm_timer(group);
+}
+
+/*
+ * A superseded primary's log stands still, and data compared with it looks
+ * fresh for ever. So a sample counts only after a majority, asked later than
+ * the primary was, still obeyed the primary's term.
+ */
+static void confirm_samples(group_t *group)
+{
+	for (size_t s = 0; s < GROUP_SAMPLES; s++) {
+		sample_t *sample = &group->samples[s];
+		size_t witnesses = 0;
+
+		if (sample->at == 0 || sample->confirmed)
+			continue;
+		for (size_t i = 0; i < group->member_count; i++) {
+			const member_t *member = &group->members[i];
+
+			witnesses += member->known && member->reported >= sample->at &&
+				     member->report.sealed == group->term;
+		}
+		sample->confirmed = witnesses >= group_majority(group);
+	}
+}
+
+usec_t group_data_time(const group_t *group, uint64_t lsn)
+{
+	usec_t best = 0;
+
+	for (size_t s = 0; s < GROUP_SAMPLES; s++) {
+		const sample_t *sample = &group->samples[s];
+
+		if (sample->confirmed && sample->lsn <= lsn && sample->at > best)
+			best = sample->at;
+	}
+	return best;
+}
+
+static void refresh_ages(group_t *group)
+{
+	for (size_t i = 0; i < group->member_count; i++) {
+		member_t *member = &group->members[i];
+
+		member->fresh_at = member_is_current(member)
+					   ? group_data_time(group, member->report.log.lsn)
+					   : 0;
+	}
+}
+
+static void clear_samples(group_t *group)
+{
+	memset(group->samples, 0, sizeof(group->samples));
+	group->sample_next = 0;
+}
+
+static void take_sample(group_t *group, const report_t *report, usec_t sent)
+{
+	sample_t *sample = &group->samples[group->sample_next];
+
+	group->sample_next = (group->sample_next + 1) % GROUP_SAMPLES;
+	*sample = (sample_t){.at = sent, .lsn = report->log.lsn};
+}
+
+static void set_primary(group_t *group, member_t *primary)
+{
+	core_t *core = group->core;
+
+	if (group->primary == primary)
+		return;
+	group->primary = primary;
+	group->primary_lost = primary == NULL ? core->now : 0;
+	if (primary != NULL)
+		core_note(core, false, "primary group=%s member=%s term=%llu", group->name,
+			  primary->spec.name, (unsigned long long)group->term);
+	else
+		core_note(core, true, "no primary group=%s term=%llu", group->name,
+			  (unsigned long long)group->term);
+}
+
+static void raise_term(group_t *group, uint64_t term)
+{
+	if (term <= group->term)
+		return;
+	group->term = term;
+	clear_samples(group);
+	set_primary(group, NULL);
+	confirm_term_changed(group);
+}
+
+/* Point a member that lags in term, or still thinks itself primary, at the primary. */
+static void order_follow(member_t *member)
+{
+	group_t *group = member->group;
+	core_t *core = group->core;
+
+	if (group->primary == NULL || group->primary == member || group->rank < 0)
+		return;
+	if (fleet_acting_rank(&group->ranks) != 0)
+		return;
+	if (member->report.log.term == group->term && member->report.sealed == group->term)
+		return;
+	if (core->now - member->follow_sent < FOLLOW_RETRY)
+		return;
+	member->follow_sent = core->now;
+	member_order(member, ORDER_FOLLOW, group->term, group->primary);
+}
+
+void group_take_report(group_t *group, member_t *member, const report_t *report, usec_t sent)
+{
+	/* Answers can overtake each other; an older question must not undo a newer answer. */
+	if (member->known && sent < member->reported)
+		return;
+	member->known = true;
+	member->report = *report;
+	member->reported = sent;
+	member->misses = 0;
+	member->unreachable = 0;
+	raise_term(group, report->sealed);
+	if (report->primary && report->sealed == group->term) {
+		set_primary(group, member);
+		take_sample(group, report, sent);
+	} else if (group->primary == member) {
+		set_primary(group, NULL);
+	}
+	order_follow(member);
+	confirm_samples(group);
+	refresh_ages(group);
+}
+
+static void measure_rtt(member_t *member, usec_t rtt)
+{
+	usec_t gap;
+
+	if (member->srtt == 0) {
+		member->srtt = rtt;
+		member->rttvar = rtt / 2;
+		return;
+	}
+	gap = rtt > member->srtt ? rtt - member->srtt : member->srtt - rtt;
+	member->rttvar += (gap >> RTTVAR_SHIFT) - (member->rttvar >> RTTVAR_SHIFT);
+	member->srtt += (rtt >> SRTT_SHIFT) - (member->srtt >> SRTT_SHIFT);
+}
+
+static void report_done(group_t *group, member_t *member, const event_t *event)
+{
+	usec_t sent = member->report_sent;
+
+	member->report_order = 0;
+	if (event->order_status == ORDER_OK) {
+		measure_rtt(member, group->core->now - sent);
+		group_take_report(group, member, &event->report, sent);
+	} else {
+		member->misses++;
+		if (event->order_status == ORDER_UNREACHABLE) {
+			member->unreachable++;
+			member->next_report = group->core->now + UNREACHABLE_RECHECK;
+		}
+	}
+	confirm_check(group);
+	set_next_report(member);
+	takeover_consider(group);
+	exec_dispatch(group);
+	arm_timer(group);
+}
+
+void group_order_done(core_t *core, const event_t *event)
+{
+	group_t *group = group_find(core, event->group);
+	member_t *member = group != NULL ? group_member(group, event->member) : NULL;
+
+	if (member == NULL)
+		return;
+	if (event->id == member->report_order)
+		report_done(group, member, event);
+	else
+		takeover_order_done(group, member, event);
+}
+
+void group_control_down(core_t *core, const event_t *event)
+{
+	group_t *group = group_find(core, event->group);
+	member_t *member = group != NULL ? group_member(group, event->member) : NULL;
+
+	if (member == NULL)
+		return;
+	/* Ask at once: a process that is gone refuses the new connection. */
+	ask_report(member);
+	arm_timer(group);
+}
+
+void group_forget_health(group_t *group)
+{
+	for (size_t i = 0; i < group->member_count; i++) {
+		group->members[i].misses = 0;
+		group->members[i].unreachable = 0;
+		group->members[i].known = false;
+		group->members[i].fresh_at = 0;
+		group->members[i].reported = group->core->now;
+		group->members[i].next_report = group->core->now;
+	}
+	clear_samples(group);
+	if (group->primary_lost != 0)
+		group->primary_lost = group->core->now;
+}
+
+void groups_take_vms(core_t *core, const vm_t *vms, size_t count)
+{
+	group_t *group;
+	group_t *next;
+
+	HASH_ITER (hh, core->groups, group, next) {
+		for (size_t i = 0; i < group->member_count; i++) {
+			member_t *member = &group->members[i];
+
+			for (size_t v = 0; v < count; v++) {
+				if (vms[v].backend && vms[v].leaving &&
+				    strcmp(vms[v].address, member->spec.address) == 0)
+					member->leaving = true;
+			}
+		}
+	}
+}
+
+static void copy_spec(member_t *member, const member_spec_t *spec)
+{
+	member->spec = *spec;
+	member->spec.name = talloc_strdup(member->group->members, spec->name);
+	member->spec.zone = talloc_strdup(member->group->members, spec->zone);
+	member->spec.address = talloc_strdup(member->group->members, spec->address);
+}
+
+static void start_watching(group_t *group, const group_spec_t *spec)
+{
+	core_t *core = group->core;
+
+	group->members = talloc_zero_array(group, member_t, spec->member_count);
+	group->member_count = spec->member_count;
+	group->primary_lost = core->now;
+	group->watched_since = core->now;
+	for (size_t i = 0; i < spec->member_count; i++) {
+		member_t *member = &group->members[i];
+
+		member->group = group;
+		member->reported = core->now;
+		list_init(&member->pools);
+		copy_spec(member, &spec->members[i]);
+	}
+	group_poll_now(group);
+	arm_timer(group);
+}
+
+static void stop_watching(group_t *group)
+{
+	if (group->members == NULL)
+		return;
+	timers_cancel(&group->core->timers, &group->timer);
+	timers_cancel(&group->core->timers, &group->takeover.timer);
+	group->takeover.state = TAKEOVER_NONE;
+	pool_close_all(group);
+	talloc_free(group->members);
+	group->members = NULL;
+	group->member_count = 0;
+	group->primary = NULL;
+	group->term = 0;
+	clear_samples(group);
+}
+
+static group_t *group_create(core_t *core, const char *name)
+{
+	group_t *group = talloc_zero(core, group_t);
+
+	group->name = talloc_strdup(group, name);
+	group->core = core;
+	group->rank = -1;
+	group->service_time = INITIAL_SERVICE_TIME;
+	group->confirm_time = INITIAL_CONFIRM_TIME;
+	group->retry_tokens = RETRY_TOKENS_MAX;
+	list_init(&group->queue);
+	list_init(&group->confirms);
+	HASH_ADD_KEYPTR(hh, core->groups, group->name, strlen(group->name), group);
+	return group;
+}
+
+static int rank_of_self(const ranks_t *ranks)
+{
+	for (size_t i = 0; i < ranks->len; i++) {
+		if (ranks->at[i]->self)
+			return (int)i;
+	}
+	return -1;
+}
+
+static bool has_runs(const group_t *group)
+{
+	if (!list_empty(&group->confirms))
+		return true;
+	for (size_t i = 0; i < group->member_count; i++) {
+		if (pool_is_busy(&group->members[i]))
+			return true;
+	}
+	return false;
+}
+
+static bool same_members(const group_t *group, const group_spec_t *spec)
+{
+	if (group->member_count != spec->member_count)
+		return false;
+	for (size_t i = 0; i < spec->member_count; i++) {
+		const member_spec_t *have = &group->members[i].spec;
+
+		if (strcmp(have->name, spec->members[i].name) != 0 ||
+		    strcmp(have->address, spec->members[i].address) != 0)
+			return false;
+	}
+	return true;
+}
+
+static void update_limits(group_t *group, const group_spec_t *spec)
+{
+	for (size_t i = 0; i < spec->member_count; i++) {
+		group->members[i].spec.slots = spec->members[i].slots;
+		group->members[i].spec.connections = spec->members[i].connections;
+	}
+}
+
+/*
+ * Let go of the members once nothing runs on them. Until then changing holds
+ * new runs back, so that a busy group takes up a new list of members too.
+ */
+static void try_stop(group_t *group)
+{
+	bool moved = group->rank < 0;
+
+	group->changing = !moved;
+	if (has_runs(group) || (moved && !list_empty(&group->queue)))
+		return;
+	stop_watching(group);
+	group->changing = false;
+}
+
+static void refresh_group(group_t *group, const table_item_t *item)
+{
+	core_t *core = group->core;
+
+	fleet_rank(core->fleet, group->name, &group->ranks);
+	group->rank = rank_of_self(&group->ranks);
+	if (group->members != NULL) {
+		if (item->group == NULL)
+			group->rank = -1;
+		if (group->rank >= 0 && same_members(group, item->group))
+			update_limits(group, item->group);
+		else
+			try_stop(group);
+	}
+	if (group->members == NULL && group->rank >= 0 && item->group != NULL)
+		start_watching(group, item->group);
+	core->refresh_pending |= group->members != NULL && (group->changing || group->rank < 0);
+}
+
+void groups_refresh(core_t *core)
+{
+	table_item_t *item;
+	table_item_t *next;
+
+	core->refresh_pending = false;
+	HASH_ITER (hh, core->table->items, item, next) {
+		const char *name = item->entry.key + strlen("group/");
+		group_t *group;
+
+		if (strncmp(item->entry.key, "group/", strlen("group/")) != 0)
+			continue;
+		group = group_find(core, name);
+		if (group == NULL && item->group != NULL)
+			group = group_create(core, name);
+		if (group != NULL)
+			refresh_group(group, item);
+	}
+	core->fleet_epoch = core->fleet->epoch;
+}
--- /dev/null
+++ b/core/group.h
@@ -0,0 +1,46 @@
+/*
+ * A database group as its watchers see it: what its members report, who the
+ * primary is, and how old each member's data can be at most.
+ */
+#pragma once
+
+#include "state.h"
+
+/* Follow the table and the fleet: which groups exist, which ones we watch. */
+void groups_refresh(core_t *core);
+
+group_t *group_find(const core_t *core, const char *name);
+member_t *group_member(const group_t *group, const char *name);
+
+/* The least number of members that is more than half. */
+size_t group_majority(const group_t *group);
+
+/* Members that answered lately, by our own clock. */
+size_t group_responsive(const group_t *group);
+
+/* Ask every member for a report now. */
+void group_poll_now(group_t *group);
+
+/* Send an order; returns its id. */
+uint64_t member_order(member_t *member, order_kind_t kind, uint64_t term, const member_t *target);
+
+/* Take a report that was asked for at sent. */
+void group_take_report(group_t *group, member_t *member, const report_t *report, usec_t sent);
+
+void group_order_done(core_t *core, const event_t *event);
+void group_control_down(core_t *core, const event_t *event);
+
+/* Our own pause ended: all we knew of the members' health is void. */
+void group_forget_health(group_t *group);
+
+/* The platform says that the VMs at these addresses are leaving. */
+void groups_take_vms(core_t *core, const vm_t *vms, size_t count);
+
+/* Usable for new work: in the current term and not leaving. */
+bool member_is_current(const member_t *member);
+
+/*
+ * The time at which the primary's log stood no further than lsn, as a bound on
+ * the age of data read there; 0 if none is known.
+ */
+usec_t group_data_time(const group_t *group, uint64_t lsn);
--- /dev/null
+++ b/core/peers.c
@@ -0,0 +1,175 @@
+#include "peers.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "group.h"
+#include "router.h"
+#include "tablesync.h"
+#include "tx.h"
+
+/* Up to this size everybody is everybody's neighbour. */
+#define SMALL_FLEET 12
+/* Beyond it, extra neighbours by hash join the parts that share no group. */
+#define HASH_NEIGHBOURS "neighbours/"
+
+void peers_send(core_t *core, const char *peer, const message_t *message)
+{
+	const proxy_t *proxy = fleet_find(core->fleet, peer);
+	action_t *action = core_act(core, ACTION_SEND);
+
+	action->peer = talloc_strdup(action, peer);
+	action->message = message_copy(action, message);
+	action->message->sent_at = core->now;
+	action->message->echo = proxy != NULL ? proxy->their_clock : 0;
+	action->message->incarnation = core->config.incarnation;
+	action->id = message->request;
+	if (proxy != NULL)
+		action->target = talloc_strdup(action, proxy->address);
+}
+
+static void send_heartbeat(core_t *core, const proxy_t *to)
+{
+	message_t message = {
+		.kind = MESSAGE_HEARTBEAT,
+		.zone = core->fleet->self->zone,
+		.address = core->fleet->self->address,
+		.leaving = core->draining,
+		.table_version = core->table->version,
+		.store_age =
+			core->store_contact != 0 ? core->now - core->store_contact : USEC_NEVER,
+	};
+
+	peers_send(core, to->name, &message);
+}
+
+static void add_neighbour(proxy_t **out, size_t *len, size_t max, proxy_t *proxy)
+{
+	if (proxy->self || *len == max)
+		return;
+	for (size_t i = 0; i < *len; i++) {
+		if (out[i] == proxy)
+			return;
+	}
+	out[(*len)++] = proxy;
+}
+
+static void add_ranked(proxy_t **out, size_t *len, size_t max, const ranks_t *ranks)
+{
+	for (size_t i = 0; i < ranks->len; i++)
+		add_neighbour(out, len, max, ranks->at[i]);
+}
+
+/* Those we share a watched group with, the table's keepers if we are one, and some by hash. */
+static size_t large_fleet_neighbours(core_t *core, proxy_t **out, size_t max)
+{
+	size_t len = 0;
+	char *key = talloc_asprintf(core, HASH_NEIGHBOURS "%s", core->name);
+	ranks_t picks = {0};
+	group_t *group;
+	group_t *next;
+
+	HASH_ITER (hh, core->groups, group, next) {
+		if (group->rank >= 0)
+			add_ranked(out, &len, max, &group->ranks);
+	}
+	fleet_rank(core->fleet, key, &picks);
+	add_ranked(out, &len, max, &picks);
+	talloc_free(key);
+	return len;
+}
+
+static size_t all_others(core_t *core, proxy_t **out, size_t max)
+{
+	size_t len = 0;
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, core->fleet->proxies, proxy, next)
+		add_neighbour(out, &len, max, proxy);
+	return len;
+}
+
+void peers_spread(core_t *core)
+{
+	proxy_t *neighbours[64];
+	size_t max = sizeof(neighbours) / sizeof(neighbours[0]);
+	size_t len;
+
+	if (HASH_COUNT(core->fleet->proxies) <= SMALL_FLEET)
+		len = all_others(core, neighbours, max);
+	else
+		len = large_fleet_neighbours(core, neighbours, max);
+	for (size_t i = 0; i < len; i++)
+		send_heartbeat(core, neighbours[i]);
+}
+
+static void on_heartbeat(run_timer_t *timer, usec_t now)
+{
+	core_t *core = list_entry(timer, core_t, heartbeat_timer);
+	usec_t allowed = core->config.timings.suspect_after;
+
+	timers_arm(&core->timers, timer, now + core->config.timings.heartbeat, on_heartbeat);
+	peers_spread(core);
+	if (now - core->awake_since > allowed) {
+		fleet_suspect_silent(core->fleet, now - allowed);
+		router_check_homes(core);
+	}
+	tx_close_idle(core);
+	if (core->refresh_pending)
+		groups_refresh(core);
+}
+
+void peers_start(core_t *core)
+{
+	on_heartbeat(&core->heartbeat_timer, core->now);
+}
+
+static void take_heartbeat(core_t *core, proxy_t *from, const message_t *message)
+{
+	bool news = message->leaving && !core->draining;
+
+	fleet_add(core->fleet, core->now, from->name, message->zone, message->address, false);
+	from->table_version = message->table_version;
+	tablesync_heard(core, from, message);
+	/* One that we would not have told may not know us: answer, or it never hears an echo. */
+	if (message->echo == 0)
+		send_heartbeat(core, from);
+	if (news)
+		core_note(core, false, "peer leaving peer=%s", from->name);
+}
+
+void peers_take(core_t *core, const char *peer, const message_t *message)
+{
+	proxy_t *from = fleet_find(core->fleet, peer);
+
+	if (from == NULL)
+		from = fleet_add(core->fleet, core->now, peer, message->zone, message->address,
+				 false);
+	if (message->incarnation < from->incarnation)
+		return; /* a message of its earlier life, late */
+	fleet_heard(core->fleet, from, core->now, message);
+	switch (message->kind) {
+	case MESSAGE_HEARTBEAT:
+		take_heartbeat(core, from, message);
+		break;
+	case MESSAGE_EXECUTE:
+		router_execute(core, from, message);
+		break;
+	case MESSAGE_ACCEPTED:
+		router_accepted(core, message);
+		break;
+	case MESSAGE_ANSWER:
+		router_answer(core, message);
+		break;
+	case MESSAGE_TABLE_PULL:
+		tablesync_pulled(core, from, message);
+		break;
+	case MESSAGE_TABLE_PUSH:
+		tablesync_pushed(core, from, message);
+		break;
+	case MESSAGE_COUNT:
+		break;
+	}
+}
--- /dev/null
+++ b/core/pool.c
@@ -0,0 +1,219 @@
+#include "pool.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "exec.h"
+#include "tx.h"
+
+/* After a connect that failed or found no free slot. */
+#define CONNECT_BACKOFF (20 * USEC_PER_MSEC)
+/* Once another proxy serves the group, its connections are needed there. */
+#define IDLE_WHEN_MOVED (200 * USEC_PER_MSEC)
+
+conn_t *pool_find(const core_t *core, uint64_t id)
+{
+	conn_t *conn;
+
+	HASH_FIND(hh, core->conns, &id, sizeof(id), conn);
+	return conn;
+}
+
+static pool_t *find_pool(const member_t *member, const char *row)
+{
+	list_for_each (it, &member->pools) {
+		pool_t *pool = list_entry(it, pool_t, node);
+
+		if (strcmp(pool->row, row) == 0)
+			return pool;
+	}
+	return NULL;
+}
+
+static pool_t *get_pool(member_t *member, const char *row)
+{
+	pool_t *pool = find_pool(member, row);
+
+	if (pool != NULL)
+		return pool;
+	pool = talloc_zero(member->group->members, pool_t);
+	pool->row = talloc_strdup(pool, row);
+	pool->member = member;
+	list_init(&pool->conns);
+	list_add_tail(&member->pools, &pool->node);
+	return pool;
+}
+
+conn_t *pool_take(member_t *member, const row_t *row)
+{
+	pool_t *pool = find_pool(member, row->name);
+
+	if (pool == NULL)
+		return NULL;
+	list_for_each (it, &pool->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		/* A slot above a lowered limit is no longer ours to use. */
+		if (conn->state != CONN_IDLE || conn->slot >= row->connections)
+			continue;
+		conn->state = CONN_BUSY;
+		return conn;
+	}
+	return NULL;
+}
+
+void pool_grow(member_t *member, const row_t *row)
+{
+	core_t *core = member->group->core;
+	pool_t *pool = get_pool(member, row->name);
+	action_t *action;
+	conn_t *conn;
+
+	if ((int64_t)pool->total >= row->connections || core->now < pool->connect_after)
+		return;
+	conn = talloc_zero(core, conn_t);
+	conn->id = core_id(core);
+	conn->pool = pool;
+	conn->state = CONN_CONNECTING;
+	HASH_ADD(hh, core->conns, id, sizeof(conn->id), conn);
+	list_add_tail(&pool->conns, &conn->node);
+	pool->total++;
+	pool->connecting++;
+	action = core_act(core, ACTION_CONNECT);
+	action->id = conn->id;
+	action->group = talloc_strdup(action, member->group->name);
+	action->member = talloc_strdup(action, member->spec.name);
+	action->peer = talloc_strdup(action, member->spec.address);
+	action->row = talloc_strdup(action, row->name);
+	action->limit = row->connections;
+}
+
+void pool_release(conn_t *conn)
+{
+	conn->request = NULL;
+	conn->tx = NULL;
+	conn->state = CONN_IDLE;
+	conn->idle_since = conn->pool->member->group->core->now;
+}
+
+static void forget(core_t *core, conn_t *conn)
+{
+	pool_t *pool = conn->pool;
+
+	pool->total--;
+	if (conn->state == CONN_CONNECTING)
+		pool->connecting--;
+	list_del(&conn->node);
+	HASH_DEL(core->conns, conn);
+	talloc_free(conn);
+}
+
+void pool_close(conn_t *conn)
+{
+	core_t *core = conn->pool->member->group->core;
+	action_t *action = core_act(core, ACTION_CLOSE);
+
+	action->id = conn->id;
+	/* A busy one is forgotten when the link has told how its run ended. */
+	if (conn->state == CONN_CONNECTING || conn->state == CONN_IDLE)
+		forget(core, conn);
+}
+
+void pool_conn_up(core_t *core, const event_t *event)
+{
+	conn_t *conn = pool_find(core, event->id);
+
+	if (conn == NULL)
+		return;
+	conn->pool->connecting--;
+	conn->slot = event->slot;
+	pool_release(conn);
+	exec_dispatch(conn->pool->member->group);
+}
+
+void pool_conn_down(core_t *core, const event_t *event)
+{
+	conn_t *conn = pool_find(core, event->id);
+	group_t *group;
+
+	if (conn == NULL)
+		return;
+	group = conn->pool->member->group;
+	if (conn->state == CONN_CONNECTING) {
+		conn->pool->connect_after = core->now + CONNECT_BACKOFF;
+		core_note(core, false, "connect failed group=%s member=%s row=%s: %s", group->name,
+			  conn->pool->member->spec.name, conn->pool->row,
+			  event->detail != NULL ? event->detail : "");
+	}
+	if (conn->tx != NULL)
+		tx_lost(conn->tx);
+	forget(core, conn);
+	exec_dispatch(group);
+}
+
+static const row_t *row_of(const core_t *core, const pool_t *pool)
+{
+	char key[256];
+	const table_item_t *item;
+
+	snprintf(key, sizeof(key), "row/%s", pool->row);
+	HASH_FIND_STR(core->table->items, key, item);
+	return item != NULL ? item->row : NULL;
+}
+
+static bool is_surplus(const group_t *group, const conn_t *conn)
+{
+	const core_t *core = group->core;
+	const row_t *row = row_of(core, conn->pool);
+	usec_t allowed = group->rank == 0 ? core->config.timings.conn_idle : IDLE_WHEN_MOVED;
+
+	if (conn->state != CONN_IDLE)
+		return false;
+	if (row == NULL || conn->slot >= row->connections)
+		return true;
+	return core->now - conn->idle_since > allowed;
+}
+
+void pool_close_idle(group_t *group)
+{
+	for (size_t i = 0; i < group->member_count; i++) {
+		list_for_each (p, &group->members[i].pools) {
+			pool_t *pool = list_entry(p, pool_t, node);
+
+			list_for_each_safe (it, &pool->conns) {
+				conn_t *conn = list_entry(it, conn_t, node);
+
+				if (is_surplus(group, conn))
+					pool_close(conn);
+			}
+		}
+	}
+}
+
+void pool_close_all(group_t *group)
+{
+	for (size_t i = 0; i < group->member_count; i++) {
+		list_for_each (p, &group->members[i].pools) {
+			pool_t *pool = list_entry(p, pool_t, node);
+
+			list_for_each_safe (it, &pool->conns)
+				pool_close(list_entry(it, conn_t, node));
+		}
+	}
+}
+
+bool pool_is_busy(const member_t *member)
+{
+	list_for_each (p, &member->pools) {
+		const pool_t *pool = list_entry(p, pool_t, node);
+
+		list_for_each (it, &pool->conns) {
+			const conn_t *conn = list_entry(it, conn_t, node);
+
+			if (conn->state == CONN_BUSY || conn->state == CONN_IN_TX)
+				return true;
+		}
+	}
+	return false;
+}
--- /dev/null
+++ b/core/retry.h
@@ -0,0 +1,13 @@
+/*
+ * Retry budget of a group: first attempts earn a fraction of a retry, so that
+ * retries stay a small share of the load and can't keep a struggling group
+ * down after a failover.
+ */
+#pragma once
+
+#include "state.h"
+
+void retry_earn(group_t *group);
+
+/* True if the budget had room; one retry is taken from it. */
+bool retry_spend(group_t *group);
--- /dev/null
+++ b/core/router.c
@@ -0,0 +1,440 @@
+#include "router.h"
+
+#include <ctype.h>
+#include <string.h>
+#include <strings.h>
+
+#include <talloc.h>
+
+#include "exec.h"
+#include "group.h"
+#include "peers.h"
+#include "request.h"
+#include "tablesync.h"
+#include "tx.h"
+
+/* The home's deadline comes this much earlier, so that its answer still arrives in time. */
+#define ANSWER_MARGIN (10 * USEC_PER_MSEC)
+/* A home that has not answered after this part of the time allowed says that it accepted. */
+#define ACCEPT_PART	     4
+#define RETRY_AFTER_HOME     (500 * USEC_PER_MSEC)
+#define RETRY_AFTER_TABLE    USEC_PER_SEC
+#define RETRY_AFTER_SHUTDOWN (10 * USEC_PER_MSEC)
+#define FIRST_WATCH	     USEC_PER_SEC
+
+static void route(request_t *request);
+
+/* --- checks on arrival --- */
+
+/* A caller's own BEGIN or COMMIT would break out of the transaction that we wrap it in. */
+static bool is_transaction_control(const char *text)
+{
+	static const char *const words[] = {
+		"begin",   "start",	"commit",  "end",     "rollback", "abort",
+		"prepare", "savepoint", "release", "set",     "reset",	  "discard",
+		"listen",  "unlisten",	"notify",  "declare", "copy",	  "lock",
+	};
+	size_t len = 0;
+
+	while (isspace((unsigned char)*text) || *text == ';')
+		text++;
+	while (isalpha((unsigned char)text[len]))
+		len++;
+	/* A comment could hide the first word; statements that start with one are refused. */
+	if (len == 0)
+		return true;
+	for (size_t i = 0; i < sizeof(words) / sizeof(words[0]); i++) {
+		if (strlen(words[i]) == len && strncasecmp(text, words[i], len) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool has_text(const query_t *query)
+{
+	return query->verb == VERB_STATEMENT || query->verb == VERB_TX_STATEMENT;
+}
+
+static bool check_text(request_t *request)
+{
+	if (!has_text(request->query) || !is_transaction_control(request->query->text))
+		return true;
+	request_refuse(request, REFUSAL_BAD_REQUEST, 0,
+		       "the statement must start with its keyword and be no transaction or "
+		       "session control");
+	return false;
+}
+
+static bool check_token(request_t *request, const char *token)
+{
+	core_t *core = request->core;
+
+	if (token == NULL || session_decode(core->config.token_key, token, request->session) == 0)
+		return true;
+	request->session->len = 0;
+	request_refuse(request, REFUSAL_BAD_TOKEN, 0, "the session token is not this fleet's");
+	return false;
+}
+
+static bool check_service(request_t *request)
+{
+	core_t *core = request->core;
+
+	if (core->draining) {
+		request_refuse(request, REFUSAL_SHUTDOWN, RETRY_AFTER_SHUTDOWN,
+			       "this proxy is shutting down");
+		return false;
+	}
+	if (!table_is_current(core)) {
+		request_refuse(request, REFUSAL_NO_TABLE, RETRY_AFTER_TABLE,
+			       "the operators' table (version %llu) can't be known to be current",
+			       (unsigned long long)core->table->version);
+		return false;
+	}
+	return true;
+}
+
+static void arm_deadline(request_t *request, usec_t longest)
+{
+	if (request->query->left <= longest)
+		return;
+	request->query->left = longest;
+	request->deadline = request->arrived + longest;
+	timers_arm(&request->core->timers, &request->timer, request->deadline, request->timer.cb);
+}
+
+/* Find the row and what it says; false if there is none. */
+static bool apply_row(request_t *request)
+{
+	core_t *core = request->core;
+	query_t *query = request->query;
+	const row_t *row = table_row(core->table, query->service, query->class_name);
+
+	if (row == NULL) {
+		request_refuse(request, REFUSAL_UNKNOWN_ROW, 0,
+			       "no row %s/%s in table version %llu", query->service,
+			       query->class_name, (unsigned long long)core->table->version);
+		return false;
+	}
+	request->row = talloc_strdup(request, row->name);
+	request->group_name = talloc_strdup(request, row->group);
+	request->kind = query->verb == VERB_BEGIN ? ROW_WRITE : row->kind;
+	query->floor = session_floor(request->session, row->group);
+	query->continued |= session_is_partial(request->session, row->group);
+	arm_deadline(request, row->timeout);
+	return true;
+}
+
+/* --- forwarding --- */
+
+static bool was_tried(const request_t *request, const char *home)
+{
+	for (size_t i = 0; i < request->tries; i++) {
+		if (strcmp(request->tried[i], home) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool is_safe_to_repeat(const request_t *request)
+{
+	return request->kind == ROW_READ || request->query->repeatable ||
+	       request->query->request_id != NULL;
+}
+
+static void on_ack_timeout(run_timer_t *timer, usec_t now);
+
+static void forward(request_t *request, const char *home)
+{
+	core_t *core = request->core;
+	usec_t left = request->deadline - core->now;
+	message_t message = {.kind = MESSAGE_EXECUTE, .request = request->id};
+
+	request->home = talloc_strdup(request, home);
+	request->tried[request->tries++] = request->home;
+	request->state = REQUEST_FORWARDED;
+	request->query->left = left > ANSWER_MARGIN ? left - ANSWER_MARGIN : 0;
+	message.query = request->query;
+	peers_send(core, home, &message);
+	timers_arm(&core->timers, &request->ack_timer, core->now + core->config.timings.ack,
+		   on_ack_timeout);
+}
+
+/* The first rank not tried yet; suspects only when nobody else is left. */
+static proxy_t *choose_home(const request_t *request, const ranks_t *ranks)
+{
+	proxy_t *last_resort = NULL;
+
+	for (size_t i = 0; i < ranks->len; i++) {
+		proxy_t *proxy = ranks->at[i];
+
+		if (was_tried(request, proxy->name))
+			continue;
+		if (!proxy->suspect)
+			return proxy;
+		if (last_resort == NULL)
+			last_resort = proxy;
+	}
+	return last_resort;
+}
+
+/* A proxy that can't reach a majority of the group is of no use to it. */
+static bool is_servable(const group_t *group)
+{
+	if (group->members == NULL || group->rank < 0)
+		return false;
+	return group_responsive(group) >= group_majority(group) ||
+	       group->core->now - group->watched_since < FIRST_WATCH;
+}
+
+static void route(request_t *request)
+{
+	core_t *core = request->core;
+	group_t *group = group_find(core, request->group_name);
+	proxy_t *home = NULL;
+
+	if (group != NULL) {
+		fleet_rank(core->fleet, group->name, &group->ranks);
+		if (request->tries < REQUEST_MAX_TRIES)
+			home = choose_home(request, &group->ranks);
+	}
+	if (home == NULL) {
+		request_refuse(request, REFUSAL_NO_HOME, RETRY_AFTER_HOME,
+			       "no proxy that serves group %s can be reached", request->group_name);
+		return;
+	}
+	if (!home->self) {
+		forward(request, home->name);
+		return;
+	}
+	if (!is_servable(group)) {
+		request->tried[request->tries++] = home->name;
+		route(request);
+		return;
+	}
+	exec_submit(request, group);
+}
+
+static void route_tx(request_t *request)
+{
+	core_t *core = request->core;
+	char *home = tx_home(request, request->query->tx);
+
+	request->kind = ROW_WRITE;
+	if (home == NULL ||
+	    (strcmp(home, core->name) != 0 && fleet_find(core->fleet, home) == NULL)) {
+		request_refuse(request, REFUSAL_TX_LOST, 0,
+			       "the proxy that held transaction %s is gone: it was rolled back",
+			       request->query->tx);
+		return;
+	}
+	if (strcmp(home, core->name) == 0)
+		tx_submit(request);
+	else
+		forward(request, home);
+}
+
+void router_query(core_t *core, const event_t *event)
+{
+	request_t *request = request_from_caller(core, event->id, event->query);
+
+	if (!check_token(request, event->token) || !check_text(request))
+		return;
+	if (request->query->tx != NULL) {
+		route_tx(request);
+		return;
+	}
+	if (!check_service(request) || !apply_row(request))
+		return;
+	route(request);
+}
+
+/* --- what becomes of a forward --- */
+
+/* The home is gone or silent, and may have run the request or not. */
+static void home_lost(request_t *request, const char *why)
+{
+	proxy_t *home = fleet_find(request->core->fleet, request->home);
+
+	if (home != NULL)
+		fleet_set_suspect(request->core->fleet, home);
+	timers_cancel(&request->core->timers, &request->ack_timer);
+	if (request->query->tx != NULL) {
+		/* Its connection drops with it and the server rolls back, unless this was the
+		 * commit. */
+		request->maybe_ran = request->query->verb == VERB_COMMIT;
+		request_refuse(request, REFUSAL_TX_LOST, 0, "proxy %s %s", request->home, why);
+		return;
+	}
+	if (!is_safe_to_repeat(request)) {
+		request->maybe_ran = true;
+		request_refuse(request, REFUSAL_NO_HOME, RETRY_AFTER_HOME, "proxy %s %s",
+			       request->home, why);
+		return;
+	}
+	/* The next home must not say "not run" of what the first may be running. */
+	if (request->kind == ROW_WRITE) {
+		request->maybe_ran = true;
+		request->query->resend = true;
+	}
+	route(request);
+}
+
+static void on_ack_timeout(run_timer_t *timer, usec_t now)
+{
+	(void)now;
+	home_lost(list_entry(timer, request_t, ack_timer), "did not accept the request in time");
+}
+
+void router_unsent(core_t *core, const event_t *event)
+{
+	request_t *request = request_find(core, event->id);
+	proxy_t *home;
+
+	if (request == NULL || request->state != REQUEST_FORWARDED || request->home == NULL)
+		return;
+	home = fleet_find(core->fleet, request->home);
+	if (home != NULL)
+		fleet_set_suspect(core->fleet, home);
+	timers_cancel(&core->timers, &request->ack_timer);
+	if (request->query->tx != NULL)
+		request_refuse(request, REFUSAL_TX_LOST, 0, "proxy %s can't be reached",
+			       request->home);
+	else
+		route(request);
+}
+
+void router_check_homes(core_t *core)
+{
+	request_t *request;
+	request_t *next;
+
+	HASH_ITER (hh, core->requests, request, next) {
+		const proxy_t *home;
+
+		if (request->state != REQUEST_FORWARDED || request->home == NULL)
+			continue;
+		home = fleet_find(core->fleet, request->home);
+		if (home == NULL || home->suspect)
+			home_lost(request, "fell silent");
+	}
+}
+
+void router_accepted(core_t *core, const message_t *message)
+{
+	request_t *request = request_find(core, message->request);
+
+	if (request != NULL && request->state == REQUEST_FORWARDED)
+		timers_cancel(&core->timers, &request->ack_timer);
+}
+
+/* Refusals after which another home, or the same one again, may still run it. */
+static bool try_elsewhere(request_t *request, const answer_t *answer)
+{
+	if (answer->outcome != OUTCOME_NOT_RUN && !request->maybe_ran)
+		return false;
+	switch (answer->refusal) {
+	case REFUSAL_STALE_MESSAGE:
+		/* Its refusal has brought the home's clock, which the next try echoes. */
+		if (request->tries < REQUEST_MAX_TRIES) {
+			forward(request, request->home);
+			return true;
+		}
+		return false;
+	case REFUSAL_NO_HOME:
+	case REFUSAL_SHUTDOWN:
+		if (request->query->tx != NULL)
+			return false;
+		route(request);
+		return true;
+	default:
+		return false;
+	}
+}
+
+void router_answer(core_t *core, const message_t *message)
+{
+	request_t *request = request_find(core, message->request);
+
+	/* A late answer finds its request gone: numbers are never used twice. */
+	if (request == NULL || request->state != REQUEST_FORWARDED)
+		return;
+	timers_cancel(&core->timers, &request->ack_timer);
+	if (!try_elsewhere(request, message->answer))
+		request_finish(request, message->answer);
+}
+
+void router_deadline(request_t *request)
+{
+	/* Reads have no effect, but whether this one was run is not known either. */
+	request->maybe_ran = request->home != NULL;
+	request_refuse(request, REFUSAL_DEADLINE, RETRY_AFTER_HOME,
+		       "proxy %s has not answered by the deadline",
+		       request->home != NULL ? request->home : "none");
+}
+
+/* --- the home's side --- */
+
+void router_answer_peer(request_t *request, const answer_t *answer)
+{
+	message_t message = {
+		.kind = MESSAGE_ANSWER,
+		.request = request->peer_request,
+		.answer = (answer_t *)answer,
+	};
+
+	peers_send(request->core, request->peer, &message);
+}
+
+static void on_accept_due(run_timer_t *timer, usec_t now)
+{
+	request_t *request = list_entry(timer, request_t, ack_timer);
+	message_t message = {.kind = MESSAGE_ACCEPTED, .request = request->peer_request};
+
+	(void)now;
+	peers_send(request->core, request->peer, &message);
+}
+
+/*
+ * A message may have waited in a buffer while we were paused or cut off, and
+ * its sender may have tried elsewhere since. It is no older than the echo of
+ * our own clock in it, so no clocks need to be compared.
+ */
+static bool is_too_old(const core_t *core, const message_t *message)
+{
+	if (message->echo == 0 || message->echo < core->awake_since)
+		return true;
+	return core->now - message->echo >= message->query->left;
+}
+
+void router_execute(core_t *core, proxy_t *from, const message_t *message)
+{
+	request_t *request = request_from_peer(core, from->name, message->request, message->query);
+	const query_t *query = request->query;
+	const row_t *row;
+	group_t *group;
+
+	if (is_too_old(core, message)) {
+		request_refuse(request, REFUSAL_STALE_MESSAGE, 0, "the message may be %s",
+			       message->echo == 0 ? "of any age" : "older than its deadline");
+		return;
+	}
+	timers_arm(&core->timers, &request->ack_timer,
+		   core->now + core->config.timings.ack / ACCEPT_PART, on_accept_due);
+	if (query->tx != NULL) {
+		tx_submit(request);
+		return;
+	}
+	if (!check_service(request))
+		return;
+	row = table_row(core->table, query->service, query->class_name);
+	group = row != NULL ? group_find(core, row->group) : NULL;
+	if (group == NULL || !is_servable(group)) {
+		request_refuse(request, REFUSAL_NO_HOME, RETRY_AFTER_HOME,
+			       "proxy %s does not serve the group of %s/%s", core->name,
+			       query->service, query->class_name);
+		return;
+	}
+	request->row = talloc_strdup(request, row->name);
+	exec_submit(request, group);
+}
--- /dev/null
+++ b/core/tablesync.c
@@ -0,0 +1,224 @@
+#include "tablesync.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "group.h"
+#include "peers.h"
+
+#define KEEPERS_KEY "table"
+/* A pull is not repeated before this, whoever offers the version. */
+#define PULL_INTERVAL (100 * USEC_PER_MSEC)
+/* A load that gets no answer is given up after this. */
+#define LOAD_TIMEOUT (3 * USEC_PER_SEC)
+/* The platform's list is asked for less often in a large fleet: at most so many calls a second. */
+#define VM_CALLS_PER_SECOND 50
+
+static void on_store_timer(run_timer_t *timer, usec_t now);
+static void on_vm_timer(run_timer_t *timer, usec_t now);
+
+bool table_is_current(const core_t *core)
+{
+	usec_t stale = core->config.timings.table_stale;
+	usec_t since = core->now > stale ? core->now - stale : 1;
+
+	if (core->table->version == 0)
+		return false;
+	if (core->store_contact != 0 && core->store_contact >= since)
+		return true;
+	return fleet_majority_heard(core->fleet, since);
+}
+
+static bool is_keeper(core_t *core)
+{
+	fleet_rank(core->fleet, KEEPERS_KEY, &core->keepers);
+	for (size_t i = 0; i < core->keepers.len; i++) {
+		if (core->keepers.at[i]->self)
+			return true;
+	}
+	return false;
+}
+
+static void load(core_t *core)
+{
+	action_t *action;
+
+	if (core->store_op != 0 && core->now - core->store_op_sent < LOAD_TIMEOUT)
+		return;
+	action = core_act(core, ACTION_STORE_LOAD);
+	core->store_op = core_id(core);
+	core->store_op_sent = core->now;
+	action->id = core->store_op;
+	action->table_version = core->table->version;
+	action->head_revision = core->head_revision;
+}
+
+static usec_t jitter(core_t *core, usec_t base)
+{
+	return base + core_random(core, base / 2 + 1);
+}
+
+/* Keepers look regularly; others only when nobody tells them that their table is current. */
+static void on_store_timer(run_timer_t *timer, usec_t now)
+{
+	core_t *core = list_entry(timer, core_t, store_timer);
+	const core_timings_t *timings = &core->config.timings;
+	usec_t stale = timings->table_stale / 2;
+	bool lonely = core->table->version == 0 || now - core->store_contact > stale;
+
+	timers_arm(&core->timers, timer, now + jitter(core, timings->store_check), on_store_timer);
+	if (is_keeper(core) || lonely)
+		load(core);
+}
+
+static void on_vm_timer(run_timer_t *timer, usec_t now)
+{
+	core_t *core = list_entry(timer, core_t, vm_timer);
+	usec_t spread = HASH_COUNT(core->fleet->proxies) * USEC_PER_SEC / VM_CALLS_PER_SECOND;
+	usec_t interval = core->config.timings.vm_poll;
+	action_t *action = core_act(core, ACTION_VMS);
+
+	action->id = core_id(core);
+	timers_arm(&core->timers, timer, now + jitter(core, interval > spread ? interval : spread),
+		   on_vm_timer);
+}
+
+void tablesync_start(core_t *core)
+{
+	on_store_timer(&core->store_timer, core->now);
+	on_vm_timer(&core->vm_timer, core->now);
+}
+
+void tablesync_contact(core_t *core, usec_t at)
+{
+	if (at > core->store_contact)
+		core->store_contact = at;
+}
+
+int tablesync_merge(core_t *core, const table_entry_t *entries, size_t count, uint64_t version,
+		    const char *source)
+{
+	uint64_t before = core->table->version;
+	err_t err = {0};
+	int changed = table_merge(core->table, entries, count, version, &err);
+
+	if (changed < 0) {
+		core_note(core, true, "table entry unreadable source=%s peer=%s: %s", source,
+			  err.peer, err.text);
+		return changed;
+	}
+	if (core->table->version == before)
+		return 0;
+	core_note(core, false, "table in force version=%llu changed=%d source=%s",
+		  (unsigned long long)core->table->version, changed, source);
+	groups_refresh(core);
+	peers_spread(core);
+	return changed;
+}
+
+static void pull(core_t *core, const proxy_t *from)
+{
+	message_t message = {.kind = MESSAGE_TABLE_PULL, .since = core->table->version};
+
+	if (core->pulled != 0 && core->now - core->pulled < PULL_INTERVAL)
+		return;
+	core->pulled = core->now;
+	peers_send(core, from->name, &message);
+}
+
+void tablesync_heard(core_t *core, proxy_t *from, const message_t *message)
+{
+	if (message->table_version > core->table->version) {
+		pull(core, from);
+		return;
+	}
+	/* Sent after the echo of our clock in it, so its news is no younger than that. */
+	if (message->table_version < core->table->version || message->store_age == USEC_NEVER ||
+	    message->echo <= message->store_age)
+		return;
+	tablesync_contact(core, message->echo - message->store_age);
+}
+
+void tablesync_pulled(core_t *core, proxy_t *from, const message_t *message)
+{
+	message_t push = {.kind = MESSAGE_TABLE_PUSH, .table_version = core->table->version};
+
+	if (core->table->version <= message->since)
+		return;
+	push.entries = table_changes(core, core->table, message->since, &push.entry_count);
+	push.since = message->since;
+	peers_send(core, from->name, &push);
+	talloc_free(push.entries);
+}
+
+void tablesync_pushed(core_t *core, proxy_t *from, const message_t *message)
+{
+	/* It answers a pull since a version we have passed or still hold, else a part is missing.
+	 */
+	if (message->since > core->table->version)
+		return;
+	core->pulled = 0;
+	tablesync_merge(core, message->entries, message->entry_count, message->table_version,
+			from->name);
+}
+
+static void watch(core_t *core)
+{
+	action_t *action;
+
+	if (core->watching || !is_keeper(core))
+		return;
+	core->watching = true;
+	action = core_act(core, ACTION_STORE_WATCH);
+	action->id = core_id(core);
+	action->head_revision = core->head_revision;
+	action->table_version = core->table->version;
+}
+
+void tablesync_loaded(core_t *core, const event_t *event)
+{
+	bool ours = event->id == core->store_op;
+	usec_t asked = ours ? core->store_op_sent : core->now;
+
+	if (ours)
+		core->store_op = 0;
+	if (event->store_status != STORE_OK)
+		return;
+	/* A watch brings single edits: after a gap the entries in between would be missing. */
+	if (!ours && event->table_version > core->table->version + 1) {
+		load(core);
+		return;
+	}
+	if (tablesync_merge(core, event->entries, event->entry_count, event->table_version,
+			    "store") < 0)
+		return;
+	if (event->head_revision > core->head_revision)
+		core->head_revision = event->head_revision;
+	/* A store restored from a backup may lag behind: what was accepted stays in force. */
+	if (event->table_version == core->table->version)
+		tablesync_contact(core, asked);
+	watch(core);
+}
+
+void tablesync_watch_down(core_t *core)
+{
+	core->watching = false;
+}
+
+void tablesync_vms(core_t *core, const event_t *event)
+{
+	vm_t *proxies;
+	size_t count = 0;
+
+	if (event->store_status != STORE_OK)
+		return;
+	proxies = talloc_array(core, vm_t, event->vm_count + 1);
+	for (size_t i = 0; i < event->vm_count; i++) {
+		if (!event->vms[i].backend)
+			proxies[count++] = event->vms[i];
+	}
+	fleet_take_list(core->fleet, core->now, proxies, count, core->config.timings.forget_after);
+	talloc_free(proxies);
+	groups_take_vms(core, event->vms, event->vm_count);
+}
--- /dev/null
+++ b/core/takeover.c
@@ -0,0 +1,284 @@
+#include "takeover.h"
+
+#include <talloc.h>
+
+#include "confirm.h"
+#include "exec.h"
+#include "group.h"
+
+/* Refused connections in a row that prove that nobody is there. */
+#define UNREACHABLE_PROOF 2
+/* Backoff after a takeover that failed: this much and up to as much again, at random. */
+#define RETRY_BACKOFF (50 * USEC_PER_MSEC)
+/* A confirmation this many times slower than usual is a stall. */
+#define STALL_FACTOR 4
+/* After a takeover for a stall, the next one waits longer, up to this. */
+#define STALL_BACKOFF_MAX (60 * USEC_PER_SEC)
+#define MISSES_MIN	  1
+
+static void on_timeout(run_timer_t *timer, usec_t now);
+
+static usec_t silence(const member_t *member)
+{
+	return member->group->core->now - member->reported;
+}
+
+/* Silence beyond a poll and what answers usually take, jitter included. */
+static usec_t allowed_silence(const member_t *member)
+{
+	const core_timings_t *timings = &member->group->core->config.timings;
+	usec_t usual = member->srtt + 4 * member->rttvar;
+
+	return timings->poll + (usual > timings->detect_floor ? usual : timings->detect_floor);
+}
+
+/*
+ * A primary cut off from its peers still takes writes, but none is confirmed.
+ * Replicas that just lag look the same for a while, hence the wide margin and
+ * the growing backoff: needless takeovers would not cure a lag.
+ */
+static bool is_stalled(const group_t *group)
+{
+	const core_timings_t *timings = &group->core->config.timings;
+	usec_t limit = timings->stall_after;
+
+	if (STALL_FACTOR * group->confirm_time > limit)
+		limit = STALL_FACTOR * group->confirm_time;
+	if (group->takeover.stall_backoff > limit)
+		limit = group->takeover.stall_backoff;
+	return confirm_oldest(group) > limit;
+}
+
+/* Why the primary counts as failed by our own evidence; NULL if it does not. */
+static const char *find_reason(const group_t *group)
+{
+	const member_t *primary = group->primary;
+	const core_timings_t *timings = &group->core->config.timings;
+
+	if (primary == NULL) {
+		usec_t lost_for = group->core->now - group->primary_lost;
+
+		return lost_for > timings->detect_floor ? "no member is primary" : NULL;
+	}
+	if (primary->unreachable >= UNREACHABLE_PROOF)
+		return "its process is gone";
+	if (primary->misses >= MISSES_MIN && silence(primary) > allowed_silence(primary))
+		return "it does not answer";
+	if (primary->leaving)
+		return "its VM is leaving";
+	if (is_stalled(group))
+		return "it is cut off from its peers";
+	return NULL;
+}
+
+/* The baseline for measurements: one fixed time-out, one watcher, no other evidence. */
+static const char *find_reason_fixed(const group_t *group)
+{
+	const core_t *core = group->core;
+	usec_t since = group->primary != NULL ? group->primary->reported : group->primary_lost;
+
+	if (group->rank != 0 || core->now - since < core->config.fixed_timeout)
+		return NULL;
+	return "fixed time-out";
+}
+
+/* When this rank's turn comes: the evidence must last a stagger longer for each rank above. */
+static bool is_our_turn(const group_t *group)
+{
+	const core_t *core = group->core;
+	int rank = fleet_acting_rank(&group->ranks);
+	usec_t since = group->primary != NULL ? group->primary->reported : group->primary_lost;
+
+	if (rank < 0)
+		return false;
+	if (rank == 0)
+		return true;
+	return core->now - since > (usec_t)rank * core->config.timings.stagger;
+}
+
+static uint64_t highest_term(const group_t *group)
+{
+	uint64_t term = group->term;
+
+	for (size_t i = 0; i < group->member_count; i++) {
+		const takeover_t *takeover = &group->takeover;
+
+		if (takeover->reports[i].sealed > term)
+			term = takeover->reports[i].sealed;
+	}
+	return term > group->takeover.term ? term : group->takeover.term;
+}
+
+static void arm(group_t *group)
+{
+	core_t *core = group->core;
+
+	timers_arm(&core->timers, &group->takeover.timer,
+		   core->now + core->config.timings.seal_timeout, on_timeout);
+}
+
+static void start(group_t *group, const char *reason)
+{
+	takeover_t *takeover = &group->takeover;
+	core_t *core = group->core;
+
+	takeover->term = highest_term(group) + 1;
+	takeover->state = TAKEOVER_SEALING;
+	takeover->started = core->now;
+	takeover->reason = reason;
+	takeover->chosen = NULL;
+	takeover->count++;
+	core_note(core, true, "takeover started group=%s term=%llu primary=%s because %s",
+		  group->name, (unsigned long long)takeover->term,
+		  group->primary != NULL ? group->primary->spec.name : "none", reason);
+	for (size_t i = 0; i < group->member_count; i++) {
+		takeover->sealed[i] = false;
+		takeover->orders[i] = 0;
+		/* A leaving primary hands over: it must not be the longest log again. */
+		if (!group->members[i].leaving)
+			takeover->orders[i] =
+				member_order(&group->members[i], ORDER_SEAL, takeover->term, NULL);
+	}
+	arm(group);
+}
+
+void takeover_consider(group_t *group)
+{
+	const core_t *core = group->core;
+	const char *reason;
+
+	if (group->takeover.state != TAKEOVER_NONE || core->now < group->takeover.not_before)
+		return;
+	reason = core->config.fixed_detection ? find_reason_fixed(group) : find_reason(group);
+	if (reason == NULL || !is_our_turn(group))
+		return;
+	/* Who can't reach a majority judges nobody: the cut may be on our side. */
+	if (group_responsive(group) < group_majority(group))
+		return;
+	start(group, reason);
+}
+
+static void fail(group_t *group, const char *why)
+{
+	takeover_t *takeover = &group->takeover;
+	core_t *core = group->core;
+
+	timers_cancel(&core->timers, &takeover->timer);
+	takeover->state = TAKEOVER_NONE;
+	/* At random, so that two proxies that collided do not collide again. */
+	takeover->not_before = core->now + RETRY_BACKOFF + core_random(core, RETRY_BACKOFF);
+	core_note(core, true, "takeover failed group=%s term=%llu: %s", group->name,
+		  (unsigned long long)takeover->term, why);
+}
+
+static void on_timeout(run_timer_t *timer, usec_t now)
+{
+	takeover_t *takeover = list_entry(timer, takeover_t, timer);
+	group_t *group = list_entry(takeover, group_t, takeover);
+
+	(void)now;
+	fail(group, takeover->state == TAKEOVER_SEALING ? "no majority sealed in time"
+							: "promotion not answered in time");
+}
+
+static bool is_longer(position_t a, position_t b)
+{
+	return a.term != b.term ? a.term > b.term : a.lsn > b.lsn;
+}
+
+static void choose_and_promote(group_t *group)
+{
+	takeover_t *takeover = &group->takeover;
+	member_t *best = NULL;
+	size_t sealed = 0;
+	position_t best_log = {0};
+
+	for (size_t i = 0; i < group->member_count; i++) {
+		if (!takeover->sealed[i])
+			continue;
+		sealed++;
+		if (best == NULL || is_longer(takeover->reports[i].log, best_log)) {
+			best = &group->members[i];
+			best_log = takeover->reports[i].log;
+		}
+	}
+	if (sealed < group_majority(group))
+		return;
+	takeover->state = TAKEOVER_PROMOTING;
+	takeover->sealed_at = group->core->now;
+	takeover->chosen = best;
+	takeover->promote_order = member_order(best, ORDER_PROMOTE, takeover->term, NULL);
+	arm(group);
+}
+
+static void raise_stall_backoff(group_t *group)
+{
+	takeover_t *takeover = &group->takeover;
+
+	if (!is_stalled(group))
+		return;
+	takeover->stall_backoff = takeover->stall_backoff == 0
+					  ? 2 * group->core->config.timings.stall_after
+					  : 2 * takeover->stall_backoff;
+	if (takeover->stall_backoff > STALL_BACKOFF_MAX)
+		takeover->stall_backoff = STALL_BACKOFF_MAX;
+}
+
+static void finish(group_t *group, const report_t *report, usec_t sent)
+{
+	takeover_t *takeover = &group->takeover;
+	core_t *core = group->core;
+
+	timers_cancel(&core->timers, &takeover->timer);
+	takeover->state = TAKEOVER_NONE;
+	core_note(core, true,
+		  "takeover done group=%s term=%llu primary=%s sealed_after_us=%llu "
+		  "promoted_after_us=%llu",
+		  group->name, (unsigned long long)takeover->term, takeover->chosen->spec.name,
+		  (unsigned long long)(takeover->sealed_at - takeover->started),
+		  (unsigned long long)(core->now - takeover->started));
+	group_take_report(group, takeover->chosen, report, sent);
+	for (size_t i = 0; i < group->member_count; i++) {
+		member_t *member = &group->members[i];
+
+		if (member != takeover->chosen) {
+			member->follow_sent = core->now;
+			member_order(member, ORDER_FOLLOW, takeover->term, takeover->chosen);
+		}
+	}
+	exec_dispatch(group);
+}
+
+static void seal_done(group_t *group, size_t i, const event_t *event)
+{
+	takeover_t *takeover = &group->takeover;
+
+	takeover->orders[i] = 0;
+	if (event->order_status == ORDER_REFUSED) {
+		takeover->reports[i] = event->report;
+		fail(group, "a member has sealed a later term");
+		return;
+	}
+	if (event->order_status != ORDER_OK)
+		return;
+	takeover->sealed[i] = true;
+	takeover->reports[i] = event->report;
+	choose_and_promote(group);
+}
+
+void takeover_order_done(group_t *group, member_t *member, const event_t *event)
+{
+	takeover_t *takeover = &group->takeover;
+	size_t i = (size_t)(member - group->members);
+
+	if (takeover->state == TAKEOVER_SEALING && takeover->orders[i] == event->id) {
+		seal_done(group, i, event);
+	} else if (takeover->state == TAKEOVER_PROMOTING && takeover->promote_order == event->id) {
+		if (event->order_status == ORDER_OK) {
+			raise_stall_backoff(group);
+			finish(group, &event->report, takeover->sealed_at);
+		} else {
+			fail(group, "the chosen member was not promoted");
+		}
+	}
+}
