--- /dev/null
+++ b/links/control.c
@@ -0,0 +1,308 @@
+/*
+ * Control connections: one to each group member we watch, for reports and the
+ * orders of a takeover. Orders are sent one after the other; each has its
+ * time-out, after which the connection is dropped with all that wait on it.
+ */
+#include <string.h>
+
+#include <talloc.h>
+#include <uthash.h>
+
+#include "adapter.h"
+#include "counter.h"
+#include "pgio.h"
+#include "sql.h"
+
+#define LOG_MODULE "control"
+#include "log.h"
+
+/* A member that was sent no order for so long is no longer watched: let its connection go. */
+#define IDLE_CLOSE (10 * USEC_PER_SEC)
+
+COUNTER_DEFINE(orders_total, "control_orders_total", COUNTER_SUM,
+	       "Orders sent to group members, reports included.");
+COUNTER_DEFINE(failed_total, "control_failed_total", COUNTER_SUM, "Orders without an answer.");
+
+struct control;
+
+typedef struct order {
+	list_t node;
+	uint64_t id;
+	order_kind_t kind;
+	uint64_t term;
+	char *target;
+	usec_t deadline;
+	bool answered;
+	bool accepted;
+	report_t report;
+} order_t;
+
+typedef struct control_conn {
+	pgio_t io;
+	struct control *control;
+	char *key; /* GROUP/MEMBER */
+	char *group;
+	char *member;
+	char *address;
+	UT_hash_handle hh;
+	list_t orders; /* the first may be in progress */
+	bool busy;
+	bool open;
+	run_timer_t timer;
+} control_conn_t;
+
+typedef struct control {
+	plugin_t base;
+	adapter_t *adapter;
+	loop_t *loop;
+	const conf_t *conf;
+	char *password;
+	control_conn_t *conns;
+	void *all; /* parent of the connections */
+} control_t;
+
+static void arm(control_conn_t *conn);
+
+static const char *const order_sql[ORDER_COUNT] = {
+	[ORDER_REPORT] = SQL_REPORT,
+	[ORDER_SEAL] = SQL_SEAL,
+	[ORDER_PROMOTE] = SQL_PROMOTE,
+	[ORDER_FOLLOW] = SQL_FOLLOW,
+};
+
+static const int order_params[ORDER_COUNT] = {
+	[ORDER_REPORT] = 0,
+	[ORDER_SEAL] = 1,
+	[ORDER_PROMOTE] = 1,
+	[ORDER_FOLLOW] = 2,
+};
+
+static order_t *first_order(const control_conn_t *conn)
+{
+	return list_empty(&conn->orders) ? NULL : list_entry(conn->orders.next, order_t, node);
+}
+
+static void finish_order(control_conn_t *conn, order_t *order, order_status_t status)
+{
+	event_t event = {
+		.kind = EVENT_ORDER_DONE,
+		.id = order->id,
+		.group = conn->group,
+		.member = conn->member,
+		.order_status = status,
+		.report = order->report,
+	};
+
+	if (status == ORDER_TIMED_OUT || status == ORDER_UNREACHABLE)
+		counter_add(&failed_total, 1);
+	list_del(&order->node);
+	adapter_submit(conn->control->adapter, &event);
+	talloc_free(order);
+}
+
+static void send_next(control_conn_t *conn)
+{
+	order_t *order = first_order(conn);
+	char term[24];
+	const char *params[] = {term, order != NULL ? order->target : NULL};
+
+	if (order == NULL || conn->busy || !conn->io.ready)
+		return;
+	conn->busy = true;
+	snprintf(term, sizeof(term), "%llu", (unsigned long long)order->term);
+	pgio_send(&conn->io, order_sql[order->kind], order_params[order->kind], params);
+	pgio_sync(&conn->io);
+}
+
+static void fail_all(control_conn_t *conn, order_status_t status)
+{
+	order_t *order;
+
+	while ((order = first_order(conn)) != NULL)
+		finish_order(conn, order, status);
+}
+
+static void drop(control_conn_t *conn, order_status_t status)
+{
+	pgio_close(&conn->io);
+	conn->busy = false;
+	conn->open = false;
+	fail_all(conn, status);
+}
+
+static void on_timer(run_timer_t *timer, usec_t now)
+{
+	control_conn_t *conn = list_entry(timer, control_conn_t, timer);
+	const order_t *order = first_order(conn);
+
+	/* Without an order the timer stands for having been idle too long. */
+	if (order == NULL || order->deadline <= now)
+		drop(conn, ORDER_TIMED_OUT);
+	else
+		arm(conn);
+}
+
+static void arm(control_conn_t *conn)
+{
+	const order_t *order = first_order(conn);
+	usec_t at = order != NULL ? order->deadline
+				  : clock_now(conn->control->loop->clock) + IDLE_CLOSE;
+
+	timers_arm(&conn->control->loop->timers, &conn->timer, at, on_timer);
+}
+
+static void on_ready(pgio_t *io)
+{
+	send_next(list_entry(io, control_conn_t, io));
+}
+
+static void on_result(pgio_t *io, const PGresult *result)
+{
+	control_conn_t *conn = list_entry(io, control_conn_t, io);
+	order_t *order = first_order(conn);
+
+	if (order == NULL)
+		return;
+	if (result != NULL) {
+		order->answered = sql_read_report(result, &order->accepted, &order->report) == 0;
+		return;
+	}
+	conn->busy = false;
+	if (!order->answered)
+		finish_order(conn, order, ORDER_TIMED_OUT);
+	else
+		finish_order(conn, order, order->accepted ? ORDER_OK : ORDER_REFUSED);
+	arm(conn);
+	send_next(conn);
+}
+
+static void on_lost(pgio_t *io, bool refused, const char *why)
+{
+	control_conn_t *conn = list_entry(io, control_conn_t, io);
+	event_t event = {.kind = EVENT_CONTROL_DOWN, .group = conn->group, .member = conn->member};
+
+	LOG_DEBUG("control connection lost group=%s member=%s: %s", conn->group, conn->member, why);
+	conn->busy = false;
+	conn->open = false;
+	fail_all(conn, refused ? ORDER_UNREACHABLE : ORDER_TIMED_OUT);
+	if (!refused)
+		adapter_submit(conn->control->adapter, &event);
+}
+
+static const pgio_ops_t io_ops = {
+	.on_ready = on_ready,
+	.on_result = on_result,
+	.on_lost = on_lost,
+};
+
+static control_conn_t *get_conn(control_t *self, const action_t *action)
+{
+	char *key = talloc_asprintf(NULL, "%s/%s", action->group, action->member);
+	control_conn_t *conn;
+
+	HASH_FIND_STR(self->conns, key, conn);
+	if (conn != NULL) {
+		talloc_free(key);
+		return conn;
+	}
+	conn = talloc_zero(self->all, control_conn_t);
+	conn->control = self;
+	conn->key = talloc_steal(conn, key);
+	conn->group = talloc_strdup(conn, action->group);
+	conn->member = talloc_strdup(conn, action->member);
+	conn->address = talloc_strdup(conn, action->peer);
+	conn->io.ops = &io_ops;
+	conn->io.loop = self->loop;
+	list_init(&conn->orders);
+	HASH_ADD_KEYPTR(hh, self->conns, conn->key, strlen(conn->key), conn);
+	return conn;
+}
+
+static void follow_address(control_conn_t *conn, const char *address)
+{
+	if (strcmp(conn->address, address) == 0)
+		return;
+	drop(conn, ORDER_TIMED_OUT);
+	talloc_free(conn->address);
+	conn->address = talloc_strdup(conn, address);
+}
+
+static void on_order(void *data, action_t *action)
+{
+	control_t *self = data;
+	control_conn_t *conn = get_conn(self, action);
+	order_t *order = talloc_zero(conn, order_t);
+
+	counter_add(&orders_total, 1);
+	follow_address(conn, action->peer);
+	order->id = action->id;
+	order->kind = action->order;
+	order->term = action->term;
+	order->target = talloc_strdup(order, action->target);
+	order->deadline = clock_now(self->loop->clock) + action->timeout;
+	list_add_tail(&conn->orders, &order->node);
+	if (!conn->open) {
+		conn->open = true;
+		pgio_connect(&conn->io, self->loop, self->conf, self->password, conn->address);
+	}
+	arm(conn);
+	send_next(conn);
+}
+
+static int start(plugin_t *plugin, kernel_t *kernel, err_t *err)
+{
+	control_t *self = (control_t *)plugin;
+
+	self->adapter = adapter_of(kernel);
+	self->loop = &kernel->loop;
+	self->conf = kernel->settings;
+	self->all = talloc_new(NULL);
+	if (self->conf->backend_password_file[0] != '\0') {
+		self->password = conf_read_secret(NULL, self->conf->backend_password_file, err);
+		if (self->password == NULL)
+			return err->code;
+	}
+	adapter_register(self->adapter, ACTION_ORDER, on_order, self);
+	return 0;
+}
+
+static json_t *dump(const plugin_t *plugin)
+{
+	const control_t *self = (const control_t *)plugin;
+	json_t *out = json_object();
+	control_conn_t *conn;
+	control_conn_t *next;
+
+	HASH_ITER (hh, self->conns, conn, next)
+		json_object_set_new(out, conn->key,
+				    json_pack("{s:b, s:i}", "connected", conn->io.ready, "orders",
+					      (int)list_length(&conn->orders)));
+	return out;
+}
+
+static void destroy(plugin_t *plugin)
+{
+	control_t *self = (control_t *)plugin;
+	control_conn_t *conn;
+	control_conn_t *next;
+
+	HASH_ITER (hh, self->conns, conn, next) {
+		timers_cancel(&self->loop->timers, &conn->timer);
+		pgio_close(&conn->io);
+	}
+	HASH_CLEAR(hh, self->conns);
+	talloc_free(self->all);
+	talloc_free(self->password);
+}
+
+static const plugin_ops_t ops = {
+	.name = "control",
+	.order = 21,
+	.start = start,
+	.dump = dump,
+	.destroy = destroy,
+};
+
+static control_t instance = {.base = {.ops = &ops}};
+
+PLUGIN_REGISTER(&instance.base);
--- /dev/null
+++ b/links/httpc.c
@@ -0,0 +1,207 @@
+#include "httpc.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "list.h"
+
+#define CONNECT_TIMEOUT_MSEC 1000L
+/* A stream without a byte for so long is probed by TCP. */
+#define KEEPALIVE_SEC 5L
+
+/* A descriptor of curl that we watch for it. */
+typedef struct curl_watch {
+	loop_watch_t watch;
+	httpc_t *httpc;
+	curl_socket_t fd;
+	int wanted;
+} curl_watch_t;
+
+static void take_finished(httpc_t *httpc);
+
+static void act(httpc_t *httpc, curl_socket_t fd, int what)
+{
+	int running;
+
+	curl_multi_socket_action(httpc->multi, fd, what, &running);
+	take_finished(httpc);
+}
+
+static void on_readable(loop_watch_t *watch)
+{
+	curl_watch_t *self = list_entry(watch, curl_watch_t, watch);
+
+	act(self->httpc, self->fd, CURL_CSELECT_IN);
+}
+
+static void on_writable(loop_watch_t *watch)
+{
+	curl_watch_t *self = list_entry(watch, curl_watch_t, watch);
+
+	if (self->wanted & CURL_POLL_OUT)
+		act(self->httpc, self->fd, CURL_CSELECT_OUT);
+}
+
+static curl_watch_t *watch_create(httpc_t *httpc, curl_socket_t fd)
+{
+	curl_watch_t *self = talloc_zero(NULL, curl_watch_t);
+
+	self->httpc = httpc;
+	self->fd = fd;
+	if (loop_watch_start(httpc->loop, &self->watch, fd, on_readable) < 0) {
+		talloc_free(self);
+		return NULL;
+	}
+	curl_multi_assign(httpc->multi, fd, self);
+	return self;
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+	curl_watch_t *self = socket_data;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (self != NULL) {
+			loop_watch_stop(&self->watch);
+			talloc_free(self);
+		}
+		return 0;
+	}
+	if (self == NULL)
+		self = watch_create(data, fd);
+	if (self == NULL)
+		return -1;
+	self->wanted = what;
+	if (what & CURL_POLL_OUT)
+		loop_watch_writable(&self->watch, on_writable);
+	return 0;
+}
+
+static void on_timer(run_timer_t *timer, usec_t now)
+{
+	(void)now;
+	act(list_entry(timer, httpc_t, timer), CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int on_set_timer(CURLM *multi, long msec, void *data)
+{
+	httpc_t *httpc = data;
+
+	(void)multi;
+	if (msec < 0)
+		timers_cancel(&httpc->loop->timers, &httpc->timer);
+	else
+		timers_arm(&httpc->loop->timers, &httpc->timer,
+			   clock_now(httpc->loop->clock) + (usec_t)msec * USEC_PER_MSEC, on_timer);
+	return 0;
+}
+
+int httpc_init(httpc_t *httpc, loop_t *loop)
+{
+	httpc->loop = loop;
+	httpc->multi = curl_multi_init();
+	if (httpc->multi == NULL)
+		return -ENOMEM;
+	curl_multi_setopt(httpc->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(httpc->multi, CURLMOPT_SOCKETDATA, httpc);
+	curl_multi_setopt(httpc->multi, CURLMOPT_TIMERFUNCTION, on_set_timer);
+	curl_multi_setopt(httpc->multi, CURLMOPT_TIMERDATA, httpc);
+	return 0;
+}
+
+void httpc_destroy(httpc_t *httpc)
+{
+	timers_cancel(&httpc->loop->timers, &httpc->timer);
+	curl_multi_cleanup(httpc->multi);
+}
+
+static size_t on_body(char *data, size_t size, size_t count, void *ptr)
+{
+	httpc_call_t *call = ptr;
+	size_t len = size * count;
+
+	if (call->on_data != NULL)
+		call->on_data(call, data, len);
+	else
+		call->body = talloc_strndup_append_buffer(call->body, data, len);
+	return len;
+}
+
+static void release(httpc_call_t *call)
+{
+	curl_multi_remove_handle(call->httpc->multi, call->easy);
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	talloc_free(call);
+}
+
+static void finish(httpc_call_t *call, CURLcode code)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	call->on_done(call, code == CURLE_OK, status, call->body, strlen(call->body));
+	release(call);
+}
+
+static void take_finished(httpc_t *httpc)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(httpc->multi, &left)) != NULL) {
+		httpc_call_t *call;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		finish(call, msg->data.result);
+	}
+}
+
+static void set_options(httpc_call_t *call, const char *url, const char *text, int64_t timeout_ms)
+{
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MSEC);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_SEC);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_SEC);
+	if (timeout_ms != 0)
+		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	if (text == NULL)
+		return;
+	call->headers = curl_slist_append(NULL, "Content-Type: application/json");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, text);
+}
+
+httpc_call_t *httpc_start(httpc_t *httpc, const char *url, const char *text, int64_t timeout_ms,
+			  httpc_done_t on_done, httpc_data_t on_data, void *data)
+{
+	httpc_call_t *call = talloc_zero(NULL, httpc_call_t);
+
+	call->httpc = httpc;
+	call->easy = curl_easy_init();
+	call->body = talloc_strdup(call, "");
+	call->on_done = on_done;
+	call->on_data = on_data;
+	call->data = data;
+	set_options(call, url, text, timeout_ms);
+	curl_multi_add_handle(httpc->multi, call->easy);
+	return call;
+}
+
+void httpc_cancel(httpc_call_t *call)
+{
+	release(call);
+}
--- /dev/null
+++ b/links/httpc.h
@@ -0,0 +1,46 @@
+/*
+ * HTTP client on the loop: libcurl's multi interface, which keeps connections
+ * open between calls and bounds each in time. h2o's own client opens one a call.
+ */
+#pragma once
+
+#include <curl/curl.h>
+
+#include "loop.h"
+
+struct httpc;
+struct httpc_call;
+
+/* ok is false when there was no whole answer in time; body is then empty. */
+typedef void (*httpc_done_t)(struct httpc_call *call, bool ok, long status, const char *body,
+			     size_t len);
+/* Part of a streamed answer. */
+typedef void (*httpc_data_t)(struct httpc_call *call, const char *data, size_t len);
+
+typedef struct httpc {
+	loop_t *loop;
+	CURLM *multi;
+	run_timer_t timer;
+} httpc_t;
+
+typedef struct httpc_call {
+	httpc_t *httpc;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body; /* talloc, grows */
+	httpc_done_t on_done;
+	httpc_data_t on_data; /* set for a stream: the body is not kept */
+	void *data;
+	uint64_t id;
+} httpc_call_t;
+
+int httpc_init(httpc_t *httpc, loop_t *loop);
+void httpc_destroy(httpc_t *httpc);
+
+/* POST text (or GET if NULL). timeout_ms 0: a stream without an end. The call is freed after done.
+ */
+httpc_call_t *httpc_start(httpc_t *httpc, const char *url, const char *text, int64_t timeout_ms,
+			  httpc_done_t on_done, httpc_data_t on_data, void *data);
+
+/* End a call without its callback. */
+void httpc_cancel(httpc_call_t *call);
--- /dev/null
+++ b/links/httpd.c
@@ -0,0 +1,175 @@
+#include "httpd.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG		1024
+#define HTTP1_IDLE_MSEC 60000
+#define JSON_TYPE	"application/json"
+
+typedef struct handler {
+	h2o_handler_t base;
+	httpd_t *httpd;
+} handler_t;
+
+int httpd_split_address(const char *address, char *host, uint16_t *port)
+{
+	const char *colon = strrchr(address, ':');
+	char *end;
+	long number;
+
+	if (colon == NULL || colon == address || colon - address > 63)
+		return -EINVAL;
+	number = strtol(colon + 1, &end, 10);
+	if (*end != '\0' || end == colon + 1 || number < 0 || number > 65535)
+		return -EINVAL;
+	memcpy(host, address, (size_t)(colon - address));
+	host[colon - address] = '\0';
+	*port = (uint16_t)number;
+	return 0;
+}
+
+static int open_listener(const char *address, err_t *err)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	char host[64];
+	uint16_t port;
+	int on = 1;
+	int fd;
+
+	if (httpd_split_address(address, host, &port) < 0 ||
+	    inet_pton(AF_INET, host, &sin.sin_addr) != 1)
+		return err_set(err, -EINVAL, "listen", address, "expected IP:PORT");
+	sin.sin_port = htons(port);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	if (fd < 0)
+		return err_set(err, -errno, "listen", address, "no socket");
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 || listen(fd, BACKLOG) < 0) {
+		int code = -errno;
+
+		close(fd);
+		return err_set(err, code, "listen", address, "can't bind");
+	}
+	return fd;
+}
+
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	httpd_t *httpd = listener->data;
+	h2o_socket_t *sock;
+
+	if (err != NULL)
+		return;
+	while ((sock = h2o_evloop_socket_accept(listener)) != NULL)
+		h2o_accept(&httpd->accept, sock);
+}
+
+static int on_req(h2o_handler_t *base, h2o_req_t *req)
+{
+	httpd_t *httpd = ((handler_t *)base)->httpd;
+
+	return httpd->handle(httpd, req);
+}
+
+int httpd_start(httpd_t *httpd, loop_t *loop, const char *address, size_t max_body,
+		httpd_handler_t handle, void *data, err_t *err)
+{
+	int fd = open_listener(address, err);
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	handler_t *handler;
+
+	if (fd < 0)
+		return fd;
+	httpd->handle = handle;
+	httpd->data = data;
+	h2o_config_init(&httpd->config);
+	httpd->config.max_request_entity_size = max_body;
+	httpd->config.http1.req_timeout = HTTP1_IDLE_MSEC;
+	host = h2o_config_register_host(&httpd->config, h2o_iovec_init(H2O_STRLIT("default")),
+					65535);
+	path = h2o_config_register_path(host, "/", 0);
+	handler = (handler_t *)h2o_create_handler(path, sizeof(*handler));
+	handler->base.on_req = on_req;
+	handler->httpd = httpd;
+	h2o_context_init(&httpd->context, loop->h2o, &httpd->config);
+	httpd->accept.ctx = &httpd->context;
+	httpd->accept.hosts = httpd->config.hosts;
+	httpd->listener = h2o_evloop_socket_create(loop->h2o, fd, H2O_SOCKET_FLAG_DONT_READ);
+	httpd->listener->data = httpd;
+	h2o_socket_read_start(httpd->listener, on_accept);
+	return 0;
+}
+
+void httpd_drain(httpd_t *httpd)
+{
+	if (httpd->listener == NULL)
+		return;
+	h2o_socket_read_stop(httpd->listener);
+	h2o_socket_close(httpd->listener);
+	httpd->listener = NULL;
+	h2o_context_request_shutdown(&httpd->context);
+}
+
+static const char *reason_of(int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 401:
+		return "Unauthorized";
+	case 404:
+		return "Not Found";
+	case 405:
+		return "Method Not Allowed";
+	case 409:
+		return "Conflict";
+	case 422:
+		return "Unprocessable Entity";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Error";
+	}
+}
+
+static void add_retry_after(h2o_req_t *req, uint64_t msec)
+{
+	char *text = h2o_mem_alloc_pool(&req->pool, 24);
+	/* Whole seconds, rounded up, are all that the header can say; the body is exact. */
+	int len = snprintf(text, 24, "%llu", (unsigned long long)((msec + 999) / 1000));
+
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_RETRY_AFTER, NULL, text,
+		       (size_t)len);
+}
+
+void httpd_send_json(h2o_req_t *req, int status, json_t *body, uint64_t retry_after_ms)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	req->res.status = status;
+	req->res.reason = reason_of(status);
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
+		       H2O_STRLIT(JSON_TYPE));
+	if (retry_after_ms != 0)
+		add_retry_after(req, retry_after_ms);
+	h2o_send_inline(req, text, strlen(text));
+	free(text);
+}
+
+bool httpd_is(const h2o_req_t *req, const char *method, const char *path)
+{
+	return h2o_memis(req->method.base, req->method.len, method, strlen(method)) &&
+	       h2o_memis(req->path_normalized.base, req->path_normalized.len, path, strlen(path));
+}
--- /dev/null
+++ b/links/httpd.h
@@ -0,0 +1,37 @@
+/* An HTTP server on h2o: one listener, one handler for all paths, JSON out. */
+#pragma once
+
+#include <h2o.h>
+#include <jansson.h>
+
+#include "err.h"
+#include "loop.h"
+
+struct httpd;
+
+/* Handle one request; returns 0 if it will be answered, -1 for h2o's "not found". */
+typedef int (*httpd_handler_t)(struct httpd *httpd, h2o_req_t *req);
+
+typedef struct httpd {
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept;
+	h2o_socket_t *listener;
+	httpd_handler_t handle;
+	void *data;
+} httpd_t;
+
+/* Listen on address, IP:PORT. */
+int httpd_start(httpd_t *httpd, loop_t *loop, const char *address, size_t max_body,
+		httpd_handler_t handle, void *data, err_t *err);
+
+/* Accept no more; connections end when their requests have. */
+void httpd_drain(httpd_t *httpd);
+
+/* Answer with a JSON body, which is taken over. retry_after_ms 0: none. */
+void httpd_send_json(h2o_req_t *req, int status, json_t *body, uint64_t retry_after_ms);
+
+bool httpd_is(const h2o_req_t *req, const char *method, const char *path);
+
+/* Split IP:PORT; host needs 64 bytes. Returns 0 or -EINVAL. */
+int httpd_split_address(const char *address, char *host, uint16_t *port);
--- /dev/null
+++ b/links/operators.c
@@ -0,0 +1,261 @@
+/*
+ * Operators' link: HTTP on its own address, with a bearer token. State dump,
+ * counters, the table and edits of it, shutdown.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+#include <talloc.h>
+#include <uthash.h>
+
+#include "adapter.h"
+#include "counter.h"
+#include "httpd.h"
+
+#define LOG_MODULE "operators"
+#include "log.h"
+
+#define MAX_BODY (2 * 1024 * 1024)
+#define BEARER	 "Bearer "
+
+COUNTER_DEFINE(denied_total, "operator_denied_total", COUNTER_SUM,
+	       "Operators' requests without the right token.");
+
+/* An edit whose operator waits for the outcome. */
+typedef struct pending {
+	uint64_t id;
+	h2o_req_t *req;
+	struct operators *owner; /* NULL once answered */
+	UT_hash_handle hh;
+} pending_t;
+
+typedef struct operators {
+	plugin_t base;
+	httpd_t httpd;
+	kernel_t *kernel;
+	adapter_t *adapter;
+	char *token;
+	pending_t *pending;
+	uint64_t next_id;
+} operators_t;
+
+typedef void (*endpoint_t)(operators_t *self, h2o_req_t *req);
+
+static void send_error(h2o_req_t *req, int status, const char *text)
+{
+	httpd_send_json(req, status, json_pack("{s:s}", "error", text), 0);
+}
+
+/* Compared in constant time, so that the token can't be guessed piece by piece. */
+static bool is_authorized(const operators_t *self, const h2o_req_t *req)
+{
+	ssize_t at = h2o_find_header(&req->headers, H2O_TOKEN_AUTHORIZATION, -1);
+	size_t skip = strlen(BEARER);
+	h2o_iovec_t value;
+
+	if (at < 0)
+		return false;
+	value = req->headers.entries[at].value;
+	if (value.len != skip + strlen(self->token) || memcmp(value.base, BEARER, skip) != 0)
+		return false;
+	return sodium_memcmp(value.base + skip, self->token, strlen(self->token)) == 0;
+}
+
+static void get_state(operators_t *self, h2o_req_t *req)
+{
+	httpd_send_json(req, 200, kernel_dump(self->kernel), 0);
+}
+
+static void get_metrics(operators_t *self, h2o_req_t *req)
+{
+	char *text = NULL;
+	size_t len = 0;
+	FILE *out = open_memstream(&text, &len);
+
+	(void)self;
+	counters_write(out);
+	fclose(out);
+	req->res.status = 200;
+	req->res.reason = "OK";
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
+		       H2O_STRLIT("text/plain; version=0.0.4"));
+	h2o_send_inline(req, text, len);
+	free(text);
+}
+
+static void get_table(operators_t *self, h2o_req_t *req)
+{
+	httpd_send_json(req, 200, core_dump_table(self->adapter->core), 0);
+}
+
+static void post_drain(operators_t *self, h2o_req_t *req)
+{
+	httpd_send_json(req, 200, json_pack("{s:b}", "draining", 1), 0);
+	LOG_INFORM("shutdown ordered by an operator");
+	kernel_drain(self->kernel);
+}
+
+/* --- edits --- */
+
+static void on_pending_disposed(void *ptr)
+{
+	pending_t *pending = *(pending_t **)ptr;
+
+	/* Answered, or the operator has gone: nobody waits for the outcome any more. */
+	if (pending->owner != NULL)
+		HASH_DEL(pending->owner->pending, pending);
+	talloc_free(pending);
+}
+
+static uint64_t wait_for_edit(operators_t *self, h2o_req_t *req)
+{
+	pending_t *pending = talloc_zero(NULL, pending_t);
+	pending_t **slot = h2o_mem_alloc_shared(&req->pool, sizeof(*slot), on_pending_disposed);
+
+	*slot = pending;
+	pending->id = ++self->next_id;
+	pending->req = req;
+	pending->owner = self;
+	HASH_ADD(hh, self->pending, id, sizeof(pending->id), pending);
+	return pending->id;
+}
+
+static size_t read_entries(void *parent, const json_t *object, table_entry_t **out)
+{
+	size_t count = 0;
+	const char *key;
+	json_t *value;
+
+	*out = talloc_zero_array(parent, table_entry_t, json_object_size(object) + 1);
+	json_object_foreach ((json_t *)object, key, value) {
+		char *text = json_is_null(value) ? NULL : json_dumps(value, JSON_ENCODE_ANY);
+
+		(*out)[count].key = talloc_strdup(*out, key);
+		(*out)[count].value = talloc_strdup(*out, text);
+		free(text);
+		count++;
+	}
+	return count;
+}
+
+static void submit_edit(operators_t *self, h2o_req_t *req, json_t *body, const char *edit_id,
+			const char *author)
+{
+	void *scratch = talloc_new(NULL);
+	table_entry_t *entries;
+	event_t event = {.kind = EVENT_EDIT, .edit_id = edit_id, .author = author};
+
+	event.entry_count = read_entries(scratch, json_object_get(body, "entries"), &entries);
+	event.entries = entries;
+	event.base_version = (uint64_t)json_integer_value(json_object_get(body, "base_version"));
+	event.id = wait_for_edit(self, req);
+	adapter_submit(self->adapter, &event);
+	talloc_free(scratch);
+}
+
+static void post_edit(operators_t *self, h2o_req_t *req)
+{
+	json_t *body = json_loadb(req->entity.base, req->entity.len, JSON_REJECT_DUPLICATES, NULL);
+	const char *edit_id = json_string_value(json_object_get(body, "edit_id"));
+	const char *author = json_string_value(json_object_get(body, "author"));
+	const json_t *entries = json_object_get(body, "entries");
+
+	if (edit_id == NULL || edit_id[0] == '\0' || author == NULL ||
+	    !json_is_integer(json_object_get(body, "base_version")) ||
+	    json_object_size(entries) == 0)
+		send_error(req, 400,
+			   "expected an object with edit_id, author, base_version and entries");
+	else
+		submit_edit(self, req, body, edit_id, author);
+	json_decref(body);
+}
+
+static void on_edit_done(void *data, action_t *action)
+{
+	static const char *const names[] = {
+		[EDIT_ACCEPTED] = "accepted",
+		[EDIT_REFUSED] = "refused",
+		[EDIT_UNKNOWN] = "unknown",
+	};
+	operators_t *self = data;
+	pending_t *pending;
+
+	HASH_FIND(hh, self->pending, &action->id, sizeof(action->id), pending);
+	if (pending == NULL)
+		return;
+	HASH_DEL(self->pending, pending);
+	pending->owner = NULL;
+	httpd_send_json(pending->req, 200,
+			json_pack("{s:s, s:I, s:s}", "status", names[action->edit_status],
+				  "version", (json_int_t)action->table_version, "detail",
+				  action->text),
+			0);
+}
+
+static const struct {
+	const char *method;
+	const char *path;
+	endpoint_t handle;
+} endpoints[] = {
+	{"GET", "/v1/state", get_state},   {"GET", "/v1/metrics", get_metrics},
+	{"GET", "/v1/table", get_table},   {"POST", "/v1/table", post_edit},
+	{"POST", "/v1/drain", post_drain},
+};
+
+static int on_req(httpd_t *httpd, h2o_req_t *req)
+{
+	operators_t *self = httpd->data;
+
+	if (!is_authorized(self, req)) {
+		counter_add(&denied_total, 1);
+		send_error(req, 401, "the bearer token is missing or wrong");
+		return 0;
+	}
+	for (size_t i = 0; i < sizeof(endpoints) / sizeof(endpoints[0]); i++) {
+		if (httpd_is(req, endpoints[i].method, endpoints[i].path)) {
+			endpoints[i].handle(self, req);
+			return 0;
+		}
+	}
+	send_error(req, 404,
+		   "expected GET /v1/state, metrics or table, or POST /v1/table or drain");
+	return 0;
+}
+
+static int start(plugin_t *plugin, kernel_t *kernel, err_t *err)
+{
+	operators_t *self = (operators_t *)plugin;
+	const conf_t *conf = kernel->settings;
+
+	self->kernel = kernel;
+	self->adapter = adapter_of(kernel);
+	self->token = conf_read_secret(NULL, conf->operators_token_file, err);
+	if (self->token == NULL)
+		return -ENOENT;
+	if (self->token[0] == '\0')
+		return err_set(err, -EINVAL, "read secret", conf->operators_token_file,
+			       "the file is empty");
+	adapter_register(self->adapter, ACTION_EDIT_DONE, on_edit_done, self);
+	return httpd_start(&self->httpd, &kernel->loop, conf->operators_listen, MAX_BODY, on_req,
+			   self, err);
+}
+
+static void destroy(plugin_t *plugin)
+{
+	operators_t *self = (operators_t *)plugin;
+
+	talloc_free(self->token);
+}
+
+static const plugin_ops_t ops = {
+	.name = "operators",
+	.order = 40,
+	.start = start,
+	.destroy = destroy,
+};
+
+static operators_t instance = {.base = {.ops = &ops}};
+
+PLUGIN_REGISTER(&instance.base);
--- /dev/null
+++ b/links/platform.c
@@ -0,0 +1,659 @@
+/*
+ * Platform's link: the store through etcd's JSON gateway, and the list of VMs.
+ *
+ * Keys under the prefix: "head" holds the table's version and the ids of the
+ * last edits; "item/KEY" holds one entry with the version of its last change.
+ * Every edit is one transaction that compares head's mod revision, so two
+ * edits never both build on the same table.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <talloc.h>
+
+#include "adapter.h"
+#include "counter.h"
+#include "httpc.h"
+
+#define LOG_MODULE "platform"
+#include "log.h"
+
+/* Edit ids kept in head: enough for every edit whose answer may still be outstanding. */
+#define KEPT_EDITS 32
+/* Lines of history kept in the store. */
+#define KEPT_HISTORY 1000
+#define HTTP_OK	     200
+
+COUNTER_DEFINE(calls_total, "store_calls_total", COUNTER_SUM,
+	       "Calls on the platform, a watch counted as one.");
+COUNTER_DEFINE(failed_total, "store_calls_failed_total", COUNTER_SUM,
+	       "Calls on the platform without a usable answer.");
+
+typedef struct platform {
+	plugin_t base;
+	adapter_t *adapter;
+	loop_t *loop;
+	const conf_t *conf;
+	httpc_t httpc;
+	httpc_call_t *watch;
+	char *watch_buffer;
+} platform_t;
+
+/* What head says. */
+typedef struct head {
+	uint64_t version;
+	int64_t revision; /* 0: there is no head yet */
+	json_t *edits;
+} head_t;
+
+/* A load or a commit in progress. */
+typedef struct op {
+	platform_t *platform;
+	uint64_t id;
+	event_kind_t answer;
+	store_status_t status;
+	uint64_t since;		/* table version that core has */
+	int64_t since_revision; /* of the store, at which it had that version or an older one */
+	head_t head;
+	char *edit_id;
+	table_entry_t *entries; /* of a commit */
+	size_t entry_count;
+	uint64_t version;
+} op_t;
+
+/* --- etcd's JSON --- */
+
+static json_t *encode_key(const platform_t *self, const char *key)
+{
+	char *full = talloc_asprintf(NULL, "%s%s", self->conf->platform_prefix, key);
+	gchar *base64 = g_base64_encode((const guchar *)full, strlen(full));
+	json_t *out = json_string(base64);
+
+	g_free(base64);
+	talloc_free(full);
+	return out;
+}
+
+static json_t *encode_text(const char *text)
+{
+	gchar *base64 = g_base64_encode((const guchar *)text, strlen(text));
+	json_t *out = json_string(base64);
+
+	g_free(base64);
+	return out;
+}
+
+/* The decoded field as a child of parent, NULL if there is none. */
+static char *decode_text(void *parent, const json_t *field)
+{
+	const char *text = json_string_value(field);
+	gsize len;
+	guchar *raw;
+	char *copy;
+
+	if (text == NULL)
+		return NULL;
+	raw = g_base64_decode(text, &len);
+	copy = talloc_strndup(parent, (const char *)raw, len);
+	g_free(raw);
+	return copy;
+}
+
+/* etcd's gateway writes 64-bit numbers as strings. */
+static int64_t number_of(const json_t *object, const char *key)
+{
+	const json_t *field = json_object_get(object, key);
+
+	if (json_is_integer(field))
+		return json_integer_value(field);
+	return json_is_string(field) ? strtoll(json_string_value(field), NULL, 10) : 0;
+}
+
+static void read_head(const json_t *kv, head_t *head)
+{
+	char *text = decode_text(NULL, json_object_get(kv, "value"));
+	json_t *value = text != NULL ? json_loads(text, 0, NULL) : NULL;
+
+	head->revision = number_of(kv, "mod_revision");
+	head->version = (uint64_t)number_of(value, "version");
+	head->edits = json_incref(json_object_get(value, "edits"));
+	json_decref(value);
+	talloc_free(text);
+}
+
+/* One stored entry; false if it can't be read. */
+static bool read_entry(const platform_t *self, void *parent, const json_t *kv, table_entry_t *out)
+{
+	char *key = decode_text(parent, json_object_get(kv, "key"));
+	char *text = decode_text(parent, json_object_get(kv, "value"));
+	json_t *stored = text != NULL ? json_loads(text, 0, NULL) : NULL;
+	size_t skip = strlen(self->conf->platform_prefix) + strlen("item/");
+	const json_t *value = json_object_get(stored, "value");
+	char *dumped = NULL;
+
+	if (!json_is_object(stored) || key == NULL || strlen(key) <= skip)
+		return false;
+	if (json_is_object(value))
+		dumped = json_dumps(value, JSON_COMPACT);
+	out->key = talloc_strdup(parent, key + skip);
+	out->version = (uint64_t)number_of(stored, "version");
+	out->value = talloc_strdup(parent, dumped);
+	free(dumped);
+	json_decref(stored);
+	return true;
+}
+
+static size_t read_entries(const platform_t *self, void *parent, const json_t *kvs,
+			   table_entry_t **out)
+{
+	size_t count = json_array_size(kvs);
+	size_t taken = 0;
+
+	*out = talloc_zero_array(parent, table_entry_t, count + 1);
+	for (size_t i = 0; i < count; i++) {
+		if (read_entry(self, *out, json_array_get(kvs, i), &(*out)[taken]))
+			taken++;
+		else
+			LOG_WARNING("an entry of the table in the store can't be read");
+	}
+	return taken;
+}
+
+static httpc_call_t *post(platform_t *self, const char *path, json_t *body, httpc_done_t on_done,
+			  httpc_data_t on_data, void *data)
+{
+	char *url = talloc_asprintf(NULL, "%s%s", self->conf->platform_url, path);
+	char *text = json_dumps(body, JSON_COMPACT);
+	int64_t timeout = on_data != NULL ? 0 : self->conf->platform_timeout_ms;
+	httpc_call_t *call;
+
+	counter_add(&calls_total, 1);
+	call = httpc_start(&self->httpc, url, text, timeout, on_done, on_data, data);
+	free(text);
+	json_decref(body);
+	talloc_free(url);
+	return call;
+}
+
+static json_t *parse_answer(bool ok, long status, const char *body)
+{
+	json_t *answer = ok && status == HTTP_OK ? json_loads(body, 0, NULL) : NULL;
+
+	if (answer == NULL)
+		counter_add(&failed_total, 1);
+	return answer;
+}
+
+/* --- load: head, and what changed if it is newer than what core has --- */
+
+static void op_free(op_t *op)
+{
+	json_decref(op->head.edits);
+	talloc_free(op);
+}
+
+static bool has_edit(const json_t *edits, const char *edit_id)
+{
+	for (size_t i = 0; edit_id != NULL && i < json_array_size(edits); i++) {
+		if (strcmp(json_string_value(json_array_get(edits, i)), edit_id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void tell(op_t *op, const table_entry_t *entries, size_t count)
+{
+	event_t event = {
+		.kind = op->answer,
+		.id = op->id,
+		.store_status = op->status,
+		.entries = entries,
+		.entry_count = count,
+		.table_version = op->head.version,
+		.head_revision = op->head.revision,
+		.edit_found = has_edit(op->head.edits, op->edit_id),
+	};
+
+	adapter_submit(op->platform->adapter, &event);
+	op_free(op);
+}
+
+static void tell_failed(op_t *op)
+{
+	op->status = STORE_FAILED;
+	tell(op, NULL, 0);
+}
+
+static void on_entries(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
+{
+	op_t *op = call->data;
+	json_t *answer = parse_answer(ok, status, body);
+	table_entry_t *entries;
+	size_t count;
+
+	(void)len;
+	if (answer == NULL) {
+		tell_failed(op);
+		return;
+	}
+	count = read_entries(op->platform, op, json_object_get(answer, "kvs"), &entries);
+	json_decref(answer);
+	tell(op, entries, count);
+}
+
+/* What changed since core's version, as of the head just read. */
+static void load_entries(op_t *op)
+{
+	platform_t *self = op->platform;
+	json_t *body =
+		json_pack("{s:o, s:o, s:I}", "key", encode_key(self, "item/"), "range_end",
+			  encode_key(self, "item0"), "revision", (json_int_t)op->head.revision);
+
+	if (op->since_revision > 0)
+		json_object_set_new(body, "min_mod_revision", json_integer(op->since_revision + 1));
+	post(self, "/v3/kv/range", body, on_entries, NULL, op);
+}
+
+static void on_head(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
+{
+	op_t *op = call->data;
+	json_t *answer = parse_answer(ok, status, body);
+	const json_t *kv = json_array_get(json_object_get(answer, "kvs"), 0);
+
+	(void)len;
+	if (answer == NULL) {
+		tell_failed(op);
+		return;
+	}
+	if (kv != NULL)
+		read_head(kv, &op->head);
+	json_decref(answer);
+	if (op->head.version <= op->since)
+		tell(op, NULL, 0);
+	else
+		load_entries(op);
+}
+
+static void start_load(op_t *op)
+{
+	json_t *body = json_pack("{s:o}", "key", encode_key(op->platform, "head"));
+
+	post(op->platform, "/v3/kv/range", body, on_head, NULL, op);
+}
+
+static op_t *op_create(platform_t *self, const action_t *action, event_kind_t answer)
+{
+	op_t *op = talloc_zero(NULL, op_t);
+
+	op->platform = self;
+	op->id = action->id;
+	op->answer = answer;
+	op->status = STORE_OK;
+	op->since = action->table_version;
+	op->since_revision = action->head_revision;
+	return op;
+}
+
+static void on_load(void *data, action_t *action)
+{
+	start_load(op_create(data, action, EVENT_STORE_LOADED));
+}
+
+/* --- commit --- */
+
+static json_t *put(const platform_t *self, const char *key, json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+	json_t *request = json_pack("{s:{s:o, s:o}}", "requestPut", "key", encode_key(self, key),
+				    "value", encode_text(text));
+
+	free(text);
+	json_decref(value);
+	return request;
+}
+
+static json_t *head_value(const action_t *action, const json_t *edits)
+{
+	json_t *kept = json_array();
+	size_t count = json_array_size(edits);
+	size_t first = count >= KEPT_EDITS ? count - KEPT_EDITS + 1 : 0;
+
+	for (size_t i = first; i < count; i++)
+		json_array_append(kept, json_array_get(edits, i));
+	json_array_append_new(kept, json_string(action->edit_id));
+	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)action->table_version,
+			 "edit", action->edit_id, "author", action->author, "edits", kept);
+}
+
+static json_t *item_value(const table_entry_t *entry)
+{
+	json_t *value = entry->value != NULL ? json_loads(entry->value, 0, NULL) : json_null();
+
+	return json_pack("{s:I, s:o}", "version", (json_int_t)entry->version, "value", value);
+}
+
+/* A line of the history, kept beside the table. */
+static json_t *history_value(const action_t *action)
+{
+	json_t *changes = json_object();
+
+	for (size_t i = 0; i < action->entry_count; i++)
+		json_object_set_new(changes, action->entries[i].key,
+				    item_value(&action->entries[i]));
+	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)action->table_version,
+			 "edit", action->edit_id, "author", action->author, "changes", changes);
+}
+
+static json_t *commit_body(const platform_t *self, const action_t *action, const json_t *edits)
+{
+	json_t *success = json_array();
+	json_t *compare = json_pack("{s:o, s:s, s:s, s:s}", "key", encode_key(self, "head"),
+				    "target", "MOD", "result", "EQUAL", "mod_revision", "0");
+	char key[600];
+
+	json_object_set_new(compare, "mod_revision", json_integer(action->head_revision));
+	json_array_append_new(success, put(self, "head", head_value(action, edits)));
+	for (size_t i = 0; i < action->entry_count; i++) {
+		snprintf(key, sizeof(key), "item/%s", action->entries[i].key);
+		json_array_append_new(success, put(self, key, item_value(&action->entries[i])));
+	}
+	snprintf(key, sizeof(key), "history/%012llu", (unsigned long long)action->table_version);
+	json_array_append_new(success, put(self, key, history_value(action)));
+	if (action->table_version > KEPT_HISTORY) {
+		snprintf(key, sizeof(key), "history/%012llu",
+			 (unsigned long long)(action->table_version - KEPT_HISTORY));
+		json_array_append_new(success, json_pack("{s:{s:o}}", "requestDeleteRange", "key",
+							 encode_key(self, key)));
+	}
+	return json_pack("{s:[o], s:o}", "compare", compare, "success", success);
+}
+
+static void on_commit_done(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
+{
+	op_t *op = call->data;
+	json_t *answer = parse_answer(ok, status, body);
+
+	(void)len;
+	if (answer == NULL) {
+		tell_failed(op);
+		return;
+	}
+	if (json_is_true(json_object_get(answer, "succeeded"))) {
+		op->head.revision = number_of(json_object_get(answer, "header"), "revision");
+		op->head.version = op->version;
+		json_decref(answer);
+		tell(op, op->entries, op->entry_count);
+		return;
+	}
+	json_decref(answer);
+	op->status = STORE_CONFLICT;
+	start_load(op);
+}
+
+static void copy_entries(op_t *op, const action_t *action)
+{
+	op->version = action->table_version;
+	op->entry_count = action->entry_count;
+	op->entries = talloc_zero_array(op, table_entry_t, action->entry_count + 1);
+	for (size_t i = 0; i < action->entry_count; i++) {
+		op->entries[i].key = talloc_strdup(op, action->entries[i].key);
+		op->entries[i].value = talloc_strdup(op, action->entries[i].value);
+		op->entries[i].version = action->entries[i].version;
+	}
+}
+
+/* A commit waits for the ids of the last edits, which head must go on to carry. */
+typedef struct commit {
+	op_t *op;
+	action_t *action;
+} commit_t;
+
+static void on_commit_head(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
+{
+	commit_t *commit = call->data;
+	op_t *op = commit->op;
+	platform_t *self = op->platform;
+	json_t *answer = parse_answer(ok, status, body);
+	const json_t *kv = json_array_get(json_object_get(answer, "kvs"), 0);
+	head_t head = {0};
+
+	(void)len;
+	if (answer == NULL) {
+		talloc_free(commit);
+		tell_failed(op);
+		return;
+	}
+	if (kv != NULL)
+		read_head(kv, &head);
+	post(self, "/v3/kv/txn", commit_body(self, commit->action, head.edits), on_commit_done,
+	     NULL, op);
+	json_decref(head.edits);
+	json_decref(answer);
+	talloc_free(commit);
+}
+
+static action_t *copy_commit(void *parent, const action_t *action, const op_t *op)
+{
+	action_t *copy = talloc_zero(parent, action_t);
+
+	copy->table_version = action->table_version;
+	copy->head_revision = action->head_revision;
+	copy->edit_id = talloc_strdup(copy, action->edit_id);
+	copy->author = talloc_strdup(copy, action->author);
+	copy->entries = op->entries;
+	copy->entry_count = op->entry_count;
+	return copy;
+}
+
+static void on_commit(void *data, action_t *action)
+{
+	platform_t *self = data;
+	op_t *op = op_create(self, action, EVENT_STORE_DONE);
+	commit_t *commit = talloc_zero(op, commit_t);
+	json_t *body = json_pack("{s:o}", "key", encode_key(self, "head"));
+
+	copy_entries(op, action);
+	op->since = action->table_version - 1;
+	op->edit_id = talloc_strdup(op, action->edit_id);
+	commit->op = op;
+	commit->action = copy_commit(commit, action, op);
+	post(self, "/v3/kv/range", body, on_commit_head, NULL, commit);
+}
+
+/* --- watch --- */
+
+static void watch_down(platform_t *self)
+{
+	event_t event = {.kind = EVENT_WATCH_DOWN};
+
+	adapter_submit(self->adapter, &event);
+}
+
+static void on_watch_done(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
+{
+	platform_t *self = call->data;
+
+	(void)ok;
+	(void)status;
+	(void)body;
+	(void)len;
+	self->watch = NULL;
+	watch_down(self);
+}
+
+static bool is_under(const char *key, const char *prefix)
+{
+	return strncmp(key, prefix, strlen(prefix)) == 0;
+}
+
+/* Sort the changed keys of one message into head and entries; both come in one revision. */
+static void take_watch_events(platform_t *self, const json_t *events)
+{
+	const char *prefix = self->conf->platform_prefix;
+	void *scratch = talloc_new(NULL);
+	json_t *items = json_array();
+	head_t head = {0};
+	table_entry_t *entries;
+	event_t event = {.kind = EVENT_STORE_LOADED, .store_status = STORE_OK};
+
+	for (size_t i = 0; i < json_array_size(events); i++) {
+		json_t *kv = json_object_get(json_array_get(events, i), "kv");
+		char *key = decode_text(scratch, json_object_get(kv, "key"));
+
+		if (key == NULL || !is_under(key, prefix))
+			continue;
+		key += strlen(prefix);
+		if (strcmp(key, "head") == 0) {
+			json_decref(head.edits);
+			read_head(kv, &head);
+		} else if (is_under(key, "item/")) {
+			json_array_append(items, kv);
+		}
+	}
+	event.entry_count = read_entries(self, scratch, items, &entries);
+	event.entries = entries;
+	event.table_version = head.version;
+	event.head_revision = head.revision;
+	json_decref(items);
+	json_decref(head.edits);
+	if (head.version != 0)
+		adapter_submit(self->adapter, &event);
+	talloc_free(scratch);
+}
+
+static void take_watch_line(platform_t *self, const char *line)
+{
+	json_t *message = json_loads(line, 0, NULL);
+
+	take_watch_events(self, json_object_get(json_object_get(message, "result"), "events"));
+	json_decref(message);
+}
+
+static void on_watch_data(httpc_call_t *call, const char *data, size_t len)
+{
+	platform_t *self = call->data;
+	char *end;
+
+	self->watch_buffer = talloc_strndup_append_buffer(self->watch_buffer, data, len);
+	while ((end = strchr(self->watch_buffer, '\n')) != NULL) {
+		char *rest = talloc_strdup(NULL, end + 1);
+
+		*end = '\0';
+		take_watch_line(self, self->watch_buffer);
+		talloc_free(self->watch_buffer);
+		self->watch_buffer = rest;
+	}
+}
+
+static void on_watch(void *data, action_t *action)
+{
+	platform_t *self = data;
+	json_t *create = json_pack("{s:o, s:o, s:I}", "key", encode_key(self, ""), "range_end",
+				   encode_key(self, "\x7f"), "start_revision",
+				   (json_int_t)action->head_revision + 1);
+
+	talloc_free(self->watch_buffer);
+	self->watch_buffer = talloc_strdup(NULL, "");
+	self->watch = post(self, "/v3/watch", json_pack("{s:o}", "create_request", create),
+			   on_watch_done, on_watch_data, self);
+}
+
+/* --- list of VMs --- */
+
+static bool read_vm(const json_t *item, vm_t *vm)
+{
+	const char *role = json_string_value(json_object_get(item, "role"));
+	const char *state = json_string_value(json_object_get(item, "state"));
+
+	vm->name = (char *)json_string_value(json_object_get(item, "name"));
+	vm->zone = (char *)json_string_value(json_object_get(item, "zone"));
+	vm->address = (char *)json_string_value(json_object_get(item, "address"));
+	vm->backend = role != NULL && strcmp(role, "backend") == 0;
+	vm->leaving = state != NULL && strcmp(state, "leaving") == 0;
+	return vm->name != NULL && vm->zone != NULL && vm->address != NULL;
+}
+
+static void on_vms_done(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
+{
+	platform_t *self = call->data;
+	json_t *answer = parse_answer(ok, status, body);
+	const json_t *list = json_object_get(answer, "vms");
+	vm_t *vms = talloc_zero_array(NULL, vm_t, json_array_size(list) + 1);
+	event_t event = {
+		.kind = EVENT_VMS,
+		.id = call->id,
+		.store_status = json_is_array(list) ? STORE_OK : STORE_FAILED,
+		.vms = vms,
+	};
+
+	(void)len;
+	for (size_t i = 0; i < json_array_size(list); i++)
+		event.vm_count += read_vm(json_array_get(list, i), &vms[event.vm_count]);
+	adapter_submit(self->adapter, &event);
+	talloc_free(vms);
+	json_decref(answer);
+}
+
+static void on_vms(void *data, action_t *action)
+{
+	platform_t *self = data;
+	char *url = talloc_asprintf(NULL, "%s/v1/vms", self->conf->platform_url);
+
+	counter_add(&calls_total, 1);
+	httpc_start(&self->httpc, url, NULL, self->conf->platform_timeout_ms, on_vms_done, NULL,
+		    self)
+		->id = action->id;
+	talloc_free(url);
+}
+
+static int start(plugin_t *plugin, kernel_t *kernel, err_t *err)
+{
+	platform_t *self = (platform_t *)plugin;
+	int rc;
+
+	self->adapter = adapter_of(kernel);
+	self->loop = &kernel->loop;
+	self->conf = kernel->settings;
+	rc = httpc_init(&self->httpc, &kernel->loop);
+	if (rc < 0)
+		return err_set(err, rc, "start platform link", self->conf->platform_url,
+			       "no HTTP client");
+	adapter_register(self->adapter, ACTION_STORE_LOAD, on_load, self);
+	adapter_register(self->adapter, ACTION_STORE_COMMIT, on_commit, self);
+	adapter_register(self->adapter, ACTION_STORE_WATCH, on_watch, self);
+	adapter_register(self->adapter, ACTION_VMS, on_vms, self);
+	return 0;
+}
+
+static json_t *dump(const plugin_t *plugin)
+{
+	const platform_t *self = (const platform_t *)plugin;
+
+	return json_pack("{s:s, s:b, s:I}", "url", self->conf->platform_url, "watching",
+			 self->watch != NULL, "calls", (json_int_t)calls_total.value);
+}
+
+static void destroy(plugin_t *plugin)
+{
+	platform_t *self = (platform_t *)plugin;
+
+	if (self->watch != NULL)
+		httpc_cancel(self->watch);
+	talloc_free(self->watch_buffer);
+	httpc_destroy(&self->httpc);
+}
+
+static const plugin_ops_t ops = {
+	.name = "platform",
+	.order = 10,
+	.start = start,
+	.dump = dump,
+	.destroy = destroy,
+};
+
+static platform_t instance = {.base = {.ops = &ops}};
+
+PLUGIN_REGISTER(&instance.base);
--- /dev/null
+++ b/links/sql.c
@@ -0,0 +1,97 @@
+#include "sql.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <talloc.h>
+
+#define REPORT_COLUMNS 5
+
+static uint64_t number_at(const PGresult *result, int column)
+{
+	return strtoull(PQgetvalue(result, 0, column), NULL, 10);
+}
+
+static bool flag_at(const PGresult *result, int column)
+{
+	return PQgetvalue(result, 0, column)[0] == 't';
+}
+
+int sql_read_report(const PGresult *result, bool *accepted, report_t *report)
+{
+	if (PQresultStatus(result) != PGRES_TUPLES_OK || PQntuples(result) != 1 ||
+	    PQnfields(result) != REPORT_COLUMNS)
+		return -EBADMSG;
+	*accepted = flag_at(result, 0);
+	report->sealed = number_at(result, 1);
+	report->log.term = number_at(result, 2);
+	report->log.lsn = number_at(result, 3);
+	report->primary = flag_at(result, 4);
+	return 0;
+}
+
+static json_t *row_to_json(const PGresult *result, int row)
+{
+	json_t *out = json_array();
+
+	for (int i = 0; i < PQnfields(result); i++) {
+		if (PQgetisnull(result, row, i))
+			json_array_append_new(out, json_null());
+		else
+			json_array_append_new(out, json_string(PQgetvalue(result, row, i)));
+	}
+	return out;
+}
+
+char *sql_rows_to_json(void *parent, const PGresult *result)
+{
+	json_t *columns = json_array();
+	json_t *rows = json_array();
+	json_t *whole;
+	char *text;
+	char *copy;
+
+	for (int i = 0; i < PQnfields(result); i++)
+		json_array_append_new(columns, json_string(PQfname(result, i)));
+	for (int i = 0; i < PQntuples(result); i++)
+		json_array_append_new(rows, row_to_json(result, i));
+	whole = json_pack("{s:o, s:o, s:i}", "columns", columns, "rows", rows, "affected",
+			  atoi(PQcmdTuples((PGresult *)result)));
+	text = json_dumps(whole, JSON_COMPACT);
+	copy = talloc_strdup(parent, text);
+	free(text);
+	json_decref(whole);
+	return copy;
+}
+
+bool sql_is_error(const PGresult *result)
+{
+	ExecStatusType status = PQresultStatus(result);
+
+	return status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK;
+}
+
+bool sql_is_fatal(const PGresult *result)
+{
+	const char *severity = PQresultErrorField(result, PG_DIAG_SEVERITY_NONLOCALIZED);
+
+	return severity == NULL || strcmp(severity, "ERROR") != 0;
+}
+
+char *sql_error_text(void *parent, const PGresult *result)
+{
+	const char *state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+	const char *message = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
+
+	return talloc_asprintf(parent, "%s: %s", state != NULL ? state : "no state",
+			       message != NULL ? message : "no message");
+}
+
+bool sql_has_state(const PGresult *result, const char *state)
+{
+	const char *have = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+
+	return have != NULL && strcmp(have, state) == 0;
+}
