Golden sessions in paused time, and the faults they found

A small fake of one group's members, the store and the messages plays session files against several cores; every action is compared with a golden file, and what must always hold is checked at the end. Each of these failed first:

- A run on a vanished or frozen primary hung until its deadline (w2 not_run, conn_lost, after 5 s).
Cause: only the connection's end told of it.
Now a new primary closes what runs on the others: done after the takeover.
- A standby proxy with a 500 ms old view took over again, needlessly (term 3 in failover-frozen).
It now asks a majority afresh first, and learns from a refused seal.
- A lost store answer made the retried edit conflict with itself, which a watch had shown meanwhile (refused, though taken).
The retry is now the very same swap.
- A stalled but reachable primary has the longest log and could be promoted again.
It is left out of the seal.
- Follow orders were repeated every 300 ms to a lagging replica, which then fetched the log anew each time.
They end once obeyed.

--- a/core/confirm.c
+++ b/core/confirm.c
@@ -5,6 +5,8 @@
 
 /* Weight of a new measurement in the smoothed time, as a shift. */
 #define SMOOTH_SHIFT 3
+/* How fast the peak falls with each confirmation, as a shift. */
+#define PEAK_DECAY_SHIFT 6
 
 /*
  * Within one term only the primary writes, and replicas follow its log in
@@ -52,12 +54,22 @@
 	*mean += (value >> SMOOTH_SHIFT) - (*mean >> SMOOTH_SHIFT);
 }
 
+/* The longest confirmation of late: what a replica's lag makes usual is no stall. */
+static void hold_peak(usec_t *peak, usec_t value)
+{
+	*peak -= *peak >> PEAK_DECAY_SHIFT;
+	if (value > *peak)
+		*peak = value;
+}
+
 static void confirmed(request_t *request)
 {
 	group_t *group = request->group;
+	usec_t took = group->core->now - request->ran_at;
 
 	list_del(&request->node);
-	smooth(&group->confirm_time, group->core->now - request->ran_at);
+	smooth(&group->confirm_time, took);
+	hold_peak(&group->confirm_peak, took);
 	group->takeover.stall_backoff = 0;
 	exec_confirmed(request);
 }
--- a/core/edit.c
+++ b/core/edit.c
@@ -59,27 +59,16 @@
 	return NULL;
 }
 
-static void commit(edit_t *edit)
+/* Send the swap. */
+static void send_commit(edit_t *edit)
 {
 	core_t *core = edit->core;
-	action_t *action;
-	err_t err = {0};
-	const char *conflict = find_conflict(edit);
+	action_t *action = core_act(core, ACTION_STORE_COMMIT);
 
-	if (conflict != NULL) {
-		finish(edit, EDIT_REFUSED, "%s was changed by another operator since version %llu",
-		       conflict, (unsigned long long)edit->base_version);
-		return;
-	}
-	if (table_check(core->table, edit->entries, edit->entry_count, &err) < 0) {
-		finish(edit, EDIT_REFUSED, "%s: %s", err.peer, err.text);
-		return;
-	}
 	edit->commit_sent = true;
-	action = core_act(core, ACTION_STORE_COMMIT);
 	action->id = edit->id;
-	action->head_revision = core->head_revision;
-	action->table_version = core->table->version + 1;
+	action->head_revision = edit->sent_head;
+	action->table_version = edit->sent_version;
 	action->edit_id = talloc_strdup(action, edit->edit_id);
 	action->author = talloc_strdup(action, edit->author);
 	action->entries = talloc_array(action, table_entry_t, edit->entry_count);
@@ -88,15 +77,40 @@
 		action->entries[i] = (table_entry_t){
 			.key = talloc_strdup(action->entries, edit->entries[i].key),
 			.value = talloc_strdup(action->entries, edit->entries[i].value),
-			.version = core->table->version + 1,
+			.version = edit->sent_version,
 		};
 	}
 }
 
+/* Check the edit against the table as we now know it, and try to put it on top. */
+static void commit(edit_t *edit)
+{
+	core_t *core = edit->core;
+	err_t err = {0};
+	const char *conflict = find_conflict(edit);
+
+	if (conflict != NULL) {
+		finish(edit, EDIT_REFUSED, "%s was changed by another operator since version %llu",
+		       conflict, (unsigned long long)edit->base_version);
+		return;
+	}
+	if (table_check(core->table, edit->entries, edit->entry_count, &err) < 0) {
+		finish(edit, EDIT_REFUSED, "%s: %s", err.peer, err.text);
+		return;
+	}
+	edit->sent_head = core->head_revision;
+	edit->sent_version = core->table->version + 1;
+	send_commit(edit);
+}
+
 static void on_retry(run_timer_t *timer, usec_t now)
 {
 	(void)now;
-	commit(list_entry(timer, edit_t, retry_timer));
+	/*
+	 * The very same swap: built on a later head, it could put the edit a second
+	 * time on top of itself, which a watch may have shown us by now.
+	 */
+	send_commit(list_entry(timer, edit_t, retry_timer));
 }
 
 static void copy_entries(edit_t *edit, const event_t *event)
--- a/core/exec.c
+++ b/core/exec.c
@@ -154,6 +154,7 @@
 	if (group->dispatching || group->changing)
 		return;
 	group->dispatching = true;
+	group->pass++;
 	list_for_each_safe (it, &group->queue)
 		try_start(list_entry(it, request_t, node));
 	group->dispatching = false;
@@ -353,6 +354,10 @@
 		else
 			write_done(request);
 		break;
+	case RUN_NOT_PRIMARY:
+		group_primary_denied(request->runner);
+		retry_or_refuse(request, REFUSAL_NO_PRIMARY, result->detail);
+		break;
 	case RUN_REJECTED:
 		run_rejected(request, result->detail);
 		break;
@@ -376,7 +381,8 @@
 	if (request == NULL)
 		return;
 	group = request->group;
-	usable = result->status == RUN_OK || result->status == RUN_REJECTED;
+	usable = result->status == RUN_OK || result->status == RUN_REJECTED ||
+		 result->status == RUN_NOT_PRIMARY;
 	leave_conn(request);
 	if (usable)
 		smooth_service(group, core->now - request->run_started);
--- a/core/group.c
+++ b/core/group.c
@@ -140,6 +140,10 @@
 		if (group->members[i].next_report <= now)
 			ask_report(&group->members[i]);
 	}
+	for (size_t i = 0; i < group->member_count; i++) {
+		if (!is_responsive(&group->members[i]))
+			pool_close_stuck_reads(&group->members[i]);
+	}
 	takeover_consider(group);
 	pool_close_idle(group);
 	exec_dispatch(group);
@@ -215,6 +219,10 @@
 		return;
 	group->primary = primary;
 	group->primary_lost = primary == NULL ? core->now : 0;
+	for (size_t i = 0; primary != NULL && i < group->member_count; i++) {
+		if (&group->members[i] != primary)
+			pool_close_superseded(&group->members[i]);
+	}
 	if (primary != NULL)
 		core_note(core, false, "primary group=%s member=%s term=%llu", group->name,
 			  primary->spec.name, (unsigned long long)group->term);
@@ -233,22 +241,34 @@
 	confirm_term_changed(group);
 }
 
-/* Point a member that lags in term, or still thinks itself primary, at the primary. */
-static void order_follow(member_t *member)
+/*
+ * Once it has obeyed, a member that lags is left alone: told again, it would
+ * start to fetch the log anew and might never catch up.
+ */
+void group_order_follow(member_t *member)
 {
 	group_t *group = member->group;
 	core_t *core = group->core;
+	bool obeyed = member->followed == group->term && member->report.sealed == group->term;
 
-	if (group->primary == NULL || group->primary == member || group->rank < 0)
-		return;
-	if (fleet_acting_rank(&group->ranks) != 0)
-		return;
-	if (member->report.log.term == group->term && member->report.sealed == group->term)
+	if (group->primary == NULL || group->primary == member || obeyed)
 		return;
 	if (core->now - member->follow_sent < FOLLOW_RETRY)
 		return;
 	member->follow_sent = core->now;
-	member_order(member, ORDER_FOLLOW, group->term, group->primary);
+	member->follow_order = member_order(member, ORDER_FOLLOW, group->term, group->primary);
+}
+
+/* A member that is behind in term, or still thinks itself primary, may not follow yet. */
+static void check_follows(member_t *member)
+{
+	const group_t *group = member->group;
+	const report_t *report = &member->report;
+
+	if (report->log.term == group->term && report->sealed == group->term)
+		return;
+	if (fleet_acting_rank(&group->ranks) == 0)
+		group_order_follow(member);
 }
 
 void group_take_report(group_t *group, member_t *member, const report_t *report, usec_t sent)
@@ -268,7 +288,7 @@
 	} else if (group->primary == member) {
 		set_primary(group, NULL);
 	}
-	order_follow(member);
+	check_follows(member);
 	confirm_samples(group);
 	refresh_ages(group);
 }
@@ -309,6 +329,12 @@
 	arm_timer(group);
 }
 
+static void follow_done(member_t *member, const event_t *event)
+{
+	if (event->order_status == ORDER_OK)
+		member->followed = event->report.sealed;
+}
+
 void group_order_done(core_t *core, const event_t *event)
 {
 	group_t *group = group_find(core, event->group);
@@ -318,6 +344,8 @@
 		return;
 	if (event->id == member->report_order)
 		report_done(group, member, event);
+	else if (event->id == member->follow_order)
+		follow_done(member, event);
 	else
 		takeover_order_done(group, member, event);
 }
@@ -334,6 +362,17 @@
 	arm_timer(group);
 }
 
+void group_primary_denied(member_t *member)
+{
+	group_t *group = member->group;
+
+	if (group->primary != member)
+		return;
+	set_primary(group, NULL);
+	group_poll_now(group);
+	arm_timer(group);
+}
+
 void group_forget_health(group_t *group)
 {
 	for (size_t i = 0; i < group->member_count; i++) {
--- a/core/group.h
+++ b/core/group.h
@@ -27,9 +27,15 @@
 /* Take a report that was asked for at sent. */
 void group_take_report(group_t *group, member_t *member, const report_t *report, usec_t sent);
 
+/* Point a member at the group's primary unless it follows it already. */
+void group_order_follow(member_t *member);
+
 void group_order_done(core_t *core, const event_t *event);
 void group_control_down(core_t *core, const event_t *event);
 
+/* The member takes no writes although we held it for the primary: ask everybody again. */
+void group_primary_denied(member_t *member);
+
 /* Our own pause ended: all we knew of the members' health is void. */
 void group_forget_health(group_t *group);
 
--- a/core/pool.c
+++ b/core/pool.c
@@ -70,7 +70,13 @@
 	action_t *action;
 	conn_t *conn;
 
-	if ((int64_t)pool->total >= row->connections || core->now < pool->connect_after)
+	if (pool->pass != member->group->pass) {
+		pool->pass = member->group->pass;
+		pool->wanted = 0;
+	}
+	pool->wanted++;
+	if ((int64_t)pool->total >= row->connections || core->now < pool->connect_after ||
+	    pool->connecting >= pool->wanted)
 		return;
 	conn = talloc_zero(core, conn_t);
 	conn->id = core_id(core);
@@ -203,6 +209,45 @@
 	}
 }
 
+static bool needs_primary(const conn_t *conn)
+{
+	if (conn->state == CONN_IN_TX)
+		return true;
+	return conn->request != NULL &&
+	       (conn->request->kind == ROW_WRITE || conn->request->strict);
+}
+
+static bool is_read(const conn_t *conn)
+{
+	return conn->request != NULL && conn->request->kind == ROW_READ;
+}
+
+static void close_matching(member_t *member, bool (*matches)(const conn_t *conn))
+{
+	list_for_each(p, &member->pools)
+	{
+		pool_t *pool = list_entry(p, pool_t, node);
+
+		list_for_each_safe(it, &pool->conns)
+		{
+			conn_t *conn = list_entry(it, conn_t, node);
+
+			if (matches(conn))
+				pool_close(conn);
+		}
+	}
+}
+
+void pool_close_superseded(member_t *member)
+{
+	close_matching(member, needs_primary);
+}
+
+void pool_close_stuck_reads(member_t *member)
+{
+	close_matching(member, is_read);
+}
+
 bool pool_is_busy(const member_t *member)
 {
 	list_for_each (p, &member->pools) {
--- a/core/pool.h
+++ b/core/pool.h
@@ -27,5 +27,14 @@
 void pool_close_idle(group_t *group);
 void pool_close_all(group_t *group);
 
+/*
+ * Close what is busy with work that only a primary can finish, on a member that
+ * is not: it may never answer, and could not be confirmed if it did.
+ */
+void pool_close_superseded(member_t *member);
+
+/* Close the reads that run on a member that has stopped answering: others can serve them. */
+void pool_close_stuck_reads(member_t *member);
+
 bool pool_is_busy(const member_t *member);
 conn_t *pool_find(const core_t *core, uint64_t id);
--- a/core/state.h
+++ b/core/state.h
@@ -23,6 +23,8 @@
 	size_t total;
 	size_t connecting;
 	usec_t connect_after; /* backoff after a refused or failed connect */
+	uint64_t pass;        /* of exec_dispatch, in which wanted was counted */
+	size_t wanted;        /* requests that found no connection in that pass */
 } pool_t;
 
 typedef struct conn {
@@ -64,6 +66,8 @@
 	usec_t rttvar;
 	usec_t fresh_at; /* its data is at least as new as the primary's was then, 0 unknown */
 	usec_t follow_sent;
+	uint64_t follow_order;
+	uint64_t followed; /* the term in which it has obeyed an order to follow */
 	int64_t running;
 	list_t pools;
 } member_t;
@@ -114,11 +118,13 @@
 	list_t queue;	     /* request_t, by weight and deadline */
 	list_t confirms;     /* request_t waiting for a majority */
 	usec_t confirm_time; /* smoothed time that confirmation takes */
+	usec_t confirm_peak; /* the longest of late */
 	usec_t service_time; /* smoothed time that a run takes */
 	double retry_tokens;
 	takeover_t takeover;
 	run_timer_t timer;
 	bool dispatching;
+	uint64_t pass;
 };
 
 typedef enum {
@@ -184,6 +190,8 @@
 	size_t entry_count;
 	uint64_t base_version;
 	bool commit_sent;
+	int64_t sent_head; /* what the last swap was built on */
+	uint64_t sent_version;
 	run_timer_t timer;
 	run_timer_t retry_timer;
 	core_t *core;
--- a/core/takeover.c
+++ b/core/takeover.c
@@ -10,10 +10,11 @@
 #define UNREACHABLE_PROOF 2
 /* Backoff after a takeover that failed: this much and up to as much again, at random. */
 #define RETRY_BACKOFF (50 * USEC_PER_MSEC)
-/* A confirmation this many times slower than usual is a stall. */
-#define STALL_FACTOR 4
-/* After a takeover for a stall, the next one waits longer, up to this. */
-#define STALL_BACKOFF_MAX (60 * USEC_PER_SEC)
+/* A confirmation this many times slower than the slowest of late is a stall. */
+#define STALL_FACTOR 2
+/* After a takeover for a stall that cured nothing, the next one waits longer by this, up to MAX. */
+#define STALL_BACKOFF_FACTOR 10
+#define STALL_BACKOFF_MAX    (60 * USEC_PER_SEC)
 #define MISSES_MIN	  1
 
 static void on_timeout(run_timer_t *timer, usec_t now);
@@ -42,8 +43,8 @@
 	const core_timings_t *timings = &group->core->config.timings;
 	usec_t limit = timings->stall_after;
 
-	if (STALL_FACTOR * group->confirm_time > limit)
-		limit = STALL_FACTOR * group->confirm_time;
+	if (STALL_FACTOR * group->confirm_peak > limit)
+		limit = STALL_FACTOR * group->confirm_peak;
 	if (group->takeover.stall_backoff > limit)
 		limit = group->takeover.stall_backoff;
 	return confirm_oldest(group) > limit;
@@ -117,6 +118,33 @@
 		   core->now + core->config.timings.seal_timeout, on_timeout);
 }
 
+static void raise_stall_backoff(group_t *group)
+{
+	takeover_t *takeover = &group->takeover;
+
+	if (!is_stalled(group))
+		return;
+	takeover->stall_backoff = takeover->stall_backoff == 0
+					  ? STALL_BACKOFF_FACTOR *
+						    group->core->config.timings.stall_after
+					  : 2 * takeover->stall_backoff;
+	if (takeover->stall_backoff > STALL_BACKOFF_MAX)
+		takeover->stall_backoff = STALL_BACKOFF_MAX;
+}
+
+/*
+ * A primary that leaves or is cut off from its peers can still answer, and its
+ * log is the longest: sealed with the others it would be promoted again. So it
+ * is not asked; the others must make the majority, and hold all that was
+ * acknowledged. The order to follow seals it afterwards.
+ */
+static bool is_passed_over(const member_t *member)
+{
+	const group_t *group = member->group;
+
+	return member->leaving || (member == group->primary && is_stalled(group));
+}
+
 static void start(group_t *group, const char *reason)
 {
 	takeover_t *takeover = &group->takeover;
@@ -134,14 +162,28 @@
 	for (size_t i = 0; i < group->member_count; i++) {
 		takeover->sealed[i] = false;
 		takeover->orders[i] = 0;
-		/* A leaving primary hands over: it must not be the longest log again. */
-		if (!group->members[i].leaving)
+		if (!is_passed_over(&group->members[i]))
 			takeover->orders[i] =
 				member_order(&group->members[i], ORDER_SEAL, takeover->term, NULL);
 	}
+	raise_stall_backoff(group);
 	arm(group);
 }
 
+static size_t count_recent(const group_t *group)
+{
+	const core_t *core = group->core;
+	size_t n = 0;
+
+	for (size_t i = 0; i < group->member_count; i++) {
+		const member_t *member = &group->members[i];
+
+		n += member->known &&
+		     core->now - member->reported <= core->config.timings.order_timeout;
+	}
+	return n;
+}
+
 void takeover_consider(group_t *group)
 {
 	const core_t *core = group->core;
@@ -155,6 +197,11 @@
 	/* Who can't reach a majority judges nobody: the cut may be on our side. */
 	if (group_responsive(group) < group_majority(group))
 		return;
+	/* One that stands by asks seldom: somebody else may have taken over since. */
+	if (count_recent(group) < group_majority(group)) {
+		group_poll_now(group);
+		return;
+	}
 	start(group, reason);
 }
 
@@ -211,19 +258,6 @@
 	arm(group);
 }
 
-static void raise_stall_backoff(group_t *group)
-{
-	takeover_t *takeover = &group->takeover;
-
-	if (!is_stalled(group))
-		return;
-	takeover->stall_backoff = takeover->stall_backoff == 0
-					  ? 2 * group->core->config.timings.stall_after
-					  : 2 * takeover->stall_backoff;
-	if (takeover->stall_backoff > STALL_BACKOFF_MAX)
-		takeover->stall_backoff = STALL_BACKOFF_MAX;
-}
-
 static void finish(group_t *group, const report_t *report, usec_t sent)
 {
 	takeover_t *takeover = &group->takeover;
@@ -238,14 +272,8 @@
 		  (unsigned long long)(takeover->sealed_at - takeover->started),
 		  (unsigned long long)(core->now - takeover->started));
 	group_take_report(group, takeover->chosen, report, sent);
-	for (size_t i = 0; i < group->member_count; i++) {
-		member_t *member = &group->members[i];
-
-		if (member != takeover->chosen) {
-			member->follow_sent = core->now;
-			member_order(member, ORDER_FOLLOW, takeover->term, takeover->chosen);
-		}
-	}
+	for (size_t i = 0; i < group->member_count; i++)
+		group_order_follow(&group->members[i]);
 	exec_dispatch(group);
 }
 
@@ -256,6 +284,7 @@
 	takeover->orders[i] = 0;
 	if (event->order_status == ORDER_REFUSED) {
 		takeover->reports[i] = event->report;
+		group_take_report(group, &group->members[i], &event->report, takeover->started);
 		fail(group, "a member has sealed a later term");
 		return;
 	}
@@ -275,7 +304,6 @@
 		seal_done(group, i, event);
 	} else if (takeover->state == TAKEOVER_PROMOTING && takeover->promote_order == event->id) {
 		if (event->order_status == ORDER_OK) {
-			raise_stall_backoff(group);
 			finish(group, &event->report, takeover->sealed_at);
 		} else {
 			fail(group, "the chosen member was not promoted");
--- a/core/tx.c
+++ b/core/tx.c
@@ -221,6 +221,8 @@
 		run_ok(request, conn);
 		return;
 	}
+	if (request->result->status == RUN_NOT_PRIMARY)
+		group_primary_denied(request->runner);
 	/* After a failed statement the server aborts the transaction; a failed commit ends it. */
 	if (request->tx == NULL) {
 		pool_release(conn);
--- a/links/runner.c
+++ b/links/runner.c
@@ -84,6 +84,7 @@
 	bool committed;
 	bool failed;	      /* some step of this part failed */
 	bool id_is_known;     /* the request id was there already */
+	bool not_primary;
 	bool commit_in_doubt; /* the server ended the session instead of answering */
 	run_result_t result;
 } run_t;
@@ -289,6 +290,7 @@
 		run->id_is_known = true;
 		return;
 	}
+	run->not_primary = sql_has_state(result, SQLSTATE_READ_ONLY) && run->part != PART_READ;
 	run->commit_in_doubt = step == STEP_COMMIT && sql_is_fatal(result);
 	talloc_free(run->result.detail);
 	run->result.detail = sql_error_text(run, result);
@@ -336,7 +338,7 @@
 		if (run->id_is_known)
 			send_part(conn, PART_FIND_ANSWER);
 		else
-			finish(conn, RUN_REJECTED);
+			finish(conn, run->not_primary ? RUN_NOT_PRIMARY : RUN_REJECTED);
 		break;
 	case PART_FIND_ANSWER:
 		if (run->result.repeated) {
--- a/links/sql.h
+++ b/links/sql.h
@@ -29,6 +29,7 @@
 #define SQL_FIND_ANSWER	 "SELECT answer FROM cyclamenspan_requests WHERE id = $1"
 
 #define SQLSTATE_UNIQUE_VIOLATION "23505"
+#define SQLSTATE_READ_ONLY	  "25006"
 
 /* Read a report row. Returns 0, or -EBADMSG if it is none. */
 int sql_read_report(const PGresult *result, bool *accepted, report_t *report);
--- a/tests/standin_pg.c
+++ b/tests/standin_pg.c
@@ -430,8 +430,9 @@
 {
 	guint64 term = param_number(conn, 0);
 	gboolean ok = term >= me.sealed && !(me.primary && term == me.sealed);
+	gboolean already = term == me.sealed && g_strcmp0(me.upstream, conn->params[1]) == 0;
 
-	if (ok) {
+	if (ok && !already) {
 		seal(term);
 		g_free(me.upstream);
 		me.upstream = g_strdup(conn->params[1]);
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,124 @@
+/*
+ * Small fakes at core's interfaces, in paused time: members of one group with a
+ * replicated log, a store, the messages between a few cores. Enough to play a
+ * whole session with faults and to check what must always hold.
+ */
+#pragma once
+
+#include <glib.h>
+
+#include "core.h"
+#include "table.h"
+
+#define WORLD_MAX_PROXIES 9
+#define WORLD_MAX_MEMBERS 5
+#define WORLD_STORE (WORLD_MAX_PROXIES + WORLD_MAX_MEMBERS)
+#define WORLD_NODES (WORLD_STORE + 1)
+
+typedef struct world_config {
+	int proxies;
+	int members;
+	int zones;
+	usec_t zone_latency; /* one way between zones; a tenth of it within one */
+	usec_t replication_lag;
+	usec_t service_time;
+	usec_t connect_time;
+	int slots;
+	int max_conns;
+	int row_conns; /* limit of each row */
+	uint64_t seed;
+	bool fixed_detection;
+	int replica_lean;
+	usec_t max_age; /* of the row "status" */
+	bool quiet;     /* no timeline */
+} world_config_t;
+
+/* What a caller was told; the last answer of each request. */
+typedef struct told {
+	char *name;
+	char *key;
+	char *written; /* value of a write outside a transaction */
+	bool answered;
+	outcome_t outcome;
+	refusal_t refusal;
+	usec_t asked;
+	usec_t at;
+	usec_t retry_after;
+	usec_t age;
+	char *value;
+	char *member;
+	char *token;
+	char *tx;
+	bool repeated;
+} told_t;
+
+typedef struct world world_t;
+
+world_config_t world_config_default(void);
+world_t *world_create(const world_config_t *config);
+void world_destroy(world_t *world);
+
+usec_t world_now(const world_t *world);
+void world_run(world_t *world, usec_t until);
+
+/* Faults. Nodes are "p0".., "m0".., "store". */
+int world_node(const char *name); /* -1 if there is none of that name */
+void world_kill(world_t *world, int node);   /* the process: connections are reset */
+void world_vanish(world_t *world, int node); /* the VM: silence */
+void world_freeze(world_t *world, int node, usec_t for_how_long);
+void world_cut(world_t *world, int a, int b, bool cut);
+void world_lose_answers(world_t *world, int count); /* of the store's commits */
+void world_set_lag(world_t *world, usec_t lag);
+void world_leave(world_t *world, int node);
+void world_drain(world_t *world, int node);
+
+/* Requests; name identifies the request in the timeline. */
+typedef struct world_request {
+	const char *name;
+	int proxy;
+	const char *class_name; /* "assign" write, "assignment" strict read, "status" read */
+	verb_t verb;
+	const char *key;
+	const char *value;
+	const char *request_id;
+	const char *token;
+	const char *tx;
+	bool repeatable;
+	bool resend;
+	bool continued;
+	usec_t deadline;
+} world_request_t;
+
+void world_request(world_t *world, const world_request_t *request);
+const told_t *world_told(const world_t *world, const char *name);
+
+/* An operator's edit through a proxy; the outcome is told under name. */
+void world_edit(world_t *world, int proxy, const char *name, const char *key, const char *value,
+		uint64_t base_version);
+const char *world_edit_outcome(const world_t *world, const char *name);
+uint64_t world_table_version(const world_t *world, int proxy);
+
+/* Every action but reports and heartbeats, with its time. */
+const char *world_timeline(const world_t *world);
+
+/* The value that a reader of the current primary's log finds; NULL if none. */
+const char *world_value(const world_t *world, const char *key);
+int world_primary(const world_t *world); /* member number, -1 if none */
+int world_count_request_id(const world_t *world, const char *request_id);
+
+/* What went wrong by the rules that must always hold; empty if nothing did. */
+const char *world_violations(world_t *world);
+
+/* Counts since the start. */
+typedef struct world_counts {
+	uint64_t reads_replica;
+	uint64_t reads_primary;
+	uint64_t over_limit; /* times a member had more connections than allowed */
+	int peak_conns;
+	uint64_t store_calls;
+	uint64_t messages;
+	uint64_t orders;
+} world_counts_t;
+
+world_counts_t world_counts(const world_t *world);
+json_t *world_dump(const world_t *world, int proxy);
