Tests: modules, bad input, failures of real processes, random faults

Random faults from fixed seeds check the surviving history: acknowledged writes present, reads not older than what the reader had to see and of data that survives, request ids at most once, nothing found that was said not to have run.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,7 +25,7 @@
 {
 	const char *build = g_getenv("BUILD_DIR");
 
-	return g_build_filename(build != NULL ? build : "build", name, NULL);
+	return g_build_filename(build != NULL ? build : "build-test", name, NULL);
 }
 
 static pid_t spawn(const harness_t *h, const char *log_name, char **argv)
@@ -34,6 +35,8 @@
 
 	g_assert_cmpint(pid, >=, 0);
 	if (pid == 0) {
+		/* A test that fails by abort leaves nothing running. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (freopen(log, "a", stderr) == NULL)
 			_exit(126);
 		execv(argv[0], argv);
--- a/tests/session.c
+++ b/tests/session.c
@@ -186,8 +186,8 @@
 		g_error("%s:%d: %s took %.1f ms", play->path, play->line, words[1],
 			(double)(got->at - got->asked) / 1000.0);
 	if (flag(words, "repeated") && !got->repeated)
-		g_error("%s:%d: %s is not the answer of an earlier attempt", play->path,
-			play->line, words[1]);
+		g_error("%s:%d: %s is not the answer of an earlier attempt", play->path, play->line,
+			words[1]);
 }
 
 static void do_expect_edit(play_t *play, char **words)
--- /dev/null
+++ b/tests/test_faults.c
@@ -0,0 +1,44 @@
+/*
+ * Random faults from fixed seeds: members killed, lost, frozen, cut off; proxies
+ * lost, frozen, cut off; the store gone; replicas lagging, several at a time.
+ * Whatever happens, what must always hold does. FAULT_SEED=N plays one seed and
+ * prints its timeline.
+ */
+#include <stdlib.h>
+
+#include <glib.h>
+
+#include "faults.h"
+
+#define SEEDS 24
+
+static void play_one(gconstpointer data)
+{
+	uint64_t seed = GPOINTER_TO_UINT(data);
+	char *timeline = NULL;
+	bool trace = g_getenv("FAULT_SEED") != NULL;
+	faults_result_t result = faults_play(seed, trace ? &timeline : NULL);
+
+	if (trace)
+		g_printerr("%s", timeline);
+	g_assert_cmpstr(result.violations, ==, "");
+	/* Faults may refuse much, but not everything. */
+	g_assert_cmpint(result.done, >, result.asked / 4);
+	g_free(result.violations);
+	g_free(timeline);
+}
+
+int main(int argc, char **argv)
+{
+	const char *only = g_getenv("FAULT_SEED");
+
+	g_test_init(&argc, &argv, NULL);
+	for (guint seed = 1; seed <= SEEDS; seed++) {
+		char *path = g_strdup_printf("/faults/%u", seed);
+
+		if (only == NULL || (guint)atoi(only) == seed)
+			g_test_add_data_func(path, GUINT_TO_POINTER(seed), play_one);
+		g_free(path);
+	}
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,160 @@
+/* Ranks by rendezvous hashing, zones, leaving, suspicion, majorities. */
+#include <glib.h>
+#include <talloc.h>
+
+#include "fleet.h"
+
+#define PROXIES 9
+
+static fleet_t *make(void)
+{
+	fleet_t *fleet = fleet_create(NULL, "p0", "z0", "h:0");
+
+	for (int i = 1; i < PROXIES; i++) {
+		char *name = g_strdup_printf("p%d", i);
+		char *zone = g_strdup_printf("z%d", i % 3);
+
+		fleet_add(fleet, 1, name, zone, "h:1", true);
+		g_free(name);
+		g_free(zone);
+	}
+	return fleet;
+}
+
+static void rank(const fleet_t *fleet, int group, ranks_t *ranks)
+{
+	char *key = g_strdup_printf("group-%d", group);
+
+	*ranks = (ranks_t){0};
+	fleet_rank(fleet, key, ranks);
+	g_free(key);
+}
+
+static void test_zones_differ(void)
+{
+	fleet_t *fleet = make();
+	int served[PROXIES] = {0};
+
+	for (int group = 0; group < 900; group++) {
+		ranks_t ranks;
+
+		rank(fleet, group, &ranks);
+		g_assert_cmpuint(ranks.len, ==, FLEET_RANKS);
+		g_assert_cmpstr(ranks.at[0]->zone, !=, ranks.at[1]->zone);
+		g_assert_cmpstr(ranks.at[1]->zone, !=, ranks.at[2]->zone);
+		g_assert_cmpstr(ranks.at[0]->zone, !=, ranks.at[2]->zone);
+		served[ranks.at[0]->name[1] - '0']++;
+	}
+	for (int i = 0; i < PROXIES; i++) {
+		g_assert_cmpint(served[i], >, 50); /* 100 each if perfectly even */
+		g_assert_cmpint(served[i], <, 160);
+	}
+	talloc_free(fleet);
+}
+
+/* A leaving proxy loses its own groups and moves no others. */
+static void test_leaving_moves_little(void)
+{
+	fleet_t *fleet = make();
+	ranks_t before[300];
+
+	for (int group = 0; group < 300; group++)
+		rank(fleet, group, &before[group]);
+	fleet_set_leaving(fleet, fleet_find(fleet, "p4"));
+	for (int group = 0; group < 300; group++) {
+		ranks_t after;
+
+		rank(fleet, group, &after);
+		g_assert_cmpstr(after.at[0]->name, !=, "p4");
+		if (g_strcmp0(before[group].at[0]->name, "p4") != 0)
+			g_assert_true(after.at[0] == before[group].at[0]);
+	}
+	talloc_free(fleet);
+}
+
+static void hear(fleet_t *fleet, const char *name, usec_t now, uint64_t incarnation, bool leaving)
+{
+	message_t message = {.kind = MESSAGE_HEARTBEAT,
+			     .incarnation = incarnation,
+			     .sent_at = now,
+			     .leaving = leaving};
+
+	fleet_heard(fleet, fleet_find(fleet, name), now, &message);
+}
+
+/* Leaving is final for an incarnation; a restarted proxy of the same name is new. */
+static void test_leaving_is_final(void)
+{
+	fleet_t *fleet = make();
+	const proxy_t *p1 = fleet_find(fleet, "p1");
+
+	hear(fleet, "p1", 10, 1, true);
+	hear(fleet, "p1", 20, 1, false);
+	g_assert_true(p1->leaving);
+	hear(fleet, "p1", 30, 2, false);
+	g_assert_false(p1->leaving);
+	hear(fleet, "p1", 40, 1, true); /* late, from its earlier life */
+	g_assert_false(p1->leaving);
+	talloc_free(fleet);
+}
+
+static void test_suspicion(void)
+{
+	fleet_t *fleet = make();
+
+	hear(fleet, "p1", 100, 1, false);
+	fleet_suspect_silent(fleet, 200);
+	g_assert_true(fleet_find(fleet, "p1")->suspect);
+	g_assert_false(fleet_find(fleet, "p2")->suspect); /* never heard: no neighbour */
+	hear(fleet, "p1", 300, 1, false);
+	g_assert_false(fleet_find(fleet, "p1")->suspect);
+	/* After a pause of our own nobody is judged on what we missed. */
+	fleet_forgive(fleet);
+	fleet_suspect_silent(fleet, 10000);
+	g_assert_false(fleet_find(fleet, "p1")->suspect);
+	talloc_free(fleet);
+}
+
+static void test_majority(void)
+{
+	fleet_t *fleet = make();
+
+	hear(fleet, "p1", 100, 1, false);
+	hear(fleet, "p2", 100, 1, false);
+	hear(fleet, "p3", 100, 1, false);
+	g_assert_false(fleet_majority_heard(fleet, 100)); /* 4 of 9, self included */
+	hear(fleet, "p4", 100, 1, false);
+	g_assert_true(fleet_majority_heard(fleet, 100));
+	g_assert_false(fleet_majority_heard(fleet, 101));
+	talloc_free(fleet);
+}
+
+/* What the platform no longer lists goes, but not while it is still heard. */
+static void test_list(void)
+{
+	fleet_t *fleet = make();
+	vm_t vms[] = {{.name = "p0", .zone = "z0", .address = "h:0"},
+		      {.name = "p7", .zone = "z1", .address = "h:7", .leaving = true}};
+
+	hear(fleet, "p1", 5000, 1, false);
+	fleet_take_list(fleet, 5000, vms, 2, 1000);
+	g_assert_nonnull(fleet_find(fleet, "p1"));
+	g_assert_null(fleet_find(fleet, "p2"));
+	g_assert_true(fleet_find(fleet, "p7")->leaving);
+	fleet_take_list(fleet, 7000, vms, 2, 1000);
+	g_assert_null(fleet_find(fleet, "p1"));
+	g_assert_nonnull(fleet_find(fleet, "p0"));
+	talloc_free(fleet);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fleet/zones", test_zones_differ);
+	g_test_add_func("/fleet/leaving-moves-little", test_leaving_moves_little);
+	g_test_add_func("/fleet/leaving-final", test_leaving_is_final);
+	g_test_add_func("/fleet/suspicion", test_suspicion);
+	g_test_add_func("/fleet/majority", test_majority);
+	g_test_add_func("/fleet/list", test_list);
+	return g_test_run();
+}
--- a/tests/test_golden.c
+++ b/tests/test_golden.c
@@ -45,8 +45,7 @@
 	g_assert_nonnull(dir);
 	while ((file = g_dir_read_name(dir)) != NULL) {
 		if (g_str_has_suffix(file, ".session"))
-			g_ptr_array_add(names,
-					g_strndup(file, strlen(file) - strlen(".session")));
+			g_ptr_array_add(names, g_strndup(file, strlen(file) - strlen(".session")));
 	}
 	g_dir_close(dir);
 	g_ptr_array_sort(names, compare_names);
--- /dev/null
+++ b/tests/test_input.c
@@ -0,0 +1,168 @@
+/*
+ * Bad input to real processes: each gets a clear error, nothing is sent on to a
+ * backend server, and the proxy goes on serving.
+ */
+#include <string.h>
+#include <sys/wait.h>
+
+#include "harness.h"
+
+static harness_t *h;
+
+static void assert_serves(void)
+{
+	json_t *answer = harness_write(h, 0, "after", "bad input", NULL, NULL);
+
+	g_assert_cmpstr(harness_text(answer, "outcome"), ==, "done");
+	json_decref(answer);
+}
+
+typedef struct bad_body {
+	const char *path;
+	const char *body;
+	long status;
+	const char *detail;
+} bad_body_t;
+
+#define ROW "\"service\": \"dispatch\", \"class\": \"assign\""
+
+static const bad_body_t bad_bodies[] = {
+	{"/v1/statement", "{", 400, "no JSON object"},
+	{"/v1/statement", "[1]", 400, "no JSON object"},
+	{"/v1/statement", "{" ROW "}", 400, "statement is missing"},
+	{"/v1/statement", "{\"statement\": \"SELECT 1\"}", 400, "service is missing"},
+	{"/v1/statement", "{" ROW ", \"statement\": 5}", 400, "statement: expected a string"},
+	{"/v1/statement", "{" ROW ", \"statement\": \"SELECT 1\", \"colour\": 1}", 400,
+	 "unknown field \"colour\""},
+	{"/v1/statement", "{" ROW ", \"statement\": \"SELECT 1\", \"deadline_ms\": 0}", 400,
+	 "deadline_ms: expected milliseconds"},
+	{"/v1/statement", "{" ROW ", \"statement\": \"SELECT 1\", \"params\": [[1]]}", 400,
+	 "params: expected a list"},
+	{"/v1/statement", "{" ROW ", \"statement\": \"COMMIT\"}", 400, "no transaction"},
+	{"/v1/statement", "{" ROW ", \"statement\": \"/* x */ COMMIT\"}", 400, "its keyword"},
+	{"/v1/statement", "{" ROW ", \"statement\": \"SELECT 1\", \"token\": \"forged\"}", 401,
+	 "not this fleet's"},
+	{"/v1/statement",
+	 "{\"service\": \"dispatch\", \"class\": \"none\", \"statement\": \"SELECT 1\"}", 404,
+	 "no row dispatch/none"},
+	{"/v1/statement", "{" ROW ", \"statement\": \"FROBNICATE\"}", 422, "42601"},
+	{"/v1/commit", "{\"transaction\": \"p0:1:1\"}", 409, "no open transaction"},
+	{"/v1/commit", "{\"transaction\": \"nobody\"}", 409, "rolled back"},
+	{"/v1/nowhere", "{}", 404, "expected POST"},
+};
+
+static void test_bodies(void)
+{
+	for (gsize i = 0; i < G_N_ELEMENTS(bad_bodies); i++) {
+		const bad_body_t *bad = &bad_bodies[i];
+		long status = 0;
+		json_t *answer =
+			harness_post_raw(harness_caller_port(h, 0), bad->path, bad->body, &status);
+
+		g_test_message("%s %s", bad->path, bad->body);
+		g_assert_cmpint(status, ==, bad->status);
+		g_assert_cmpstr(harness_text(answer, "outcome"), ==, "not_run");
+		g_assert_nonnull(strstr(harness_text(answer, "detail"), bad->detail));
+		json_decref(answer);
+	}
+	assert_serves();
+}
+
+static void test_oversize(void)
+{
+	char *body = g_malloc(2 * 1024 * 1024);
+	long status = 0;
+
+	memset(body, 'x', 2 * 1024 * 1024 - 1);
+	body[2 * 1024 * 1024 - 1] = '\0';
+	json_decref(harness_post_raw(harness_caller_port(h, 0), "/v1/statement", body, &status));
+	g_assert_cmpint(status, ==, 413);
+	g_free(body);
+	assert_serves();
+}
+
+/* A session token of another fleet has another key. */
+static void test_operators_token(void)
+{
+	long status = 0;
+
+	json_decref(harness_call(harness_operator_port(h, 0), "/v1/state", NULL, &status));
+	g_assert_cmpint(status, ==, 401);
+	json_decref(harness_call(harness_operator_port(h, 0), "/v1/drain", json_object(), &status));
+	g_assert_cmpint(status, ==, 401);
+	assert_serves();
+}
+
+static void test_ctl(void)
+{
+	char *out = NULL;
+
+	g_assert_cmpint(
+		harness_ctl(h, 0, NULL, "table", "set", "row/dispatch/status", "weight=1000", NULL),
+		==, 3);
+	g_assert_cmpint(harness_ctl(h, 0, NULL, "table", "explode", NULL), ==, 2);
+	g_assert_cmpint(harness_ctl(h, 0, NULL, "table", "apply", "/nonexistent", NULL), ==, 1);
+	g_assert_cmpint(harness_ctl(h, 7, NULL, "state", NULL), ==, 5);
+	g_assert_cmpint(harness_ctl(h, 0, &out, "table", "get", "row/dispatch/status", NULL), ==,
+			0);
+	g_assert_nonnull(strstr(out, "\"max_age_ms\": 2000"));
+	g_free(out);
+}
+
+/* A peer without the fleet's key is not let in: the fleet sees no proxy of that name. */
+static void test_peer_key(void)
+{
+	json_t *state;
+	const json_t *fleet;
+	char *settings = g_strdup_printf("%s/peers.key", h->dir);
+	char *right = NULL;
+
+	g_assert_true(g_file_get_contents(settings, &right, NULL, NULL));
+	g_assert_true(g_file_set_contents(settings, "0000000000000000000000000000000000000000", -1,
+					  NULL));
+	harness_start_proxy(h, 5, NULL);
+	g_usleep(1500000);
+	state = harness_operate(h, 0, "/v1/state", NULL);
+	fleet = json_object_get(json_object_get(state, "core"), "fleet");
+	g_assert_nonnull(json_object_get(fleet, "p0"));
+	g_assert_null(json_object_get(fleet, "p5"));
+	json_decref(state);
+	harness_kill(&h->proxies[5]);
+	g_assert_true(g_file_set_contents(settings, right, -1, NULL));
+	g_free(right);
+	g_free(settings);
+}
+
+static void test_settings(void)
+{
+	char *path = g_strdup_printf("%s/bad.toml", h->dir);
+	char *program = harness_program("proxy/cyclamenspan");
+	char *argv[] = {program, "--config", path, "--check-config", NULL};
+	char *errors = NULL;
+	gint status = 0;
+
+	g_assert_true(g_file_set_contents(path, "[node]\nname = 7\n", -1, NULL));
+	g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, NULL, &errors, &status, NULL);
+	g_assert_cmpint(WEXITSTATUS(status), ==, 2);
+	g_assert_nonnull(strstr(errors, "bad.toml: line 2: node.name = 7: expected a string"));
+	g_free(errors);
+	g_free(program);
+	g_free(path);
+}
+
+int main(int argc, char **argv)
+{
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	h = harness_start_fleet(2, 5);
+	g_test_add_func("/input/bodies", test_bodies);
+	g_test_add_func("/input/oversize", test_oversize);
+	g_test_add_func("/input/operators-token", test_operators_token);
+	g_test_add_func("/input/ctl", test_ctl);
+	g_test_add_func("/input/settings", test_settings);
+	g_test_add_func("/input/peer-key", test_peer_key);
+	rc = g_test_run();
+	harness_stop(h);
+	return rc;
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -7,7 +7,7 @@
 #include <talloc.h>
 
 #define STORE_LATENCY (2 * USEC_PER_MSEC)
-#define ROWS 3
+#define ROWS	      3
 
 typedef struct log_entry {
 	uint64_t term;
@@ -61,7 +61,7 @@
 	GSequence *events;
 	fake_proxy_t proxies[WORLD_MAX_PROXIES];
 	fake_member_t members[WORLD_MAX_MEMBERS];
-	bool dead[WORLD_NODES];     /* process gone */
+	bool dead[WORLD_NODES];	    /* process gone */
 	bool vanished[WORLD_NODES]; /* VM gone */
 	bool leaving[WORLD_NODES];
 	usec_t frozen[WORLD_NODES]; /* until */
@@ -71,7 +71,7 @@
 	GHashTable *callers; /* "proxy:caller" to name */
 	GHashTable *edits;
 	GHashTable *edit_ids;
-	GHashTable *acked; /* key to the newest acknowledged value */
+	GHashTable *acked;  /* key to the newest acknowledged value */
 	GHashTable *floors; /* request name to the value it must not be older than */
 	uint64_t next_caller;
 	uint64_t store_version;
@@ -227,8 +227,8 @@
 
 static report_t report_of(const fake_member_t *member)
 {
-	const log_entry_t *last = member->log->len > 0 ? member->log->pdata[member->log->len - 1]
-						       : NULL;
+	const log_entry_t *last =
+		member->log->len > 0 ? member->log->pdata[member->log->len - 1] : NULL;
 
 	return (report_t){
 		.sealed = member->sealed,
@@ -436,8 +436,8 @@
 	if (world->dead[node])
 		order->status = ORDER_UNREACHABLE;
 	else
-		order->status = obey(world, order->member, order->action) ? ORDER_OK
-									  : ORDER_REFUSED;
+		order->status =
+			obey(world, order->member, order->action) ? ORDER_OK : ORDER_REFUSED;
 	order->report = report_of(&world->members[order->member]);
 	plan(world, world->now + latency(world, node, order->proxy), order->proxy, order_answer,
 	     order);
@@ -629,10 +629,10 @@
 	fake_member_t *member = &world->members[conn->member];
 	const query_t *query = conn->query;
 	const char *value = query->params;
-	run_result_t result = {.status = RUN_OK, .before = conn->before, .after = report_of(member)};
+	run_result_t result = {
+		.status = RUN_OK, .before = conn->before, .after = report_of(member)};
 	const log_entry_t *earlier = find_request(member->log, query->request_id);
-	bool writes = conn->kind == RUN_WRITE ||
-		      (conn->kind == RUN_STATEMENT && value != NULL);
+	bool writes = conn->kind == RUN_WRITE || (conn->kind == RUN_STATEMENT && value != NULL);
 
 	if (writes && !member->primary) {
 		result.status = RUN_NOT_PRIMARY;
@@ -642,9 +642,9 @@
 		result.rows = rows_of(NULL);
 		g_ptr_array_set_size(conn->tx, 0);
 	} else if (writes) {
-		g_ptr_array_add(conn->tx, entry_new(0, query->text, value,
-						    conn->kind == RUN_WRITE ? query->request_id
-									    : NULL));
+		g_ptr_array_add(conn->tx,
+				entry_new(0, query->text, value,
+					  conn->kind == RUN_WRITE ? query->request_id : NULL));
 	} else if (conn->kind == RUN_COMMIT) {
 		if (query->request_id != NULL)
 			g_ptr_array_add(conn->tx, entry_new(0, NULL, NULL, query->request_id));
@@ -1034,24 +1034,9 @@
 	g_string_append_c(world->violations, '\n');
 }
 
-/* Values of one key are written in rising order, so "older" can be told from the text. */
-static void check_read(world_t *world, const told_t *told)
-{
-	const char *floor = g_hash_table_lookup(world->floors, told->name);
-
-	if (floor == NULL || told->outcome != OUTCOME_DONE)
-		return;
-	if (told->value == NULL || strcmp(told->value, floor) < 0)
-		violate(world, "%s read %s, older than %s", told->name,
-			told->value != NULL ? told->value : "nothing", floor);
-}
-
 static void note_acknowledged(world_t *world, const told_t *told)
 {
-	const char *old = g_hash_table_lookup(world->acked, told->key);
-
-	if (old == NULL || strcmp(told->written, old) > 0)
-		g_hash_table_replace(world->acked, g_strdup(told->key), g_strdup(told->written));
+	g_hash_table_replace(world->acked, g_strdup(told->key), g_strdup(told->written));
 }
 
 static void do_answer(world_t *world, int proxy, action_t *action)
@@ -1080,7 +1065,6 @@
 	    answer->refusal != REFUSAL_NONE ? refusal_name(answer->refusal) : "",
 	    told->value != NULL ? " value=" : "", told->value != NULL ? told->value : "",
 	    told->member != NULL ? " member=" : "", told->member != NULL ? told->member : "");
-	check_read(world, told);
 	if (told->outcome == OUTCOME_DONE && told->written != NULL)
 		note_acknowledged(world, told);
 }
@@ -1093,8 +1077,7 @@
 
 	say(world, "p%d edit %s %s version=%llu: %s", proxy, name, names[action->edit_status],
 	    (unsigned long long)action->table_version, action->text);
-	g_hash_table_replace(world->edits, g_strdup(name),
-			     g_strdup(names[action->edit_status]));
+	g_hash_table_replace(world->edits, g_strdup(name), g_strdup(names[action->edit_status]));
 	g_free(key);
 }
 
@@ -1301,6 +1284,22 @@
 	deliver(world, node, &event);
 }
 
+void world_heal(world_t *world)
+{
+	memset(world->cut, 0, sizeof(world->cut));
+	for (int i = 0; i < WORLD_NODES; i++) {
+		bool is_proxy = i < WORLD_MAX_PROXIES;
+
+		if (world->frozen[i] > world->now)
+			world->frozen[i] = world->now;
+		/* A proxy that died keeps nothing; a member's log is on its disk. */
+		if (!is_proxy) {
+			world->vanished[i] = false;
+			world->dead[i] = false;
+		}
+	}
+}
+
 /* --- requests --- */
 
 void world_request(world_t *world, const world_request_t *request)
@@ -1322,11 +1321,12 @@
 	};
 	event_t event = {
 		.kind = EVENT_QUERY, .id = caller, .query = &query, .token = request->token};
-	const char *acked = request->key != NULL ? g_hash_table_lookup(world->acked, request->key)
-						 : NULL;
+	const char *acked =
+		request->key != NULL ? g_hash_table_lookup(world->acked, request->key) : NULL;
 
 	told->name = g_strdup(request->name);
 	told->key = g_strdup(request->key);
+	told->in_tx = request->tx != NULL;
 	told->written = g_strdup(request->tx == NULL ? request->value : NULL);
 	told->asked = world->now;
 	g_hash_table_replace(world->told, g_strdup(request->name), told);
@@ -1334,6 +1334,9 @@
 			     g_strdup(request->name));
 	if (g_strcmp0(request->class_name, "assignment") == 0 && acked != NULL)
 		g_hash_table_replace(world->floors, g_strdup(request->name), g_strdup(acked));
+	if (request->floor != NULL)
+		g_hash_table_replace(world->floors, g_strdup(request->name),
+				     g_strdup(request->floor));
 	say(world, "p%d query %s %s %s%s%s", request->proxy, request->name,
 	    request->class_name != NULL ? request->class_name : "tx",
 	    request->key != NULL ? request->key : "", request->value != NULL ? "=" : "",
@@ -1426,20 +1429,58 @@
 	return world->counts;
 }
 
+/* Where a value stands in the history that survives; -1 if it does not. */
+static int history_index(const world_t *world, const char *key, const char *value)
+{
+	const GPtrArray *log = world->members[world_primary(world)].log;
+
+	for (guint i = 0; i < log->len; i++) {
+		const log_entry_t *entry = log->pdata[i];
+
+		if (g_strcmp0(entry->key, key) == 0 && g_strcmp0(entry->value, value) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
 /* An acknowledged write must be there for good. */
-static void check_acknowledged(world_t *world)
+static void check_acknowledged(world_t *world, const told_t *told)
+{
+	if (told->written != NULL && history_index(world, told->key, told->written) < 0)
+		violate(world, "%s was acknowledged, but %s=%s is missing", told->name, told->key,
+			told->written);
+}
+
+/* What was read must be there for good too, and not before what the reader had to see. */
+static void check_read(world_t *world, const told_t *told)
+{
+	const char *floor = g_hash_table_lookup(world->floors, told->name);
+	int floor_index = floor != NULL ? history_index(world, told->key, floor) : -1;
+	int index = told->value != NULL ? history_index(world, told->key, told->value) : -1;
+
+	if (told->written != NULL || told->key == NULL)
+		return;
+	if (told->value != NULL && index < 0)
+		violate(world, "%s read %s=%s, which does not survive", told->name, told->key,
+			told->value);
+	if (index < floor_index)
+		violate(world, "%s read %s, older than %s", told->name,
+			told->value != NULL ? told->value : "nothing", floor);
+}
+
+static void check_done(world_t *world)
 {
 	GHashTableIter iter;
-	gpointer key;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, world->acked);
-	while (world_primary(world) >= 0 && g_hash_table_iter_next(&iter, &key, &value)) {
-		const char *have = world_value(world, key);
+	g_hash_table_iter_init(&iter, world->told);
+	while (world_primary(world) >= 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const told_t *told = value;
 
-		if (have == NULL || strcmp(have, value) < 0)
-			violate(world, "acknowledged %s=%s is missing, there is %s", (char *)key,
-				(char *)value, have != NULL ? have : "nothing");
+		if (!told->answered || told->outcome != OUTCOME_DONE || told->in_tx)
+			continue;
+		check_acknowledged(world, told);
+		check_read(world, told);
 	}
 }
 
@@ -1483,7 +1524,7 @@
 
 const char *world_violations(world_t *world)
 {
-	check_acknowledged(world);
+	check_done(world);
 	check_request_ids(world);
 	check_not_run(world);
 	return world->violations->str;
--- a/tests/world.h
+++ b/tests/world.h
@@ -12,8 +12,8 @@
 
 #define WORLD_MAX_PROXIES 9
 #define WORLD_MAX_MEMBERS 5
-#define WORLD_STORE (WORLD_MAX_PROXIES + WORLD_MAX_MEMBERS)
-#define WORLD_NODES (WORLD_STORE + 1)
+#define WORLD_STORE	  (WORLD_MAX_PROXIES + WORLD_MAX_MEMBERS)
+#define WORLD_NODES	  (WORLD_STORE + 1)
 
 typedef struct world_config {
 	int proxies;
@@ -30,7 +30,7 @@
 	bool fixed_detection;
 	int replica_lean;
 	usec_t max_age; /* of the row "status" */
-	bool quiet;     /* no timeline */
+	bool quiet;	/* no timeline */
 } world_config_t;
 
 /* What a caller was told; the last answer of each request. */
@@ -38,6 +38,7 @@
 	char *name;
 	char *key;
 	char *written; /* value of a write outside a transaction */
+	bool in_tx;
 	bool answered;
 	outcome_t outcome;
 	refusal_t refusal;
@@ -62,7 +63,7 @@
 void world_run(world_t *world, usec_t until);
 
 /* Faults. Nodes are "p0".., "m0".., "store". */
-int world_node(const char *name); /* -1 if there is none of that name */
+int world_node(const char *name);	     /* -1 if there is none of that name */
 void world_kill(world_t *world, int node);   /* the process: connections are reset */
 void world_vanish(world_t *world, int node); /* the VM: silence */
 void world_freeze(world_t *world, int node, usec_t for_how_long);
@@ -71,6 +72,8 @@
 void world_set_lag(world_t *world, usec_t lag);
 void world_leave(world_t *world, int node);
 void world_drain(world_t *world, int node);
+/* End every cut, thaw what is frozen, bring members' and the store's VMs back. */
+void world_heal(world_t *world);
 
 /* Requests; name identifies the request in the timeline. */
 typedef struct world_request {
@@ -87,6 +90,7 @@
 	bool resend;
 	bool continued;
 	usec_t deadline;
+	const char *floor; /* the answer must not be older than this value; NULL: no check */
 } world_request_t;
 
 void world_request(world_t *world, const world_request_t *request);
