Takeover: connect while promoting, standby patience; placement as a vtable

- A standby proxy that lost only its own link took over while the home was alive and well (strict-superseded, first form: takeover at 1311 ms although p0 reached everybody).
Its stagger is now 1500 ms: a home that is alive acts within 300 ms, and one that is not makes the next rank act as first.
- A standby's view counted as recent at exactly the order time-out (takeover refused at 1807 ms in failover-frozen).
The window is now half of it.
- Replicas are chosen by load, then zone.
Equal shares and zone-blind choice stay as baselines for the measurements.

--- a/core/core.c
+++ b/core/core.c
@@ -9,6 +9,7 @@
 #include "exec.h"
 #include "group.h"
 #include "peers.h"
+#include "placement.h"
 #include "pool.h"
 #include "request.h"
 #include "router.h"
@@ -27,7 +28,7 @@
 		.standby_poll = 500 * MSEC,
 		.order_timeout = 300 * MSEC,
 		.detect_floor = 100 * MSEC,
-		.stagger = 700 * MSEC,
+		.stagger = 1500 * MSEC,
 		.seal_timeout = 300 * MSEC,
 		.confirm_poll = 2 * MSEC,
 		.stall_after = 1000 * MSEC,
@@ -99,6 +100,7 @@
 	core->config = *config;
 	core->name = talloc_strdup(core, config->name);
 	core->rng = config->seed;
+	core->placement = config->equal_shares ? &placement_equal_shares : &placement_home;
 	list_init(&core->actions);
 	list_init(&core->edits);
 	timers_init(&core->timers);
--- a/core/core.h
+++ b/core/core.h
@@ -44,6 +44,10 @@
 	/* Baseline for measurements: one watcher, one fixed time-out, no other evidence. */
 	bool fixed_detection;
 	usec_t fixed_timeout;
+	/* Baseline: every proxy runs what it receives, with an equal share of the connections. */
+	bool equal_shares;
+	/* Baseline: the choice of a replica takes no account of availability zones. */
+	bool zone_blind;
 	core_timings_t timings;
 } core_config_t;
 
--- a/core/event.h
+++ b/core/event.h
@@ -32,7 +32,7 @@
 
 typedef enum {
 	RUN_OK,
-	RUN_NOT_PRIMARY, /* the server takes no writes (any more), and kept nothing */
+	RUN_NOT_PRIMARY,	/* the server takes no writes (any more), and kept nothing */
 	RUN_REJECTED,		/* the server said no and kept nothing */
 	RUN_LOST_BEFORE_COMMIT, /* connection gone, commit never sent: rolled back */
 	RUN_LOST_AT_COMMIT,	/* connection gone, commit may have taken */
--- a/core/exec.c
+++ b/core/exec.c
@@ -48,12 +48,23 @@
 	return now_of(request) - member->fresh_at <= request->max_age;
 }
 
-static bool is_less_loaded(const member_t *a, const member_t *b)
+static bool is_near(const core_t *core, const member_t *member)
 {
-	return a->running * b->spec.slots < b->running * a->spec.slots;
+	return !core->config.zone_blind && strcmp(member->spec.zone, core->fleet->self->zone) == 0;
 }
 
-/* The least loaded replica that fits; *any tells whether one fits at all. */
+/* Less loaded; with equal loads, nearer. */
+static bool is_better(const core_t *core, const member_t *a, const member_t *b)
+{
+	int64_t load_a = a->running * b->spec.slots;
+	int64_t load_b = b->running * a->spec.slots;
+
+	if (load_a != load_b)
+		return load_a < load_b;
+	return is_near(core, a) && !is_near(core, b);
+}
+
+/* The best replica that fits; *any tells whether one fits at all. */
 static member_t *choose_replica(const request_t *request, bool *any)
 {
 	group_t *group = request->group;
@@ -66,7 +77,7 @@
 		if (!replica_fits(request, member))
 			continue;
 		*any = true;
-		if (has_slot(member, 0) && (best == NULL || is_less_loaded(member, best)))
+		if (has_slot(member, 0) && (best == NULL || is_better(group->core, member, best)))
 			best = member;
 	}
 	return best;
@@ -126,6 +137,17 @@
 	return request->kind == ROW_READ ? RUN_READ : RUN_WRITE;
 }
 
+/* While a member is being promoted, connect to it for what waits for a primary. */
+static void prepare(const request_t *request, const row_t *row)
+{
+	const takeover_t *takeover = &request->group->takeover;
+
+	if (takeover->state != TAKEOVER_PROMOTING)
+		return;
+	if (request->kind == ROW_WRITE || request->strict)
+		pool_grow(takeover->chosen, row);
+}
+
 static void try_start(request_t *request)
 {
 	core_t *core = request->core;
@@ -134,8 +156,12 @@
 	member_t *member = choose_member(request);
 	conn_t *conn;
 
-	if (row == NULL || member == NULL)
+	if (row == NULL)
 		return;
+	if (member == NULL) {
+		prepare(request, row);
+		return;
+	}
 	conn = pool_take(member, row);
 	if (conn == NULL) {
 		pool_grow(member, row);
--- a/core/group.c
+++ b/core/group.c
@@ -6,6 +6,7 @@
 
 #include "confirm.h"
 #include "exec.h"
+#include "placement.h"
 #include "pool.h"
 #include "takeover.h"
 
@@ -466,15 +467,6 @@
 	return group;
 }
 
-static int rank_of_self(const ranks_t *ranks)
-{
-	for (size_t i = 0; i < ranks->len; i++) {
-		if (ranks->at[i]->self)
-			return (int)i;
-	}
-	return -1;
-}
-
 static bool has_runs(const group_t *group)
 {
 	if (!list_empty(&group->confirms))
@@ -528,7 +520,7 @@
 	core_t *core = group->core;
 
 	fleet_rank(core->fleet, group->name, &group->ranks);
-	group->rank = rank_of_self(&group->ranks);
+	group->rank = core->placement->rank(core, &group->ranks);
 	if (group->members != NULL) {
 		if (item->group == NULL)
 			group->rank = -1;
--- /dev/null
+++ b/core/placement.c
@@ -0,0 +1,45 @@
+#include "placement.h"
+
+static int rank_by_hash(const core_t *core, const ranks_t *ranks)
+{
+	(void)core;
+	for (size_t i = 0; i < ranks->len; i++) {
+		if (ranks->at[i]->self)
+			return (int)i;
+	}
+	return -1;
+}
+
+/* The members hold the limit themselves, slot by slot, so a home may ask for all of it. */
+static int64_t whole_limit(const core_t *core, int64_t limit)
+{
+	(void)core;
+	return limit;
+}
+
+static int rank_everybody(const core_t *core, const ranks_t *ranks)
+{
+	(void)core;
+	(void)ranks;
+	return 0;
+}
+
+static int64_t equal_share(const core_t *core, int64_t limit)
+{
+	int64_t share = limit / (int64_t)HASH_COUNT(core->fleet->proxies);
+
+	return share > 0 ? share : 1;
+}
+
+const placement_ops_t placement_home = {
+	.name = "home",
+	.rank = rank_by_hash,
+	.share = whole_limit,
+};
+
+const placement_ops_t placement_equal_shares = {
+	.name = "equal shares",
+	.rank = rank_everybody,
+	.runs_all = true,
+	.share = equal_share,
+};
--- a/core/pool.c
+++ b/core/pool.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "exec.h"
+#include "placement.h"
 #include "tx.h"
 
 /* After a connect that failed or found no free slot. */
@@ -75,8 +76,8 @@
 		pool->wanted = 0;
 	}
 	pool->wanted++;
-	if ((int64_t)pool->total >= row->connections || core->now < pool->connect_after ||
-	    pool->connecting >= pool->wanted)
+	if ((int64_t)pool->total >= core->placement->share(core, row->connections) ||
+	    core->now < pool->connect_after || pool->connecting >= pool->wanted)
 		return;
 	conn = talloc_zero(core, conn_t);
 	conn->id = core_id(core);
@@ -213,8 +214,7 @@
 {
 	if (conn->state == CONN_IN_TX)
 		return true;
-	return conn->request != NULL &&
-	       (conn->request->kind == ROW_WRITE || conn->request->strict);
+	return conn->request != NULL && (conn->request->kind == ROW_WRITE || conn->request->strict);
 }
 
 static bool is_read(const conn_t *conn)
@@ -224,12 +224,10 @@
 
 static void close_matching(member_t *member, bool (*matches)(const conn_t *conn))
 {
-	list_for_each(p, &member->pools)
-	{
+	list_for_each (p, &member->pools) {
 		pool_t *pool = list_entry(p, pool_t, node);
 
-		list_for_each_safe(it, &pool->conns)
-		{
+		list_for_each_safe (it, &pool->conns) {
 			conn_t *conn = list_entry(it, conn_t, node);
 
 			if (matches(conn))
--- a/core/router.c
+++ b/core/router.c
@@ -9,6 +9,7 @@
 #include "exec.h"
 #include "group.h"
 #include "peers.h"
+#include "placement.h"
 #include "request.h"
 #include "tablesync.h"
 #include "tx.h"
@@ -193,7 +194,9 @@
 	group_t *group = group_find(core, request->group_name);
 	proxy_t *home = NULL;
 
-	if (group != NULL) {
+	if (group != NULL && core->placement->runs_all) {
+		home = core->fleet->self;
+	} else if (group != NULL) {
 		fleet_rank(core->fleet, group->name, &group->ranks);
 		if (request->tries < REQUEST_MAX_TRIES)
 			home = choose_home(request, &group->ranks);
@@ -207,7 +210,7 @@
 		forward(request, home->name);
 		return;
 	}
-	if (!is_servable(group)) {
+	if (!is_servable(group) && !core->placement->runs_all) {
 		request->tried[request->tries++] = home->name;
 		route(request);
 		return;
--- a/core/state.h
+++ b/core/state.h
@@ -10,6 +10,7 @@
 #include "timer.h"
 
 typedef struct group group_t;
+struct placement_ops;
 typedef struct request request_t;
 
 /* A pooled connection. */
@@ -23,8 +24,8 @@
 	size_t total;
 	size_t connecting;
 	usec_t connect_after; /* backoff after a refused or failed connect */
-	uint64_t pass;        /* of exec_dispatch, in which wanted was counted */
-	size_t wanted;        /* requests that found no connection in that pass */
+	uint64_t pass;	      /* of exec_dispatch, in which wanted was counted */
+	size_t wanted;	      /* requests that found no connection in that pass */
 } pool_t;
 
 typedef struct conn {
@@ -199,6 +200,7 @@
 
 struct core {
 	core_config_t config;
+	const struct placement_ops *placement;
 	char *name;
 	usec_t now;
 	usec_t last_wake;
--- a/core/takeover.c
+++ b/core/takeover.c
@@ -5,6 +5,7 @@
 #include "confirm.h"
 #include "exec.h"
 #include "group.h"
+#include "pool.h"
 
 /* Refused connections in a row that prove that nobody is there. */
 #define UNREACHABLE_PROOF 2
@@ -15,7 +16,7 @@
 /* After a takeover for a stall that cured nothing, the next one waits longer by this, up to MAX. */
 #define STALL_BACKOFF_FACTOR 10
 #define STALL_BACKOFF_MAX    (60 * USEC_PER_SEC)
-#define MISSES_MIN	  1
+#define MISSES_MIN	     1
 
 static void on_timeout(run_timer_t *timer, usec_t now);
 
@@ -124,10 +125,10 @@
 
 	if (!is_stalled(group))
 		return;
-	takeover->stall_backoff = takeover->stall_backoff == 0
-					  ? STALL_BACKOFF_FACTOR *
-						    group->core->config.timings.stall_after
-					  : 2 * takeover->stall_backoff;
+	takeover->stall_backoff =
+		takeover->stall_backoff == 0
+			? STALL_BACKOFF_FACTOR * group->core->config.timings.stall_after
+			: 2 * takeover->stall_backoff;
 	if (takeover->stall_backoff > STALL_BACKOFF_MAX)
 		takeover->stall_backoff = STALL_BACKOFF_MAX;
 }
@@ -179,7 +180,7 @@
 		const member_t *member = &group->members[i];
 
 		n += member->known &&
-		     core->now - member->reported <= core->config.timings.order_timeout;
+		     core->now - member->reported <= core->config.timings.order_timeout / 2;
 	}
 	return n;
 }
@@ -255,6 +256,10 @@
 	takeover->sealed_at = group->core->now;
 	takeover->chosen = best;
 	takeover->promote_order = member_order(best, ORDER_PROMOTE, takeover->term, NULL);
+	/* A sealed majority never confirms what still runs on the old primary: queue it again. */
+	if (group->primary != NULL && group->primary != best)
+		pool_close_superseded(group->primary);
+	exec_dispatch(group);
 	arm(group);
 }
 
--- a/links/runner.c
+++ b/links/runner.c
@@ -82,8 +82,8 @@
 	size_t next_result;
 	bool commit_sent;
 	bool committed;
-	bool failed;	      /* some step of this part failed */
-	bool id_is_known;     /* the request id was there already */
+	bool failed;	  /* some step of this part failed */
+	bool id_is_known; /* the request id was there already */
 	bool not_primary;
 	bool commit_in_doubt; /* the server ended the session instead of answering */
 	run_result_t result;
@@ -506,7 +506,7 @@
 	runner_conn_t *conn = find_conn(data, action->id);
 
 	if (conn != NULL)
-		lost(conn, "closed at the deadline");
+		lost(conn, "closed by this proxy");
 }
 
 static int start(plugin_t *plugin, kernel_t *kernel, err_t *err)
--- a/tests/world.c
+++ b/tests/world.c
@@ -784,7 +784,7 @@
 	fake_conn_t *conn = conn_find(world, proxy, action->id);
 
 	if (conn != NULL)
-		conn_lost(world, conn, "closed at the deadline");
+		conn_lost(world, conn, "closed by this proxy");
 }
 
 /* --- messages between proxies --- */
