Measurements of failover, reads and load in paused time; faster detection

Detection waited for a report to time out (300 ms) although the silence beyond a poll and the usual round trip was evidence earlier.

--- a/core/group.c
+++ b/core/group.c
@@ -125,11 +125,15 @@
 {
 	core_t *core = group->core;
 	usec_t at = core->now + poll_interval(group);
+	usec_t due;
 
 	for (size_t i = 0; i < group->member_count; i++) {
 		if (group->members[i].report_order == 0 && group->members[i].next_report < at)
 			at = group->members[i].next_report;
 	}
+	due = takeover_due(group);
+	if (due > core->now && due < at)
+		at = due;
 	timers_arm(&core->timers, &group->timer, at, on_timer);
 }
 
--- a/core/takeover.c
+++ b/core/takeover.c
@@ -34,6 +34,21 @@
 	return timings->poll + (usual > timings->detect_floor ? usual : timings->detect_floor);
 }
 
+/* It owes us an answer; without a question silence means nothing. */
+static bool is_waiting(const member_t *member)
+{
+	return member->misses > 0 || member->report_order != 0;
+}
+
+usec_t takeover_due(const group_t *group)
+{
+	const member_t *primary = group->primary;
+
+	if (primary == NULL || !is_waiting(primary))
+		return USEC_NEVER;
+	return primary->reported + allowed_silence(primary) + 1;
+}
+
 /*
  * A primary cut off from its peers still takes writes, but none is confirmed.
  * Replicas that just lag look the same for a while, hence the wide margin and
@@ -64,7 +79,7 @@
 	}
 	if (primary->unreachable >= UNREACHABLE_PROOF)
 		return "its process is gone";
-	if (primary->misses >= MISSES_MIN && silence(primary) > allowed_silence(primary))
+	if (is_waiting(primary) && silence(primary) > allowed_silence(primary))
 		return "it does not answer";
 	if (primary->leaving)
 		return "its VM is leaving";
--- a/tests/world.c
+++ b/tests/world.c
@@ -23,6 +23,7 @@
 	GPtrArray *log;
 	int conns;
 	GHashTable *claims; /* "row/slot" */
+	GArray *free_at;    /* of usec_t: when each slot is free again */
 } fake_member_t;
 
 typedef struct fake_proxy {
@@ -81,6 +82,7 @@
 	GString *timeline;
 	GString *violations;
 	world_counts_t counts;
+	world_marks_t marks;
 	bool ending;
 };
 
@@ -341,9 +343,10 @@
 	member->upstream = -1;
 }
 
+/* The number at the end of "m:2" or "m2". */
 static int member_at(const char *address)
 {
-	return atoi(strrchr(address, ':') + 1);
+	return address[strlen(address) - 1] - '0';
 }
 
 static bool obey(world_t *world, int m, const action_t *action)
@@ -409,6 +412,8 @@
 	};
 
 	if (!order->done) {
+		if (order->action->order == ORDER_PROMOTE && order->status == ORDER_OK)
+			world->marks.promoted = world->now;
 		order->done = true;
 		deliver(world, order->proxy, &event);
 	}
@@ -448,6 +453,10 @@
 	order_t *order = g_new0(order_t, 1);
 
 	world->counts.orders++;
+	if (action->order == ORDER_SEAL && world->marks.seal_sent == 0)
+		world->marks.seal_sent = world->now;
+	if (action->order == ORDER_PROMOTE)
+		world->marks.promote_sent = world->now;
 	order->proxy = proxy;
 	order->member = member_at(action->peer);
 	order->action = action;
@@ -673,6 +682,22 @@
 	conn_unref(conn);
 }
 
+/* The member runs so many statements at once; the others wait. Returns when this one starts. */
+static usec_t take_slot(world_t *world, int m)
+{
+	GArray *free_at = world->members[m].free_at;
+	guint best = 0;
+	usec_t start;
+
+	for (guint i = 1; i < free_at->len; i++) {
+		if (g_array_index(free_at, usec_t, i) < g_array_index(free_at, usec_t, best))
+			best = i;
+	}
+	start = MAX(world->now, g_array_index(free_at, usec_t, best));
+	g_array_index(free_at, usec_t, best) = start + world->config.service_time;
+	return start;
+}
+
 static void run_arrive(world_t *world, void *data)
 {
 	fake_conn_t *conn = data;
@@ -688,7 +713,8 @@
 		return;
 	}
 	conn->before = report_of(&world->members[conn->member]);
-	plan(world, world->now + world->config.service_time, node, run_end, conn);
+	plan(world, take_slot(world, conn->member) + world->config.service_time, node, run_end,
+	     conn);
 }
 
 static void do_run(world_t *world, int proxy, action_t *action)
@@ -1039,6 +1065,17 @@
 	g_hash_table_replace(world->acked, g_strdup(told->key), g_strdup(told->written));
 }
 
+/* The member's share of reads, for what was served by whom. */
+static void count_read(world_t *world, const told_t *told)
+{
+	if (told->outcome != OUTCOME_DONE || told->written != NULL || told->member == NULL)
+		return;
+	if (member_at(told->member) == world_primary(world))
+		world->counts.reads_primary++;
+	else
+		world->counts.reads_replica++;
+}
+
 static void do_answer(world_t *world, int proxy, action_t *action)
 {
 	char *key = conn_key(proxy, action->id);
@@ -1065,6 +1102,7 @@
 	    answer->refusal != REFUSAL_NONE ? refusal_name(answer->refusal) : "",
 	    told->value != NULL ? " value=" : "", told->value != NULL ? told->value : "",
 	    told->member != NULL ? " member=" : "", told->member != NULL ? told->member : "");
+	count_read(world, told);
 	if (told->outcome == OUTCOME_DONE && told->written != NULL)
 		note_acknowledged(world, told);
 }
@@ -1419,6 +1457,16 @@
 	return n;
 }
 
+void world_clear_marks(world_t *world)
+{
+	world->marks = (world_marks_t){0};
+}
+
+world_marks_t world_marks(const world_t *world)
+{
+	return world->marks;
+}
+
 json_t *world_dump(const world_t *world, int proxy)
 {
 	return core_dump(world->proxies[proxy].core);
@@ -1548,14 +1596,31 @@
 		.seed = 1,
 		.replica_lean = 100,
 		.max_age = USEC_PER_SEC,
+		.row_queue = 200,
+		.row_timeout = 5 * USEC_PER_SEC,
 	};
 }
 
+static void put_row(world_t *world, const char *class_name, const char *kind, int weight,
+		    const char *more)
+{
+	const world_config_t *config = &world->config;
+	char *key = g_strdup_printf("row/dispatch/%s", class_name);
+	char *row = g_strdup_printf("{\"group\":\"callout-1\",\"kind\":\"%s\",\"connections\":%d,"
+				    "\"weight\":%d,\"queue\":%d,\"timeout_ms\":%d%s}",
+				    kind, config->row_conns, weight, config->row_queue,
+				    (int)(config->row_timeout / USEC_PER_MSEC), more);
+
+	store_put(world, key, row);
+	g_free(row);
+	g_free(key);
+}
+
 static void fill_store(world_t *world)
 {
 	const world_config_t *config = &world->config;
 	GString *members = g_string_new("{\"members\":[");
-	char *row;
+	char *aged;
 
 	for (int i = 0; i < config->members; i++)
 		g_string_append_printf(members,
@@ -1567,22 +1632,12 @@
 	world->store_version = 1;
 	store_put(world, "group/callout-1", members->str);
 	g_string_free(members, TRUE);
-	row = g_strdup_printf("{\"group\":\"callout-1\",\"kind\":\"write\",\"connections\":%d,"
-			      "\"weight\":90}",
-			      config->row_conns);
-	store_put(world, "row/dispatch/assign", row);
-	g_free(row);
-	row = g_strdup_printf("{\"group\":\"callout-1\",\"kind\":\"read\",\"connections\":%d,"
-			      "\"weight\":80}",
-			      config->row_conns);
-	store_put(world, "row/dispatch/assignment", row);
-	g_free(row);
-	row = g_strdup_printf("{\"group\":\"callout-1\",\"kind\":\"read\",\"connections\":%d,"
-			      "\"weight\":50,\"max_age_ms\":%d,\"replica_lean\":%d}",
-			      config->row_conns, (int)(config->max_age / USEC_PER_MSEC),
-			      config->replica_lean);
-	store_put(world, "row/dispatch/status", row);
-	g_free(row);
+	put_row(world, "assign", "write", 90, "");
+	put_row(world, "assignment", "read", 80, "");
+	aged = g_strdup_printf(",\"max_age_ms\":%d,\"replica_lean\":%d",
+			       (int)(config->max_age / USEC_PER_MSEC), config->replica_lean);
+	put_row(world, "status", "read", 50, aged);
+	g_free(aged);
 }
 
 static void create_member(world_t *world, int i)
@@ -1594,6 +1649,8 @@
 	member->upstream = i == 0 ? -1 : 0;
 	member->log = g_ptr_array_new_with_free_func(entry_free);
 	member->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	member->free_at = g_array_new(FALSE, TRUE, sizeof(usec_t));
+	g_array_set_size(member->free_at, (guint)world->config.slots);
 	g_ptr_array_add(member->log, entry_new(1, NULL, NULL, NULL));
 	plan(world, 50 * USEC_PER_MSEC, -1, on_catch_up, GINT_TO_POINTER(i));
 }
@@ -1616,6 +1673,8 @@
 		.seed = world->config.seed * 1000 + (uint64_t)i,
 		.fixed_detection = world->config.fixed_detection,
 		.fixed_timeout = 3 * USEC_PER_SEC,
+		.equal_shares = world->config.equal_shares,
+		.zone_blind = world->config.zone_blind,
 		.timings = core_timings_default(),
 	};
 
@@ -1692,6 +1751,7 @@
 	for (int i = 0; i < world->config.members; i++) {
 		g_ptr_array_unref(world->members[i].log);
 		g_hash_table_unref(world->members[i].claims);
+		g_array_unref(world->members[i].free_at);
 	}
 	g_hash_table_unref(world->told);
 	g_hash_table_unref(world->callers);
--- a/tests/world.h
+++ b/tests/world.h
@@ -31,6 +31,10 @@
 	int replica_lean;
 	usec_t max_age; /* of the row "status" */
 	bool quiet;	/* no timeline */
+	bool equal_shares;
+	bool zone_blind;
+	int row_queue;
+	usec_t row_timeout;
 } world_config_t;
 
 /* What a caller was told; the last answer of each request. */
@@ -124,5 +128,15 @@
 	uint64_t orders;
 } world_counts_t;
 
+/* When the steps of the last takeover happened; 0 for not yet. */
+typedef struct world_marks {
+	usec_t seal_sent;
+	usec_t promote_sent;
+	usec_t promoted;
+} world_marks_t;
+
+void world_clear_marks(world_t *world);
+world_marks_t world_marks(const world_t *world);
+
 world_counts_t world_counts(const world_t *world);
 json_t *world_dump(const world_t *world, int proxy);
