--- a/core/dump.c
+++ b/core/dump.c
@@ -43,15 +43,17 @@
 	for (size_t i = 0; i < group->member_count; i++)
 		json_object_set_new(members, group->members[i].spec.name,
 				    dump_member(core, &group->members[i]));
-	return json_pack(
-		"{s:o, s:i, s:I, s:s?, s:s?, s:I, s:i, s:i, s:i, s:I, s:I, s:f, s:o}", "served_by",
-		dump_ranks(&group->ranks), "rank", group->rank, "term", (json_int_t)group->term,
-		"primary", primary, "last_takeover_reason", group->takeover.reason, "takeovers",
-		(json_int_t)group->takeover.count, "takeover_state", (int)group->takeover.state,
-		"queued", (int)list_length(&group->queue), "confirming",
-		(int)list_length(&group->confirms), "service_time_us",
-		(json_int_t)group->service_time, "confirm_time_us", (json_int_t)group->confirm_time,
-		"retry_tokens", group->retry_tokens, "members", members);
+	return json_pack("{s:o, s:i, s:I, s:s?, s:s?, s:I, s:i, s:i, s:i, s:I, s:I, s:I, s:f, s:o}",
+			 "served_by", dump_ranks(&group->ranks), "rank", group->rank, "term",
+			 (json_int_t)group->term, "primary", primary, "last_takeover_reason",
+			 group->takeover.reason, "takeovers", (json_int_t)group->takeover.count,
+			 "takeover_state", (int)group->takeover.state, "queued",
+			 (int)list_length(&group->queue), "confirming",
+			 (int)list_length(&group->confirms), "read_time_us",
+			 (json_int_t)group->service_time[ROW_READ], "write_time_us",
+			 (json_int_t)group->service_time[ROW_WRITE], "confirm_time_us",
+			 (json_int_t)group->confirm_time, "retry_tokens", group->retry_tokens,
+			 "members", members);
 }
 
 static json_t *dump_proxy(const core_t *core, const proxy_t *proxy)
--- a/core/exec.c
+++ b/core/exec.c
@@ -34,7 +34,7 @@
 
 static bool has_slot(const member_t *member, int64_t kept_free)
 {
-	return member->running + kept_free < member->spec.slots;
+	return member->running + kept_free < member_limit(member);
 }
 
 static bool replica_fits(const request_t *request, const member_t *member)
@@ -99,6 +99,11 @@
 	return has_slot(primary, kept_free) ? primary : NULL;
 }
 
+static bool is_idle(const member_t *member)
+{
+	return member != NULL && member->running == 0 && member->spec.slots > 1;
+}
+
 static member_t *choose_member(const request_t *request)
 {
 	bool any;
@@ -107,7 +112,10 @@
 	if (request->strict || request->kind == ROW_WRITE || !request->lean_replica)
 		return choose_primary(request);
 	replica = choose_replica(request, &any);
-	return any ? replica : choose_primary(request);
+	if (replica != NULL || !any)
+		return replica != NULL ? replica : choose_primary(request);
+	/* All fitting replicas are full: an idle primary may help, one that works may not. */
+	return is_idle(request->group->primary) ? choose_primary(request) : NULL;
 }
 
 /* --- start --- */
@@ -148,6 +156,20 @@
 		pool_grow(takeover->chosen, row);
 }
 
+/* A run that can't end in time would only take a slot from one that can. */
+static bool refuse_if_too_late(request_t *request)
+{
+	const group_t *group = request->group;
+
+	if (now_of(request) + group->service_time[request->kind] / 2 <= request->deadline)
+		return false;
+	list_del(&request->node);
+	request_refuse(request, REFUSAL_OVERLOAD, queue_wait(group, request),
+		       "a run takes %llu ms, the deadline is nearer",
+		       (unsigned long long)(group->service_time[request->kind] / USEC_PER_MSEC));
+	return true;
+}
+
 static void try_start(request_t *request)
 {
 	core_t *core = request->core;
@@ -156,7 +178,7 @@
 	member_t *member = choose_member(request);
 	conn_t *conn;
 
-	if (row == NULL)
+	if (row == NULL || refuse_if_too_late(request))
 		return;
 	if (member == NULL) {
 		prepare(request, row);
@@ -228,7 +250,8 @@
 
 static usec_t come_back(const group_t *group)
 {
-	usec_t wait = queue_wait(group, 0);
+	usec_t wait =
+		group->service_time[ROW_WRITE] * list_length(&group->queue) / group->member_count;
 
 	return wait > FAILOVER_RETRY_AFTER ? wait : FAILOVER_RETRY_AFTER;
 }
@@ -354,9 +377,11 @@
 			"the primary was superseded before a majority held it");
 }
 
-static void smooth_service(group_t *group, usec_t took)
+static void smooth_service(group_t *group, row_kind_t kind, usec_t took)
 {
-	group->service_time += (took >> SMOOTH_SHIFT) - (group->service_time >> SMOOTH_SHIFT);
+	usec_t *mean = &group->service_time[kind];
+
+	*mean += (took >> SMOOTH_SHIFT) - (*mean >> SMOOTH_SHIFT);
 }
 
 static void keep_result(request_t *request, const run_result_t *result)
@@ -396,6 +421,19 @@
 	}
 }
 
+/* The late answer of a read whose caller has had its final one: read whole, so thrown away. */
+static void abandoned_run_done(conn_t *conn, const run_result_t *result)
+{
+	member_t *member = conn->pool->member;
+
+	if (conn->state != CONN_BUSY)
+		return;
+	member->running--;
+	if (result->status == RUN_OK || result->status == RUN_REJECTED)
+		pool_release(conn);
+	exec_dispatch(member->group);
+}
+
 void exec_run_done(core_t *core, const event_t *event)
 {
 	conn_t *conn = pool_find(core, event->id);
@@ -404,14 +442,18 @@
 	group_t *group;
 	bool usable;
 
-	if (request == NULL)
+	if (conn == NULL)
+		return;
+	if (request == NULL) {
+		abandoned_run_done(conn, result);
 		return;
+	}
 	group = request->group;
 	usable = result->status == RUN_OK || result->status == RUN_REJECTED ||
 		 result->status == RUN_NOT_PRIMARY;
 	leave_conn(request);
 	if (usable)
-		smooth_service(group, core->now - request->run_started);
+		smooth_service(group, request->kind, core->now - request->run_started);
 	keep_result(request, result);
 	if (request->query->verb != VERB_STATEMENT) {
 		tx_run_done(request, conn, usable);
@@ -425,6 +467,20 @@
 
 /* --- deadline --- */
 
+/*
+ * Closing the connection of a read proves nothing and costs a new one, most of
+ * all when the group is busy. The caller is answered; the connection stays busy
+ * until its answer has come.
+ */
+static void abandon_read(request_t *request)
+{
+	request->conn->request = NULL;
+	request->conn = NULL;
+	request->maybe_ran = true;
+	request_refuse(request, REFUSAL_DEADLINE, come_back(request->group),
+		       "still running on %s at the deadline", request->runner->spec.name);
+}
+
 void exec_deadline(request_t *request)
 {
 	group_t *group = request->group;
@@ -440,6 +496,10 @@
 				       "still queued at the deadline");
 		break;
 	case REQUEST_RUNNING:
+		if (request->kind == ROW_READ) {
+			abandon_read(request);
+			break;
+		}
 		/*
 		 * Closing tells which it is: without a commit sent the server rolls
 		 * back. The link answers with EVENT_RUN_DONE before anything else.
--- a/core/group.c
+++ b/core/group.c
@@ -18,6 +18,8 @@
 #define INITIAL_SERVICE_TIME (5 * USEC_PER_MSEC)
 #define INITIAL_CONFIRM_TIME (5 * USEC_PER_MSEC)
 #define RETRY_TOKENS_MAX     20.0
+/* What a slot is taken to work on a run at least, between round trips. */
+#define MIN_BUSY_TIME USEC_PER_MSEC
 /* A refused connection is asked again soon: two in a row prove that nobody is there. */
 #define UNREACHABLE_RECHECK (10 * USEC_PER_MSEC)
 #define FOLLOW_RETRY	    (300 * USEC_PER_MSEC)
@@ -77,6 +79,17 @@
 	       member->report.log.term == member->group->term && is_responsive(member);
 }
 
+int64_t member_limit(const member_t *member)
+{
+	const group_t *group = member->group;
+	usec_t rtt = member->srtt;
+	usec_t run = group->service_time[ROW_READ];
+	usec_t busy = run > rtt + MIN_BUSY_TIME ? run - rtt : MIN_BUSY_TIME;
+	int64_t extra = (int64_t)((usec_t)member->spec.slots * rtt / busy);
+
+	return member->spec.slots + (extra < member->spec.slots ? extra : member->spec.slots);
+}
+
 uint64_t member_order(member_t *member, order_kind_t kind, uint64_t term, const member_t *target)
 {
 	core_t *core = member->group->core;
@@ -117,6 +130,9 @@
 	group_t *group = member->group;
 	usec_t soon = group->core->now + group->core->config.timings.confirm_poll;
 
+	/* The primary's word adds nothing: it holds what it ran. */
+	if (member == group->primary)
+		return;
 	if (!list_empty(&group->confirms) && member->next_report > soon)
 		member->next_report = soon;
 }
@@ -210,8 +226,12 @@
 
 static void take_sample(group_t *group, const report_t *report, usec_t sent)
 {
+	const sample_t *last =
+		&group->samples[(group->sample_next + GROUP_SAMPLES - 1) % GROUP_SAMPLES];
 	sample_t *sample = &group->samples[group->sample_next];
 
+	if (last->at != 0 && sent < last->at + SAMPLE_SPACING)
+		return;
 	group->sample_next = (group->sample_next + 1) % GROUP_SAMPLES;
 	*sample = (sample_t){.at = sent, .lsn = report->log.lsn};
 }
@@ -462,7 +482,8 @@
 	group->name = talloc_strdup(group, name);
 	group->core = core;
 	group->rank = -1;
-	group->service_time = INITIAL_SERVICE_TIME;
+	group->service_time[ROW_READ] = INITIAL_SERVICE_TIME;
+	group->service_time[ROW_WRITE] = INITIAL_SERVICE_TIME;
 	group->confirm_time = INITIAL_CONFIRM_TIME;
 	group->retry_tokens = RETRY_TOKENS_MAX;
 	list_init(&group->queue);
--- a/core/group.h
+++ b/core/group.h
@@ -45,6 +45,12 @@
 /* Usable for new work: in the current term and not leaving. */
 bool member_is_current(const member_t *member);
 
+/*
+ * How many runs to have on a member at once: its slots, and as many more as are
+ * on their way there or back while the slots work, so that none stands idle.
+ */
+int64_t member_limit(const member_t *member);
+
 /*
  * The time at which the primary's log stood no further than lsn, as a bound on
  * the age of data read there; 0 if none is known.
--- a/core/pool.c
+++ b/core/pool.c
@@ -217,9 +217,12 @@
 	return conn->request != NULL && (conn->request->kind == ROW_WRITE || conn->request->strict);
 }
 
+/* One without a request is a read that was given up on. */
 static bool is_read(const conn_t *conn)
 {
-	return conn->request != NULL && conn->request->kind == ROW_READ;
+	if (conn->state != CONN_BUSY)
+		return false;
+	return conn->request == NULL || conn->request->kind == ROW_READ;
 }
 
 static void close_matching(member_t *member, bool (*matches)(const conn_t *conn))
--- a/core/queue.c
+++ b/core/queue.c
@@ -8,24 +8,38 @@
 /* Bounds of the time to come back that a refusal names. */
 #define RETRY_AFTER_MIN (50 * USEC_PER_MSEC)
 
-static int64_t total_slots(const group_t *group)
+static bool wants_replica(const request_t *request)
 {
-	int64_t slots = 0;
+	return request->kind == ROW_READ && !request->strict && request->lean_replica;
+}
+
+/* Runs at once that the members which serve this kind of request allow. */
+static usec_t parallel_runs(const group_t *group, bool on_replicas)
+{
+	int64_t runs = 0;
 
-	for (size_t i = 0; i < group->member_count; i++)
-		slots += group->members[i].spec.slots;
-	return slots > 0 ? slots : 1;
+	for (size_t i = 0; i < group->member_count; i++) {
+		const member_t *member = &group->members[i];
+		bool is_replica = member != group->primary;
+
+		if (is_replica == on_replicas && (!is_replica || member->fresh_at != 0))
+			runs += member_limit(member);
+	}
+	return runs > 0 ? (usec_t)runs : 1;
 }
 
-usec_t queue_wait(const group_t *group, int64_t weight)
+usec_t queue_wait(const group_t *group, const request_t *request)
 {
-	usec_t ahead = 0;
+	bool on_replicas = wants_replica(request);
+	usec_t work = 0;
 
 	list_for_each (it, &group->queue) {
-		if (list_entry(it, request_t, node)->weight >= weight)
-			ahead++;
+		const request_t *other = list_entry(it, request_t, node);
+
+		if (other->weight >= request->weight && wants_replica(other) == on_replicas)
+			work += group->service_time[other->kind];
 	}
-	return ahead * group->service_time / (usec_t)total_slots(group);
+	return work / parallel_runs(group, on_replicas);
 }
 
 static int64_t waiting_of_row(const group_t *group, const char *row)
@@ -40,7 +54,7 @@
 bool queue_admit(request_t *request, const row_t *row)
 {
 	const group_t *group = request->group;
-	usec_t wait = queue_wait(group, request->weight);
+	usec_t wait = queue_wait(group, request);
 	usec_t left = request->deadline - request->core->now;
 	usec_t back = wait > RETRY_AFTER_MIN ? wait : RETRY_AFTER_MIN;
 
@@ -49,7 +63,7 @@
 			       (long long)row->queue, request->row);
 		return false;
 	}
-	if (wait + group->service_time > left) {
+	if (wait + group->service_time[request->kind] > left) {
 		request_refuse(request, REFUSAL_OVERLOAD, back,
 			       "the wait would be %llu ms, the deadline is in %llu ms",
 			       (unsigned long long)(wait / USEC_PER_MSEC),
--- a/core/queue.h
+++ b/core/queue.h
@@ -13,5 +13,5 @@
 /* Put an admitted request (back) in its place. */
 void queue_insert(request_t *request);
 
-/* How long until a newcomer of this weight would be run. */
-usec_t queue_wait(const group_t *group, int64_t weight);
+/* How long until request would be run, by what is queued before it and what serves its kind. */
+usec_t queue_wait(const group_t *group, const request_t *request);
--- a/core/state.h
+++ b/core/state.h
@@ -36,7 +36,7 @@
 	conn_state_t state;
 	int64_t slot;
 	usec_t idle_since;
-	request_t *request; /* whose run it is busy with */
+	request_t *request; /* whose run it is busy with, NULL if that was given up on */
 	struct tx *tx;
 } conn_t;
 
@@ -80,7 +80,9 @@
 	bool confirmed;
 } sample_t;
 
-#define GROUP_SAMPLES 64
+/* Samples lie at least this far apart, so that the ring spans the lag of slow replicas. */
+#define SAMPLE_SPACING (50 * USEC_PER_MSEC)
+#define GROUP_SAMPLES  256
 
 typedef enum { TAKEOVER_NONE, TAKEOVER_SEALING, TAKEOVER_PROMOTING } takeover_state_t;
 
@@ -116,11 +118,11 @@
 	usec_t primary_lost; /* since when there is no usable one, 0 if there is */
 	sample_t samples[GROUP_SAMPLES];
 	size_t sample_next;
-	list_t queue;	     /* request_t, by weight and deadline */
-	list_t confirms;     /* request_t waiting for a majority */
-	usec_t confirm_time; /* smoothed time that confirmation takes */
-	usec_t confirm_peak; /* the longest of late */
-	usec_t service_time; /* smoothed time that a run takes */
+	list_t queue;		/* request_t, by weight and deadline */
+	list_t confirms;	/* request_t waiting for a majority */
+	usec_t confirm_time;	/* smoothed time that confirmation takes */
+	usec_t confirm_peak;	/* the longest of late */
+	usec_t service_time[2]; /* smoothed time that a run takes, by row_kind_t */
 	double retry_tokens;
 	takeover_t takeover;
 	run_timer_t timer;
--- a/core/takeover.c
+++ b/core/takeover.c
@@ -20,33 +20,35 @@
 
 static void on_timeout(run_timer_t *timer, usec_t now);
 
-static usec_t silence(const member_t *member)
+/* Longer than answers usually take, jitter included. */
+static usec_t allowed_wait(const member_t *member)
 {
-	return member->group->core->now - member->reported;
-}
-
-/* Silence beyond a poll and what answers usually take, jitter included. */
-static usec_t allowed_silence(const member_t *member)
-{
-	const core_timings_t *timings = &member->group->core->config.timings;
+	usec_t floor = member->group->core->config.timings.detect_floor;
 	usec_t usual = member->srtt + 4 * member->rttvar;
 
-	return timings->poll + (usual > timings->detect_floor ? usual : timings->detect_floor);
+	return usual > floor ? usual : floor;
 }
 
-/* It owes us an answer; without a question silence means nothing. */
-static bool is_waiting(const member_t *member)
+/*
+ * Only an unanswered question is evidence. The age of the last answer is not: a
+ * proxy that has just become the group's home asked seldom before.
+ */
+static bool is_silent(const member_t *member)
 {
-	return member->misses > 0 || member->report_order != 0;
+	const core_t *core = member->group->core;
+
+	if (member->misses > member->unreachable)
+		return true;
+	return member->report_order != 0 && core->now - member->report_sent > allowed_wait(member);
 }
 
 usec_t takeover_due(const group_t *group)
 {
 	const member_t *primary = group->primary;
 
-	if (primary == NULL || !is_waiting(primary))
+	if (primary == NULL || primary->report_order == 0)
 		return USEC_NEVER;
-	return primary->reported + allowed_silence(primary) + 1;
+	return primary->report_sent + allowed_wait(primary) + 1;
 }
 
 /*
@@ -79,7 +81,7 @@
 	}
 	if (primary->unreachable >= UNREACHABLE_PROOF)
 		return "its process is gone";
-	if (is_waiting(primary) && silence(primary) > allowed_silence(primary))
+	if (is_silent(primary))
 		return "it does not answer";
 	if (primary->leaving)
 		return "its VM is leaving";
--- a/core/tx.c
+++ b/core/tx.c
@@ -109,7 +109,7 @@
 		return;
 	}
 	if (tx->current != NULL) {
-		request_refuse(request, REFUSAL_TX_BUSY, tx->group->service_time,
+		request_refuse(request, REFUSAL_TX_BUSY, tx->group->service_time[ROW_WRITE],
 			       "a statement of %s is still running", tx->handle);
 		return;
 	}
--- a/tests/measure.c
+++ b/tests/measure.c
@@ -123,8 +123,10 @@
 }
 
 static const fault_t faults[] = {
-	{"process killed", kill_primary},	    {"VM vanished", vanish_primary},
-	{"frozen", freeze_primary},		    {"cut from its peers", cut_primary},
+	{"process killed", kill_primary},
+	{"VM vanished", vanish_primary},
+	{"frozen", freeze_primary},
+	{"cut from its peers", cut_primary},
 	{"VM and its home proxy vanished", vanish_both},
 };
 
--- a/tests/world.c
+++ b/tests/world.c
@@ -21,6 +21,9 @@
 	bool primary;
 	int upstream; /* member number, -1 none */
 	GPtrArray *log;
+	GHashTable *by_key; /* the last entry of a key, the entry of a request id; see reindex() */
+	GHashTable *by_id;
+	guint indexed;
 	int conns;
 	GHashTable *claims; /* "row/slot" */
 	GArray *free_at;    /* of usec_t: when each slot is free again */
@@ -250,6 +253,42 @@
 	return NULL;
 }
 
+/* Bring the member's indexes up to its log. */
+static void reindex(fake_member_t *member)
+{
+	if (member->indexed > member->log->len) {
+		g_hash_table_remove_all(member->by_key);
+		g_hash_table_remove_all(member->by_id);
+		member->indexed = 0;
+	}
+	for (; member->indexed < member->log->len; member->indexed++) {
+		log_entry_t *entry = member->log->pdata[member->indexed];
+
+		if (entry->key != NULL)
+			g_hash_table_replace(member->by_key, entry->key, entry);
+		if (entry->request_id != NULL)
+			g_hash_table_replace(member->by_id, entry->request_id, entry);
+	}
+}
+
+static const char *member_value(fake_member_t *member, const char *key)
+{
+	const log_entry_t *entry;
+
+	reindex(member);
+	entry = g_hash_table_lookup(member->by_key, key);
+	return entry != NULL ? entry->value : NULL;
+}
+
+/* Entries after the cut go, and with them the indexes that point at them. */
+static void truncate_log(fake_member_t *member, guint len)
+{
+	g_hash_table_remove_all(member->by_key);
+	g_hash_table_remove_all(member->by_id);
+	member->indexed = 0;
+	g_ptr_array_set_size(member->log, (gint)len);
+}
+
 static const log_entry_t *find_request(const GPtrArray *log, const char *id)
 {
 	for (guint i = 0; id != NULL && i < log->len; i++) {
@@ -261,6 +300,12 @@
 	return NULL;
 }
 
+static const log_entry_t *member_request(fake_member_t *member, const char *id)
+{
+	reindex(member);
+	return id != NULL ? g_hash_table_lookup(member->by_id, id) : NULL;
+}
+
 typedef struct replicate {
 	int from;
 	int to;
@@ -279,15 +324,16 @@
 	if (!is_down(world, member_node(r->to)) && to->upstream == r->from &&
 	    to->sealed == r->term && from->sealed == r->term &&
 	    !is_cut(world, member_node(r->from), member_node(r->to))) {
-		while (common < to->log->len && common < r->len &&
-		       ((log_entry_t *)to->log->pdata[common])->term ==
-			       ((log_entry_t *)from->log->pdata[common])->term)
-			common++;
+		/* Equal terms at one place mean equal logs up to it. */
+		common = MIN(to->log->len, r->len);
+		while (common > 0 && ((log_entry_t *)to->log->pdata[common - 1])->term !=
+					     ((log_entry_t *)from->log->pdata[common - 1])->term)
+			common--;
 		if (common < to->log->len && common < r->len)
-			g_ptr_array_set_size(to->log, (gint)common);
+			truncate_log(to, common);
 		else if (to->log->len > r->len && common == r->len &&
 			 report_of(to).log.term != r->term)
-			g_ptr_array_set_size(to->log, (gint)common);
+			truncate_log(to, common);
 		for (guint i = to->log->len; i < r->len; i++) {
 			const log_entry_t *e = from->log->pdata[i];
 
@@ -640,7 +686,7 @@
 	const char *value = query->params;
 	run_result_t result = {
 		.status = RUN_OK, .before = conn->before, .after = report_of(member)};
-	const log_entry_t *earlier = find_request(member->log, query->request_id);
+	const log_entry_t *earlier = member_request(member, query->request_id);
 	bool writes = conn->kind == RUN_WRITE || (conn->kind == RUN_STATEMENT && value != NULL);
 
 	if (writes && !member->primary) {
@@ -662,7 +708,7 @@
 	} else if (query->text != NULL) {
 		const char *own = find_value(conn->tx, query->text);
 
-		result.rows = rows_of(own != NULL ? own : find_value(member->log, query->text));
+		result.rows = rows_of(own != NULL ? own : member_value(member, query->text));
 	}
 	if (conn->kind == RUN_COMMIT && !result.repeated) {
 		conn->refs++;
@@ -1649,6 +1695,8 @@
 	member->upstream = i == 0 ? -1 : 0;
 	member->log = g_ptr_array_new_with_free_func(entry_free);
 	member->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	member->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	member->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	member->free_at = g_array_new(FALSE, TRUE, sizeof(usec_t));
 	g_array_set_size(member->free_at, (guint)world->config.slots);
 	g_ptr_array_add(member->log, entry_new(1, NULL, NULL, NULL));
@@ -1752,6 +1800,8 @@
 		g_ptr_array_unref(world->members[i].log);
 		g_hash_table_unref(world->members[i].claims);
 		g_array_unref(world->members[i].free_at);
+		g_hash_table_unref(world->members[i].by_key);
+		g_hash_table_unref(world->members[i].by_id);
 	}
 	g_hash_table_unref(world->told);
 	g_hash_table_unref(world->callers);
