Late messages, longest log, history and status, slots and leases in the stand-ins

Ranks are found in one pass over the fleet, and the check of an edit sums each group's rows once instead of walking all rows for each group.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -170,62 +170,99 @@
 	return XXH64(proxy->name, strlen(proxy->name), seed);
 }
 
-static bool zone_taken(const ranks_t *ranks, const char *zone)
+typedef struct scored {
+	proxy_t *proxy;
+	uint64_t score;
+} scored_t;
+
+#define MAX_ZONES 16
+
+/* The best proxy of each zone, and the best of all, found in one pass over the fleet. */
+typedef struct best {
+	scored_t by_zone[MAX_ZONES];
+	size_t zones;
+	scored_t overall[FLEET_RANKS];
+	size_t count;
+} best_t;
+
+/* Keep list sorted by falling score, with at most max entries. */
+static void insert_scored(scored_t *list, size_t *len, size_t max, scored_t entry)
 {
-	for (size_t i = 0; i < ranks->len; i++) {
-		if (zone != NULL && ranks->at[i]->zone != NULL &&
-		    strcmp(ranks->at[i]->zone, zone) == 0)
-			return true;
-	}
-	return false;
+	size_t i = *len;
+
+	if (*len == max && list[max - 1].score >= entry.score)
+		return;
+	if (*len < max)
+		(*len)++;
+	else
+		i = max - 1;
+	for (; i > 0 && list[i - 1].score < entry.score; i--)
+		list[i] = list[i - 1];
+	list[i] = entry;
 }
 
-static bool already_ranked(const ranks_t *ranks, const proxy_t *proxy)
+static bool same_zone(const proxy_t *a, const proxy_t *b)
 {
-	for (size_t i = 0; i < ranks->len; i++) {
-		if (ranks->at[i] == proxy)
-			return true;
+	return a->zone != NULL && b->zone != NULL && strcmp(a->zone, b->zone) == 0;
+}
+
+static void note_in_zone(best_t *best, scored_t entry)
+{
+	for (size_t i = 0; i < best->zones; i++) {
+		if (!same_zone(best->by_zone[i].proxy, entry.proxy))
+			continue;
+		if (entry.score > best->by_zone[i].score)
+			best->by_zone[i] = entry;
+		return;
 	}
-	return false;
+	if (best->zones < MAX_ZONES)
+		best->by_zone[best->zones++] = entry;
 }
 
-/* The best proxy not ranked yet, in a zone not taken yet if other_zone is set. */
-static proxy_t *best_of_rest(const fleet_t *fleet, const char *key, const ranks_t *ranks,
-			     bool other_zone)
+static void find_best(const fleet_t *fleet, const char *key, best_t *best)
 {
-	proxy_t *best = NULL;
-	uint64_t best_score = 0;
 	proxy_t *proxy;
 	proxy_t *next;
 
+	best->zones = 0;
+	best->count = 0;
 	HASH_ITER (hh, fleet->proxies, proxy, next) {
-		uint64_t mine = score(proxy, key);
+		scored_t entry = {proxy, score(proxy, key)};
 
-		if (proxy->leaving || already_ranked(ranks, proxy))
+		if (proxy->leaving)
 			continue;
-		if (other_zone && zone_taken(ranks, proxy->zone))
-			continue;
-		if (best == NULL || mine > best_score) {
-			best = proxy;
-			best_score = mine;
-		}
+		note_in_zone(best, entry);
+		insert_scored(best->overall, &best->count, FLEET_RANKS, entry);
 	}
-	return best;
 }
 
+static bool already_ranked(const ranks_t *ranks, const proxy_t *proxy)
+{
+	for (size_t i = 0; i < ranks->len; i++) {
+		if (ranks->at[i] == proxy)
+			return true;
+	}
+	return false;
+}
+
+/* The best of different zones first; where zones are too few, the best of the rest. */
 void fleet_rank(const fleet_t *fleet, const char *key, ranks_t *ranks)
 {
+	scored_t zone_winners[FLEET_RANKS];
+	size_t winners = 0;
+	best_t best;
+
 	if (ranks->epoch == fleet->epoch)
 		return;
+	find_best(fleet, key, &best);
+	for (size_t i = 0; i < best.zones; i++)
+		insert_scored(zone_winners, &winners, FLEET_RANKS, best.by_zone[i]);
 	ranks->len = 0;
-	while (ranks->len < FLEET_RANKS) {
-		proxy_t *best = best_of_rest(fleet, key, ranks, true);
-
-		if (best == NULL)
-			best = best_of_rest(fleet, key, ranks, false);
-		if (best == NULL)
-			break;
-		ranks->at[ranks->len++] = best;
+	for (size_t i = 0; i < winners; i++)
+		ranks->at[ranks->len++] = zone_winners[i].proxy;
+	for (size_t i = 0; i < best.count && ranks->len < FLEET_RANKS; i++) {
+		if (!already_ranked(ranks, best.overall[i].proxy))
+			ranks->at[ranks->len++] = best.overall[i].proxy;
 	}
 	ranks->epoch = fleet->epoch;
 }
--- a/core/table.c
+++ b/core/table.c
@@ -345,26 +345,22 @@
 
 static int check_row_fits(const table_t *table, const row_t *row, err_t *err)
 {
-	const group_spec_t *group = table_group(table, row->group);
+	/* The trial table is ours: its groups may note what their rows want. */
+	group_spec_t *group = (group_spec_t *)table_group(table, row->group);
 
 	if (group == NULL)
 		return err_set(err, -EINVAL, STEP, row->name,
 			       "group = \"%s\": expected the name of a group in the table",
 			       row->group);
+	group->wanted += row->connections;
 	return 0;
 }
 
 /* The limits of all rows and the control connections must fit each member. */
-static int check_group_fits(const table_t *table, const group_spec_t *group, err_t *err)
+static int check_group_fits(const group_spec_t *group, err_t *err)
 {
-	int64_t sum = CONTROL_CONNECTIONS;
-	table_item_t *item;
-	table_item_t *next;
+	int64_t sum = CONTROL_CONNECTIONS + group->wanted;
 
-	HASH_ITER (hh, table->items, item, next) {
-		if (item->row != NULL && strcmp(item->row->group, group->name) == 0)
-			sum += item->row->connections;
-	}
 	for (size_t i = 0; i < group->member_count; i++) {
 		const member_spec_t *member = &group->members[i];
 
@@ -387,8 +383,10 @@
 	HASH_ITER (hh, table->items, item, next) {
 		if (rc == 0 && item->row != NULL)
 			rc = check_row_fits(table, item->row, err);
+	}
+	HASH_ITER (hh, table->items, item, next) {
 		if (rc == 0 && item->group != NULL)
-			rc = check_group_fits(table, item->group, err);
+			rc = check_group_fits(item->group, err);
 	}
 	return rc;
 }
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -437,6 +437,64 @@
 	return status;
 }
 
+static void print_edit(const json_t *edit)
+{
+	const char *key;
+	json_t *change;
+
+	printf("version %lld by %s, edit %s\n",
+	       (long long)json_integer_value(json_object_get(edit, "version")),
+	       json_string_value(json_object_get(edit, "author")),
+	       json_string_value(json_object_get(edit, "edit")));
+	json_object_foreach (json_object_get(edit, "changes"), key, change) {
+		char *value = json_dumps(json_object_get(change, "value"),
+					 JSON_COMPACT | JSON_ENCODE_ANY);
+
+		printf("  %s = %s\n", key, value);
+		free(value);
+	}
+}
+
+static int run_table_history(ctl_t *ctl, int argc, char **argv)
+{
+	int status;
+	json_t *answer = call(ctl, "/v1/history", NULL, &status);
+	const json_t *edits = json_object_get(answer, "edits");
+
+	(void)argc;
+	(void)argv;
+	if (ctl->json && answer != NULL)
+		print_json(edits);
+	for (size_t i = 0; !ctl->json && i < json_array_size(edits); i++)
+		print_edit(json_array_get(edits, i));
+	json_decref(answer);
+	return status;
+}
+
+static int run_table_status(ctl_t *ctl, int argc, char **argv)
+{
+	int status;
+	json_t *state = call(ctl, "/v1/state", NULL, &status);
+	json_t *core = json_object_get(state, "core");
+
+	(void)argc;
+	(void)argv;
+	if (state == NULL)
+		return status;
+	if (ctl->json) {
+		print_json(json_object_get(core, "fleet"));
+	} else {
+		printf("table version %lld here, %s\n",
+		       (long long)json_integer_value(json_object_get(core, "table_version")),
+		       json_is_true(json_object_get(core, "table_current"))
+			       ? "known to be current"
+			       : "not known to be current: requests are refused");
+		print_proxies(json_object_get(core, "fleet"));
+	}
+	json_decref(state);
+	return status;
+}
+
 static int run_table_delete(ctl_t *ctl, int argc, char **argv)
 {
 	int64_t version;
@@ -460,6 +518,9 @@
 	 "apply the entries of FILE (- for input)"},
 	{"table", "set", 2, 64, run_table_set, "KEY FIELD=VALUE...", "change fields of one entry"},
 	{"table", "delete", 1, 1, run_table_delete, "KEY", "delete one entry"},
+	{"table", "history", 0, 0, run_table_history, "", "the last edits, newest first"},
+	{"table", "status", 0, 0, run_table_status, "",
+	 "which proxies have which version in force"},
 	{"fleet", NULL, 0, 0, run_fleet, "", "proxies, table versions, groups and primaries"},
 	{"state", NULL, 0, 0, run_state, "", "state of the proxy, JSON"},
 	{"metrics", NULL, 0, 0, run_metrics, "", "its counters, Prometheus text"},
--- a/links/adapter.h
+++ b/links/adapter.h
@@ -17,6 +17,7 @@
 	const conf_t *conf;
 	struct adapter *adapter;
 	kernel_t *kernel;
+	struct platform *platform;
 	void (*on_drained)(struct context *context);
 } context_t;
 
--- a/links/operators.c
+++ b/links/operators.c
@@ -13,6 +13,7 @@
 #include "adapter.h"
 #include "counter.h"
 #include "httpd.h"
+#include "platform.h"
 
 #define LOG_MODULE "operators"
 #include "log.h"
@@ -97,7 +98,7 @@
 	kernel_drain(self->kernel);
 }
 
-/* --- edits --- */
+/* --- edits and what else waits for the store --- */
 
 static void on_pending_disposed(void *ptr)
 {
@@ -109,7 +110,7 @@
 	talloc_free(pending);
 }
 
-static uint64_t wait_for_edit(operators_t *self, h2o_req_t *req)
+static pending_t *wait_for_store(operators_t *self, h2o_req_t *req)
 {
 	pending_t *pending = talloc_zero(NULL, pending_t);
 	pending_t **slot = h2o_mem_alloc_shared(&req->pool, sizeof(*slot), on_pending_disposed);
@@ -119,7 +120,48 @@
 	pending->req = req;
 	pending->owner = self;
 	HASH_ADD(hh, self->pending, id, sizeof(pending->id), pending);
-	return pending->id;
+	return pending;
+}
+
+/* The request that waits under this id, no longer waiting; NULL if its operator has gone. */
+static h2o_req_t *take_pending(operators_t *self, uint64_t id)
+{
+	pending_t *pending;
+
+	HASH_FIND(hh, self->pending, &id, sizeof(id), pending);
+	if (pending == NULL)
+		return NULL;
+	HASH_DEL(self->pending, pending);
+	pending->owner = NULL;
+	return pending->req;
+}
+
+typedef struct history_wait {
+	operators_t *self;
+	uint64_t id;
+} history_wait_t;
+
+static void on_history(void *data, json_t *edits)
+{
+	history_wait_t *wait = data;
+	h2o_req_t *req = take_pending(wait->self, wait->id);
+
+	talloc_free(wait);
+	if (req == NULL)
+		json_decref(edits);
+	else if (edits == NULL)
+		send_error(req, 503, "the store did not answer");
+	else
+		httpd_send_json(req, 200, json_pack("{s:o}", "edits", edits), 0);
+}
+
+static void get_history(operators_t *self, h2o_req_t *req)
+{
+	history_wait_t *wait = talloc_zero(NULL, history_wait_t);
+
+	wait->self = self;
+	wait->id = wait_for_store(self, req)->id;
+	platform_history(((context_t *)self->kernel->context)->platform, on_history, wait);
 }
 
 static size_t read_entries(void *parent, const json_t *object, table_entry_t **out)
@@ -150,7 +192,7 @@
 	event.entry_count = read_entries(scratch, json_object_get(body, "entries"), &entries);
 	event.entries = entries;
 	event.base_version = (uint64_t)json_integer_value(json_object_get(body, "base_version"));
-	event.id = wait_for_edit(self, req);
+	event.id = wait_for_store(self, req)->id;
 	adapter_submit(self->adapter, &event);
 	talloc_free(scratch);
 }
@@ -179,15 +221,11 @@
 		[EDIT_REFUSED] = "refused",
 		[EDIT_UNKNOWN] = "unknown",
 	};
-	operators_t *self = data;
-	pending_t *pending;
+	h2o_req_t *req = take_pending(data, action->id);
 
-	HASH_FIND(hh, self->pending, &action->id, sizeof(action->id), pending);
-	if (pending == NULL)
+	if (req == NULL)
 		return;
-	HASH_DEL(self->pending, pending);
-	pending->owner = NULL;
-	httpd_send_json(pending->req, 200,
+	httpd_send_json(req, 200,
 			json_pack("{s:s, s:I, s:s}", "status", names[action->edit_status],
 				  "version", (json_int_t)action->table_version, "detail",
 				  action->text),
@@ -201,7 +239,7 @@
 } endpoints[] = {
 	{"GET", "/v1/state", get_state},   {"GET", "/v1/metrics", get_metrics},
 	{"GET", "/v1/table", get_table},   {"POST", "/v1/table", post_edit},
-	{"POST", "/v1/drain", post_drain},
+	{"POST", "/v1/drain", post_drain}, {"GET", "/v1/history", get_history},
 };
 
 static int on_req(httpd_t *httpd, h2o_req_t *req)
@@ -220,7 +258,7 @@
 		}
 	}
 	send_error(req, 404,
-		   "expected GET /v1/state, metrics or table, or POST /v1/table or drain");
+		   "expected GET /v1/state, metrics, table or history, or POST /v1/table or drain");
 	return 0;
 }
 
--- a/links/platform.c
+++ b/links/platform.c
@@ -17,6 +17,7 @@
 #include "adapter.h"
 #include "counter.h"
 #include "httpc.h"
+#include "platform.h"
 
 #define LOG_MODULE "platform"
 #include "log.h"
@@ -463,6 +464,56 @@
 	post(self, "/v3/kv/range", body, on_commit_head, NULL, commit);
 }
 
+/* --- history --- */
+
+#define HISTORY_SHOWN 50
+
+typedef struct history {
+	platform_t *platform;
+	platform_history_cb_t done;
+	void *data;
+} history_t;
+
+static json_t *read_history(const json_t *kvs)
+{
+	json_t *edits = json_array();
+
+	for (size_t i = 0; i < json_array_size(kvs); i++) {
+		char *text = decode_text(NULL, json_object_get(json_array_get(kvs, i), "value"));
+		json_t *edit = text != NULL ? json_loads(text, 0, NULL) : NULL;
+
+		if (edit != NULL)
+			json_array_append_new(edits, edit);
+		talloc_free(text);
+	}
+	return edits;
+}
+
+static void on_history(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
+{
+	history_t *history = call->data;
+	json_t *answer = parse_answer(ok, status, body);
+
+	(void)len;
+	history->done(history->data,
+		      answer != NULL ? read_history(json_object_get(answer, "kvs")) : NULL);
+	json_decref(answer);
+	talloc_free(history);
+}
+
+void platform_history(struct platform *self, platform_history_cb_t done, void *data)
+{
+	history_t *history = talloc_zero(NULL, history_t);
+	json_t *body = json_pack("{s:o, s:o, s:s, s:s, s:i}", "key", encode_key(self, "history/"),
+				 "range_end", encode_key(self, "history0"), "sort_order", "DESCEND",
+				 "sort_target", "KEY", "limit", HISTORY_SHOWN);
+
+	history->platform = self;
+	history->done = done;
+	history->data = data;
+	post(self, "/v3/kv/range", body, on_history, NULL, history);
+}
+
 /* --- watch --- */
 
 static void watch_down(platform_t *self)
@@ -617,6 +668,7 @@
 	self->adapter = adapter_of(kernel);
 	self->loop = &kernel->loop;
 	self->conf = kernel->settings;
+	((context_t *)kernel->context)->platform = self;
 	rc = httpc_init(&self->httpc, &kernel->loop);
 	if (rc < 0)
 		return err_set(err, rc, "start platform link", self->conf->platform_url,
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -19,6 +19,8 @@
 #define TOKEN		  "operators-secret"
 #define SESSION_KEY	  "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
+int harness_member_conns = 15;
+
 static const char *const zones[] = {"plateau", "almadies", "pikine"};
 
 char *harness_program(const char *name)
@@ -89,6 +91,7 @@
 	char *port = g_strdup_printf("%d", harness_member_port(h, i));
 	char *name = g_strdup_printf("m%d", i);
 	char *lag = g_strdup_printf("%d", h->lag_ms);
+	char *conns = g_strdup_printf("%d", harness_member_conns);
 	char *follow = g_strdup_printf("127.0.0.1:%d", harness_member_port(h, 0));
 	char *program = harness_program("tests/standin_pg");
 	char *argv[] = {program,
@@ -98,6 +101,8 @@
 			port,
 			"--lag-ms",
 			lag,
+			"--max-conns",
+			conns,
 			i == 0 ? "--primary" : "--follow",
 			i == 0 ? NULL : follow,
 			NULL};
@@ -107,6 +112,7 @@
 	g_free(port);
 	g_free(name);
 	g_free(lag);
+	g_free(conns);
 	g_free(follow);
 }
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -24,6 +24,9 @@
 	char public_key[41]; /* of the fleet, for peers */
 } harness_t;
 
+/* Connections that a member allows; set before a start. */
+extern int harness_member_conns;
+
 /* The programs that the build made; the environment's BUILD_DIR says where. */
 char *harness_program(const char *name);
 
--- /dev/null
+++ b/tests/measure_real.c
@@ -0,0 +1,596 @@
+/*
+ * Measurements on real processes: what ./dev/measure capacity and path print.
+ * Absolute figures are this machine's; compare them within one run.
+ */
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <libpq-fe.h>
+#include <talloc.h>
+
+#include "fleet.h"
+#include "harness.h"
+#include "table.h"
+
+#define WINDOW_SEC     6
+#define NODES_AT_SIZE  2500
+#define GROUPS_AT_SIZE 3500
+#define ROWS_PER_GROUP 2
+#define WATCHERS       3
+
+/* --- one process --- */
+
+typedef struct usage {
+	double cpu_sec;
+	double rss_kb;
+} usage_t;
+
+static usage_t usage_of(pid_t pid)
+{
+	usage_t usage = {0};
+	char *path = g_strdup_printf("/proc/%d/schedstat", pid);
+	char *text = NULL;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		usage.cpu_sec = g_ascii_strtod(text, NULL) / 1e9;
+	g_free(text);
+	g_free(path);
+	path = g_strdup_printf("/proc/%d/statm", pid);
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		usage.rss_kb = g_ascii_strtod(strchr(text, ' '), NULL) *
+			       (double)sysconf(_SC_PAGESIZE) / 1024;
+	g_free(text);
+	g_free(path);
+	return usage;
+}
+
+/* --- one fleet, idle --- */
+
+typedef struct sample_run {
+	double cpu_percent; /* of a core, a proxy */
+	double rss_kb;
+	double peer_bytes;    /* a second, sent and received, a proxy */
+	double control_bytes; /* a second, a proxy */
+	double store_calls;   /* a second, the whole fleet */
+} sample_run_t;
+
+static double metric(const harness_t *h, int proxy, const char *name)
+{
+	char *text = NULL;
+	char *line;
+	double value = 0;
+
+	harness_ctl(h, proxy, &text, "metrics", NULL);
+	line = text != NULL ? strstr(text, name) : NULL;
+	while (line != NULL && (line == text || line[-1] != '\n' || line[strlen(name)] != ' '))
+		line = strstr(line + 1, name);
+	if (line != NULL)
+		value = g_ascii_strtod(line + strlen(name), NULL);
+	g_free(text);
+	return value;
+}
+
+static double member_bytes(const harness_t *h)
+{
+	double sum = 0;
+
+	for (int i = 0; i < HARNESS_MEMBERS; i++) {
+		char *value = harness_sql(h, i, "SELECT standin_stats()", NULL);
+
+		sum += value != NULL ? g_ascii_strtod(value, NULL) : 0;
+		g_free(value);
+	}
+	return sum;
+}
+
+static double store_calls(const harness_t *h)
+{
+	json_t *counts = harness_call(h->port, "/control", NULL, NULL);
+	double calls = (double)json_integer_value(json_object_get(counts, "calls"));
+
+	json_decref(counts);
+	return calls;
+}
+
+static double peer_bytes(const harness_t *h)
+{
+	double sum = 0;
+
+	for (int i = 0; i < h->proxy_count; i++)
+		sum += metric(h, i, "cyclamenspan_peer_bytes_sent_total");
+	return sum;
+}
+
+static sample_run_t observe(const harness_t *h)
+{
+	sample_run_t run = {0};
+	double cpu = 0;
+	double bytes = member_bytes(h);
+	double peers = peer_bytes(h);
+	double calls = store_calls(h);
+	int n = h->proxy_count;
+
+	for (int i = 0; i < n; i++)
+		cpu -= usage_of(h->proxies[i]).cpu_sec;
+	g_usleep(WINDOW_SEC * G_USEC_PER_SEC);
+	for (int i = 0; i < n; i++) {
+		usage_t usage = usage_of(h->proxies[i]);
+
+		cpu += usage.cpu_sec;
+		run.rss_kb += usage.rss_kb / n;
+	}
+	run.cpu_percent = 100.0 * cpu / n / WINDOW_SEC;
+	run.store_calls = (store_calls(h) - calls) / WINDOW_SEC;
+	/* What one sends another receives. */
+	run.peer_bytes = 2.0 * (peer_bytes(h) - peers) / n / WINDOW_SEC;
+	run.control_bytes = (member_bytes(h) - bytes) / n / WINDOW_SEC;
+	return run;
+}
+
+static json_t *group_value(const harness_t *h)
+{
+	json_t *members = json_array();
+
+	for (int i = 0; i < HARNESS_MEMBERS; i++) {
+		char *name = g_strdup_printf("m%d", i);
+		char *address = g_strdup_printf("127.0.0.1:%d", harness_member_port(h, i));
+
+		json_array_append_new(members, json_pack("{s:s, s:s, s:s, s:i}", "name", name,
+							 "zone", "plateau", "address", address,
+							 "connections", 10000));
+		g_free(name);
+		g_free(address);
+	}
+	return json_pack("{s:o}", "members", members);
+}
+
+/* More groups on the same three members: each is watched and polled on its own. */
+static void add_groups(const harness_t *h, int groups, int rows_per_group)
+{
+	json_t *entries = json_object();
+	char *path = g_build_filename(h->dir, "more.json", NULL);
+
+	for (int g = 0; g < groups; g++) {
+		char *key = g_strdup_printf("group/extra-%d", g);
+
+		json_object_set_new(entries, key, group_value(h));
+		g_free(key);
+		for (int r = 0; r < rows_per_group; r++) {
+			char *group = g_strdup_printf("extra-%d", g);
+
+			key = g_strdup_printf("row/service-%d/class-%d", g, r);
+			json_object_set_new(entries, key,
+					    json_pack("{s:s, s:s, s:i}", "group", group, "kind",
+						      "read", "connections", 4));
+			g_free(key);
+			g_free(group);
+		}
+	}
+	json_dump_file(entries, path, JSON_COMPACT);
+	if (groups > 0)
+		g_assert_cmpint(harness_ctl(h, 0, NULL, "table", "apply", path, NULL), ==, 0);
+	json_decref(entries);
+	g_free(path);
+	g_usleep(2 * G_USEC_PER_SEC);
+}
+
+static sample_run_t run_fleet(int proxies, int groups)
+{
+	harness_t *h;
+	sample_run_t run;
+
+	harness_member_conns = 10000;
+	h = harness_start_fleet(proxies, 5);
+	add_groups(h, groups - 1, 1);
+	run = observe(h);
+	printf("  %d proxies, %3d groups: %6.3f%% of a core, %7.0f KB, %8.0f B/s to peers, %8.0f "
+	       "B/s to members a proxy; %5.1f calls/s on the store in all\n",
+	       proxies, groups, run.cpu_percent, run.rss_kb, run.peer_bytes, run.control_bytes,
+	       run.store_calls);
+	harness_stop(h);
+	return run;
+}
+
+/* Least squares: y = a + b x. */
+static void fit(int n, const double *x, const double *y, double *a, double *b)
+{
+	double sx = 0;
+	double sy = 0;
+	double sxx = 0;
+	double sxy = 0;
+
+	for (int i = 0; i < n; i++) {
+		sx += x[i];
+		sy += y[i];
+		sxx += x[i] * x[i];
+		sxy += x[i] * y[i];
+	}
+	*b = (n * sxy - sx * sy) / (n * sxx - sx * sx);
+	*a = (sy - *b * sx) / n;
+}
+
+#define SIZES 3
+
+typedef double (*field_t)(const sample_run_t *run);
+
+static double cpu_field(const sample_run_t *run)
+{
+	return run->cpu_percent;
+}
+
+static double rss_field(const sample_run_t *run)
+{
+	return run->rss_kb;
+}
+
+static double peer_field(const sample_run_t *run)
+{
+	return run->peer_bytes;
+}
+
+static double control_field(const sample_run_t *run)
+{
+	return run->control_bytes;
+}
+
+static double store_field(const sample_run_t *run)
+{
+	return run->store_calls;
+}
+
+static void print_slope(const char *what, const char *per, const double *x,
+			const sample_run_t *runs, field_t field, double at)
+{
+	double y[SIZES];
+	double a;
+	double b;
+
+	for (int i = 0; i < SIZES; i++)
+		y[i] = field(&runs[i]);
+	fit(SIZES, x, y, &a, &b);
+	printf("    %-24s %10.3f + %9.4f for each %s; at %.1f: %.2f\n", what, a, b, per, at,
+	       a + b * at);
+}
+
+static void capacity_of_groups(void)
+{
+	static const int sizes[SIZES] = {1, 12, 36};
+	double x[SIZES];
+	sample_run_t runs[SIZES];
+	double at = (double)GROUPS_AT_SIZE * WATCHERS / NODES_AT_SIZE;
+
+	printf("Control against groups watched (three proxies watch every group, as three do at "
+	       "size; a node then watches %.1f):\n",
+	       at);
+	for (int i = 0; i < SIZES; i++) {
+		x[i] = sizes[i];
+		runs[i] = run_fleet(3, sizes[i]);
+	}
+	print_slope("CPU, % of a core", "group", x, runs, cpu_field, at);
+	print_slope("memory, KB", "group", x, runs, rss_field, at);
+	print_slope("bytes/s to peers", "group", x, runs, peer_field, at);
+	print_slope("bytes/s to members", "group", x, runs, control_field, at);
+	print_slope("store calls/s, all", "group", x, runs, store_field, at);
+}
+
+static void capacity_of_proxies(void)
+{
+	static const int sizes[SIZES] = {3, 6, 9};
+	double x[SIZES];
+	sample_run_t runs[SIZES];
+	/* Two others in each watched group, both ways, and three by hash: the degree at size. */
+	double at = 2 * (double)GROUPS_AT_SIZE * WATCHERS / NODES_AT_SIZE + WATCHERS;
+
+	printf("Control against proxies (one group; everybody is everybody's neighbour; at size a "
+	       "node has %.1f neighbours):\n",
+	       at);
+	for (int i = 0; i < SIZES; i++) {
+		x[i] = sizes[i] - 1;
+		runs[i] = run_fleet(sizes[i], 1);
+	}
+	print_slope("CPU, % of a core", "neighbour", x, runs, cpu_field, at);
+	print_slope("memory, KB", "neighbour", x, runs, rss_field, at);
+	print_slope("bytes/s to peers", "neighbour", x, runs, peer_field, at);
+	print_slope("store calls/s, all", "neighbour", x, runs, store_field, at);
+}
+
+static void capacity_of_table(void)
+{
+	static const int sizes[SIZES] = {100, 400, 1600};
+	double entries[SIZES];
+	double memory[SIZES];
+	double cpu[SIZES];
+	double a;
+	double b;
+	double at = GROUPS_AT_SIZE * (1 + ROWS_PER_GROUP);
+
+	printf("The table, held in process (groups with %d rows each; edits one after the other):\n",
+	       ROWS_PER_GROUP);
+	for (int i = 0; i < SIZES; i++) {
+		void *parent = talloc_new(NULL);
+		table_t *table = table_create(parent);
+		gint64 start;
+		const int edits = 20;
+		err_t err = {0};
+
+		for (int g = 0; g < sizes[i]; g++) {
+			for (int r = -1; r < ROWS_PER_GROUP; r++) {
+				char *key = r < 0 ? talloc_asprintf(parent, "group/g%d", g)
+						  : talloc_asprintf(parent, "row/s%d/c%d", g, r);
+				char *value =
+					r < 0 ? talloc_strdup(
+							parent,
+							"{\"members\":[{\"name\":\"m0\",\"zone\":\"z\","
+							"\"address\":\"10.0.0.1:5432\"}]}")
+					      : talloc_asprintf(parent,
+								"{\"group\":\"g%d\",\"kind\":"
+								"\"read\",\"connections\":4}",
+								g);
+				table_entry_t entry = {key, value, 1};
+
+				g_assert_cmpint(table_merge(table, &entry, 1, 1, &err), ==, 1);
+				talloc_free(key);
+				talloc_free(value);
+			}
+		}
+		start = g_get_monotonic_time();
+		for (int e = 0; e < edits; e++) {
+			table_entry_t entry = {"row/s0/c0", "{\"group\":\"g0\",\"kind\":\"read\"}",
+					       2};
+
+			g_assert_cmpint(table_check(table, &entry, 1, &err), ==, 0);
+		}
+		entries[i] = sizes[i] * (1 + ROWS_PER_GROUP);
+		cpu[i] = (double)(g_get_monotonic_time() - start) / edits / 1000;
+		memory[i] = (double)talloc_total_size(table) / 1024;
+		printf("  %5.0f entries: %8.0f KB, check of an edit %7.2f ms\n", entries[i],
+		       memory[i], cpu[i]);
+		talloc_free(parent);
+	}
+	fit(SIZES, entries, memory, &a, &b);
+	printf("    memory, KB               %10.3f + %9.4f for each entry; at %.0f: %.0f\n", a, b,
+	       at, a + b * at);
+	fit(SIZES, entries, cpu, &a, &b);
+	printf("    check of an edit, ms     %10.3f + %9.4f for each entry; at %.0f: %.1f\n", a, b,
+	       at, a + b * at);
+}
+
+static void capacity_of_ranks(void)
+{
+	static const int sizes[SIZES] = {100, 500, NODES_AT_SIZE};
+	double x[SIZES];
+	double y[SIZES];
+	double memory[SIZES];
+	double a;
+	double b;
+
+	printf("Ranks of %d groups anew after a change of the fleet, in process:\n",
+	       GROUPS_AT_SIZE);
+	for (int i = 0; i < SIZES; i++) {
+		fleet_t *fleet = fleet_create(NULL, "p0", "z0", "10.0.0.0:9000");
+		gint64 start;
+
+		for (int p = 1; p < sizes[i]; p++) {
+			char *name = g_strdup_printf("p%d", p);
+			char *zone = g_strdup_printf("z%d", p % 6);
+
+			fleet_add(fleet, 1, name, zone, "10.0.0.0:9000", true);
+			g_free(name);
+			g_free(zone);
+		}
+		start = g_get_monotonic_time();
+		for (int g = 0; g < GROUPS_AT_SIZE; g++) {
+			char key[32];
+			ranks_t ranks = {0};
+
+			snprintf(key, sizeof(key), "group-%d", g);
+			fleet_rank(fleet, key, &ranks);
+		}
+		x[i] = sizes[i];
+		y[i] = (double)(g_get_monotonic_time() - start) / 1000;
+		memory[i] = (double)talloc_total_size(fleet) / 1024;
+		printf("  %5d proxies: %8.1f ms, fleet %6.0f KB\n", sizes[i], y[i], memory[i]);
+		talloc_free(fleet);
+	}
+	fit(SIZES, x, y, &a, &b);
+	printf("    time, ms                 %10.3f + %9.4f for each proxy\n", a, b);
+	fit(SIZES, x, memory, &a, &b);
+	printf("    fleet, KB                %10.3f + %9.4f for each proxy\n", a, b);
+}
+
+static void measure_capacity(void)
+{
+	capacity_of_table();
+	capacity_of_ranks();
+	capacity_of_groups();
+	capacity_of_proxies();
+}
+
+/* --- the path --- */
+
+#define PATH_SEC     4
+#define PATH_CLIENTS 16
+
+typedef struct path_case {
+	const char *name;
+	const char *class_name; /* NULL: straight to the member */
+	const char *statement;
+	bool write;
+} path_case_t;
+
+#define SELECT_SQL "SELECT value FROM records WHERE key = $1"
+#define WRITE_SQL                                                                                  \
+	"INSERT INTO records (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = $2"
+
+static const path_case_t path_cases[] = {
+	{"straight, read", NULL, SELECT_SQL, false},
+	{"straight, write", NULL, WRITE_SQL, true},
+	{"proxy, aged read", "status", SELECT_SQL, false},
+	{"proxy, strict read", "assignment", SELECT_SQL, false},
+	{"proxy, write with id", "assign", WRITE_SQL, true},
+};
+
+static size_t ignore_body(char *data, size_t size, size_t count, void *ptr)
+{
+	(void)data;
+	(void)ptr;
+	return size * count;
+}
+
+typedef struct tally {
+	gint64 count;
+	gint64 failed;
+	gint64 usec;
+} tally_t;
+
+static void through_proxy(const harness_t *h, const path_case_t *what, int client, gint64 end,
+			  tally_t *tally)
+{
+	CURL *easy = curl_easy_init();
+	char *url = g_strdup_printf("http://127.0.0.1:%d/v1/statement",
+				    harness_caller_port(h, client % h->proxy_count));
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, ignore_body);
+	while (g_get_monotonic_time() < end) {
+		char *body = g_strdup_printf(
+			"{\"service\":\"dispatch\",\"class\":\"%s\",\"statement\":\"%s\","
+			"\"params\":[\"job-%d\"%s]%s%d-%d-%d%s}",
+			what->class_name, what->statement, client, what->write ? ",\"v\"" : "",
+			what->write ? ",\"request_id\":\""
+				    : ",\"deadline_ms\":5000,\"session\":\"new"
+				      "\",\"request_id\":\"",
+			getpid(), client, (int)tally->count, "\"");
+		gint64 start = g_get_monotonic_time();
+		long status = 0;
+
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+		curl_easy_perform(easy);
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+		tally->usec += g_get_monotonic_time() - start;
+		tally->count++;
+		tally->failed += status != 200;
+		g_free(body);
+	}
+	curl_easy_cleanup(easy);
+	g_free(url);
+}
+
+static void straight(const harness_t *h, const path_case_t *what, int client, gint64 end,
+		     tally_t *tally)
+{
+	char *info = g_strdup_printf("hostaddr=127.0.0.1 port=%d user=t dbname=t sslmode=disable",
+				     harness_member_port(h, 0));
+	PGconn *pg = PQconnectdb(info);
+	char key[32];
+	const char *params[] = {key, "v"};
+
+	snprintf(key, sizeof(key), "job-%d", client);
+	while (g_get_monotonic_time() < end) {
+		gint64 start = g_get_monotonic_time();
+		PGresult *result = PQexecParams(pg, what->statement, what->write ? 2 : 1, NULL,
+						params, NULL, NULL, 0);
+
+		tally->usec += g_get_monotonic_time() - start;
+		tally->count++;
+		tally->failed += PQresultStatus(result) != PGRES_TUPLES_OK &&
+				 PQresultStatus(result) != PGRES_COMMAND_OK;
+		PQclear(result);
+	}
+	PQfinish(pg);
+	g_free(info);
+}
+
+static pid_t start_client(const harness_t *h, const path_case_t *what, int client, gint64 end,
+			  int out)
+{
+	pid_t pid = fork();
+	tally_t tally = {0};
+
+	if (pid != 0)
+		return pid;
+	if (what->class_name != NULL)
+		through_proxy(h, what, client, end, &tally);
+	else
+		straight(h, what, client, end, &tally);
+	_exit(write(out, &tally, sizeof(tally)) == sizeof(tally) ? 0 : 1);
+}
+
+static double proxies_cpu(const harness_t *h)
+{
+	double cpu = 0;
+
+	for (int i = 0; i < h->proxy_count; i++)
+		cpu += usage_of(h->proxies[i]).cpu_sec;
+	return cpu;
+}
+
+static void run_path(const harness_t *h, const path_case_t *what, int clients)
+{
+	gint64 end = g_get_monotonic_time() + PATH_SEC * G_USEC_PER_SEC;
+	double cpu = proxies_cpu(h);
+	pid_t pids[PATH_CLIENTS];
+	tally_t sum = {0};
+	int fds[2];
+
+	g_assert_cmpint(pipe(fds), ==, 0);
+	for (int i = 0; i < clients; i++)
+		pids[i] = start_client(h, what, i, end, fds[1]);
+	for (int i = 0; i < clients; i++) {
+		tally_t one = {0};
+
+		g_assert_cmpint(read(fds[0], &one, sizeof(one)), ==, sizeof(one));
+		waitpid(pids[i], NULL, 0);
+		sum.count += one.count;
+		sum.failed += one.failed;
+		sum.usec += one.usec;
+	}
+	cpu = proxies_cpu(h) - cpu;
+	printf("%-22s %2d clients: %8.0f statements/s, mean %8.0f us, failed %d", what->name,
+	       clients, (double)sum.count / PATH_SEC, (double)sum.usec / (double)sum.count,
+	       (int)sum.failed);
+	if (what->class_name != NULL)
+		printf(", %8.0f statements/s per core of proxy", (double)sum.count / cpu);
+	printf("\n");
+	close(fds[0]);
+	close(fds[1]);
+}
+
+static void measure_path(void)
+{
+	harness_t *h;
+
+	harness_member_conns = 100;
+	h = harness_start_fleet(3, 0);
+	printf("Three proxies, three stand-in members, no replication lag, all on this machine; "
+	       "one client, then %d.\n",
+	       PATH_CLIENTS);
+	for (gsize i = 0; i < G_N_ELEMENTS(path_cases); i++) {
+		run_path(h, &path_cases[i], 1);
+		run_path(h, &path_cases[i], PATH_CLIENTS);
+	}
+	harness_stop(h);
+}
+
+int main(int argc, char **argv)
+{
+	const char *what = argc > 1 ? argv[1] : "";
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	if (strcmp(what, "capacity") == 0) {
+		measure_capacity();
+	} else if (strcmp(what, "path") == 0) {
+		measure_path();
+	} else {
+		fprintf(stderr, "usage: measure_real capacity | path\n");
+		return 2;
+	}
+	return 0;
+}
--- a/tests/standin_pg.c
+++ b/tests/standin_pg.c
@@ -51,6 +51,7 @@
 	char *sql;
 	char *params[MAX_PARAMS];
 	gint64 sleep_until;
+	gboolean in_slot;  /* its statement has taken a slot and its service time */
 	GPtrArray *writes; /* of the open transaction */
 	char *claim;	   /* "row/slot" */
 	guint64 sent_lsn;  /* to a replica */
@@ -77,11 +78,15 @@
 	GPtrArray *conns;
 	gint64 lag_us;
 	gint64 connect_us;
+	int slots; /* statements at once; matters when they take time */
+	int busy_slots;
+	gint64 service_us;
 	int max_conns;
 	int peak_conns;
 	gboolean cut;
+	guint64 bytes;	    /* to and from SQL clients */
 	gboolean unblocked; /* somebody can go on at once */
-} me = {.up_fd = -1, .connect_us = 10000, .max_conns = 15};
+} me = {.up_fd = -1, .connect_us = 10000, .max_conns = 15, .slots = 2};
 
 static gint64 now_us(void)
 {
@@ -238,10 +243,9 @@
 
 /* --- transactions --- */
 
-static void clear_tx(conn_t *conn)
+/* Whoever waits for a lock or a slot may try again. */
+static void unblock_all(void)
 {
-	g_ptr_array_set_size(conn->writes, 0);
-	conn->read_only = FALSE;
 	for (guint i = 0; i < me.conns->len; i++) {
 		conn_t *other = me.conns->pdata[i];
 
@@ -250,6 +254,37 @@
 	}
 }
 
+static void clear_tx(conn_t *conn)
+{
+	g_ptr_array_set_size(conn->writes, 0);
+	conn->read_only = FALSE;
+	unblock_all();
+}
+
+/* Statements take time and so many run at once; FALSE while this one waits or runs. */
+static gboolean pass_slot(conn_t *conn)
+{
+	if (me.service_us == 0 || conn->in_slot)
+		return TRUE;
+	conn->blocked = TRUE;
+	if (me.busy_slots < me.slots) {
+		me.busy_slots++;
+		conn->in_slot = TRUE;
+		conn->sleep_until = now_us() + me.service_us;
+	}
+	return FALSE;
+}
+
+static void leave_slot(conn_t *conn)
+{
+	if (!conn->in_slot)
+		return;
+	conn->in_slot = FALSE;
+	conn->sleep_until = 0;
+	me.busy_slots--;
+	unblock_all();
+}
+
 static const char *find_write(const GPtrArray *writes, const char *key)
 {
 	for (guint i = writes->len; i >= 2; i -= 2) {
@@ -577,11 +612,13 @@
 {
 	char conns[24];
 	char peak[24];
-	const char *row[] = {conns, peak};
+	char bytes[24];
+	const char *row[] = {bytes, conns, peak};
 
 	snprintf(conns, sizeof(conns), "%u", me.conns->len);
 	snprintf(peak, sizeof(peak), "%d", me.peak_conns);
-	send_row(conn, 2, row);
+	snprintf(bytes, sizeof(bytes), "%" G_GUINT64_FORMAT, me.bytes);
+	send_row(conn, 3, row);
 	complete(conn, "SELECT 1");
 }
 
@@ -591,31 +628,32 @@
 	const char *sql;
 	const char *columns; /* NULL: returns no rows */
 	void (*run)(conn_t *conn);
+	gboolean is_records; /* works on the record store, so it takes a slot */
 } statement_t;
 
 static const statement_t statements[] = {
-	{"BEGIN", NULL, do_begin},
-	{"BEGIN READ ONLY", NULL, do_begin},
-	{"COMMIT", NULL, do_commit},
-	{"ROLLBACK", NULL, do_rollback},
-	{SQL_REPORT, REPORT_COLUMNS, do_report},
-	{SQL_SEAL, REPORT_COLUMNS, do_seal},
-	{SQL_PROMOTE, REPORT_COLUMNS, do_promote},
-	{SQL_FOLLOW, REPORT_COLUMNS, do_follow},
-	{SQL_CLAIM, "slot", do_claim},
-	{SQL_INSERT_ID, NULL, do_insert_id},
-	{SQL_STORE_ANSWER, NULL, do_store_answer},
-	{SQL_FIND_ANSWER, "answer", do_find_answer},
-	{"SELECT value FROM records WHERE key = $1", "value", do_select},
-	{"INSERT INTO records (key, value) VALUES ($1, $2)", NULL, do_insert},
+	{"BEGIN", NULL, do_begin, FALSE},
+	{"BEGIN READ ONLY", NULL, do_begin, FALSE},
+	{"COMMIT", NULL, do_commit, FALSE},
+	{"ROLLBACK", NULL, do_rollback, FALSE},
+	{SQL_REPORT, REPORT_COLUMNS, do_report, FALSE},
+	{SQL_SEAL, REPORT_COLUMNS, do_seal, FALSE},
+	{SQL_PROMOTE, REPORT_COLUMNS, do_promote, FALSE},
+	{SQL_FOLLOW, REPORT_COLUMNS, do_follow, FALSE},
+	{SQL_CLAIM, "slot", do_claim, FALSE},
+	{SQL_INSERT_ID, NULL, do_insert_id, FALSE},
+	{SQL_STORE_ANSWER, NULL, do_store_answer, FALSE},
+	{SQL_FIND_ANSWER, "answer", do_find_answer, FALSE},
+	{"SELECT value FROM records WHERE key = $1", "value", do_select, TRUE},
+	{"INSERT INTO records (key, value) VALUES ($1, $2)", NULL, do_insert, TRUE},
 	{"INSERT INTO records (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = $2",
-	 NULL, do_put},
+	 NULL, do_put, TRUE},
 	{"UPDATE records SET value = value + 1 WHERE key = $1 RETURNING value", "value",
-	 do_increment},
-	{"SELECT pg_sleep($1)", "pg_sleep", do_sleep},
-	{"SELECT standin_cut($1)", REPORT_COLUMNS, do_cut},
-	{"SELECT standin_lag($1)", REPORT_COLUMNS, do_lag},
-	{"SELECT standin_stats()", "connections,peak", do_stats},
+	 do_increment, TRUE},
+	{"SELECT pg_sleep($1)", "pg_sleep", do_sleep, FALSE},
+	{"SELECT standin_cut($1)", REPORT_COLUMNS, do_cut, FALSE},
+	{"SELECT standin_lag($1)", REPORT_COLUMNS, do_lag, FALSE},
+	{"SELECT standin_stats()", "bytes,connections,peak", do_stats, FALSE},
 };
 
 static const statement_t *find_statement(const char *sql)
@@ -641,7 +679,13 @@
 		return TRUE;
 	}
 	conn->blocked = FALSE;
+	if (statement->is_records && !pass_slot(conn))
+		return FALSE;
+	if (statement->is_records)
+		conn->sleep_until = 0;
 	statement->run(conn);
+	if (!conn->blocked)
+		leave_slot(conn);
 	return !conn->blocked;
 }
 
@@ -990,6 +1034,7 @@
 {
 	conn_t *conn = ptr;
 
+	leave_slot(conn);
 	close(conn->fd);
 	g_byte_array_unref(conn->in);
 	g_byte_array_unref(conn->out);
@@ -1041,6 +1086,8 @@
 	if (conn->out->len == 0)
 		return;
 	n = send(conn->fd, conn->out->data, conn->out->len, MSG_DONTWAIT | MSG_NOSIGNAL);
+	if (n > 0 && conn->kind == PEER_SQL)
+		me.bytes += (guint64)n;
 	if (n > 0)
 		g_byte_array_remove_range(conn->out, 0, (guint)n);
 	else if (n < 0 && errno != EAGAIN)
@@ -1124,8 +1171,12 @@
 	for (guint i = 0; i < count; i++) {
 		conn_t *conn = me.conns->pdata[i];
 
+		guint before = conn->in->len;
+
 		if (fds[i].revents != 0 && !receive(conn->fd, conn->in))
 			conn->dead = TRUE;
+		if (conn->kind == PEER_SQL)
+			me.bytes += conn->in->len - before;
 	}
 	if (fds[count].revents != 0)
 		accept_conn();
@@ -1163,6 +1214,8 @@
 		{"follow", required_argument, NULL, 'f'},
 		{"lag-ms", required_argument, NULL, 'l'},
 		{"max-conns", required_argument, NULL, 'm'},
+		{"slots", required_argument, NULL, 's'},
+		{"service-us", required_argument, NULL, 'S'},
 		{"connect-ms", required_argument, NULL, 'c'},
 		{NULL, 0, NULL, 0},
 	};
@@ -1187,6 +1240,12 @@
 		case 'l':
 			me.lag_us = (gint64)atoi(optarg) * 1000;
 			break;
+		case 's':
+			me.slots = atoi(optarg);
+			break;
+		case 'S':
+			me.service_us = atoi(optarg);
+			break;
 		case 'm':
 			me.max_conns = atoi(optarg);
 			break;
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -1,6 +1,6 @@
 /*
  * Stand-in for the platform: a key-value store that speaks etcd's JSON gateway
- * (range, put, txn, watch) and a list of VMs. It counts every call, a waiting
+ * (range, put, txn, watch, leases) and a list of VMs. It counts every call, a waiting
  * watch as one, and can be down, slow, or lose answers after they took effect:
  *
  *   POST /control {"down": bool, "slow_ms": n, "lose_answers": n}
@@ -23,8 +23,15 @@
 	char *value; /* base64, as it came */
 	gint64 mod_revision;
 	gint64 create_revision;
+	gint64 lease; /* 0 none */
 } item_t;
 
+typedef struct lease {
+	gint64 id;
+	gint64 ttl_sec;
+	run_timer_t timer;
+} lease_t;
+
 typedef struct watcher {
 	h2o_generator_t generator;
 	h2o_req_t *req;
@@ -47,6 +54,7 @@
 	GTree *items; /* by decoded key */
 	gint64 revision;
 	GPtrArray *watchers;
+	GPtrArray *leases;
 	json_t *vms;
 	gboolean down;
 	gint64 slow_ms;
@@ -142,6 +150,22 @@
 	return FALSE;
 }
 
+/* Descending order and a limit, where asked for. */
+static void shape(const json_t *request, json_t **kvs)
+{
+	const char *order = json_string_value(json_object_get(request, "sort_order"));
+	gint64 limit = read_number(json_object_get(request, "limit"));
+	size_t count = json_array_size(*kvs);
+	json_t *out = json_array();
+
+	for (size_t i = 0; i < count && (limit == 0 || (gint64)i < limit); i++)
+		json_array_append(
+			out,
+			json_array_get(*kvs, g_strcmp0(order, "DESCEND") == 0 ? count - 1 - i : i));
+	json_decref(*kvs);
+	*kvs = out;
+}
+
 static json_t *do_range(const json_t *request)
 {
 	char *from = decode(json_object_get(request, "key"));
@@ -152,6 +176,7 @@
 	g_tree_foreach(me.items, collect, &range);
 	g_free(from);
 	g_free(to);
+	shape(request, &range.out);
 	return json_pack("{s:o, s:o, s:o}", "header", header(), "count",
 			 number((gint64)json_array_size(range.out)), "kvs", range.out);
 }
@@ -271,6 +296,7 @@
 
 	item->value = g_strdup(json_string_value(json_object_get(request, "value")));
 	item->mod_revision = revision;
+	item->lease = read_number(json_object_get(request, "lease"));
 	item->create_revision = old != NULL ? old->create_revision : revision;
 	g_tree_replace(me.items, key, item);
 }
@@ -338,6 +364,76 @@
 	return json_pack("{s:o}", "header", header());
 }
 
+/* --- leases --- */
+
+static lease_t *find_lease(gint64 id)
+{
+	for (guint i = 0; i < me.leases->len; i++) {
+		lease_t *lease = me.leases->pdata[i];
+
+		if (lease->id == id)
+			return lease;
+	}
+	return NULL;
+}
+
+static gboolean collect_leased(gpointer key, gpointer value, gpointer data)
+{
+	GPtrArray *out = ((gpointer *)data)[0];
+	const lease_t *lease = ((gpointer *)data)[1];
+
+	if (((const item_t *)value)->lease == lease->id)
+		g_ptr_array_add(out, g_strdup(key));
+	return FALSE;
+}
+
+/* The keys of a lease that lapses go with it. */
+static void on_lease_lapsed(run_timer_t *timer, usec_t now)
+{
+	lease_t *lease = list_entry(timer, lease_t, timer);
+	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+	gpointer data[] = {keys, lease};
+
+	(void)now;
+	g_tree_foreach(me.items, collect_leased, data);
+	for (guint i = 0; i < keys->len; i++)
+		g_tree_remove(me.items, keys->pdata[i]);
+	me.revision += keys->len > 0;
+	g_ptr_array_unref(keys);
+	g_ptr_array_remove(me.leases, lease);
+	g_free(lease);
+}
+
+static void arm_lease(lease_t *lease)
+{
+	timers_arm(&me.loop.timers, &lease->timer,
+		   clock_now(me.loop.clock) + (usec_t)lease->ttl_sec * USEC_PER_SEC,
+		   on_lease_lapsed);
+}
+
+static json_t *do_grant(const json_t *request)
+{
+	lease_t *lease = g_new0(lease_t, 1);
+
+	lease->id = ++me.revision + 1000000;
+	lease->ttl_sec = read_number(json_object_get(request, "TTL"));
+	g_ptr_array_add(me.leases, lease);
+	arm_lease(lease);
+	return json_pack("{s:o, s:o, s:o}", "header", header(), "ID", number(lease->id), "TTL",
+			 number(lease->ttl_sec));
+}
+
+static json_t *do_keepalive(const json_t *request)
+{
+	gint64 id = read_number(json_object_get(request, "ID"));
+	lease_t *lease = find_lease(id);
+
+	if (lease != NULL)
+		arm_lease(lease);
+	return json_pack("{s:{s:o, s:o, s:o}}", "result", "header", header(), "ID", number(id),
+			 "TTL", number(lease != NULL ? lease->ttl_sec : 0));
+}
+
 /* --- answering, with faults --- */
 
 static void on_held_due(run_timer_t *timer, usec_t now)
@@ -420,6 +516,10 @@
 		answer(req, do_put(body));
 	else if (httpd_is(req, "POST", "/v3/kv/txn"))
 		answer(req, do_txn(body));
+	else if (httpd_is(req, "POST", "/v3/lease/grant"))
+		answer(req, do_grant(body));
+	else if (httpd_is(req, "POST", "/v3/lease/keepalive"))
+		answer(req, do_keepalive(body));
 	else if (httpd_is(req, "POST", "/v3/watch"))
 		start_watch(req, body);
 	else if (httpd_is(req, "GET", "/v1/vms"))
@@ -466,6 +566,7 @@
 		return 2;
 	me.items = g_tree_new_full(compare_keys, NULL, g_free, item_free);
 	me.watchers = g_ptr_array_new();
+	me.leases = g_ptr_array_new();
 	me.vms = json_pack("{s:[]}", "vms");
 	loop_init(&me.loop, clock_system());
 	if (httpd_start(&me.httpd, &me.loop, address, 16 * 1024 * 1024, on_req, NULL, &err) < 0) {
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -107,6 +107,13 @@
 			0);
 	g_assert_nonnull(strstr(out, "\"max_age_ms\": 2000"));
 	g_free(out);
+	g_assert_cmpint(harness_ctl(h, 1, &out, "table", "history", NULL), ==, 0);
+	g_assert_nonnull(strstr(out, "version 1 by"));
+	g_assert_nonnull(strstr(out, "row/dispatch/assign = {"));
+	g_free(out);
+	g_assert_cmpint(harness_ctl(h, 1, &out, "table", "status", NULL), ==, 0);
+	g_assert_nonnull(strstr(out, "table version 1 here, known to be current"));
+	g_free(out);
 }
 
 /* A peer without the fleet's key is not let in: the fleet sees no proxy of that name. */
--- a/tests/world.c
+++ b/tests/world.c
@@ -70,7 +70,8 @@
 	bool leaving[WORLD_NODES];
 	usec_t frozen[WORLD_NODES]; /* until */
 	bool cut[WORLD_NODES][WORLD_NODES];
-	GHashTable *conns; /* "proxy:id" */
+	usec_t stalled[WORLD_NODES][WORLD_NODES]; /* messages sent meanwhile arrive then */
+	GHashTable *conns;			  /* "proxy:id" */
 	GHashTable *told;
 	GHashTable *callers; /* "proxy:caller" to name */
 	GHashTable *edits;
@@ -894,7 +895,8 @@
 		return;
 	}
 	*mail = (mail_t){proxy, to, message_copy(NULL, action->message)};
-	plan(world, world->now + latency(world, proxy, to), to, mail_arrive, mail);
+	plan(world, MAX(world->now + latency(world, proxy, to), world->stalled[proxy][to]), to,
+	     mail_arrive, mail);
 }
 
 /* --- the store --- */
@@ -1346,6 +1348,12 @@
 	world->cut[b][a] = cut;
 }
 
+void world_stall(world_t *world, int a, int b, usec_t for_how_long)
+{
+	say(world, "-- stalled %d to %d for %.0f ms", a, b, (double)for_how_long / 1000.0);
+	world->stalled[a][b] = world->now + for_how_long;
+}
+
 void world_lose_answers(world_t *world, int count)
 {
 	world->lose_answers = count;
