Control costs: reports in a third of the bytes, incremental ranks

Causes: every report sent its statement again and got five column descriptions back; every heartbeat said where its sender is. Reports are now a prepared statement with one text column; heartbeats to a proxy that knows us leave that out. Ranks move only where the change of the fleet can move them (the last 64 changes are kept); test_fleet compares 300 random changes with ranks worked out from nothing.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -5,13 +5,20 @@
 #include <talloc.h>
 #include <xxhash.h>
 
-static proxy_t *proxy_create(fleet_t *fleet, const char *name)
+static void note_change(fleet_t *fleet, fleet_change_kind_t kind, const proxy_t *proxy)
+{
+	fleet->changes[fleet->epoch % FLEET_CHANGES] = (fleet_change_t){kind, proxy};
+	fleet->epoch++;
+}
+
+static proxy_t *proxy_create(fleet_t *fleet, const char *name, const char *zone)
 {
 	proxy_t *proxy = talloc_zero(fleet, proxy_t);
 
 	proxy->name = talloc_strdup(proxy, name);
+	proxy->zone = talloc_strdup(proxy, zone);
 	HASH_ADD_KEYPTR(hh, fleet->proxies, proxy->name, strlen(proxy->name), proxy);
-	fleet->epoch++;
+	note_change(fleet, FLEET_JOINED, proxy);
 	return proxy;
 }
 
@@ -39,13 +46,14 @@
 	return proxy;
 }
 
-static void update_text(fleet_t *fleet, proxy_t *proxy, char **field, const char *text)
+/* Replace *field if text says something else; true if it did. */
+static bool update_text(proxy_t *proxy, char **field, const char *text)
 {
 	if (text == NULL || (*field != NULL && strcmp(*field, text) == 0))
-		return;
+		return false;
 	talloc_free(*field);
 	*field = talloc_strdup(proxy, text);
-	fleet->epoch++;
+	return true;
 }
 
 proxy_t *fleet_add(fleet_t *fleet, usec_t now, const char *name, const char *zone,
@@ -54,11 +62,12 @@
 	proxy_t *proxy = fleet_find(fleet, name);
 
 	if (proxy == NULL) {
-		proxy = proxy_create(fleet, name);
+		proxy = proxy_create(fleet, name, zone);
 		proxy->added = now;
 	}
-	update_text(fleet, proxy, &proxy->zone, zone);
-	update_text(fleet, proxy, &proxy->address, address);
+	if (update_text(proxy, &proxy->zone, zone))
+		note_change(fleet, FLEET_MOVED, proxy);
+	update_text(proxy, &proxy->address, address);
 	proxy->listed |= listed;
 	return proxy;
 }
@@ -77,8 +86,8 @@
 		if (proxy->self || proxy->listed || now - last < forget_after)
 			continue;
 		HASH_DEL(fleet->proxies, proxy);
+		note_change(fleet, FLEET_LEFT, proxy);
 		talloc_free(proxy);
-		fleet->epoch++;
 	}
 }
 
@@ -105,7 +114,7 @@
 	proxy->their_clock = 0;
 	proxy->table_version = 0;
 	proxy->store_contact = 0;
-	fleet->epoch++;
+	note_change(fleet, FLEET_JOINED, proxy);
 }
 
 void fleet_heard(fleet_t *fleet, proxy_t *proxy, usec_t now, const message_t *message)
@@ -129,7 +138,7 @@
 	if (proxy->leaving)
 		return;
 	proxy->leaving = true;
-	fleet->epoch++;
+	note_change(fleet, FLEET_LEFT, proxy);
 }
 
 void fleet_set_suspect(fleet_t *fleet, proxy_t *proxy)
@@ -245,6 +254,67 @@
 	return false;
 }
 
+static bool has_zone_twice(const ranks_t *ranks)
+{
+	for (size_t i = 1; i < ranks->len; i++) {
+		for (size_t j = 0; j < i; j++) {
+			if (same_zone(ranks->at[i], ranks->at[j]))
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Can the change have moved these ranks? Saying yes too often costs time only. */
+static bool affects(const ranks_t *ranks, const char *key, const fleet_change_t *change)
+{
+	switch (change->kind) {
+	case FLEET_JOINED:
+		/* With too few zones a proxy of a new one is ranked whatever its score. */
+		return ranks->len < FLEET_RANKS || has_zone_twice(ranks) ||
+		       score(change->proxy, key) > ranks->lowest;
+	case FLEET_LEFT:
+		return already_ranked(ranks, change->proxy);
+	case FLEET_MOVED:
+		break;
+	}
+	return true;
+}
+
+/* It left again since, and may be freed: its score is not to be asked for. */
+static bool left_later(const fleet_t *fleet, uint64_t since, const proxy_t *proxy)
+{
+	for (uint64_t e = since; e < fleet->epoch; e++) {
+		const fleet_change_t *change = &fleet->changes[e % FLEET_CHANGES];
+
+		if (change->kind == FLEET_LEFT && change->proxy == proxy)
+			return true;
+	}
+	return false;
+}
+
+static bool still_holds(const fleet_t *fleet, const char *key, const ranks_t *ranks)
+{
+	if (ranks->epoch == 0 || fleet->epoch - ranks->epoch > FLEET_CHANGES)
+		return false;
+	/* Ranks that hold a proxy that left are settled first: it may be freed. */
+	for (uint64_t e = ranks->epoch; e < fleet->epoch; e++) {
+		const fleet_change_t *change = &fleet->changes[e % FLEET_CHANGES];
+
+		if (change->kind == FLEET_LEFT && already_ranked(ranks, change->proxy))
+			return false;
+	}
+	for (uint64_t e = ranks->epoch; e < fleet->epoch; e++) {
+		const fleet_change_t *change = &fleet->changes[e % FLEET_CHANGES];
+
+		if (change->kind == FLEET_JOINED && left_later(fleet, e, change->proxy))
+			continue;
+		if (affects(ranks, key, change))
+			return false;
+	}
+	return true;
+}
+
 /* The best of different zones first; where zones are too few, the best of the rest. */
 void fleet_rank(const fleet_t *fleet, const char *key, ranks_t *ranks)
 {
@@ -254,6 +324,10 @@
 
 	if (ranks->epoch == fleet->epoch)
 		return;
+	if (still_holds(fleet, key, ranks)) {
+		ranks->epoch = fleet->epoch;
+		return;
+	}
 	find_best(fleet, key, &best);
 	for (size_t i = 0; i < best.zones; i++)
 		insert_scored(zone_winners, &winners, FLEET_RANKS, best.by_zone[i]);
@@ -264,6 +338,13 @@
 		if (!already_ranked(ranks, best.overall[i].proxy))
 			ranks->at[ranks->len++] = best.overall[i].proxy;
 	}
+	ranks->lowest = UINT64_MAX;
+	for (size_t i = 0; i < ranks->len; i++) {
+		uint64_t mine = score(ranks->at[i], key);
+
+		if (mine < ranks->lowest)
+			ranks->lowest = mine;
+	}
 	ranks->epoch = fleet->epoch;
 }
 
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -35,16 +35,29 @@
 	UT_hash_handle hh;
 } proxy_t;
 
+typedef enum { FLEET_JOINED, FLEET_LEFT, FLEET_MOVED } fleet_change_kind_t;
+
+/* A change that can move ranks. The proxy may be gone: only its address in memory counts. */
+typedef struct fleet_change {
+	fleet_change_kind_t kind;
+	const proxy_t *proxy;
+} fleet_change_t;
+
+/* Changes remembered, so that ranks are worked out anew only where they can have moved. */
+#define FLEET_CHANGES 64
+
 typedef struct fleet {
 	proxy_t *proxies;
 	proxy_t *self;
-	uint64_t epoch; /* grows with each change that can move a rank */
+	uint64_t epoch; /* number of changes so far; the last ones are in changes[] */
+	fleet_change_t changes[FLEET_CHANGES];
 } fleet_t;
 
 typedef struct ranks {
 	proxy_t *at[FLEET_RANKS];
 	size_t len;
-	uint64_t epoch; /* of the fleet when it was worked out */
+	uint64_t lowest; /* score of the worst ranked: a newcomer below it changes nothing */
+	uint64_t epoch;	 /* of the fleet when it was worked out */
 } ranks_t;
 
 fleet_t *fleet_create(void *parent, const char *name, const char *zone, const char *address);
--- a/core/peers.c
+++ b/core/peers.c
@@ -31,10 +31,12 @@
 
 static void send_heartbeat(core_t *core, const proxy_t *to)
 {
+	/* Who has told us of itself knows us too: where we are need not travel each time. */
+	bool is_known = to->their_clock != 0;
 	message_t message = {
 		.kind = MESSAGE_HEARTBEAT,
-		.zone = core->fleet->self->zone,
-		.address = core->fleet->self->address,
+		.zone = is_known ? NULL : core->fleet->self->zone,
+		.address = is_known ? NULL : core->fleet->self->address,
 		.leaving = core->draining,
 		.table_version = core->table->version,
 		.store_age =
--- a/links/control.c
+++ b/links/control.c
@@ -19,6 +19,8 @@
 /* A member that was sent no order for so long is no longer watched: let its connection go. */
 #define IDLE_CLOSE (10 * USEC_PER_SEC)
 
+#define REPORT_NAME "report"
+
 COUNTER_DEFINE(orders_total, "control_orders_total", COUNTER_SUM,
 	       "Orders sent to group members, reports included.");
 COUNTER_DEFINE(failed_total, "control_failed_total", COUNTER_SUM, "Orders without an answer.");
@@ -47,6 +49,7 @@
 	UT_hash_handle hh;
 	list_t orders; /* the first may be in progress */
 	bool busy;
+	bool preparing;
 	bool open;
 	run_timer_t timer;
 } control_conn_t;
@@ -106,11 +109,14 @@
 	char term[24];
 	const char *params[] = {term, order != NULL ? order->target : NULL};
 
-	if (order == NULL || conn->busy || !conn->io.ready)
+	if (order == NULL || conn->busy || conn->preparing || !conn->io.ready)
 		return;
 	conn->busy = true;
 	snprintf(term, sizeof(term), "%llu", (unsigned long long)order->term);
-	pgio_send(&conn->io, order_sql[order->kind], order_params[order->kind], params);
+	if (order->kind == ORDER_REPORT)
+		pgio_send_prepared(&conn->io, REPORT_NAME);
+	else
+		pgio_send(&conn->io, order_sql[order->kind], order_params[order->kind], params);
 	pgio_sync(&conn->io);
 }
 
@@ -126,6 +132,7 @@
 {
 	pgio_close(&conn->io);
 	conn->busy = false;
+	conn->preparing = false;
 	conn->open = false;
 	fail_all(conn, status);
 }
@@ -151,9 +158,20 @@
 	timers_arm(&conn->control->loop->timers, &conn->timer, at, on_timer);
 }
 
+/* Reports are most of the traffic: prepared once, they need a third of the bytes. */
 static void on_ready(pgio_t *io)
 {
-	send_next(list_entry(io, control_conn_t, io));
+	control_conn_t *conn = list_entry(io, control_conn_t, io);
+
+	conn->preparing = true;
+	pgio_prepare(io, REPORT_NAME, SQL_REPORT);
+	pgio_sync(io);
+}
+
+static void prepared(control_conn_t *conn)
+{
+	conn->preparing = false;
+	send_next(conn);
 }
 
 static void on_result(pgio_t *io, const PGresult *result)
@@ -161,6 +179,11 @@
 	control_conn_t *conn = list_entry(io, control_conn_t, io);
 	order_t *order = first_order(conn);
 
+	if (conn->preparing) {
+		if (result == NULL)
+			prepared(conn);
+		return;
+	}
 	if (order == NULL)
 		return;
 	if (result != NULL) {
@@ -183,6 +206,7 @@
 
 	LOG_DEBUG("control connection lost group=%s member=%s: %s", conn->group, conn->member, why);
 	conn->busy = false;
+	conn->preparing = false;
 	conn->open = false;
 	fail_all(conn, refused ? ORDER_UNREACHABLE : ORDER_TIMED_OUT);
 	if (!refused)
--- a/links/pgio.c
+++ b/links/pgio.c
@@ -190,6 +190,18 @@
 		io->pending++;
 }
 
+void pgio_prepare(pgio_t *io, const char *name, const char *sql)
+{
+	if (PQsendPrepare(io->pg, name, sql, 0, NULL) == 1)
+		io->pending++;
+}
+
+void pgio_send_prepared(pgio_t *io, const char *name)
+{
+	if (PQsendQueryPrepared(io->pg, name, 0, NULL, NULL, NULL, 0) == 1)
+		io->pending++;
+}
+
 void pgio_sync(pgio_t *io)
 {
 	if (PQpipelineSync(io->pg) == 1)
--- a/links/pgio.h
+++ b/links/pgio.h
@@ -37,6 +37,12 @@
 /* Queue a command; params are text, sent apart from the statement. */
 void pgio_send(pgio_t *io, const char *sql, int count, const char *const *params);
 
+/* Prepare sql under name; its result comes like a command's. */
+void pgio_prepare(pgio_t *io, const char *name, const char *sql);
+
+/* Queue a prepared command without parameters: its text does not travel again. */
+void pgio_send_prepared(pgio_t *io, const char *name);
+
 /* End this part of the pipeline and send it. */
 void pgio_sync(pgio_t *io);
 
--- a/links/sql.c
+++ b/links/sql.c
@@ -1,34 +1,32 @@
 #include "sql.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
 #include <talloc.h>
 
-#define REPORT_COLUMNS 5
-
-static uint64_t number_at(const PGresult *result, int column)
-{
-	return strtoull(PQgetvalue(result, 0, column), NULL, 10);
-}
-
-static bool flag_at(const PGresult *result, int column)
-{
-	return PQgetvalue(result, 0, column)[0] == 't';
-}
+#define REPORT_FIELDS 5
 
 int sql_read_report(const PGresult *result, bool *accepted, report_t *report)
 {
-	if (PQresultStatus(result) != PGRES_TUPLES_OK || PQntuples(result) != 1 ||
-	    PQnfields(result) != REPORT_COLUMNS)
+	unsigned long long sealed;
+	unsigned long long term;
+	unsigned long long lsn;
+	int ok;
+	int primary;
+
+	if (PQresultStatus(result) != PGRES_TUPLES_OK || PQntuples(result) != 1)
+		return -EBADMSG;
+	if (sscanf(PQgetvalue(result, 0, 0), "%d %llu %llu %llu %d", &ok, &sealed, &term, &lsn,
+		   &primary) != REPORT_FIELDS)
 		return -EBADMSG;
-	*accepted = flag_at(result, 0);
-	report->sealed = number_at(result, 1);
-	report->log.term = number_at(result, 2);
-	report->log.lsn = number_at(result, 3);
-	report->primary = flag_at(result, 4);
+	*accepted = ok != 0;
+	report->sealed = sealed;
+	report->log = (position_t){.term = term, .lsn = lsn};
+	report->primary = primary != 0;
 	return 0;
 }
 
--- a/links/sql.h
+++ b/links/sql.h
@@ -8,12 +8,14 @@
 
 #include "types.h"
 
-#define SQL_REPORT "SELECT true, sealed, log_term, lsn, is_primary FROM cyclamenspan_report()"
-#define SQL_SEAL   "SELECT accepted, sealed, log_term, lsn, is_primary FROM cyclamenspan_seal($1)"
-#define SQL_PROMOTE                                                                                \
-	"SELECT accepted, sealed, log_term, lsn, is_primary FROM cyclamenspan_promote($1)"
-#define SQL_FOLLOW                                                                                 \
-	"SELECT accepted, sealed, log_term, lsn, is_primary FROM cyclamenspan_follow($1, $2)"
+/*
+ * Each returns one text, "ACCEPTED SEALED LOG_TERM LSN PRIMARY", flags as 0 or 1: a
+ * single column, since a row description costs more bytes than the report.
+ */
+#define SQL_REPORT  "SELECT cyclamenspan_report()"
+#define SQL_SEAL    "SELECT cyclamenspan_seal($1)"
+#define SQL_PROMOTE "SELECT cyclamenspan_promote($1)"
+#define SQL_FOLLOW  "SELECT cyclamenspan_follow($1, $2)"
 
 /*
  * Claims one of the row's slots for this connection. An advisory lock belongs
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -72,6 +72,46 @@
 	talloc_free(fleet);
 }
 
+/* After any change, ranks kept from before equal ranks worked out from nothing. */
+static void test_incremental(void)
+{
+	enum { GROUPS = 200, CHANGES = 300 };
+	static ranks_t kept[GROUPS];
+	fleet_t *fleet = make();
+	GRand *rand = g_rand_new_with_seed(7);
+
+	for (int i = 0; i < CHANGES; i++) {
+		char *name = g_strdup_printf("p%d", g_rand_int_range(rand, 1, 25));
+		char *zone = g_strdup_printf("z%d", g_rand_int_range(rand, 0, 5));
+		vm_t only = {.name = "p0", .zone = "z0", .address = "h:0"};
+		proxy_t *proxy = fleet_find(fleet, name);
+
+		if (proxy == NULL)
+			fleet_add(fleet, (usec_t)i, name, zone, "h:1", true);
+		else if (g_rand_boolean(rand))
+			fleet_set_leaving(fleet, proxy);
+		else if (g_rand_int_range(rand, 0, 40) == 0)
+			fleet_take_list(fleet, (usec_t)i, &only, 1, 20);
+		else
+			fleet_add(fleet, (usec_t)i, name, zone, "h:2", true);
+		for (int group = i % 3; group < GROUPS; group += 1 + i % 4) {
+			char *key = g_strdup_printf("group-%d", group);
+			ranks_t fresh;
+
+			rank(fleet, group, &fresh);
+			fleet_rank(fleet, key, &kept[group]);
+			g_assert_cmpuint(kept[group].len, ==, fresh.len);
+			for (size_t r = 0; r < fresh.len; r++)
+				g_assert_true(kept[group].at[r] == fresh.at[r]);
+			g_free(key);
+		}
+		g_free(name);
+		g_free(zone);
+	}
+	g_rand_free(rand);
+	talloc_free(fleet);
+}
+
 static void hear(fleet_t *fleet, const char *name, usec_t now, uint64_t incarnation, bool leaving)
 {
 	message_t message = {.kind = MESSAGE_HEARTBEAT,
@@ -152,6 +192,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/fleet/zones", test_zones_differ);
 	g_test_add_func("/fleet/leaving-moves-little", test_leaving_moves_little);
+	g_test_add_func("/fleet/incremental", test_incremental);
 	g_test_add_func("/fleet/leaving-final", test_leaving_is_final);
 	g_test_add_func("/fleet/suspicion", test_suspicion);
 	g_test_add_func("/fleet/majority", test_majority);
