--- a/core/group.c
+++ b/core/group.c
@@ -220,7 +220,8 @@
 
 static void clear_samples(group_t *group)
 {
-	memset(group->samples, 0, sizeof(group->samples));
+	if (group->samples != NULL)
+		memset(group->samples, 0, GROUP_SAMPLES * sizeof(group->samples[0]));
 	group->sample_next = 0;
 }
 
@@ -445,6 +446,7 @@
 
 	group->members = talloc_zero_array(group, member_t, spec->member_count);
 	group->member_count = spec->member_count;
+	group->samples = talloc_zero_array(group->members, sample_t, GROUP_SAMPLES);
 	group->primary_lost = core->now;
 	group->watched_since = core->now;
 	for (size_t i = 0; i < spec->member_count; i++) {
@@ -469,6 +471,7 @@
 	pool_close_all(group);
 	talloc_free(group->members);
 	group->members = NULL;
+	group->samples = NULL;
 	group->member_count = 0;
 	group->primary = NULL;
 	group->term = 0;
