--- a/core/core.c
+++ b/core/core.c
@@ -100,6 +100,8 @@
 	core->config = *config;
 	core->name = talloc_strdup(core, config->name);
 	core->rng = config->seed;
+	if (core->config.small_fleet == 0)
+		core->config.small_fleet = CORE_SMALL_FLEET;
 	core->placement = config->equal_shares ? &placement_equal_shares : &placement_home;
 	list_init(&core->actions);
 	list_init(&core->edits);
@@ -150,6 +152,7 @@
 		fleet_forgive(core->fleet);
 		HASH_ITER (hh, core->groups, group, next)
 			group_forget_health(group);
+		router_after_pause(core);
 		core_note(core, true, "this process was paused for %llu ms",
 			  (unsigned long long)((now - core->last_wake) / MSEC));
 	}
@@ -247,8 +250,8 @@
 {
 	bool first = core->now == 0;
 
-	notice_pause(core, now);
 	core->now = now;
+	notice_pause(core, now);
 	if (first)
 		start(core);
 	handle(core, event);
--- a/core/core.h
+++ b/core/core.h
@@ -44,6 +44,7 @@
 	/* Baseline for measurements: one watcher, one fixed time-out, no other evidence. */
 	bool fixed_detection;
 	usec_t fixed_timeout;
+	size_t small_fleet; /* up to this size everybody is everybody's neighbour */
 	/* Baseline: every proxy runs what it receives, with an equal share of the connections. */
 	bool equal_shares;
 	/* Baseline: the choice of a replica takes no account of availability zones. */
@@ -55,6 +56,8 @@
 
 core_timings_t core_timings_default(void);
 
+#define CORE_SMALL_FLEET 12
+
 /* A core as a child of parent. It acts first at the event that follows. */
 core_t *core_create(void *parent, const core_config_t *config);
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -5,6 +5,9 @@
 #include <talloc.h>
 #include <xxhash.h>
 
+/* A suspect that is not expected is tried again after so many times the allowed silence. */
+#define SECOND_CHANCE 5
+
 static void note_change(fleet_t *fleet, fleet_change_kind_t kind, const proxy_t *proxy)
 {
 	fleet->changes[fleet->epoch % FLEET_CHANGES] = (fleet_change_t){kind, proxy};
@@ -141,22 +144,29 @@
 	note_change(fleet, FLEET_LEFT, proxy);
 }
 
-void fleet_set_suspect(fleet_t *fleet, proxy_t *proxy)
+void fleet_set_suspect(proxy_t *proxy, usec_t now)
 {
-	(void)fleet; /* suspicion moves nobody's rank: it is passed over when ranks are used */
-	if (!proxy->self)
-		proxy->suspect = true;
+	/* It moves nobody's rank: a suspect is passed over when ranks are used. */
+	if (proxy->self)
+		return;
+	proxy->suspect = true;
+	proxy->suspected = now;
 }
 
-void fleet_suspect_silent(fleet_t *fleet, usec_t silent_since)
+void fleet_suspect_silent(fleet_t *fleet, usec_t now, usec_t allowed)
 {
 	proxy_t *proxy;
 	proxy_t *next;
 
 	HASH_ITER (hh, fleet->proxies, proxy, next) {
-		/* Never heard: not a neighbour, or just added. Only forwarding can tell. */
-		if (proxy->heard != 0 && proxy->heard < silent_since)
-			fleet_set_suspect(fleet, proxy);
+		if (!proxy->expected) {
+			if (proxy->suspect && now - proxy->suspected > SECOND_CHANCE * allowed)
+				proxy->suspect = false;
+			continue;
+		}
+		/* Never heard: just added. Only forwarding can tell. */
+		if (proxy->heard != 0 && now - proxy->heard > allowed)
+			fleet_set_suspect(proxy, now);
 	}
 }
 
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -25,6 +25,8 @@
 	bool listed;  /* on the platform's list, or in the settings */
 	bool leaving; /* final for this incarnation */
 	bool suspect; /* does not answer; cleared by the next message */
+	usec_t suspected;
+	bool expected; /* it sends us heartbeats regularly, so its silence means something */
 	uint64_t incarnation;
 	usec_t added;
 	usec_t heard;	    /* last message, 0 never */
@@ -76,10 +78,14 @@
 void fleet_heard(fleet_t *fleet, proxy_t *proxy, usec_t now, const message_t *message);
 
 void fleet_set_leaving(fleet_t *fleet, proxy_t *proxy);
-void fleet_set_suspect(fleet_t *fleet, proxy_t *proxy);
+void fleet_set_suspect(proxy_t *proxy, usec_t now);
 
-/* Suspect the peers that were silent since before silent_since. */
-void fleet_suspect_silent(fleet_t *fleet, usec_t silent_since);
+/*
+ * Suspect the expected peers that were silent for allowed. One that is not
+ * expected was suspected because it did not accept a request; it sends nothing
+ * that could clear it, so it gets another chance after a while.
+ */
+void fleet_suspect_silent(fleet_t *fleet, usec_t now, usec_t allowed);
 
 /* After a pause of this process: judge nobody on what was missed meanwhile. */
 void fleet_forgive(fleet_t *fleet);
--- a/core/peers.c
+++ b/core/peers.c
@@ -9,8 +9,6 @@
 #include "tablesync.h"
 #include "tx.h"
 
-/* Up to this size everybody is everybody's neighbour. */
-#define SMALL_FLEET 12
 /* Beyond it, extra neighbours by hash join the parts that share no group. */
 #define HASH_NEIGHBOURS "neighbours/"
 
@@ -63,6 +61,18 @@
 		add_neighbour(out, len, max, ranks->at[i]);
 }
 
+/* These, and nobody else, send us heartbeats regularly. */
+static void expect(core_t *core, proxy_t *const *proxies, size_t len)
+{
+	proxy_t *proxy;
+	proxy_t *next;
+
+	HASH_ITER (hh, core->fleet->proxies, proxy, next)
+		proxy->expected = false;
+	for (size_t i = 0; i < len; i++)
+		proxies[i]->expected = true;
+}
+
 /* Those we share a watched group with, the table's keepers if we are one, and some by hash. */
 static size_t large_fleet_neighbours(core_t *core, proxy_t **out, size_t max)
 {
@@ -76,6 +86,7 @@
 		if (group->rank >= 0)
 			add_ranked(out, &len, max, &group->ranks);
 	}
+	expect(core, out, len); /* sharing a group is mutual, being picked by hash is not */
 	fleet_rank(core->fleet, key, &picks);
 	add_ranked(out, &len, max, &picks);
 	talloc_free(key);
@@ -90,6 +101,7 @@
 
 	HASH_ITER (hh, core->fleet->proxies, proxy, next)
 		add_neighbour(out, &len, max, proxy);
+	expect(core, out, len);
 	return len;
 }
 
@@ -99,7 +111,7 @@
 	size_t max = sizeof(neighbours) / sizeof(neighbours[0]);
 	size_t len;
 
-	if (HASH_COUNT(core->fleet->proxies) <= SMALL_FLEET)
+	if (HASH_COUNT(core->fleet->proxies) <= core->config.small_fleet)
 		len = all_others(core, neighbours, max);
 	else
 		len = large_fleet_neighbours(core, neighbours, max);
@@ -115,7 +127,7 @@
 	timers_arm(&core->timers, timer, now + core->config.timings.heartbeat, on_heartbeat);
 	peers_spread(core);
 	if (now - core->awake_since > allowed) {
-		fleet_suspect_silent(core->fleet, now - allowed);
+		fleet_suspect_silent(core->fleet, now, allowed);
 		router_check_homes(core);
 	}
 	tx_close_idle(core);
--- a/core/router.c
+++ b/core/router.c
@@ -260,7 +260,7 @@
 	proxy_t *home = fleet_find(request->core->fleet, request->home);
 
 	if (home != NULL)
-		fleet_set_suspect(request->core->fleet, home);
+		fleet_set_suspect(home, request->core->now);
 	timers_cancel(&request->core->timers, &request->ack_timer);
 	if (request->query->tx != NULL) {
 		/* Its connection drops with it and the server rolls back, unless this was the
@@ -298,7 +298,7 @@
 		return;
 	home = fleet_find(core->fleet, request->home);
 	if (home != NULL)
-		fleet_set_suspect(core->fleet, home);
+		fleet_set_suspect(home, core->now);
 	timers_cancel(&core->timers, &request->ack_timer);
 	if (request->query->tx != NULL)
 		request_refuse(request, REFUSAL_TX_LOST, 0, "proxy %s can't be reached",
@@ -323,6 +323,18 @@
 	}
 }
 
+void router_after_pause(core_t *core)
+{
+	request_t *request;
+	request_t *next;
+
+	HASH_ITER (hh, core->requests, request, next) {
+		if (request->state == REQUEST_FORWARDED && timer_is_armed(&request->ack_timer))
+			timers_arm(&core->timers, &request->ack_timer,
+				   core->now + core->config.timings.ack, on_ack_timeout);
+	}
+}
+
 void router_accepted(core_t *core, const message_t *message)
 {
 	request_t *request = request_find(core, message->request);
--- a/core/router.h
+++ b/core/router.h
@@ -21,5 +21,8 @@
 /* Give up on forwards whose home has become suspect. */
 void router_check_homes(core_t *core);
 
+/* Our own pause ended: whether a home accepted in time is not known, so it gets the time anew. */
+void router_after_pause(core_t *core);
+
 void router_deadline(request_t *request);
 void router_answer_peer(request_t *request, const answer_t *answer);
--- a/core/state.h
+++ b/core/state.h
@@ -116,7 +116,7 @@
 	member_t *primary; /* promoted for that term, as far as we know */
 	usec_t watched_since;
 	usec_t primary_lost; /* since when there is no usable one, 0 if there is */
-	sample_t *samples; /* GROUP_SAMPLES of them; NULL unless watched */
+	sample_t *samples;   /* GROUP_SAMPLES of them; NULL unless watched */
 	size_t sample_next;
 	list_t queue;		/* request_t, by weight and deadline */
 	list_t confirms;	/* request_t waiting for a majority */
--- a/kernel/timer.h
+++ b/kernel/timer.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "clock.h"
@@ -31,6 +32,11 @@
 int timers_arm(timer_set_t *set, run_timer_t *timer, usec_t at, timer_cb_t cb);
 void timers_cancel(timer_set_t *set, run_timer_t *timer);
 
+static inline bool timer_is_armed(const run_timer_t *timer)
+{
+	return timer->index != 0;
+}
+
 /* When the first timer is due, USEC_NEVER if none is armed. */
 usec_t timers_next(const timer_set_t *set);
 
--- a/tests/session.c
+++ b/tests/session.c
@@ -269,6 +269,8 @@
 		config->service_time = msec(words[2]);
 	else if (strcmp(words[1], "max-age") == 0)
 		config->max_age = msec(words[2]);
+	else if (strcmp(words[1], "small-fleet") == 0)
+		config->small_fleet = atoi(words[2]);
 	else if (strcmp(words[1], "seed") == 0)
 		config->seed = (uint64_t)atoi(words[2]);
 	else if (strcmp(words[1], "fixed-detection") == 0)
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -219,6 +219,24 @@
 	harness_stop(h);
 }
 
+typedef struct slow_call {
+	const harness_t *h;
+	int proxy;
+	json_t *answer;
+} slow_call_t;
+
+static gpointer ask_slowly(gpointer data)
+{
+	slow_call_t *call = data;
+
+	call->answer = harness_call(harness_caller_port(call->h, call->proxy), "/v1/statement",
+				    json_pack("{s:s, s:s, s:s, s:[s]}", "service", "dispatch",
+					      "class", "assign", "statement", "SELECT pg_sleep($1)",
+					      "params", "1.2"),
+				    NULL);
+	return NULL;
+}
+
 /*
  * The serving proxy is told to stop while a slow statement runs and a
  * transaction is open. Both finish; new requests through it are refused at
@@ -230,8 +248,11 @@
 	int home = harness_home(h, 0);
 	int other = (home + 1) % 3;
 	char *handle = open_transaction(h, other, "job-8");
+	slow_call_t slow = {.h = h, .proxy = home};
+	GThread *thread = g_thread_new("slow", ask_slowly, &slow);
 	json_t *answer;
 
+	g_usleep(300000);
 	kill(h->proxies[home], SIGTERM);
 	g_usleep(300000);
 	g_free(write_done(h, other, "job-9", "v1", "a9"));
@@ -241,6 +262,9 @@
 	g_assert_true(is_done(answer));
 	json_decref(answer);
 	assert_reads(h, other, "job-8", "half", NULL);
+	g_thread_join(thread);
+	g_assert_true(is_done(slow.answer));
+	json_decref(slow.answer);
 	g_assert_cmpint(harness_wait(&h->proxies[home], FOREVER_MS), ==, 0);
 	g_free(handle);
 	harness_stop(h);
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -2,6 +2,7 @@
  * Bad input to real processes: each gets a clear error, nothing is sent on to a
  * backend server, and the proxy goes on serving.
  */
+#include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
 
@@ -157,6 +158,37 @@
 	g_free(path);
 }
 
+static char *wait_for_log(const char *text)
+{
+	char *path = g_strdup_printf("%s/p1.log", h->dir);
+	char *log = NULL;
+
+	for (int i = 0; i < 100; i++) {
+		g_clear_pointer(&log, g_free);
+		if (g_file_get_contents(path, &log, NULL, NULL) && strstr(log, text) != NULL)
+			break;
+		g_usleep(20000);
+	}
+	g_free(path);
+	return log;
+}
+
+/* Signals: a reload says what took effect, a dump tells the group's primary and why. */
+static void test_signals(void)
+{
+	char *log;
+
+	kill(h->proxies[1], SIGHUP);
+	log = wait_for_log("reloaded: log.level=info");
+	g_assert_nonnull(strstr(log, "the other settings need a restart"));
+	g_free(log);
+	kill(h->proxies[1], SIGUSR1);
+	log = wait_for_log("\"last_takeover_reason\"");
+	g_assert_nonnull(strstr(log, "\"primary\": \"m0\""));
+	g_free(log);
+	assert_serves();
+}
+
 int main(int argc, char **argv)
 {
 	int rc;
@@ -168,6 +200,7 @@
 	g_test_add_func("/input/operators-token", test_operators_token);
 	g_test_add_func("/input/ctl", test_ctl);
 	g_test_add_func("/input/settings", test_settings);
+	g_test_add_func("/input/signals", test_signals);
 	g_test_add_func("/input/peer-key", test_peer_key);
 	rc = g_test_run();
 	harness_stop(h);
--- a/tests/world.c
+++ b/tests/world.c
@@ -1731,6 +1731,7 @@
 		.fixed_timeout = 3 * USEC_PER_SEC,
 		.equal_shares = world->config.equal_shares,
 		.zone_blind = world->config.zone_blind,
+		.small_fleet = (size_t)world->config.small_fleet,
 		.timings = core_timings_default(),
 	};
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -32,6 +32,7 @@
 	usec_t max_age; /* of the row "status" */
 	bool quiet;	/* no timeline */
 	bool equal_shares;
+	int small_fleet; /* 0: the default */
 	bool zone_blind;
 	int row_queue;
 	usec_t row_timeout;
