Smaller modules: samples and watch out of group, one rule for repeats

The rule of what may be repeated stood in exec and in router, the reading of the password in runner and in control, the watch's changes twice in the stand-in. No behaviour changes: the golden files are the same.

--- a/core/core.c
+++ b/core/core.c
@@ -15,6 +15,7 @@
 #include "router.h"
 #include "state.h"
 #include "tablesync.h"
+#include "watch.h"
 
 #define MSEC USEC_PER_MSEC
 
@@ -179,7 +180,7 @@
 	core_note(core, false, "shutting down: %u requests and %u transactions to finish",
 		  HASH_COUNT(core->requests), HASH_COUNT(core->txs));
 	fleet_set_leaving(core->fleet, core->fleet->self);
-	groups_refresh(core);
+	watch_refresh(core);
 	peers_spread(core);
 }
 
@@ -257,6 +258,6 @@
 	handle(core, event);
 	timers_expire(&core->timers, now);
 	if (core->fleet_epoch != core->fleet->epoch)
-		groups_refresh(core);
+		watch_refresh(core);
 	check_drained(core);
 }
--- a/core/exec.c
+++ b/core/exec.c
@@ -10,6 +10,7 @@
 #include "queue.h"
 #include "request.h"
 #include "retry.h"
+#include "samples.h"
 #include "takeover.h"
 #include "tx.h"
 
@@ -24,12 +25,6 @@
 	return request->core->now;
 }
 
-static bool is_safe_to_repeat(const request_t *request)
-{
-	return request->kind == ROW_READ || request->query->repeatable ||
-	       request->query->request_id != NULL;
-}
-
 /* --- choice of a member --- */
 
 static bool has_slot(const member_t *member, int64_t kept_free)
@@ -261,7 +256,7 @@
 {
 	group_t *group = request->group;
 
-	if (request->maybe_ran && !is_safe_to_repeat(request)) {
+	if (request->maybe_ran && !request_is_repeatable(request)) {
 		request_refuse(request, refusal, come_back(group), "%s", why);
 		return;
 	}
@@ -342,7 +337,7 @@
 	if (before->log.term != request->group->term ||
 	    !position_covers(before->log, request->query->floor))
 		return false;
-	request->age_base = group_data_time(request->group, before->log.lsn);
+	request->age_base = samples_time(request->group, before->log.lsn);
 	return request->age_base != 0 && now_of(request) - request->age_base <= request->max_age;
 }
 
--- a/core/group.c
+++ b/core/group.c
@@ -6,18 +6,15 @@
 
 #include "confirm.h"
 #include "exec.h"
-#include "placement.h"
 #include "pool.h"
+#include "samples.h"
 #include "takeover.h"
 
 /* Smoothing of round-trip times, as TCP does it (RFC 6298). */
 #define SRTT_SHIFT   3
 #define RTTVAR_SHIFT 2
 /* A member is responsive if it answered within so many polls. */
-#define RESPONSIVE_POLLS     3
-#define INITIAL_SERVICE_TIME (5 * USEC_PER_MSEC)
-#define INITIAL_CONFIRM_TIME (5 * USEC_PER_MSEC)
-#define RETRY_TOKENS_MAX     20.0
+#define RESPONSIVE_POLLS 3
 /* What a slot is taken to work on a run at least, between round trips. */
 #define MIN_BUSY_TIME USEC_PER_MSEC
 /* A refused connection is asked again soon: two in a row prove that nobody is there. */
@@ -137,7 +134,7 @@
 		member->next_report = soon;
 }
 
-static void arm_timer(group_t *group)
+void group_arm_timer(group_t *group)
 {
 	core_t *core = group->core;
 	usec_t at = core->now + poll_interval(group);
@@ -168,73 +165,7 @@
 	takeover_consider(group);
 	pool_close_idle(group);
 	exec_dispatch(group);
-	arm_timer(group);
-}
-
-/*
- * A superseded primary's log stands still, and data compared with it looks
- * fresh for ever. So a sample counts only after a majority, asked later than
- * the primary was, still obeyed the primary's term.
- */
-static void confirm_samples(group_t *group)
-{
-	for (size_t s = 0; s < GROUP_SAMPLES; s++) {
-		sample_t *sample = &group->samples[s];
-		size_t witnesses = 0;
-
-		if (sample->at == 0 || sample->confirmed)
-			continue;
-		for (size_t i = 0; i < group->member_count; i++) {
-			const member_t *member = &group->members[i];
-
-			witnesses += member->known && member->reported >= sample->at &&
-				     member->report.sealed == group->term;
-		}
-		sample->confirmed = witnesses >= group_majority(group);
-	}
-}
-
-usec_t group_data_time(const group_t *group, uint64_t lsn)
-{
-	usec_t best = 0;
-
-	for (size_t s = 0; s < GROUP_SAMPLES; s++) {
-		const sample_t *sample = &group->samples[s];
-
-		if (sample->confirmed && sample->lsn <= lsn && sample->at > best)
-			best = sample->at;
-	}
-	return best;
-}
-
-static void refresh_ages(group_t *group)
-{
-	for (size_t i = 0; i < group->member_count; i++) {
-		member_t *member = &group->members[i];
-
-		member->fresh_at = member_is_current(member)
-					   ? group_data_time(group, member->report.log.lsn)
-					   : 0;
-	}
-}
-
-static void clear_samples(group_t *group)
-{
-	if (group->samples != NULL)
-		memset(group->samples, 0, GROUP_SAMPLES * sizeof(group->samples[0]));
-	group->sample_next = 0;
-}
-
-static void take_sample(group_t *group, const report_t *report, usec_t sent)
-{
-	const sample_t *last =
-		&group->samples[(group->sample_next + GROUP_SAMPLES - 1) % GROUP_SAMPLES];
-	sample_t *sample = &group->samples[group->sample_next];
-
-	if (last->at != 0 && sent < last->at + SAMPLE_SPACING)
-		return;
-	group->sample_next = (group->sample_next + 1) % GROUP_SAMPLES;
-	*sample = (sample_t){.at = sent, .lsn = report->log.lsn};
+	group_arm_timer(group);
 }
 
 static void set_primary(group_t *group, member_t *primary)
@@ -262,7 +193,7 @@
 	if (term <= group->term)
 		return;
 	group->term = term;
-	clear_samples(group);
+	samples_clear(group);
 	set_primary(group, NULL);
 	confirm_term_changed(group);
 }
@@ -310,13 +241,13 @@
 	raise_term(group, report->sealed);
 	if (report->primary && report->sealed == group->term) {
 		set_primary(group, member);
-		take_sample(group, report, sent);
+		samples_take(group, report, sent);
 	} else if (group->primary == member) {
 		set_primary(group, NULL);
 	}
 	check_follows(member);
-	confirm_samples(group);
-	refresh_ages(group);
+	samples_confirm(group);
+	samples_refresh_ages(group);
 }
 
 static void measure_rtt(member_t *member, usec_t rtt)
@@ -352,7 +283,7 @@
 	set_next_report(member);
 	takeover_consider(group);
 	exec_dispatch(group);
-	arm_timer(group);
+	group_arm_timer(group);
 }
 
 static void follow_done(member_t *member, const event_t *event)
@@ -385,7 +316,7 @@
 		return;
 	/* Ask at once: a process that is gone refuses the new connection. */
 	ask_report(member);
-	arm_timer(group);
+	group_arm_timer(group);
 }
 
 void group_primary_denied(member_t *member)
@@ -396,7 +327,7 @@
 		return;
 	set_primary(group, NULL);
 	group_poll_now(group);
-	arm_timer(group);
+	group_arm_timer(group);
 }
 
 void group_forget_health(group_t *group)
@@ -409,7 +340,7 @@
 		group->members[i].reported = group->core->now;
 		group->members[i].next_report = group->core->now;
 	}
-	clear_samples(group);
+	samples_clear(group);
 	if (group->primary_lost != 0)
 		group->primary_lost = group->core->now;
 }
@@ -431,154 +362,3 @@
 		}
 	}
 }
-
-static void copy_spec(member_t *member, const member_spec_t *spec)
-{
-	member->spec = *spec;
-	member->spec.name = talloc_strdup(member->group->members, spec->name);
-	member->spec.zone = talloc_strdup(member->group->members, spec->zone);
-	member->spec.address = talloc_strdup(member->group->members, spec->address);
-}
-
-static void start_watching(group_t *group, const group_spec_t *spec)
-{
-	core_t *core = group->core;
-
-	group->members = talloc_zero_array(group, member_t, spec->member_count);
-	group->member_count = spec->member_count;
-	group->samples = talloc_zero_array(group->members, sample_t, GROUP_SAMPLES);
-	group->primary_lost = core->now;
-	group->watched_since = core->now;
-	for (size_t i = 0; i < spec->member_count; i++) {
-		member_t *member = &group->members[i];
-
-		member->group = group;
-		member->reported = core->now;
-		list_init(&member->pools);
-		copy_spec(member, &spec->members[i]);
-	}
-	group_poll_now(group);
-	arm_timer(group);
-}
-
-static void stop_watching(group_t *group)
-{
-	if (group->members == NULL)
-		return;
-	timers_cancel(&group->core->timers, &group->timer);
-	timers_cancel(&group->core->timers, &group->takeover.timer);
-	group->takeover.state = TAKEOVER_NONE;
-	pool_close_all(group);
-	talloc_free(group->members);
-	group->members = NULL;
-	group->samples = NULL;
-	group->member_count = 0;
-	group->primary = NULL;
-	group->term = 0;
-	clear_samples(group);
-}
-
-static group_t *group_create(core_t *core, const char *name)
-{
-	group_t *group = talloc_zero(core, group_t);
-
-	group->name = talloc_strdup(group, name);
-	group->core = core;
-	group->rank = -1;
-	group->service_time[ROW_READ] = INITIAL_SERVICE_TIME;
-	group->service_time[ROW_WRITE] = INITIAL_SERVICE_TIME;
-	group->confirm_time = INITIAL_CONFIRM_TIME;
-	group->retry_tokens = RETRY_TOKENS_MAX;
-	list_init(&group->queue);
-	list_init(&group->confirms);
-	HASH_ADD_KEYPTR(hh, core->groups, group->name, strlen(group->name), group);
-	return group;
-}
-
-static bool has_runs(const group_t *group)
-{
-	if (!list_empty(&group->confirms))
-		return true;
-	for (size_t i = 0; i < group->member_count; i++) {
-		if (pool_is_busy(&group->members[i]))
-			return true;
-	}
-	return false;
-}
-
-static bool same_members(const group_t *group, const group_spec_t *spec)
-{
-	if (group->member_count != spec->member_count)
-		return false;
-	for (size_t i = 0; i < spec->member_count; i++) {
-		const member_spec_t *have = &group->members[i].spec;
-
-		if (strcmp(have->name, spec->members[i].name) != 0 ||
-		    strcmp(have->address, spec->members[i].address) != 0)
-			return false;
-	}
-	return true;
-}
-
-static void update_limits(group_t *group, const group_spec_t *spec)
-{
-	for (size_t i = 0; i < spec->member_count; i++) {
-		group->members[i].spec.slots = spec->members[i].slots;
-		group->members[i].spec.connections = spec->members[i].connections;
-	}
-}
-
-/*
- * Let go of the members once nothing runs on them. Until then changing holds
- * new runs back, so that a busy group takes up a new list of members too.
- */
-static void try_stop(group_t *group)
-{
-	bool moved = group->rank < 0;
-
-	group->changing = !moved;
-	if (has_runs(group) || (moved && !list_empty(&group->queue)))
-		return;
-	stop_watching(group);
-	group->changing = false;
-}
-
-static void refresh_group(group_t *group, const table_item_t *item)
-{
-	core_t *core = group->core;
-
-	fleet_rank(core->fleet, group->name, &group->ranks);
-	group->rank = core->placement->rank(core, &group->ranks);
-	if (group->members != NULL) {
-		if (item->group == NULL)
-			group->rank = -1;
-		if (group->rank >= 0 && same_members(group, item->group))
-			update_limits(group, item->group);
-		else
-			try_stop(group);
-	}
-	if (group->members == NULL && group->rank >= 0 && item->group != NULL)
-		start_watching(group, item->group);
-	core->refresh_pending |= group->members != NULL && (group->changing || group->rank < 0);
-}
-
-void groups_refresh(core_t *core)
-{
-	table_item_t *item;
-	table_item_t *next;
-
-	core->refresh_pending = false;
-	HASH_ITER (hh, core->table->items, item, next) {
-		const char *name = item->entry.key + strlen("group/");
-		group_t *group;
-
-		if (strncmp(item->entry.key, "group/", strlen("group/")) != 0)
-			continue;
-		group = group_find(core, name);
-		if (group == NULL && item->group != NULL)
-			group = group_create(core, name);
-		if (group != NULL)
-			refresh_group(group, item);
-	}
-	core->fleet_epoch = core->fleet->epoch;
-}
--- a/core/group.h
+++ b/core/group.h
@@ -1,14 +1,11 @@
 /*
- * A database group as its watchers see it: what its members report, who the
- * primary is, and how old each member's data can be at most.
+ * A database group as its watchers see it: what its members report and who the
+ * primary is.
  */
 #pragma once
 
 #include "state.h"
 
-/* Follow the table and the fleet: which groups exist, which ones we watch. */
-void groups_refresh(core_t *core);
-
 group_t *group_find(const core_t *core, const char *name);
 member_t *group_member(const group_t *group, const char *name);
 
@@ -21,6 +18,9 @@
 /* Ask every member for a report now. */
 void group_poll_now(group_t *group);
 
+/* Set the timer of polls and of the primary's silence. */
+void group_arm_timer(group_t *group);
+
 /* Send an order; returns its id. */
 uint64_t member_order(member_t *member, order_kind_t kind, uint64_t term, const member_t *target);
 
@@ -50,9 +50,3 @@
  * on their way there or back while the slots work, so that none stands idle.
  */
 int64_t member_limit(const member_t *member);
-
-/*
- * The time at which the primary's log stood no further than lsn, as a bound on
- * the age of data read there; 0 if none is known.
- */
-usec_t group_data_time(const group_t *group, uint64_t lsn);
--- a/core/peers.c
+++ b/core/peers.c
@@ -8,6 +8,7 @@
 #include "router.h"
 #include "tablesync.h"
 #include "tx.h"
+#include "watch.h"
 
 /* Beyond it, extra neighbours by hash join the parts that share no group. */
 #define HASH_NEIGHBOURS "neighbours/"
@@ -132,7 +133,7 @@
 	}
 	tx_close_idle(core);
 	if (core->refresh_pending)
-		groups_refresh(core);
+		watch_refresh(core);
 }
 
 void peers_start(core_t *core)
--- a/core/request.c
+++ b/core/request.c
@@ -61,6 +61,12 @@
 	return request;
 }
 
+bool request_is_repeatable(const request_t *request)
+{
+	return request->kind == ROW_READ || request->query->repeatable ||
+	       request->query->request_id != NULL;
+}
+
 static void answer_caller(request_t *request, const answer_t *answer)
 {
 	core_t *core = request->core;
--- a/core/request.h
+++ b/core/request.h
@@ -13,6 +13,9 @@
 
 request_t *request_find(const core_t *core, uint64_t id);
 
+/* Running it a second time does no harm, or finds the first one by its request id. */
+bool request_is_repeatable(const request_t *request);
+
 /* Send the final answer and free the request. */
 void request_finish(request_t *request, const answer_t *answer);
 
--- a/core/router.c
+++ b/core/router.c
@@ -137,12 +137,6 @@
 	return false;
 }
 
-static bool is_safe_to_repeat(const request_t *request)
-{
-	return request->kind == ROW_READ || request->query->repeatable ||
-	       request->query->request_id != NULL;
-}
-
 static void on_ack_timeout(run_timer_t *timer, usec_t now);
 
 static void forward(request_t *request, const char *home)
@@ -269,7 +263,7 @@
 		request_refuse(request, REFUSAL_TX_LOST, 0, "proxy %s %s", request->home, why);
 		return;
 	}
-	if (!is_safe_to_repeat(request)) {
+	if (!request_is_repeatable(request)) {
 		request->maybe_ran = true;
 		request_refuse(request, REFUSAL_NO_HOME, RETRY_AFTER_HOME, "proxy %s %s",
 			       request->home, why);
--- /dev/null
+++ b/core/samples.c
@@ -0,0 +1,70 @@
+#include "samples.h"
+
+#include <string.h>
+
+#include "group.h"
+
+/*
+ * A superseded primary's log stands still, and data compared with it looks
+ * fresh for ever. So a sample counts only after a majority, asked later than
+ * the primary was, still obeyed the primary's term.
+ */
+void samples_confirm(group_t *group)
+{
+	for (size_t s = 0; s < GROUP_SAMPLES; s++) {
+		sample_t *sample = &group->samples[s];
+		size_t witnesses = 0;
+
+		if (sample->at == 0 || sample->confirmed)
+			continue;
+		for (size_t i = 0; i < group->member_count; i++) {
+			const member_t *member = &group->members[i];
+
+			witnesses += member->known && member->reported >= sample->at &&
+				     member->report.sealed == group->term;
+		}
+		sample->confirmed = witnesses >= group_majority(group);
+	}
+}
+
+usec_t samples_time(const group_t *group, uint64_t lsn)
+{
+	usec_t best = 0;
+
+	for (size_t s = 0; s < GROUP_SAMPLES; s++) {
+		const sample_t *sample = &group->samples[s];
+
+		if (sample->confirmed && sample->lsn <= lsn && sample->at > best)
+			best = sample->at;
+	}
+	return best;
+}
+
+void samples_refresh_ages(group_t *group)
+{
+	for (size_t i = 0; i < group->member_count; i++) {
+		member_t *member = &group->members[i];
+
+		member->fresh_at =
+			member_is_current(member) ? samples_time(group, member->report.log.lsn) : 0;
+	}
+}
+
+void samples_clear(group_t *group)
+{
+	if (group->samples != NULL)
+		memset(group->samples, 0, GROUP_SAMPLES * sizeof(group->samples[0]));
+	group->sample_next = 0;
+}
+
+void samples_take(group_t *group, const report_t *report, usec_t sent)
+{
+	const sample_t *last =
+		&group->samples[(group->sample_next + GROUP_SAMPLES - 1) % GROUP_SAMPLES];
+	sample_t *sample = &group->samples[group->sample_next];
+
+	if (last->at != 0 && sent < last->at + SAMPLE_SPACING)
+		return;
+	group->sample_next = (group->sample_next + 1) % GROUP_SAMPLES;
+	*sample = (sample_t){.at = sent, .lsn = report->log.lsn};
+}
--- a/core/tablesync.c
+++ b/core/tablesync.c
@@ -6,6 +6,7 @@
 
 #include "group.h"
 #include "peers.h"
+#include "watch.h"
 
 #define KEEPERS_KEY "table"
 /* A pull is not repeated before this, whoever offers the version. */
@@ -112,7 +113,7 @@
 		return 0;
 	core_note(core, false, "table in force version=%llu changed=%d source=%s",
 		  (unsigned long long)core->table->version, changed, source);
-	groups_refresh(core);
+	watch_refresh(core);
 	peers_spread(core);
 	return changed;
 }
--- a/links/conf.c
+++ b/links/conf.c
@@ -220,3 +220,12 @@
 	g_free(text);
 	return copy;
 }
+
+int conf_read_password(void *parent, const conf_t *conf, char **out, err_t *err)
+{
+	*out = NULL;
+	if (conf->backend_password_file[0] == '\0')
+		return 0;
+	*out = conf_read_secret(parent, conf->backend_password_file, err);
+	return *out != NULL ? 0 : err->code;
+}
--- a/links/conf.h
+++ b/links/conf.h
@@ -42,3 +42,7 @@
 
 /* The content of a small file without its trailing line end, as a child of parent. */
 char *conf_read_secret(void *parent, const char *path, err_t *err);
+
+/* The backend user's password as a child of parent; NULL in *out without a file. Returns 0 or <0.
+ */
+int conf_read_password(void *parent, const conf_t *conf, char **out, err_t *err);
--- a/links/control.c
+++ b/links/control.c
@@ -276,16 +276,15 @@
 static int start(plugin_t *plugin, kernel_t *kernel, err_t *err)
 {
 	control_t *self = (control_t *)plugin;
+	int rc;
 
 	self->adapter = adapter_of(kernel);
 	self->loop = &kernel->loop;
 	self->conf = kernel->settings;
 	self->all = talloc_new(NULL);
-	if (self->conf->backend_password_file[0] != '\0') {
-		self->password = conf_read_secret(NULL, self->conf->backend_password_file, err);
-		if (self->password == NULL)
-			return err->code;
-	}
+	rc = conf_read_password(NULL, self->conf, &self->password, err);
+	if (rc < 0)
+		return rc;
 	adapter_register(self->adapter, ACTION_ORDER, on_order, self);
 	return 0;
 }
--- a/links/runner.c
+++ b/links/runner.c
@@ -512,15 +512,14 @@
 static int start(plugin_t *plugin, kernel_t *kernel, err_t *err)
 {
 	runner_t *self = (runner_t *)plugin;
+	int rc;
 
 	self->adapter = adapter_of(kernel);
 	self->loop = &kernel->loop;
 	self->conf = kernel->settings;
-	if (self->conf->backend_password_file[0] != '\0') {
-		self->password = conf_read_secret(NULL, self->conf->backend_password_file, err);
-		if (self->password == NULL)
-			return err->code;
-	}
+	rc = conf_read_password(NULL, self->conf, &self->password, err);
+	if (rc < 0)
+		return rc;
 	adapter_register(self->adapter, ACTION_CONNECT, on_connect, self);
 	adapter_register(self->adapter, ACTION_RUN, on_run, self);
 	adapter_register(self->adapter, ACTION_CLOSE, on_close, self);
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -226,8 +226,17 @@
 	json_decref(line);
 }
 
-static void add_events(watcher_t *watcher, json_t *events)
+/* Put what changed at or after this revision in the watcher's line. */
+static void add_changes(watcher_t *watcher, gint64 revision)
 {
+	json_t *kvs = json_array();
+	json_t *events = json_array();
+	range_t range = {watcher->from, watcher->to, revision, kvs};
+
+	g_tree_foreach(me.items, collect, &range);
+	for (size_t k = 0; k < json_array_size(kvs); k++)
+		json_array_append_new(events, json_pack("{s:O}", "kv", json_array_get(kvs, k)));
+	json_decref(kvs);
 	if (json_array_size(events) > 0)
 		add_line(watcher, json_pack("{s:o, s:O}", "header", header(), "events", events));
 	json_decref(events);
@@ -237,18 +246,8 @@
 static void notify(gint64 revision)
 {
 	for (guint i = 0; i < me.watchers->len; i++) {
-		watcher_t *watcher = me.watchers->pdata[i];
-		json_t *kvs = json_array();
-		json_t *events = json_array();
-		range_t range = {watcher->from, watcher->to, revision, kvs};
-
-		g_tree_foreach(me.items, collect, &range);
-		for (size_t k = 0; k < json_array_size(kvs); k++)
-			json_array_append_new(events,
-					      json_pack("{s:O}", "kv", json_array_get(kvs, k)));
-		json_decref(kvs);
-		add_events(watcher, events);
-		push(watcher);
+		add_changes(me.watchers->pdata[i], revision);
+		push(me.watchers->pdata[i]);
 	}
 }
 
@@ -268,18 +267,8 @@
 	me.watches++;
 	g_ptr_array_add(me.watchers, watcher);
 	add_line(watcher, json_pack("{s:o, s:b}", "header", header(), "created", 1));
-	if (start > 0 && start <= me.revision) {
-		json_t *kvs = json_array();
-		json_t *events = json_array();
-		range_t range = {watcher->from, watcher->to, start, kvs};
-
-		g_tree_foreach(me.items, collect, &range);
-		for (size_t k = 0; k < json_array_size(kvs); k++)
-			json_array_append_new(events,
-					      json_pack("{s:O}", "kv", json_array_get(kvs, k)));
-		json_decref(kvs);
-		add_events(watcher, events);
-	}
+	if (start > 0 && start <= me.revision)
+		add_changes(watcher, start);
 	req->res.status = 200;
 	req->res.reason = "OK";
 	h2o_start_response(req, &watcher->generator);
