The store's keys and values in a module of their own; drained processes exit in the fakes

The fake process now exits soon after it says that it has drained. member-leaving now expects that no request is served by the leaving member.

--- a/core/placement.c
+++ b/core/placement.c
@@ -26,7 +26,8 @@
 
 static int64_t equal_share(const core_t *core, int64_t limit)
 {
-	int64_t share = limit / (int64_t)HASH_COUNT(core->fleet->proxies);
+	int64_t proxies = (int64_t)HASH_COUNT(core->fleet->proxies);
+	int64_t share = proxies > 0 ? limit / proxies : limit;
 
 	return share > 0 ? share : 1;
 }
--- a/links/platform.c
+++ b/links/platform.c
@@ -1,32 +1,24 @@
 /*
  * Platform's link: the store through etcd's JSON gateway, and the list of VMs.
- *
- * Keys under the prefix: "head" holds the table's version and the ids of the
- * last edits; "item/KEY" holds one entry with the version of its last change.
- * Every edit is one transaction that compares head's mod revision, so two
- * edits never both build on the same table.
+ * Every edit is one transaction that compares head's mod revision, so two edits
+ * never both build on the same table.
  */
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <glib.h>
 #include <jansson.h>
 #include <talloc.h>
 
 #include "adapter.h"
 #include "counter.h"
+#include "etcd.h"
 #include "httpc.h"
 #include "platform.h"
 
 #define LOG_MODULE "platform"
 #include "log.h"
 
-/* Edit ids kept in head: enough for every edit whose answer may still be outstanding. */
-#define KEPT_EDITS 32
-/* Lines of history kept in the store. */
-#define KEPT_HISTORY 1000
-#define HTTP_OK	     200
+#define HTTP_OK 200
 
 COUNTER_DEFINE(calls_total, "store_calls_total", COUNTER_SUM,
 	       "Calls on the platform, a watch counted as one.");
@@ -43,13 +35,6 @@
 	char *watch_buffer;
 } platform_t;
 
-/* What head says. */
-typedef struct head {
-	uint64_t version;
-	int64_t revision; /* 0: there is no head yet */
-	json_t *edits;
-} head_t;
-
 /* A load or a commit in progress. */
 typedef struct op {
 	platform_t *platform;
@@ -58,109 +43,27 @@
 	store_status_t status;
 	uint64_t since;		/* table version that core has */
 	int64_t since_revision; /* of the store, at which it had that version or an older one */
-	head_t head;
+	etcd_head_t head;
 	char *edit_id;
 	table_entry_t *entries; /* of a commit */
 	size_t entry_count;
 	uint64_t version;
 } op_t;
 
-/* --- etcd's JSON --- */
-
-static json_t *encode_key(const platform_t *self, const char *key)
-{
-	char *full = talloc_asprintf(NULL, "%s%s", self->conf->platform_prefix, key);
-	gchar *base64 = g_base64_encode((const guchar *)full, strlen(full));
-	json_t *out = json_string(base64);
-
-	g_free(base64);
-	talloc_free(full);
-	return out;
-}
-
-static json_t *encode_text(const char *text)
-{
-	gchar *base64 = g_base64_encode((const guchar *)text, strlen(text));
-	json_t *out = json_string(base64);
-
-	g_free(base64);
-	return out;
-}
-
-/* The decoded field as a child of parent, NULL if there is none. */
-static char *decode_text(void *parent, const json_t *field)
-{
-	const char *text = json_string_value(field);
-	gsize len;
-	guchar *raw;
-	char *copy;
-
-	if (text == NULL)
-		return NULL;
-	raw = g_base64_decode(text, &len);
-	copy = talloc_strndup(parent, (const char *)raw, len);
-	g_free(raw);
-	return copy;
-}
-
-/* etcd's gateway writes 64-bit numbers as strings. */
-static int64_t number_of(const json_t *object, const char *key)
+static const char *prefix_of(const platform_t *self)
 {
-	const json_t *field = json_object_get(object, key);
-
-	if (json_is_integer(field))
-		return json_integer_value(field);
-	return json_is_string(field) ? strtoll(json_string_value(field), NULL, 10) : 0;
-}
-
-static void read_head(const json_t *kv, head_t *head)
-{
-	char *text = decode_text(NULL, json_object_get(kv, "value"));
-	json_t *value = text != NULL ? json_loads(text, 0, NULL) : NULL;
-
-	head->revision = number_of(kv, "mod_revision");
-	head->version = (uint64_t)number_of(value, "version");
-	head->edits = json_incref(json_object_get(value, "edits"));
-	json_decref(value);
-	talloc_free(text);
-}
-
-/* One stored entry; false if it can't be read. */
-static bool read_entry(const platform_t *self, void *parent, const json_t *kv, table_entry_t *out)
-{
-	char *key = decode_text(parent, json_object_get(kv, "key"));
-	char *text = decode_text(parent, json_object_get(kv, "value"));
-	json_t *stored = text != NULL ? json_loads(text, 0, NULL) : NULL;
-	size_t skip = strlen(self->conf->platform_prefix) + strlen("item/");
-	const json_t *value = json_object_get(stored, "value");
-	char *dumped = NULL;
-
-	if (!json_is_object(stored) || key == NULL || strlen(key) <= skip)
-		return false;
-	if (json_is_object(value))
-		dumped = json_dumps(value, JSON_COMPACT);
-	out->key = talloc_strdup(parent, key + skip);
-	out->version = (uint64_t)number_of(stored, "version");
-	out->value = talloc_strdup(parent, dumped);
-	free(dumped);
-	json_decref(stored);
-	return true;
+	return self->conf->platform_prefix;
 }
 
 static size_t read_entries(const platform_t *self, void *parent, const json_t *kvs,
 			   table_entry_t **out)
 {
-	size_t count = json_array_size(kvs);
-	size_t taken = 0;
+	size_t count = etcd_read_entries(prefix_of(self), parent, kvs, out);
 
-	*out = talloc_zero_array(parent, table_entry_t, count + 1);
-	for (size_t i = 0; i < count; i++) {
-		if (read_entry(self, *out, json_array_get(kvs, i), &(*out)[taken]))
-			taken++;
-		else
-			LOG_WARNING("an entry of the table in the store can't be read");
-	}
-	return taken;
+	if (count < json_array_size(kvs))
+		LOG_WARNING("%zu entries of the table in the store can't be read",
+			    json_array_size(kvs) - count);
+	return count;
 }
 
 static httpc_call_t *post(platform_t *self, const char *path, json_t *body, httpc_done_t on_done,
@@ -249,9 +152,9 @@
 static void load_entries(op_t *op)
 {
 	platform_t *self = op->platform;
-	json_t *body =
-		json_pack("{s:o, s:o, s:I}", "key", encode_key(self, "item/"), "range_end",
-			  encode_key(self, "item0"), "revision", (json_int_t)op->head.revision);
+	json_t *body = json_pack("{s:o, s:o, s:I}", "key", etcd_key(prefix_of(self), "item/"),
+				 "range_end", etcd_key(prefix_of(self), "item0"), "revision",
+				 (json_int_t)op->head.revision);
 
 	if (op->since_revision > 0)
 		json_object_set_new(body, "min_mod_revision", json_integer(op->since_revision + 1));
@@ -270,7 +173,7 @@
 		return;
 	}
 	if (kv != NULL)
-		read_head(kv, &op->head);
+		etcd_read_head(kv, &op->head);
 	json_decref(answer);
 	if (op->head.version <= op->since)
 		tell(op, NULL, 0);
@@ -280,7 +183,7 @@
 
 static void start_load(op_t *op)
 {
-	json_t *body = json_pack("{s:o}", "key", encode_key(op->platform, "head"));
+	json_t *body = json_pack("{s:o}", "key", etcd_key(prefix_of(op->platform), "head"));
 
 	post(op->platform, "/v3/kv/range", body, on_head, NULL, op);
 }
@@ -305,73 +208,6 @@
 
 /* --- commit --- */
 
-static json_t *put(const platform_t *self, const char *key, json_t *value)
-{
-	char *text = json_dumps(value, JSON_COMPACT);
-	json_t *request = json_pack("{s:{s:o, s:o}}", "requestPut", "key", encode_key(self, key),
-				    "value", encode_text(text));
-
-	free(text);
-	json_decref(value);
-	return request;
-}
-
-static json_t *head_value(const action_t *action, const json_t *edits)
-{
-	json_t *kept = json_array();
-	size_t count = json_array_size(edits);
-	size_t first = count >= KEPT_EDITS ? count - KEPT_EDITS + 1 : 0;
-
-	for (size_t i = first; i < count; i++)
-		json_array_append(kept, json_array_get(edits, i));
-	json_array_append_new(kept, json_string(action->edit_id));
-	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)action->table_version,
-			 "edit", action->edit_id, "author", action->author, "edits", kept);
-}
-
-static json_t *item_value(const table_entry_t *entry)
-{
-	json_t *value = entry->value != NULL ? json_loads(entry->value, 0, NULL) : json_null();
-
-	return json_pack("{s:I, s:o}", "version", (json_int_t)entry->version, "value", value);
-}
-
-/* A line of the history, kept beside the table. */
-static json_t *history_value(const action_t *action)
-{
-	json_t *changes = json_object();
-
-	for (size_t i = 0; i < action->entry_count; i++)
-		json_object_set_new(changes, action->entries[i].key,
-				    item_value(&action->entries[i]));
-	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)action->table_version,
-			 "edit", action->edit_id, "author", action->author, "changes", changes);
-}
-
-static json_t *commit_body(const platform_t *self, const action_t *action, const json_t *edits)
-{
-	json_t *success = json_array();
-	json_t *compare = json_pack("{s:o, s:s, s:s, s:s}", "key", encode_key(self, "head"),
-				    "target", "MOD", "result", "EQUAL", "mod_revision", "0");
-	char key[600];
-
-	json_object_set_new(compare, "mod_revision", json_integer(action->head_revision));
-	json_array_append_new(success, put(self, "head", head_value(action, edits)));
-	for (size_t i = 0; i < action->entry_count; i++) {
-		snprintf(key, sizeof(key), "item/%s", action->entries[i].key);
-		json_array_append_new(success, put(self, key, item_value(&action->entries[i])));
-	}
-	snprintf(key, sizeof(key), "history/%012llu", (unsigned long long)action->table_version);
-	json_array_append_new(success, put(self, key, history_value(action)));
-	if (action->table_version > KEPT_HISTORY) {
-		snprintf(key, sizeof(key), "history/%012llu",
-			 (unsigned long long)(action->table_version - KEPT_HISTORY));
-		json_array_append_new(success, json_pack("{s:{s:o}}", "requestDeleteRange", "key",
-							 encode_key(self, key)));
-	}
-	return json_pack("{s:[o], s:o}", "compare", compare, "success", success);
-}
-
 static void on_commit_done(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
 {
 	op_t *op = call->data;
@@ -383,7 +219,7 @@
 		return;
 	}
 	if (json_is_true(json_object_get(answer, "succeeded"))) {
-		op->head.revision = number_of(json_object_get(answer, "header"), "revision");
+		op->head.revision = etcd_number(json_object_get(answer, "header"), "revision");
 		op->head.version = op->version;
 		json_decref(answer);
 		tell(op, op->entries, op->entry_count);
@@ -419,7 +255,7 @@
 	platform_t *self = op->platform;
 	json_t *answer = parse_answer(ok, status, body);
 	const json_t *kv = json_array_get(json_object_get(answer, "kvs"), 0);
-	head_t head = {0};
+	etcd_head_t head = {0};
 
 	(void)len;
 	if (answer == NULL) {
@@ -428,9 +264,9 @@
 		return;
 	}
 	if (kv != NULL)
-		read_head(kv, &head);
-	post(self, "/v3/kv/txn", commit_body(self, commit->action, head.edits), on_commit_done,
-	     NULL, op);
+		etcd_read_head(kv, &head);
+	post(self, "/v3/kv/txn", etcd_commit(prefix_of(self), commit->action, head.edits),
+	     on_commit_done, NULL, op);
 	json_decref(head.edits);
 	json_decref(answer);
 	talloc_free(commit);
@@ -454,7 +290,7 @@
 	platform_t *self = data;
 	op_t *op = op_create(self, action, EVENT_STORE_DONE);
 	commit_t *commit = talloc_zero(op, commit_t);
-	json_t *body = json_pack("{s:o}", "key", encode_key(self, "head"));
+	json_t *body = json_pack("{s:o}", "key", etcd_key(prefix_of(self), "head"));
 
 	copy_entries(op, action);
 	op->since = action->table_version - 1;
@@ -479,7 +315,7 @@
 	json_t *edits = json_array();
 
 	for (size_t i = 0; i < json_array_size(kvs); i++) {
-		char *text = decode_text(NULL, json_object_get(json_array_get(kvs, i), "value"));
+		char *text = etcd_text(NULL, json_object_get(json_array_get(kvs, i), "value"));
 		json_t *edit = text != NULL ? json_loads(text, 0, NULL) : NULL;
 
 		if (edit != NULL)
@@ -504,9 +340,10 @@
 void platform_history(struct platform *self, platform_history_cb_t done, void *data)
 {
 	history_t *history = talloc_zero(NULL, history_t);
-	json_t *body = json_pack("{s:o, s:o, s:s, s:s, s:i}", "key", encode_key(self, "history/"),
-				 "range_end", encode_key(self, "history0"), "sort_order", "DESCEND",
-				 "sort_target", "KEY", "limit", HISTORY_SHOWN);
+	json_t *body =
+		json_pack("{s:o, s:o, s:s, s:s, s:i}", "key", etcd_key(prefix_of(self), "history/"),
+			  "range_end", etcd_key(prefix_of(self), "history0"), "sort_order",
+			  "DESCEND", "sort_target", "KEY", "limit", HISTORY_SHOWN);
 
 	history->platform = self;
 	history->done = done;
@@ -546,20 +383,20 @@
 	const char *prefix = self->conf->platform_prefix;
 	void *scratch = talloc_new(NULL);
 	json_t *items = json_array();
-	head_t head = {0};
+	etcd_head_t head = {0};
 	table_entry_t *entries;
 	event_t event = {.kind = EVENT_STORE_LOADED, .store_status = STORE_OK};
 
 	for (size_t i = 0; i < json_array_size(events); i++) {
 		json_t *kv = json_object_get(json_array_get(events, i), "kv");
-		char *key = decode_text(scratch, json_object_get(kv, "key"));
+		char *key = etcd_text(scratch, json_object_get(kv, "key"));
 
 		if (key == NULL || !is_under(key, prefix))
 			continue;
 		key += strlen(prefix);
 		if (strcmp(key, "head") == 0) {
 			json_decref(head.edits);
-			read_head(kv, &head);
+			etcd_read_head(kv, &head);
 		} else if (is_under(key, "item/")) {
 			json_array_append(items, kv);
 		}
@@ -602,8 +439,8 @@
 static void on_watch(void *data, action_t *action)
 {
 	platform_t *self = data;
-	json_t *create = json_pack("{s:o, s:o, s:I}", "key", encode_key(self, ""), "range_end",
-				   encode_key(self, "\x7f"), "start_revision",
+	json_t *create = json_pack("{s:o, s:o, s:I}", "key", etcd_key(prefix_of(self), ""),
+				   "range_end", etcd_key(prefix_of(self), "\x7f"), "start_revision",
 				   (json_int_t)action->head_revision + 1);
 
 	talloc_free(self->watch_buffer);
--- a/tests/session.c
+++ b/tests/session.c
@@ -165,12 +165,13 @@
 	(void)words;
 }
 
-/* expect NAME OUTCOME [value=V] [member=M] [refusal=R] [within=MS] [repeated] */
+/* expect NAME OUTCOME [value=V] [member=M] [not-member=M] [refusal=R] [within=MS] [repeated] */
 static void do_expect(play_t *play, char **words)
 {
 	const told_t *got = told(play, words[1]);
 	const char *value = option(words, "value");
 	const char *member = option(words, "member");
+	const char *spared = option(words, "not-member");
 	const char *refusal = option(words, "refusal");
 	const char *within = option(words, "within");
 
@@ -184,6 +185,8 @@
 	if (member != NULL && g_strcmp0(got->member, member) != 0)
 		g_error("%s:%d: %s was served by %s", play->path, play->line, words[1],
 			got->member);
+	if (spared != NULL && g_strcmp0(got->member, spared) == 0)
+		g_error("%s:%d: %s was served by %s", play->path, play->line, words[1], spared);
 	if (refusal != NULL && strcmp(refusal_name(got->refusal), refusal) != 0)
 		g_error("%s:%d: %s refused for %s", play->path, play->line, words[1],
 			refusal_name(got->refusal));
--- a/tests/world.c
+++ b/tests/world.c
@@ -6,6 +6,7 @@
 
 #include <talloc.h>
 
+#define EXIT_TIME     (100 * USEC_PER_MSEC)
 #define STORE_LATENCY (2 * USEC_PER_MSEC)
 #define ROWS	      3
 
@@ -1204,6 +1205,13 @@
 	}
 }
 
+/* A process that says it has drained exits soon after. */
+static void on_exit_due(world_t *world, void *data)
+{
+	if (!world->ending)
+		world_kill(world, GPOINTER_TO_INT(data));
+}
+
 /* Returns true when the action has been kept. */
 static bool carry_out(world_t *world, int proxy, action_t *action)
 {
@@ -1237,6 +1245,9 @@
 	case ACTION_EDIT_DONE:
 		do_edit_done(world, proxy, action);
 		return false;
+	case ACTION_DRAINED:
+		plan(world, world->now + EXIT_TIME, -1, on_exit_due, GINT_TO_POINTER(proxy));
+		return false;
 	default:
 		return false;
 	}
