--- a/tests/harness.c
+++ b/tests/harness.c
@@ -20,6 +20,7 @@
 #define SESSION_KEY	  "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
 int harness_member_conns = 15;
+gboolean harness_http2;
 
 static const char *const zones[] = {"plateau", "almadies", "pikine"};
 
@@ -206,6 +207,9 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
 	if (text != NULL)
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, text);
+	if (harness_http2)
+		curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+				 (long)CURL_HTTP_VERSION_2_PRIOR_KNOWLEDGE);
 	if (curl_easy_perform(easy) == CURLE_OK)
 		answer = json_loads(body->str, 0, NULL);
 	if (http_status != NULL)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -27,6 +27,9 @@
 /* Connections that a member allows; set before a start. */
 extern int harness_member_conns;
 
+/* Calls go over HTTP/2 instead of HTTP/1.1. */
+extern gboolean harness_http2;
+
 /* The programs that the build made; the environment's BUILD_DIR says where. */
 char *harness_program(const char *name);
 
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -293,6 +293,75 @@
 	harness_stop(h);
 }
 
+#define CROWD	     12
+#define CROWD_ROUNDS 40
+
+typedef struct crowd_member {
+	const harness_t *h;
+	int number;
+	int home;
+	int done;
+	int wrong;
+} crowd_member_t;
+
+/* Writes and reads its own key; whatever comes back "done" must be its own. */
+static gpointer crowd_run(gpointer data)
+{
+	crowd_member_t *me = data;
+	char *key = g_strdup_printf("crowd-%d", me->number);
+
+	for (int i = 0; i < CROWD_ROUNDS; i++) {
+		int proxy = (me->home + 1 + (me->number + i) % 2) % 3;
+		char *value = g_strdup_printf("value-%d-%d", me->number, i);
+		json_t *wrote = harness_write(me->h, proxy, key, value, value, NULL);
+		json_t *read = harness_read(me->h, proxy, i % 2 ? "status" : "assignment", key,
+					    harness_text(wrote, "token"));
+		char *got = value_of(read);
+
+		if (is_done(wrote) && is_done(read)) {
+			me->done++;
+			me->wrong += g_strcmp0(got, value) != 0;
+		}
+		g_free(got);
+		g_free(value);
+		json_decref(read);
+		json_decref(wrote);
+	}
+	g_free(key);
+	return NULL;
+}
+
+/*
+ * Twelve callers at once write and read back their own records while the primary
+ * is killed and then the serving proxy. Answers may come late or not at all, but
+ * each that says "done" is the complete answer to its own request.
+ */
+static void test_own_answers(void)
+{
+	harness_t *h = harness_start_fleet(3, 5);
+	int home = harness_home(h, 0);
+	crowd_member_t crowd[CROWD] = {0};
+	GThread *threads[CROWD];
+	int done = 0;
+
+	for (int i = 0; i < CROWD; i++) {
+		crowd[i] = (crowd_member_t){.h = h, .number = i, .home = home};
+		threads[i] = g_thread_new("caller", crowd_run, &crowd[i]);
+	}
+	g_usleep(200000);
+	harness_kill(&h->members[0]);
+	g_usleep(400000);
+	harness_kill(&h->proxies[home]);
+	for (int i = 0; i < CROWD; i++) {
+		g_thread_join(threads[i]);
+		g_assert_cmpint(crowd[i].wrong, ==, 0);
+		done += crowd[i].done;
+	}
+	g_test_message("%d of %d rounds done", done, CROWD * CROWD_ROUNDS);
+	g_assert_cmpint(done, >, CROWD * CROWD_ROUNDS / 2);
+	harness_stop(h);
+}
+
 /* A member whose VM the platform lists as leaving gets no new work after a few seconds. */
 static void test_member_leaving(void)
 {
@@ -323,5 +392,6 @@
 	g_test_add_func("/failures/graceful-shutdown", test_graceful_shutdown);
 	g_test_add_func("/failures/proxy-stopped", test_proxy_stopped);
 	g_test_add_func("/failures/member-leaving", test_member_leaving);
+	g_test_add_func("/failures/own-answers", test_own_answers);
 	return g_test_run();
 }
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -158,6 +158,18 @@
 	g_free(path);
 }
 
+/* The same over HTTP/2: a write, and an error in the body. */
+static void test_http2(void)
+{
+	long status = 0;
+
+	harness_http2 = TRUE;
+	assert_serves();
+	json_decref(harness_post_raw(harness_caller_port(h, 0), "/v1/statement", "{", &status));
+	harness_http2 = FALSE;
+	g_assert_cmpint(status, ==, 400);
+}
+
 static char *wait_for_log(const char *text)
 {
 	char *path = g_strdup_printf("%s/p1.log", h->dir);
@@ -200,6 +212,7 @@
 	g_test_add_func("/input/operators-token", test_operators_token);
 	g_test_add_func("/input/ctl", test_ctl);
 	g_test_add_func("/input/settings", test_settings);
+	g_test_add_func("/input/http2", test_http2);
 	g_test_add_func("/input/signals", test_signals);
 	g_test_add_func("/input/peer-key", test_peer_key);
 	rc = g_test_run();
