--- a/core/table.c
+++ b/core/table.c
@@ -343,24 +343,70 @@
 	return out;
 }
 
-static int check_row_fits(const table_t *table, const row_t *row, err_t *err)
+/* The table as it would be: what an edit changes lies over what is held. */
+typedef struct view {
+	const table_t *held;
+	const table_t *edit;
+} view_t;
+
+static const group_spec_t *view_group(const view_t *view, const char *name)
 {
-	/* The trial table is ours: its groups may note what their rows want. */
-	group_spec_t *group = (group_spec_t *)table_group(table, row->group);
+	char key[256];
+	const table_item_t *item;
 
-	if (group == NULL)
-		return err_set(err, -EINVAL, STEP, row->name,
-			       "group = \"%s\": expected the name of a group in the table",
-			       row->group);
-	group->wanted += row->connections;
+	snprintf(key, sizeof(key), "group/%s", name);
+	item = find_item(view->edit, key);
+	if (item == NULL)
+		item = find_item(view->held, key);
+	return item != NULL ? item->group : NULL;
+}
+
+typedef int (*view_row_t)(const row_t *row, void *data, err_t *err);
+
+/* Call for every row of the group, as the view has them, until one call fails. */
+static int view_each_row(const view_t *view, const char *group, view_row_t call, void *data,
+			 err_t *err)
+{
+	const table_t *tables[] = {view->edit, view->held};
+	table_item_t *item;
+	table_item_t *next;
+	int rc = 0;
+
+	for (int t = 0; t < 2; t++) {
+		HASH_ITER (hh, tables[t]->items, item, next) {
+			bool covered = t == 1 && find_item(view->edit, item->entry.key) != NULL;
+
+			if (rc == 0 && !covered && item->row != NULL &&
+			    strcmp(item->row->group, group) == 0)
+				rc = call(item->row, data, err);
+		}
+	}
+	return rc;
+}
+
+static int reject_group(const row_t *row, void *data, err_t *err)
+{
+	(void)data;
+	return err_set(err, -EINVAL, STEP, row->name,
+		       "group = \"%s\": expected the name of a group in the table", row->group);
+}
+
+static int add_connections(const row_t *row, void *data, err_t *err)
+{
+	(void)err;
+	*(int64_t *)data += row->connections;
 	return 0;
 }
 
 /* The limits of all rows and the control connections must fit each member. */
-static int check_group_fits(const group_spec_t *group, err_t *err)
+static int check_group(const view_t *view, const char *name, err_t *err)
 {
-	int64_t sum = CONTROL_CONNECTIONS + group->wanted;
+	const group_spec_t *group = view_group(view, name);
+	int64_t sum = CONTROL_CONNECTIONS;
 
+	if (group == NULL)
+		return view_each_row(view, name, reject_group, NULL, err);
+	view_each_row(view, name, add_connections, &sum, err);
 	for (size_t i = 0; i < group->member_count; i++) {
 		const member_spec_t *member = &group->members[i];
 
@@ -374,42 +420,31 @@
 	return 0;
 }
 
-static int check_whole(const table_t *table, err_t *err)
+/* The group that an entry is, or that its row is in; NULL for a deleted row. */
+static const char *group_touched(const table_item_t *item)
 {
-	table_item_t *item;
-	table_item_t *next;
-	int rc = 0;
-
-	HASH_ITER (hh, table->items, item, next) {
-		if (rc == 0 && item->row != NULL)
-			rc = check_row_fits(table, item->row, err);
-	}
-	HASH_ITER (hh, table->items, item, next) {
-		if (rc == 0 && item->group != NULL)
-			rc = check_group_fits(item->group, err);
-	}
-	return rc;
+	if (item->row != NULL)
+		return item->row->group;
+	if (strncmp(item->entry.key, "group/", strlen("group/")) == 0)
+		return item->entry.key + strlen("group/");
+	return NULL;
 }
 
+/* What the edit does not touch was sound before and stays so. */
 int table_check(const table_t *table, const table_entry_t *entries, size_t count, err_t *err)
 {
 	void *scratch = talloc_new(NULL);
-	table_t *trial = table_create(scratch);
-	table_entry_t *next = talloc_array(scratch, table_entry_t, count + 1);
-	table_entry_t *held;
-	size_t held_count;
-	int rc;
+	view_t view = {.held = table, .edit = table_create(scratch)};
+	int rc = table_merge((table_t *)view.edit, entries, count, table->version + 1, err);
+	table_item_t *item;
+	table_item_t *next;
 
-	held = table_changes(scratch, table, 0, &held_count);
-	rc = table_merge(trial, held, held_count, table->version, err);
-	for (size_t i = 0; i < count; i++) {
-		next[i] = entries[i];
-		next[i].version = table->version + 1;
+	HASH_ITER (hh, view.edit->items, item, next) {
+		const char *group = group_touched(item);
+
+		if (rc >= 0 && group != NULL)
+			rc = check_group(&view, group, err);
 	}
-	if (rc >= 0)
-		rc = table_merge(trial, next, count, table->version + 1, err);
-	if (rc >= 0)
-		rc = check_whole(trial, err);
 	talloc_free(scratch);
-	return rc;
+	return rc < 0 ? rc : 0;
 }
--- a/core/table.h
+++ b/core/table.h
@@ -40,7 +40,6 @@
 	char *name;
 	member_spec_t members[GROUP_MAX_MEMBERS];
 	size_t member_count;
-	int64_t wanted; /* by the group's rows together; worked out by table_check() */
 } group_spec_t;
 
 typedef struct table_item {
--- a/tests/world.c
+++ b/tests/world.c
@@ -25,7 +25,7 @@
 	GHashTable *by_key; /* the last entry of a key, the entry of a request id; see reindex() */
 	GHashTable *by_id;
 	guint indexed;
-	int conns;
+	int conns;	    /* open or being opened, with a slot or not yet */
 	GHashTable *claims; /* "row/slot" */
 	GArray *free_at;    /* of usec_t: when each slot is free again */
 } fake_member_t;
@@ -42,6 +42,7 @@
 	uint64_t id;
 	int member;
 	char *claim;
+	bool counted; /* in the member's conns */
 	bool open;
 	bool running;
 	bool commit_sent;
@@ -545,8 +546,11 @@
 {
 	fake_member_t *member = &world->members[conn->member];
 
-	if (conn->claim != NULL && g_hash_table_remove(member->claims, conn->claim))
+	if (conn->claim != NULL)
+		g_hash_table_remove(member->claims, conn->claim);
+	if (conn->counted)
 		member->conns--;
+	conn->counted = false;
 }
 
 /* The proxy's end of the connection is gone: what ran on it is settled as the link would. */
@@ -796,15 +800,11 @@
 {
 	fake_member_t *member = &world->members[step->conn->member];
 
-	if (member->conns >= world->config.max_conns)
-		return false;
 	for (*slot = 0; *slot < step->limit; (*slot)++) {
 		char *claim = g_strdup_printf("%s/%d", step->row, *slot);
 
 		if (g_hash_table_add(member->claims, g_strdup(claim))) {
 			step->conn->claim = claim;
-			member->conns++;
-			world->counts.peak_conns = MAX(world->counts.peak_conns, member->conns);
 			return true;
 		}
 		g_free(claim);
@@ -848,6 +848,10 @@
 	conn->key = conn_key(proxy, action->id);
 	g_hash_table_insert(world->conns, conn->key, conn);
 	node = member_node(conn->member);
+	conn->counted = true;
+	world->members[conn->member].conns++;
+	world->counts.peak_conns =
+		MAX(world->counts.peak_conns, world->members[conn->member].conns);
 	*step = (connect_step_t){conn, g_strdup(action->row), (int)action->limit};
 	plan(world, world->now + world->config.connect_time + 2 * latency(world, proxy, node),
 	     proxy, on_connected, step);
