A vanished or stopped home no longer keeps its slots of a row's limit

Found by asking what frees a claim: a connection's end does, but a VM that is lost, or a process that is stopped, ends no connection. Nothing is at risk by a mistake: an ended session rolls back, and its run is told as lost.

--- a/core/core.c
+++ b/core/core.c
@@ -36,7 +36,7 @@
 		.away_after = 1000 * MSEC,
 		.table_stale = 3000 * MSEC,
 		.tx_idle = 10000 * MSEC,
-		.conn_idle = 30000 * MSEC,
+		.conn_idle = 2000 * MSEC,
 		.store_retry = 300 * MSEC,
 		.store_check = 1000 * MSEC,
 		.vm_poll = 2000 * MSEC,
--- a/core/core.h
+++ b/core/core.h
@@ -26,7 +26,8 @@
 	usec_t away_after;    /* a gap in our own time that counts as a pause */
 	usec_t table_stale;   /* longest time without word that the table is current */
 	usec_t tx_idle;	      /* an open transaction without statements is rolled back */
-	usec_t conn_idle;     /* an unused pooled connection is closed */
+	usec_t conn_idle;     /* an unused pooled connection is closed; the server does so a second
+				 later */
 	usec_t store_retry;   /* between attempts on the store */
 	usec_t store_check;   /* between loads by a proxy that watches */
 	usec_t vm_poll;	      /* between looks at the platform's list */
--- a/core/event.h
+++ b/core/event.h
@@ -138,6 +138,7 @@
 	char *target; /* host:port of the member; the new primary for a follow */
 	char *row;    /* "SERVICE/CLASS", whose limit the connection counts against */
 	int64_t limit;
+	bool evict; /* if no slot is free, end a session that holds one */
 	run_kind_t run;
 	query_t *query;
 	order_kind_t order;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -371,6 +371,15 @@
 	return -1;
 }
 
+bool fleet_replaces_suspect(const ranks_t *ranks)
+{
+	for (size_t i = 0; i < ranks->len && !ranks->at[i]->self; i++) {
+		if (ranks->at[i]->suspect)
+			return true;
+	}
+	return false;
+}
+
 bool fleet_majority_heard(const fleet_t *fleet, usec_t since)
 {
 	size_t all = 0;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -96,5 +96,8 @@
 /* This proxy's place among ranks that are not suspect, -1 if it has none. */
 int fleet_acting_rank(const ranks_t *ranks);
 
+/* True if a proxy ranked before this one is suspect: we act in its place. */
+bool fleet_replaces_suspect(const ranks_t *ranks);
+
 /* True if more than half of the fleet, self included, was heard since then. */
 bool fleet_majority_heard(const fleet_t *fleet, usec_t since);
--- a/core/pool.c
+++ b/core/pool.c
@@ -94,6 +94,8 @@
 	action->peer = talloc_strdup(action, member->spec.address);
 	action->row = talloc_strdup(action, row->name);
 	action->limit = row->connections;
+	/* A dead home's slots would be free only when the server has noticed. */
+	action->evict = fleet_replaces_suspect(&member->group->ranks);
 }
 
 void pool_release(conn_t *conn)
--- a/links/pgio.c
+++ b/links/pgio.c
@@ -144,8 +144,8 @@
 static void start_connect(pgio_t *io, const conf_t *conf, const char *password, const char *host,
 			  const char *port)
 {
-	const char *const keys[] = {"hostaddr", "port",	   "user",	 "password",
-				    "dbname",	"sslmode", "gssencmode", NULL};
+	const char *const keys[] = {"hostaddr", "port",	      "user",	 "password", "dbname",
+				    "sslmode",	"gssencmode", "options", NULL};
 	const char *const values[] = {host,
 				      port,
 				      conf->backend_user,
@@ -153,6 +153,7 @@
 				      conf->backend_database,
 				      conf->backend_sslmode,
 				      "disable",
+				      io->options,
 				      NULL};
 
 	io->pg = PQconnectStartParams(keys, values, 0);
--- a/links/pgio.h
+++ b/links/pgio.h
@@ -25,9 +25,10 @@
 	PGconn *pg;
 	loop_watch_t watch;
 	bool ready;
-	size_t pending;	   /* results and syncs to come */
-	bool *freed;	   /* set while callbacks run, to notice that the owner closed us */
-	run_timer_t timer; /* connect time-out, or an error to be told from the loop */
+	size_t pending;	     /* results and syncs to come */
+	bool *freed;	     /* set while callbacks run, to notice that the owner closed us */
+	const char *options; /* server settings for the session, libpq's "options"; may be NULL */
+	run_timer_t timer;   /* connect time-out, or an error to be told from the loop */
 } pgio_t;
 
 /* Start to connect to address, IP:PORT. Loss of any kind comes through on_lost, never here. */
--- a/links/runner.c
+++ b/links/runner.c
@@ -18,12 +18,23 @@
 #define LOG_MODULE "runner"
 #include "log.h"
 
+/*
+ * A proxy that vanishes or is stopped keeps its connections open at the server,
+ * and with them its slots of the row's limit: the next home would find none free
+ * for as long as TCP takes to notice, or for good. So the server ends sessions
+ * that are idle for longer than a living proxy lets them be (core closes its own
+ * after conn_idle and rolls back transactions after tx_idle).
+ */
+#define SESSION_OPTIONS "-c idle_session_timeout=3000 -c idle_in_transaction_session_timeout=12000"
+
 #define MAX_STEPS  6
 #define MAX_PARAMS 64
 
 COUNTER_DEFINE(connects_total, "backend_connects_total", COUNTER_SUM, "Connections opened.");
 COUNTER_DEFINE(no_slot_total, "backend_no_slot_total", COUNTER_SUM,
 	       "Connections given back because the row's limit was taken by others.");
+COUNTER_DEFINE(evictions_total, "backend_evictions_total", COUNTER_SUM,
+	       "Sessions of a silent home ended to free their slots.");
 COUNTER_DEFINE(runs_total, "backend_runs_total", COUNTER_SUM, "Runs started.");
 COUNTER_DEFINE(lost_total, "backend_lost_total", COUNTER_SUM, "Runs whose connection was lost.");
 COUNTER_DEFINE(conns_open, "backend_connections", COUNTER_GAUGE, "Pooled connections.");
@@ -100,7 +111,9 @@
 	int64_t limit;
 	int64_t slot;
 	bool claimed;
-	run_t *run; /* NULL between runs */
+	bool evict;	  /* may end a session that holds a slot */
+	bool skip_result; /* the next result is the eviction's, not the claim's */
+	run_t *run;	  /* NULL between runs */
 } runner_conn_t;
 
 typedef struct runner {
@@ -401,8 +414,24 @@
 	pgio_sync(&conn->io);
 }
 
+/* Once a connection: make room, then claim again. */
+static void evict_and_claim(runner_conn_t *conn)
+{
+	const char *params[] = {conn->row};
+
+	conn->evict = false;
+	conn->skip_result = true;
+	counter_add(&evictions_total, 1);
+	pgio_send(&conn->io, SQL_EVICT, 1, params);
+	send_claim(conn);
+}
+
 static void take_claim(runner_conn_t *conn, const PGresult *result)
 {
+	if (conn->skip_result) {
+		conn->skip_result = false;
+		return;
+	}
 	if (!sql_is_error(result) && PQntuples(result) == 1) {
 		conn->slot = strtoll(PQgetvalue(result, 0, 0), NULL, 10);
 		conn->claimed = true;
@@ -413,6 +442,10 @@
 {
 	event_t event = {.kind = EVENT_CONN_UP, .id = conn->id, .slot = conn->slot};
 
+	if (!conn->claimed && conn->evict) {
+		evict_and_claim(conn);
+		return;
+	}
 	if (!conn->claimed) {
 		counter_add(&no_slot_total, 1);
 		lost(conn, "no slot of the row's limit is free at the member");
@@ -478,7 +511,9 @@
 	conn->id = action->id;
 	conn->row = talloc_strdup(conn, action->row);
 	conn->limit = action->limit;
+	conn->evict = action->evict;
 	conn->io.ops = &io_ops;
+	conn->io.options = SESSION_OPTIONS;
 	HASH_ADD(hh, self->conns, id, sizeof(conn->id), conn);
 	counter_add(&conns_open, 1);
 	pgio_connect(&conn->io, self->loop, self->conf, self->password, action->peer);
--- a/links/sql.h
+++ b/links/sql.h
@@ -25,6 +25,11 @@
 	"SELECT slot FROM generate_series(0, $2::int - 1) AS slot "                                \
 	"WHERE pg_try_advisory_lock(hashtext($1), slot) LIMIT 1"
 
+/* Ends one session that holds a slot of the row; what it had open is rolled back. */
+#define SQL_EVICT                                                                                  \
+	"SELECT pg_terminate_backend(pid) FROM pg_locks WHERE locktype = 'advisory' "              \
+	"AND classid = hashtext($1)::oid AND pid <> pg_backend_pid() AND granted LIMIT 1"
+
 /* A request id is unique in the group's history: a second attempt finds the first. */
 #define SQL_INSERT_ID	 "INSERT INTO cyclamenspan_requests (id, answer) VALUES ($1, '')"
 #define SQL_STORE_ANSWER "UPDATE cyclamenspan_requests SET answer = $2 WHERE id = $1"
--- a/tests/standin_pg.c
+++ b/tests/standin_pg.c
@@ -51,6 +51,9 @@
 	char *sql;
 	GHashTable *prepared; /* name to text */
 	char *params[MAX_PARAMS];
+	gint64 last_active;
+	gint64 idle_limit; /* microseconds; 0 none */
+	gint64 idle_tx_limit;
 	gint64 sleep_until;
 	gboolean in_slot;  /* its statement has taken a slot and its service time */
 	GPtrArray *writes; /* of the open transaction */
@@ -474,6 +477,8 @@
 	send_report(conn, ok);
 }
 
+static void send_value(conn_t *conn, const char *value);
+
 static gboolean claim_taken(const char *claim)
 {
 	for (guint i = 0; i < me.conns->len; i++) {
@@ -507,6 +512,24 @@
 	complete(conn, "SELECT 0");
 }
 
+static void do_evict(conn_t *conn)
+{
+	char *prefix = g_strdup_printf("%s/", conn->params[0]);
+	gboolean ended = FALSE;
+
+	for (guint i = 0; i < me.conns->len && !ended; i++) {
+		conn_t *other = me.conns->pdata[i];
+
+		if (other == conn || other->dead || other->claim == NULL ||
+		    !g_str_has_prefix(other->claim, prefix))
+			continue;
+		other->dead = TRUE;
+		ended = TRUE;
+	}
+	g_free(prefix);
+	send_value(conn, ended ? "t" : NULL);
+}
+
 static void do_insert_id(conn_t *conn)
 {
 	char *key = g_strdup_printf("request:%s", conn->params[0]);
@@ -639,6 +662,7 @@
 	{SQL_PROMOTE, REPORT_COLUMNS, do_promote, FALSE},
 	{SQL_FOLLOW, REPORT_COLUMNS, do_follow, FALSE},
 	{SQL_CLAIM, "slot", do_claim, FALSE},
+	{SQL_EVICT, "pg_terminate_backend", do_evict, FALSE},
 	{SQL_INSERT_ID, NULL, do_insert_id, FALSE},
 	{SQL_STORE_ANSWER, NULL, do_store_answer, FALSE},
 	{SQL_FIND_ANSWER, "answer", do_find_answer, FALSE},
@@ -867,6 +891,14 @@
 	g_strfreev(words);
 }
 
+/* A number of milliseconds that the client asked for in its startup options. */
+static gint64 startup_option(const guint8 *data, guint32 len, const char *name)
+{
+	const char *at = memmem(data, len, name, strlen(name));
+
+	return at != NULL ? g_ascii_strtoll(at + strlen(name), NULL, 10) * 1000 : 0;
+}
+
 /* The first message has no type. FALSE if it is not whole yet. */
 static gboolean take_startup(conn_t *conn)
 {
@@ -881,6 +913,9 @@
 		return FALSE;
 	code = get_u32(conn->in->data + 4);
 	text = g_strndup((const char *)conn->in->data + 8, len - 8);
+	conn->idle_limit = startup_option(conn->in->data, len, " idle_session_timeout=");
+	conn->idle_tx_limit =
+		startup_option(conn->in->data, len, " idle_in_transaction_session_timeout=");
 	g_byte_array_remove_range(conn->in, 0, len);
 	if (code == CODE_SSL || code == CODE_GSS)
 		g_byte_array_append(conn->out, (const guint8 *)"N", 1);
@@ -1122,12 +1157,25 @@
 	}
 }
 
+static void end_idle_sessions(void)
+{
+	for (guint i = 0; i < me.conns->len; i++) {
+		conn_t *conn = me.conns->pdata[i];
+		gint64 limit = conn->state == 'I' ? conn->idle_limit : conn->idle_tx_limit;
+
+		if (conn->kind == PEER_SQL && limit != 0 && !conn->blocked &&
+		    conn->last_active != 0 && now_us() - conn->last_active > limit)
+			conn->dead = TRUE;
+	}
+}
+
 static void work(void)
 {
 	me.unblocked = FALSE;
 	connect_upstream();
 	apply_due();
 	wake_sleepers();
+	end_idle_sessions();
 	for (guint i = 0; i < me.conns->len; i++) {
 		conn_t *conn = me.conns->pdata[i];
 
@@ -1151,7 +1199,7 @@
 	}
 	if (!g_queue_is_empty(&me.pending))
 		return 1;
-	return me.upstream != NULL && me.up_fd < 0 ? RETRY_FOLLOW_MS : 1000;
+	return me.upstream != NULL && me.up_fd < 0 ? RETRY_FOLLOW_MS : 200;
 }
 
 static void poll_once(void)
--- a/tests/world.c
+++ b/tests/world.c
@@ -6,9 +6,11 @@
 
 #include <talloc.h>
 
-#define EXIT_TIME     (100 * USEC_PER_MSEC)
-#define STORE_LATENCY (2 * USEC_PER_MSEC)
-#define ROWS	      3
+/* After this the server ends the sessions of a proxy that is silent. */
+#define IDLE_SESSION_TIME (3 * USEC_PER_SEC)
+#define EXIT_TIME	  (100 * USEC_PER_MSEC)
+#define STORE_LATENCY	  (2 * USEC_PER_MSEC)
+#define ROWS		  3
 
 typedef struct log_entry {
 	uint64_t term;
@@ -790,10 +792,32 @@
 	     member_node(conn->member), run_arrive, conn);
 }
 
+/* The member drops a connection of a proxy: its transaction is rolled back, its slot free. */
+static void drop_at_member(world_t *world, fake_conn_t *conn)
+{
+	conn_free_claim(world, conn);
+	g_ptr_array_set_size(conn->tx, 0);
+}
+
+static void tell_reset(world_t *world, fake_conn_t *conn)
+{
+	conn->refs++;
+	plan(world, world->now + latency(world, member_node(conn->member), conn->proxy),
+	     conn->proxy, on_reset, conn);
+}
+
+static void end_session(world_t *world, fake_conn_t *conn)
+{
+	drop_at_member(world, conn);
+	if (conn->open)
+		tell_reset(world, conn);
+}
+
 typedef struct connect_step {
 	fake_conn_t *conn;
 	char *row;
 	int limit;
+	bool evict;
 } connect_step_t;
 
 static bool claim_slot(world_t *world, connect_step_t *step, int *slot)
@@ -812,6 +836,27 @@
 	return false;
 }
 
+/* End one session at the member that holds a slot of the row. */
+static void evict(world_t *world, const connect_step_t *step)
+{
+	char *prefix = g_strdup_printf("%s/", step->row);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, world->conns);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		fake_conn_t *other = value;
+
+		if (other != step->conn && other->member == step->conn->member &&
+		    other->claim != NULL && other->counted &&
+		    g_str_has_prefix(other->claim, prefix)) {
+			end_session(world, other);
+			break;
+		}
+	}
+	g_free(prefix);
+}
+
 static void on_connected(world_t *world, void *data)
 {
 	connect_step_t *step = data;
@@ -822,7 +867,8 @@
 
 	if (is_down(world, node) || is_cut(world, conn->proxy, node)) {
 		conn_lost(world, conn, "connect failed");
-	} else if (!claim_slot(world, step, &slot)) {
+	} else if (!claim_slot(world, step, &slot) &&
+		   !(step->evict && (evict(world, step), claim_slot(world, step, &slot)))) {
 		conn_lost(world, conn, "no free slot");
 	} else {
 		conn->open = true;
@@ -852,7 +898,7 @@
 	world->members[conn->member].conns++;
 	world->counts.peak_conns =
 		MAX(world->counts.peak_conns, world->members[conn->member].conns);
-	*step = (connect_step_t){conn, g_strdup(action->row), (int)action->limit};
+	*step = (connect_step_t){conn, g_strdup(action->row), (int)action->limit, action->evict};
 	plan(world, world->now + world->config.connect_time + 2 * latency(world, proxy, node),
 	     proxy, on_connected, step);
 }
@@ -1304,34 +1350,48 @@
 	return name[0] == 'm' ? member_node(atoi(name + 1)) : -1;
 }
 
-static void reset_conns(world_t *world, int node, bool tell)
+static void for_conns(world_t *world, int node, void (*call)(world_t *, fake_conn_t *))
 {
 	GList *all = g_hash_table_get_values(world->conns);
 
 	for (GList *it = all; it != NULL; it = it->next) {
 		fake_conn_t *conn = it->data;
 
-		if (member_node(conn->member) == node && tell) {
-			conn->refs++;
-			plan(world, world->now + latency(world, node, conn->proxy), conn->proxy,
-			     on_reset, conn);
-		}
-		/* A proxy that dies takes its connections with it: the members roll back. */
-		if (conn->proxy == node) {
-			conn->open = false;
-			conn_free_claim(world, conn);
-			g_ptr_array_set_size(conn->tx, 0);
-		}
+		if (member_node(conn->member) == node || conn->proxy == node)
+			call(world, conn);
 	}
 	g_list_free(all);
 }
 
+/* The proxy's process is gone: the kernel resets its connections at once. */
+static void abandon(world_t *world, fake_conn_t *conn)
+{
+	conn->open = false;
+	drop_at_member(world, conn);
+}
+
+/* The proxy has been silent for so long that the servers end its idle sessions. */
+static void on_idle_sessions(world_t *world, void *data)
+{
+	int proxy = GPOINTER_TO_INT(data);
+
+	if (!world->ending && (world->vanished[proxy] || world->frozen[proxy] > world->now))
+		for_conns(world, proxy, end_session);
+}
+
+static void plan_idle_sessions(world_t *world, int node)
+{
+	if (node < WORLD_MAX_PROXIES)
+		plan(world, world->now + IDLE_SESSION_TIME, -1, on_idle_sessions,
+		     GINT_TO_POINTER(node));
+}
+
 void world_kill(world_t *world, int node)
 {
 	say(world, "-- killed %s%d", node < WORLD_MAX_PROXIES ? "p" : "m",
 	    node < WORLD_MAX_PROXIES ? node : node - WORLD_MAX_PROXIES);
 	world->dead[node] = true;
-	reset_conns(world, node, true);
+	for_conns(world, node, node < WORLD_MAX_PROXIES ? abandon : tell_reset);
 	for (int i = 0; i < world->config.proxies && node >= WORLD_MAX_PROXIES; i++) {
 		char name[24];
 		event_t event = {.kind = EVENT_CONTROL_DOWN, .group = "callout-1", .member = name};
@@ -1347,13 +1407,14 @@
 	say(world, "-- vanished %s%d", node < WORLD_MAX_PROXIES ? "p" : "m",
 	    node < WORLD_MAX_PROXIES ? node : node - WORLD_MAX_PROXIES);
 	world->vanished[node] = true;
-	reset_conns(world, node, false);
+	plan_idle_sessions(world, node);
 }
 
 void world_freeze(world_t *world, int node, usec_t for_how_long)
 {
 	say(world, "-- froze node %d for %.0f ms", node, (double)for_how_long / 1000.0);
 	world->frozen[node] = world->now + for_how_long;
+	plan_idle_sessions(world, node);
 }
 
 void world_cut(world_t *world, int a, int b, bool cut)
@@ -1800,7 +1861,7 @@
 	memset(world->frozen, 0, sizeof(world->frozen));
 	memset(world->vanished, true, sizeof(world->vanished));
 	for (int i = 0; i < world->config.proxies; i++)
-		reset_conns(world, i, false);
+		for_conns(world, i, abandon);
 	world_run(world, USEC_NEVER - 1);
 }
 
