--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -293,6 +293,43 @@
 	harness_stop(h);
 }
 
+/*
+ * The serving proxy is stopped while open transactions hold every slot of the
+ * row's limit. The next rank acts in its place and ends sessions that hold
+ * slots, so a write goes through. When the stopped proxy goes on, its
+ * transactions are gone, and nothing half done is left.
+ */
+static void test_home_stopped(void)
+{
+	harness_t *h = harness_start_fleet(3, 5);
+	int home = harness_home(h, 0);
+	int other = (home + 1) % 3;
+	char *handles[3];
+	json_t *answer;
+
+	for (int i = 0; i < 3; i++) {
+		char *key = g_strdup_printf("half-%d", i);
+
+		handles[i] = open_transaction(h, other, key);
+		g_free(key);
+	}
+	kill(h->proxies[home], SIGSTOP);
+	g_free(write_done(h, other, "job-1", "v1", "a1"));
+	kill(h->proxies[home], SIGCONT);
+	g_usleep(500000);
+	for (int i = 0; i < 3; i++) {
+		answer = harness_call(harness_caller_port(h, other), "/v1/rollback",
+				      json_pack("{s:s}", "transaction", handles[i]), NULL);
+		json_decref(answer);
+		g_free(handles[i]);
+	}
+	answer = harness_read(h, other, "assignment", "half-0", NULL);
+	g_assert_true(is_done(answer));
+	g_assert_cmpuint(json_array_size(json_object_get(answer, "rows")), ==, 0);
+	json_decref(answer);
+	harness_stop(h);
+}
+
 #define CROWD	     12
 #define CROWD_ROUNDS 40
 
@@ -392,6 +429,7 @@
 	g_test_add_func("/failures/graceful-shutdown", test_graceful_shutdown);
 	g_test_add_func("/failures/proxy-stopped", test_proxy_stopped);
 	g_test_add_func("/failures/member-leaving", test_member_leaving);
+	g_test_add_func("/failures/home-stopped", test_home_stopped);
 	g_test_add_func("/failures/own-answers", test_own_answers);
 	return g_test_run();
 }
