A request id chosen twice gives nobody another's answer

Found while reading the stored answers as a newcomer: the second request with an id got the first one's answer, whatever it had asked (same-request-id: done instead of not_run before). The stored answer now starts with a hash of row, statement and params; another request with the id is told so and not run.

--- a/core/takeover.c
+++ b/core/takeover.c
@@ -16,7 +16,6 @@
 /* After a takeover for a stall that cured nothing, the next one waits longer by this, up to MAX. */
 #define STALL_BACKOFF_FACTOR 10
 #define STALL_BACKOFF_MAX    (60 * USEC_PER_SEC)
-#define MISSES_MIN	     1
 
 static void on_timeout(run_timer_t *timer, usec_t now);
 
--- a/links/runner.c
+++ b/links/runner.c
@@ -9,6 +9,7 @@
 #include <jansson.h>
 #include <talloc.h>
 #include <uthash.h>
+#include <xxhash.h>
 
 #include "adapter.h"
 #include "counter.h"
@@ -161,10 +162,34 @@
 	talloc_free(scratch);
 }
 
+/*
+ * What the request is, apart from its id. Two callers that chose the same id must
+ * not get each other's answers: a stored answer starts with this.
+ */
+static char *fingerprint(void *parent, const query_t *query)
+{
+	const char *const parts[] = {query->service, query->class_name, query->text, query->params};
+	uint64_t hash = 0;
+
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		const char *part = parts[i] != NULL ? parts[i] : "";
+
+		hash = XXH64(part, strlen(part), hash + i);
+	}
+	return talloc_asprintf(parent, "%016llx ", (unsigned long long)hash);
+}
+
+static char *stored_answer(void *parent, const run_t *run)
+{
+	const char *rows = run->result.rows != NULL ? run->result.rows : "";
+
+	return talloc_asprintf_append(fingerprint(parent, run->query), "%s", rows);
+}
+
 static void send_step(runner_conn_t *conn, step_t step)
 {
 	run_t *run = conn->run;
-	const char *id_and_answer[] = {run->query->request_id, run->result.rows};
+	const char *id_and_answer[] = {run->query->request_id, NULL};
 
 	switch (step) {
 	case STEP_BEGIN:
@@ -180,6 +205,7 @@
 		send_statement(conn);
 		break;
 	case STEP_STORE_ANSWER:
+		id_and_answer[1] = stored_answer(run, run);
 		pgio_send(&conn->io, SQL_STORE_ANSWER, 2, id_and_answer);
 		break;
 	case STEP_COMMIT:
@@ -285,12 +311,28 @@
 	}
 }
 
+/* A commit stores no answer: its id alone says that it took. */
+static bool is_own_answer(const run_t *run, const char *stored, const char *mark)
+{
+	if (run->query->verb == VERB_COMMIT)
+		return stored[0] == '\0';
+	return strncmp(stored, mark, strlen(mark)) == 0;
+}
+
 static void take_answer(run_t *run, const PGresult *result)
 {
+	char *mark = fingerprint(run, run->query);
+	const char *stored;
+
 	if (PQntuples(result) != 1)
 		return;
+	stored = PQgetvalue(result, 0, 0);
+	if (!is_own_answer(run, stored, mark)) {
+		set_detail(run, "the request id was used for another request");
+		return;
+	}
 	talloc_free(run->result.rows);
-	run->result.rows = talloc_strdup(run, PQgetvalue(result, 0, 0));
+	run->result.rows = stored[0] != '\0' ? talloc_strdup(run, stored + strlen(mark)) : NULL;
 	run->result.repeated = true;
 }
 
@@ -358,7 +400,7 @@
 			finish(conn, RUN_OK);
 			break;
 		}
-		/* It was there a moment ago: its attempt was rolled back since. */
+		/* Another request's; or its attempt was rolled back a moment ago. */
 		set_detail(run, "an attempt with the same request id had just ended");
 		finish(conn, RUN_REJECTED);
 		break;
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -158,6 +158,30 @@
 	g_free(path);
 }
 
+/*
+ * Two callers happen to choose the same request id. The second gets neither the
+ * first one's answer nor its own write: it is told that the id is taken. The
+ * first one's resend still finds its answer.
+ */
+static void test_same_request_id(void)
+{
+	json_t *first = harness_write(h, 0, "id-1", "mine", "the-id", NULL);
+	json_t *second = harness_write(h, 1, "id-2", "yours", "the-id", NULL);
+	json_t *again = harness_write(h, 1, "id-1", "mine", "the-id", NULL);
+	json_t *read = harness_read(h, 0, "assignment", "id-2", NULL);
+
+	g_assert_cmpstr(harness_text(first, "outcome"), ==, "done");
+	g_assert_cmpstr(harness_text(second, "outcome"), ==, "not_run");
+	g_assert_nonnull(strstr(harness_text(second, "detail"), "used for another request"));
+	g_assert_cmpstr(harness_text(again, "outcome"), ==, "done");
+	g_assert_true(json_is_true(json_object_get(again, "repeated")));
+	g_assert_cmpuint(json_array_size(json_object_get(read, "rows")), ==, 0);
+	json_decref(first);
+	json_decref(second);
+	json_decref(again);
+	json_decref(read);
+}
+
 /* The same over HTTP/2: a write, and an error in the body. */
 static void test_http2(void)
 {
@@ -212,6 +236,7 @@
 	g_test_add_func("/input/operators-token", test_operators_token);
 	g_test_add_func("/input/ctl", test_ctl);
 	g_test_add_func("/input/settings", test_settings);
+	g_test_add_func("/input/same-request-id", test_same_request_id);
 	g_test_add_func("/input/http2", test_http2);
 	g_test_add_func("/input/signals", test_signals);
 	g_test_add_func("/input/peer-key", test_peer_key);
