--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -120,8 +120,9 @@
 }
 
 /*
- * The platform is down for good, then the primary dies. Callers see a short
- * gap and nothing else; operators are told that an edit's fate is unknown.
+ * The platform is down, a proxy is replaced by a fresh one meanwhile, then the
+ * primary dies. The fresh proxy gets the table from its peers; callers see a
+ * short gap and nothing else; operators are told that an edit's fate is unknown.
  */
 static void test_platform_down(void)
 {
@@ -130,6 +131,10 @@
 	json_decref(harness_call(h->port, "/control", json_pack("{s:b}", "down", 1), NULL));
 	g_usleep(4000000);
 	g_free(write_done(h, 0, "job-1", "v1", "a1"));
+	harness_kill(&h->proxies[2]);
+	harness_start_proxy(h, 2, NULL);
+	g_usleep(2000000);
+	g_free(write_done(h, 2, "job-2", "v1", "b1"));
 	harness_kill(&h->members[0]);
 	g_free(write_done(h, 1, "job-1", "v2", "a2"));
 	g_assert_cmpint(harness_ctl(h, 2, NULL, "table", "set", "row/dispatch/status",
