Read once more: one look-up of a row by name, one rule for hearing half the fleet

Stood twice: the row of a "SERVICE/CLASS" in pool and table, the time since which news counts in edit and tablesync, the full retry budget in watch and retry. Dead: a proxy's own store contact, never set; two left-overs in the fakes.

--- a/core/edit.c
+++ b/core/edit.c
@@ -128,7 +128,6 @@
 void edit_start(core_t *core, const event_t *event)
 {
 	const core_timings_t *timings = &core->config.timings;
-	usec_t since = core->now > timings->table_stale ? core->now - timings->table_stale : 1;
 	edit_t *edit = talloc_zero(core, edit_t);
 
 	edit->core = core;
@@ -143,7 +142,7 @@
 	 * Proxies that lose the store go on while they hear more than half of the
 	 * fleet. An edit taken on the smaller side of a cut would not reach them.
 	 */
-	if (!fleet_majority_heard(core->fleet, since)) {
+	if (!tablesync_hears_majority(core)) {
 		finish(edit, EDIT_REFUSED, "this proxy does not hear more than half of the fleet");
 		return;
 	}
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -116,7 +116,6 @@
 	proxy->our_echo = 0;
 	proxy->their_clock = 0;
 	proxy->table_version = 0;
-	proxy->store_contact = 0;
 	note_change(fleet, FLEET_JOINED, proxy);
 }
 
@@ -177,7 +176,6 @@
 
 	HASH_ITER (hh, fleet->proxies, proxy, next) {
 		proxy->heard = 0;
-		proxy->store_contact = 0;
 		proxy->our_echo = 0;
 	}
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -33,7 +33,6 @@
 	usec_t their_clock; /* its clock in its last message, for our echo */
 	usec_t our_echo;    /* our clock as it last saw it: bounds the age of its messages */
 	uint64_t table_version;
-	usec_t store_contact; /* when its table was known to be current, our clock */
 	UT_hash_handle hh;
 } proxy_t;
 
--- a/core/pool.c
+++ b/core/pool.c
@@ -161,20 +161,10 @@
 	exec_dispatch(group);
 }
 
-static const row_t *row_of(const core_t *core, const pool_t *pool)
-{
-	char key[256];
-	const table_item_t *item;
-
-	snprintf(key, sizeof(key), "row/%s", pool->row);
-	HASH_FIND_STR(core->table->items, key, item);
-	return item != NULL ? item->row : NULL;
-}
-
 static bool is_surplus(const group_t *group, const conn_t *conn)
 {
 	const core_t *core = group->core;
-	const row_t *row = row_of(core, conn->pool);
+	const row_t *row = table_row_named(core->table, conn->pool->row);
 	usec_t allowed = group->rank == 0 ? core->config.timings.conn_idle : IDLE_WHEN_MOVED;
 
 	if (conn->state != CONN_IDLE)
--- a/core/retry.c
+++ b/core/retry.c
@@ -3,6 +3,11 @@
 #define EARNED_BY_SUCCESS 0.1
 #define TOKENS_MAX	  20.0
 
+void retry_init(group_t *group)
+{
+	group->retry_tokens = TOKENS_MAX;
+}
+
 void retry_earn(group_t *group)
 {
 	group->retry_tokens += EARNED_BY_SUCCESS;
--- a/core/retry.h
+++ b/core/retry.h
@@ -7,6 +7,9 @@
 
 #include "state.h"
 
+/* A new group starts with a full budget. */
+void retry_init(group_t *group);
+
 void retry_earn(group_t *group);
 
 /* True if the budget had room; one retry is taken from it. */
--- a/core/table.c
+++ b/core/table.c
@@ -309,16 +309,24 @@
 	return item != NULL ? &item->entry : NULL;
 }
 
-const row_t *table_row(const table_t *table, const char *service, const char *class_name)
+const row_t *table_row_named(const table_t *table, const char *name)
 {
 	char key[256];
 	const table_item_t *item;
 
-	snprintf(key, sizeof(key), "row/%s/%s", service, class_name);
+	snprintf(key, sizeof(key), "row/%s", name);
 	item = find_item(table, key);
 	return item != NULL ? item->row : NULL;
 }
 
+const row_t *table_row(const table_t *table, const char *service, const char *class_name)
+{
+	char name[256 - sizeof("row/") + 1]; /* with the prefix it fills a key */
+
+	snprintf(name, sizeof(name), "%s/%s", service, class_name);
+	return table_row_named(table, name);
+}
+
 const group_spec_t *table_group(const table_t *table, const char *name)
 {
 	char key[256];
--- a/core/table.h
+++ b/core/table.h
@@ -65,6 +65,8 @@
 int table_merge(table_t *table, const table_entry_t *entries, size_t count, uint64_t version,
 		err_t *err);
 
+/* The row of that "SERVICE/CLASS". */
+const row_t *table_row_named(const table_t *table, const char *name);
 const row_t *table_row(const table_t *table, const char *service, const char *class_name);
 const group_spec_t *table_group(const table_t *table, const char *name);
 const table_entry_t *table_find(const table_t *table, const char *key);
--- a/core/tablesync.c
+++ b/core/tablesync.c
@@ -19,16 +19,26 @@
 static void on_store_timer(run_timer_t *timer, usec_t now);
 static void on_vm_timer(run_timer_t *timer, usec_t now);
 
-bool table_is_current(const core_t *core)
+/* News from before this time no longer counts; never 0, which stands for "never heard". */
+static usec_t stale_limit(const core_t *core)
 {
 	usec_t stale = core->config.timings.table_stale;
-	usec_t since = core->now > stale ? core->now - stale : 1;
 
+	return core->now > stale ? core->now - stale : 1;
+}
+
+bool tablesync_hears_majority(const core_t *core)
+{
+	return fleet_majority_heard(core->fleet, stale_limit(core));
+}
+
+bool table_is_current(const core_t *core)
+{
 	if (core->table->version == 0)
 		return false;
-	if (core->store_contact != 0 && core->store_contact >= since)
+	if (core->store_contact != 0 && core->store_contact >= stale_limit(core))
 		return true;
-	return fleet_majority_heard(core->fleet, since);
+	return tablesync_hears_majority(core);
 }
 
 static bool is_keeper(core_t *core)
--- a/core/tablesync.h
+++ b/core/tablesync.h
@@ -25,6 +25,9 @@
 /* Our version was the store's at that time. */
 void tablesync_contact(core_t *core, usec_t at);
 
+/* True if more than half of the fleet was heard within the time that a table stays known. */
+bool tablesync_hears_majority(const core_t *core);
+
 /*
  * True if the table can be known to be current: the store said so lately, or
  * more than half of the fleet is heard. An edit is accepted only by a proxy
--- a/core/watch.c
+++ b/core/watch.c
@@ -7,11 +7,11 @@
 #include "group.h"
 #include "placement.h"
 #include "pool.h"
+#include "retry.h"
 #include "samples.h"
 
 #define INITIAL_SERVICE_TIME (5 * USEC_PER_MSEC)
 #define INITIAL_CONFIRM_TIME (5 * USEC_PER_MSEC)
-#define RETRY_TOKENS_MAX     20.0
 
 static void copy_spec(member_t *member, const member_spec_t *spec)
 {
@@ -69,7 +69,7 @@
 	group->service_time[ROW_READ] = INITIAL_SERVICE_TIME;
 	group->service_time[ROW_WRITE] = INITIAL_SERVICE_TIME;
 	group->confirm_time = INITIAL_CONFIRM_TIME;
-	group->retry_tokens = RETRY_TOKENS_MAX;
+	retry_init(group);
 	list_init(&group->queue);
 	list_init(&group->confirms);
 	HASH_ADD_KEYPTR(hh, core->groups, group->name, strlen(group->name), group);
--- a/tests/world.c
+++ b/tests/world.c
@@ -10,7 +10,6 @@
 #define IDLE_SESSION_TIME (3 * USEC_PER_SEC)
 #define EXIT_TIME	  (100 * USEC_PER_MSEC)
 #define STORE_LATENCY	  (2 * USEC_PER_MSEC)
-#define ROWS		  3
 
 typedef struct log_entry {
 	uint64_t term;
--- a/tests/world.h
+++ b/tests/world.h
@@ -124,7 +124,6 @@
 typedef struct world_counts {
 	uint64_t reads_replica;
 	uint64_t reads_primary;
-	uint64_t over_limit; /* times a member had more connections than allowed */
 	int peak_conns;
 	uint64_t store_calls;
 	uint64_t messages;
