--- a/kernel/log.h
+++ b/kernel/log.h
@@ -1,17 +1,45 @@
 /*
- * Logger. One line an event: time, level, module, text with key=value fields,
- * or the same as a JSON object. Secrets are never passed to it.
+ * Logger. One line an event: time, level, module, text, and typed fields; as
+ * JSON objects or as key=value text. Secrets are never passed to it.
  *
- * A module that logs defines LOG_MODULE before it includes this header.
+ * A module that logs defines LOG_MODULE before it includes this header. The
+ * volume is bounded: each place in the code may write LOG_BURST lines a second;
+ * what is left out is counted and told with the next line from there. Writing
+ * never blocks: lines that the reader of the output does not take are dropped
+ * and counted.
  */
 #pragma once
 
 #include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Lines a second and place; at that rate a line of 400 bytes is 8 KB/s. */
+#define LOG_BURST 20
 
 typedef enum { LOG_ERR, LOG_WARN, LOG_INFO, LOG_DBG } log_level_t;
 
-/* Send everything up to level to standard error, as JSON lines if json is set. */
-void log_init(log_level_t level, bool json);
+typedef enum { LOG_FIELD_INT, LOG_FIELD_TEXT } log_field_kind_t;
+
+typedef struct log_field {
+	const char *key;
+	log_field_kind_t kind;
+	int64_t number;
+	const char *text; /* NULL reads as "" */
+	size_t len;
+} log_field_t;
+
+/* A place in the code that logs. */
+typedef struct log_site {
+	int64_t second; /* of the monotonic clock */
+	unsigned written;
+	unsigned left_out;
+} log_site_t;
+
+typedef enum { LOG_TO_STDERR, LOG_TO_STDOUT } log_target_t;
+
+/* Write everything up to level to target, as JSON lines if json is set. */
+void log_init(log_level_t level, bool json, log_target_t target);
 
 /* Returns 0, or -EINVAL for a name that is no level. */
 int log_level_parse(const char *name, log_level_t *level);
@@ -19,7 +47,33 @@
 void log_msg(log_level_t level, const char *module, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
+void log_event(log_site_t *site, log_level_t level, const char *module, const char *text,
+	       const log_field_t *fields, size_t count);
+
+bool log_enabled(log_level_t level);
+
+/* Lines are collected; the loop writes them out once in each turn. */
+void log_flush(void);
+
 #define LOG_ERROR(...)	 log_msg(LOG_ERR, LOG_MODULE, __VA_ARGS__)
 #define LOG_WARNING(...) log_msg(LOG_WARN, LOG_MODULE, __VA_ARGS__)
 #define LOG_INFORM(...)	 log_msg(LOG_INFO, LOG_MODULE, __VA_ARGS__)
 #define LOG_DEBUG(...)	 log_msg(LOG_DBG, LOG_MODULE, __VA_ARGS__)
+
+#define LOG_STR(name, value)                                                                       \
+	((log_field_t){.key = (name), .kind = LOG_FIELD_TEXT, .text = (value), .len = SIZE_MAX})
+#define LOG_SLICE(name, value, length)                                                             \
+	((log_field_t){.key = (name), .kind = LOG_FIELD_TEXT, .text = (value), .len = (length)})
+#define LOG_INT(name, value)                                                                       \
+	((log_field_t){.key = (name), .kind = LOG_FIELD_INT, .number = (int64_t)(value)})
+
+/* LOG_EVENT(LOG_INFO, "what happened", LOG_STR("peer", name), LOG_INT("age_ms", age)); */
+#define LOG_EVENT(level, what, ...)                                                                \
+	do {                                                                                       \
+		static log_site_t log_site_;                                                       \
+		if (log_enabled(level)) {                                                          \
+			const log_field_t log_fields_[] = {__VA_ARGS__};                           \
+			log_event(&log_site_, level, LOG_MODULE, what, log_fields_,                \
+				  sizeof(log_fields_) / sizeof(log_fields_[0]));                   \
+		}                                                                                  \
+	} while (0)
--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -4,6 +4,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "log.h"
+
 /* Longest sleep in h2o's loop, milliseconds: bounds the wait for a signal flag. */
 #define MAX_WAIT_MSEC 100
 
@@ -43,6 +45,7 @@
 	while (!loop->stopping) {
 		h2o_evloop_run(loop->h2o, wait_msec(loop));
 		timers_expire(&loop->timers, clock_now(loop->clock));
+		log_flush();
 	}
 }
 
--- a/kernel/plugin.c
+++ b/kernel/plugin.c
@@ -1,5 +1,7 @@
 #include "plugin.h"
 
+#include <string.h>
+
 static list_t registered = {.prev = &registered, .next = &registered};
 
 void plugin_register(plugin_t *plugin)
@@ -15,8 +17,17 @@
 	list_add_before(pos, &plugin->registered);
 }
 
-int kernel_init(kernel_t *kernel, const run_clock_t *clock, const void *settings, void *context)
+static bool is_of_family(const plugin_t *plugin, const char *family)
+{
+	if (plugin->ops->family == NULL || family == NULL)
+		return plugin->ops->family == family;
+	return strcmp(plugin->ops->family, family) == 0;
+}
+
+int kernel_init(kernel_t *kernel, const run_clock_t *clock, const char *family,
+		const void *settings, void *context)
 {
+	kernel->family = family;
 	kernel->settings = settings;
 	kernel->context = context;
 	list_init(&kernel->started);
@@ -27,8 +38,11 @@
 {
 	list_for_each (it, &registered) {
 		plugin_t *plugin = list_entry(it, plugin_t, registered);
-		int rc = plugin->ops->start(plugin, kernel, err);
+		int rc;
 
+		if (!is_of_family(plugin, kernel->family))
+			continue;
+		rc = plugin->ops->start(plugin, kernel, err);
 		if (rc < 0)
 			return rc;
 		list_add_before(kernel->started.next, &plugin->started);
--- a/kernel/plugin.h
+++ b/kernel/plugin.h
@@ -18,12 +18,14 @@
 	loop_t loop;
 	const void *settings; /* the binary's settings structure */
 	void *context;	      /* shared by the binary's plug-ins */
+	const char *family;   /* of the plug-ins to start */
 	list_t started;	      /* of plugin_t, last started first */
 } kernel_t;
 
 typedef struct plugin_ops {
 	const char *name;
-	int order; /* lower starts earlier */
+	const char *family; /* of plug-ins that serve together; NULL: the first one */
+	int order;	    /* lower starts earlier */
 	int (*start)(struct plugin *plugin, kernel_t *kernel, err_t *err);
 	void (*drain)(struct plugin *plugin);	      /* may be NULL */
 	json_t *(*dump)(const struct plugin *plugin); /* state for operators; may be NULL */
@@ -45,9 +47,11 @@
 
 void plugin_register(plugin_t *plugin);
 
-int kernel_init(kernel_t *kernel, const run_clock_t *clock, const void *settings, void *context);
+/* family: whose plug-ins are to be started, see plugin_ops_t. */
+int kernel_init(kernel_t *kernel, const run_clock_t *clock, const char *family,
+		const void *settings, void *context);
 
-/* Start every registered plug-in; on an error those started are destroyed. */
+/* Start every registered plug-in of the family; on an error those started are destroyed. */
 int kernel_start(kernel_t *kernel, err_t *err);
 void kernel_drain(kernel_t *kernel);
 
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -12,10 +12,9 @@
 #include "toml.h"
 
 static const char *const type_names[] = {
-	[SETTING_STRING] = "a string",
-	[SETTING_INT] = "an integer",
-	[SETTING_BOOL] = "true or false",
-	[SETTING_LIST] = "a list of strings",
+	[SETTING_STRING] = "a string",	  [SETTING_INT] = "an integer",
+	[SETTING_BOOL] = "true or false", [SETTING_LIST] = "a list of strings",
+	[SETTING_NUMBER] = "a number",
 };
 
 static const setting_t *find_spec(const setting_t *specs, size_t len, const char *key)
@@ -78,6 +77,12 @@
 		return 0;
 	case SETTING_LIST:
 		return json_is_array(value) ? store_list(field, value, out) : -EINVAL;
+	case SETTING_NUMBER:
+		if (!json_is_number(value) || json_number_value(value) < (double)spec->min ||
+		    json_number_value(value) > (double)spec->max)
+			return -EINVAL;
+		*(double *)field = json_number_value(value);
+		return 0;
 	}
 	return -EINVAL;
 }
@@ -99,6 +104,9 @@
 	case SETTING_LIST:
 		*(string_list_t *)field = (string_list_t){0};
 		break;
+	case SETTING_NUMBER:
+		*(double *)field = strtod(spec->initial, NULL);
+		break;
 	}
 }
 
@@ -113,10 +121,9 @@
 		return reject(err, path, line, key, value, "a known key (see --help-settings)");
 	if (store_value(spec, value, out) == 0)
 		return 0;
-	if (spec->type == SETTING_INT)
-		snprintf(expected, sizeof(expected),
-			 "an integer from %" PRId64 " to %" PRId64 " %s", spec->min, spec->max,
-			 spec->unit);
+	if (spec->type == SETTING_INT || spec->type == SETTING_NUMBER)
+		snprintf(expected, sizeof(expected), "%s from %" PRId64 " to %" PRId64 " %s",
+			 type_names[spec->type], spec->min, spec->max, spec->unit);
 	else
 		snprintf(expected, sizeof(expected), "%s", type_names[spec->type]);
 	return reject(err, path, line, key, value, expected);
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -11,14 +11,20 @@
 
 #include "err.h"
 
-typedef enum { SETTING_STRING, SETTING_INT, SETTING_BOOL, SETTING_LIST } setting_type_t;
+typedef enum {
+	SETTING_STRING,
+	SETTING_INT,
+	SETTING_BOOL,
+	SETTING_LIST,
+	SETTING_NUMBER
+} setting_type_t;
 
 typedef struct setting {
 	const char *key; /* "table.key" */
 	setting_type_t type;
 	size_t offset;	     /* of the field in the settings structure */
 	const char *initial; /* default as text; NULL: the key is required */
-	int64_t min;	     /* integers only */
+	int64_t min;	     /* integers and numbers */
 	int64_t max;
 	const char *unit; /* "" where none applies */
 	const char *help;
@@ -33,7 +39,7 @@
 
 /*
  * Read path into out (a talloc context; strings become its children). Fields:
- * char * for strings, int64_t, bool, string_list_t.
+ * char * for strings, int64_t, bool, string_list_t, double for numbers.
  */
 int settings_load(const char *path, const setting_t *specs, size_t len, void *out, err_t *err);
 
--- a/links/httpc.c
+++ b/links/httpc.c
@@ -1,7 +1,10 @@
 #include "httpc.h"
 
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <talloc.h>
 
@@ -10,6 +13,10 @@
 #define CONNECT_TIMEOUT_MSEC 1000L
 /* A stream without a byte for so long is probed by TCP. */
 #define KEEPALIVE_SEC 5L
+/* The same for a connection that must be noticed when it goes silent. */
+#define PROBE_SEC 1L
+/* With PROBE_SEC: a silent connection ends after about 3 s. */
+#define USER_TIMEOUT_MSEC 2500
 
 /* A descriptor of curl that we watch for it. */
 typedef struct curl_watch {
@@ -118,6 +125,17 @@
 	curl_multi_cleanup(httpc->multi);
 }
 
+/* Data that is not acknowledged ends the connection; keep-alive covers only a silent one. */
+static int on_sockopt(void *data, curl_socket_t fd, curlsocktype purpose)
+{
+	int msec = USER_TIMEOUT_MSEC;
+
+	(void)data;
+	(void)purpose;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &msec, sizeof(msec));
+	return CURL_SOCKOPT_OK;
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *ptr)
 {
 	httpc_call_t *call = ptr;
@@ -162,41 +180,61 @@
 	}
 }
 
-static void set_options(httpc_call_t *call, const char *url, const char *text, int64_t timeout_ms)
+static void set_keepalive(CURL *easy, bool probe)
+{
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, probe ? PROBE_SEC : KEEPALIVE_SEC);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, probe ? PROBE_SEC : KEEPALIVE_SEC);
+	if (probe)
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
+}
+
+static void set_body(httpc_call_t *call, const char *body)
+{
+	if (body == NULL) {
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE, 0L);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, "");
+		return;
+	}
+	call->headers = curl_slist_append(call->headers, "Content-Type: application/json");
+	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
+}
+
+static void set_options(httpc_call_t *call, const httpc_request_t *request)
 {
 	CURL *easy = call->easy;
 
-	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MSEC);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_SEC);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_SEC);
-	if (timeout_ms != 0)
-		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
-	if (text == NULL)
-		return;
-	call->headers = curl_slist_append(NULL, "Content-Type: application/json");
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
-	curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, text);
+	set_keepalive(easy, request->probe);
+	if (request->timeout_ms != 0)
+		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	if (request->method != NULL || request->body != NULL)
+		set_body(call, request->body);
+	if (request->method != NULL)
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	for (size_t i = 0; request->headers != NULL && request->headers[i] != NULL; i++)
+		call->headers = curl_slist_append(call->headers, request->headers[i]);
+	if (call->headers != NULL)
+		curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
-httpc_call_t *httpc_start(httpc_t *httpc, const char *url, const char *text, int64_t timeout_ms,
-			  httpc_done_t on_done, httpc_data_t on_data, void *data)
+httpc_call_t *httpc_start(httpc_t *httpc, const httpc_request_t *request)
 {
 	httpc_call_t *call = talloc_zero(NULL, httpc_call_t);
 
 	call->httpc = httpc;
 	call->easy = curl_easy_init();
 	call->body = talloc_strdup(call, "");
-	call->on_done = on_done;
-	call->on_data = on_data;
-	call->data = data;
-	set_options(call, url, text, timeout_ms);
+	call->on_done = request->on_done;
+	call->on_data = request->on_data;
+	call->data = request->data;
+	set_options(call, request);
 	curl_multi_add_handle(httpc->multi, call->easy);
 	return call;
 }
--- a/links/httpc.h
+++ b/links/httpc.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <stdbool.h>
+
 #include <curl/curl.h>
 
 #include "loop.h"
@@ -37,10 +39,21 @@
 int httpc_init(httpc_t *httpc, loop_t *loop);
 void httpc_destroy(httpc_t *httpc);
 
-/* POST text (or GET if NULL). timeout_ms 0: a stream without an end. The call is freed after done.
- */
-httpc_call_t *httpc_start(httpc_t *httpc, const char *url, const char *text, int64_t timeout_ms,
-			  httpc_done_t on_done, httpc_data_t on_data, void *data);
+/* What to send. Texts are copied. */
+typedef struct httpc_request {
+	const char *url;
+	const char *method;	    /* NULL: GET without a body, else POST */
+	const char *body;	    /* JSON, or NULL for none */
+	const char *const *headers; /* "Name: value", NULL at the end; or NULL for none */
+	int64_t timeout_ms;	    /* 0: a stream without an end */
+	bool probe;		    /* a silent connection is noticed within seconds */
+	httpc_done_t on_done;
+	httpc_data_t on_data; /* set for a stream */
+	void *data;
+} httpc_request_t;
+
+/* The call is freed after on_done. */
+httpc_call_t *httpc_start(httpc_t *httpc, const httpc_request_t *request);
 
 /* End a call without its callback. */
 void httpc_cancel(httpc_call_t *call);
--- a/links/httpd.c
+++ b/links/httpd.c
@@ -1,14 +1,10 @@
 #include "httpd.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#define BACKLOG		1024
+#include "stream.h"
+
 #define HTTP1_IDLE_MSEC 60000
 #define JSON_TYPE	"application/json"
 
@@ -17,48 +13,6 @@
 	httpd_t *httpd;
 } handler_t;
 
-int httpd_split_address(const char *address, char *host, uint16_t *port)
-{
-	const char *colon = strrchr(address, ':');
-	char *end;
-	long number;
-
-	if (colon == NULL || colon == address || colon - address > 63)
-		return -EINVAL;
-	number = strtol(colon + 1, &end, 10);
-	if (*end != '\0' || end == colon + 1 || number < 0 || number > 65535)
-		return -EINVAL;
-	memcpy(host, address, (size_t)(colon - address));
-	host[colon - address] = '\0';
-	*port = (uint16_t)number;
-	return 0;
-}
-
-static int open_listener(const char *address, err_t *err)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	char host[64];
-	uint16_t port;
-	int on = 1;
-	int fd;
-
-	if (httpd_split_address(address, host, &port) < 0 ||
-	    inet_pton(AF_INET, host, &sin.sin_addr) != 1)
-		return err_set(err, -EINVAL, "listen", address, "expected IP:PORT");
-	sin.sin_port = htons(port);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-	if (fd < 0)
-		return err_set(err, -errno, "listen", address, "no socket");
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 || listen(fd, BACKLOG) < 0) {
-		int code = -errno;
-
-		close(fd);
-		return err_set(err, code, "listen", address, "can't bind");
-	}
-	return fd;
-}
-
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	httpd_t *httpd = listener->data;
@@ -80,7 +34,7 @@
 int httpd_start(httpd_t *httpd, loop_t *loop, const char *address, size_t max_body,
 		httpd_handler_t handle, void *data, err_t *err)
 {
-	int fd = open_listener(address, err);
+	int fd = stream_listen(address, err);
 	h2o_hostconf_t *host;
 	h2o_pathconf_t *path;
 	handler_t *handler;
--- a/links/httpd.h
+++ b/links/httpd.h
@@ -32,6 +32,3 @@
 void httpd_send_json(h2o_req_t *req, int status, json_t *body, uint64_t retry_after_ms);
 
 bool httpd_is(const h2o_req_t *req, const char *method, const char *path);
-
-/* Split IP:PORT; host needs 64 bytes. Returns 0 or -EINVAL. */
-int httpd_split_address(const char *address, char *host, uint16_t *port);
--- a/links/pgio.c
+++ b/links/pgio.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "httpd.h"
+#include "stream.h"
 #include "list.h"
 
 #define CONNECT_REFUSED_TEXT "Connection refused"
@@ -171,7 +171,7 @@
 	io->ready = false;
 	io->pending = 0;
 	io->freed = NULL;
-	if (httpd_split_address(address, host, &number) == 0) {
+	if (stream_split_address(address, host, &number) == 0) {
 		snprintf(port, sizeof(port), "%u", number);
 		start_connect(io, conf, password, host, port);
 	}
--- a/links/platform.c
+++ b/links/platform.c
@@ -71,11 +71,18 @@
 {
 	char *url = talloc_asprintf(NULL, "%s%s", self->conf->platform_url, path);
 	char *text = json_dumps(body, JSON_COMPACT);
-	int64_t timeout = on_data != NULL ? 0 : self->conf->platform_timeout_ms;
+	httpc_request_t request = {
+		.url = url,
+		.body = text,
+		.timeout_ms = on_data != NULL ? 0 : self->conf->platform_timeout_ms,
+		.on_done = on_done,
+		.on_data = on_data,
+		.data = data,
+	};
 	httpc_call_t *call;
 
 	counter_add(&calls_total, 1);
-	call = httpc_start(&self->httpc, url, text, timeout, on_done, on_data, data);
+	call = httpc_start(&self->httpc, &request);
 	free(text);
 	json_decref(body);
 	talloc_free(url);
@@ -489,11 +496,15 @@
 {
 	platform_t *self = data;
 	char *url = talloc_asprintf(NULL, "%s/v1/vms", self->conf->platform_url);
+	httpc_request_t request = {
+		.url = url,
+		.timeout_ms = self->conf->platform_timeout_ms,
+		.on_done = on_vms_done,
+		.data = self,
+	};
 
 	counter_add(&calls_total, 1);
-	httpc_start(&self->httpc, url, NULL, self->conf->platform_timeout_ms, on_vms_done, NULL,
-		    self)
-		->id = action->id;
+	httpc_start(&self->httpc, &request)->id = action->id;
 	talloc_free(url);
 }
 
--- /dev/null
+++ b/links/zmqlink.c
@@ -0,0 +1,302 @@
+#include "zmqlink.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <talloc.h>
+#include <zmq.h>
+
+#define LOG_MODULE "zmq"
+#include "counter.h"
+#include "list.h"
+#include "log.h"
+
+#define HIGH_WATER_MARK	     1000
+#define RECONNECT_MSEC	     50
+#define RECONNECT_MAX_MSEC   1000
+#define CONNECT_TIMEOUT_MSEC 1000
+/* A connection that has gone silent is noticed and made anew within these. */
+#define HEARTBEAT_MSEC	    1000
+#define HEARTBEAT_DEAD_MSEC 2500
+#define CURVE_KEY_CHARS	    40
+#define RECHECK_INTERVAL    (50 * USEC_PER_MSEC)
+#define ZAP_ENDPOINT	    "inproc://zeromq.zap.01"
+#define ZAP_FRAMES	    7
+
+COUNTER_DEFINE(sent_total, "peer_messages_sent_total", COUNTER_SUM, "Messages sent to peers.");
+COUNTER_DEFINE(sent_bytes, "peer_bytes_sent_total", COUNTER_SUM, "Bytes sent to peers.");
+COUNTER_DEFINE(received_total, "peer_messages_received_total", COUNTER_SUM,
+	       "Messages received from peers.");
+COUNTER_DEFINE(unsent_total, "peer_messages_unsent_total", COUNTER_SUM,
+	       "Messages given up because the peer can't be reached.");
+COUNTER_DEFINE(denied_total, "peer_denied_total", COUNTER_SUM,
+	       "Connections refused for a wrong key.");
+
+typedef struct peer {
+	list_t node; /* in zmqlink_t.peers */
+	char *name;
+	char *address;
+	void *socket;
+} peer_t;
+
+static void set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void set_keys(const zmqlink_t *self, void *socket, bool server)
+{
+	if (self->secret_key == NULL)
+		return;
+	/* All proxies of a fleet share one key pair; who has it is a proxy. */
+	zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, self->secret_key, CURVE_KEY_CHARS);
+	zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, self->public_key, CURVE_KEY_CHARS);
+	if (server)
+		set_int(socket, ZMQ_CURVE_SERVER, 1);
+	else
+		zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, self->public_key, CURVE_KEY_CHARS);
+}
+
+static void set_heartbeat(void *socket)
+{
+	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MSEC);
+	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_DEAD_MSEC);
+}
+
+/* --- receiving --- */
+
+/* One message: the sender's routing frame, then ours. */
+static bool receive_one(zmqlink_t *self)
+{
+	zmq_msg_t frame;
+	bool more = true;
+	int index = 0;
+
+	while (more) {
+		zmq_msg_init(&frame);
+		if (zmq_msg_recv(&frame, self->router, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&frame);
+			return false;
+		}
+		more = zmq_msg_more(&frame);
+		if (index++ == 1) {
+			counter_add(&received_total, 1);
+			self->on_frame(self, zmq_msg_data(&frame), zmq_msg_size(&frame));
+		}
+		zmq_msg_close(&frame);
+	}
+	return true;
+}
+
+/* The descriptor tells of changes only, so read until nothing is left. */
+static void on_router_readable(loop_watch_t *watch)
+{
+	zmqlink_t *self = list_entry(watch, zmqlink_t, router_watch);
+
+	while (receive_one(self))
+		;
+}
+
+static void on_recheck(run_timer_t *timer, usec_t now)
+{
+	zmqlink_t *self = list_entry(timer, zmqlink_t, recheck);
+
+	/* An edge can be missed between two looks at the socket; this bounds the delay. */
+	on_router_readable(&self->router_watch);
+	timers_arm(&self->loop->timers, timer, now + RECHECK_INTERVAL, on_recheck);
+}
+
+/* --- authentication (ZAP, ZeroMQ RFC 27) --- */
+
+static void zap_reply(zmqlink_t *self, const char *request_id, size_t len, bool allowed)
+{
+	zmq_send(self->zap, "1.0", 3, ZMQ_SNDMORE);
+	zmq_send(self->zap, request_id, len, ZMQ_SNDMORE);
+	zmq_send(self->zap, allowed ? "200" : "400", 3, ZMQ_SNDMORE);
+	zmq_send(self->zap, "", 0, ZMQ_SNDMORE);
+	zmq_send(self->zap, "", 0, ZMQ_SNDMORE);
+	zmq_send(self->zap, "", 0, 0);
+}
+
+/* Frames: version, request id, domain, address, identity, mechanism, client key. */
+static bool zap_one(zmqlink_t *self)
+{
+	char frames[ZAP_FRAMES][256];
+	int lens[ZAP_FRAMES] = {0};
+	char key[CURVE_KEY_CHARS + 1] = "";
+	bool allowed;
+
+	for (int i = 0; i < ZAP_FRAMES; i++) {
+		int more = 0;
+		size_t size = sizeof(more);
+
+		lens[i] = zmq_recv(self->zap, frames[i], sizeof(frames[i]), ZMQ_DONTWAIT);
+		if (lens[i] < 0)
+			return false;
+		zmq_getsockopt(self->zap, ZMQ_RCVMORE, &more, &size);
+		if (!more)
+			break;
+	}
+	if (lens[6] == 32)
+		zmq_z85_encode(key, (const uint8_t *)frames[6], 32);
+	allowed = strcmp(key, self->public_key) == 0;
+	if (!allowed) {
+		counter_add(&denied_total, 1);
+		LOG_WARNING("peer refused address=%.*s: its key is not the fleet's", lens[3],
+			    frames[3]);
+	}
+	zap_reply(self, frames[1], (size_t)lens[1], allowed);
+	return true;
+}
+
+static void on_zap_readable(loop_watch_t *watch)
+{
+	zmqlink_t *self = list_entry(watch, zmqlink_t, zap_watch);
+
+	while (zap_one(self))
+		;
+}
+
+/* --- sending --- */
+
+static void close_peer(peer_t *peer)
+{
+	list_del(&peer->node);
+	zmq_close(peer->socket);
+	talloc_free(peer);
+}
+
+static peer_t *open_peer(zmqlink_t *self, const char *name, const char *address)
+{
+	char *endpoint = talloc_asprintf(NULL, "tcp://%s", address);
+	peer_t *peer = talloc_zero(NULL, peer_t);
+
+	peer->name = talloc_strdup(peer, name);
+	peer->address = talloc_strdup(peer, address);
+	peer->socket = zmq_socket(self->zmq, ZMQ_DEALER);
+	set_int(peer->socket, ZMQ_LINGER, 0);
+	/* ZeroMQ would queue silently for a peer that is away; it is to say so instead. */
+	set_int(peer->socket, ZMQ_IMMEDIATE, 1);
+	set_int(peer->socket, ZMQ_SNDHWM, HIGH_WATER_MARK);
+	set_int(peer->socket, ZMQ_RECONNECT_IVL, RECONNECT_MSEC);
+	set_int(peer->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MSEC);
+	set_int(peer->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MSEC);
+	set_heartbeat(peer->socket);
+	set_keys(self, peer->socket, false);
+	if (zmq_connect(peer->socket, endpoint) < 0)
+		LOG_WARNING("can't connect peer=%s address=%s: %s", name, address,
+			    zmq_strerror(errno));
+	talloc_free(endpoint);
+	list_add_tail(&self->peers, &peer->node);
+	return peer;
+}
+
+static peer_t *find_peer(const zmqlink_t *self, const char *name)
+{
+	list_for_each (it, &self->peers) {
+		peer_t *peer = list_entry(it, peer_t, node);
+
+		if (strcmp(peer->name, name) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+static peer_t *get_peer(zmqlink_t *self, const char *name, const char *address)
+{
+	peer_t *peer = find_peer(self, name);
+
+	if (peer != NULL && address != NULL && strcmp(peer->address, address) != 0) {
+		close_peer(peer); /* a replaced VM with the same name */
+		peer = NULL;
+	}
+	if (peer == NULL && address != NULL)
+		peer = open_peer(self, name, address);
+	return peer;
+}
+
+int zmqlink_send(zmqlink_t *self, const char *name, const char *address, const void *data,
+		 size_t len)
+{
+	peer_t *peer = get_peer(self, name, address);
+
+	if (peer == NULL || zmq_send(peer->socket, data, len, ZMQ_DONTWAIT) < 0) {
+		counter_add(&unsent_total, 1);
+		return -EHOSTUNREACH;
+	}
+	counter_add(&sent_total, 1);
+	counter_add(&sent_bytes, (int64_t)len);
+	return 0;
+}
+
+/* --- start and end --- */
+
+static int watch(zmqlink_t *self, void *socket, loop_watch_t *watch, loop_watch_cb_t cb)
+{
+	int fd;
+	size_t size = sizeof(fd);
+
+	zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+	return loop_watch_start(self->loop, watch, fd, cb);
+}
+
+static int start_zap(zmqlink_t *self, err_t *err)
+{
+	if (strlen(self->secret_key) != CURVE_KEY_CHARS ||
+	    strlen(self->public_key) != CURVE_KEY_CHARS)
+		return err_set(err, -EINVAL, "read settings", "peers.public_key",
+			       "both keys: expected %d characters of Z85", CURVE_KEY_CHARS);
+	self->zap = zmq_socket(self->zmq, ZMQ_REP);
+	set_int(self->zap, ZMQ_LINGER, 0);
+	if (zmq_bind(self->zap, ZAP_ENDPOINT) < 0)
+		return err_set(err, -errno, "authenticate peers", "", "no ZAP socket");
+	return watch(self, self->zap, &self->zap_watch, on_zap_readable);
+}
+
+static int bind_router(zmqlink_t *self, const char *address, err_t *err)
+{
+	char *endpoint = talloc_asprintf(NULL, "tcp://%s", address);
+	int rc = 0;
+
+	self->router = zmq_socket(self->zmq, ZMQ_ROUTER);
+	set_int(self->router, ZMQ_LINGER, 0);
+	set_int(self->router, ZMQ_RCVHWM, HIGH_WATER_MARK);
+	set_heartbeat(self->router);
+	set_keys(self, self->router, true);
+	if (zmq_bind(self->router, endpoint) < 0)
+		rc = err_set(err, -errno, "listen", address, "can't bind");
+	talloc_free(endpoint);
+	return rc;
+}
+
+int zmqlink_start(zmqlink_t *self, loop_t *loop, const char *address, err_t *err)
+{
+	int rc = 0;
+
+	self->loop = loop;
+	list_init(&self->peers);
+	self->zmq = zmq_ctx_new();
+	if (self->secret_key != NULL)
+		rc = start_zap(self, err);
+	if (rc == 0)
+		rc = bind_router(self, address, err);
+	if (rc == 0)
+		rc = watch(self, self->router, &self->router_watch, on_router_readable);
+	if (rc < 0)
+		return rc;
+	timers_arm(&loop->timers, &self->recheck, clock_now(loop->clock), on_recheck);
+	return 0;
+}
+
+void zmqlink_stop(zmqlink_t *self)
+{
+	timers_cancel(&self->loop->timers, &self->recheck);
+	loop_watch_stop(&self->router_watch);
+	loop_watch_stop(&self->zap_watch);
+	list_for_each_safe (it, &self->peers)
+		close_peer(list_entry(it, peer_t, node));
+	zmq_close(self->router);
+	if (self->zap != NULL)
+		zmq_close(self->zap);
+	zmq_ctx_term(self->zmq);
+}
--- /dev/null
+++ b/pooler/caller.c
@@ -0,0 +1,655 @@
+#include "caller.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "conn.h"
+#include "dispatch.h"
+#include "permit.h"
+
+#define LOG_MODULE "caller"
+#include "counter.h"
+#include "log.h"
+
+/* Attempts at one statement that the caller doesn't see; each only after it certainly did not run.
+ */
+#define ATTEMPTS_MAX 6
+/* Before the same member is tried again after a refusal, grows with the attempts. */
+#define RETRY_STEP (4 * USEC_PER_MSEC)
+/* Longest reason in an answer, bytes. */
+#define REASON_MAX 160
+
+COUNTER_DEFINE(done_total, "statements_done_total", COUNTER_SUM,
+	       "Statements answered with success.");
+COUNTER_DEFINE(refused_total, "statements_refused_total", COUNTER_SUM,
+	       "Statements refused with a promise that nothing was kept.");
+COUNTER_DEFINE(unsure_total, "statements_unsure_total", COUNTER_SUM,
+	       "Statements that ended in doubt or timed out.");
+COUNTER_DEFINE(failed_total, "statements_failed_total", COUNTER_SUM,
+	       "Statements that failed at the member.");
+COUNTER_DEFINE(retried_total, "statements_retried_total", COUNTER_SUM,
+	       "Attempts repeated without the caller seeing it.");
+COUNTER_DEFINE(open_callers, "callers_open", COUNTER_GAUGE, "Open sessions of callers.");
+
+static bool is_write(const caller_t *caller)
+{
+	return caller->statement.writes;
+}
+
+static bool is_commit(const caller_t *caller)
+{
+	return caller->statement.kind == STATEMENT_COMMIT;
+}
+
+bool caller_may_keep(const caller_t *caller)
+{
+	if (caller->tx == TX_NONE)
+		return is_write(caller);
+	return is_commit(caller) && caller->tx_wrote;
+}
+
+/* --- answering --- */
+
+static void finish(caller_t *caller, const caller_reply_t *reply)
+{
+	pooler_t *pooler = caller->pooler;
+
+	caller->busy = false;
+	caller->exec = NULL;
+	caller->want = WANT_NONE;
+	caller->idle_since = now_of(pooler);
+	timers_cancel(pooler->timers, &caller->timer);
+	if (caller->tx == TX_NONE)
+		caller->service = NULL;
+	if (caller->link != NULL)
+		pooler->env->ops->caller_reply(pooler->env, caller->link, reply);
+}
+
+static void answer_done(caller_t *caller)
+{
+	caller_reply_t reply = {.kind = REPLY_DONE, .tx = caller->tx};
+
+	finish(caller, &reply);
+}
+
+static void answer_raw(caller_t *caller, const reply_t *from)
+{
+	caller_reply_t reply = {.kind = REPLY_RAW, .raw = from->raw};
+
+	counter_add(from->ok ? &done_total : &failed_total, 1);
+	finish(caller, &reply);
+}
+
+static void log_refusal(const caller_t *caller, code_t code, const char *reason)
+{
+	usec_t now = now_of(caller->pooler);
+	const sync_t *sync = &caller->pooler->sync;
+	bool confirmed = sync->confirmed_at != USEC_NEVER;
+
+	LOG_EVENT(LOG_WARN, "statement not served",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("database", caller->database),
+		  LOG_STR("service", caller->service != NULL ? caller->service->name : ""),
+		  LOG_STR("outcome", code_name(code)), LOG_STR("reason", reason),
+		  LOG_INT("attempts", caller->attempts),
+		  LOG_INT("waited_ms", (int64_t)((now - caller->received_at) / USEC_PER_MSEC)),
+		  LOG_STR("member", caller->conn != NULL ? caller->conn->member->id : ""),
+		  LOG_INT("roster", sync->roster != NULL ? sync->roster->revision : 0),
+		  LOG_INT("roster_age_ms",
+			  confirmed ? (int64_t)((now - sync->confirmed_at) / USEC_PER_MSEC) : -1));
+}
+
+static void answer_error(caller_t *caller, code_t code, const char *reason)
+{
+	caller_reply_t reply = {
+		.kind = REPLY_ERROR, .code = code, .text = reason, .tx = caller->tx};
+
+	if (code == CODE_IN_DOUBT || code == CODE_TIMEOUT)
+		counter_add(&unsure_total, 1);
+	else
+		counter_add(&refused_total, 1);
+	log_refusal(caller, code, reason);
+	finish(caller, &reply);
+}
+
+/* Fail the statement, and the transaction that it belongs to. */
+static void fail(caller_t *caller, code_t code, const char *reason)
+{
+	dispatch_leave(caller);
+	if (caller->tx == TX_OPEN)
+		caller->tx = is_commit(caller) ? TX_NONE : TX_FAILED;
+	if (caller->conn != NULL)
+		conn_orphan(caller->conn);
+	answer_error(caller, code, reason);
+}
+
+void caller_refuse(caller_t *caller, code_t code, const char *reason, usec_t retry_after)
+{
+	char text[REASON_MAX];
+
+	/* The text is the only place on the wire that can say when to come back. */
+	snprintf(text, sizeof(text), "%s; retry-after-ms=%" PRIu64, reason,
+		 retry_after / USEC_PER_MSEC);
+	fail(caller, code, text);
+}
+
+/* --- trying again --- */
+
+static void wait_again(caller_t *caller, usec_t pause)
+{
+	usec_t now = now_of(caller->pooler);
+
+	counter_add(&retried_total, 1);
+	caller->attempts++;
+	caller->not_before = now + pause;
+	dispatch_join(caller);
+}
+
+/* The statement certainly did not run: try again, or say so. */
+static void not_run(caller_t *caller, code_t code, const char *reason)
+{
+	if (code == CODE_LAGGING)
+		caller->only_primary = true;
+	if (caller->tx == TX_OPEN && caller->tx_ran) {
+		fail(caller, CODE_ABORTED, reason);
+		return;
+	}
+	if (caller->attempts >= ATTEMPTS_MAX) {
+		caller_refuse(caller, CODE_BUSY, reason, RETRY_STEP * ATTEMPTS_MAX);
+		return;
+	}
+	wait_again(caller, code == CODE_LAGGING ? 0 : RETRY_STEP * caller->attempts);
+}
+
+void caller_on_refused(caller_t *caller, code_t code)
+{
+	caller->conn = NULL;
+	if (caller->link == NULL) {
+		caller_on_gone(caller);
+		return;
+	}
+	not_run(caller, code, "the member refused to begin");
+}
+
+static void lost_while_running(caller_t *caller, const char *reason)
+{
+	if (caller_may_keep(caller)) {
+		if (caller->tx == TX_OPEN)
+			caller->tx = TX_NONE;
+		answer_error(caller, CODE_IN_DOUBT, reason);
+	} else if (caller->tx == TX_NONE) {
+		/* A read may run twice. */
+		not_run(caller, CODE_OTHER, reason);
+	} else {
+		/* What was not committed is rolled back with the connection. */
+		fail(caller, CODE_ABORTED, reason);
+	}
+}
+
+void caller_on_conn_lost(caller_t *caller, bool sent, const char *reason)
+{
+	caller->conn = NULL;
+	if (!caller->busy) {
+		caller->tx_lost = true;
+		return;
+	}
+	if (sent)
+		lost_while_running(caller, reason);
+	else
+		not_run(caller, CODE_OTHER, reason);
+}
+
+/* --- replies of members --- */
+
+static void remember_commit(caller_t *caller, const reply_t *reply)
+{
+	if (!reply->has_position)
+		return;
+	caller->has_commit = true;
+	caller->commit = reply->position;
+	caller->committed_at = now_of(caller->pooler);
+}
+
+/* A success that the rules on superseded primaries do not let through. */
+static bool is_overtaken(const caller_t *caller, const member_t *member)
+{
+	return caller_may_keep(caller) && !permit_covers(member, now_of(caller->pooler));
+}
+
+static void on_success(caller_t *caller, conn_t *conn, const reply_t *reply)
+{
+	bool ends = caller->tx == TX_NONE || is_commit(caller);
+
+	if (!reply->is_signed) {
+		conn->caller = NULL;
+		conn_close(conn, "unsigned answer");
+		caller_on_conn_lost(caller, true, "unsigned answer");
+		return;
+	}
+	if (is_overtaken(caller, conn->member)) {
+		/*
+		 * Committed, but perhaps by a primary that was superseded meanwhile: the caller
+		 * would believe in a write that is rolled back.
+		 */
+		if (caller->tx == TX_OPEN)
+			caller->tx = TX_NONE;
+		answer_error(caller, CODE_IN_DOUBT, "permission for the primary ended meanwhile");
+		conn_release(conn);
+		return;
+	}
+	if (caller_may_keep(caller))
+		remember_commit(caller, reply);
+	if (caller->tx == TX_OPEN) {
+		caller->tx_ran = true;
+		caller->tx_wrote = caller->tx_wrote || is_write(caller);
+		caller->tx = is_commit(caller) ? TX_NONE : reply->tx;
+	}
+	conn->state = CONN_HELD;
+	conn->since = now_of(caller->pooler);
+	answer_raw(caller, reply);
+	if (ends)
+		conn_release(conn);
+}
+
+/* An error inside a transaction, or of a lone statement that ran. */
+static void pass_error(caller_t *caller, conn_t *conn, const reply_t *reply)
+{
+	log_refusal(caller, reply->code, "the member's answer");
+	caller->tx = reply->tx;
+	conn->state = CONN_HELD;
+	conn->since = now_of(caller->pooler);
+	answer_raw(caller, reply);
+	if (caller->tx == TX_NONE)
+		conn_release(conn);
+}
+
+static void on_error(caller_t *caller, conn_t *conn, const reply_t *reply)
+{
+	bool untouched = caller->tx == TX_NONE || (!caller->tx_ran && !is_commit(caller));
+
+	if (reply->code == CODE_NO_STATEMENT)
+		conn->prepared_count = 0;
+	if (!code_is_not_run(reply->code) || !untouched) {
+		pass_error(caller, conn, reply);
+		return;
+	}
+	conn_release(conn);
+	not_run(caller, reply->code, code_name(reply->code));
+}
+
+void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply)
+{
+	if (reply->ok)
+		on_success(caller, conn, reply);
+	else
+		on_error(caller, conn, reply);
+	if (caller->leaving && caller->tx == TX_NONE && !caller->busy)
+		caller_drain(caller, false);
+}
+
+/* --- statements that are answered here --- */
+
+static prepared_t *find_prepared(const caller_t *caller, slice_t name)
+{
+	list_for_each (it, &caller->prepared) {
+		prepared_t *prepared = list_entry(it, prepared_t, node);
+
+		if (slice_equals(slice_of(prepared->name, strlen(prepared->name)), name))
+			return prepared;
+	}
+	return NULL;
+}
+
+static void forget(prepared_t *prepared)
+{
+	list_del(&prepared->node);
+	talloc_free(prepared);
+}
+
+/* Callers' names collide, so members see a name that follows from kind and shape alone. */
+static char *alias_of(void *parent, bool writes, slice_t shape)
+{
+	return talloc_asprintf(parent, "%c%016" PRIx64, writes ? 'w' : 'r',
+			       (uint64_t)XXH64(shape.at, shape.len, 0));
+}
+
+static void on_prepare(caller_t *caller)
+{
+	const statement_t *statement = &caller->statement;
+	prepared_t *prepared = find_prepared(caller, statement->name);
+
+	if (prepared != NULL)
+		forget(prepared);
+	prepared = talloc_zero(caller, prepared_t);
+	prepared->name = talloc_strndup(prepared, statement->name.at, statement->name.len);
+	prepared->shape = talloc_strndup(prepared, statement->value.at, statement->value.len);
+	prepared->writes = statement->writes;
+	prepared->alias = alias_of(prepared, statement->writes, statement->value);
+	list_add_tail(&caller->prepared, &prepared->node);
+	answer_done(caller);
+}
+
+static void on_forget(caller_t *caller)
+{
+	prepared_t *prepared = find_prepared(caller, caller->statement.name);
+
+	if (prepared == NULL) {
+		answer_error(caller, CODE_NO_STATEMENT, "no prepared statement of that name");
+		return;
+	}
+	forget(prepared);
+	answer_done(caller);
+}
+
+static bool take_route(caller_t *caller)
+{
+	const route_t *route = routes_find(caller->pooler->routes, caller->database);
+
+	if (route == NULL)
+		return false;
+	caller->service = service_get(caller->pooler, route->service);
+	caller->reads = route->reads;
+	caller->max_age = route->max_age;
+	caller->timeout = route->statement_timeout;
+	caller->priority = route->priority;
+	return true;
+}
+
+static void on_begin(caller_t *caller)
+{
+	caller->tx = TX_OPEN;
+	caller->tx_read_only = caller->statement.kind == STATEMENT_BEGIN_READ;
+	caller->tx_ran = false;
+	caller->tx_wrote = false;
+	caller->tx_lost = false;
+	caller->only_primary = false;
+	/* The member's BEGIN waits for the first statement: pauses before it cost no connection. */
+	answer_done(caller);
+}
+
+static void on_rollback(caller_t *caller)
+{
+	caller->tx = TX_NONE;
+	if (caller->conn != NULL)
+		conn_release(caller->conn);
+	answer_done(caller);
+}
+
+/* --- statements that a member runs --- */
+
+static void on_deadline(run_timer_t *timer, usec_t now)
+{
+	caller_t *caller = list_entry(timer, caller_t, timer);
+	conn_t *conn = caller->conn;
+
+	(void)now;
+	if (conn == NULL || conn->state != CONN_RUNNING) {
+		caller_refuse(caller,
+			      caller->tx == TX_OPEN && caller->tx_ran ? CODE_ABORTED : CODE_BUSY,
+			      "no connection came free in time", RETRY_STEP);
+		return;
+	}
+	if (caller_may_keep(caller)) {
+		fail(caller, CODE_IN_DOUBT, "the member did not answer in time");
+	} else if (caller->tx == TX_OPEN) {
+		fail(caller, CODE_ABORTED, "the member did not answer in time");
+	} else {
+		fail(caller, CODE_TIMEOUT, "the member did not answer in time");
+	}
+}
+
+static want_t want_of(const caller_t *caller)
+{
+	if (caller->reads == READS_PRIMARY)
+		return WANT_PRIMARY;
+	if (caller->tx == TX_OPEN)
+		return caller->tx_read_only ? WANT_ANY : WANT_PRIMARY;
+	return is_write(caller) ? WANT_PRIMARY : WANT_ANY;
+}
+
+static void run_at_member(caller_t *caller)
+{
+	pooler_t *pooler = caller->pooler;
+
+	caller->want = want_of(caller);
+	caller->attempts = 0;
+	caller->not_before = 0;
+	caller->deadline = caller->received_at + caller->timeout;
+	timers_arm(pooler->timers, &caller->timer, caller->deadline, on_deadline);
+	if (caller->conn != NULL) {
+		conn_run_held(caller->conn);
+		return;
+	}
+	if (caller->tx == TX_NONE)
+		caller->only_primary = false;
+	dispatch_join(caller);
+}
+
+static void on_exec(caller_t *caller)
+{
+	caller->exec = find_prepared(caller, caller->statement.name);
+	if (caller->exec == NULL) {
+		answer_error(caller, CODE_NO_STATEMENT, "no prepared statement of that name");
+		return;
+	}
+	caller->statement.writes = caller->exec->writes;
+	run_at_member(caller);
+}
+
+/* A statement in a transaction that is over: only its end is meaningful. */
+static void on_failed_tx(caller_t *caller, const char *reason)
+{
+	if (is_commit(caller)) {
+		caller->tx = TX_NONE;
+		if (caller->conn != NULL)
+			conn_release(caller->conn);
+		answer_error(caller, CODE_ABORTED, reason);
+	} else if (caller->tx_lost) {
+		caller->tx_lost = false;
+		answer_error(caller, CODE_ABORTED, reason);
+	} else {
+		answer_error(caller, CODE_MALFORMED, "the transaction failed; end it");
+	}
+}
+
+static void on_local(caller_t *caller)
+{
+	switch (caller->statement.kind) {
+	case STATEMENT_SET:
+		variables_set(&caller->variables, caller, caller->statement.name,
+			      caller->statement.value);
+		answer_done(caller);
+		break;
+	case STATEMENT_PREPARE:
+		on_prepare(caller);
+		break;
+	case STATEMENT_FORGET:
+		on_forget(caller);
+		break;
+	default:
+		answer_error(caller, CODE_MALFORMED, "not a statement that is known here");
+	}
+}
+
+static void on_outside_tx(caller_t *caller)
+{
+	switch (caller->statement.kind) {
+	case STATEMENT_BEGIN:
+	case STATEMENT_BEGIN_READ:
+	case STATEMENT_READ:
+	case STATEMENT_WRITE:
+	case STATEMENT_EXEC:
+		if (!take_route(caller)) {
+			answer_error(caller, CODE_NO_DATABASE, "no such database");
+			return;
+		}
+		break;
+	case STATEMENT_COMMIT:
+	case STATEMENT_ROLLBACK:
+		answer_error(caller, CODE_MALFORMED, "no transaction is open");
+		return;
+	default:
+		on_local(caller);
+		return;
+	}
+	if (caller->statement.kind == STATEMENT_EXEC)
+		on_exec(caller);
+	else if (caller->statement.kind == STATEMENT_READ ||
+		 caller->statement.kind == STATEMENT_WRITE)
+		run_at_member(caller);
+	else
+		on_begin(caller);
+}
+
+static void on_inside_tx(caller_t *caller)
+{
+	if (caller->tx_lost)
+		caller->tx = TX_FAILED;
+	if (caller->statement.kind == STATEMENT_ROLLBACK) {
+		on_rollback(caller);
+		return;
+	}
+	if (caller->tx == TX_FAILED) {
+		on_failed_tx(caller, "the transaction was rolled back");
+		return;
+	}
+	switch (caller->statement.kind) {
+	case STATEMENT_READ:
+	case STATEMENT_WRITE:
+	case STATEMENT_COMMIT:
+		run_at_member(caller);
+		break;
+	case STATEMENT_EXEC:
+		on_exec(caller);
+		break;
+	default:
+		on_local(caller);
+	}
+}
+
+static slice_t rebase(slice_t slice, const char *from, const char *to)
+{
+	return slice_of(slice.at != NULL ? to + (slice.at - from) : to, slice.len);
+}
+
+/* Keep the statement beyond the buffer that it was read into. */
+static void keep(caller_t *caller, const statement_t *statement)
+{
+	const char *start = statement->id.at;
+	size_t len = (size_t)(statement->text.at + statement->text.len - start);
+
+	if (talloc_get_size(caller->text) < len || caller->text == NULL) {
+		talloc_free(caller->text);
+		caller->text = talloc_size(caller, len + 1);
+	}
+	memcpy(caller->text, start, len);
+	caller->statement = *statement;
+	caller->statement.id = rebase(statement->id, start, caller->text);
+	caller->statement.text = rebase(statement->text, start, caller->text);
+	caller->statement.name = rebase(statement->name, start, caller->text);
+	caller->statement.value = rebase(statement->value, start, caller->text);
+}
+
+void caller_on_statement(caller_t *caller, const statement_t *statement)
+{
+	caller->busy = true;
+	caller->received_at = now_of(caller->pooler);
+	caller->attempts = 0;
+	caller->exec = NULL;
+	keep(caller, statement);
+	if (caller->tx == TX_NONE)
+		on_outside_tx(caller);
+	else
+		on_inside_tx(caller);
+	if (caller->leaving && caller->tx == TX_NONE && !caller->busy)
+		caller_drain(caller, false);
+}
+
+bool caller_is_busy(const caller_t *caller)
+{
+	return caller->busy;
+}
+
+/* --- open and close --- */
+
+caller_t *pooler_caller_open(pooler_t *pooler, const char *database, void *link, code_t *code)
+{
+	caller_t *caller;
+
+	if (pooler->routes == NULL) {
+		*code = CODE_BUSY;
+		return NULL;
+	}
+	if (routes_find(pooler->routes, database) == NULL) {
+		*code = CODE_NO_DATABASE;
+		return NULL;
+	}
+	caller = talloc_zero(pooler, caller_t);
+	caller->pooler = pooler;
+	caller->link = link;
+	caller->database = talloc_strdup(caller, database);
+	caller->idle_since = now_of(pooler);
+	caller->leaving = pooler->draining;
+	variables_init(&caller->variables);
+	list_init(&caller->prepared);
+	list_init(&caller->waiting);
+	list_add_tail(&pooler->callers, &caller->node);
+	counter_add(&open_callers, 1);
+	return caller;
+}
+
+void caller_on_gone(caller_t *caller)
+{
+	pooler_t *pooler = caller->pooler;
+
+	dispatch_leave(caller);
+	timers_cancel(pooler->timers, &caller->timer);
+	/* A commit or lone write that is under way is left to finish; the rest is rolled back. */
+	if (caller->conn != NULL)
+		conn_orphan(caller->conn);
+	list_del(&caller->node);
+	counter_add(&open_callers, -1);
+	talloc_free(caller);
+}
+
+static void hang_up(caller_t *caller)
+{
+	pooler_t *pooler = caller->pooler;
+	void *link = caller->link;
+
+	caller_on_gone(caller);
+	pooler->env->ops->caller_close(pooler->env, link);
+}
+
+void caller_drain(caller_t *caller, bool cut_transactions)
+{
+	caller->leaving = true;
+	if (caller->busy)
+		return;
+	if (caller->tx == TX_NONE || cut_transactions)
+		hang_up(caller);
+}
+
+bool caller_may_write(const caller_t *caller)
+{
+	if (caller->tx == TX_OPEN)
+		return !caller->tx_read_only;
+	return caller->busy && is_write(caller);
+}
+
+void caller_tick(caller_t *caller, usec_t now)
+{
+	const routes_t *routes = caller->pooler->routes;
+
+	if (caller->busy || caller->tx != TX_OPEN || caller->conn == NULL)
+		return;
+	if (routes == NULL || now < caller->idle_since + routes->tx_idle)
+		return;
+	LOG_EVENT(LOG_INFO, "idle transaction ended", LOG_STR("database", caller->database),
+		  LOG_INT("idle_ms", (int64_t)((now - caller->idle_since) / USEC_PER_MSEC)));
+	conn_close(caller->conn, "transaction idle too long");
+}
--- /dev/null
+++ b/pooler/caller.h
@@ -0,0 +1,31 @@
+/*
+ * A caller's session: its values, its prepared names, its transaction, and the
+ * one statement in progress. Decides what each outcome at a member means for
+ * the caller: passed on, tried again where that can't be seen, or refused with
+ * a code that promises no more than is known.
+ */
+#pragma once
+
+#include "state.h"
+
+/* The connection broke. sent: its statement was at the member, unanswered. */
+void caller_on_conn_lost(caller_t *caller, bool sent, const char *reason);
+
+/* The member refused what had to come before the statement, which did not run. */
+void caller_on_refused(caller_t *caller, code_t code);
+
+void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply);
+
+/* The statement waits for a connection and can't have one in time: refuse it now. */
+void caller_refuse(caller_t *caller, code_t code, const char *reason, usec_t retry_after);
+
+/* True if the statement in progress, once sent, may leave something behind. */
+bool caller_may_keep(const caller_t *caller);
+
+/* True if a write may still follow on the caller's connection, or is under way. */
+bool caller_may_write(const caller_t *caller);
+
+/* End what the shutdown does not wait for any longer. */
+void caller_drain(caller_t *caller, bool cut_transactions);
+
+void caller_tick(caller_t *caller, usec_t now);
--- /dev/null
+++ b/pooler/conn.c
@@ -0,0 +1,482 @@
+#include "conn.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "caller.h"
+#include "dispatch.h"
+#include "member.h"
+#include "permit.h"
+
+#define LOG_MODULE "conn"
+#include "log.h"
+
+/* Back-off after a failed connection, before its jitter. */
+#define REOPEN_AFTER (100 * USEC_PER_MSEC)
+/* How long a member that refused a connection for its limit is not asked for more than our share.
+ */
+#define FULL_FOR (1 * USEC_PER_SEC)
+/* The same for a connection inside our share. */
+#define FULL_RETRY (60 * USEC_PER_MSEC)
+/* Smoothing of response times: a fifth of each new one. */
+#define RESPONSE_WEIGHT 5
+/* Names prepared on one connection before it is reset. */
+#define PREPARED_MAX 256
+
+static void set_state(conn_t *conn, conn_state_t state)
+{
+	conn->state = state;
+	conn->since = now_of(conn->member->pooler);
+}
+
+static void send_requests(conn_t *conn, const member_request_t *requests, size_t count)
+{
+	env_t *env = conn->member->pooler->env;
+
+	conn->sent_at = now_of(conn->member->pooler);
+	env->ops->member_send(env, conn->link, requests, count);
+}
+
+/* --- open and close --- */
+
+conn_t *conn_open(member_t *member, bool probe)
+{
+	pooler_t *pooler = member->pooler;
+	conn_t *conn = talloc_zero(member, conn_t);
+
+	conn->member = member;
+	conn->probe = probe;
+	variables_init(&conn->variables);
+	conn->link = pooler->env->ops->member_connect(pooler->env, member->address,
+						      member->service->name, member->id, conn);
+	if (conn->link == NULL) {
+		member->open_after = now_of(pooler) + REOPEN_AFTER;
+		talloc_free(conn);
+		return NULL;
+	}
+	list_add_tail(&member->conns, &conn->node);
+	set_state(conn, CONN_OPENING);
+	if (!probe)
+		member->conn_count++;
+	return conn;
+}
+
+/* Unlink conn from everything but its caller, and free it. */
+static void dispose(conn_t *conn)
+{
+	member_t *member = conn->member;
+
+	list_del(&conn->node);
+	if (conn->probe)
+		member->probe_conn = NULL;
+	else
+		member->conn_count--;
+	talloc_free(conn);
+}
+
+static void end(conn_t *conn, const char *reason)
+{
+	caller_t *caller = conn->caller;
+	service_t *service = conn->member->service;
+	bool sent = conn->state == CONN_RUNNING;
+
+	conn->caller = NULL;
+	dispose(conn);
+	if (caller != NULL)
+		caller_on_conn_lost(caller, sent, reason);
+	dispatch_run(service);
+}
+
+void conn_close(conn_t *conn, const char *reason)
+{
+	env_t *env = conn->member->pooler->env;
+	member_t *member = conn->member;
+	bool failed_probe = conn->probe && conn->state != CONN_IDLE;
+
+	env->ops->member_close(env, conn->link);
+	if (failed_probe) {
+		member->open_after = now_of(member->pooler) + PROBE_INTERVAL;
+		if (!member->down) {
+			member->down = true;
+			LOG_EVENT(LOG_WARN, "member is down",
+				  LOG_STR("service", member->service->name),
+				  LOG_STR("member", member->id), LOG_STR("reason", reason));
+		}
+	}
+	end(conn, reason);
+}
+
+void conn_ask_status(conn_t *conn)
+{
+	member_request_t request = {.kind = REQUEST_STATUS};
+
+	set_state(conn, CONN_PROBING);
+	send_requests(conn, &request, 1);
+}
+
+void conn_on_ready(conn_t *conn)
+{
+	member_t *member = conn->member;
+
+	member_heard(member);
+	if (conn->probe) {
+		conn_ask_status(conn);
+		return;
+	}
+	set_state(conn, CONN_IDLE);
+	dispatch_run(member->service);
+}
+
+/* The member answered, but does not take this connection. */
+static void on_refused(conn_t *conn, code_t code)
+{
+	member_t *member = conn->member;
+	usec_t now = now_of(member->pooler);
+
+	if (code == CODE_MISROUTED) {
+		/* Another process has the address now; the list of members will say so. */
+		member->open_after = now + FULL_FOR;
+		return;
+	}
+	member_heard(member);
+	member->full_until = now + FULL_FOR;
+	member->open_after = now + FULL_RETRY + pooler_random(member->pooler, FULL_RETRY);
+}
+
+void conn_on_down(conn_t *conn, code_t code, const char *reason)
+{
+	member_t *member = conn->member;
+	pooler_t *pooler = member->pooler;
+	bool opening = conn->state == CONN_OPENING;
+
+	LOG_EVENT(LOG_DBG, "connection ended", LOG_STR("member", member->id),
+		  LOG_STR("reason", reason), LOG_STR("code", code_name(code)),
+		  LOG_INT("state", conn->state));
+	if (opening && code != CODE_NONE) {
+		on_refused(conn, code);
+	} else if (conn->probe) {
+		member->open_after = now_of(pooler) + PROBE_INTERVAL;
+		if (!member->down)
+			LOG_EVENT(LOG_WARN, "member is down",
+				  LOG_STR("service", member->service->name),
+				  LOG_STR("member", member->id), LOG_STR("reason", reason));
+		member->down = true;
+	} else {
+		member->open_after = now_of(pooler) + (opening ? REOPEN_AFTER : 0) +
+				     pooler_random(pooler, 20000);
+		end(conn, reason);
+		member_suspect(member, reason);
+		return;
+	}
+	end(conn, reason);
+}
+
+/* --- setting up --- */
+
+static bool knows(const conn_t *conn, const char *alias)
+{
+	for (size_t i = 0; i < conn->prepared_count; i++) {
+		if (strcmp(conn->prepared[i], alias) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void add_prepared(conn_t *conn, const char *alias)
+{
+	conn->prepared = talloc_realloc(conn, conn->prepared, char *, conn->prepared_count + 1);
+	conn->prepared[conn->prepared_count++] = talloc_strdup(conn->prepared, alias);
+}
+
+static void forget_all(conn_t *conn)
+{
+	variables_clear(&conn->variables);
+	talloc_free(conn->prepared);
+	conn->prepared = NULL;
+	conn->prepared_count = 0;
+}
+
+typedef struct flight {
+	conn_t *conn;
+	member_request_t requests[CONN_SETUP_MAX];
+} flight_t;
+
+static void add(flight_t *flight, member_request_t request)
+{
+	conn_t *conn = flight->conn;
+
+	flight->requests[conn->setup_len] = request;
+	conn->setup[conn->setup_len++] = request.kind;
+}
+
+static slice_t slice_from(const char *text)
+{
+	return slice_of(text, strlen(text));
+}
+
+static void add_variables(flight_t *flight, const caller_t *caller)
+{
+	conn_t *conn = flight->conn;
+
+	if (variables_equal(&conn->variables, &caller->variables))
+		return;
+	list_for_each (it, &caller->variables.list) {
+		const variable_t *want = list_entry(it, variable_t, node);
+		const variable_t *have = variables_find(&conn->variables, slice_from(want->name));
+
+		if (have != NULL && strcmp(have->value, want->value) == 0)
+			continue;
+		add(flight, (member_request_t){.kind = REQUEST_SET,
+					       .name = slice_from(want->name),
+					       .value = slice_from(want->value)});
+		variables_set(&conn->variables, conn, slice_from(want->name),
+			      slice_from(want->value));
+	}
+}
+
+static void add_name(flight_t *flight, const prepared_t *prepared)
+{
+	conn_t *conn = flight->conn;
+
+	if (prepared == NULL || knows(conn, prepared->alias))
+		return;
+	add(flight, (member_request_t){.kind = REQUEST_PREPARE,
+				       .name = slice_from(prepared->alias),
+				       .value = slice_from(prepared->shape),
+				       .writes = prepared->writes});
+	add_prepared(conn, prepared->alias);
+}
+
+static void add_begin(flight_t *flight, const caller_t *caller)
+{
+	member_request_t request = {.kind = caller->tx_read_only ? REQUEST_BEGIN_READ
+								 : REQUEST_BEGIN};
+
+	if (caller->tx != TX_OPEN || flight->conn->in_tx)
+		return;
+	if (caller->tx_read_only) {
+		request.has_after = caller->has_after;
+		request.after = caller->after;
+	}
+	add(flight, request);
+}
+
+static void send_statement(conn_t *conn)
+{
+	caller_t *caller = conn->caller;
+	member_request_t request = {.kind = REQUEST_FORWARD, .statement = &caller->statement};
+
+	if (caller->exec != NULL) {
+		request.kind = REQUEST_EXEC;
+		request.name = slice_from(caller->exec->alias);
+	}
+	if (caller->tx == TX_NONE && caller->want == WANT_ANY) {
+		request.has_after = caller->has_after;
+		request.after = caller->after;
+	}
+	set_state(conn, CONN_RUNNING);
+	send_requests(conn, &request, 1);
+}
+
+/* Returns true if something had to be sent first. */
+static bool prepare(conn_t *conn)
+{
+	caller_t *caller = conn->caller;
+	flight_t flight = {.conn = conn};
+
+	conn->setup_len = 0;
+	conn->setup_done = 0;
+	conn->setup_code = CODE_NONE;
+	/* A value that the caller does not have can only be taken away by a reset. */
+	if (!conn->in_tx && (!variables_within(&conn->variables, &caller->variables) ||
+			     conn->prepared_count >= PREPARED_MAX)) {
+		forget_all(conn);
+		add(&flight, (member_request_t){.kind = REQUEST_RESET});
+	}
+	add_variables(&flight, caller);
+	add_name(&flight, caller->exec);
+	add_begin(&flight, caller);
+	if (conn->setup_len == 0)
+		return false;
+	set_state(conn, CONN_PREPARING);
+	send_requests(conn, flight.requests, conn->setup_len);
+	return true;
+}
+
+void conn_run(conn_t *conn, caller_t *caller)
+{
+	conn->caller = caller;
+	caller->conn = conn;
+	conn_run_held(conn);
+}
+
+void conn_run_held(conn_t *conn)
+{
+	/*
+	 * The statement goes out only after the replies to what it rests on: in one flight a
+	 * failed BEGIN would let a write of a transaction run and commit by itself.
+	 */
+	if (!prepare(conn))
+		send_statement(conn);
+}
+
+/* --- replies --- */
+
+static void on_setup_reply(conn_t *conn, const reply_t *reply)
+{
+	caller_t *caller = conn->caller;
+	request_kind_t kind = conn->setup[conn->setup_done++];
+
+	if (!reply->ok && conn->setup_code == CODE_NONE)
+		conn->setup_code = reply->code;
+	if (reply->ok && (kind == REQUEST_BEGIN || kind == REQUEST_BEGIN_READ))
+		conn->in_tx = true;
+	if (conn->setup_done < conn->setup_len)
+		return;
+	if (conn->setup_code == CODE_NONE) {
+		send_statement(conn);
+		return;
+	}
+	/* Only BEGIN can be refused without leaving the connection in an unknown state. */
+	conn->caller = NULL;
+	if (kind == REQUEST_BEGIN || kind == REQUEST_BEGIN_READ)
+		set_state(conn, CONN_IDLE);
+	else
+		conn_close(conn, "setting up failed");
+	caller_on_refused(caller, conn->setup_code);
+}
+
+static void measure(conn_t *conn, usec_t now)
+{
+	member_t *member = conn->member;
+	usec_t took = now - conn->sent_at;
+
+	member->response = (member->response * (RESPONSE_WEIGHT - 1) + took) / RESPONSE_WEIGHT;
+}
+
+static void take_sample(conn_t *conn, const reply_t *reply, usec_t now)
+{
+	member_t *member = conn->member;
+	service_t *service = member->service;
+
+	if (!reply->has_position)
+		return;
+	member->applied = reply->position;
+	if (!permit_covers(member, now))
+		return;
+	if (service->fresh_primary == NULL || strcmp(service->fresh_primary, member->id) != 0) {
+		freshness_reset(&service->freshness);
+		talloc_free(service->fresh_primary);
+		service->fresh_primary = talloc_strdup(service, member->id);
+	}
+	freshness_add(&service->freshness, conn->sent_at, reply->position);
+}
+
+static void on_status(conn_t *conn, const reply_t *reply, const member_status_t *status)
+{
+	member_t *member = conn->member;
+
+	if (reply->ok && status != NULL) {
+		member->status = *status;
+		member->survey_done = true;
+	}
+	set_state(conn, CONN_IDLE);
+	if (conn->probe)
+		conn_close(conn, "probe done");
+	else
+		conn_release(conn);
+}
+
+/* The member is done with what nobody waits for. */
+static void on_late_reply(conn_t *conn, const reply_t *reply)
+{
+	conn->in_tx = reply->tx != TX_NONE;
+	if (conn->state == CONN_CLEANING && conn->in_tx) {
+		conn_close(conn, "rollback failed");
+		return;
+	}
+	conn_release(conn);
+}
+
+void conn_on_reply(conn_t *conn, const reply_t *reply, const member_status_t *status)
+{
+	usec_t now = now_of(conn->member->pooler);
+
+	member_heard(conn->member);
+	if (conn->state == CONN_PROBING) {
+		on_status(conn, reply, status);
+		return;
+	}
+	take_sample(conn, reply, now);
+	switch (conn->state) {
+	case CONN_PREPARING:
+		if (conn->caller == NULL) {
+			/* Its caller left; replies to the rest of the flight are still to come. */
+			if (++conn->setup_done == conn->setup_len)
+				conn_close(conn, "caller left while setting up");
+			return;
+		}
+		on_setup_reply(conn, reply);
+		break;
+	case CONN_RUNNING:
+		measure(conn, now);
+		conn->in_tx = reply->tx != TX_NONE;
+		caller_on_reply(conn->caller, conn, reply);
+		break;
+	case CONN_CLEANING:
+	case CONN_ORPHANED:
+		on_late_reply(conn, reply);
+		break;
+	default:
+		conn_close(conn, "reply without a request");
+	}
+}
+
+/* --- giving back --- */
+
+void conn_release(conn_t *conn)
+{
+	member_request_t rollback = {.kind = REQUEST_ROLLBACK};
+
+	if (conn->caller != NULL)
+		conn->caller->conn = NULL;
+	conn->caller = NULL;
+	if (conn->in_tx) {
+		set_state(conn, CONN_CLEANING);
+		send_requests(conn, &rollback, 1);
+		return;
+	}
+	set_state(conn, CONN_IDLE);
+	if (!member_is_usable(conn->member))
+		conn_close(conn, "member is leaving");
+	else
+		dispatch_run(conn->member->service);
+}
+
+void conn_orphan(conn_t *conn)
+{
+	conn->caller->conn = NULL;
+	conn->caller = NULL;
+	if (conn->state == CONN_HELD)
+		conn_release(conn);
+	else if (conn->state == CONN_RUNNING)
+		set_state(conn, CONN_ORPHANED);
+}
+
+conn_t *conn_idle(const member_t *member, const caller_t *caller)
+{
+	conn_t *best = NULL;
+
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->state != CONN_IDLE || conn->probe)
+			continue;
+		if (variables_equal(&conn->variables, &caller->variables))
+			return conn;
+		if (best == NULL || variables_within(&conn->variables, &caller->variables))
+			best = conn;
+	}
+	return best;
+}
--- /dev/null
+++ b/pooler/conn.h
@@ -0,0 +1,32 @@
+/*
+ * A connection to a member. It serves one caller at a time, for a statement or
+ * for a transaction, with exactly that caller's values; what is unsure about it
+ * closes it.
+ */
+#pragma once
+
+#include "state.h"
+
+/* NULL if the member can't be reached at once. probe: only asks for the status. */
+conn_t *conn_open(member_t *member, bool probe);
+
+/* Close it; a caller on it learns what became of its statement. */
+void conn_close(conn_t *conn, const char *reason);
+
+/* Ask an idle connection's member for its status. */
+void conn_ask_status(conn_t *conn);
+
+/* Set the connection up for its caller's statement and send it. */
+void conn_run(conn_t *conn, caller_t *caller);
+
+/* Send the statement of the caller whose transaction the connection holds. */
+void conn_run_held(conn_t *conn);
+
+/* The caller is done with it: roll back what is open, then serve others. */
+void conn_release(conn_t *conn);
+
+/* The caller no longer waits for the reply to what is running. */
+void conn_orphan(conn_t *conn);
+
+/* An idle connection of member, the one whose values fit the caller best; or NULL. */
+conn_t *conn_idle(const member_t *member, const caller_t *caller);
--- /dev/null
+++ b/pooler/dispatch.c
@@ -0,0 +1,278 @@
+#include "dispatch.h"
+
+#include <string.h>
+
+#include "caller.h"
+#include "conn.h"
+#include "member.h"
+#include "permit.h"
+
+/*
+ * Penalties of a member for a read, as time added to its expected answer.
+ * Another zone: the two ways of 1.4 ms between zones on the users' sites, and its bytes cost.
+ */
+#define OTHER_ZONE (3 * USEC_PER_MSEC)
+/* The primary has the writes to serve, which nobody else can. */
+#define IS_PRIMARY (8 * USEC_PER_MSEC)
+/* A connection that must first be made takes 12 ms of a slot. */
+#define NO_CONNECTION (15 * USEC_PER_MSEC)
+/* It lacked a position a moment ago. */
+#define LAGS (30 * USEC_PER_MSEC)
+/* How long that counts. */
+#define LAGGING_FOR (200 * USEC_PER_MSEC)
+/* Replicas apply a commit this much later at least; a younger one is read at the primary. */
+#define APPLY_DELAY (60 * USEC_PER_MSEC)
+/* From the marking of a change of primary to its end: a promote takes about 1 s. */
+#define CHANGE_USUAL (1300 * USEC_PER_MSEC)
+/* From the first sign of a failed primary to the marking. */
+#define DETECTION_USUAL (700 * USEC_PER_MSEC)
+/* A primary that is leaving is used this long; the users' bound for leaving members is 7 s. */
+#define LEAVING_USE (5 * USEC_PER_SEC)
+/* When to come back if the end of the trouble isn't known. */
+#define UNKNOWN_RETRY (1 * USEC_PER_SEC)
+
+/* --- what a replica must hold --- */
+
+/* Returns false if no position is known to be fresh enough for the caller's read. */
+static bool position_for(const caller_t *caller, position_t *after)
+{
+	const freshness_t *freshness = &caller->service->freshness;
+
+	if (!freshness_position(freshness, caller->received_at, caller->max_age, after))
+		return false;
+	if (caller->reads == READS_SESSION && caller->has_commit)
+		*after = position_max(*after, caller->commit);
+	return true;
+}
+
+/* --- choosing a member for a read --- */
+
+static usec_t cost_of(const member_t *member, const caller_t *caller, bool primary, usec_t now)
+{
+	usec_t cost = member->response * (1 + member_load(member));
+
+	if (strcmp(member->zone, caller->pooler->config.zone) != 0)
+		cost += OTHER_ZONE;
+	if (primary)
+		cost += IS_PRIMARY;
+	if (now < member->lagging_until)
+		cost += LAGS;
+	if (conn_idle(member, caller) == NULL)
+		cost += NO_CONNECTION;
+	return cost;
+}
+
+static bool can_serve(const member_t *member, const caller_t *caller, usec_t now)
+{
+	return member_is_usable(member) &&
+	       (conn_idle(member, caller) != NULL || member_can_open(member, now));
+}
+
+/* True if a replica is worth asking. */
+static bool replica_fits(const member_t *member, const caller_t *caller, usec_t now)
+{
+	if (caller->reads != READS_SESSION || !caller->has_commit)
+		return true;
+	return position_covers(member->applied, caller->commit) ||
+	       now >= caller->committed_at + APPLY_DELAY;
+}
+
+/* The member to serve a read now; NULL: none can. *open: some member may serve it at all. */
+static member_t *choose_reader(caller_t *caller, usec_t now, bool *open)
+{
+	member_t *primary = permit_primary(caller->service, now);
+	bool fresh = position_for(caller, &caller->after) && !caller->only_primary;
+	member_t *best = NULL;
+	usec_t best_cost = USEC_NEVER;
+
+	*open = false;
+	list_for_each (it, &caller->service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+		usec_t cost;
+
+		if (member != primary && (!fresh || !replica_fits(member, caller, now)))
+			continue;
+		*open = *open || member_is_usable(member);
+		if (!can_serve(member, caller, now))
+			continue;
+		cost = cost_of(member, caller, member == primary, now);
+		if (cost < best_cost) {
+			best = member;
+			best_cost = cost;
+		}
+	}
+	caller->has_after = best != primary;
+	return best;
+}
+
+static member_t *choose_primary(caller_t *caller, usec_t now, bool *open)
+{
+	member_t *primary = permit_primary(caller->service, now);
+
+	caller->has_after = false;
+	*open = primary != NULL && !primary->down && now < primary->leaving_since + LEAVING_USE;
+	if (!*open || (conn_idle(primary, caller) == NULL && !member_can_open(primary, now)))
+		return NULL;
+	return primary;
+}
+
+static size_t opening(const member_t *member)
+{
+	size_t count = 0;
+
+	list_for_each (it, &member->conns) {
+		const conn_t *conn = list_entry(it, conn_t, node);
+
+		count += conn->state == CONN_OPENING && !conn->probe;
+	}
+	return count;
+}
+
+static member_t *choose(caller_t *caller, usec_t now, bool *open)
+{
+	if (caller->want == WANT_PRIMARY)
+		return choose_primary(caller, now, open);
+	return choose_reader(caller, now, open);
+}
+
+/* Returns true if the caller is served, and waits no more. */
+static bool place(caller_t *caller, usec_t now)
+{
+	bool open;
+	member_t *member = choose(caller, now, &open);
+	conn_t *conn;
+
+	if (member == NULL)
+		return false;
+	conn = conn_idle(member, caller);
+	if (conn != NULL) {
+		dispatch_leave(caller);
+		conn_run(conn, caller);
+		return true;
+	}
+	/* One new connection for each that waits is enough. */
+	if (opening(member) < list_length(&caller->service->waiting))
+		conn_open(member, false);
+	return false;
+}
+
+/* --- the queue --- */
+
+void dispatch_leave(caller_t *caller)
+{
+	list_del(&caller->waiting);
+	caller->is_waiting = false;
+}
+
+static void insert(service_t *service, caller_t *caller)
+{
+	list_t *pos = &service->waiting;
+
+	list_for_each (it, &service->waiting) {
+		if (list_entry(it, caller_t, waiting)->priority > caller->priority) {
+			pos = it;
+			break;
+		}
+	}
+	list_add_before(pos, &caller->waiting);
+	caller->is_waiting = true;
+}
+
+static void on_retry(run_timer_t *timer, usec_t now)
+{
+	(void)now;
+	dispatch_run(list_entry(timer, service_t, retry));
+}
+
+static void arm_retry(service_t *service, usec_t at)
+{
+	if (at == USEC_NEVER)
+		return;
+	timers_arm(service->pooler->timers, &service->retry, at, on_retry);
+}
+
+/* Serve one caller that can be served; false if there is none. */
+static bool serve_one(service_t *service, usec_t now, usec_t *next)
+{
+	*next = USEC_NEVER;
+	list_for_each (it, &service->waiting) {
+		caller_t *caller = list_entry(it, caller_t, waiting);
+
+		if (caller->not_before > now) {
+			*next = caller->not_before < *next ? caller->not_before : *next;
+			continue;
+		}
+		if (place(caller, now))
+			return true;
+	}
+	return false;
+}
+
+void dispatch_run(service_t *service)
+{
+	usec_t now = now_of(service->pooler);
+	usec_t next = USEC_NEVER;
+
+	/* Serving one can end a connection, which calls back here. */
+	if (service->dispatching) {
+		service->dispatch_again = true;
+		return;
+	}
+	service->dispatching = true;
+	do {
+		service->dispatch_again = false;
+		while (!list_empty(&service->waiting) && serve_one(service, now, &next))
+			;
+	} while (service->dispatch_again);
+	service->dispatching = false;
+	arm_retry(service, next);
+}
+
+/* When the service's primary is expected back, USEC_NEVER if that can't be told. */
+static usec_t expected_end(const service_t *service, usec_t now)
+{
+	const sync_t *sync = &service->pooler->sync;
+	const roster_group_t *group;
+	const member_t *primary;
+
+	if (service->changing_since != USEC_NEVER)
+		return service->changing_since + CHANGE_USUAL;
+	if (sync->roster == NULL || now >= sync->confirmed_at + PERMIT_TTL)
+		return USEC_NEVER;
+	group = roster_group(sync->roster, service->name);
+	primary = group != NULL ? member_find(service->pooler, group->primary) : NULL;
+	if (primary != NULL && primary->down)
+		return primary->silent_since + DETECTION_USUAL + CHANGE_USUAL;
+	return USEC_NEVER;
+}
+
+/* Refuse the caller if nothing can serve it before its deadline. */
+static void refuse_hopeless(caller_t *caller, usec_t now)
+{
+	usec_t end = expected_end(caller->service, now);
+	bool open;
+	usec_t back;
+
+	choose(caller, now, &open);
+	if (open || (end != USEC_NEVER && end < caller->deadline))
+		return;
+	back = end != USEC_NEVER && end > now ? end - now : UNKNOWN_RETRY;
+	caller_refuse(caller, CODE_BUSY, "no member can serve this now", back);
+}
+
+void dispatch_check(service_t *service, usec_t now)
+{
+	list_for_each_safe (it, &service->waiting)
+		refuse_hopeless(list_entry(it, caller_t, waiting), now);
+}
+
+void dispatch_join(caller_t *caller)
+{
+	usec_t now = now_of(caller->pooler);
+	service_t *service = caller->service;
+
+	insert(service, caller);
+	dispatch_run(service);
+	if (caller->is_waiting)
+		refuse_hopeless(caller, now);
+}
--- /dev/null
+++ b/pooler/duty.c
@@ -0,0 +1,563 @@
+#include "duty.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "conn.h"
+#include "member.h"
+#include "permit.h"
+#include "sync.h"
+
+#define LOG_MODULE "duty"
+#include "counter.h"
+#include "log.h"
+
+/* A report of a proxy counts for so long: three questions' intervals. */
+#define REPORT_VALID (1 * USEC_PER_SEC)
+/* After the duty was taken over: an earlier holder's call may still be on its way. */
+#define SETTLE_TIME (2 * USEC_PER_SEC)
+/* Members that have not told their position by then are left out. */
+#define SURVEY_TIME (350 * USEC_PER_MSEC)
+/* With synchronous replicas any one of them may be the only one with the last commit. */
+#define SURVEY_TIME_SYNC (3 * USEC_PER_SEC)
+/* How long a planned change waits for a replica to receive all that the primary has. */
+#define CATCH_UP_TIME (800 * USEC_PER_MSEC)
+#define PROBE_AGAIN   (60 * USEC_PER_MSEC)
+/* A promoted member leads after about 1 s on the users' sites. */
+#define LEAD_TIME (2500 * USEC_PER_MSEC)
+/* Calls for one member before another one is tried. */
+#define CALLS_MAX 2
+/* After a false alarm. */
+#define QUIET_AFTER_CANCEL (1 * USEC_PER_SEC)
+/* A proxy not heard of for so long is marked as gone. */
+#define NODE_SILENT (10 * USEC_PER_SEC)
+/* Marked for so long, it is taken off the roster. */
+#define NODE_REMOVE (2 * PERMIT_TTL)
+
+COUNTER_DEFINE(changes_total, "primary_changes_total", COUNTER_SUM,
+	       "Changes of primary that this proxy carried out.");
+COUNTER_DEFINE(promotes_total, "promote_calls_total", COUNTER_SUM,
+	       "Calls to the platform to promote a member.");
+
+static void set_step(service_t *service, change_step_t step, usec_t now)
+{
+	static const char *const names[] = {
+		[CHANGE_NONE] = "none",
+		[CHANGE_MARKING] = "marking",
+		[CHANGE_RELEASING] = "releasing",
+		[CHANGE_SURVEYING] = "surveying",
+		[CHANGE_PROMOTING] = "promoting",
+		[CHANGE_VERIFYING] = "verifying",
+		[CHANGE_COMMITTING] = "committing",
+	};
+	change_t *change = &service->change;
+
+	LOG_EVENT(LOG_INFO, "change of primary", LOG_STR("service", service->name),
+		  LOG_STR("step", names[step]),
+		  LOG_STR("target", change->target != NULL ? change->target : ""),
+		  LOG_INT("planned", change->planned),
+		  LOG_INT("since_start_ms", (int64_t)((now - change->started) / USEC_PER_MSEC)),
+		  LOG_INT("roster", service->pooler->sync.roster->revision),
+		  LOG_INT("fence", (int64_t)service->pooler->sync.fence));
+	change->step = step;
+	change->step_since = now;
+	change->next_probe = now;
+}
+
+static void clear(service_t *service)
+{
+	talloc_free(service->change.target);
+	service->change = (change_t){.step = CHANGE_NONE};
+}
+
+void duty_abandon(pooler_t *pooler)
+{
+	list_for_each (it, &pooler->services)
+		clear(list_entry(it, service_t, node));
+}
+
+static roster_group_t *group_of(const service_t *service)
+{
+	return roster_group(service->pooler->sync.roster, service->name);
+}
+
+static member_t *old_primary(const service_t *service)
+{
+	const roster_group_t *group = group_of(service);
+
+	return group != NULL ? member_find(service->pooler, group->primary) : NULL;
+}
+
+/* --- is a change needed --- */
+
+typedef struct votes {
+	size_t down;
+	size_t alive;
+} votes_t;
+
+/* What the proxies, this one included, see of the primary. */
+static votes_t count_votes(const service_t *service, const member_t *primary, usec_t now)
+{
+	const pooler_t *pooler = service->pooler;
+	votes_t votes = {0};
+
+	if (primary->down)
+		votes.down++;
+	else if (primary->last_reply + REPORT_VALID > now)
+		votes.alive++;
+	list_for_each (it, &pooler->sync.reports) {
+		const peer_report_t *report = list_entry(it, peer_report_t, node);
+
+		if (report->heard_at + REPORT_VALID < now)
+			continue;
+		votes.down += sync_lists(report->down, service->name);
+		votes.alive += sync_lists(report->alive, service->name);
+	}
+	return votes;
+}
+
+static bool other_says_primary(const service_t *service, const member_t *primary)
+{
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (member != primary && member->says_primary && !member->gone)
+			return true;
+	}
+	return false;
+}
+
+/* Why the primary must be replaced, or NULL. */
+static const char *reason_to_change(const service_t *service, usec_t now)
+{
+	const member_t *primary = old_primary(service);
+	votes_t votes;
+
+	if (primary == NULL || primary->gone)
+		return "primary is no longer listed";
+	if (primary->leaving)
+		return "primary is leaving";
+	if (!primary->says_primary && other_says_primary(service, primary))
+		return "another member leads";
+	votes = count_votes(service, primary, now);
+	if (votes.down > votes.alive)
+		return "primary does not answer";
+	return NULL;
+}
+
+/* --- marking --- */
+
+static void on_stored(void *data, const kv_result_t *result)
+{
+	service_t *service = data;
+
+	(void)result; /* the roster, read again, shows what holds */
+	service->change.busy = false;
+}
+
+static void store_group(service_t *service, const char *primary, bool changing)
+{
+	pooler_t *pooler = service->pooler;
+	roster_t *roster = roster_copy(NULL, pooler->sync.roster);
+
+	service->change.busy = true;
+	roster_put_group(roster, service->name, primary, changing, pooler->sync.fence);
+	sync_commit(pooler, roster, on_stored, service);
+	talloc_free(roster);
+}
+
+static void start_change(service_t *service, const char *reason, usec_t now)
+{
+	const member_t *primary = old_primary(service);
+
+	service->change.started = now;
+	service->change.planned = primary != NULL && !primary->down && !primary->gone;
+	LOG_EVENT(LOG_WARN, "primary is to be replaced", LOG_STR("service", service->name),
+		  LOG_STR("reason", reason), LOG_STR("member", group_of(service)->primary));
+	set_step(service, CHANGE_MARKING, now);
+	store_group(service, group_of(service)->primary, true);
+}
+
+/* The first primary of a service is the one that says so itself. */
+static void install(service_t *service)
+{
+	if (service->change.busy)
+		return;
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (!member->says_primary || member->gone)
+			continue;
+		store_group(service, member->id, false);
+		return;
+	}
+}
+
+static void begin_survey(service_t *service, usec_t now);
+
+static void watch(service_t *service, usec_t now)
+{
+	const roster_group_t *group = group_of(service);
+	change_t *change = &service->change;
+	const char *reason;
+
+	if (group == NULL) {
+		install(service);
+		return;
+	}
+	if (group->changing) {
+		/* Marked by us just now, or by an earlier holder. */
+		if (change->step == CHANGE_NONE)
+			change->started = now;
+		change->marked_at = now;
+		change->marked_revision = service->pooler->sync.roster->revision;
+		set_step(service, CHANGE_RELEASING, now);
+		return;
+	}
+	if (change->busy || now < change->quiet_until)
+		return;
+	change->step = CHANGE_NONE;
+	reason = reason_to_change(service, now);
+	if (reason != NULL)
+		start_change(service, reason, now);
+}
+
+/* --- releasing --- */
+
+static bool has_released(const service_t *service, const roster_node_t *node)
+{
+	const peer_report_t *report = sync_report(service->pooler, node->name);
+
+	/* What it was permitted before it was marked has ended by then. */
+	if (node->gone)
+		return report != NULL && report->gone_seen != 0 &&
+		       now_of(service->pooler) >= report->gone_seen + PERMIT_TTL;
+	return report != NULL && report->incarnation == node->incarnation &&
+	       report->revision >= service->change.marked_revision &&
+	       !sync_lists(report->in_use, service->name);
+}
+
+static bool all_released(const service_t *service)
+{
+	const pooler_t *pooler = service->pooler;
+
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (strcmp(node->name, pooler->config.name) != 0 && !has_released(service, node))
+			return false;
+	}
+	return !permit_in_use(service);
+}
+
+static void release(service_t *service, usec_t now)
+{
+	if (all_released(service) || now >= service->change.marked_at + PERMIT_TTL)
+		begin_survey(service, now);
+}
+
+/* --- survey --- */
+
+static void begin_survey(service_t *service, usec_t now)
+{
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		member->survey_done = false;
+	}
+	set_step(service, CHANGE_SURVEYING, now);
+}
+
+static void probe_all(service_t *service, usec_t now)
+{
+	if (now < service->change.next_probe)
+		return;
+	service->change.next_probe = now + PROBE_AGAIN;
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (!member->gone)
+			member_ask_status(member);
+	}
+}
+
+static bool is_further(position_t a, position_t b)
+{
+	return a.term != b.term ? a.term > b.term : a.lsn > b.lsn;
+}
+
+/* The member that received most, among those that may lead; NULL if none answered. */
+static member_t *best_candidate(const service_t *service, const member_t *old)
+{
+	member_t *best = NULL;
+
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (member == old || !member->survey_done || member->gone || member->leaving)
+			continue;
+		if (best == NULL || is_further(member->status.received, best->status.received))
+			best = member;
+	}
+	return best;
+}
+
+/* A member that leads already, in a term above the old primary's. */
+static member_t *leader_already(const service_t *service, const member_t *old)
+{
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (member != old && member->survey_done && member->status.primary &&
+		    (old == NULL || !old->survey_done || member->status.term > old->status.term))
+			return member;
+	}
+	return NULL;
+}
+
+static bool all_answered(const service_t *service)
+{
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (!member->gone && !member->survey_done)
+			return false;
+	}
+	return true;
+}
+
+static bool is_sync(const service_t *service)
+{
+	const routes_t *routes = service->pooler->routes;
+	const service_limits_t *limits =
+		routes != NULL ? routes_service(routes, service->name) : NULL;
+
+	return limits != NULL && limits->sync_replicas;
+}
+
+static void promote(service_t *service, const char *target, usec_t now)
+{
+	pooler_t *pooler = service->pooler;
+	change_t *change = &service->change;
+
+	if (change->target == NULL || strcmp(change->target, target) != 0) {
+		talloc_free(change->target);
+		change->target = talloc_strdup(service, target);
+		change->calls = 0;
+	}
+	change->calls++;
+	counter_add(&promotes_total, 1);
+	set_step(service, CHANGE_PROMOTING, now);
+	pooler->env->ops->promote(pooler->env, service->name, target, pooler->config.name,
+				  pooler->sync.fence);
+}
+
+static void commit_target(service_t *service, const char *target, usec_t now)
+{
+	char *copy = talloc_strdup(service, target);
+
+	talloc_free(service->change.target);
+	service->change.target = copy;
+	set_step(service, CHANGE_COMMITTING, now);
+	store_group(service, copy, false);
+}
+
+/* The alarm was false: the old primary leads and has no reason to go. */
+static bool can_stay(const service_t *service, const member_t *old, usec_t now)
+{
+	return old != NULL && old->survey_done && old->status.primary && !old->leaving &&
+	       reason_to_change(service, now) == NULL;
+}
+
+static void survey(service_t *service, usec_t now)
+{
+	change_t *change = &service->change;
+	member_t *old = old_primary(service);
+	usec_t limit = is_sync(service) ? SURVEY_TIME_SYNC : SURVEY_TIME;
+	bool late = now >= change->step_since + limit;
+	member_t *leader;
+	member_t *best;
+
+	probe_all(service, now);
+	if (!all_answered(service) && !late)
+		return;
+	leader = leader_already(service, old);
+	if (leader != NULL) {
+		commit_target(service, leader->id, now);
+		return;
+	}
+	if (can_stay(service, old, now)) {
+		change->quiet_until = now + QUIET_AFTER_CANCEL;
+		commit_target(service, old->id, now);
+		return;
+	}
+	best = best_candidate(service, old);
+	if (best == NULL)
+		return;
+	/* With the writers stopped, a replica soon has all that an old primary still has. */
+	if (old != NULL && old->survey_done && now < change->step_since + CATCH_UP_TIME &&
+	    is_further(old->status.received, best->status.received))
+		return;
+	change->old_term = old != NULL && old->survey_done ? old->status.term : 0;
+	if (now < service->pooler->sync.held_since + SETTLE_TIME)
+		return;
+	promote(service, best->id, now);
+}
+
+/* --- promoting --- */
+
+void duty_on_promoted(service_t *service, promote_status_t status)
+{
+	static const char *const names[] = {
+		[PROMOTE_OK] = "ok", [PROMOTE_REFUSED] = "refused", [PROMOTE_LOST] = "lost"};
+	usec_t now = now_of(service->pooler);
+	member_t *target;
+
+	if (service->change.step != CHANGE_PROMOTING)
+		return;
+	LOG_EVENT(LOG_INFO, "answer to promote", LOG_STR("service", service->name),
+		  LOG_STR("member", service->change.target), LOG_STR("outcome", names[status]));
+	if (status == PROMOTE_REFUSED) {
+		begin_survey(service, now);
+		return;
+	}
+	target = member_find(service->pooler, service->change.target);
+	if (target != NULL)
+		target->survey_done = false;
+	set_step(service, CHANGE_VERIFYING, now);
+}
+
+static void verify(service_t *service, usec_t now)
+{
+	change_t *change = &service->change;
+	member_t *target = member_find(service->pooler, change->target);
+
+	if (target == NULL || target->gone) {
+		begin_survey(service, now);
+		return;
+	}
+	if (target->survey_done && target->status.primary) {
+		commit_target(service, target->id, now);
+		return;
+	}
+	if (now >= change->next_probe) {
+		change->next_probe = now + PROBE_AGAIN;
+		member_ask_status(target);
+	}
+	if (now < change->step_since + LEAD_TIME)
+		return;
+	if (change->calls < CALLS_MAX && !target->down)
+		promote(service, target->id, now);
+	else
+		begin_survey(service, now);
+}
+
+static void commit(service_t *service, usec_t now)
+{
+	const roster_group_t *group = group_of(service);
+	change_t *change = &service->change;
+	usec_t quiet = change->quiet_until;
+
+	if (change->busy)
+		return;
+	if (group->changing) {
+		store_group(service, change->target, false);
+		return;
+	}
+	counter_add(&changes_total, 1);
+	LOG_EVENT(LOG_WARN, "primary replaced", LOG_STR("service", service->name),
+		  LOG_STR("member", group->primary),
+		  LOG_INT("took_ms", (int64_t)((now - change->started) / USEC_PER_MSEC)),
+		  LOG_INT("roster", service->pooler->sync.roster->revision));
+	clear(service);
+	change->quiet_until = quiet;
+}
+
+static void step(service_t *service, usec_t now)
+{
+	switch (service->change.step) {
+	case CHANGE_NONE:
+	case CHANGE_MARKING:
+		watch(service, now);
+		break;
+	case CHANGE_RELEASING:
+		release(service, now);
+		break;
+	case CHANGE_SURVEYING:
+		survey(service, now);
+		break;
+	case CHANGE_PROMOTING:
+		break;
+	case CHANGE_VERIFYING:
+		verify(service, now);
+		break;
+	case CHANGE_COMMITTING:
+		commit(service, now);
+		break;
+	}
+}
+
+/* --- proxies that are gone --- */
+
+static void on_swept(void *data, const kv_result_t *result)
+{
+	pooler_t *pooler = data;
+
+	(void)result; /* looked at again with the next tick */
+	pooler->sweeping = false;
+}
+
+/* What is to become of a proxy's entry: returns true if roster was changed. */
+static bool sweep_node(pooler_t *pooler, roster_t *roster, const roster_node_t *node, usec_t now)
+{
+	peer_report_t *report = sync_get_report(pooler, node->name);
+	usec_t heard = report->heard_at;
+
+	if (strcmp(node->name, pooler->config.name) == 0)
+		return false;
+	if (!node->gone) {
+		report->gone_seen = 0;
+		if (heard < pooler->sync.held_since)
+			heard = pooler->sync.held_since;
+		if (now < heard + NODE_SILENT)
+			return false;
+		LOG_EVENT(LOG_WARN, "proxy is gone", LOG_STR("proxy", node->name));
+		roster_node(roster, node->name)->gone = true;
+		return true;
+	}
+	if (report->gone_seen == 0)
+		report->gone_seen = now;
+	if (now < report->gone_seen + NODE_REMOVE)
+		return false;
+	roster_remove_node(roster, node->name);
+	return true;
+}
+
+/* Proxies that went without a word must not hold up every change of primary for ever. */
+static void sweep(pooler_t *pooler, usec_t now)
+{
+	roster_t *roster;
+	bool changed = false;
+
+	if (pooler->sweeping)
+		return;
+	roster = roster_copy(NULL, pooler->sync.roster);
+	list_for_each (it, &pooler->sync.roster->nodes)
+		changed = sweep_node(pooler, roster, list_entry(it, roster_node_t, node), now) ||
+			  changed;
+	if (changed) {
+		pooler->sweeping = true;
+		sync_commit(pooler, roster, on_swept, pooler);
+	}
+	talloc_free(roster);
+}
+
+void duty_tick(pooler_t *pooler, usec_t now)
+{
+	if (!sync_is_holder(pooler, now))
+		return;
+	sweep(pooler, now);
+	list_for_each (it, &pooler->services)
+		step(list_entry(it, service_t, node), now);
+}
--- /dev/null
+++ b/pooler/env.h
@@ -0,0 +1,94 @@
+/*
+ * What the pooler needs from outside: links to callers and members, messages to
+ * other proxies, and the call that promotes a member. Implementations may not
+ * call back into the pooler from within these functions.
+ */
+#pragma once
+
+#include "kv.h"
+#include "statement.h"
+
+struct conn;
+struct env;
+
+typedef enum { REPLY_DONE, REPLY_ERROR, REPLY_RAW } caller_reply_kind_t;
+
+/* The one answer to a caller's statement. */
+typedef struct caller_reply {
+	caller_reply_kind_t kind;
+	slice_t raw; /* a member's whole reply, passed on as it is */
+	code_t code;
+	const char *text; /* reason, and when to come back; no line ends */
+	tx_state_t tx;
+} caller_reply_t;
+
+typedef enum {
+	REQUEST_FORWARD, /* a caller's statement, text unchanged */
+	REQUEST_EXEC,	 /* a caller's EXEC under the name that the member knows */
+	REQUEST_BEGIN,
+	REQUEST_BEGIN_READ,
+	REQUEST_ROLLBACK,
+	REQUEST_SET,
+	REQUEST_PREPARE,
+	REQUEST_RESET,
+	REQUEST_STATUS,
+	REQUEST_DEMOTE,
+} request_kind_t;
+
+typedef struct member_request {
+	request_kind_t kind;
+	const statement_t *statement; /* FORWARD, EXEC */
+	slice_t name;		      /* EXEC, SET, PREPARE */
+	slice_t value;		      /* SET: the value; PREPARE: the shape */
+	bool writes;		      /* PREPARE */
+	bool has_after;		      /* FORWARD, EXEC, BEGIN_READ: the log must hold after */
+	position_t after;
+	uint64_t term; /* DEMOTE */
+} member_request_t;
+
+typedef enum { PEER_ASK, PEER_STATE } peer_message_kind_t;
+
+/* Between proxies. Each is complete in itself; any may be lost or repeated. */
+typedef struct peer_message {
+	peer_message_kind_t kind;
+	const char *from;
+	const char *address; /* of the sender */
+	uint64_t incarnation;
+	uint64_t echo;	    /* ASK: when it was sent, by its sender's clock; STATE: the same back */
+	int64_t revision;   /* of the roster that the sender holds */
+	usec_t age;	    /* STATE: since the store was asked, USEC_NEVER: never */
+	const char *roster; /* STATE: the roster if the receiver's is older, else NULL */
+	const char *holder; /* STATE: who holds the duty to promote, NULL if unknown */
+	uint64_t fence;	    /* STATE: the holder's */
+	const char *holder_address;
+	/* ASK: services by name, as lists joined by blanks. */
+	const char *down;   /* their primary does not answer the sender */
+	const char *alive;  /* their primary answered the sender of late */
+	const char *in_use; /* under change, and the sender still has work on the primary */
+} peer_message_t;
+
+typedef enum { PROMOTE_OK, PROMOTE_REFUSED, PROMOTE_LOST } promote_status_t;
+
+typedef struct env_ops {
+	void (*caller_reply)(struct env *env, void *link, const caller_reply_t *reply);
+	/* Close once everything sent has left. */
+	void (*caller_close)(struct env *env, void *link);
+	/* NULL if it fails at once; else conn_on_ready or conn_on_down follows. */
+	void *(*member_connect)(struct env *env, const char *address, const char *service,
+				const char *member, struct conn *conn);
+	void (*member_send)(struct env *env, void *link, const member_request_t *requests,
+			    size_t count);
+	void (*member_close)(struct env *env, void *link);
+	void (*peer_send)(struct env *env, const char *name, const char *address,
+			  const peer_message_t *message);
+	/* pooler_on_promoted follows. */
+	void (*promote)(struct env *env, const char *service, const char *member,
+			const char *holder, uint64_t fence);
+	/* All callers are gone after pooler_drain(). */
+	void (*drained)(struct env *env);
+} env_ops_t;
+
+typedef struct env {
+	const env_ops_t *ops;
+	kv_t *kv;
+} env_t;
--- /dev/null
+++ b/pooler/follow.c
@@ -0,0 +1,256 @@
+#include "follow.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#define LOG_MODULE "follow"
+#include "counter.h"
+#include "log.h"
+
+/* One call of a watch; the store allows 30 s, and a dead connection is noticed sooner so. */
+#define WATCH_WAIT_MSEC 20000
+/* Back-off after a failed call: doubles from the first to the last, plus up to as much jitter. */
+#define BACKOFF_FIRST	  (100 * USEC_PER_MSEC)
+#define BACKOFF_DOUBLINGS 3
+/* Owners whose entries lapsed with the store have them back within 2 s of its return. */
+#define RETURN_TIME (2300 * USEC_PER_MSEC)
+
+COUNTER_DEFINE(reads_total, "follow_reads_total", COUNTER_SUM,
+	       "Whole readings of a followed prefix.");
+COUNTER_DEFINE(failures_total, "follow_failures_total", COUNTER_SUM,
+	       "Failed calls while following a prefix.");
+
+typedef struct known {
+	list_t node;
+	char *key;
+	uint64_t round;	      /* of the reading that saw it last */
+	usec_t missing_since; /* USEC_NEVER: it is there */
+} known_t;
+
+static void next_call(follow_t *follow);
+
+static known_t *find(const follow_t *follow, const char *key)
+{
+	list_for_each (it, &follow->keys) {
+		known_t *known = list_entry(it, known_t, node);
+
+		if (strcmp(known->key, key) == 0)
+			return known;
+	}
+	return NULL;
+}
+
+static void tell_changed(follow_t *follow, const kv_item_t *item)
+{
+	known_t *known = find(follow, item->key);
+
+	if (known == NULL) {
+		known = talloc_zero(follow->parent, known_t);
+		known->key = talloc_strdup(known, item->key);
+		list_add_tail(&follow->keys, &known->node);
+	}
+	known->round = follow->reading_round;
+	known->missing_since = USEC_NEVER;
+	follow->ops->changed(follow, item);
+}
+
+static void tell_gone(follow_t *follow, known_t *known)
+{
+	follow->ops->gone(follow, known->key);
+	list_del(&known->node);
+	talloc_free(known);
+}
+
+static void on_timer(run_timer_t *timer, usec_t now)
+{
+	(void)now;
+	next_call(list_entry(timer, follow_t, timer));
+}
+
+static void call_after(follow_t *follow, usec_t pause)
+{
+	timers_arm(follow->timers, &follow->timer, clock_now(follow->clock) + pause, on_timer);
+}
+
+static usec_t backoff(follow_t *follow)
+{
+	unsigned doublings =
+		follow->failures < BACKOFF_DOUBLINGS ? follow->failures : BACKOFF_DOUBLINGS;
+	usec_t base = BACKOFF_FIRST << doublings;
+
+	follow->random = follow->random * 6364136223846793005ull + 1442695040888963407ull;
+	return base + (follow->random >> 33) % base;
+}
+
+static void on_failure(follow_t *follow, kv_status_t status)
+{
+	counter_add(&failures_total, 1);
+	if (follow->failures == 0)
+		LOG_EVENT(LOG_WARN, "store lost", LOG_STR("prefix", follow->prefix),
+			  LOG_INT("status", status));
+	call_after(follow, backoff(follow));
+	follow->failures++;
+}
+
+static void on_success(follow_t *follow)
+{
+	if (follow->failures != 0)
+		LOG_EVENT(LOG_INFO, "store back", LOG_STR("prefix", follow->prefix),
+			  LOG_INT("failures", follow->failures));
+	follow->failures = 0;
+}
+
+/* --- reading all --- */
+
+static void on_sweep(run_timer_t *timer, usec_t now);
+
+static void arm_sweep(follow_t *follow, usec_t at)
+{
+	if (!timer_is_armed(&follow->sweep))
+		timers_arm(follow->timers, &follow->sweep, at, on_sweep);
+}
+
+static void on_sweep(run_timer_t *timer, usec_t now)
+{
+	follow_t *follow = list_entry(timer, follow_t, sweep);
+	usec_t next = USEC_NEVER;
+
+	list_for_each_safe (it, &follow->keys) {
+		known_t *known = list_entry(it, known_t, node);
+
+		if (known->missing_since == USEC_NEVER)
+			continue;
+		if (now >= known->missing_since + RETURN_TIME)
+			tell_gone(follow, known);
+		else if (known->missing_since + RETURN_TIME < next)
+			next = known->missing_since + RETURN_TIME;
+	}
+	if (next != USEC_NEVER)
+		arm_sweep(follow, next);
+}
+
+/* It may have lapsed with the store only; told as gone if it stays away. */
+static void set_missing(follow_t *follow, known_t *known)
+{
+	usec_t now = clock_now(follow->clock);
+
+	if (known->missing_since != USEC_NEVER)
+		return;
+	known->missing_since = now;
+	arm_sweep(follow, now + RETURN_TIME);
+}
+
+static void end_reading(follow_t *follow)
+{
+	follow->reading = false;
+	follow->revision = follow->reading_revision;
+	list_for_each (it, &follow->keys) {
+		known_t *known = list_entry(it, known_t, node);
+
+		if (known->round < follow->reading_round)
+			set_missing(follow, known);
+	}
+	follow->whole = true;
+}
+
+static void on_page(void *data, const kv_result_t *result)
+{
+	follow_t *follow = data;
+
+	follow->busy = false;
+	if (result->status != KV_OK) {
+		on_failure(follow, result->status);
+		return;
+	}
+	on_success(follow);
+	/* Pages are read at different moments; watching from the first one misses nothing. */
+	if (follow->reading_revision == 0)
+		follow->reading_revision = result->as_of;
+	for (size_t i = 0; i < result->count; i++)
+		tell_changed(follow, &result->items[i]);
+	if (result->truncated && result->count != 0) {
+		char *last = talloc_strdup(NULL, result->items[result->count - 1].key);
+
+		talloc_free(follow->last_key);
+		follow->last_key = last;
+	} else {
+		end_reading(follow);
+	}
+	next_call(follow);
+}
+
+static void start_reading(follow_t *follow)
+{
+	counter_add(&reads_total, 1);
+	follow->reading = true;
+	follow->reading_round++;
+	follow->reading_revision = 0;
+	talloc_free(follow->last_key);
+	follow->last_key = NULL;
+}
+
+/* --- watching --- */
+
+static void on_events(void *data, const kv_result_t *result)
+{
+	follow_t *follow = data;
+
+	follow->busy = false;
+	if (result->status == KV_COMPACTED) {
+		LOG_EVENT(LOG_INFO, "history is gone, reading all again",
+			  LOG_STR("prefix", follow->prefix), LOG_INT("revision", follow->revision));
+		start_reading(follow);
+		next_call(follow);
+		return;
+	}
+	if (result->status != KV_OK) {
+		on_failure(follow, result->status);
+		return;
+	}
+	on_success(follow);
+	for (size_t i = 0; i < result->count; i++) {
+		const kv_item_t *item = &result->items[i];
+		known_t *known = find(follow, item->key);
+
+		if (item->value != NULL)
+			tell_changed(follow, item);
+		else if (known != NULL)
+			set_missing(follow, known);
+	}
+	follow->revision = result->as_of;
+	next_call(follow);
+}
+
+static void next_call(follow_t *follow)
+{
+	if (follow->busy)
+		return;
+	follow->busy = true;
+	if (follow->reading)
+		follow->kv->ops->range(follow->kv, follow->prefix,
+				       follow->last_key != NULL ? follow->last_key : "", on_page,
+				       follow);
+	else
+		follow->kv->ops->watch(follow->kv, follow->prefix, follow->revision,
+				       WATCH_WAIT_MSEC, on_events, follow);
+}
+
+void follow_start(follow_t *follow, void *parent)
+{
+	follow->parent = parent;
+	list_init(&follow->keys);
+	start_reading(follow);
+	next_call(follow);
+}
+
+void follow_stop(follow_t *follow)
+{
+	timers_cancel(follow->timers, &follow->timer);
+	timers_cancel(follow->timers, &follow->sweep);
+	list_for_each_safe (it, &follow->keys)
+		talloc_free(list_entry(it, known_t, node));
+	list_init(&follow->keys);
+	talloc_free(follow->last_key);
+	follow->last_key = NULL;
+}
--- /dev/null
+++ b/pooler/kv.h
@@ -0,0 +1,65 @@
+/*
+ * A key-value store with revisions, leases and watches, as the pooler uses it.
+ * Every call ends in exactly one callback, within the time-out of whoever
+ * implements it.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct kv_item {
+	const char *key;
+	const char *value; /* NULL in an event that tells of a deletion */
+	size_t len;
+	int64_t revision; /* of its last change */
+	int64_t created;  /* revision of its creation */
+} kv_item_t;
+
+typedef enum {
+	KV_OK,
+	KV_CONFLICT,  /* a condition did not hold; nothing was done */
+	KV_NOT_FOUND, /* no such lease */
+	KV_COMPACTED, /* the history that a watch asked for is gone */
+	KV_REFUSED,   /* turned away; nothing was done */
+	KV_LOST,      /* no answer: it may have been done, or be done later */
+} kv_status_t;
+
+typedef struct kv_result {
+	kv_status_t status;
+	int64_t as_of; /* the store's revision */
+	const kv_item_t *items;
+	size_t count;
+	bool truncated; /* more items follow after the last one's key */
+	uint64_t lease;
+	int64_t ttl_ms;
+} kv_result_t;
+
+/* What result points to is valid during the call only. */
+typedef void (*kv_done_t)(void *data, const kv_result_t *result);
+
+typedef struct kv_write {
+	const char *key;
+	const char *value; /* NULL: delete the key */
+	int64_t expected;  /* revision that it must have; 0: it must not exist */
+	uint64_t lease;	   /* 0: none */
+} kv_write_t;
+
+typedef struct kv {
+	const struct kv_ops *ops;
+} kv_t;
+
+typedef struct kv_ops {
+	/* A page of the items whose keys begin with prefix, after key after ("" for the first). */
+	void (*range)(kv_t *kv, const char *prefix, const char *after, kv_done_t done, void *data);
+	/* Changes under prefix after a revision; answers when there is one, or after wait_ms. */
+	void (*watch)(kv_t *kv, const char *prefix, int64_t after, int64_t wait_ms, kv_done_t done,
+		      void *data);
+	/* All writes or none. */
+	void (*commit)(kv_t *kv, const kv_write_t *writes, size_t count, kv_done_t done,
+		       void *data);
+	void (*lease_create)(kv_t *kv, int64_t ttl_ms, kv_done_t done, void *data);
+	void (*lease_keep)(kv_t *kv, uint64_t lease, kv_done_t done, void *data);
+	void (*lease_end)(kv_t *kv, uint64_t lease, kv_done_t done, void *data);
+} kv_ops_t;
--- /dev/null
+++ b/pooler/member.c
@@ -0,0 +1,241 @@
+#include "member.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "conn.h"
+#include "dispatch.h"
+
+#define LOG_MODULE "member"
+#include "log.h"
+
+/* Without any, a new member counts as this quick: the mean work on the users' sites. */
+#define FIRST_RESPONSE (10 * USEC_PER_MSEC)
+/* A connection unused for so long is closed if it is above our share. */
+#define IDLE_EXTRA (3 * USEC_PER_SEC)
+/* So far ahead that nothing is added to it beyond the clock's range. */
+#define NOT_LEAVING (USEC_NEVER / 2)
+/* Our statements unanswered for so long on one connection: it has gone silent. */
+#define CONN_SILENCE (3 * USEC_PER_SEC)
+/* Connections kept free at a member for proxies that come and for probes. */
+#define RESERVED_CONNECTIONS 2
+
+/* Connections that serve nobody now are not wanted at a member that goes. */
+static void close_unused(member_t *member)
+{
+	list_for_each_safe (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->state == CONN_IDLE && !conn->probe)
+			conn_close(conn, "member is leaving");
+	}
+}
+
+void member_update(member_t *member, const member_entry_t *entry)
+{
+	if (strcmp(member->address, entry->address) != 0) {
+		talloc_free(member->address);
+		member->address = talloc_strdup(member, entry->address);
+	}
+	if (member->leaving != entry->leaving || member->gone ||
+	    member->says_primary != entry->primary)
+		LOG_EVENT(LOG_INFO, "member listed", LOG_STR("service", member->service->name),
+			  LOG_STR("member", member->id), LOG_INT("leaving", entry->leaving),
+			  LOG_INT("primary", entry->primary));
+	if (!entry->leaving)
+		member->leaving_since = NOT_LEAVING;
+	else if (!member->leaving)
+		member->leaving_since = now_of(member->pooler);
+	member->leaving = entry->leaving;
+	member->says_primary = entry->primary;
+	member->slots = entry->slots;
+	member->gone = false;
+	if (member->leaving)
+		close_unused(member);
+}
+
+void member_set_gone(member_t *member)
+{
+	member->gone = true;
+	member->gone_since = now_of(member->pooler);
+	LOG_EVENT(LOG_INFO, "member no longer listed", LOG_STR("service", member->service->name),
+		  LOG_STR("member", member->id));
+	close_unused(member);
+}
+
+member_t *member_create(pooler_t *pooler, const member_entry_t *entry)
+{
+	member_t *member = talloc_zero(pooler, member_t);
+
+	member->pooler = pooler;
+	member->service = service_get(pooler, entry->service);
+	member->id = talloc_strdup(member, entry->id);
+	member->address = talloc_strdup(member, entry->address);
+	member->zone = talloc_strdup(member, entry->zone);
+	member->response = FIRST_RESPONSE;
+	member->silent_since = USEC_NEVER;
+	member->leaving_since = NOT_LEAVING;
+	list_init(&member->conns);
+	list_add_tail(&pooler->members, &member->node);
+	list_add_tail(&member->service->members, &member->in_service);
+	return member;
+}
+
+void member_destroy(member_t *member)
+{
+	while (!list_empty(&member->conns))
+		conn_close(list_entry(member->conns.next, conn_t, node), "member removed");
+	list_del(&member->node);
+	list_del(&member->in_service);
+	talloc_free(member);
+}
+
+void member_heard(member_t *member)
+{
+	member->last_reply = now_of(member->pooler);
+	member->silent_since = USEC_NEVER;
+	if (!member->down)
+		return;
+	member->down = false;
+	LOG_EVENT(LOG_INFO, "member answers again", LOG_STR("service", member->service->name),
+		  LOG_STR("member", member->id));
+	dispatch_run(member->service);
+}
+
+void member_probe(member_t *member)
+{
+	if (member->probe_conn != NULL)
+		return;
+	member->probe_conn = conn_open(member, true);
+}
+
+void member_ask_status(member_t *member)
+{
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->state == CONN_PROBING)
+			return;
+		if (conn->state == CONN_IDLE && !conn->probe) {
+			conn_ask_status(conn);
+			return;
+		}
+	}
+	member_probe(member);
+}
+
+void member_suspect(member_t *member, const char *reason)
+{
+	usec_t now = now_of(member->pooler);
+
+	if (member->silent_since != USEC_NEVER)
+		return;
+	member->silent_since = now;
+	LOG_EVENT(LOG_INFO, "member is asked whether it lives",
+		  LOG_STR("service", member->service->name), LOG_STR("member", member->id),
+		  LOG_STR("reason", reason),
+		  LOG_INT("last_reply_ms", (int64_t)((now - member->last_reply) / USEC_PER_MSEC)));
+	member_probe(member);
+}
+
+static void close_idle(member_t *member, usec_t now)
+{
+	list_for_each_safe (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->state == CONN_IDLE && !conn->probe && now >= conn->since + IDLE_EXTRA &&
+		    member->conn_count > member_share(member)) {
+			conn_close(conn, "idle");
+			return;
+		}
+	}
+}
+
+/* The connection that has waited longest for a reply, or NULL. */
+static conn_t *longest_waiting(const member_t *member)
+{
+	conn_t *oldest = NULL;
+
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+		bool waits = conn->state == CONN_PREPARING || conn->state == CONN_RUNNING ||
+			     conn->state == CONN_CLEANING || conn->state == CONN_ORPHANED ||
+			     (conn->state == CONN_PROBING && !conn->probe);
+
+		if (waits && (oldest == NULL || conn->sent_at < oldest->sent_at))
+			oldest = conn;
+	}
+	return oldest;
+}
+
+static void check_silence(member_t *member, usec_t now)
+{
+	conn_t *oldest = longest_waiting(member);
+
+	if (oldest == NULL)
+		return;
+	if (now >= oldest->sent_at + MEMBER_SILENCE && now >= member->last_reply + MEMBER_SILENCE)
+		member_suspect(member, "silent");
+	if (now >= oldest->sent_at + CONN_SILENCE)
+		conn_close(oldest, "no reply");
+}
+
+static void check_probe(member_t *member, usec_t now)
+{
+	conn_t *probe = member->probe_conn;
+
+	if (probe != NULL && now >= probe->since + PROBE_TIMEOUT)
+		conn_close(probe, "probe timed out");
+	else if (probe == NULL && member->down && now >= member->open_after)
+		member_probe(member);
+}
+
+void member_tick(member_t *member, usec_t now)
+{
+	check_silence(member, now);
+	check_probe(member, now);
+	close_idle(member, now);
+}
+
+size_t member_share(const member_t *member)
+{
+	const roster_t *roster = member->pooler->sync.roster;
+	size_t nodes = roster != NULL ? list_length(&roster->nodes) : 1;
+	int64_t free = member->service->max_connections - RESERVED_CONNECTIONS;
+
+	if (nodes == 0)
+		nodes = 1;
+	return free > (int64_t)nodes ? (size_t)free / nodes : 1;
+}
+
+bool member_can_open(const member_t *member, usec_t now)
+{
+	size_t share = member_share(member);
+	/* Demand differs between proxies: one may borrow while the member has room. */
+	size_t most = share + (size_t)member->service->max_connections / 4;
+
+	if (now < member->open_after)
+		return false;
+	if (now < member->full_until)
+		most = share;
+	return member->conn_count < most;
+}
+
+size_t member_load(const member_t *member)
+{
+	size_t load = 0;
+
+	list_for_each (it, &member->conns) {
+		const conn_t *conn = list_entry(it, conn_t, node);
+
+		load += conn->state == CONN_PREPARING || conn->state == CONN_RUNNING ||
+			conn->state == CONN_ORPHANED;
+	}
+	return load;
+}
+
+bool member_is_usable(const member_t *member)
+{
+	return !member->gone && !member->leaving && !member->down;
+}
--- /dev/null
+++ b/pooler/member.h
@@ -0,0 +1,52 @@
+/*
+ * Members of a service: their connections, their health as seen from
+ * here.
+ */
+#pragma once
+
+#include "state.h"
+
+/* A member without any reply for so long while it owes one is asked by a new connection. */
+#define MEMBER_SILENCE (250 * USEC_PER_MSEC)
+/* A probe unanswered for so long means that the member is down: 20 handshakes' time. */
+#define PROBE_TIMEOUT (300 * USEC_PER_MSEC)
+/* Between probes of a member that is down. */
+#define PROBE_INTERVAL (250 * USEC_PER_MSEC)
+
+member_t *member_create(pooler_t *pooler, const member_entry_t *entry);
+
+/* The platform's newest entry of the member. */
+void member_update(member_t *member, const member_entry_t *entry);
+
+/* It is no longer listed. */
+void member_set_gone(member_t *member);
+
+/* Close all connections; callers learn what became of their statements. */
+void member_destroy(member_t *member);
+
+/* A reply came: the member lives. */
+void member_heard(member_t *member);
+
+/* A connection failed or broke: ask again before believing it. */
+void member_suspect(member_t *member, const char *reason);
+
+/* Look for silence, repeat probes, close what is idle too long. */
+void member_tick(member_t *member, usec_t now);
+
+/* True if a connection more may be opened now. */
+bool member_can_open(const member_t *member, usec_t now);
+
+/* Connections that this proxy may hold for sure. */
+size_t member_share(const member_t *member);
+
+/* Ask the member for its status over a connection of its own: it may be down. */
+void member_probe(member_t *member);
+
+/* The same over a connection at hand, if there is one: the member may be full. */
+void member_ask_status(member_t *member);
+
+/* Work in progress over all connections. */
+size_t member_load(const member_t *member);
+
+/* Usable for new work. */
+bool member_is_usable(const member_t *member);
--- /dev/null
+++ b/pooler/pooler.c
@@ -0,0 +1,319 @@
+#include "pooler.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "caller.h"
+#include "conn.h"
+#include "dispatch.h"
+#include "duty.h"
+#include "member.h"
+#include "permit.h"
+#include "sync.h"
+
+#define LOG_MODULE "pooler"
+#include "counter.h"
+#include "log.h"
+
+/* How often time-outs that need no precision are looked at. */
+#define TICK_INTERVAL (50 * USEC_PER_MSEC)
+/* A tick that comes so late means that the process was stopped. */
+#define PAUSE_NOTICED (500 * USEC_PER_MSEC)
+/* Commits under way at a primary that is about to change may still be answered for so long. */
+#define COMMIT_GRACE (200 * USEC_PER_MSEC)
+/* A member without an entry is forgotten after this. */
+#define FORGET_MEMBER (30 * USEC_PER_SEC)
+/* Waiting callers are refused in good time before the process ends. */
+#define END_MARGIN (300 * USEC_PER_MSEC)
+
+COUNTER_DEFINE(config_version, "config_version", COUNTER_GAUGE,
+	       "Version of the operators' configuration in force.");
+COUNTER_DEFINE(pauses_total, "pauses_total", COUNTER_SUM, "Times this process was found stopped.");
+
+uint64_t pooler_random(pooler_t *pooler, uint64_t bound)
+{
+	/* xorshift64*: jitter only, so quality hardly matters. */
+	pooler->random ^= pooler->random >> 12;
+	pooler->random ^= pooler->random << 25;
+	pooler->random ^= pooler->random >> 27;
+	return bound != 0 ? (pooler->random * 2685821657736338717ull >> 16) % bound : 0;
+}
+
+service_t *service_get(pooler_t *pooler, const char *name)
+{
+	service_t *service;
+
+	list_for_each (it, &pooler->services) {
+		service = list_entry(it, service_t, node);
+		if (strcmp(service->name, name) == 0)
+			return service;
+	}
+	service = talloc_zero(pooler, service_t);
+	service->pooler = pooler;
+	service->name = talloc_strdup(service, name);
+	service->max_connections = 1;
+	service->changing_since = USEC_NEVER;
+	list_init(&service->members);
+	list_init(&service->waiting);
+	list_add_tail(&pooler->services, &service->node);
+	return service;
+}
+
+member_t *member_find(const pooler_t *pooler, const char *id)
+{
+	list_for_each (it, &pooler->members) {
+		member_t *member = list_entry(it, member_t, node);
+
+		if (strcmp(member->id, id) == 0)
+			return member;
+	}
+	return NULL;
+}
+
+/* --- the clock --- */
+
+/* Commits at a primary that is changing get a little time; then their outcome is in doubt. */
+static void end_commits(service_t *service, usec_t now)
+{
+	if (service->changing_since == USEC_NEVER || now < service->changing_since + COMMIT_GRACE)
+		return;
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		list_for_each_safe (jt, &member->conns) {
+			conn_t *conn = list_entry(jt, conn_t, node);
+
+			if (conn->state == CONN_RUNNING && conn->caller != NULL &&
+			    caller_may_keep(conn->caller))
+				conn_close(conn, "the primary is being replaced");
+		}
+	}
+}
+
+static void tick_members(pooler_t *pooler, usec_t now)
+{
+	list_for_each_safe (it, &pooler->members) {
+		member_t *member = list_entry(it, member_t, node);
+
+		member_tick(member, now);
+		if (member->gone && list_empty(&member->conns) &&
+		    now >= member->gone_since + FORGET_MEMBER)
+			member_destroy(member);
+	}
+}
+
+static void tick_callers(pooler_t *pooler, usec_t now)
+{
+	bool cut = pooler->draining && now >= pooler->drain_started + pooler->config.grace / 2;
+	bool end = pooler->draining &&
+		   now >= pooler->drain_started + pooler->config.grace - END_MARGIN;
+
+	list_for_each_safe (it, &pooler->callers) {
+		caller_t *caller = list_entry(it, caller_t, node);
+
+		caller_tick(caller, now);
+		if (end && caller->busy)
+			caller_refuse(caller,
+				      caller->conn != NULL && caller_may_keep(caller)
+					      ? CODE_IN_DOUBT
+					      : CODE_ABORTED,
+				      "shutting down", 0);
+		if (pooler->draining)
+			caller_drain(caller, cut);
+	}
+}
+
+static void tell_drained(pooler_t *pooler)
+{
+	if (!pooler->draining || pooler->drained_told || !list_empty(&pooler->callers))
+		return;
+	pooler->drained_told = true;
+	sync_release(pooler);
+	pooler->env->ops->drained(pooler->env);
+}
+
+static void on_tick(run_timer_t *timer, usec_t now)
+{
+	pooler_t *pooler = list_entry(timer, pooler_t, tick);
+
+	if (now > pooler->last_tick + TICK_INTERVAL + PAUSE_NOTICED) {
+		counter_add(&pauses_total, 1);
+		LOG_EVENT(LOG_WARN, "process was stopped",
+			  LOG_INT("ms", (int64_t)((now - pooler->last_tick) / USEC_PER_MSEC)));
+	}
+	pooler->last_tick = now;
+	timers_arm(pooler->timers, timer, now + TICK_INTERVAL, on_tick);
+	tick_members(pooler, now);
+	sync_tick(pooler, now);
+	duty_tick(pooler, now);
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+
+		end_commits(service, now);
+		dispatch_run(service);
+		dispatch_check(service, now);
+	}
+	tick_callers(pooler, now);
+	tell_drained(pooler);
+}
+
+/* --- start and end --- */
+
+static int pooler_destructor(pooler_t *pooler)
+{
+	timers_cancel(pooler->timers, &pooler->tick);
+	list_for_each (it, &pooler->services)
+		timers_cancel(pooler->timers, &list_entry(it, service_t, node)->retry);
+	list_for_each (it, &pooler->callers)
+		timers_cancel(pooler->timers, &list_entry(it, caller_t, node)->timer);
+	return 0;
+}
+
+pooler_t *pooler_create(void *parent, const pooler_config_t *config, env_t *env,
+			const run_clock_t *clock, timer_set_t *timers)
+{
+	pooler_t *pooler = talloc_zero(parent, pooler_t);
+
+	pooler->clock = clock;
+	pooler->timers = timers;
+	pooler->env = env;
+	pooler->config = *config;
+	pooler->config.name = talloc_strdup(pooler, config->name);
+	pooler->config.zone = talloc_strdup(pooler, config->zone);
+	pooler->config.address = talloc_strdup(pooler, config->address);
+	pooler->config.prefix = talloc_strdup(pooler, config->prefix);
+	pooler->random = config->seed | 1;
+	list_init(&pooler->services);
+	list_init(&pooler->members);
+	list_init(&pooler->callers);
+	sync_init(pooler);
+	talloc_set_destructor(pooler, pooler_destructor);
+	return pooler;
+}
+
+void pooler_start(pooler_t *pooler)
+{
+	usec_t now = now_of(pooler);
+
+	pooler->last_tick = now;
+	on_tick(&pooler->tick, now);
+}
+
+bool pooler_is_ready(const pooler_t *pooler)
+{
+	const sync_t *sync = &pooler->sync;
+
+	return pooler->routes != NULL && !pooler->draining && permit_is_registered(pooler) &&
+	       sync->confirmed_at != USEC_NEVER && now_of(pooler) < sync->confirmed_at + PERMIT_TTL;
+}
+
+void pooler_drain(pooler_t *pooler)
+{
+	if (pooler->draining)
+		return;
+	pooler->draining = true;
+	pooler->drain_started = now_of(pooler);
+	LOG_EVENT(LOG_INFO, "draining", LOG_INT("callers", (int64_t)list_length(&pooler->callers)));
+	/* Another proxy can take the duty at once. */
+	sync_release(pooler);
+	tick_callers(pooler, pooler->drain_started);
+	tell_drained(pooler);
+}
+
+/* --- the platform --- */
+
+void pooler_on_routes(pooler_t *pooler, routes_t *routes)
+{
+	if (pooler->routes != NULL && routes->version <= pooler->routes->version) {
+		talloc_free(routes);
+		return;
+	}
+	LOG_EVENT(LOG_INFO, "configuration in force", LOG_INT("version", routes->version),
+		  LOG_INT("before", pooler->routes != NULL ? pooler->routes->version : 0),
+		  LOG_INT("routes", (int64_t)list_length(&routes->routes)));
+	talloc_free(pooler->routes);
+	pooler->routes = talloc_steal(pooler, routes);
+	counter_set(&config_version, routes->version);
+	list_for_each (it, &routes->services) {
+		const service_limits_t *limits = list_entry(it, service_limits_t, node);
+
+		service_get(pooler, limits->name)->max_connections = limits->max_connections;
+	}
+}
+
+void pooler_on_member(pooler_t *pooler, const member_entry_t *entry)
+{
+	member_t *member = member_find(pooler, entry->id);
+
+	if (member == NULL)
+		member = member_create(pooler, entry);
+	member_update(member, entry);
+	dispatch_run(member->service);
+}
+
+void pooler_on_member_gone(pooler_t *pooler, const char *id)
+{
+	member_t *member = member_find(pooler, id);
+
+	if (member != NULL && !member->gone)
+		member_set_gone(member);
+}
+
+void pooler_on_promoted(pooler_t *pooler, const char *service, promote_status_t status)
+{
+	duty_on_promoted(service_get(pooler, service), status);
+}
+
+void pooler_on_message(pooler_t *pooler, const peer_message_t *message)
+{
+	sync_on_message(pooler, message);
+}
+
+/* --- operators --- */
+
+static json_t *dump_member(const member_t *member, usec_t now)
+{
+	return json_pack("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:I, s:I}", "id",
+			 member->id, "address", member->address, "zone", member->zone, "leaving",
+			 member->leaving, "gone", member->gone, "down", member->down,
+			 "says_primary", member->says_primary, "connections",
+			 (int)member->conn_count, "load", (int)member_load(member), "response_usec",
+			 (json_int_t)member->response, "last_reply_ms",
+			 (json_int_t)((now - member->last_reply) / USEC_PER_MSEC));
+}
+
+static json_t *dump_service(const service_t *service, usec_t now)
+{
+	const member_t *primary = permit_primary(service, now);
+	json_t *members = json_array();
+
+	list_for_each (it, &service->members)
+		json_array_append_new(members,
+				      dump_member(list_entry(it, member_t, in_service), now));
+	return json_pack("{s:s, s:s, s:i, s:i, s:i, s:o}", "name", service->name, "primary",
+			 primary != NULL ? primary->id : "", "waiting",
+			 (int)list_length(&service->waiting), "samples",
+			 (int)service->freshness.len, "change_step", (int)service->change.step,
+			 "members", members);
+}
+
+json_t *pooler_dump(const pooler_t *pooler)
+{
+	const sync_t *sync = &pooler->sync;
+	usec_t now = now_of(pooler);
+	json_t *services = json_array();
+
+	list_for_each (it, &pooler->services)
+		json_array_append_new(services, dump_service(list_entry(it, service_t, node), now));
+	return json_pack("{s:s, s:b, s:I, s:I, s:I, s:s, s:I, s:b, s:i, s:o}", "name",
+			 pooler->config.name, "ready", pooler_is_ready(pooler), "config_version",
+			 (json_int_t)(pooler->routes != NULL ? pooler->routes->version : 0),
+			 "roster", (json_int_t)sync->roster->revision, "roster_age_ms",
+			 (json_int_t)(sync->confirmed_at != USEC_NEVER
+					      ? (now - sync->confirmed_at) / USEC_PER_MSEC
+					      : 0),
+			 "holder", sync->holder != NULL ? sync->holder : "", "fence",
+			 (json_int_t)sync->fence, "holding", sync_is_holder(pooler, now), "callers",
+			 (int)list_length(&pooler->callers), "services", services);
+}
--- /dev/null
+++ b/pooler/pooler.h
@@ -0,0 +1,80 @@
+/*
+ * Pooling of statements: sessions of callers in front, connections to the
+ * members of the services behind, and in between who may use which member when.
+ * No I/O and no clock of its own: links call in, effects go through env_t, time
+ * comes from the run-time's clock and timers. Many poolers can live in one process.
+ */
+#pragma once
+
+#include <jansson.h>
+
+#include "env.h"
+#include "routes.h"
+#include "timer.h"
+
+struct caller;
+struct conn;
+typedef struct pooler pooler_t;
+
+typedef struct pooler_config {
+	const char *name; /* of this proxy, unique in the fleet */
+	const char *zone;
+	const char *address; /* for messages of other proxies */
+	const char *prefix;  /* of our keys in the store */
+	uint64_t incarnation;
+	uint64_t seed;
+	usec_t grace; /* from the request to stop to the end */
+} pooler_config_t;
+
+/* A backend server as the platform lists it. */
+typedef struct member_entry {
+	const char *id;
+	const char *service;
+	const char *address;
+	const char *zone;
+	int64_t slots;
+	bool leaving;
+	bool primary; /* how it sees itself */
+} member_entry_t;
+
+pooler_t *pooler_create(void *parent, const pooler_config_t *config, env_t *env,
+			const run_clock_t *clock, timer_set_t *timers);
+void pooler_start(pooler_t *pooler);
+
+/* True once the configuration is known and statements can be served. */
+bool pooler_is_ready(const pooler_t *pooler);
+
+/* --- callers --- */
+
+/* A session with database; NULL with *code set if it is refused. */
+struct caller *pooler_caller_open(pooler_t *pooler, const char *database, void *link, code_t *code);
+
+/* True while a statement is unanswered; the next one must wait. */
+bool caller_is_busy(const struct caller *caller);
+void caller_on_statement(struct caller *caller, const statement_t *statement);
+void caller_on_gone(struct caller *caller);
+
+/* --- members --- */
+
+void conn_on_ready(struct conn *conn);
+/* The connection was not made, or is gone; code tells why a member refused it. */
+void conn_on_down(struct conn *conn, code_t code, const char *reason);
+void conn_on_reply(struct conn *conn, const reply_t *reply, const member_status_t *status);
+
+/* --- the platform --- */
+
+/* A configuration, taken over if newer, else freed. */
+void pooler_on_routes(pooler_t *pooler, routes_t *routes);
+void pooler_on_member(pooler_t *pooler, const member_entry_t *entry);
+void pooler_on_member_gone(pooler_t *pooler, const char *id);
+void pooler_on_promoted(pooler_t *pooler, const char *service, promote_status_t status);
+
+/* --- peers --- */
+
+void pooler_on_message(pooler_t *pooler, const peer_message_t *message);
+
+/* --- operators --- */
+
+/* Finish what is open within the grace time, take nothing that can go elsewhere. */
+void pooler_drain(pooler_t *pooler);
+json_t *pooler_dump(const pooler_t *pooler);
--- /dev/null
+++ b/pooler/roster.c
@@ -0,0 +1,179 @@
+#include "roster.h"
+
+#include <string.h>
+
+#include <jansson.h>
+#include <talloc.h>
+
+roster_t *roster_create(void *parent)
+{
+	roster_t *roster = talloc_zero(parent, roster_t);
+
+	list_init(&roster->nodes);
+	list_init(&roster->groups);
+	return roster;
+}
+
+roster_node_t *roster_node(const roster_t *roster, const char *name)
+{
+	list_for_each (it, &roster->nodes) {
+		roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (strcmp(node->name, name) == 0)
+			return node;
+	}
+	return NULL;
+}
+
+roster_group_t *roster_group(const roster_t *roster, const char *service)
+{
+	list_for_each (it, &roster->groups) {
+		roster_group_t *group = list_entry(it, roster_group_t, node);
+
+		if (strcmp(group->service, service) == 0)
+			return group;
+	}
+	return NULL;
+}
+
+void roster_remove_node(roster_t *roster, const char *name)
+{
+	roster_node_t *node = roster_node(roster, name);
+
+	if (node == NULL)
+		return;
+	list_del(&node->node);
+	talloc_free(node);
+}
+
+roster_node_t *roster_put_node(roster_t *roster, const char *name, const char *address,
+			       uint64_t incarnation)
+{
+	roster_node_t *node = talloc_zero(roster, roster_node_t);
+
+	roster_remove_node(roster, name);
+	node->name = talloc_strdup(node, name);
+	node->address = talloc_strdup(node, address);
+	node->incarnation = incarnation;
+	list_add_tail(&roster->nodes, &node->node);
+	return node;
+}
+
+void roster_put_group(roster_t *roster, const char *service, const char *primary, bool changing,
+		      uint64_t fence)
+{
+	roster_group_t *group = roster_group(roster, service);
+
+	if (group == NULL) {
+		group = talloc_zero(roster, roster_group_t);
+		group->service = talloc_strdup(group, service);
+		list_add_tail(&roster->groups, &group->node);
+	}
+	talloc_free(group->primary);
+	group->primary = talloc_strdup(group, primary);
+	group->changing = changing;
+	group->fence = fence;
+}
+
+roster_t *roster_copy(void *parent, const roster_t *roster)
+{
+	roster_t *copy = roster_create(parent);
+
+	copy->revision = roster->revision;
+	list_for_each (it, &roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		roster_put_node(copy, node->name, node->address, node->incarnation)->gone =
+			node->gone;
+	}
+	list_for_each (it, &roster->groups) {
+		const roster_group_t *group = list_entry(it, roster_group_t, node);
+
+		roster_put_group(copy, group->service, group->primary, group->changing,
+				 group->fence);
+	}
+	return copy;
+}
+
+char *roster_encode(void *parent, const roster_t *roster)
+{
+	json_t *nodes = json_object();
+	json_t *groups = json_object();
+	json_t *root;
+	char *text;
+	char *out;
+
+	list_for_each (it, &roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		json_object_set_new(nodes, node->name,
+				    json_pack("{s:s, s:I, s:b}", "address", node->address,
+					      "incarnation", (json_int_t)node->incarnation, "gone",
+					      node->gone));
+	}
+	list_for_each (it, &roster->groups) {
+		const roster_group_t *group = list_entry(it, roster_group_t, node);
+
+		json_object_set_new(groups, group->service,
+				    json_pack("{s:s, s:b, s:I}", "primary", group->primary,
+					      "changing", group->changing, "fence",
+					      (json_int_t)group->fence));
+	}
+	root = json_pack("{s:o, s:o}", "nodes", nodes, "groups", groups);
+	text = json_dumps(root, JSON_COMPACT);
+	out = talloc_strdup(parent, text);
+	free(text);
+	json_decref(root);
+	return out;
+}
+
+static int decode_nodes(roster_t *roster, json_t *nodes)
+{
+	const char *name;
+	json_t *value;
+
+	json_object_foreach (nodes, name, value) {
+		const char *address;
+		json_int_t incarnation;
+		int gone;
+
+		if (json_unpack(value, "{s:s, s:I, s:b}", "address", &address, "incarnation",
+				&incarnation, "gone", &gone) != 0)
+			return -1;
+		roster_put_node(roster, name, address, (uint64_t)incarnation)->gone = gone != 0;
+	}
+	return 0;
+}
+
+static int decode_groups(roster_t *roster, json_t *groups)
+{
+	const char *service;
+	json_t *value;
+
+	json_object_foreach (groups, service, value) {
+		const char *primary;
+		int changing;
+		json_int_t fence;
+
+		if (json_unpack(value, "{s:s, s:b, s:I}", "primary", &primary, "changing",
+				&changing, "fence", &fence) != 0)
+			return -1;
+		roster_put_group(roster, service, primary, changing != 0, (uint64_t)fence);
+	}
+	return 0;
+}
+
+roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	roster_t *roster = roster_create(parent);
+
+	roster->revision = revision;
+	if (root == NULL || decode_nodes(roster, json_object_get(root, "nodes")) < 0 ||
+	    decode_groups(roster, json_object_get(root, "groups")) < 0) {
+		talloc_free(roster);
+		roster = NULL;
+	}
+	json_decref(root);
+	return roster;
+}
--- /dev/null
+++ b/pooler/routes.h
@@ -0,0 +1,46 @@
+/*
+ * The operators' configuration in force: which database name leads to which
+ * service, how fresh its reads must be, and how long a statement may take.
+ */
+#pragma once
+
+#include "list.h"
+#include "types.h"
+
+typedef enum {
+	READS_PRIMARY, /* see every commit acknowledged before */
+	READS_BOUNDED, /* may be max_age old */
+	READS_SESSION, /* may be max_age old, but see the session's own commits */
+} reads_t;
+
+typedef struct route {
+	list_t node;
+	char *database;
+	char *service;
+	reads_t reads;
+	usec_t max_age;
+	usec_t statement_timeout;
+	usec_t objective; /* for a whole operation */
+	int64_t priority; /* 0 is the highest */
+} route_t;
+
+typedef struct service_limits {
+	list_t node;
+	char *name;
+	int64_t max_connections; /* at each member, over all proxies */
+	bool sync_replicas;	 /* a commit waits for one replica to receive it */
+} service_limits_t;
+
+/* One version of the configuration; everything hangs on it. */
+typedef struct routes {
+	int64_t version;
+	usec_t tx_idle; /* a transaction that rests longer may be ended */
+	list_t routes;
+	list_t services;
+} routes_t;
+
+routes_t *routes_create(void *parent);
+
+/* The route of a database name, or NULL. */
+const route_t *routes_find(const routes_t *routes, const char *database);
+const service_limits_t *routes_service(const routes_t *routes, const char *name);
--- /dev/null
+++ b/pooler/state.h
@@ -0,0 +1,252 @@
+/* The pooler's own structures; for its modules only. */
+#pragma once
+
+#include "freshness.h"
+#include "pooler.h"
+#include "roster.h"
+#include "variables.h"
+
+struct member;
+struct service;
+
+/* --- connections to members --- */
+
+typedef enum {
+	CONN_OPENING,
+	CONN_IDLE,
+	CONN_PREPARING, /* values, prepared names and BEGIN are being set up for a caller */
+	CONN_RUNNING,	/* the caller's statement is at the member */
+	CONN_HELD,	/* in the caller's transaction, the caller is thinking */
+	CONN_CLEANING,	/* our ROLLBACK is at the member */
+	CONN_ORPHANED,	/* the caller is gone or answered, the member is still at work */
+	CONN_PROBING,	/* asks for the member's status */
+} conn_state_t;
+
+/* Requests of our own in one flight before a statement: RESET, values, a name, BEGIN. */
+#define CONN_SETUP_MAX 64
+
+typedef struct conn {
+	list_t node; /* in member_t.conns */
+	struct member *member;
+	void *link; /* the environment's; NULL when gone */
+	conn_state_t state;
+	bool probe;
+	usec_t since;	/* of the state */
+	usec_t sent_at; /* of the last request */
+	struct caller *caller;
+	variables_t variables;
+	char **prepared; /* talloc array of the names that the member knows */
+	size_t prepared_count;
+	request_kind_t setup[CONN_SETUP_MAX]; /* sent and unanswered, in order */
+	size_t setup_len;
+	size_t setup_done;
+	code_t setup_code; /* first error among them */
+	bool in_tx;
+} conn_t;
+
+/* --- members --- */
+
+typedef struct member {
+	list_t node;	   /* in pooler_t.members */
+	list_t in_service; /* in service_t.members */
+	struct pooler *pooler;
+	struct service *service;
+	char *id;
+	char *address;
+	char *zone;
+	int64_t slots;
+	bool leaving;
+	usec_t leaving_since; /* USEC_NEVER less a margin while it is not leaving */
+	bool gone;	      /* not listed any more */
+	usec_t gone_since;
+	bool says_primary;
+	list_t conns;
+	size_t conn_count; /* without probes */
+	usec_t full_until; /* the member refused a connection; no more than our share until then */
+	usec_t open_after; /* back-off after a failed connection */
+	/* Health by what we see ourselves. */
+	usec_t last_reply;
+	usec_t silent_since; /* oldest sign of failure without a reply since; USEC_NEVER: none */
+	bool down;	     /* it was asked again and did not answer */
+	conn_t *probe_conn;
+	/* Placement of reads. */
+	usec_t response;      /* smoothed time from sending a statement to its reply */
+	usec_t lagging_until; /* it lacked a position of late */
+	position_t applied;   /* of its log, by its last reply */
+	/* Survey by the holder of the duty. */
+	bool survey_done;
+	member_status_t status;
+} member_t;
+
+/* --- callers --- */
+
+typedef enum { WANT_NONE, WANT_PRIMARY, WANT_ANY } want_t;
+
+typedef struct prepared {
+	list_t node;
+	char *name;  /* the caller's */
+	char *shape; /* what it stands for */
+	char *alias; /* the name that members know: a function of kind and shape */
+	bool writes;
+} prepared_t;
+
+typedef struct caller {
+	list_t node; /* in pooler_t.callers */
+	struct pooler *pooler;
+	void *link; /* NULL: gone */
+	char *database;
+	variables_t variables;
+	list_t prepared;
+	bool has_commit;
+	position_t commit; /* the session's last one */
+	usec_t committed_at;
+	/* Transaction. */
+	tx_state_t tx;
+	bool tx_read_only;
+	bool tx_ran; /* a statement of it has run at the member */
+	bool tx_wrote;
+	bool tx_lost; /* the connection was lost while the caller was thinking */
+	bool leaving; /* close it when its transaction ends */
+	conn_t *conn;
+	/* The route of the current transaction or statement, copied: a change applies later. */
+	struct service *service;
+	reads_t reads;
+	usec_t max_age;
+	usec_t timeout;
+	int64_t priority;
+	/* Statement in progress. */
+	bool busy;
+	statement_t statement;
+	char *text; /* holds what statement's slices point to */
+	usec_t received_at;
+	usec_t deadline;
+	run_timer_t timer;
+	usec_t idle_since;
+	list_t waiting; /* in service_t.waiting */
+	bool is_waiting;
+	want_t want;
+	bool only_primary; /* a replica lacked the position */
+	/* What the log of a replica must hold, decided when the statement was placed. */
+	bool has_after;
+	position_t after;
+	unsigned attempts;
+	usec_t not_before; /* of the next attempt */
+	prepared_t *exec;  /* of an EXEC */
+} caller_t;
+
+/* --- services --- */
+
+/* The steps of a change of primary, at the holder of the duty. */
+typedef enum {
+	CHANGE_NONE,
+	CHANGE_MARKING,	   /* writing down that the primary is about to change */
+	CHANGE_RELEASING,  /* all proxies stop to use it */
+	CHANGE_SURVEYING,  /* which member has received most */
+	CHANGE_PROMOTING,  /* the platform was asked */
+	CHANGE_VERIFYING,  /* the member does not lead yet */
+	CHANGE_COMMITTING, /* writing down the new primary */
+} change_step_t;
+
+typedef struct change {
+	change_step_t step;
+	usec_t started;
+	usec_t step_since;
+	bool busy;    /* a call to the store is under way */
+	bool planned; /* the old primary still answers */
+	int64_t marked_revision;
+	usec_t marked_at;
+	char *target;
+	uint64_t old_term;
+	usec_t next_probe;
+	usec_t next_call;
+	unsigned calls;
+	usec_t quiet_until; /* after a change that came to nothing */
+} change_t;
+
+typedef struct service {
+	list_t node; /* in pooler_t.services */
+	struct pooler *pooler;
+	char *name;
+	int64_t max_connections;
+	list_t members;
+	list_t waiting;	   /* caller_t.waiting, by priority, then by arrival */
+	run_timer_t retry; /* first attempt that is put off */
+	bool dispatching;
+	bool dispatch_again;
+	freshness_t freshness;
+	char *fresh_primary;   /* the samples were taken there */
+	usec_t changing_since; /* as the roster told; USEC_NEVER: not changing */
+	change_t change;
+} service_t;
+
+/* --- the fleet --- */
+
+typedef struct peer_report {
+	list_t node;
+	char *name;
+	uint64_t incarnation;
+	usec_t heard_at;
+	int64_t revision; /* of the roster it holds */
+	char *down;
+	char *alive;
+	char *in_use;
+	usec_t gone_seen; /* when the roster was first seen to call it gone; 0: it does not */
+} peer_report_t;
+
+typedef struct sync {
+	roster_t *roster;    /* the newest known */
+	usec_t confirmed_at; /* the store held it when asked at this time; USEC_NEVER: never */
+	bool reading;
+	usec_t read_sent;
+	usec_t read_after; /* back-off */
+	usec_t last_read_ok;
+	usec_t read_jitter;
+	bool registering;
+	usec_t ask_next;
+	char *told;   /* what the last question reported, to report changes at once */
+	char *holder; /* who holds the duty */
+	char *holder_address;
+	uint64_t fence;
+	usec_t holder_heard; /* its last answer */
+	unsigned next_peer;
+	/* Our own hold on the duty. */
+	bool acquiring;
+	uint64_t lease;
+	bool holding;
+	usec_t hold_until; /* by our clock, from the sending of the last renewal */
+	usec_t held_since;
+	bool renewing;
+	usec_t renew_next;
+	usec_t acquire_after;
+	list_t reports; /* peer_report_t */
+} sync_t;
+
+struct pooler {
+	const run_clock_t *clock;
+	timer_set_t *timers;
+	env_t *env;
+	pooler_config_t config;
+	routes_t *routes; /* in force; NULL before the first */
+	list_t services;
+	list_t members;
+	list_t callers;
+	sync_t sync;
+	run_timer_t tick;
+	usec_t last_tick;
+	bool sweeping; /* the roster is being rid of proxies that are gone */
+	bool draining;
+	usec_t drain_started;
+	bool drained_told;
+	uint64_t random;
+};
+
+static inline usec_t now_of(const pooler_t *pooler)
+{
+	return clock_now(pooler->clock);
+}
+
+/* Pseudo-random number below bound, from the pooler's seed. */
+uint64_t pooler_random(pooler_t *pooler, uint64_t bound);
+
+service_t *service_get(pooler_t *pooler, const char *name);
+member_t *member_find(const pooler_t *pooler, const char *id);
--- /dev/null
+++ b/pooler/variables.c
@@ -0,0 +1,71 @@
+#include "variables.h"
+
+#include <string.h>
+
+#include <talloc.h>
+#include <xxhash.h>
+
+void variables_init(variables_t *set)
+{
+	list_init(&set->list);
+	set->count = 0;
+	set->fingerprint = 0;
+}
+
+static uint64_t hash_of(const variable_t *variable)
+{
+	return XXH64(variable->value, strlen(variable->value),
+		     XXH64(variable->name, strlen(variable->name), 0));
+}
+
+static variable_t *find(const variables_t *set, slice_t name)
+{
+	list_for_each (it, &set->list) {
+		variable_t *variable = list_entry(it, variable_t, node);
+
+		if (strlen(variable->name) == name.len &&
+		    memcmp(variable->name, name.at, name.len) == 0)
+			return variable;
+	}
+	return NULL;
+}
+
+const variable_t *variables_find(const variables_t *set, slice_t name)
+{
+	return find(set, name);
+}
+
+void variables_set(variables_t *set, void *parent, slice_t name, slice_t value)
+{
+	variable_t *variable = find(set, name);
+
+	if (variable == NULL) {
+		variable = talloc_zero(parent, variable_t);
+		variable->name = talloc_strndup(variable, name.at, name.len);
+		list_add_tail(&set->list, &variable->node);
+		set->count++;
+	} else {
+		set->fingerprint ^= hash_of(variable);
+		talloc_free(variable->value);
+	}
+	variable->value = talloc_strndup(variable, value.at, value.len);
+	set->fingerprint ^= hash_of(variable);
+}
+
+void variables_clear(variables_t *set)
+{
+	list_for_each_safe (it, &set->list)
+		talloc_free(list_entry(it, variable_t, node));
+	variables_init(set);
+}
+
+bool variables_within(const variables_t *have, const variables_t *want)
+{
+	list_for_each (it, &have->list) {
+		const variable_t *variable = list_entry(it, variable_t, node);
+
+		if (find(want, slice_of(variable->name, strlen(variable->name))) == NULL)
+			return false;
+	}
+	return true;
+}
--- a/proxy/main.c
+++ b/proxy/main.c
@@ -5,12 +5,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <time.h>
 
 #include <curl/curl.h>
 #include <sodium.h>
 #include <talloc.h>
 
-#include "adapter.h"
+#include "mode.h"
 
 #define LOG_MODULE "main"
 #include "log.h"
@@ -18,26 +20,38 @@
 #define EXIT_USAGE 2
 /* How often the flags that signals set are looked at. */
 #define SIGNAL_CHECK (50 * USEC_PER_MSEC)
+/* How often the settings file is looked at for a change that came without a signal. */
+#define CONFIG_CHECK (1 * USEC_PER_SEC)
+/* Where the settings are if no option says so. */
+#define CONFIG_VARIABLE "CYCLAMENSPAN_SETTINGS"
 /* Between the last answer and the end, so that it leaves the socket. */
 #define FLUSH_TIME (100 * USEC_PER_MSEC)
 
 typedef struct options {
 	const char *config;
+	const run_mode_t *mode;
 	bool check_only;
+	bool list_settings;
 } options_t;
 
 typedef struct process {
 	kernel_t kernel;
-	context_t context;
+	const run_mode_t *mode;
 	const char *config_path;
+	struct timespec config_changed;
+	off_t config_size;
+	usec_t config_checked;
 	run_timer_t signal_timer;
 	run_timer_t grace_timer;
 	run_timer_t flush_timer;
 	bool draining;
 	bool cut_short;
-	int64_t grace_ms;
+	usec_t grace;
 } process_t;
 
+/* on_drained() finds it here; a process has one. */
+static process_t process_state;
+
 static volatile sig_atomic_t stop_asked;
 static volatile sig_atomic_t dump_asked;
 static volatile sig_atomic_t reload_asked;
@@ -54,29 +68,35 @@
 
 static void print_help(FILE *out)
 {
-	fprintf(out, "Usage: cyclamenspan --config FILE [OPTION]...\n"
-		     "Database proxy with session consistency.\n\n"
-		     "  -c, --config FILE     settings, TOML\n"
-		     "  -t, --check-config    check the settings and exit\n"
-		     "  -s, --help-settings   list every setting and exit\n"
-		     "  -h, --help            this help\n"
-		     "  -v, --version         the version\n\n"
-		     "Signals: TERM and INT shut down gracefully, HUP reloads the settings,\n"
-		     "USR1 writes the state as JSON to standard error.\n");
+	fprintf(out,
+		"Usage: cyclamenspan [--pooler] [--config FILE] [OPTION]...\n"
+		"Database proxy with session consistency.\n\n"
+		"  -p, --pooler          serve the platform's wire (default: HTTP, PostgreSQL)\n"
+		"  -c, --config FILE     settings, TOML; default: $" CONFIG_VARIABLE "\n"
+		"  -t, --check-config    check the settings and exit\n"
+		"  -s, --help-settings   list every setting and exit\n"
+		"  -h, --help            this help\n"
+		"  -v, --version         the version\n\n"
+		"Signals: TERM and INT shut down gracefully, HUP reloads the settings,\n"
+		"USR1 writes the state as JSON to standard error.\n");
 }
 
 /* Returns 0 to go on, or 1 when the process is to end with *status. */
 static int parse_options(int argc, char **argv, options_t *options, int *status)
 {
 	static const struct option longopts[] = {
-		{"config", required_argument, NULL, 'c'},  {"check-config", no_argument, NULL, 't'},
-		{"help-settings", no_argument, NULL, 's'}, {"help", no_argument, NULL, 'h'},
-		{"version", no_argument, NULL, 'v'},	   {NULL, 0, NULL, 0},
+		{"config", required_argument, NULL, 'c'},
+		{"check-config", no_argument, NULL, 't'},
+		{"help-settings", no_argument, NULL, 's'},
+		{"help", no_argument, NULL, 'h'},
+		{"version", no_argument, NULL, 'v'},
+		{"pooler", no_argument, NULL, 'p'},
+		{NULL, 0, NULL, 0},
 	};
 	int opt;
 
 	*status = EXIT_SUCCESS;
-	while ((opt = getopt_long(argc, argv, "c:tshv", longopts, NULL)) != -1) {
+	while ((opt = getopt_long(argc, argv, "c:ptshv", longopts, NULL)) != -1) {
 		switch (opt) {
 		case 'c':
 			options->config = optarg;
@@ -84,9 +104,12 @@
 		case 't':
 			options->check_only = true;
 			break;
+		case 'p':
+			options->mode = &mode_pooler;
+			break;
 		case 's':
-			settings_describe(conf_settings, conf_settings_len, stdout);
-			return 1;
+			options->list_settings = true;
+			break;
 		case 'h':
 			print_help(stdout);
 			return 1;
@@ -98,6 +121,10 @@
 			return 1;
 		}
 	}
+	if (options->list_settings) {
+		settings_describe(options->mode->settings, *options->mode->settings_len, stdout);
+		return 1;
+	}
 	if (options->config != NULL && optind == argc)
 		return 0;
 	print_help(stderr);
@@ -113,17 +140,6 @@
 	fprintf(stderr, "cyclamenspan: %s\n", line);
 }
 
-static int apply_log(const conf_t *conf, err_t *err)
-{
-	log_level_t level;
-
-	if (log_level_parse(conf->log_level, &level) < 0)
-		return err_set(err, -EINVAL, "read settings", "log.level",
-			       "\"%s\": expected error, warning, info or debug", conf->log_level);
-	log_init(level, conf->log_json);
-	return 0;
-}
-
 static void on_flushed(run_timer_t *timer, usec_t now)
 {
 	process_t *process = list_entry(timer, process_t, flush_timer);
@@ -132,9 +148,9 @@
 	loop_stop(&process->kernel.loop);
 }
 
-static void on_drained(context_t *context)
+static void on_drained(void)
 {
-	process_t *process = list_entry(context, process_t, context);
+	process_t *process = &process_state;
 	loop_t *loop = &process->kernel.loop;
 
 	LOG_INFORM("all requests are finished");
@@ -147,8 +163,8 @@
 	process_t *process = list_entry(timer, process_t, grace_timer);
 
 	(void)now;
-	LOG_WARNING("shutdown cut short after %lld ms: requests were still in progress",
-		    (long long)process->grace_ms);
+	LOG_WARNING("shutdown cut short after %llu ms: requests were still in progress",
+		    (unsigned long long)(process->grace / USEC_PER_MSEC));
 	process->cut_short = true;
 	loop_stop(&process->kernel.loop);
 }
@@ -160,9 +176,10 @@
 	if (process->draining)
 		return;
 	process->draining = true;
-	timers_arm(&loop->timers, &process->grace_timer,
-		   clock_now(loop->clock) + (usec_t)process->grace_ms * USEC_PER_MSEC,
+	timers_arm(&loop->timers, &process->grace_timer, clock_now(loop->clock) + process->grace,
 		   on_grace_over);
+	LOG_INFORM("stopping, at most %llu ms",
+		   (unsigned long long)(process->grace / USEC_PER_MSEC));
 	kernel_drain(&process->kernel);
 }
 
@@ -175,24 +192,45 @@
 	json_decref(state);
 }
 
-/* Only what is marked reloadable takes effect; the log says so of each. */
-static void reload(process_t *process)
+/* Only what is marked reloadable takes effect. */
+static void reload(process_t *process, const char *why)
 {
 	err_t err = {0};
-	conf_t *fresh = conf_load(NULL, process->config_path, &err);
+	int rc = process->mode->reload(process->config_path, &process->grace, &err);
 
-	if (fresh == NULL || apply_log(fresh, &err) < 0) {
+	if (rc < 0) {
 		char line[512];
 
 		err_format(&err, line, sizeof(line));
 		LOG_ERROR("reload refused, the old settings stay: %s", line);
-	} else {
-		process->grace_ms = fresh->shutdown_grace_ms;
-		LOG_INFORM("reloaded: log.level=%s log.json=%d shutdown.grace_ms=%lld; the other "
-			   "settings need a restart",
-			   fresh->log_level, fresh->log_json, (long long)fresh->shutdown_grace_ms);
+		return;
 	}
-	talloc_free(fresh);
+	LOG_INFORM("reloaded, %s: settings that are not reloadable need a restart", why);
+}
+
+/* Returns true if the settings file is not the one that was read last. */
+static bool config_has_changed(process_t *process)
+{
+	struct stat status;
+	bool changed;
+
+	if (stat(process->config_path, &status) < 0)
+		return false;
+	changed = status.st_mtim.tv_sec != process->config_changed.tv_sec ||
+		  status.st_mtim.tv_nsec != process->config_changed.tv_nsec ||
+		  status.st_size != process->config_size;
+	process->config_changed = status.st_mtim;
+	process->config_size = status.st_size;
+	return changed;
+}
+
+static void check_config(process_t *process, usec_t now)
+{
+	if (now < process->config_checked + CONFIG_CHECK)
+		return;
+	process->config_checked = now;
+	if (config_has_changed(process))
+		reload(process, "the file has changed");
 }
 
 static void on_signal_check(run_timer_t *timer, usec_t now)
@@ -208,8 +246,10 @@
 	}
 	if (reload_asked) {
 		reload_asked = 0;
-		reload(process);
+		config_has_changed(process);
+		reload(process, "asked by a signal");
 	}
+	check_config(process, now);
 }
 
 static void catch_signals(void)
@@ -223,25 +263,22 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
-static int run(process_t *process, const conf_t *conf, err_t *err)
+static int run(process_t *process, const void *settings, err_t *err)
 {
-	event_t first = {.kind = EVENT_TICK};
-	int rc;
-
-	process->context.conf = conf;
-	process->context.kernel = &process->kernel;
-	process->context.on_drained = on_drained;
-	process->grace_ms = conf->shutdown_grace_ms;
-	rc = kernel_init(&process->kernel, clock_system(), conf, &process->context);
+	const run_mode_t *mode = process->mode;
+	int rc = kernel_init(&process->kernel, clock_system(), mode->family, settings,
+			     mode->context(&process->kernel, settings, on_drained));
+
 	if (rc < 0)
 		return err_set(err, rc, "start", "", "no event loop");
 	rc = kernel_start(&process->kernel, err);
 	if (rc == 0) {
-		LOG_INFORM("started version=%s name=%s zone=%s callers=%s", CYCLAMENSPAN_VERSION,
-			   conf->node_name, conf->node_zone, conf->callers_listen);
+		LOG_INFORM("started version=%s name=%s", CYCLAMENSPAN_VERSION,
+			   mode->node_name(settings));
 		on_signal_check(&process->signal_timer, clock_now(clock_system()));
-		adapter_submit(process->context.adapter, &first);
+		mode->started();
 		loop_run(&process->kernel.loop);
+		LOG_INFORM("stopped");
 	}
 	kernel_destroy(&process->kernel);
 	return rc;
@@ -249,33 +286,35 @@
 
 int main(int argc, char **argv)
 {
-	options_t options = {0};
-	process_t process = {0};
+	options_t options = {.config = getenv(CONFIG_VARIABLE), .mode = &mode_requests};
+	process_t *process = &process_state;
 	err_t err = {0};
-	conf_t *conf;
+	void *settings;
 	int status;
 
 	if (parse_options(argc, argv, &options, &status) != 0)
 		return status;
-	conf = conf_load(NULL, options.config, &err);
-	if (conf == NULL || apply_log(conf, &err) < 0) {
+	process->mode = options.mode;
+	process->config_path = options.config;
+	config_has_changed(process);
+	settings = options.mode->load(options.config, &process->grace, &err);
+	if (settings == NULL) {
 		report(&err);
-		talloc_free(conf);
 		return EXIT_USAGE;
 	}
 	if (options.check_only) {
 		printf("%s: the settings are sound\n", options.config);
-		talloc_free(conf);
+		talloc_free(settings);
 		return EXIT_SUCCESS;
 	}
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
 		return EXIT_FAILURE;
 	catch_signals();
-	process.config_path = options.config;
-	status = run(&process, conf, &err) < 0 || process.cut_short ? EXIT_FAILURE : EXIT_SUCCESS;
+	status = run(process, settings, &err) < 0 || process->cut_short ? EXIT_FAILURE
+									: EXIT_SUCCESS;
 	if (err.code < 0)
 		report(&err);
-	talloc_free(conf);
+	talloc_free(settings);
 	curl_global_cleanup();
 	return status;
 }
