--- a/pooler/env.h
+++ b/pooler/env.h
@@ -54,12 +54,14 @@
 	const char *from;
 	const char *address; /* of the sender */
 	uint64_t incarnation;
-	uint64_t echo;	    /* ASK: when it was sent, by its sender's clock; STATE: the same back */
-	int64_t revision;   /* of the roster that the sender holds */
-	usec_t age;	    /* STATE: since the store was asked, USEC_NEVER: never */
-	const char *roster; /* STATE: the roster if the receiver's is older, else NULL */
-	const char *holder; /* STATE: who holds the duty to promote, NULL if unknown */
-	uint64_t fence;	    /* STATE: the holder's */
+	uint64_t echo;	  /* ASK: when it was sent, by its sender's clock; STATE: the same back */
+	int64_t revision; /* of the roster that the sender holds */
+	int64_t config_version;
+	uint64_t members_digest; /* of the list of members that the sender holds */
+	usec_t age;		 /* STATE: since the store was asked, USEC_NEVER: never */
+	const char *roster;	 /* STATE: the roster if the receiver's is older, else NULL */
+	const char *holder;	 /* STATE: who holds the duty to promote, NULL if unknown */
+	uint64_t fence;		 /* STATE: the holder's */
 	const char *holder_address;
 	/* ASK: services by name, as lists joined by blanks. */
 	const char *down;   /* their primary does not answer the sender */
@@ -84,6 +86,9 @@
 	/* pooler_on_promoted follows. */
 	void (*promote)(struct env *env, const char *service, const char *member,
 			const char *holder, uint64_t fence);
+	/* Read the configuration or the list of members again; what is new follows. */
+	void (*refresh_config)(struct env *env);
+	void (*refresh_members)(struct env *env);
 	/* All callers are gone after pooler_drain(). */
 	void (*drained)(struct env *env);
 } env_ops_t;
--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -8,7 +8,7 @@
 #include "counter.h"
 #include "log.h"
 
-/* One call of a watch; the store allows 30 s, and a dead connection is noticed sooner so. */
+/* One call of a watch: few calls, and the store allows 30 s. */
 #define WATCH_WAIT_MSEC 20000
 /* Back-off after a failed call: doubles from the first to the last, plus up to as much jitter. */
 #define BACKOFF_FIRST	  (100 * USEC_PER_MSEC)
@@ -24,11 +24,12 @@
 typedef struct known {
 	list_t node;
 	char *key;
+	int64_t revision;
 	uint64_t round;	      /* of the reading that saw it last */
 	usec_t missing_since; /* USEC_NEVER: it is there */
 } known_t;
 
-static void next_call(follow_t *follow);
+static void go_on(follow_t *follow);
 
 static known_t *find(const follow_t *follow, const char *key)
 {
@@ -41,7 +42,9 @@
 	return NULL;
 }
 
-static void tell_changed(follow_t *follow, const kv_item_t *item)
+/* --- what is there, and what is not --- */
+
+static void take_item(follow_t *follow, const kv_item_t *item)
 {
 	known_t *known = find(follow, item->key);
 
@@ -50,7 +53,11 @@
 		known->key = talloc_strdup(known, item->key);
 		list_add_tail(&follow->keys, &known->node);
 	}
-	known->round = follow->reading_round;
+	known->round = follow->round;
+	/* A reading may be older than what a watch has told meanwhile. */
+	if (item->revision <= known->revision && known->missing_since == USEC_NEVER)
+		return;
+	known->revision = item->revision;
 	known->missing_since = USEC_NEVER;
 	follow->ops->changed(follow, item);
 }
@@ -62,47 +69,6 @@
 	talloc_free(known);
 }
 
-static void on_timer(run_timer_t *timer, usec_t now)
-{
-	(void)now;
-	next_call(list_entry(timer, follow_t, timer));
-}
-
-static void call_after(follow_t *follow, usec_t pause)
-{
-	timers_arm(follow->timers, &follow->timer, clock_now(follow->clock) + pause, on_timer);
-}
-
-static usec_t backoff(follow_t *follow)
-{
-	unsigned doublings =
-		follow->failures < BACKOFF_DOUBLINGS ? follow->failures : BACKOFF_DOUBLINGS;
-	usec_t base = BACKOFF_FIRST << doublings;
-
-	follow->random = follow->random * 6364136223846793005ull + 1442695040888963407ull;
-	return base + (follow->random >> 33) % base;
-}
-
-static void on_failure(follow_t *follow, kv_status_t status)
-{
-	counter_add(&failures_total, 1);
-	if (follow->failures == 0)
-		LOG_EVENT(LOG_WARN, "store lost", LOG_STR("prefix", follow->prefix),
-			  LOG_INT("status", status));
-	call_after(follow, backoff(follow));
-	follow->failures++;
-}
-
-static void on_success(follow_t *follow)
-{
-	if (follow->failures != 0)
-		LOG_EVENT(LOG_INFO, "store back", LOG_STR("prefix", follow->prefix),
-			  LOG_INT("failures", follow->failures));
-	follow->failures = 0;
-}
-
-/* --- reading all --- */
-
 static void on_sweep(run_timer_t *timer, usec_t now);
 
 static void arm_sweep(follow_t *follow, usec_t at)
@@ -141,53 +107,92 @@
 	arm_sweep(follow, now + RETURN_TIME);
 }
 
+/* --- failures --- */
+
+static void on_retry(run_timer_t *timer, usec_t now)
+{
+	(void)now;
+	go_on(list_entry(timer, follow_t, retry));
+}
+
+static usec_t backoff(follow_t *follow)
+{
+	unsigned doublings =
+		follow->failures < BACKOFF_DOUBLINGS ? follow->failures : BACKOFF_DOUBLINGS;
+	usec_t base = BACKOFF_FIRST << doublings;
+
+	follow->random = follow->random * 6364136223846793005ull + 1442695040888963407ull;
+	return base + (follow->random >> 33) % base;
+}
+
+static void on_failure(follow_t *follow, kv_status_t status)
+{
+	counter_add(&failures_total, 1);
+	if (follow->failures == 0)
+		LOG_EVENT(LOG_WARN, "store lost", LOG_STR("prefix", follow->prefix),
+			  LOG_INT("status", status));
+	timers_arm(follow->timers, &follow->retry, clock_now(follow->clock) + backoff(follow),
+		   on_retry);
+	follow->failures++;
+}
+
+static void on_success(follow_t *follow)
+{
+	if (follow->failures != 0)
+		LOG_EVENT(LOG_INFO, "store back", LOG_STR("prefix", follow->prefix),
+			  LOG_INT("failures", follow->failures));
+	follow->failures = 0;
+}
+
+/* --- reading all --- */
+
+static void start_reading(follow_t *follow)
+{
+	counter_add(&reads_total, 1);
+	follow->reading = true;
+	follow->round++;
+	follow->round_revision = 0;
+	talloc_free(follow->last_key);
+	follow->last_key = NULL;
+}
+
 static void end_reading(follow_t *follow)
 {
 	follow->reading = false;
-	follow->revision = follow->reading_revision;
+	if (follow->revision == 0)
+		follow->revision = follow->round_revision;
 	list_for_each (it, &follow->keys) {
 		known_t *known = list_entry(it, known_t, node);
 
-		if (known->round < follow->reading_round)
+		/* What was written after the reading began can't be in it. */
+		if (known->round < follow->round && known->revision <= follow->round_revision)
 			set_missing(follow, known);
 	}
-	follow->whole = true;
 }
 
 static void on_page(void *data, const kv_result_t *result)
 {
 	follow_t *follow = data;
 
-	follow->busy = false;
+	follow->page_asked = false;
 	if (result->status != KV_OK) {
 		on_failure(follow, result->status);
 		return;
 	}
 	on_success(follow);
 	/* Pages are read at different moments; watching from the first one misses nothing. */
-	if (follow->reading_revision == 0)
-		follow->reading_revision = result->as_of;
+	if (follow->round_revision == 0)
+		follow->round_revision = result->as_of;
 	for (size_t i = 0; i < result->count; i++)
-		tell_changed(follow, &result->items[i]);
-	if (result->truncated && result->count != 0) {
-		char *last = talloc_strdup(NULL, result->items[result->count - 1].key);
-
-		talloc_free(follow->last_key);
-		follow->last_key = last;
-	} else {
-		end_reading(follow);
-	}
-	next_call(follow);
-}
-
-static void start_reading(follow_t *follow)
-{
-	counter_add(&reads_total, 1);
-	follow->reading = true;
-	follow->reading_round++;
-	follow->reading_revision = 0;
+		take_item(follow, &result->items[i]);
 	talloc_free(follow->last_key);
 	follow->last_key = NULL;
+	if (result->truncated && result->count != 0)
+		follow->last_key =
+			talloc_strdup(follow->parent, result->items[result->count - 1].key);
+	else
+		end_reading(follow);
+	go_on(follow);
 }
 
 /* --- watching --- */
@@ -196,12 +201,13 @@
 {
 	follow_t *follow = data;
 
-	follow->busy = false;
+	follow->watching = false;
 	if (result->status == KV_COMPACTED) {
 		LOG_EVENT(LOG_INFO, "history is gone, reading all again",
 			  LOG_STR("prefix", follow->prefix), LOG_INT("revision", follow->revision));
+		follow->revision = 0;
 		start_reading(follow);
-		next_call(follow);
+		go_on(follow);
 		return;
 	}
 	if (result->status != KV_OK) {
@@ -214,26 +220,38 @@
 		known_t *known = find(follow, item->key);
 
 		if (item->value != NULL)
-			tell_changed(follow, item);
-		else if (known != NULL)
+			take_item(follow, item);
+		else if (known != NULL && item->revision > known->revision)
 			set_missing(follow, known);
 	}
 	follow->revision = result->as_of;
-	next_call(follow);
+	go_on(follow);
 }
 
-static void next_call(follow_t *follow)
+/* Make the calls that are due: the next page, the next watch, or both. */
+static void go_on(follow_t *follow)
 {
-	if (follow->busy)
+	if (timer_is_armed(&follow->retry))
 		return;
-	follow->busy = true;
-	if (follow->reading)
+	if (follow->reading && !follow->page_asked) {
+		follow->page_asked = true;
 		follow->kv->ops->range(follow->kv, follow->prefix,
 				       follow->last_key != NULL ? follow->last_key : "", on_page,
 				       follow);
-	else
+	}
+	if (follow->revision != 0 && !follow->watching) {
+		follow->watching = true;
 		follow->kv->ops->watch(follow->kv, follow->prefix, follow->revision,
 				       WATCH_WAIT_MSEC, on_events, follow);
+	}
+}
+
+void follow_refresh(follow_t *follow)
+{
+	if (follow->reading)
+		return;
+	start_reading(follow);
+	go_on(follow);
 }
 
 void follow_start(follow_t *follow, void *parent)
@@ -241,12 +259,12 @@
 	follow->parent = parent;
 	list_init(&follow->keys);
 	start_reading(follow);
-	next_call(follow);
+	go_on(follow);
 }
 
 void follow_stop(follow_t *follow)
 {
-	timers_cancel(follow->timers, &follow->timer);
+	timers_cancel(follow->timers, &follow->retry);
 	timers_cancel(follow->timers, &follow->sweep);
 	list_for_each_safe (it, &follow->keys)
 		talloc_free(list_entry(it, known_t, node));
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -24,20 +24,25 @@
 	const run_clock_t *clock;
 	timer_set_t *timers;
 	const char *prefix;
+	void *parent; /* of what it keeps */
+	uint64_t random;
 	list_t keys;	  /* of those told as there */
-	int64_t revision; /* events up to here were told */
-	bool whole;	  /* all of it was read once */
+	int64_t revision; /* events up to here were told; 0: never read */
+	/* A whole reading, which can go on beside a watch. */
 	bool reading;
-	void *parent;	/* of what it keeps */
-	char *last_key; /* of the page before */
-	uint64_t reading_round;
-	int64_t reading_revision; /* lowest of the pages' */
-	run_timer_t timer;
-	run_timer_t sweep;
-	bool busy;
+	bool page_asked;
+	uint64_t round;
+	int64_t round_revision; /* of its first page */
+	char *last_key;		/* of the page before */
+	bool watching;
 	unsigned failures;
-	uint64_t random;
+	run_timer_t retry;
+	run_timer_t sweep;
 } follow_t;
 
 void follow_start(follow_t *follow, void *parent);
+
+/* Read all of it again: events may have been missed without a sign. */
+void follow_refresh(follow_t *follow);
+
 void follow_stop(follow_t *follow);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -219,6 +219,10 @@
 	usec_t renew_next;
 	usec_t acquire_after;
 	list_t reports; /* peer_report_t */
+	/* Reading the directory again, since a watch can miss changes without a sign. */
+	usec_t config_due;
+	usec_t members_due;
+	unsigned members_differ; /* answers in a row with another list than ours */
 } sync_t;
 
 struct pooler {
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 #include "caller.h"
 #include "conn.h"
@@ -39,6 +40,15 @@
 #define ACQUIRE_JITTER (200 * USEC_PER_MSEC)
 /* After a failed attempt. */
 #define ACQUIRE_BACKOFF (1 * USEC_PER_SEC)
+/*
+ * Between two readings of the directory by the holder, which all others compare theirs with.
+ * The configuration must be in force within 3 s of its acceptance, a leaving member left
+ * alone within 7 s.
+ */
+#define CONFIG_REFRESH	(900 * USEC_PER_MSEC)
+#define MEMBERS_REFRESH (2 * USEC_PER_SEC)
+/* Answers in a row that show another list of members: one may cross a change under way. */
+#define MEMBERS_DIFFER_MAX 2
 /* A primary that answered within this time counts as alive in our report. */
 #define ALIVE_WITHIN (500 * USEC_PER_MSEC)
 
@@ -538,6 +548,63 @@
 	end_lease(pooler);
 }
 
+/* --- the directory --- */
+
+/* Equal for equal lists of members, whatever their order. */
+static uint64_t digest_of_members(const pooler_t *pooler)
+{
+	uint64_t digest = 0;
+
+	list_for_each (it, &pooler->members) {
+		const member_t *member = list_entry(it, member_t, node);
+
+		if (!member->gone)
+			digest ^= XXH64(member->id, strlen(member->id), member->leaving);
+	}
+	/* Half of it is enough, and fits any integer of a message. */
+	return digest >> 32;
+}
+
+static void refresh_config(pooler_t *pooler, usec_t now)
+{
+	pooler->sync.config_due = now + CONFIG_REFRESH;
+	pooler->env->ops->refresh_config(pooler->env);
+}
+
+static void refresh_members(pooler_t *pooler, usec_t now)
+{
+	pooler->sync.members_due = now + MEMBERS_REFRESH;
+	pooler->sync.members_differ = 0;
+	pooler->env->ops->refresh_members(pooler->env);
+}
+
+/* The holder, and a proxy that does not hear it, read for themselves. */
+static void refresh(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (!sync->holding && sync->holder != NULL && now < sync->holder_heard + HOLDER_SILENT)
+		return;
+	if (now >= sync->config_due)
+		refresh_config(pooler, now);
+	if (now >= sync->members_due)
+		refresh_members(pooler, now);
+}
+
+/* Another proxy knows more than we do: a watch of ours missed something. */
+static void compare_directory(pooler_t *pooler, const peer_message_t *message, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+	int64_t version = pooler->routes != NULL ? pooler->routes->version : 0;
+
+	if (message->config_version > version && now + CONFIG_REFRESH / 2 >= sync->config_due)
+		refresh_config(pooler, now);
+	if (message->members_digest == digest_of_members(pooler))
+		sync->members_differ = 0;
+	else if (++sync->members_differ >= MEMBERS_DIFFER_MAX && now >= sync->members_due)
+		refresh_members(pooler, now);
+}
+
 /* --- peers --- */
 
 static char *add_word(char *list, const char *word)
@@ -576,6 +643,8 @@
 	message->address = pooler->config.address;
 	message->incarnation = pooler->config.incarnation;
 	message->revision = pooler->sync.roster->revision;
+	message->config_version = pooler->routes != NULL ? pooler->routes->version : 0;
+	message->members_digest = digest_of_members(pooler);
 }
 
 static void send_to(const pooler_t *pooler, const char *name, const char *address,
@@ -730,6 +799,7 @@
 	if (message->echo != 0 && message->echo <= now && message->age < message->echo &&
 	    message->revision == sync->roster->revision)
 		confirm(pooler, message->echo - message->age);
+	compare_directory(pooler, message, now);
 	run_services(pooler);
 }
 
@@ -748,6 +818,7 @@
 	sync_t *sync = &pooler->sync;
 
 	hold(pooler, now);
+	refresh(pooler, now);
 	if (must_read(pooler, now))
 		read_store(pooler, now);
 	register_self(pooler);
--- a/proxy/mode_pooler.c
+++ b/proxy/mode_pooler.c
@@ -55,8 +55,10 @@
 	return &shared;
 }
 
+/* Its first tick already calls the links. */
 static void started(void)
 {
+	pooler_start(shared.pooler);
 }
 
 static const char *node_name(const void *settings)
