--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -16,6 +16,8 @@
 #define IS_PRIMARY (8 * USEC_PER_MSEC)
 /* A connection that must first be made takes 12 ms of a slot. */
 #define NO_CONNECTION (15 * USEC_PER_MSEC)
+/* A wait that justifies a connection beyond our share: the time that one takes to make. */
+#define BORROW_AFTER (15 * USEC_PER_MSEC)
 /* It lacked a position a moment ago. */
 #define LAGS (30 * USEC_PER_MSEC)
 /* How long that counts. */
@@ -28,6 +30,8 @@
 #define DETECTION_USUAL (700 * USEC_PER_MSEC)
 /* A primary that is leaving is used this long; the users' bound for leaving members is 7 s. */
 #define LEAVING_USE (5 * USEC_PER_SEC)
+/* A proxy that has just started gets on the roster within this. */
+#define REGISTER_USUAL (200 * USEC_PER_MSEC)
 /* When to come back if the end of the trouble isn't known. */
 #define UNKNOWN_RETRY (1 * USEC_PER_SEC)
 
@@ -62,10 +66,21 @@
 	return cost;
 }
 
+/* True if the caller has waited long enough for a connection beyond our share. */
+static bool may_borrow(const caller_t *caller, usec_t now)
+{
+	return now >= caller->received_at + BORROW_AFTER;
+}
+
+static bool can_open(const member_t *member, const caller_t *caller, usec_t now)
+{
+	return member_can_open(member, now, may_borrow(caller, now));
+}
+
 static bool can_serve(const member_t *member, const caller_t *caller, usec_t now)
 {
 	return member_is_usable(member) &&
-	       (conn_idle(member, caller) != NULL || member_can_open(member, now));
+	       (conn_idle(member, caller) != NULL || can_open(member, caller, now));
 }
 
 /* True if a replica is worth asking. */
@@ -111,7 +126,7 @@
 
 	caller->has_after = false;
 	*open = primary != NULL && !primary->down && now < primary->leaving_since + LEAVING_USE;
-	if (!*open || (conn_idle(primary, caller) == NULL && !member_can_open(primary, now)))
+	if (!*open || (conn_idle(primary, caller) == NULL && !can_open(primary, caller, now)))
 		return NULL;
 	return primary;
 }
@@ -204,6 +219,8 @@
 		}
 		if (place(caller, now))
 			return true;
+		if (!may_borrow(caller, now) && caller->received_at + BORROW_AFTER < *next)
+			*next = caller->received_at + BORROW_AFTER;
 	}
 	return false;
 }
@@ -237,8 +254,10 @@
 
 	if (service->changing_since != USEC_NEVER)
 		return service->changing_since + CHANGE_USUAL;
-	if (sync->roster == NULL || now >= sync->confirmed_at + PERMIT_TTL)
+	if (sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + PERMIT_TTL)
 		return USEC_NEVER;
+	if (!permit_is_registered(service->pooler))
+		return now + REGISTER_USUAL;
 	group = roster_group(sync->roster, service->name);
 	primary = group != NULL ? member_find(service->pooler, group->primary) : NULL;
 	if (primary != NULL && primary->down)
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -89,6 +89,8 @@
 	/* Read the configuration or the list of members again; what is new follows. */
 	void (*refresh_config)(struct env *env);
 	void (*refresh_members)(struct env *env);
+	/* Take no new callers. */
+	void (*stop_accepting)(struct env *env);
 	/* All callers are gone after pooler_drain(). */
 	void (*drained)(struct env *env);
 } env_ops_t;
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -13,13 +13,19 @@
 /* Without any, a new member counts as this quick: the mean work on the users' sites. */
 #define FIRST_RESPONSE (10 * USEC_PER_MSEC)
 /* A connection unused for so long is closed if it is above our share. */
-#define IDLE_EXTRA (3 * USEC_PER_SEC)
+#define IDLE_EXTRA (500 * USEC_PER_MSEC)
 /* So far ahead that nothing is added to it beyond the clock's range. */
 #define NOT_LEAVING (USEC_NEVER / 2)
 /* Our statements unanswered for so long on one connection: it has gone silent. */
 #define CONN_SILENCE (3 * USEC_PER_SEC)
-/* Connections kept free at a member for proxies that come and for probes. */
-#define RESERVED_CONNECTIONS 2
+/*
+ * The part of a member's connections that is shared out evenly. The rest is for demand, and
+ * for the fleet after a loss of power: a member keeps the connections of machines that are
+ * gone for 3 s, and with all of them in use nobody can be served until then.
+ */
+#define SHARED_PART 2
+/* What one proxy may borrow beyond its share. */
+#define BORROWED_PART 8
 
 /* Connections that serve nobody now are not wanted at a member that goes. */
 static void close_unused(member_t *member)
@@ -38,7 +44,7 @@
 		talloc_free(member->address);
 		member->address = talloc_strdup(member, entry->address);
 	}
-	if (member->leaving != entry->leaving || member->gone ||
+	if (member->slots == 0 || member->leaving != entry->leaving || member->gone ||
 	    member->says_primary != entry->primary)
 		LOG_EVENT(LOG_INFO, "member listed", LOG_STR("service", member->service->name),
 			  LOG_STR("member", member->id), LOG_INT("leaving", entry->leaving),
@@ -201,24 +207,21 @@
 size_t member_share(const member_t *member)
 {
 	const roster_t *roster = member->pooler->sync.roster;
-	size_t nodes = roster != NULL ? list_length(&roster->nodes) : 1;
-	int64_t free = member->service->max_connections - RESERVED_CONNECTIONS;
+	size_t nodes = list_length(&roster->nodes);
+	size_t shared = (size_t)member->service->max_connections / SHARED_PART;
 
-	if (nodes == 0)
-		nodes = 1;
-	return free > (int64_t)nodes ? (size_t)free / nodes : 1;
+	return nodes != 0 && shared > nodes ? shared / nodes : 1;
 }
 
-bool member_can_open(const member_t *member, usec_t now)
+bool member_can_open(const member_t *member, usec_t now, bool borrow)
 {
-	size_t share = member_share(member);
-	/* Demand differs between proxies: one may borrow while the member has room. */
-	size_t most = share + (size_t)member->service->max_connections / 4;
+	size_t most = member_share(member);
 
 	if (now < member->open_after)
 		return false;
-	if (now < member->full_until)
-		most = share;
+	/* Demand differs between proxies, and transactions hold connections while they think. */
+	if (borrow && now >= member->full_until)
+		most += (size_t)member->service->max_connections / BORROWED_PART;
 	return member->conn_count < most;
 }
 
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -33,8 +33,8 @@
 /* Look for silence, repeat probes, close what is idle too long. */
 void member_tick(member_t *member, usec_t now);
 
-/* True if a connection more may be opened now. */
-bool member_can_open(const member_t *member, usec_t now);
+/* True if a connection more may be opened now; borrow: beyond our share. */
+bool member_can_open(const member_t *member, usec_t now, bool borrow);
 
 /* Connections that this proxy may hold for sure. */
 size_t member_share(const member_t *member);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -24,6 +24,8 @@
 #define COMMIT_GRACE (200 * USEC_PER_MSEC)
 /* A member without an entry is forgotten after this. */
 #define FORGET_MEMBER (30 * USEC_PER_SEC)
+/* The balancer asks once a second and believes the second "not ready"; with some room. */
+#define NOTICE_TIME (2300 * USEC_PER_MSEC)
 /* Waiting callers are refused in good time before the process ends. */
 #define END_MARGIN (300 * USEC_PER_MSEC)
 
@@ -124,12 +126,23 @@
 	}
 }
 
+/*
+ * Callers keep coming until the balancer has noticed: a process that ended as soon as it had
+ * none would cut off the next one.
+ */
+static void stop_accepting(pooler_t *pooler, usec_t now)
+{
+	if (!pooler->draining || pooler->closed || now < pooler->drain_started + NOTICE_TIME)
+		return;
+	pooler->closed = true;
+	pooler->env->ops->stop_accepting(pooler->env);
+}
+
 static void tell_drained(pooler_t *pooler)
 {
-	if (!pooler->draining || pooler->drained_told || !list_empty(&pooler->callers))
+	if (!pooler->closed || pooler->drained_told || !list_empty(&pooler->callers))
 		return;
 	pooler->drained_told = true;
-	sync_release(pooler);
 	pooler->env->ops->drained(pooler->env);
 }
 
@@ -155,6 +168,7 @@
 		dispatch_check(service, now);
 	}
 	tick_callers(pooler, now);
+	stop_accepting(pooler, now);
 	tell_drained(pooler);
 }
 
@@ -204,8 +218,9 @@
 {
 	const sync_t *sync = &pooler->sync;
 
-	return pooler->routes != NULL && !pooler->draining && permit_is_registered(pooler) &&
-	       sync->confirmed_at != USEC_NEVER && now_of(pooler) < sync->confirmed_at + PERMIT_TTL;
+	/* Getting on the roster takes some ms more; statements wait for it. */
+	return pooler->routes != NULL && !pooler->draining && sync->confirmed_at != USEC_NEVER &&
+	       now_of(pooler) < sync->confirmed_at + PERMIT_TTL;
 }
 
 void pooler_drain(pooler_t *pooler)
@@ -218,7 +233,6 @@
 	/* Another proxy can take the duty at once. */
 	sync_release(pooler);
 	tick_callers(pooler, pooler->drain_started);
-	tell_drained(pooler);
 }
 
 /* --- the platform --- */
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -240,6 +240,7 @@
 	bool sweeping; /* the roster is being rid of proxies that are gone */
 	bool draining;
 	usec_t drain_started;
+	bool closed; /* no new callers are taken */
 	bool drained_told;
 	uint64_t random;
 };
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -272,6 +272,8 @@
 				  (int64_t)((now - sync->last_read_ok) / USEC_PER_MSEC)));
 }
 
+static void register_self(pooler_t *pooler);
+
 static void on_read(void *data, const kv_result_t *result)
 {
 	pooler_t *pooler = data;
@@ -300,6 +302,8 @@
 		confirm(pooler, sync->read_sent);
 	on_holder_item(pooler, item_named(result, holder_key), sync->read_sent);
 	talloc_free(roster_key);
+	/* At once: a fleet that starts together takes turns at this, one write after another. */
+	register_self(pooler);
 	run_services(pooler);
 }
 
@@ -345,11 +349,9 @@
 		adopt(pooler, commit->roster);
 		push(pooler);
 		run_services(pooler);
-	} else {
+	} else if (result->status == KV_CONFLICT && !pooler->sync.reading) {
 		/* Whatever the store holds now, read it before the next attempt. */
-		pooler->sync.read_after = 0;
-		if (!pooler->sync.reading)
-			read_store(pooler, now_of(pooler));
+		read_store(pooler, now_of(pooler));
 	}
 	commit->done(commit->data, result);
 	talloc_free(commit);
