--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -18,6 +18,8 @@
 /* Attempts at one statement that the caller doesn't see; each only after it certainly did not run.
  */
 #define ATTEMPTS_MAX 6
+/* Of these, how many may be for a read whose answer is overdue. */
+#define HEDGES_MAX 2
 /* Before the same member is tried again after a refusal, grows with the attempts. */
 #define RETRY_STEP (4 * USEC_PER_MSEC)
 /* Longest reason in an answer, bytes. */
@@ -175,6 +177,15 @@
 	not_run(caller, code, "the member refused to begin");
 }
 
+bool caller_try_elsewhere(caller_t *caller)
+{
+	if (caller->tx != TX_NONE || is_write(caller) || caller->attempts >= HEDGES_MAX)
+		return false;
+	conn_orphan(caller->conn);
+	wait_again(caller, 0);
+	return true;
+}
+
 static void lost_while_running(caller_t *caller, const char *reason)
 {
 	if (caller_may_keep(caller)) {
--- a/pooler/caller.h
+++ b/pooler/caller.h
@@ -11,6 +11,12 @@
 /* The connection broke. sent: its statement was at the member, unanswered. */
 void caller_on_conn_lost(caller_t *caller, bool sent, const char *reason);
 
+/*
+ * Ask for a read that is overdue once more, leaving the first answer to come or not.
+ * Returns false if that can't be done unseen.
+ */
+bool caller_try_elsewhere(caller_t *caller);
+
 /* The member refused what had to come before the statement, which did not run. */
 void caller_on_refused(caller_t *caller, code_t code);
 
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
 
@@ -18,6 +19,11 @@
 #define NOT_LEAVING (USEC_NEVER / 2)
 /* Our statements unanswered for so long on one connection: it has gone silent. */
 #define CONN_SILENCE (3 * USEC_PER_SEC)
+/* A read is overdue after so many times the usual response and this: 8 x 15 ms + 50 ms. */
+#define OVERDUE_FACTOR 8
+#define OVERDUE_FLOOR  (50 * USEC_PER_MSEC)
+/* A connection whose caller gave up is kept for a late answer so long. */
+#define ORPHAN_TIME (150 * USEC_PER_MSEC)
 /*
  * The part of a member's connections that is shared out evenly. The rest is for demand, and
  * for the fleet after a loss of power: a member keeps the connections of machines that are
@@ -175,6 +181,27 @@
 	return oldest;
 }
 
+/*
+ * Answers get lost: the member has run the statement, and nothing will come. A read is asked
+ * once more elsewhere when it has taken far longer than usual. A connection that nobody waits
+ * for is given up sooner, since it takes the place of another.
+ */
+static void check_overdue(member_t *member, usec_t now)
+{
+	list_for_each_safe (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+		usec_t usual = member->response * OVERDUE_FACTOR + OVERDUE_FLOOR;
+
+		if (conn->state == CONN_ORPHANED && now >= conn->since + ORPHAN_TIME) {
+			conn_close(conn, "no answer to what nobody waits for");
+			return;
+		}
+		if (conn->state == CONN_RUNNING && now >= conn->sent_at + usual &&
+		    caller_try_elsewhere(conn->caller))
+			return;
+	}
+}
+
 static void check_silence(member_t *member, usec_t now)
 {
 	conn_t *oldest = longest_waiting(member);
@@ -200,6 +227,7 @@
 void member_tick(member_t *member, usec_t now)
 {
 	check_silence(member, now);
+	check_overdue(member, now);
 	check_probe(member, now);
 	close_idle(member, now);
 }
