--- a/kernel/counter.h
+++ b/kernel/counter.h
@@ -41,5 +41,8 @@
 	counter->value = value;
 }
 
+/* The counter of that name, or NULL. */
+const counter_t *counter_find(const char *name);
+
 /* Write all counters to out. */
 void counters_write(FILE *out);
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -67,6 +67,13 @@
 #define LOG_INT(name, value)                                                                       \
 	((log_field_t){.key = (name), .kind = LOG_FIELD_INT, .number = (int64_t)(value)})
 
+/* The same with an array of fields. */
+#define LOG_FIELDS(level, what, fields, count)                                                     \
+	do {                                                                                       \
+		static log_site_t log_site_;                                                       \
+		log_event(&log_site_, level, LOG_MODULE, what, fields, count);                     \
+	} while (0)
+
 /* LOG_EVENT(LOG_INFO, "what happened", LOG_STR("peer", name), LOG_INT("age_ms", age)); */
 #define LOG_EVENT(level, what, ...)                                                                \
 	do {                                                                                       \
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -35,6 +35,7 @@
 	       "Statements that failed at the member.");
 COUNTER_DEFINE(retried_total, "statements_retried_total", COUNTER_SUM,
 	       "Attempts repeated without the caller seeing it.");
+COUNTER_DEFINE(transactions_total, "transactions_total", COUNTER_SUM, "Transactions begun.");
 COUNTER_DEFINE(open_callers, "callers_open", COUNTER_GAUGE, "Open sessions of callers.");
 
 static bool is_write(const caller_t *caller)
@@ -372,6 +373,7 @@
 
 static void on_begin(caller_t *caller)
 {
+	counter_add(&transactions_total, 1);
 	caller->tx = TX_OPEN;
 	caller->tx_read_only = caller->statement.kind == STATEMENT_BEGIN_READ;
 	caller->tx_ran = false;
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -10,6 +10,7 @@
 #include "permit.h"
 
 #define LOG_MODULE "conn"
+#include "counter.h"
 #include "log.h"
 
 /* Back-off after a failed connection, before its jitter. */
@@ -24,6 +25,15 @@
 /* Names prepared on one connection before it is reset. */
 #define PREPARED_MAX 256
 
+COUNTER_DEFINE(opened_total, "member_connections_total", COUNTER_SUM,
+	       "Connections to members that were begun.");
+COUNTER_DEFINE(full_total, "member_full_total", COUNTER_SUM,
+	       "Connections that a member refused for its limit.");
+COUNTER_DEFINE(setups_total, "member_setups_total", COUNTER_SUM,
+	       "Statements that needed a round trip before they could be sent.");
+COUNTER_DEFINE(resets_total, "member_resets_total", COUNTER_SUM,
+	       "Connections reset to serve a caller with other values.");
+
 static void set_state(conn_t *conn, conn_state_t state)
 {
 	conn->state = state;
@@ -56,6 +66,7 @@
 		return NULL;
 	}
 	list_add_tail(&member->conns, &conn->node);
+	counter_add(&opened_total, 1);
 	set_state(conn, CONN_OPENING);
 	if (!probe)
 		member->conn_count++;
@@ -139,6 +150,7 @@
 		member->open_after = now + FULL_FOR;
 		return;
 	}
+	counter_add(&full_total, 1);
 	member_heard(member);
 	member->full_until = now + FULL_FOR;
 	member->open_after = now + FULL_RETRY + pooler_random(member->pooler, FULL_RETRY);
@@ -291,6 +303,7 @@
 	/* A value that the caller does not have can only be taken away by a reset. */
 	if (!conn->in_tx && (!variables_within(&conn->variables, &caller->variables) ||
 			     conn->prepared_count >= PREPARED_MAX)) {
+		counter_add(&resets_total, 1);
 		forget_all(conn);
 		add(&flight, (member_request_t){.kind = REQUEST_RESET});
 	}
@@ -299,6 +312,7 @@
 	add_begin(&flight, caller);
 	if (conn->setup_len == 0)
 		return false;
+	counter_add(&setups_total, 1);
 	set_state(conn, CONN_PREPARING);
 	send_requests(conn, flight.requests, conn->setup_len);
 	return true;
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -157,6 +157,7 @@
 	}
 	pooler->last_tick = now;
 	timers_arm(pooler->timers, timer, now + TICK_INTERVAL, on_tick);
+	summary_tick(&pooler->summary, now);
 	tick_members(pooler, now);
 	sync_tick(pooler, now);
 	duty_tick(pooler, now);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -4,6 +4,7 @@
 #include "freshness.h"
 #include "pooler.h"
 #include "roster.h"
+#include "summary.h"
 #include "variables.h"
 
 struct member;
@@ -237,6 +238,7 @@
 	sync_t sync;
 	run_timer_t tick;
 	usec_t last_tick;
+	summary_t summary;
 	bool sweeping; /* the roster is being rid of proxies that are gone */
 	bool draining;
 	usec_t drain_started;
