--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -13,8 +13,14 @@
 #include "counter.h"
 #include "log.h"
 
-/* A report of a proxy counts for so long: three questions' intervals. */
+/* A report that a primary is down counts for so long: three questions' intervals. */
 #define REPORT_VALID (1 * USEC_PER_SEC)
+/* One that it is alive: an interval and a half, since it can have died just after. */
+#define ALIVE_VALID (450 * USEC_PER_MSEC)
+/* Between two questions to a primary that nobody uses. */
+#define UNUSED_CHECK (1 * USEC_PER_SEC)
+/* The same if another proxy says that it is down. */
+#define DOUBTED_CHECK (200 * USEC_PER_MSEC)
 /* After the duty was taken over: an earlier holder's call may still be on its way. */
 #define SETTLE_TIME (2 * USEC_PER_SEC)
 /* Members that have not told their position by then are left out. */
@@ -28,6 +34,8 @@
 #define LEAD_TIME (2500 * USEC_PER_MSEC)
 /* Calls for one member before another one is tried. */
 #define CALLS_MAX 2
+/* A member's entry may come so much later than the change that it tells of. */
+#define LIST_LAG (3 * USEC_PER_SEC)
 /* After a false alarm. */
 #define QUIET_AFTER_CANCEL (1 * USEC_PER_SEC)
 /* A proxy not heard of for so long is marked as gone. */
@@ -104,7 +112,7 @@
 
 	if (primary->down)
 		votes.down++;
-	else if (primary->last_reply + REPORT_VALID > now)
+	else if (primary->last_reply + ALIVE_WITHIN > now)
 		votes.alive++;
 	list_for_each (it, &pooler->sync.reports) {
 		const peer_report_t *report = list_entry(it, peer_report_t, node);
@@ -112,26 +120,44 @@
 		if (report->heard_at + REPORT_VALID < now)
 			continue;
 		votes.down += sync_lists(report->down, service->name);
-		votes.alive += sync_lists(report->alive, service->name);
+		if (report->heard_at + ALIVE_VALID > now)
+			votes.alive += sync_lists(report->alive, service->name);
 	}
 	return votes;
 }
 
+/*
+ * The list of members lags behind: an old primary still says so after it was replaced. Only
+ * what was said since then tells that somebody else has made a change.
+ */
 static bool other_says_primary(const service_t *service, const member_t *primary)
 {
 	list_for_each (it, &service->members) {
 		const member_t *member = list_entry(it, member_t, in_service);
 
-		if (member != primary && member->says_primary && !member->gone)
+		if (member != primary && member->says_primary && !member->gone &&
+		    member->says_since > service->settled_at + LIST_LAG)
 			return true;
 	}
 	return false;
 }
 
+/*
+ * Nobody has used the primary of late, or some proxies can't: ask it, so that its failure is
+ * known before it is needed.
+ */
+static void check_unused(member_t *primary, usec_t now, usec_t interval)
+{
+	if (now < primary->checked_at + interval)
+		return;
+	primary->checked_at = now;
+	member_probe(primary);
+}
+
 /* Why the primary must be replaced, or NULL. */
 static const char *reason_to_change(const service_t *service, usec_t now)
 {
-	const member_t *primary = old_primary(service);
+	member_t *primary = old_primary(service);
 	votes_t votes;
 
 	if (primary == NULL || primary->gone)
@@ -143,6 +169,8 @@
 	votes = count_votes(service, primary, now);
 	if (votes.down > votes.alive)
 		return "primary does not answer";
+	if (votes.alive == 0 || votes.down != 0)
+		check_unused(primary, now, votes.down != 0 ? DOUBTED_CHECK : UNUSED_CHECK);
 	return NULL;
 }
 
@@ -321,7 +349,7 @@
 	list_for_each (it, &service->members) {
 		const member_t *member = list_entry(it, member_t, in_service);
 
-		if (!member->gone && !member->survey_done)
+		if (!member->gone && !member->down && !member->survey_done)
 			return false;
 	}
 	return true;
--- a/pooler/freshness.h
+++ b/pooler/freshness.h
@@ -9,7 +9,8 @@
 
 #include <stddef.h>
 
-#include "types.h"
+#include "clock.h"
+#include "position.h"
 
 /* Between two kept samples. */
 #define FRESHNESS_SPACING (40 * USEC_PER_MSEC)
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -59,6 +59,8 @@
 		member->leaving_since = NOT_LEAVING;
 	else if (!member->leaving)
 		member->leaving_since = now_of(member->pooler);
+	if (member->says_primary != entry->primary)
+		member->says_since = now_of(member->pooler);
 	member->leaving = entry->leaving;
 	member->says_primary = entry->primary;
 	member->slots = entry->slots;
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -9,8 +9,11 @@
  */
 #pragma once
 
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clock.h"
 #include "list.h"
-#include "types.h"
 
 typedef struct roster_node {
 	list_t node;
--- a/pooler/routes.h
+++ b/pooler/routes.h
@@ -4,8 +4,11 @@
  */
 #pragma once
 
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clock.h"
 #include "list.h"
-#include "types.h"
 
 typedef enum {
 	READS_PRIMARY, /* see every commit acknowledged before */
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -61,6 +61,7 @@
 	bool gone;	      /* not listed any more */
 	usec_t gone_since;
 	bool says_primary;
+	usec_t says_since; /* when says_primary was last heard to change */
 	list_t conns;
 	size_t conn_count; /* without probes */
 	usec_t full_until; /* the member refused a connection; no more than our share until then */
@@ -76,6 +77,7 @@
 	position_t applied;   /* of its log, by its last reply */
 	/* Survey by the holder of the duty. */
 	bool survey_done;
+	usec_t checked_at; /* though nobody used it */
 	member_status_t status;
 } member_t;
 
@@ -177,6 +179,7 @@
 	freshness_t freshness;
 	char *fresh_primary;   /* the samples were taken there */
 	usec_t changing_since; /* as the roster told; USEC_NEVER: not changing */
+	usec_t settled_at;     /* when the roster last named another primary */
 	change_t change;
 } service_t;
 
--- a/pooler/statement.c
+++ b/pooler/statement.c
@@ -41,5 +41,5 @@
 
 bool slice_equals(slice_t a, slice_t b)
 {
-	return a.len == b.len && memcmp(a.at, b.at, a.len) == 0;
+	return a.len == b.len && (a.len == 0 || memcmp(a.at, b.at, a.len) == 0);
 }
--- a/pooler/statement.h
+++ b/pooler/statement.h
@@ -7,7 +7,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#include "types.h"
+#include "clock.h"
+#include "position.h"
 
 /* A piece of text owned by somebody else; not terminated. */
 typedef struct slice {
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -49,8 +49,6 @@
 #define MEMBERS_REFRESH (2 * USEC_PER_SEC)
 /* Answers in a row that show another list of members: one may cross a change under way. */
 #define MEMBERS_DIFFER_MAX 2
-/* A primary that answered within this time counts as alive in our report. */
-#define ALIVE_WITHIN (500 * USEC_PER_MSEC)
 
 COUNTER_DEFINE(roster_reads, "roster_reads_total", COUNTER_SUM, "Reads of the roster.");
 COUNTER_DEFINE(roster_failed, "roster_reads_failed_total", COUNTER_SUM,
@@ -130,6 +128,8 @@
 		  LOG_STR("service", is->service), LOG_STR("member", is->primary),
 		  LOG_INT("roster", pooler->sync.roster->revision),
 		  LOG_INT("fence", (int64_t)is->fence));
+	if (moved)
+		service->settled_at = now_of(pooler);
 	service->changing_since = is->changing ? now_of(pooler) : USEC_NEVER;
 	if (moved || is->changing)
 		revoke(service);
--- a/pooler/sync.h
+++ b/pooler/sync.h
@@ -6,6 +6,9 @@
 
 #include "state.h"
 
+/* A primary that answered a proxy within this time is alive in the proxy's report. */
+#define ALIVE_WITHIN (300 * USEC_PER_MSEC)
+
 void sync_init(pooler_t *pooler);
 void sync_destroy(pooler_t *pooler);
 void sync_tick(pooler_t *pooler, usec_t now);
--- /dev/null
+++ b/tests/fake_db.h
@@ -0,0 +1,110 @@
+/*
+ * A database service as the platform's members serve it: a primary, replicas
+ * that receive and apply later, slots, a limit of connections, positions. It
+ * speaks the members' wire in lines and takes its time from a clock and timers,
+ * so that it serves tests in paused time and a stand-in process alike.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "list.h"
+#include "timer.h"
+
+#define FAKE_MEMBERS_MAX 5
+
+typedef struct fake_db_config {
+	const char *service;
+	size_t members;
+	size_t slots;
+	size_t max_connections;
+	usec_t work;	/* of a read, write or commit */
+	usec_t receive; /* until a replica has a commit */
+	usec_t lag;	/* until it has applied it */
+	usec_t promote; /* from the call to its effect */
+} fake_db_config_t;
+
+typedef struct fake_entry {
+	uint64_t term;
+	uint64_t number;
+	usec_t at;
+	char id[40];
+	char item[40];
+	char data[64];
+} fake_entry_t;
+
+struct fake_db;
+
+typedef struct fake_member {
+	struct fake_db *db;
+	char id[48];
+	bool primary;
+	bool stopped; /* its sessions are gone, new ones fail */
+	bool deaf;    /* receives nothing from the leader, and is not demoted */
+	bool leaving;
+	uint64_t term;
+	fake_entry_t *log; /* talloc array */
+	size_t len;
+	usec_t *busy_until; /* a slot each */
+	size_t sessions;
+	unsigned lose_answers; /* of the next statements that it runs */
+	usec_t slow;	       /* more work for each statement */
+	usec_t demote_at;
+} fake_member_t;
+
+/* What a member ran, in order. */
+typedef struct fake_run {
+	usec_t at;
+	char id[40];
+	char text[96];
+	char member[48];
+	char values[96]; /* the session's, "name=value " in order of setting */
+	uint64_t tx;	 /* which transaction, 0: none */
+} fake_run_t;
+
+typedef struct fake_db {
+	fake_db_config_t config;
+	const run_clock_t *clock;
+	timer_set_t *timers;
+	fake_member_t members[FAKE_MEMBERS_MAX];
+	uint64_t term;
+	uint64_t next_tx;
+	fake_run_t *runs; /* talloc array */
+	size_t run_count;
+	run_timer_t promote_timer;
+	fake_member_t *promoting;
+	usec_t promoted_at; /* of the last promote's effect */
+} fake_db_t;
+
+/* text NULL: the member ended the session. */
+typedef void (*fake_reply_t)(void *data, const char *text, size_t len);
+
+typedef struct fake_session fake_session_t;
+
+fake_db_t *fake_db_create(void *parent, const fake_db_config_t *config, const run_clock_t *clock,
+			  timer_set_t *timers);
+
+/* A connection; lines follow. NULL: the member is stopped. */
+fake_session_t *fake_open(fake_member_t *member, fake_reply_t reply, void *data);
+void fake_line(fake_session_t *session, const char *line, size_t len);
+
+/* The other side is gone; what is open is rolled back. */
+void fake_close(fake_session_t *session);
+
+/* End all sessions and take no new ones; starting again it keeps its log. */
+void fake_stop(fake_member_t *member);
+void fake_start(fake_member_t *member);
+
+/* The platform's call; takes effect later. Returns false if the member does not run. */
+bool fake_promote(fake_db_t *db, fake_member_t *member);
+
+fake_member_t *fake_leader(fake_db_t *db);
+fake_member_t *fake_find(fake_db_t *db, const char *id);
+
+/* How often the log of member holds a commit of the statement id. */
+size_t fake_count(fake_member_t *member, const char *id);
+
+/* The last value of item in the whole log of member, or NULL. */
+const char *fake_value(fake_member_t *member, const char *item);
--- /dev/null
+++ b/tests/fake_kv.c
@@ -0,0 +1,494 @@
+#include "fake_kv.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+/* Calls without an answer end after this, as with the real client. */
+#define CALL_TIMEOUT  (1500 * USEC_PER_MSEC)
+#define DEFAULT_DELAY (4 * USEC_PER_MSEC)
+#define PAGE_ITEMS    500
+
+typedef struct item {
+	list_t node;
+	char *key;
+	char *value;
+	int64_t revision;
+	int64_t created;
+	uint64_t lease;
+} item_t;
+
+typedef struct lease {
+	list_t node;
+	uint64_t id;
+	usec_t ends;
+	usec_t ttl;
+} lease_t;
+
+typedef struct event {
+	list_t node;
+	char *key;
+	char *value; /* NULL: deleted */
+	int64_t revision;
+	int64_t created;
+} event_t;
+
+typedef enum { CALL_RANGE, CALL_WATCH, CALL_COMMIT, CALL_CREATE, CALL_KEEP, CALL_END } call_kind_t;
+
+typedef struct call {
+	list_t node;
+	call_kind_t kind;
+	fake_kv_client_t *client;
+	char *prefix;
+	char *after_key;
+	int64_t after;
+	int64_t ttl_ms;
+	uint64_t lease;
+	kv_write_t *writes;
+	size_t write_count;
+	kv_done_t done;
+	void *data;
+	usec_t arrives; /* at the store */
+	usec_t ends;	/* without an answer */
+	bool arrived;
+	bool lost;
+	kv_result_t result;
+} call_t;
+
+static usec_t now_of(const fake_kv_t *store)
+{
+	return clock_now(store->clock);
+}
+
+/* --- items --- */
+
+static item_t *find(const fake_kv_t *store, const char *key)
+{
+	list_for_each (it, &store->items) {
+		item_t *item = list_entry(it, item_t, node);
+
+		if (strcmp(item->key, key) == 0)
+			return item;
+	}
+	return NULL;
+}
+
+static void add_event(fake_kv_t *store, const item_t *item, const char *value)
+{
+	event_t *event = talloc_zero(store, event_t);
+
+	event->key = talloc_strdup(event, item->key);
+	event->value = value != NULL ? talloc_strdup(event, value) : NULL;
+	event->revision = store->revision;
+	event->created = item->created;
+	list_add_tail(&store->events, &event->node);
+}
+
+static void insert(fake_kv_t *store, item_t *item)
+{
+	list_t *pos = &store->items;
+
+	list_for_each (it, &store->items) {
+		if (strcmp(list_entry(it, item_t, node)->key, item->key) > 0) {
+			pos = it;
+			break;
+		}
+	}
+	list_add_before(pos, &item->node);
+}
+
+static void put(fake_kv_t *store, const char *key, const char *value, uint64_t lease)
+{
+	item_t *item = find(store, key);
+
+	if (value == NULL) {
+		if (item == NULL)
+			return;
+		add_event(store, item, NULL);
+		list_del(&item->node);
+		talloc_free(item);
+		return;
+	}
+	if (item == NULL) {
+		item = talloc_zero(store, item_t);
+		item->key = talloc_strdup(item, key);
+		item->created = store->revision;
+		insert(store, item);
+	}
+	talloc_free(item->value);
+	item->value = talloc_strdup(item, value);
+	item->revision = store->revision;
+	item->lease = lease;
+	add_event(store, item, value);
+}
+
+void fake_kv_put(fake_kv_t *store, const char *key, const char *value)
+{
+	store->revision++;
+	put(store, key, value, 0);
+	timers_arm(store->timers, &store->timer, now_of(store), store->timer.cb);
+}
+
+const char *fake_kv_get(const fake_kv_t *store, const char *key)
+{
+	const item_t *item = find(store, key);
+
+	return item != NULL ? item->value : NULL;
+}
+
+void fake_kv_revoke(fake_kv_t *store, const char *key)
+{
+	fake_kv_put(store, key, NULL);
+}
+
+void fake_kv_compact(fake_kv_t *store)
+{
+	store->compacted = store->revision;
+	list_for_each_safe (it, &store->events) {
+		event_t *event = list_entry(it, event_t, node);
+
+		list_del(&event->node);
+		talloc_free(event);
+	}
+}
+
+/* --- leases --- */
+
+static lease_t *find_lease(const fake_kv_t *store, uint64_t id)
+{
+	list_for_each (it, &store->leases) {
+		lease_t *lease = list_entry(it, lease_t, node);
+
+		if (lease->id == id)
+			return lease;
+	}
+	return NULL;
+}
+
+static void end_lease(fake_kv_t *store, lease_t *lease)
+{
+	list_for_each_safe (it, &store->items) {
+		item_t *item = list_entry(it, item_t, node);
+
+		if (item->lease == lease->id) {
+			store->revision++;
+			put(store, item->key, NULL, 0);
+		}
+	}
+	list_del(&lease->node);
+	talloc_free(lease);
+}
+
+static void expire_leases(fake_kv_t *store)
+{
+	list_for_each_safe (it, &store->leases) {
+		lease_t *lease = list_entry(it, lease_t, node);
+
+		if (now_of(store) >= lease->ends)
+			end_lease(store, lease);
+	}
+}
+
+/* --- calls --- */
+
+static bool has_prefix(const char *key, const char *prefix)
+{
+	return strncmp(key, prefix, strlen(prefix)) == 0;
+}
+
+static void do_range(fake_kv_t *store, call_t *call)
+{
+	kv_item_t *items = talloc_array(call, kv_item_t, PAGE_ITEMS);
+
+	list_for_each (it, &store->items) {
+		item_t *item = list_entry(it, item_t, node);
+
+		if (!has_prefix(item->key, call->prefix) || strcmp(item->key, call->after_key) <= 0)
+			continue;
+		if (call->result.count == PAGE_ITEMS) {
+			call->result.truncated = true;
+			break;
+		}
+		items[call->result.count++] = (kv_item_t){
+			.key = talloc_strdup(items, item->key),
+			.value = talloc_strdup(items, item->value),
+			.len = strlen(item->value),
+			.revision = item->revision,
+			.created = item->created,
+		};
+	}
+	call->result.items = items;
+	call->result.as_of = store->revision;
+}
+
+/* Returns true if the watch has something to say. */
+static bool do_watch(fake_kv_t *store, call_t *call)
+{
+	kv_item_t *items = NULL;
+
+	if (call->after < store->compacted) {
+		call->result.status = KV_COMPACTED;
+		return true;
+	}
+	if (store->deaf_watches)
+		return false;
+	list_for_each (it, &store->events) {
+		event_t *event = list_entry(it, event_t, node);
+
+		if (event->revision <= call->after || !has_prefix(event->key, call->prefix))
+			continue;
+		items = talloc_realloc(call, items, kv_item_t, call->result.count + 1);
+		items[call->result.count++] = (kv_item_t){
+			.key = talloc_strdup(call, event->key),
+			.value = event->value != NULL ? talloc_strdup(call, event->value) : NULL,
+			.len = event->value != NULL ? strlen(event->value) : 0,
+			.revision = event->revision,
+			.created = event->created,
+		};
+	}
+	call->result.items = items;
+	call->result.as_of = store->revision;
+	return call->result.count != 0;
+}
+
+static void do_commit(fake_kv_t *store, call_t *call)
+{
+	for (size_t i = 0; i < call->write_count; i++) {
+		const item_t *item = find(store, call->writes[i].key);
+
+		if ((item != NULL ? item->revision : 0) != call->writes[i].expected) {
+			call->result.status = KV_CONFLICT;
+			return;
+		}
+		if (call->writes[i].lease != 0 &&
+		    find_lease(store, call->writes[i].lease) == NULL) {
+			call->result.status = KV_NOT_FOUND;
+			return;
+		}
+	}
+	store->revision++;
+	for (size_t i = 0; i < call->write_count; i++)
+		put(store, call->writes[i].key, call->writes[i].value, call->writes[i].lease);
+	call->result.as_of = store->revision;
+}
+
+static void do_create(fake_kv_t *store, call_t *call)
+{
+	lease_t *lease = talloc_zero(store, lease_t);
+
+	lease->id = ++store->next_lease;
+	lease->ttl = (usec_t)call->ttl_ms * USEC_PER_MSEC;
+	lease->ends = now_of(store) + lease->ttl;
+	list_add_tail(&store->leases, &lease->node);
+	call->result.lease = lease->id;
+}
+
+static void do_lease(fake_kv_t *store, call_t *call)
+{
+	lease_t *lease = find_lease(store, call->lease);
+
+	if (lease == NULL)
+		call->result.status = KV_NOT_FOUND;
+	else if (call->kind == CALL_KEEP)
+		lease->ends = now_of(store) + lease->ttl;
+	else
+		end_lease(store, lease);
+}
+
+/* Returns true if the call has its result. */
+static bool execute(fake_kv_t *store, call_t *call)
+{
+	switch (call->kind) {
+	case CALL_RANGE:
+		do_range(store, call);
+		return true;
+	case CALL_WATCH:
+		return do_watch(store, call);
+	case CALL_COMMIT:
+		do_commit(store, call);
+		break;
+	case CALL_CREATE:
+		do_create(store, call);
+		break;
+	case CALL_KEEP:
+	case CALL_END:
+		do_lease(store, call);
+		break;
+	}
+	if (store->lose_answers != 0 && call->kind == CALL_COMMIT) {
+		store->lose_answers--;
+		call->lost = true;
+	}
+	return true;
+}
+
+static void finish(call_t *call)
+{
+	list_del(&call->node);
+	call->done(call->data, &call->result);
+	talloc_free(call);
+}
+
+/* Returns true if the call was answered. */
+static bool step(fake_kv_t *store, call_t *call)
+{
+	usec_t now = now_of(store);
+	bool reachable = !store->down && !call->client->cut;
+
+	if (now >= call->ends) {
+		if (call->kind == CALL_WATCH && reachable)
+			call->result.as_of = store->revision;
+		else
+			call->result.status = KV_LOST;
+		finish(call);
+		return true;
+	}
+	if (!reachable || call->lost || now < call->arrives)
+		return false;
+	if (!execute(store, call) || call->lost)
+		return false;
+	finish(call);
+	return true;
+}
+
+static void rearm(fake_kv_t *store);
+
+static void on_timer(run_timer_t *timer, usec_t now)
+{
+	fake_kv_t *store = list_entry(timer, fake_kv_t, timer);
+	bool again = true;
+
+	(void)now;
+	if (!store->down)
+		expire_leases(store);
+	while (again) {
+		again = false;
+		list_for_each (it, &store->calls) {
+			/* Answering one may begin others. */
+			if (step(store, list_entry(it, call_t, node))) {
+				again = true;
+				break;
+			}
+		}
+	}
+	rearm(store);
+}
+
+/* Time passes in small steps while anything waits; enough for tests. */
+static void rearm(fake_kv_t *store)
+{
+	usec_t next = USEC_NEVER;
+	usec_t now = now_of(store);
+
+	list_for_each (it, &store->calls) {
+		const call_t *call = list_entry(it, call_t, node);
+		usec_t at = call->arrives > now ? call->arrives : now + USEC_PER_MSEC;
+
+		next = at < next ? at : next;
+	}
+	if (next != USEC_NEVER)
+		timers_arm(store->timers, &store->timer, next, on_timer);
+}
+
+static call_t *add_call(kv_t *kv, call_kind_t kind, kv_done_t done, void *data)
+{
+	fake_kv_client_t *client = (fake_kv_client_t *)kv;
+	fake_kv_t *store = client->store;
+	call_t *call = talloc_zero(store, call_t);
+
+	call->kind = kind;
+	call->client = client;
+	call->done = done;
+	call->data = data;
+	call->arrives = now_of(store) + store->delay;
+	call->ends = now_of(store) + CALL_TIMEOUT;
+	list_add_tail(&store->calls, &call->node);
+	store->call_count++;
+	rearm(store);
+	return call;
+}
+
+static void kv_range(kv_t *kv, const char *prefix, const char *after, kv_done_t done, void *data)
+{
+	call_t *call = add_call(kv, CALL_RANGE, done, data);
+
+	call->prefix = talloc_strdup(call, prefix);
+	call->after_key = talloc_strdup(call, after);
+}
+
+static void kv_watch(kv_t *kv, const char *prefix, int64_t after, int64_t wait_ms, kv_done_t done,
+		     void *data)
+{
+	call_t *call = add_call(kv, CALL_WATCH, done, data);
+
+	call->prefix = talloc_strdup(call, prefix);
+	call->after = after;
+	call->ends = call->arrives + (usec_t)wait_ms * USEC_PER_MSEC;
+}
+
+static void kv_commit(kv_t *kv, const kv_write_t *writes, size_t count, kv_done_t done, void *data)
+{
+	call_t *call = add_call(kv, CALL_COMMIT, done, data);
+
+	call->writes = talloc_array(call, kv_write_t, count);
+	call->write_count = count;
+	for (size_t i = 0; i < count; i++) {
+		call->writes[i] = writes[i];
+		call->writes[i].key = talloc_strdup(call, writes[i].key);
+		if (writes[i].value != NULL)
+			call->writes[i].value = talloc_strdup(call, writes[i].value);
+	}
+}
+
+static void kv_lease_create(kv_t *kv, int64_t ttl_ms, kv_done_t done, void *data)
+{
+	add_call(kv, CALL_CREATE, done, data)->ttl_ms = ttl_ms;
+}
+
+static void kv_lease_keep(kv_t *kv, uint64_t lease, kv_done_t done, void *data)
+{
+	add_call(kv, CALL_KEEP, done, data)->lease = lease;
+}
+
+static void kv_lease_end(kv_t *kv, uint64_t lease, kv_done_t done, void *data)
+{
+	add_call(kv, CALL_END, done, data)->lease = lease;
+}
+
+static const kv_ops_t ops = {
+	.range = kv_range,
+	.watch = kv_watch,
+	.commit = kv_commit,
+	.lease_create = kv_lease_create,
+	.lease_keep = kv_lease_keep,
+	.lease_end = kv_lease_end,
+};
+
+void fake_kv_client_init(fake_kv_client_t *client, fake_kv_t *store)
+{
+	client->kv.ops = &ops;
+	client->store = store;
+}
+
+static int destructor(fake_kv_t *store)
+{
+	timers_cancel(store->timers, &store->timer);
+	return 0;
+}
+
+fake_kv_t *fake_kv_create(void *parent, const run_clock_t *clock, timer_set_t *timers)
+{
+	fake_kv_t *store = talloc_zero(parent, fake_kv_t);
+
+	store->clock = clock;
+	store->timers = timers;
+	store->delay = DEFAULT_DELAY;
+	store->revision = 1;
+	store->timer.cb = on_timer;
+	list_init(&store->items);
+	list_init(&store->leases);
+	list_init(&store->events);
+	list_init(&store->calls);
+	talloc_set_destructor(store, destructor);
+	return store;
+}
--- /dev/null
+++ b/tests/fake_kv.h
@@ -0,0 +1,48 @@
+/*
+ * The platform's store: items with revisions, leases, watches, a history that
+ * may be dropped. Typed, in one process; time from a clock and timers. Faults:
+ * down, turning some callers away, losing answers of writes, slow.
+ */
+#pragma once
+
+#include "kv.h"
+#include "list.h"
+#include "timer.h"
+
+typedef struct fake_kv {
+	const run_clock_t *clock;
+	timer_set_t *timers;
+	int64_t revision;
+	int64_t compacted; /* events up to here are gone */
+	uint64_t next_lease;
+	list_t items;
+	list_t leases;
+	list_t events;
+	list_t calls; /* waiting for their answer */
+	run_timer_t timer;
+	usec_t delay; /* of an answer */
+	bool down;
+	bool deaf_watches;     /* watches hear nothing */
+	unsigned lose_answers; /* of the next writes, which are done */
+	size_t call_count;
+} fake_kv_t;
+
+/* One caller's access to it. */
+typedef struct fake_kv_client {
+	kv_t kv;
+	fake_kv_t *store;
+	bool cut; /* calls get no answer */
+} fake_kv_client_t;
+
+fake_kv_t *fake_kv_create(void *parent, const run_clock_t *clock, timer_set_t *timers);
+void fake_kv_client_init(fake_kv_client_t *client, fake_kv_t *store);
+
+/* The operator's and the members' writes; value NULL deletes. */
+void fake_kv_put(fake_kv_t *store, const char *key, const char *value);
+const char *fake_kv_get(const fake_kv_t *store, const char *key);
+
+/* Drop the history up to now. */
+void fake_kv_compact(fake_kv_t *store);
+
+/* Take the keys under a lease away although the lease lives. */
+void fake_kv_revoke(fake_kv_t *store, const char *key);
--- /dev/null
+++ b/tests/pool_world.h
@@ -0,0 +1,118 @@
+/*
+ * A small world around poolers in paused time: proxies, one database service,
+ * the store, callers, and the links between them, any of which can be cut.
+ * What goes over a link is the real wire's text.
+ */
+#pragma once
+
+#include "env.h"
+#include "fake_db.h"
+#include "fake_kv.h"
+#include "pooler.h"
+
+#define WORLD_NODES_MAX 12
+#define WORLD_DATABASE	"jobs"
+#define WORLD_SERVICE	"core"
+#define WORLD_REPLY_MAX 512
+
+struct pool_world;
+
+typedef struct world_node {
+	env_t env; /* first member: the pooler hands it back */
+	struct pool_world *world;
+	char name[32];
+	char zone[16];
+	char address[48];
+	pooler_t *pooler; /* NULL: not running */
+	timer_set_t timers;
+	fake_kv_client_t kv;
+	uint64_t incarnation;
+	bool frozen;
+	bool cut_from_members;
+	bool cut_from_peers;
+	list_t links;	/* to members */
+	list_t callers; /* world_caller_t */
+	bool drained;
+	size_t refreshes; /* of the directory that the pooler asked for */
+} world_node_t;
+
+typedef struct world_caller {
+	list_t node;
+	world_node_t *at;
+	struct caller *caller; /* NULL: the session ended */
+	char id[40];	       /* of the last statement */
+	char reply[WORLD_REPLY_MAX];
+	size_t replies;
+	code_t refused; /* of the session itself */
+} world_caller_t;
+
+typedef struct promote_call {
+	usec_t at;
+	char member[48];
+	char holder[32];
+	uint64_t fence;
+} promote_call_t;
+
+typedef struct pool_world {
+	paused_clock_t clock;
+	timer_set_t timers; /* of everything but the proxies */
+	fake_kv_t *kv;
+	fake_db_t *db;
+	world_node_t nodes[WORLD_NODES_MAX];
+	size_t node_count;
+	usec_t published;
+	bool stale_directory; /* the list of members is not renewed by itself */
+	size_t next_id;
+	reads_t reads; /* of the route */
+	usec_t max_age;
+	int64_t config_version;
+	promote_call_t *promotes; /* talloc array */
+	size_t promote_count;
+	unsigned lose_promotes; /* of the next calls: done, not answered */
+} pool_world_t;
+
+/* config NULL: three members, 2 slots, 16 connections, 4 ms of work, 60 ms behind. */
+pool_world_t *world_create(size_t nodes, const fake_db_config_t *config);
+void world_destroy(pool_world_t *world);
+
+/* Let time pass. */
+void world_run(pool_world_t *world, usec_t by);
+
+/* Configuration and members as they are now, to every proxy that reaches the store. */
+void world_publish(pool_world_t *world);
+
+/* Until a primary is in use everywhere. */
+void world_settle(pool_world_t *world);
+
+/* --- callers --- */
+
+world_caller_t *world_open(pool_world_t *world, size_t node);
+
+/* Send a statement; the id is made up. */
+void world_send(world_caller_t *caller, const char *text);
+
+/* Send it and wait for the reply, a second at most; returns the reply's first line. */
+const char *world_ask(world_caller_t *caller, const char *text);
+void world_leave(world_caller_t *caller);
+
+/* The reply's last line begins so. */
+bool world_state_is(const world_caller_t *caller, const char *ready);
+
+/* --- trouble --- */
+
+/* The process ends at once; its connections with it. */
+void world_kill(pool_world_t *world, size_t node);
+void world_start(pool_world_t *world, size_t node);
+void world_freeze(pool_world_t *world, size_t node);
+void world_thaw(pool_world_t *world, size_t node);
+
+/* The member's process is gone; connections to it break. */
+void world_crash_member(pool_world_t *world, size_t member);
+
+/* Packets between this proxy and all members are lost from now on. */
+void world_cut_members(pool_world_t *world, size_t node, bool cut);
+
+/* --- looking --- */
+
+/* How many proxies may use the primary of that id now. */
+size_t world_permitted(pool_world_t *world, const char *member);
