Permission to use a primary: 2.5 s alone, 12 s together with two thirds of the fleet

Cause: a proxy that is dead or cut off held up every change of primary for 7 s, while a store that is away for longer than 7 s stopped all writes. Ruled out: a shorter single limit (store outages of 9 s are usual), a longer one (changes of primary take as long). Tests /primary/dead-proxy, /primary/holder-dies and /store/down (9 s) failed first.

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -254,7 +254,7 @@
 
 	if (service->changing_since != USEC_NEVER)
 		return service->changing_since + CHANGE_USUAL;
-	if (sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + PERMIT_TTL)
+	if (now >= permit_end(service->pooler))
 		return USEC_NEVER;
 	if (!permit_is_registered(service->pooler))
 		return now + REGISTER_USUAL;
--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -41,7 +41,7 @@
 /* A proxy not heard of for so long is marked as gone. */
 #define NODE_SILENT (10 * USEC_PER_SEC)
 /* Marked for so long, it is taken off the roster. */
-#define NODE_REMOVE (2 * PERMIT_TTL)
+#define NODE_REMOVE (2 * PERMIT_TOGETHER)
 
 COUNTER_DEFINE(changes_total, "primary_changes_total", COUNTER_SUM,
 	       "Changes of primary that this proxy carried out.");
@@ -239,6 +239,7 @@
 		if (change->step == CHANGE_NONE)
 			change->started = now;
 		change->marked_at = now;
+		change->few_since = USEC_NEVER;
 		change->marked_revision = service->pooler->sync.roster->revision;
 		set_step(service, CHANGE_RELEASING, now);
 		return;
@@ -260,29 +261,53 @@
 	/* What it was permitted before it was marked has ended by then. */
 	if (node->gone)
 		return report != NULL && report->gone_seen != 0 &&
-		       now_of(service->pooler) >= report->gone_seen + PERMIT_TTL;
+		       now_of(service->pooler) >= report->gone_seen + PERMIT_TOGETHER;
 	return report != NULL && report->incarnation == node->incarnation &&
 	       report->revision >= service->change.marked_revision &&
 	       !sync_lists(report->in_use, service->name);
 }
 
-static bool all_released(const service_t *service)
+/*
+ * Proxies that have not let go yet. total: those that have been on the roster long enough to
+ * be on everybody's. Newcomers don't count, or two old ones could be two thirds of a fleet that
+ * they remember as smaller.
+ */
+static size_t count_unreleased(const service_t *service, size_t *total)
 {
 	const pooler_t *pooler = service->pooler;
+	usec_t now = now_of(pooler);
+	size_t unreleased = 0;
 
+	*total = 0;
 	list_for_each (it, &pooler->sync.roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
+		const peer_report_t *report = sync_report(pooler, node->name);
+		bool is_self = strcmp(node->name, pooler->config.name) == 0;
 
-		if (strcmp(node->name, pooler->config.name) != 0 && !has_released(service, node))
-			return false;
+		*total += is_self ||
+			  (report != NULL && now >= report->listed_since + PERMIT_TOGETHER);
+		unreleased += !is_self && !has_released(service, node);
 	}
-	return !permit_in_use(service);
+	return unreleased + permit_in_use(service);
 }
 
 static void release(service_t *service, usec_t now)
 {
-	if (all_released(service) || now >= service->change.marked_at + PERMIT_TTL)
-		begin_survey(service, now);
+	change_t *change = &service->change;
+	size_t total;
+	size_t unreleased = count_unreleased(service, &total);
+
+	if (unreleased >= permit_quorum(total))
+		change->few_since = USEC_NEVER;
+	else if (change->few_since == USEC_NEVER)
+		change->few_since = now;
+	if (unreleased != 0 && now < change->marked_at + PERMIT_TOGETHER &&
+	    (change->few_since == USEC_NEVER || now < change->few_since + PERMIT_ALONE))
+		return;
+	LOG_EVENT(LOG_INFO, "old primary is released", LOG_STR("service", service->name),
+		  LOG_INT("unreleased", (int64_t)unreleased), LOG_INT("proxies", (int64_t)total),
+		  LOG_INT("waited_ms", (int64_t)((now - change->marked_at) / USEC_PER_MSEC)));
+	begin_survey(service, now);
 }
 
 /* --- survey --- */
--- a/pooler/permit.c
+++ b/pooler/permit.c
@@ -11,17 +11,58 @@
 	return self != NULL && !self->gone && self->incarnation == pooler->config.incarnation;
 }
 
+/* The time at which more than two thirds of the fleet were last known to know no newer roster. */
+static usec_t agreed_at(const pooler_t *pooler)
+{
+	const sync_t *sync = &pooler->sync;
+	size_t needed = permit_quorum(list_length(&sync->roster->nodes));
+	usec_t best = 0;
+
+	/* The latest of the times that enough others reach; this proxy itself always agrees. */
+	if (needed <= 1)
+		return now_of(pooler);
+	list_for_each (it, &sync->reports) {
+		usec_t at = list_entry(it, peer_report_t, node)->agreed_at;
+		size_t count = 1;
+
+		if (at <= best)
+			continue;
+		list_for_each (jt, &sync->reports) {
+			const peer_report_t *other = list_entry(jt, peer_report_t, node);
+
+			count += other->agreed_at >= at &&
+				 roster_node(sync->roster, other->name) != NULL;
+		}
+		if (count >= needed)
+			best = at;
+	}
+	return best;
+}
+
+usec_t permit_end(const pooler_t *pooler)
+{
+	const sync_t *sync = &pooler->sync;
+	usec_t alone;
+	usec_t together;
+
+	if (sync->confirmed_at == USEC_NEVER)
+		return 0;
+	alone = sync->confirmed_at + PERMIT_ALONE;
+	if (now_of(pooler) < alone)
+		return alone;
+	together = agreed_at(pooler) + PERMIT_ALONE;
+	if (together > sync->confirmed_at + PERMIT_TOGETHER)
+		together = sync->confirmed_at + PERMIT_TOGETHER;
+	return together > alone ? together : alone;
+}
+
 member_t *permit_primary(const service_t *service, usec_t now)
 {
 	const pooler_t *pooler = service->pooler;
-	const sync_t *sync = &pooler->sync;
-	const roster_group_t *group;
+	const roster_group_t *group = roster_group(pooler->sync.roster, service->name);
 
-	if (sync->roster == NULL || sync->confirmed_at == USEC_NEVER ||
-	    now >= sync->confirmed_at + PERMIT_TTL || !permit_is_registered(pooler))
-		return NULL;
-	group = roster_group(sync->roster, service->name);
-	if (group == NULL || group->changing)
+	if (group == NULL || group->changing || now >= permit_end(pooler) ||
+	    !permit_is_registered(pooler))
 		return NULL;
 	return member_find(pooler, group->primary);
 }
--- a/pooler/permit.h
+++ b/pooler/permit.h
@@ -1,21 +1,39 @@
 /*
  * Permission to use a primary. A superseded primary that is cut off goes on
  * serving: callers would read stale rows and write what is rolled back later.
- * So a proxy uses the primary in its roster only for PERMIT_TTL after the store
- * was last known to hold that roster (asked by itself or by a peer), and a
- * member is promoted only after the coming change was written to the roster and
- * every proxy has let go of the old primary or PERMIT_TTL has passed.
+ * So a change of primary is first written to the roster, and a proxy may use
+ * the primary of its roster only until
+ *
+ * - PERMIT_ALONE after the store was last known to hold that roster, asked by
+ *   the proxy itself or by a peer, or
+ * - PERMIT_ALONE after more than two thirds of the fleet, itself included, knew
+ *   no newer roster, but at most PERMIT_TOGETHER after the first point in time:
+ *   the store is away for all, so nobody can have written a change.
+ *
+ * Who makes the change waits until every proxy has said that it let go. For
+ * those that do not answer it waits PERMIT_ALONE, from when they are too few to
+ * be the two thirds; else PERMIT_TOGETHER.
  */
 #pragma once
 
 #include "state.h"
 
 /*
- * How long the roster holds without news from the store. Bridges the store's
- * usual outages (4.5 s on the users' sites) and is the longest a change of
- * primary waits for a proxy that does not answer.
+ * Above the usual age of the roster (0.9 s: the holder reads every 0.5 s, others ask every
+ * 0.3 s), the time to notice that the holder is gone, and one call to a slow store (240 ms).
  */
-#define PERMIT_TTL (7 * USEC_PER_SEC)
+#define PERMIT_ALONE (2500 * USEC_PER_MSEC)
+/* Bridges the outages of the store on the users' sites (up to 9 s). */
+#define PERMIT_TOGETHER (12 * USEC_PER_SEC)
+
+/* More than two thirds of nodes. */
+static inline size_t permit_quorum(size_t nodes)
+{
+	return nodes * 2 / 3 + 1;
+}
+
+/* When the permission ends, as things are known now; 0: there is none. */
+usec_t permit_end(const pooler_t *pooler);
 
 /* True if the roster names this process as a member of the fleet. */
 bool permit_is_registered(const pooler_t *pooler);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -217,11 +217,8 @@
 
 bool pooler_is_ready(const pooler_t *pooler)
 {
-	const sync_t *sync = &pooler->sync;
-
 	/* Getting on the roster takes some ms more; statements wait for it. */
-	return pooler->routes != NULL && !pooler->draining && sync->confirmed_at != USEC_NEVER &&
-	       now_of(pooler) < sync->confirmed_at + PERMIT_TTL;
+	return pooler->routes != NULL && !pooler->draining && now_of(pooler) < permit_end(pooler);
 }
 
 void pooler_drain(pooler_t *pooler)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -158,6 +158,7 @@
 	bool planned; /* the old primary still answers */
 	int64_t marked_revision;
 	usec_t marked_at;
+	usec_t few_since; /* when too few were left to prolong their permission together */
 	char *target;
 	uint64_t old_term;
 	usec_t next_probe;
@@ -194,7 +195,9 @@
 	char *down;
 	char *alive;
 	char *in_use;
-	usec_t gone_seen; /* when the roster was first seen to call it gone; 0: it does not */
+	usec_t listed_since; /* when the roster was first seen to name it */
+	usec_t agreed_at;    /* when it was asked and knew no newer roster than ours */
+	usec_t gone_seen;    /* when the roster was first seen to call it gone; 0: it does not */
 } peer_report_t;
 
 typedef struct sync {
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -21,8 +21,10 @@
 /* Between two reads of the roster by the holder; every other proxy hears of it from there. */
 #define READ_HOLDER (500 * USEC_PER_MSEC)
 /* A proxy that heard nothing for so long reads itself; plus jitter, so that not all do. */
-#define READ_OTHERS (1200 * USEC_PER_MSEC)
-#define READ_JITTER (600 * USEC_PER_MSEC)
+#define READ_OTHERS (1000 * USEC_PER_MSEC)
+#define READ_JITTER (500 * USEC_PER_MSEC)
+/* With news this old all peers are asked, so that the permission lasts while the store is away. */
+#define ASK_ALL_AFTER (1600 * USEC_PER_MSEC)
 /* After a read that failed. */
 #define READ_BACKOFF (300 * USEC_PER_MSEC)
 /* Between two questions to the holder. */
@@ -135,6 +137,19 @@
 		revoke(service);
 }
 
+static void note_listed(pooler_t *pooler)
+{
+	list_for_each (it, &pooler->sync.reports)
+		list_entry(it, peer_report_t, node)->agreed_at = 0;
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		peer_report_t *report =
+			sync_get_report(pooler, list_entry(it, roster_node_t, node)->name);
+
+		if (report->listed_since == 0)
+			report->listed_since = now_of(pooler);
+	}
+}
+
 static void adopt(pooler_t *pooler, roster_t *roster)
 {
 	roster_t *old = pooler->sync.roster;
@@ -148,6 +163,7 @@
 		on_group(pooler, roster_group(old, group->service), group);
 	}
 	talloc_free(old);
+	note_listed(pooler);
 	/* Whoever waits for us to let go hears it at once. */
 	pooler->sync.ask_next = 0;
 }
@@ -699,6 +715,17 @@
 	return NULL;
 }
 
+/* The store seems to be away: the permission can only be prolonged together. */
+static void ask_all(pooler_t *pooler, const peer_message_t *message)
+{
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (strcmp(node->name, pooler->config.name) != 0)
+			send_to(pooler, node->name, node->address, message);
+	}
+}
+
 static void ask(pooler_t *pooler, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
@@ -720,7 +747,9 @@
 	sync->ask_next = now + ASK_INTERVAL;
 	if (sync->holder != NULL && strcmp(sync->holder, pooler->config.name) != 0)
 		send_to(pooler, sync->holder, sync->holder_address, &message);
-	if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT) {
+	if (sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + ASK_ALL_AFTER) {
+		ask_all(pooler, &message);
+	} else if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT) {
 		other = other_peer(pooler);
 		if (other != NULL)
 			send_to(pooler, other->name, other->address, &message);
@@ -801,6 +830,9 @@
 	if (message->echo != 0 && message->echo <= now && message->age < message->echo &&
 	    message->revision == sync->roster->revision)
 		confirm(pooler, message->echo - message->age);
+	if (message->echo != 0 && message->echo <= now &&
+	    message->revision == sync->roster->revision)
+		sync_get_report(pooler, message->from)->agreed_at = message->echo;
 	compare_directory(pooler, message, now);
 	run_services(pooler);
 }
@@ -825,6 +857,6 @@
 		read_store(pooler, now);
 	register_self(pooler);
 	consider_acquiring(pooler, now);
-	if (!sync->holding)
+	if (!sync_is_holder(pooler, now) || now >= sync->confirmed_at + ASK_ALL_AFTER)
 		ask(pooler, now);
 }
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -531,8 +531,11 @@
 
 		world_run(world, 50 * USEC_PER_MSEC);
 		if (leader != NULL && world_permitted(world, leader->id) == running) {
-			/* A new holder of the duty waits for calls of earlier ones. */
-			world_run(world, 3 * USEC_PER_SEC);
+			/*
+			 * A new holder of the duty waits for calls of earlier ones, and counts
+			 * only proxies that it has known for 12 s.
+			 */
+			world_run(world, 13 * USEC_PER_SEC);
 			return;
 		}
 	}
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -420,7 +420,7 @@
 		holder++;
 	world_kill(world, holder);
 	world_crash_member(world, 0);
-	world_run(world, 14 * SEC);
+	world_run(world, 8 * SEC);
 	g_assert_cmpuint(world->promote_count, >=, 1);
 	caller = world_open(world, (holder + 1) % 3);
 	assert_begins(world_ask(caller, "WRITE job-1 b"), "DONE core-");
@@ -429,6 +429,29 @@
 	world_destroy(world);
 }
 
+/*
+ * One of nine proxies is dead when the primary crashes, so it can't say that it
+ * has let go. The others wait only as long as it could serve on by itself.
+ */
+static void test_proxy_is_dead_when_the_primary_crashes(void)
+{
+	pool_world_t *world = world_create(9, NULL);
+	world_caller_t *caller;
+	size_t dead = 0;
+
+	world_settle(world);
+	while (sync_is_holder(world->nodes[dead].pooler, clock_now(&world->clock.base)))
+		dead++;
+	world_kill(world, dead);
+	world_run(world, SEC);
+	caller = world_open(world, 8);
+	world_crash_member(world, 0);
+	world_ask(caller, "WRITE job-1 a");
+	world_run(world, 4500 * MSEC);
+	assert_begins(world_ask(caller, "WRITE job-1 b"), "DONE core-");
+	world_destroy(world);
+}
+
 /* The answer to the promote call is lost, and it took effect: it is seen, not repeated blindly. */
 static void test_promote_answer_is_lost(void)
 {
@@ -469,7 +492,7 @@
 
 /* --- the store --- */
 
-/* The store is down for 4.5 s: nobody can be promoted, so the primary serves on. */
+/* The store is down for 9 s: nobody can be promoted, so the primary serves on. */
 static void test_store_down(void)
 {
 	pool_world_t *world = world_create(3, NULL);
@@ -478,9 +501,9 @@
 	world_settle(world);
 	caller = world_open(world, 0);
 	world->kv->down = true;
-	for (int i = 0; i < 45; i++) {
+	for (int i = 0; i < 90; i++) {
 		assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
-		world_run(world, 90 * MSEC);
+		world_run(world, 94 * MSEC);
 	}
 	world->kv->down = false;
 	world_run(world, 4 * SEC);
@@ -596,6 +619,7 @@
 	g_test_add_func("/primary/cut-off-proxy", test_cut_off_proxy_stops_before_the_promote);
 	g_test_add_func("/primary/frozen-proxy", test_frozen_proxy_with_an_answer);
 	g_test_add_func("/primary/holder-dies", test_holder_dies_with_the_primary);
+	g_test_add_func("/primary/dead-proxy", test_proxy_is_dead_when_the_primary_crashes);
 	g_test_add_func("/primary/promote-lost", test_promote_answer_is_lost);
 	g_test_add_func("/primary/list-is-behind", test_list_is_behind);
 	g_test_add_func("/store/down", test_store_down);
