--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -142,6 +142,17 @@
 	return false;
 }
 
+/*
+ * Some proxies that can't reach the primary are no reason to replace it: another member may
+ * be out of reach for more of them, and the change costs all of them a second.
+ */
+static bool is_lost(const service_t *service, const member_t *primary, votes_t votes)
+{
+	size_t proxies = list_length(&service->pooler->sync.roster->nodes);
+
+	return votes.down * 2 > proxies || (primary->down && votes.down > votes.alive);
+}
+
 /*
  * Nobody has used the primary of late, or some proxies can't: ask it, so that its failure is
  * known before it is needed.
@@ -167,7 +178,7 @@
 	if (!primary->says_primary && other_says_primary(service, primary))
 		return "another member leads";
 	votes = count_votes(service, primary, now);
-	if (votes.down > votes.alive)
+	if (is_lost(service, primary, votes))
 		return "primary does not answer";
 	if (votes.alive == 0 || votes.down != 0)
 		check_unused(primary, now, votes.down != 0 ? DOUBTED_CHECK : UNUSED_CHECK);
--- a/pooler/permit.h
+++ b/pooler/permit.h
@@ -19,10 +19,11 @@
 #include "state.h"
 
 /*
- * Above the usual age of the roster (0.9 s: the holder reads every 0.5 s, others ask every
- * 0.3 s), the time to notice that the holder is gone, and one call to a slow store (240 ms).
+ * Above the usual age of the roster (0.7 s: the holder reads every 0.4 s, others ask every
+ * 0.25 s), and the time until a proxy that misses the holder has read for itself (1.2 s and a
+ * call to a slow store, 240 ms).
  */
-#define PERMIT_ALONE (2500 * USEC_PER_MSEC)
+#define PERMIT_ALONE (1800 * USEC_PER_MSEC)
 /* Bridges the outages of the store on the users' sites (up to 9 s). */
 #define PERMIT_TOGETHER (12 * USEC_PER_SEC)
 
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -19,23 +19,23 @@
 #include "log.h"
 
 /* Between two reads of the roster by the holder; every other proxy hears of it from there. */
-#define READ_HOLDER (500 * USEC_PER_MSEC)
+#define READ_HOLDER (400 * USEC_PER_MSEC)
 /* A proxy that heard nothing for so long reads itself; plus jitter, so that not all do. */
-#define READ_OTHERS (1000 * USEC_PER_MSEC)
-#define READ_JITTER (500 * USEC_PER_MSEC)
+#define READ_OTHERS (900 * USEC_PER_MSEC)
+#define READ_JITTER (300 * USEC_PER_MSEC)
 /* With news this old all peers are asked, so that the permission lasts while the store is away. */
-#define ASK_ALL_AFTER (1600 * USEC_PER_MSEC)
-/* After a read that failed. */
-#define READ_BACKOFF (300 * USEC_PER_MSEC)
+#define ASK_ALL_AFTER (1300 * USEC_PER_MSEC)
+/* After a read that failed, plus as much jitter. */
+#define READ_BACKOFF (150 * USEC_PER_MSEC)
 /* Between two questions to the holder. */
-#define ASK_INTERVAL (300 * USEC_PER_MSEC)
+#define ASK_INTERVAL (250 * USEC_PER_MSEC)
 /* A holder silent for so long is not the only one asked. */
-#define HOLDER_SILENT (800 * USEC_PER_MSEC)
+#define HOLDER_SILENT (600 * USEC_PER_MSEC)
 /* The lease of the duty: how long a holder that died keeps it. */
-#define DUTY_TTL (2500 * USEC_PER_MSEC)
+#define DUTY_TTL (2000 * USEC_PER_MSEC)
 /* Taken off at our side, for the store's timers. */
 #define DUTY_MARGIN    (300 * USEC_PER_MSEC)
-#define RENEW_INTERVAL (800 * USEC_PER_MSEC)
+#define RENEW_INTERVAL (600 * USEC_PER_MSEC)
 /* A renewal that failed is repeated after this. */
 #define RENEW_RETRY (200 * USEC_PER_MSEC)
 /* Wait before taking the duty; jittered, so that one of many gets it. */
