--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -22,6 +22,8 @@
 #define HEDGES_MAX 2
 /* Before the same member is tried again after a refusal, grows with the attempts. */
 #define RETRY_STEP (4 * USEC_PER_MSEC)
+/* While shutting down, a session without a statement for so long is closed. */
+#define DRAIN_REST (400 * USEC_PER_MSEC)
 /* Longest reason in an answer, bytes. */
 #define REASON_MAX 160
 
@@ -62,6 +64,7 @@
 	pooler_t *pooler = caller->pooler;
 
 	caller->busy = false;
+	caller->served = pooler->draining;
 	caller->exec = NULL;
 	caller->want = WANT_NONE;
 	caller->idle_since = now_of(pooler);
@@ -643,7 +646,14 @@
 	caller->leaving = true;
 	if (caller->busy)
 		return;
-	if (caller->tx == TX_NONE || cut_transactions)
+	/*
+	 * After its answer, or when it has rested a little: one that has just come is about to
+	 * send, and a statement that crosses our close looks lost to its sender.
+	 */
+	if (caller->tx == TX_NONE &&
+	    (caller->served || now_of(caller->pooler) >= caller->idle_since + DRAIN_REST))
+		hang_up(caller);
+	else if (cut_transactions)
 		hang_up(caller);
 }
 
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -377,6 +377,7 @@
 	if (!reply->has_position)
 		return;
 	member->applied = reply->position;
+	member->applied_at = now;
 	if (!permit_covers(member, now))
 		return;
 	if (service->fresh_primary == NULL || strcmp(service->fresh_primary, member->id) != 0) {
@@ -434,7 +435,9 @@
 		on_setup_reply(conn, reply);
 		break;
 	case CONN_RUNNING:
-		measure(conn, now);
+		/* A refusal is quick and says nothing of how long work takes. */
+		if (reply->ok)
+			measure(conn, now);
 		conn->in_tx = reply->tx != TX_NONE;
 		caller_on_reply(conn->caller, conn, reply);
 		break;
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -18,12 +18,10 @@
 #define NO_CONNECTION (15 * USEC_PER_MSEC)
 /* A wait that justifies a connection beyond our share: the time that one takes to make. */
 #define BORROW_AFTER (15 * USEC_PER_MSEC)
-/* It lacked a position a moment ago. */
-#define LAGS (30 * USEC_PER_MSEC)
-/* How long that counts. */
-#define LAGGING_FOR (200 * USEC_PER_MSEC)
-/* Replicas apply a commit this much later at least; a younger one is read at the primary. */
-#define APPLY_DELAY (60 * USEC_PER_MSEC)
+/* How long a replica's lag is believed to be what it was. */
+#define LAG_BELIEVED (300 * USEC_PER_MSEC)
+/* Added to it: the samples of the primary's position are so far apart. */
+#define LAG_MARGIN FRESHNESS_SPACING
 /* From the marking of a change of primary to its end: a promote takes about 1 s. */
 #define CHANGE_USUAL (1300 * USEC_PER_MSEC)
 /* From the first sign of a failed primary to the marking. */
@@ -38,20 +36,23 @@
 /* --- what a replica must hold --- */
 
 /* Returns false if no position is known to be fresh enough for the caller's read. */
-static bool position_for(const caller_t *caller, position_t *after)
+static bool position_for(const caller_t *caller, sample_t *wanted)
 {
 	const freshness_t *freshness = &caller->service->freshness;
 
-	if (!freshness_position(freshness, caller->received_at, caller->max_age, after))
+	if (!freshness_position(freshness, caller->received_at, caller->max_age, wanted))
 		return false;
-	if (caller->reads == READS_SESSION && caller->has_commit)
-		*after = position_max(*after, caller->commit);
+	if (caller->reads == READS_SESSION && caller->has_commit &&
+	    !position_covers(wanted->position, caller->commit)) {
+		wanted->position = position_max(wanted->position, caller->commit);
+		wanted->sent_at = caller->committed_at;
+	}
 	return true;
 }
 
 /* --- choosing a member for a read --- */
 
-static usec_t cost_of(const member_t *member, const caller_t *caller, bool primary, usec_t now)
+static usec_t cost_of(const member_t *member, const caller_t *caller, bool primary)
 {
 	usec_t cost = member->response * (1 + member_load(member));
 
@@ -59,8 +60,6 @@
 		cost += OTHER_ZONE;
 	if (primary)
 		cost += IS_PRIMARY;
-	if (now < member->lagging_until)
-		cost += LAGS;
 	if (conn_idle(member, caller) == NULL)
 		cost += NO_CONNECTION;
 	return cost;
@@ -83,20 +82,33 @@
 	       (conn_idle(member, caller) != NULL || can_open(member, caller, now));
 }
 
-/* True if a replica is worth asking. */
-static bool replica_fits(const member_t *member, const caller_t *caller, usec_t now)
+/*
+ * True if the replica probably has applied what the read wants, judged by how far behind it was
+ * with its last reply. A wrong guess costs a round trip; asking in vain all the time, while the
+ * replicas are seconds behind, made a third of all reads that much later.
+ */
+static bool replica_fits(member_t *replica, const sample_t *wanted, usec_t now)
 {
-	if (caller->reads != READS_SESSION || !caller->has_commit)
+	usec_t caught_up_to;
+
+	if (position_covers(replica->applied, wanted->position))
+		return true;
+	if (now >= replica->applied_at + LAG_BELIEVED) {
+		/* One read finds out, the others wait for what it brings. */
+		replica->applied_at = now;
 		return true;
-	return position_covers(member->applied, caller->commit) ||
-	       now >= caller->committed_at + APPLY_DELAY;
+	}
+	caught_up_to = freshness_time_of(&replica->service->freshness, replica->applied);
+	return caught_up_to != 0 &&
+	       wanted->sent_at + (replica->applied_at - caught_up_to) + LAG_MARGIN <= now;
 }
 
 /* The member to serve a read now; NULL: none can. *open: some member may serve it at all. */
 static member_t *choose_reader(caller_t *caller, usec_t now, bool *open)
 {
 	member_t *primary = permit_primary(caller->service, now);
-	bool fresh = position_for(caller, &caller->after) && !caller->only_primary;
+	sample_t wanted;
+	bool fresh = position_for(caller, &wanted) && !caller->only_primary;
 	member_t *best = NULL;
 	usec_t best_cost = USEC_NEVER;
 
@@ -105,18 +117,20 @@
 		member_t *member = list_entry(it, member_t, in_service);
 		usec_t cost;
 
-		if (member != primary && (!fresh || !replica_fits(member, caller, now)))
+		if (member != primary && (!fresh || !replica_fits(member, &wanted, now)))
 			continue;
 		*open = *open || member_is_usable(member);
 		if (!can_serve(member, caller, now))
 			continue;
-		cost = cost_of(member, caller, member == primary, now);
+		cost = cost_of(member, caller, member == primary);
 		if (cost < best_cost) {
 			best = member;
 			best_cost = cost;
 		}
 	}
 	caller->has_after = best != primary;
+	if (caller->has_after)
+		caller->after = wanted.position;
 	return best;
 }
 
--- a/pooler/freshness.c
+++ b/pooler/freshness.c
@@ -22,17 +22,29 @@
 		freshness->len++;
 }
 
-bool freshness_position(const freshness_t *freshness, usec_t now, usec_t max_age,
-			position_t *position)
+/* The sample that is so many places before the end of the ring. */
+static const sample_t *sample_at(const freshness_t *freshness, size_t before_end)
 {
-	for (size_t i = freshness->len; i > 0; i--) {
-		const sample_t *sample =
-			&freshness->ring[(freshness->next + FRESHNESS_KEPT - i) % FRESHNESS_KEPT];
+	return &freshness->ring[(freshness->next + FRESHNESS_KEPT - before_end) % FRESHNESS_KEPT];
+}
 
-		if (sample->sent_at + max_age >= now) {
-			*position = sample->position;
+bool freshness_position(const freshness_t *freshness, usec_t now, usec_t max_age, sample_t *sample)
+{
+	for (size_t i = freshness->len; i > 0; i--) {
+		*sample = *sample_at(freshness, i);
+		if (sample->sent_at + max_age >= now)
 			return true;
-		}
 	}
 	return false;
 }
+
+usec_t freshness_time_of(const freshness_t *freshness, position_t position)
+{
+	for (size_t i = 1; i <= freshness->len; i++) {
+		const sample_t *sample = sample_at(freshness, i);
+
+		if (position_covers(position, sample->position))
+			return sample->sent_at;
+	}
+	return 0;
+}
--- a/pooler/freshness.h
+++ b/pooler/freshness.h
@@ -33,9 +33,11 @@
 
 void freshness_add(freshness_t *freshness, usec_t sent_at, position_t position);
 
+/* When the primary was last known to have no more than position; 0 if that is not known. */
+usec_t freshness_time_of(const freshness_t *freshness, position_t position);
+
 /*
  * The oldest position that makes a read at most max_age old at now; replicas
  * are most likely to hold that one. Returns false if no sample is young enough.
  */
-bool freshness_position(const freshness_t *freshness, usec_t now, usec_t max_age,
-			position_t *position);
+bool freshness_position(const freshness_t *freshness, usec_t now, usec_t max_age, sample_t *sample);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -72,9 +72,9 @@
 	bool down;	     /* it was asked again and did not answer */
 	conn_t *probe_conn;
 	/* Placement of reads. */
-	usec_t response;      /* smoothed time from sending a statement to its reply */
-	usec_t lagging_until; /* it lacked a position of late */
-	position_t applied;   /* of its log, by its last reply */
+	usec_t response;    /* smoothed time from sending a statement to its reply */
+	position_t applied; /* of its log, by its last reply */
+	usec_t applied_at;  /* when that came */
 	/* Survey by the holder of the duty. */
 	bool survey_done;
 	usec_t checked_at; /* though nobody used it */
@@ -110,6 +110,7 @@
 	bool tx_wrote;
 	bool tx_lost; /* the connection was lost while the caller was thinking */
 	bool leaving; /* close it when its transaction ends */
+	bool served;  /* a statement was answered since the shutdown began */
 	conn_t *conn;
 	/* The route of the current transaction or statement, copied: a change applies later. */
 	struct service *service;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -562,6 +562,7 @@
 
 	world_settle(world);
 	idle = world_open(world, 0);
+	world_run(world, 500 * MSEC);
 	open = world_open(world, 0);
 	world_ask(open, "BEGIN");
 	assert_begins(world_ask(open, "WRITE job-1 a"), "DONE");
