--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -64,7 +64,8 @@
 	pooler_t *pooler = caller->pooler;
 
 	caller->busy = false;
-	caller->served = pooler->draining;
+	/* Values and names only prepare for the operation that is to come. */
+	caller->served = pooler->draining && caller->want != WANT_NONE;
 	caller->exec = NULL;
 	caller->want = WANT_NONE;
 	caller->idle_since = now_of(pooler);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -571,7 +571,10 @@
 	g_assert_null(idle->caller);
 	world_run(world, 500 * MSEC);
 	late = world_open(world, 0);
+	assert_begins(world_ask(late, "SET lang cy"), "DONE -");
+	world_run(world, 60 * MSEC);
 	assert_begins(world_ask(late, "READ job-1"), "ROW none");
+	g_assert_null(late->caller);
 	assert_begins(world_ask(open, "COMMIT"), "DONE core-0");
 	g_assert_null(open->caller);
 	g_assert_false(world->nodes[0].drained);
