--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -438,6 +438,8 @@
 		/* A refusal is quick and says nothing of how long work takes. */
 		if (reply->ok)
 			measure(conn, now);
+		else if (reply->code == CODE_LAGGING)
+			conn->member->lagged_at = now;
 		conn->in_tx = reply->tx != TX_NONE;
 		caller_on_reply(conn->caller, conn, reply);
 		break;
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -18,7 +18,7 @@
 #define NO_CONNECTION (15 * USEC_PER_MSEC)
 /* A wait that justifies a connection beyond our share: the time that one takes to make. */
 #define BORROW_AFTER (15 * USEC_PER_MSEC)
-/* How long a replica's lag is believed to be what it was. */
+/* After a replica lacked a position, how long its lag is believed to be what it was. */
 #define LAG_BELIEVED (300 * USEC_PER_MSEC)
 /* Added to it: the samples of the primary's position are so far apart. */
 #define LAG_MARGIN FRESHNESS_SPACING
@@ -91,13 +91,9 @@
 {
 	usec_t caught_up_to;
 
-	if (position_covers(replica->applied, wanted->position))
+	if (position_covers(replica->applied, wanted->position) ||
+	    now >= replica->lagged_at + LAG_BELIEVED)
 		return true;
-	if (now >= replica->applied_at + LAG_BELIEVED) {
-		/* One read finds out, the others wait for what it brings. */
-		replica->applied_at = now;
-		return true;
-	}
 	caught_up_to = freshness_time_of(&replica->service->freshness, replica->applied);
 	return caught_up_to != 0 &&
 	       wanted->sent_at + (replica->applied_at - caught_up_to) + LAG_MARGIN <= now;
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -63,14 +63,17 @@
 		      uint64_t fence)
 {
 	roster_group_t *group = roster_group(roster, service);
+	char *copy;
 
 	if (group == NULL) {
 		group = talloc_zero(roster, roster_group_t);
 		group->service = talloc_strdup(group, service);
 		list_add_tail(&roster->groups, &group->node);
 	}
+	/* primary may be the old one itself. */
+	copy = talloc_strdup(group, primary);
 	talloc_free(group->primary);
-	group->primary = talloc_strdup(group, primary);
+	group->primary = copy;
 	group->changing = changing;
 	group->fence = fence;
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -75,6 +75,7 @@
 	usec_t response;    /* smoothed time from sending a statement to its reply */
 	position_t applied; /* of its log, by its last reply */
 	usec_t applied_at;  /* when that came */
+	usec_t lagged_at;   /* when it last lacked a position */
 	/* Survey by the holder of the duty. */
 	bool survey_done;
 	usec_t checked_at; /* though nobody used it */
--- /dev/null
+++ b/tests/test_pooler_parts.c
@@ -0,0 +1,282 @@
+/* The pooler's small parts: freshness, roster, values, following a prefix of the store. */
+#include <string.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "fake_kv.h"
+#include "follow.h"
+#include "freshness.h"
+#include "roster.h"
+#include "variables.h"
+
+#define MSEC USEC_PER_MSEC
+#define SEC  USEC_PER_SEC
+
+static slice_t text(const char *value)
+{
+	return slice_of(value, strlen(value));
+}
+
+/* --- freshness --- */
+
+/* The oldest sample that is young enough is taken: replicas are most likely to hold it. */
+static void test_oldest_fitting_sample(void)
+{
+	freshness_t freshness = {0};
+	sample_t sample;
+
+	for (uint64_t i = 0; i < 100; i++)
+		freshness_add(&freshness, SEC + i * 50 * MSEC, (position_t){.term = 1, .lsn = i});
+	/* At 6.0 s, 1.5 s back: the sample of 4.5 s. */
+	g_assert_true(freshness_position(&freshness, 6 * SEC, 1500 * MSEC, &sample));
+	g_assert_cmpuint(sample.sent_at, ==, 4500 * MSEC);
+	g_assert_cmpuint(sample.position.lsn, ==, 70);
+	g_assert_false(freshness_position(&freshness, 60 * SEC, 1500 * MSEC, &sample));
+	g_assert_cmpuint(freshness_time_of(&freshness, (position_t){.term = 1, .lsn = 70}), ==,
+			 4500 * MSEC);
+	g_assert_cmpuint(freshness_time_of(&freshness, (position_t){.term = 0, .lsn = 70}), ==, 0);
+	freshness_reset(&freshness);
+	g_assert_false(freshness_position(&freshness, 6 * SEC, 1500 * MSEC, &sample));
+}
+
+static void test_samples_too_close(void)
+{
+	freshness_t freshness = {0};
+
+	freshness_add(&freshness, SEC, (position_t){.term = 1, .lsn = 1});
+	freshness_add(&freshness, SEC + MSEC, (position_t){.term = 1, .lsn = 2});
+	freshness_add(&freshness, SEC - MSEC, (position_t){.term = 1, .lsn = 1});
+	g_assert_cmpuint(freshness.len, ==, 1);
+}
+
+/* --- roster --- */
+
+static void test_roster_round_trip(void)
+{
+	roster_t *roster = roster_create(NULL);
+	roster_t *back;
+	char *encoded;
+
+	roster_put_node(roster, "p1", "10.0.0.1:7", 5)->gone = true;
+	roster_put_node(roster, "p2", "10.0.0.2:7", 6);
+	roster_put_group(roster, "core", "m1", true, 9);
+	encoded = roster_encode(roster, roster);
+	back = roster_decode(roster, encoded, strlen(encoded), 12);
+	g_assert_nonnull(back);
+	g_assert_cmpint(back->revision, ==, 12);
+	g_assert_true(roster_node(back, "p1")->gone);
+	g_assert_cmpuint(roster_node(back, "p2")->incarnation, ==, 6);
+	g_assert_cmpstr(roster_group(back, "core")->primary, ==, "m1");
+	g_assert_true(roster_group(back, "core")->changing);
+	roster_put_group(back, "core", roster_group(back, "core")->primary, false, 10);
+	g_assert_cmpstr(roster_group(back, "core")->primary, ==, "m1");
+	roster_remove_node(back, "p1");
+	g_assert_null(roster_node(back, "p1"));
+	g_assert_null(roster_decode(roster, "{\"nodes\":{\"a\":1}}", 17, 1));
+	g_assert_null(roster_decode(roster, "junk", 4, 1));
+	talloc_free(roster);
+}
+
+/* --- values --- */
+
+static void test_variables(void)
+{
+	void *parent = talloc_new(NULL);
+	variables_t a;
+	variables_t b;
+
+	variables_init(&a);
+	variables_init(&b);
+	variables_set(&a, parent, text("x"), text("1"));
+	variables_set(&a, parent, text("y"), text("2"));
+	variables_set(&b, parent, text("y"), text("9"));
+	g_assert_true(variables_within(&b, &a));
+	g_assert_false(variables_within(&a, &b));
+	variables_set(&b, parent, text("y"), text("2"));
+	variables_set(&b, parent, text("x"), text("1"));
+	g_assert_true(variables_equal(&a, &b));
+	variables_set(&b, parent, text("x"), text("12"));
+	g_assert_false(variables_equal(&a, &b));
+	variables_clear(&b);
+	g_assert_cmpuint(b.count, ==, 0);
+	talloc_free(parent);
+}
+
+/* --- following --- */
+
+typedef struct followed {
+	follow_t follow;
+	paused_clock_t clock;
+	timer_set_t timers;
+	fake_kv_t *store;
+	fake_kv_client_t client;
+	GHashTable *seen;
+	size_t gone;
+} followed_t;
+
+static void on_changed(follow_t *follow, const kv_item_t *item)
+{
+	followed_t *self = (followed_t *)follow;
+
+	g_hash_table_insert(self->seen, g_strdup(item->key), g_strndup(item->value, item->len));
+}
+
+static void on_gone(follow_t *follow, const char *key)
+{
+	followed_t *self = (followed_t *)follow;
+
+	self->gone++;
+	g_hash_table_remove(self->seen, key);
+}
+
+static const follow_ops_t follow_ops = {.changed = on_changed, .gone = on_gone};
+
+static void pass(followed_t *self, usec_t by)
+{
+	usec_t end = clock_now(&self->clock.base) + by;
+
+	while (timers_next(&self->timers) <= end) {
+		usec_t now = clock_now(&self->clock.base);
+
+		if (timers_next(&self->timers) > now)
+			paused_clock_advance(&self->clock, timers_next(&self->timers) - now);
+		timers_expire(&self->timers, clock_now(&self->clock.base));
+	}
+	paused_clock_advance(&self->clock, end - clock_now(&self->clock.base));
+}
+
+static followed_t *followed_create(void)
+{
+	followed_t *self = g_new0(followed_t, 1);
+
+	paused_clock_init(&self->clock, 100 * SEC);
+	timers_init(&self->timers);
+	self->store = fake_kv_create(NULL, &self->clock.base, &self->timers);
+	fake_kv_client_init(&self->client, self->store);
+	self->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fake_kv_put(self->store, "servers/a", "1");
+	fake_kv_put(self->store, "other", "1");
+	self->follow.ops = &follow_ops;
+	self->follow.kv = &self->client.kv;
+	self->follow.clock = &self->clock.base;
+	self->follow.timers = &self->timers;
+	self->follow.prefix = "servers/";
+	follow_start(&self->follow, NULL);
+	pass(self, 100 * MSEC);
+	return self;
+}
+
+static void followed_destroy(followed_t *self)
+{
+	follow_stop(&self->follow);
+	talloc_free(self->store);
+	timers_destroy(&self->timers);
+	g_hash_table_destroy(self->seen);
+	g_free(self);
+}
+
+static const char *seen(followed_t *self, const char *key)
+{
+	return g_hash_table_lookup(self->seen, key);
+}
+
+static void test_follow_changes(void)
+{
+	followed_t *self = followed_create();
+
+	g_assert_cmpstr(seen(self, "servers/a"), ==, "1");
+	g_assert_null(seen(self, "other"));
+	fake_kv_put(self->store, "servers/b", "1");
+	fake_kv_put(self->store, "servers/a", "2");
+	pass(self, 50 * MSEC);
+	g_assert_cmpstr(seen(self, "servers/a"), ==, "2");
+	g_assert_cmpstr(seen(self, "servers/b"), ==, "1");
+	fake_kv_put(self->store, "servers/a", NULL);
+	pass(self, SEC);
+	g_assert_nonnull(seen(self, "servers/a"));
+	pass(self, 2 * SEC);
+	g_assert_null(seen(self, "servers/a"));
+	g_assert_cmpuint(self->gone, ==, 1);
+	followed_destroy(self);
+}
+
+/* The history is dropped while a watch waits: all is read again, nothing is missed. */
+static void test_follow_compaction(void)
+{
+	followed_t *self = followed_create();
+
+	self->store->deaf_watches = true;
+	fake_kv_put(self->store, "servers/b", "1");
+	fake_kv_put(self->store, "servers/a", NULL);
+	fake_kv_compact(self->store);
+	self->store->deaf_watches = false;
+	pass(self, 4 * SEC);
+	g_assert_cmpstr(seen(self, "servers/b"), ==, "1");
+	g_assert_null(seen(self, "servers/a"));
+	followed_destroy(self);
+}
+
+/* An entry lapses while the store is away and is written again 2 s after its return. */
+static void test_follow_lapsed_entry(void)
+{
+	followed_t *self = followed_create();
+
+	self->store->down = true;
+	pass(self, 3 * SEC);
+	fake_kv_put(self->store, "servers/a", NULL);
+	self->store->down = false;
+	pass(self, 2 * SEC);
+	fake_kv_put(self->store, "servers/a", "3");
+	pass(self, 3 * SEC);
+	g_assert_cmpstr(seen(self, "servers/a"), ==, "3");
+	g_assert_cmpuint(self->gone, ==, 0);
+	followed_destroy(self);
+}
+
+/* A watch that hears nothing gives no sign of it: a refresh finds what it missed. */
+static void test_follow_refresh(void)
+{
+	followed_t *self = followed_create();
+
+	self->store->deaf_watches = true;
+	fake_kv_put(self->store, "servers/a", "2");
+	pass(self, 500 * MSEC);
+	g_assert_cmpstr(seen(self, "servers/a"), ==, "1");
+	follow_refresh(&self->follow);
+	pass(self, 50 * MSEC);
+	g_assert_cmpstr(seen(self, "servers/a"), ==, "2");
+	followed_destroy(self);
+}
+
+/* Many pages: more items than one answer holds. */
+static void test_follow_pages(void)
+{
+	followed_t *self = followed_create();
+
+	for (int i = 0; i < 1200; i++) {
+		char key[32];
+
+		g_snprintf(key, sizeof(key), "servers/x%04d", i);
+		fake_kv_put(self->store, key, "1");
+	}
+	fake_kv_compact(self->store);
+	pass(self, SEC);
+	g_assert_cmpuint(g_hash_table_size(self->seen), ==, 1201);
+	followed_destroy(self);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/freshness/oldest-fitting", test_oldest_fitting_sample);
+	g_test_add_func("/freshness/too-close", test_samples_too_close);
+	g_test_add_func("/roster/round-trip", test_roster_round_trip);
+	g_test_add_func("/variables/sets", test_variables);
+	g_test_add_func("/follow/changes", test_follow_changes);
+	g_test_add_func("/follow/compaction", test_follow_compaction);
+	g_test_add_func("/follow/lapsed-entry", test_follow_lapsed_entry);
+	g_test_add_func("/follow/refresh", test_follow_refresh);
+	g_test_add_func("/follow/pages", test_follow_pages);
+	return g_test_run();
+}
