Random faults on poolers, checked from what callers and members see; terms on the roster

Ruled out: the permission (it had ended everywhere), positions. The roster now names the term; only a newer one counts. Test /primary/superseded.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -195,13 +195,13 @@
 	service->change.busy = false;
 }
 
-static void store_group(service_t *service, const char *primary, bool changing)
+static void store_group(service_t *service, const char *primary, bool changing, uint64_t term)
 {
 	pooler_t *pooler = service->pooler;
 	roster_t *roster = roster_copy(NULL, pooler->sync.roster);
 
 	service->change.busy = true;
-	roster_put_group(roster, service->name, primary, changing, pooler->sync.fence);
+	roster_put_group(roster, service->name, primary, changing, term, pooler->sync.fence);
 	sync_commit(pooler, roster, on_stored, service);
 	talloc_free(roster);
 }
@@ -215,7 +215,7 @@
 	LOG_EVENT(LOG_WARN, "primary is to be replaced", LOG_STR("service", service->name),
 		  LOG_STR("reason", reason), LOG_STR("member", group_of(service)->primary));
 	set_step(service, CHANGE_MARKING, now);
-	store_group(service, group_of(service)->primary, true);
+	store_group(service, group_of(service)->primary, true, group_of(service)->term);
 }
 
 /* The first primary of a service is the one that says so itself. */
@@ -228,7 +228,7 @@
 
 		if (!member->says_primary || member->gone)
 			continue;
-		store_group(service, member->id, false);
+		store_group(service, member->id, false, 0);
 		return;
 	}
 }
@@ -351,6 +351,14 @@
 	return a.term != b.term ? a.term > b.term : a.lsn > b.lsn;
 }
 
+/* Furthest in the newest term; a member that missed a change has an older term. */
+static bool is_better(const member_t *a, const member_t *b)
+{
+	if (a->status.term != b->status.term)
+		return a->status.term > b->status.term;
+	return is_further(a->status.received, b->status.received);
+}
+
 /* The member that received most, among those that may lead; NULL if none answered. */
 static member_t *best_candidate(const service_t *service, const member_t *old)
 {
@@ -361,20 +369,28 @@
 
 		if (member == old || !member->survey_done || member->gone || member->leaving)
 			continue;
-		if (best == NULL || is_further(member->status.received, best->status.received))
+		if (best == NULL || is_better(member, best))
 			best = member;
 	}
 	return best;
 }
 
-/* A member that leads already, in a term above the old primary's. */
+/*
+ * A member that leads already, in a newer term than the primary that is written down. A
+ * superseded primary that is cut off calls itself primary too: taking it back would bring
+ * writes back that were rolled back, and lose those since.
+ */
 static member_t *leader_already(const service_t *service, const member_t *old)
 {
+	uint64_t term = group_of(service)->term;
+
+	if (old != NULL && old->survey_done && old->status.term > term)
+		term = old->status.term;
 	list_for_each (it, &service->members) {
 		member_t *member = list_entry(it, member_t, in_service);
 
-		if (member != old && member->survey_done && member->status.primary &&
-		    (old == NULL || !old->survey_done || member->status.term > old->status.term))
+		if (member != old && member->survey_done && member->status.primary && term != 0 &&
+		    member->status.term > term)
 			return member;
 	}
 	return NULL;
@@ -417,14 +433,15 @@
 				  pooler->sync.fence);
 }
 
-static void commit_target(service_t *service, const char *target, usec_t now)
+static void commit_target(service_t *service, const member_t *target, usec_t now)
 {
-	char *copy = talloc_strdup(service, target);
+	char *copy = talloc_strdup(service, target->id);
 
 	talloc_free(service->change.target);
 	service->change.target = copy;
+	service->change.new_term = target->status.term;
 	set_step(service, CHANGE_COMMITTING, now);
-	store_group(service, copy, false);
+	store_group(service, copy, false, service->change.new_term);
 }
 
 /* The alarm was false: the old primary leads and has no reason to go. */
@@ -448,12 +465,12 @@
 		return;
 	leader = leader_already(service, old);
 	if (leader != NULL) {
-		commit_target(service, leader->id, now);
+		commit_target(service, leader, now);
 		return;
 	}
 	if (can_stay(service, old, now)) {
 		change->quiet_until = now + QUIET_AFTER_CANCEL;
-		commit_target(service, old->id, now);
+		commit_target(service, old, now);
 		return;
 	}
 	best = best_candidate(service, old);
@@ -463,7 +480,6 @@
 	if (old != NULL && old->survey_done && now < change->step_since + CATCH_UP_TIME &&
 	    is_further(old->status.received, best->status.received))
 		return;
-	change->old_term = old != NULL && old->survey_done ? old->status.term : 0;
 	if (now < service->pooler->sync.held_since + SETTLE_TIME)
 		return;
 	promote(service, best->id, now);
@@ -502,7 +518,7 @@
 		return;
 	}
 	if (target->survey_done && target->status.primary) {
-		commit_target(service, target->id, now);
+		commit_target(service, target, now);
 		return;
 	}
 	if (now >= change->next_probe) {
@@ -526,7 +542,7 @@
 	if (change->busy)
 		return;
 	if (group->changing) {
-		store_group(service, change->target, false);
+		store_group(service, change->target, false, change->new_term);
 		return;
 	}
 	counter_add(&changes_total, 1);
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -60,7 +60,7 @@
 }
 
 void roster_put_group(roster_t *roster, const char *service, const char *primary, bool changing,
-		      uint64_t fence)
+		      uint64_t term, uint64_t fence)
 {
 	roster_group_t *group = roster_group(roster, service);
 	char *copy;
@@ -75,6 +75,7 @@
 	talloc_free(group->primary);
 	group->primary = copy;
 	group->changing = changing;
+	group->term = term;
 	group->fence = fence;
 }
 
@@ -92,7 +93,7 @@
 	list_for_each (it, &roster->groups) {
 		const roster_group_t *group = list_entry(it, roster_group_t, node);
 
-		roster_put_group(copy, group->service, group->primary, group->changing,
+		roster_put_group(copy, group->service, group->primary, group->changing, group->term,
 				 group->fence);
 	}
 	return copy;
@@ -118,8 +119,9 @@
 		const roster_group_t *group = list_entry(it, roster_group_t, node);
 
 		json_object_set_new(groups, group->service,
-				    json_pack("{s:s, s:b, s:I}", "primary", group->primary,
-					      "changing", group->changing, "fence",
+				    json_pack("{s:s, s:b, s:I, s:I}", "primary", group->primary,
+					      "changing", group->changing, "term",
+					      (json_int_t)group->term, "fence",
 					      (json_int_t)group->fence));
 	}
 	root = json_pack("{s:o, s:o}", "nodes", nodes, "groups", groups);
@@ -156,12 +158,14 @@
 	json_object_foreach (groups, service, value) {
 		const char *primary;
 		int changing;
+		json_int_t term;
 		json_int_t fence;
 
-		if (json_unpack(value, "{s:s, s:b, s:I}", "primary", &primary, "changing",
-				&changing, "fence", &fence) != 0)
+		if (json_unpack(value, "{s:s, s:b, s:I, s:I}", "primary", &primary, "changing",
+				&changing, "term", &term, "fence", &fence) != 0)
 			return -1;
-		roster_put_group(roster, service, primary, changing != 0, (uint64_t)fence);
+		roster_put_group(roster, service, primary, changing != 0, (uint64_t)term,
+				 (uint64_t)fence);
 	}
 	return 0;
 }
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -28,6 +28,7 @@
 	char *service;
 	char *primary;	/* id of the member that may be written to */
 	bool changing;	/* another member is about to be promoted */
+	uint64_t term;	/* that it leads; 0: the first primary, whose term was not asked */
 	uint64_t fence; /* of the holder that wrote this */
 } roster_group_t;
 
@@ -48,7 +49,7 @@
 			       uint64_t incarnation);
 void roster_remove_node(roster_t *roster, const char *name);
 void roster_put_group(roster_t *roster, const char *service, const char *primary, bool changing,
-		      uint64_t fence);
+		      uint64_t term, uint64_t fence);
 
 /* As JSON text, a child of parent. */
 char *roster_encode(void *parent, const roster_t *roster);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -162,7 +162,7 @@
 	usec_t marked_at;
 	usec_t few_since; /* when too few were left to prolong their permission together */
 	char *target;
-	uint64_t old_term;
+	uint64_t new_term; /* that the target leads */
 	usec_t next_probe;
 	usec_t next_call;
 	unsigned calls;
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -35,6 +35,7 @@
 	write_t *writes;
 	size_t write_count;
 	char values[96];
+	char after[24]; /* of the statement that runs */
 	list_t shapes;
 	list_t queue; /* line_t that wait for their turn */
 	run_timer_t timer;
@@ -202,6 +203,7 @@
 	snprintf(run.text, sizeof(run.text), "%s", text);
 	snprintf(run.member, sizeof(run.member), "%s", session->member->id);
 	snprintf(run.values, sizeof(run.values), "%s", session->values);
+	snprintf(run.after, sizeof(run.after), "%s", session->after);
 	db->runs = talloc_realloc(db, db->runs, fake_run_t, db->run_count + 1);
 	db->runs[db->run_count++] = run;
 }
@@ -391,9 +393,11 @@
 	const char *whole = text;
 	char *rest;
 
+	session->after[0] = '\0';
 	if ((rest = (char *)after(text, "AFTER ")) != NULL) {
 		text = strchr(rest, ' ');
 		*text++ = '\0';
+		snprintf(session->after, sizeof(session->after), "%s", rest);
 		if (!holds(session->member, rest)) {
 			fail(session, "LAGGING");
 			return;
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -470,6 +470,22 @@
 	client->store = store;
 }
 
+static void ignore_result(void *data, const kv_result_t *result)
+{
+	(void)data;
+	(void)result;
+}
+
+void fake_kv_client_gone(fake_kv_client_t *client)
+{
+	list_for_each (it, &client->store->calls) {
+		call_t *call = list_entry(it, call_t, node);
+
+		if (call->client == client)
+			call->done = ignore_result;
+	}
+}
+
 static int destructor(fake_kv_t *store)
 {
 	timers_cancel(store->timers, &store->timer);
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -37,6 +37,9 @@
 fake_kv_t *fake_kv_create(void *parent, const run_clock_t *clock, timer_set_t *timers);
 void fake_kv_client_init(fake_kv_client_t *client, fake_kv_t *store);
 
+/* The caller's process is gone: its calls go on, nobody hears of their ends. */
+void fake_kv_client_gone(fake_kv_client_t *client);
+
 /* The operator's and the members' writes; value NULL deletes. */
 void fake_kv_put(fake_kv_t *store, const char *key, const char *value);
 const char *fake_kv_get(const fake_kv_t *store, const char *key);
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -231,13 +231,18 @@
 }
 
 world_caller_t *world_open(pool_world_t *world, size_t at)
+{
+	return world_open_database(world, at, WORLD_DATABASE);
+}
+
+world_caller_t *world_open_database(pool_world_t *world, size_t at, const char *database)
 {
 	world_node_t *node = &world->nodes[at];
 	world_caller_t *caller = talloc_zero(world, world_caller_t);
 
 	caller->at = node;
 	list_add_tail(&node->callers, &caller->node);
-	caller->caller = pooler_caller_open(node->pooler, WORLD_DATABASE, caller, &caller->refused);
+	caller->caller = pooler_caller_open(node->pooler, database, caller, &caller->refused);
 	return caller;
 }
 
@@ -406,22 +411,32 @@
 	.drained = drained,
 };
 
+static void add_route(routes_t *routes, const pool_world_t *world, const char *database,
+		      reads_t reads)
+{
+	route_t *route = talloc_zero(routes, route_t);
+
+	route->database = talloc_strdup(route, database);
+	route->service = WORLD_SERVICE;
+	route->reads = reads;
+	route->max_age = world->max_age;
+	route->statement_timeout = 800 * USEC_PER_MSEC;
+	list_add_tail(&routes->routes, &route->node);
+}
+
 static routes_t *make_routes(const pool_world_t *world)
 {
 	routes_t *routes = routes_create(NULL);
-	route_t *route = talloc_zero(routes, route_t);
 	service_limits_t *limits = talloc_zero(routes, service_limits_t);
 
 	routes->version = world->config_version;
 	routes->tx_idle = 3 * USEC_PER_SEC;
-	route->database = WORLD_DATABASE;
-	route->service = WORLD_SERVICE;
-	route->reads = world->reads;
-	route->max_age = world->max_age;
-	route->statement_timeout = 800 * USEC_PER_MSEC;
+	add_route(routes, world, WORLD_DATABASE, world->reads);
+	add_route(routes, world, "strict", READS_PRIMARY);
+	add_route(routes, world, "bounded", READS_BOUNDED);
+	add_route(routes, world, "session", READS_SESSION);
 	limits->name = WORLD_SERVICE;
 	limits->max_connections = (int64_t)world->db->config.max_connections;
-	list_add_tail(&routes->routes, &route->node);
 	list_add_tail(&routes->services, &limits->node);
 	return routes;
 }
@@ -576,6 +591,7 @@
 	}
 	list_for_each (it, &node->callers)
 		list_entry(it, world_caller_t, node)->caller = NULL;
+	fake_kv_client_gone(&node->kv);
 	talloc_free(node->pooler);
 	node->pooler = NULL;
 	(void)world;
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -88,6 +88,9 @@
 
 world_caller_t *world_open(pool_world_t *world, size_t node);
 
+/* The same with one of the databases "strict", "bounded" and "session", by their kind of reads. */
+world_caller_t *world_open_database(pool_world_t *world, size_t node, const char *database);
+
 /* Send a statement; the id is made up. */
 void world_send(world_caller_t *caller, const char *text);
 
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -408,6 +408,43 @@
 	world_destroy(world);
 }
 
+/*
+ * A superseded primary is cut off and still calls itself primary, and the new one
+ * crashes. The old one must not be taken for the leader: what was written since
+ * would be missing there, though a replica has it.
+ */
+static void test_superseded_primary_is_not_taken_back(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+	const char *second;
+	char id[40];
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	world_ask(caller, "WRITE job-1 a");
+	world->db->members[0].leaving = true;
+	world_run(world, 200 * MSEC);
+	world->db->members[0].deaf = true;
+	world_run(world, 4 * SEC);
+	second = fake_leader(world->db)->id;
+	g_assert_cmpstr(second, !=, "core-0");
+	world->db->members[0].leaving = false;
+	assert_begins(world_ask(caller, "WRITE job-1 b"), "DONE");
+	snprintf(id, sizeof(id), "%s", caller->id);
+	world_run(world, SEC);
+	world_crash_member(world, (size_t)(fake_find(world->db, second) - world->db->members));
+	world_ask(caller, "WRITE job-1 c");
+	world_run(world, 5 * SEC);
+	g_assert_true(world->db->members[0].primary);
+	assert_begins(world_ask(caller, "READ job-1"), "ROW b");
+	assert_begins(world_ask(caller, "WRITE job-1 d"), "DONE");
+	g_assert_cmpstr(last_run(world, caller->id)->member, !=, "core-0");
+	g_assert_cmpuint(fake_count(fake_find(world->db, last_run(world, caller->id)->member), id),
+			 ==, 1);
+	world_destroy(world);
+}
+
 /* The holder of the duty dies with the primary; another proxy takes both matters up. */
 static void test_holder_dies_with_the_primary(void)
 {
@@ -624,6 +661,7 @@
 	g_test_add_func("/primary/frozen-proxy", test_frozen_proxy_with_an_answer);
 	g_test_add_func("/primary/holder-dies", test_holder_dies_with_the_primary);
 	g_test_add_func("/primary/dead-proxy", test_proxy_is_dead_when_the_primary_crashes);
+	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
 	g_test_add_func("/primary/promote-lost", test_promote_answer_is_lost);
 	g_test_add_func("/primary/list-is-behind", test_list_is_behind);
 	g_test_add_func("/store/down", test_store_down);
--- /dev/null
+++ b/tests/test_pooler_faults.c
@@ -0,0 +1,610 @@
+/*
+ * Random faults on a fleet of poolers in paused time, and the promises checked
+ * from what callers and members see:
+ *
+ * - no statement's write is committed twice, and none that was refused with a
+ *   promise is committed at all;
+ * - nothing is acknowledged that the leading member lacks at that moment;
+ * - no read misses a commit that its route promises to show.
+ *
+ * FAULT_SEEDS=N plays seeds 1 to N, FAULT_SEED=S plays S alone.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "permit.h"
+#include "pool_world.h"
+
+#define MSEC USEC_PER_MSEC
+#define SEC  USEC_PER_SEC
+
+#define DEFAULT_SEEDS 40
+#define NODES	      5
+#define CALLERS	      12
+#define ITEMS	      6
+#define PLAY_TIME     (20 * SEC)
+#define STEP	      (2 * MSEC)
+/* Between two faults on average. */
+#define FAULT_EVERY 600
+#define WRITES_MAX  20000
+/* The answer's way from the proxy to its caller, and the rules' slack for it. */
+#define FREEZE_SLACK (300 * MSEC)
+
+typedef enum { ROUTE_STRICT, ROUTE_BOUNDED, ROUTE_SESSION } route_kind_t;
+
+static const char *const databases[] = {"strict", "bounded", "session"};
+
+typedef enum { FATE_OPEN, FATE_ACKNOWLEDGED, FATE_PROMISED, FATE_UNSURE } fate_t;
+
+typedef struct write_record {
+	char id[40]; /* of the statement that wrote */
+	char data[32];
+	int item;
+	const world_caller_t *session;
+	usec_t acked_at;
+	fate_t fate;
+} write_record_t;
+
+typedef struct client {
+	world_caller_t *caller;
+	route_kind_t route;
+	size_t node;
+	usec_t next; /* operation */
+	bool waiting;
+	size_t replies;
+	/* The operation in progress. */
+	int step; /* of a transaction: 0 none, 1 begun, 2 written, 3 committing, 4 rolling back */
+	int item;
+	bool is_read;
+	usec_t began;
+	ssize_t write; /* index of its write, -1: none */
+} client_t;
+
+typedef struct play {
+	pool_world_t *world;
+	GRand *rand;
+	client_t clients[CALLERS];
+	write_record_t *writes;
+	size_t write_count;
+	usec_t member_back[FAKE_MEMBERS_MAX];
+	usec_t node_back[NODES];
+	usec_t store_back;
+	size_t served;
+	uint32_t seed;
+} play_t;
+
+static usec_t now_of_play(const play_t *play)
+{
+	return clock_now(&play->world->clock.base);
+}
+
+static bool chance(play_t *play, int one_in)
+{
+	return g_rand_int_range(play->rand, 0, one_in) == 0;
+}
+
+static usec_t some_time(play_t *play, usec_t least, usec_t most)
+{
+	return least + (usec_t)g_rand_double_range(play->rand, 0, (double)(most - least));
+}
+
+/* Since the world's clock began. */
+static double seconds(usec_t at)
+{
+	return at > 100 * SEC ? (double)(at - 100 * SEC) / 1e6 : 0;
+}
+
+static const fake_run_t *last_run(const play_t *play, const char *id)
+{
+	const fake_db_t *db = play->world->db;
+
+	for (size_t i = db->run_count; i > 0; i--) {
+		if (strcmp(db->runs[i - 1].id, id) == 0)
+			return &db->runs[i - 1];
+	}
+	return NULL;
+}
+
+static void fail_play(const play_t *play, const char *what, const char *detail)
+{
+	g_error("seed %u at %.3f s: %s (%s)", play->seed, seconds(now_of_play(play)), what, detail);
+}
+
+/* --- what was promised --- */
+
+static ssize_t index_in_log(const fake_member_t *member, const char *id)
+{
+	for (size_t i = 0; i < member->len; i++) {
+		if (strcmp(member->log[i].id, id) == 0)
+			return (ssize_t)i;
+	}
+	return -1;
+}
+
+static void on_acknowledged(play_t *play, write_record_t *write)
+{
+	const fake_member_t *leader = fake_leader(play->world->db);
+
+	write->fate = FATE_ACKNOWLEDGED;
+	write->acked_at = now_of_play(play);
+	if (leader == NULL || index_in_log(leader, write->id) < 0)
+		fail_play(play, "acknowledged, but the leading member lacks it", write->id);
+}
+
+/* The newest commit that the read must show, by its place in the leader's log. */
+static ssize_t least_index(const play_t *play, const client_t *client, const fake_member_t *leader)
+{
+	usec_t before = client->began;
+	ssize_t least = -1;
+
+	if (client->route != ROUTE_STRICT)
+		before -= play->world->max_age;
+	for (size_t i = 0; i < play->write_count; i++) {
+		const write_record_t *write = &play->writes[i];
+		bool own = client->route == ROUTE_SESSION && write->session == client->caller;
+		ssize_t index;
+
+		if (write->fate != FATE_ACKNOWLEDGED || write->item != client->item ||
+		    write->acked_at >= (own ? client->began : before))
+			continue;
+		index = index_in_log(leader, write->id);
+		least = index > least ? index : least;
+	}
+	return least;
+}
+
+static const write_record_t *find_data(const play_t *play, const char *data)
+{
+	for (size_t i = 0; i < play->write_count; i++) {
+		if (strcmp(play->writes[i].data, data) == 0)
+			return &play->writes[i];
+	}
+	return NULL;
+}
+
+/* For whoever looks for the cause. */
+static void describe_nodes(const play_t *play)
+{
+	for (size_t i = 0; i < NODES; i++) {
+		const pooler_t *pooler = play->world->nodes[i].pooler;
+		const roster_group_t *group =
+			pooler != NULL ? roster_group(pooler->sync.roster, WORLD_SERVICE) : NULL;
+
+		if (group == NULL)
+			continue;
+		fprintf(stderr,
+			"p%zu: roster %ld, primary %s changing %d, confirmed %.3f, permitted to "
+			"%.3f, store cut %d, peers cut %d, frozen %d\n",
+			i, (long)pooler->sync.roster->revision, group->primary, group->changing,
+			seconds(pooler->sync.confirmed_at), seconds(permit_end(pooler)),
+			play->world->nodes[i].kv.cut, play->world->nodes[i].cut_from_peers,
+			play->world->nodes[i].frozen);
+	}
+	for (size_t i = 0; i < 3; i++) {
+		const fake_member_t *member = &play->world->db->members[i];
+
+		fprintf(stderr, "%s: primary %d, term %lu, entries %zu, stopped %d, deaf %d\n",
+			member->id, member->primary, (unsigned long)member->term, member->len,
+			member->stopped, member->deaf);
+	}
+}
+
+static void check_read(play_t *play, const client_t *client, const char *reply)
+{
+	const fake_member_t *leader = fake_leader(play->world->db);
+	char data[32] = "";
+	const write_record_t *shown;
+	ssize_t index;
+	ssize_t least;
+
+	sscanf(reply, "ROW %31s", data);
+	shown = find_data(play, data);
+	index = shown != NULL ? index_in_log(leader, shown->id) : -1;
+	/* It shows what a promote rolled back meanwhile: that was there when it ran. */
+	if (shown != NULL && index < 0)
+		return;
+	least = least_index(play, client, leader);
+	if (index < least) {
+		const fake_run_t *run = last_run(play, client->caller->id);
+		char detail[400];
+
+		snprintf(detail, sizeof(detail),
+			 "%s by p%zu on %s shows %s, entry %zd, expected %zd %s; sent %.3f s, run "
+			 "%.3f s by %s after \"%s\"; promoted %.3f s",
+			 client->caller->id, client->node, databases[client->route], data, index,
+			 least, leader->log[least].id, seconds(client->began),
+			 run != NULL ? seconds(run->at) : 0, run != NULL ? run->member : "nobody",
+			 run != NULL ? run->after : "", seconds(play->world->db->promoted_at));
+		describe_nodes(play);
+		fail_play(play, "stale read", detail);
+	}
+}
+
+static void check_end(play_t *play)
+{
+	fake_member_t *leader = fake_leader(play->world->db);
+
+	for (size_t i = 0; i < play->write_count; i++) {
+		const write_record_t *write = &play->writes[i];
+		size_t count = fake_count(leader, write->id);
+
+		if (count > 1)
+			fail_play(play, "committed twice", write->id);
+		if (write->fate == FATE_PROMISED && count != 0)
+			fail_play(play, "refused with a promise, but committed", write->id);
+	}
+}
+
+/* --- callers --- */
+
+static void add_write(play_t *play, client_t *client)
+{
+	write_record_t *write = &play->writes[play->write_count];
+
+	g_assert_cmpuint(play->write_count, <, WRITES_MAX);
+	snprintf(write->data, sizeof(write->data), "v%zu", play->write_count);
+	write->item = client->item;
+	write->session = client->caller;
+	client->write = (ssize_t)play->write_count++;
+}
+
+static void send_write(play_t *play, client_t *client)
+{
+	char text[64];
+
+	add_write(play, client);
+	snprintf(text, sizeof(text), "WRITE i%d %s", client->item,
+		 play->writes[client->write].data);
+	world_send(client->caller, text);
+	snprintf(play->writes[client->write].id, 40, "%s", client->caller->id);
+}
+
+static void send_read(client_t *client)
+{
+	char text[32];
+
+	client->is_read = true;
+	snprintf(text, sizeof(text), "READ i%d", client->item);
+	world_send(client->caller, text);
+}
+
+static void begin_operation(play_t *play, client_t *client)
+{
+	client->item = g_rand_int_range(play->rand, 0, ITEMS);
+	client->began = now_of_play(play);
+	client->write = -1;
+	client->is_read = false;
+	client->step = 0;
+	client->replies = client->caller->replies;
+	client->waiting = true;
+	if (chance(play, 4)) {
+		client->step = 1;
+		world_send(client->caller, "BEGIN");
+	} else if (chance(play, 3)) {
+		send_write(play, client);
+	} else {
+		send_read(client);
+	}
+}
+
+static bool is_promise(const char *reply)
+{
+	static const char *const codes[] = {"BUSY",	"ABORTED",   "LAGGING",
+					    "READONLY", "MISROUTED", "TOOMANY"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+		if (strncmp(reply + strlen("ERR "), codes[i], strlen(codes[i])) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void settle_write(play_t *play, client_t *client, const char *reply, bool final)
+{
+	write_record_t *write;
+
+	if (client->write < 0)
+		return;
+	write = &play->writes[client->write];
+	if (g_str_has_prefix(reply, "ERR "))
+		write->fate = is_promise(reply) ? FATE_PROMISED : FATE_UNSURE;
+	else if (final)
+		on_acknowledged(play, write);
+}
+
+static void end_operation(play_t *play, client_t *client)
+{
+	client->waiting = false;
+	client->next = now_of_play(play) + some_time(play, 5 * MSEC, 60 * MSEC);
+	play->served++;
+}
+
+/* The next statement of a transaction, or its end. */
+static void go_on_with_transaction(play_t *play, client_t *client, const char *reply)
+{
+	client->replies = client->caller->replies;
+	if (g_str_has_prefix(reply, "ERR ")) {
+		settle_write(play, client, reply, false);
+		if (world_state_is(client->caller, "READY I")) {
+			end_operation(play, client);
+		} else {
+			client->step = 4;
+			world_send(client->caller, "ROLLBACK");
+		}
+		return;
+	}
+	switch (client->step++) {
+	case 1:
+		send_write(play, client);
+		break;
+	case 2:
+		world_send(client->caller, "COMMIT");
+		break;
+	case 3:
+		settle_write(play, client, reply, true);
+		end_operation(play, client);
+		break;
+	default:
+		end_operation(play, client);
+	}
+}
+
+static void on_reply(play_t *play, client_t *client)
+{
+	const char *reply = client->caller->reply;
+
+	if (client->step != 0) {
+		go_on_with_transaction(play, client, reply);
+		return;
+	}
+	if (client->is_read && !g_str_has_prefix(reply, "ERR "))
+		check_read(play, client, reply);
+	settle_write(play, client, reply, true);
+	end_operation(play, client);
+}
+
+/* The session ended under the client: what it had sent is unsure. */
+static void on_session_lost(play_t *play, client_t *client)
+{
+	if (client->waiting && client->write >= 0 && play->writes[client->write].fate == FATE_OPEN)
+		play->writes[client->write].fate = FATE_UNSURE;
+	client->waiting = false;
+	client->caller = NULL;
+}
+
+static void open_session(play_t *play, client_t *client)
+{
+	pool_world_t *world = play->world;
+
+	client->node = (size_t)g_rand_int_range(play->rand, 0, NODES);
+	if (world->nodes[client->node].pooler == NULL || world->nodes[client->node].frozen)
+		return;
+	client->caller = world_open_database(world, client->node, databases[client->route]);
+	if (client->caller->caller == NULL)
+		client->caller = NULL;
+}
+
+static void step_client(play_t *play, client_t *client)
+{
+	if (client->caller != NULL && client->caller->caller == NULL)
+		on_session_lost(play, client);
+	if (client->caller == NULL) {
+		open_session(play, client);
+		return;
+	}
+	if (client->waiting) {
+		if (client->caller->replies != client->replies)
+			on_reply(play, client);
+	} else if (now_of_play(play) >= client->next && !play->world->nodes[client->node].frozen) {
+		begin_operation(play, client);
+	}
+}
+
+/* --- faults --- */
+
+static void fault_member(play_t *play)
+{
+	size_t at = (size_t)g_rand_int_range(play->rand, 0, 3);
+	fake_member_t *member = &play->world->db->members[at];
+
+	if (play->member_back[at] != 0)
+		return;
+	play->member_back[at] = now_of_play(play) + some_time(play, 500 * MSEC, 5 * SEC);
+	switch (g_rand_int_range(play->rand, 0, 5)) {
+	case 0:
+	case 1:
+		world_crash_member(play->world, at);
+		break;
+	case 2:
+		member->deaf = true;
+		break;
+	case 3:
+		member->lose_answers = (unsigned)g_rand_int_range(play->rand, 1, 4);
+		break;
+	default:
+		member->leaving = true;
+	}
+}
+
+static void fault_node(play_t *play)
+{
+	size_t at = (size_t)g_rand_int_range(play->rand, 0, NODES);
+	world_node_t *node = &play->world->nodes[at];
+
+	if (play->node_back[at] != 0)
+		return;
+	play->node_back[at] = now_of_play(play) + some_time(play, 300 * MSEC, 6 * SEC);
+	switch (g_rand_int_range(play->rand, 0, 5)) {
+	case 0:
+		world_kill(play->world, at);
+		break;
+	case 1:
+		world_freeze(play->world, at);
+		break;
+	case 2:
+		node->kv.cut = true;
+		break;
+	case 3:
+		node->kv.cut = true;
+		node->cut_from_peers = true;
+		break;
+	default:
+		world_cut_members(play->world, at, true);
+	}
+}
+
+static void fault_store(play_t *play)
+{
+	fake_kv_t *store = play->world->kv;
+
+	if (play->store_back != 0)
+		return;
+	play->store_back = now_of_play(play) + some_time(play, 500 * MSEC, 6 * SEC);
+	switch (g_rand_int_range(play->rand, 0, 5)) {
+	case 0:
+		store->down = true;
+		break;
+	case 1:
+		store->delay = 240 * MSEC;
+		break;
+	case 2:
+		store->lose_answers = 3;
+		break;
+	case 3:
+		fake_kv_revoke(store, "fleet/holder");
+		break;
+	default:
+		fake_kv_compact(store);
+	}
+}
+
+static void end_faults(play_t *play, bool all)
+{
+	pool_world_t *world = play->world;
+	usec_t now = now_of_play(play);
+
+	for (size_t i = 0; i < 3; i++) {
+		if (play->member_back[i] == 0 || (!all && now < play->member_back[i]))
+			continue;
+		play->member_back[i] = 0;
+		world->db->members[i].deaf = false;
+		world->db->members[i].leaving = false;
+		if (world->db->members[i].stopped)
+			fake_start(&world->db->members[i]);
+	}
+	for (size_t i = 0; i < NODES; i++) {
+		if (play->node_back[i] == 0 || (!all && now < play->node_back[i]))
+			continue;
+		play->node_back[i] = 0;
+		world->nodes[i].kv.cut = false;
+		world->nodes[i].cut_from_peers = false;
+		world_cut_members(world, i, false);
+		world_thaw(world, i);
+		if (world->nodes[i].pooler == NULL)
+			world_start(world, i);
+	}
+	if (play->store_back != 0 && (all || now >= play->store_back)) {
+		play->store_back = 0;
+		world->kv->down = false;
+		world->kv->delay = 4 * MSEC;
+		world->kv->lose_answers = 0;
+	}
+}
+
+static void maybe_fault(play_t *play)
+{
+	end_faults(play, false);
+	if (!chance(play, (int)(FAULT_EVERY * MSEC / STEP)))
+		return;
+	switch (g_rand_int_range(play->rand, 0, 5)) {
+	case 0:
+		fault_store(play);
+		break;
+	case 1:
+	case 2:
+		fault_member(play);
+		break;
+	default:
+		fault_node(play);
+	}
+}
+
+/* --- one seed --- */
+
+static void play_seed(uint32_t seed)
+{
+	play_t *play = g_new0(play_t, 1);
+	usec_t end;
+
+	play->seed = seed;
+	play->rand = g_rand_new_with_seed(seed);
+	play->world = world_create(NODES, NULL);
+	play->writes = g_new0(write_record_t, WRITES_MAX);
+	for (size_t i = 0; i < CALLERS; i++)
+		play->clients[i].route = (route_kind_t)(i % 3);
+	world_settle(play->world);
+	end = now_of_play(play) + PLAY_TIME;
+	while (now_of_play(play) < end) {
+		for (size_t i = 0; i < CALLERS; i++)
+			step_client(play, &play->clients[i]);
+		maybe_fault(play);
+		world_run(play->world, STEP);
+	}
+	end_faults(play, true);
+	world_run(play->world, 16 * SEC);
+	for (size_t i = 0; i < CALLERS; i++)
+		step_client(play, &play->clients[i]);
+	check_end(play);
+	/* It serves again, and did all along. */
+	g_assert_cmpuint(world_permitted(play->world, fake_leader(play->world->db)->id), ==, NODES);
+	g_assert_cmpuint(play->served, >, 100);
+	g_test_message("seed %u: %zu operations, %zu writes, %zu promotes", seed, play->served,
+		       play->write_count, play->world->promote_count);
+	world_destroy(play->world);
+	g_rand_free(play->rand);
+	g_free(play->writes);
+	g_free(play);
+}
+
+/* Seeds that found a fault, each with its cause. */
+static const uint32_t regressions[] = {
+	0, /* none yet; the list needs an entry, and 0 is a seed like others */
+};
+
+static void test_regressions(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
+		play_seed(regressions[i]);
+}
+
+static uint32_t number_of(const char *name, uint32_t otherwise)
+{
+	const char *text = getenv(name);
+
+	return text != NULL ? (uint32_t)strtoul(text, NULL, 10) : otherwise;
+}
+
+static void test_seeds(void)
+{
+	uint32_t one = number_of("FAULT_SEED", 0);
+	uint32_t count = number_of("FAULT_SEEDS", DEFAULT_SEEDS);
+
+	if (one != 0) {
+		play_seed(one);
+		return;
+	}
+	g_assert_cmpuint(count, >, 0);
+	for (uint32_t seed = 1; seed <= count; seed++)
+		play_seed(seed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/faults/regressions", test_regressions);
+	g_test_add_func("/faults/seeds", test_seeds);
+	return g_test_run();
+}
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -60,7 +60,7 @@
 
 	roster_put_node(roster, "p1", "10.0.0.1:7", 5)->gone = true;
 	roster_put_node(roster, "p2", "10.0.0.2:7", 6);
-	roster_put_group(roster, "core", "m1", true, 9);
+	roster_put_group(roster, "core", "m1", true, 4, 9);
 	encoded = roster_encode(roster, roster);
 	back = roster_decode(roster, encoded, strlen(encoded), 12);
 	g_assert_nonnull(back);
@@ -69,7 +69,8 @@
 	g_assert_cmpuint(roster_node(back, "p2")->incarnation, ==, 6);
 	g_assert_cmpstr(roster_group(back, "core")->primary, ==, "m1");
 	g_assert_true(roster_group(back, "core")->changing);
-	roster_put_group(back, "core", roster_group(back, "core")->primary, false, 10);
+	g_assert_cmpuint(roster_group(back, "core")->term, ==, 4);
+	roster_put_group(back, "core", roster_group(back, "core")->primary, false, 4, 10);
 	g_assert_cmpstr(roster_group(back, "core")->primary, ==, "m1");
 	roster_remove_node(back, "p1");
 	g_assert_null(roster_node(back, "p1"));
