A promoted member that crashed unseen: the old primary is promoted above it

Ruled out: a late call (the answer had come). A call that was made is never forgotten, also by the next holder. Test /primary/promoted-crashes failed first.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -32,6 +32,8 @@
 #define PROBE_AGAIN   (60 * USEC_PER_MSEC)
 /* A promoted member leads after about 1 s on the users' sites. */
 #define LEAD_TIME (2500 * USEC_PER_MSEC)
+/* A call that has not changed anything by then won't. */
+#define EFFECT_TIME (1800 * USEC_PER_MSEC)
 /* Calls for one member before another one is tried. */
 #define CALLS_MAX 2
 /* A member's entry may come so much later than the change that it tells of. */
@@ -247,8 +249,10 @@
 	}
 	if (group->changing) {
 		/* Marked by us just now, or by an earlier holder. */
-		if (change->step == CHANGE_NONE)
+		if (change->step == CHANGE_NONE) {
 			change->started = now;
+			change->may_have_called = true;
+		}
 		change->marked_at = now;
 		change->few_since = USEC_NEVER;
 		change->marked_revision = service->pooler->sync.roster->revision;
@@ -416,20 +420,23 @@
 	return limits != NULL && limits->sync_replicas;
 }
 
-static void promote(service_t *service, const char *target, usec_t now)
+static void promote(service_t *service, const member_t *target, usec_t now)
 {
 	pooler_t *pooler = service->pooler;
 	change_t *change = &service->change;
 
-	if (change->target == NULL || strcmp(change->target, target) != 0) {
+	if (change->target == NULL || strcmp(change->target, target->id) != 0) {
 		talloc_free(change->target);
-		change->target = talloc_strdup(service, target);
+		change->target = talloc_strdup(service, target->id);
 		change->calls = 0;
 	}
 	change->calls++;
+	change->may_have_called = true;
+	change->target_led = target->status.primary;
+	change->target_term = target->status.term;
 	counter_add(&promotes_total, 1);
 	set_step(service, CHANGE_PROMOTING, now);
-	pooler->env->ops->promote(pooler->env, service->name, target, pooler->config.name,
+	pooler->env->ops->promote(pooler->env, service->name, target->id, pooler->config.name,
 				  pooler->sync.fence);
 }
 
@@ -459,6 +466,7 @@
 	bool late = now >= change->step_since + limit;
 	member_t *leader;
 	member_t *best;
+	bool stays;
 
 	probe_all(service, now);
 	if (!all_answered(service) && !late)
@@ -468,12 +476,17 @@
 		commit_target(service, leader, now);
 		return;
 	}
-	if (can_stay(service, old, now)) {
+	stays = can_stay(service, old, now);
+	if (stays && !change->may_have_called) {
 		change->quiet_until = now + QUIET_AFTER_CANCEL;
 		commit_target(service, old, now);
 		return;
 	}
-	best = best_candidate(service, old);
+	/*
+	 * A member that was promoted unseen leads a newer term when it comes back. So the old
+	 * primary is promoted like any other; if it still leads, the call changes nothing.
+	 */
+	best = stays ? old : best_candidate(service, old);
 	if (best == NULL)
 		return;
 	/* With the writers stopped, a replica soon has all that an old primary still has. */
@@ -482,7 +495,7 @@
 		return;
 	if (now < service->pooler->sync.held_since + SETTLE_TIME)
 		return;
-	promote(service, best->id, now);
+	promote(service, best, now);
 }
 
 /* --- promoting --- */
@@ -508,6 +521,21 @@
 	set_step(service, CHANGE_VERIFYING, now);
 }
 
+/*
+ * A target that called itself primary before the call proves nothing by saying so again,
+ * unless its term rose. The call changes nothing only for the member that leads anyway; that
+ * is known when nothing has changed for long enough.
+ */
+static bool leads_now(const service_t *service, const member_t *target, usec_t now)
+{
+	const change_t *change = &service->change;
+
+	if (!target->survey_done || !target->status.primary)
+		return false;
+	return !change->target_led || target->status.term > change->target_term ||
+	       now >= change->step_since + EFFECT_TIME;
+}
+
 static void verify(service_t *service, usec_t now)
 {
 	change_t *change = &service->change;
@@ -517,7 +545,7 @@
 		begin_survey(service, now);
 		return;
 	}
-	if (target->survey_done && target->status.primary) {
+	if (leads_now(service, target, now)) {
 		commit_target(service, target, now);
 		return;
 	}
@@ -528,7 +556,7 @@
 	if (now < change->step_since + LEAD_TIME)
 		return;
 	if (change->calls < CALLS_MAX && !target->down)
-		promote(service, target->id, now);
+		promote(service, target, now);
 	else
 		begin_survey(service, now);
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -162,7 +162,10 @@
 	usec_t marked_at;
 	usec_t few_since; /* when too few were left to prolong their permission together */
 	char *target;
-	uint64_t new_term; /* that the target leads */
+	uint64_t new_term;    /* that the target leads */
+	bool may_have_called; /* a call to promote may have taken effect, now or later */
+	bool target_led;      /* before the call the target called itself primary already */
+	uint64_t target_term; /* its term then */
 	usec_t next_probe;
 	usec_t next_call;
 	unsigned calls;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -445,6 +445,40 @@
 	world_destroy(world);
 }
 
+/*
+ * A member is promoted and crashes before anybody saw it lead; meanwhile the old
+ * primary has no reason to go any more. It can't simply stay: the other one leads
+ * a newer term and will be back. It must be promoted above that.
+ */
+static void test_promoted_member_crashes_unseen(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+	fake_member_t *target;
+	char id[40];
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	world_ask(caller, "WRITE job-1 a");
+	world->db->members[0].leaving = true;
+	while (world->db->promoted_at == 0)
+		world_run(world, MSEC);
+	target = fake_leader(world->db);
+	world_crash_member(world, (size_t)(target - world->db->members));
+	world->db->members[0].leaving = false;
+	world->db->members[0].deaf = true; /* cut off from the one that is down anyway */
+	for (int i = 0; i < 100 && !g_str_has_prefix(world_ask(caller, "WRITE job-1 b"), "DONE");
+	     i++)
+		world_run(world, 100 * MSEC);
+	assert_begins(caller->reply, "DONE");
+	snprintf(id, sizeof(id), "%s", caller->id);
+	fake_start(target);
+	world->db->members[0].deaf = false;
+	world_run(world, 5 * SEC);
+	g_assert_cmpuint(fake_count(fake_leader(world->db), id), ==, 1);
+	world_destroy(world);
+}
+
 /* The holder of the duty dies with the primary; another proxy takes both matters up. */
 static void test_holder_dies_with_the_primary(void)
 {
@@ -662,6 +696,7 @@
 	g_test_add_func("/primary/holder-dies", test_holder_dies_with_the_primary);
 	g_test_add_func("/primary/dead-proxy", test_proxy_is_dead_when_the_primary_crashes);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
+	g_test_add_func("/primary/promoted-crashes", test_promoted_member_crashes_unseen);
 	g_test_add_func("/primary/promote-lost", test_promote_answer_is_lost);
 	g_test_add_func("/primary/list-is-behind", test_list_is_behind);
 	g_test_add_func("/store/down", test_store_down);
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -113,6 +113,33 @@
 	g_error("seed %u at %.3f s: %s (%s)", play->seed, seconds(now_of_play(play)), what, detail);
 }
 
+/* For whoever looks for the cause. */
+static void describe_nodes(const play_t *play)
+{
+	for (size_t i = 0; i < NODES; i++) {
+		const pooler_t *pooler = play->world->nodes[i].pooler;
+		const roster_group_t *group =
+			pooler != NULL ? roster_group(pooler->sync.roster, WORLD_SERVICE) : NULL;
+
+		if (group == NULL)
+			continue;
+		fprintf(stderr,
+			"p%zu: roster %ld, primary %s changing %d, confirmed %.3f, permitted to "
+			"%.3f, store cut %d, peers cut %d, frozen %d\n",
+			i, (long)pooler->sync.roster->revision, group->primary, group->changing,
+			seconds(pooler->sync.confirmed_at), seconds(permit_end(pooler)),
+			play->world->nodes[i].kv.cut, play->world->nodes[i].cut_from_peers,
+			play->world->nodes[i].frozen);
+	}
+	for (size_t i = 0; i < 3; i++) {
+		const fake_member_t *member = &play->world->db->members[i];
+
+		fprintf(stderr, "%s: primary %d, term %lu, entries %zu, stopped %d, deaf %d\n",
+			member->id, member->primary, (unsigned long)member->term, member->len,
+			member->stopped, member->deaf);
+	}
+}
+
 /* --- what was promised --- */
 
 static ssize_t index_in_log(const fake_member_t *member, const char *id)
@@ -130,8 +157,11 @@
 
 	write->fate = FATE_ACKNOWLEDGED;
 	write->acked_at = now_of_play(play);
-	if (leader == NULL || index_in_log(leader, write->id) < 0)
+	if (leader == NULL || index_in_log(leader, write->id) < 0) {
+		describe_nodes(play);
+
 		fail_play(play, "acknowledged, but the leading member lacks it", write->id);
+	}
 }
 
 /* Data are "v" and the index of their write. */
@@ -171,33 +201,6 @@
 	return -1;
 }
 
-/* For whoever looks for the cause. */
-static void describe_nodes(const play_t *play)
-{
-	for (size_t i = 0; i < NODES; i++) {
-		const pooler_t *pooler = play->world->nodes[i].pooler;
-		const roster_group_t *group =
-			pooler != NULL ? roster_group(pooler->sync.roster, WORLD_SERVICE) : NULL;
-
-		if (group == NULL)
-			continue;
-		fprintf(stderr,
-			"p%zu: roster %ld, primary %s changing %d, confirmed %.3f, permitted to "
-			"%.3f, store cut %d, peers cut %d, frozen %d\n",
-			i, (long)pooler->sync.roster->revision, group->primary, group->changing,
-			seconds(pooler->sync.confirmed_at), seconds(permit_end(pooler)),
-			play->world->nodes[i].kv.cut, play->world->nodes[i].cut_from_peers,
-			play->world->nodes[i].frozen);
-	}
-	for (size_t i = 0; i < 3; i++) {
-		const fake_member_t *member = &play->world->db->members[i];
-
-		fprintf(stderr, "%s: primary %d, term %lu, entries %zu, stopped %d, deaf %d\n",
-			member->id, member->primary, (unsigned long)member->term, member->len,
-			member->stopped, member->deaf);
-	}
-}
-
 static void check_read(play_t *play, const client_t *client, const char *reply)
 {
 	const fake_member_t *leader = fake_leader(play->world->db);
@@ -577,7 +580,8 @@
 
 /* Seeds that found a fault, each with its cause. */
 static const uint32_t regressions[] = {
-	0, /* none yet; the list needs an entry, and 0 is a seed like others */
+	8,   /* a superseded primary that was cut off was taken for the leader */
+	159, /* a member was promoted, crashed unseen, and the old primary stayed */
 };
 
 static void test_regressions(void)
