--- a/links/httpc.c
+++ b/links/httpc.c
@@ -109,6 +109,7 @@
 int httpc_init(httpc_t *httpc, loop_t *loop)
 {
 	httpc->loop = loop;
+	list_init(&httpc->calls);
 	httpc->multi = curl_multi_init();
 	if (httpc->multi == NULL)
 		return -ENOMEM;
@@ -119,12 +120,6 @@
 	return 0;
 }
 
-void httpc_destroy(httpc_t *httpc)
-{
-	timers_cancel(&httpc->loop->timers, &httpc->timer);
-	curl_multi_cleanup(httpc->multi);
-}
-
 /* Data that is not acknowledged ends the connection; keep-alive covers only a silent one. */
 static int on_sockopt(void *data, curl_socket_t fd, curlsocktype purpose)
 {
@@ -150,6 +145,7 @@
 
 static void release(httpc_call_t *call)
 {
+	list_del(&call->node);
 	curl_multi_remove_handle(call->httpc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
@@ -235,6 +231,7 @@
 	call->on_data = request->on_data;
 	call->data = request->data;
 	set_options(call, request);
+	list_add_tail(&httpc->calls, &call->node);
 	curl_multi_add_handle(httpc->multi, call->easy);
 	return call;
 }
@@ -243,3 +240,11 @@
 {
 	release(call);
 }
+
+void httpc_destroy(httpc_t *httpc)
+{
+	while (!list_empty(&httpc->calls))
+		release(list_entry(httpc->calls.next, httpc_call_t, node));
+	timers_cancel(&httpc->loop->timers, &httpc->timer);
+	curl_multi_cleanup(httpc->multi);
+}
--- a/links/httpc.h
+++ b/links/httpc.h
@@ -8,6 +8,7 @@
 
 #include <curl/curl.h>
 
+#include "list.h"
 #include "loop.h"
 
 struct httpc;
@@ -23,9 +24,11 @@
 	loop_t *loop;
 	CURLM *multi;
 	run_timer_t timer;
+	list_t calls;
 } httpc_t;
 
 typedef struct httpc_call {
+	list_t node; /* in httpc_t.calls */
 	httpc_t *httpc;
 	CURL *easy;
 	struct curl_slist *headers;
@@ -37,6 +40,8 @@
 } httpc_call_t;
 
 int httpc_init(httpc_t *httpc, loop_t *loop);
+
+/* Ends all calls without their callbacks. */
 void httpc_destroy(httpc_t *httpc);
 
 /* What to send. Texts are copied. */
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -8,7 +8,7 @@
 #include <talloc.h>
 
 #include "permit.h"
-#include "wire.h"
+#include "protocol.h"
 
 /* One way over any link of this world. */
 #define LINK_DELAY (1 * USEC_PER_MSEC)
@@ -75,7 +75,7 @@
 static void to_pooler(world_link_t *link, const char *text, size_t len)
 {
 	reply_scan_t scan = {0};
-	reply_progress_t progress = wire_scan_reply(&scan, text, len);
+	reply_progress_t progress = protocol_scan_reply(&scan, text, len);
 	member_status_t status;
 	struct conn *conn = link->conn;
 
@@ -92,8 +92,8 @@
 		return;
 	}
 	conn_on_reply(conn, &scan.reply,
-		      scan.reply.ok && wire_decode_status(scan.reply.row, &status) ? &status
-										   : NULL);
+		      scan.reply.ok && protocol_decode_status(scan.reply.row, &status) ? &status
+										       : NULL);
 }
 
 static bool is_lost(const world_link_t *link)
@@ -164,7 +164,7 @@
 	size_t done = 0;
 
 	while (done < len) {
-		size_t line = wire_line(text + done, len - done, 0);
+		size_t line = protocol_line(text + done, len - done, 0);
 
 		post(link, &link->from->world->timers, text + done, line - 2, on_arrived_at_member);
 		done += line;
@@ -176,7 +176,7 @@
 {
 	world_node_t *node = (world_node_t *)env;
 	world_link_t *link = talloc_zero(node->world, world_link_t);
-	wire_buffer_t buffer = {0};
+	protocol_buffer_t buffer = {0};
 
 	(void)address;
 	link->from = node;
@@ -184,21 +184,21 @@
 	link->member = fake_find(node->world->db, member);
 	list_init(&link->posts);
 	list_add_tail(&node->links, &link->node);
-	wire_encode_start(&buffer, service, "world", member);
+	protocol_encode_start(&buffer, service, "world", member);
 	send_lines(link, buffer.data, buffer.len);
-	wire_buffer_free(&buffer);
+	protocol_buffer_free(&buffer);
 	return link;
 }
 
 static void member_send(env_t *env, void *data, const member_request_t *requests, size_t count)
 {
-	wire_buffer_t buffer = {0};
+	protocol_buffer_t buffer = {0};
 
 	(void)env;
 	for (size_t i = 0; i < count; i++)
-		wire_encode_request(&buffer, &requests[i]);
+		protocol_encode_request(&buffer, &requests[i]);
 	send_lines(data, buffer.data, buffer.len);
-	wire_buffer_free(&buffer);
+	protocol_buffer_free(&buffer);
 }
 
 static void member_close(env_t *env, void *data)
@@ -215,13 +215,13 @@
 static void caller_reply(env_t *env, void *data, const caller_reply_t *reply)
 {
 	world_caller_t *caller = data;
-	wire_buffer_t buffer = {0};
+	protocol_buffer_t buffer = {0};
 
 	(void)env;
-	wire_encode_reply(&buffer, reply);
+	protocol_encode_reply(&buffer, reply);
 	snprintf(caller->reply, sizeof(caller->reply), "%.*s", (int)buffer.len, buffer.data);
 	caller->replies++;
-	wire_buffer_free(&buffer);
+	protocol_buffer_free(&buffer);
 }
 
 static void caller_close(env_t *env, void *data)
@@ -255,7 +255,7 @@
 	g_assert_false(caller_is_busy(caller->caller));
 	snprintf(caller->id, sizeof(caller->id), "q%zu", caller->at->world->next_id++);
 	snprintf(line, sizeof(line), "QUERY %s %s", caller->id, text);
-	wire_decode_caller(line, strlen(line), &message);
+	protocol_decode_caller(line, strlen(line), &message);
 	caller->reply[0] = '\0';
 	caller_on_statement(caller->caller, &message.statement);
 }
--- a/tests/test_platform_wire.c
+++ b/tests/test_protocol.c
@@ -7,7 +7,7 @@
 
 #include <glib.h>
 
-#include "wire.h"
+#include "protocol.h"
 
 #define FUZZ_ROUNDS 20000
 
@@ -20,7 +20,7 @@
 {
 	caller_message_t message;
 
-	wire_decode_caller(line, strlen(line), &message);
+	protocol_decode_caller(line, strlen(line), &message);
 	return message;
 }
 
@@ -102,19 +102,19 @@
 	static const char line[] = "QUERY a READ 1\0QUERY b WRITE 1 x";
 	caller_message_t message;
 
-	wire_decode_caller(line, sizeof(line) - 1, &message);
+	protocol_decode_caller(line, sizeof(line) - 1, &message);
 	g_assert_cmpint(message.statement.kind, ==, STATEMENT_MALFORMED);
 }
 
 /* Lines end with CR LF alone; a bare LF is part of the line. */
 static void test_lines(void)
 {
-	g_assert_cmpuint(wire_line("ab\r\ncd", 6, 0), ==, 4);
-	g_assert_cmpuint(wire_line("ab\ncd\r\n", 7, 0), ==, 7);
-	g_assert_cmpuint(wire_line("ab\r", 3, 0), ==, 0);
-	g_assert_cmpuint(wire_line("ab\r\n", 4, 3), ==, 4);
-	g_assert_cmpuint(wire_line("\n", 1, 0), ==, 0);
-	g_assert_cmpuint(wire_line("\r\n", 2, 0), ==, 2);
+	g_assert_cmpuint(protocol_line("ab\r\ncd", 6, 0), ==, 4);
+	g_assert_cmpuint(protocol_line("ab\ncd\r\n", 7, 0), ==, 7);
+	g_assert_cmpuint(protocol_line("ab\r", 3, 0), ==, 0);
+	g_assert_cmpuint(protocol_line("ab\r\n", 4, 3), ==, 4);
+	g_assert_cmpuint(protocol_line("\n", 1, 0), ==, 0);
+	g_assert_cmpuint(protocol_line("\r\n", 2, 0), ==, 2);
 }
 
 static const char whole_reply[] =
@@ -140,9 +140,9 @@
 		char *first = g_strndup(whole_reply, cut);
 		char *all = g_strdup(whole_reply);
 
-		g_assert_cmpint(wire_scan_reply(&scan, first, cut), ==, REPLY_INCOMPLETE);
+		g_assert_cmpint(protocol_scan_reply(&scan, first, cut), ==, REPLY_INCOMPLETE);
 		g_free(first);
-		g_assert_cmpint(wire_scan_reply(&scan, all, sizeof(whole_reply) - 1), ==,
+		g_assert_cmpint(protocol_scan_reply(&scan, all, sizeof(whole_reply) - 1), ==,
 				REPLY_WHOLE);
 		check_whole(&scan);
 		g_free(all);
@@ -152,7 +152,7 @@
 static reply_progress_t scan_text(const char *text, reply_scan_t *scan)
 {
 	*scan = (reply_scan_t){0};
-	return wire_scan_reply(scan, text, strlen(text));
+	return protocol_scan_reply(scan, text, strlen(text));
 }
 
 static void test_replies(void)
@@ -181,11 +181,11 @@
 static void test_endless_reply(void)
 {
 	reply_scan_t scan = {0};
-	size_t len = WIRE_MESSAGE_MAX + 2;
+	size_t len = PROTOCOL_MESSAGE_MAX + 2;
 	char *text = g_malloc(len);
 
 	memset(text, 'x', len);
-	g_assert_cmpint(wire_scan_reply(&scan, text, len), ==, REPLY_BROKEN);
+	g_assert_cmpint(protocol_scan_reply(&scan, text, len), ==, REPLY_BROKEN);
 	g_free(text);
 }
 
@@ -194,21 +194,21 @@
 	member_status_t status;
 	const char *row = "replica 3 3.1209 0 12 2 17";
 
-	g_assert_true(wire_decode_status(slice_of(row, strlen(row)), &status));
+	g_assert_true(protocol_decode_status(slice_of(row, strlen(row)), &status));
 	g_assert_false(status.primary);
 	g_assert_cmpuint(status.term, ==, 3);
 	g_assert_cmpuint(status.received.lsn, ==, 1209);
-	g_assert_false(wire_decode_status(slice_of("primary", 7), &status));
-	g_assert_false(wire_decode_status((slice_t){0}, &status));
+	g_assert_false(protocol_decode_status(slice_of("primary", 7), &status));
+	g_assert_false(protocol_decode_status((slice_t){0}, &status));
 }
 
 static void assert_request(const member_request_t *request, const char *text)
 {
-	wire_buffer_t buffer = {0};
+	protocol_buffer_t buffer = {0};
 
-	wire_encode_request(&buffer, request);
+	protocol_encode_request(&buffer, request);
 	assert_slice(slice_of(buffer.data, buffer.len), text);
-	wire_buffer_free(&buffer);
+	protocol_buffer_free(&buffer);
 }
 
 static void test_requests(void)
@@ -236,16 +236,16 @@
 
 static void test_answers(void)
 {
-	wire_buffer_t buffer = {0};
+	protocol_buffer_t buffer = {0};
 	caller_reply_t refused = {.kind = REPLY_ERROR,
 				  .code = CODE_BUSY,
 				  .text = "later; retry-after-ms=20",
 				  .tx = TX_FAILED};
 
-	wire_encode_reply(&buffer, &refused);
+	protocol_encode_reply(&buffer, &refused);
 	assert_slice(slice_of(buffer.data, buffer.len),
 		     "ERR BUSY later; retry-after-ms=20\r\nREADY E -\r\n");
-	wire_buffer_free(&buffer);
+	protocol_buffer_free(&buffer);
 }
 
 /* Random bytes, mostly of the wire's own words, so that the decoder gets deep. */
@@ -295,15 +295,15 @@
 		reply_scan_t pieces = {0};
 		reply_progress_t once;
 
-		wire_decode_caller(data, len, &message);
+		protocol_decode_caller(data, len, &message);
 		g_assert_true(inside(message.database, data, len));
 		g_assert_true(inside(message.statement.id, data, len));
 		g_assert_true(inside(message.statement.text, data, len));
 		g_assert_true(inside(message.statement.name, data, len));
 		g_assert_true(inside(message.statement.value, data, len));
-		once = wire_scan_reply(&whole, data, len);
-		if (wire_scan_reply(&pieces, data, cut) == REPLY_INCOMPLETE)
-			g_assert_cmpint(wire_scan_reply(&pieces, data, len), ==, once);
+		once = protocol_scan_reply(&whole, data, len);
+		if (protocol_scan_reply(&pieces, data, cut) == REPLY_INCOMPLETE)
+			g_assert_cmpint(protocol_scan_reply(&pieces, data, len), ==, once);
 		g_assert_cmpuint(whole.done, <=, len);
 		g_free(data);
 	}
@@ -313,16 +313,16 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/wire/start", test_start);
-	g_test_add_func("/wire/queries", test_queries);
-	g_test_add_func("/wire/nul", test_nul);
-	g_test_add_func("/wire/lines", test_lines);
-	g_test_add_func("/wire/reply-in-pieces", test_reply_in_pieces);
-	g_test_add_func("/wire/replies", test_replies);
-	g_test_add_func("/wire/endless-reply", test_endless_reply);
-	g_test_add_func("/wire/status", test_status);
-	g_test_add_func("/wire/requests", test_requests);
-	g_test_add_func("/wire/answers", test_answers);
-	g_test_add_func("/wire/fuzz", test_fuzz);
+	g_test_add_func("/protocol/start", test_start);
+	g_test_add_func("/protocol/queries", test_queries);
+	g_test_add_func("/protocol/nul", test_nul);
+	g_test_add_func("/protocol/lines", test_lines);
+	g_test_add_func("/protocol/reply-in-pieces", test_reply_in_pieces);
+	g_test_add_func("/protocol/replies", test_replies);
+	g_test_add_func("/protocol/endless-reply", test_endless_reply);
+	g_test_add_func("/protocol/status", test_status);
+	g_test_add_func("/protocol/requests", test_requests);
+	g_test_add_func("/protocol/answers", test_answers);
+	g_test_add_func("/protocol/fuzz", test_fuzz);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,279 @@
+/* Poolers as real processes: bad input, shutdown, logs, metrics, settings. */
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <jansson.h>
+
+#include "harness.h"
+#include "site.h"
+
+static site_harness_t *site;
+
+static void assert_reply(char *reply, const char *prefix)
+{
+	if (!g_str_has_prefix(reply, prefix))
+		g_error("expected \"%s...\", got \"%s\"", prefix, reply);
+	g_free(reply);
+}
+
+static void test_statements(void)
+{
+	site_caller_t *caller = site_open(site, 0, "jobs");
+
+	assert_reply(site_ask(caller, "WRITE a one"), "DONE core-0");
+	assert_reply(site_ask(caller, "READ a"), "ROW one\r\nDONE core-0\r\nREADY I 1.");
+	site_disconnect(caller);
+}
+
+/* Two messages in one packet, and one message in many. */
+static void test_packets(void)
+{
+	site_caller_t *caller = site_open(site, 0, "jobs");
+	static const char two[] = "QUERY x1 WRITE b one\r\nQUERY x2 READ b\r\n";
+	static const char many[] = "QUERY x3 READ b\r\n";
+
+	site_send(caller, two, strlen(two));
+	assert_reply(site_receive(caller), "DONE core-");
+	assert_reply(site_receive(caller), "ROW one");
+	for (size_t i = 0; i < strlen(many); i++) {
+		site_send(caller, many + i, 1);
+		g_usleep(1000);
+	}
+	assert_reply(site_receive(caller), "ROW one");
+	site_disconnect(caller);
+}
+
+/* What is no message ends that connection with a clear error; the process lives. */
+static void test_bad_input(void)
+{
+	static const char *const inputs[] = {
+		"QUERY x READ a\r\n", /* before START */
+		"HELLO\r\n",	      "\r\n", "START \r\n", "GET / HTTP/1.1\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(inputs); i++) {
+		site_caller_t *caller = site_connect(site, 0);
+
+		site_send(caller, inputs[i], strlen(inputs[i]));
+		assert_reply(site_receive(caller), "ERR MALFORMED");
+		site_disconnect(caller);
+	}
+	test_statements();
+}
+
+/* A statement that is broken is refused, and nothing of it reaches a member. */
+static void test_bad_statements(void)
+{
+	static const char *const texts[] = {
+		"",
+		"READ",
+		"WRITE a",
+		"DROP a",
+		"AFTER 1.1 READ a",
+		"STATUS",
+		"READ a\nQUERY y READ b",
+	};
+	site_caller_t *caller = site_open(site, 0, "jobs");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		assert_reply(site_ask(caller, texts[i]), "ERR MALFORMED");
+	assert_reply(site_ask(caller, "READ nothing"), "ROW none");
+	site_disconnect(caller);
+}
+
+static void test_oversize(void)
+{
+	site_caller_t *caller = site_open(site, 0, "jobs");
+	size_t len = 1100 * 1024;
+	char *big = g_malloc(len);
+
+	memset(big, 'x', len);
+	memcpy(big, "QUERY x WRITE a ", 16);
+	site_send(caller, big, len);
+	/* The rest is unread at the close, which may reset the connection before the answer. */
+	g_free(site_receive(caller));
+	g_free(big);
+	site_disconnect(caller);
+	test_statements();
+}
+
+static void test_unknown_database(void)
+{
+	site_caller_t *caller = site_connect(site, 0);
+
+	site_send(caller, "START nowhere x\r\n", 17);
+	assert_reply(site_receive(caller), "ERR NODB");
+	site_disconnect(caller);
+}
+
+static void test_metrics_and_state(void)
+{
+	GString *body = g_string_new(NULL);
+	json_t *state;
+
+	g_assert_cmpint(site_get(site, 0, false, "/metrics", body), ==, 200);
+	g_assert_nonnull(strstr(body->str, "cyclamenspan_statements_done_total "));
+	g_assert_nonnull(strstr(body->str, "cyclamenspan_config_version 3"));
+	g_string_truncate(body, 0);
+	g_assert_cmpint(site_get(site, 0, false, "/state", body), ==, 200);
+	state = json_loads(body->str, 0, NULL);
+	g_assert_true(json_is_true(json_object_get(json_object_get(state, "pooler"), "ready")));
+	json_decref(state);
+	g_assert_cmpint(site_get(site, 0, false, "/nothing", NULL), ==, 404);
+	g_string_free(body, TRUE);
+}
+
+/* Each line of the log is a JSON object with its fields apart. */
+static void test_log_lines(void)
+{
+	char *log = site_log(site, 0);
+	char **lines = g_strsplit(log, "\n", -1);
+	guint count = 0;
+
+	for (char **line = lines; *line != NULL && line[1] != NULL; line++, count++) {
+		json_error_t error;
+		json_t *object = json_loads(*line, 0, &error);
+
+		if (object == NULL)
+			g_error("not JSON: %s (%s)", *line, error.text);
+		g_assert_nonnull(json_string_value(json_object_get(object, "text")));
+		json_decref(object);
+	}
+	g_assert_cmpuint(count, >, 5);
+	g_assert_nonnull(strstr(log, "\"text\":\"duty holder\",\"holder\":\"p"));
+	g_strfreev(lines);
+	g_free(log);
+}
+
+/*
+ * Nobody reads the log, and failures come in a flood. Callers are served as
+ * before: lines are dropped and counted, the process never waits for them.
+ */
+static void test_log_without_reader(void)
+{
+	int pipe_fds[2];
+	site_caller_t *caller;
+	GString *metrics = g_string_new(NULL);
+	gint64 began;
+
+	g_assert_cmpint(pipe(pipe_fds), ==, 0);
+	fcntl(pipe_fds[1], F_SETPIPE_SZ, 4096);
+	site_start_proxy(site, 2, pipe_fds[1]);
+	site_wait_ready(site, 2);
+	caller = site_open(site, 2, "jobs");
+	began = g_get_monotonic_time();
+	for (int i = 0; i < 3000; i++)
+		assert_reply(site_ask(caller, "EXEC unknown a"), "ERR NOSTMT");
+	g_assert_cmpint(g_get_monotonic_time() - began, <, 30 * G_USEC_PER_SEC);
+	site_get(site, 2, false, "/metrics", metrics);
+	g_assert_null(strstr(metrics->str, "cyclamenspan_log_lines_limited_total 0\n"));
+	g_string_free(metrics, TRUE);
+	site_disconnect(caller);
+	harness_kill(&site->proxies[2]);
+	close(pipe_fds[0]);
+	close(pipe_fds[1]);
+}
+
+/* SIGTERM: not ready at once, an open transaction may end, then the process ends by itself. */
+static void test_shutdown(void)
+{
+	site_caller_t *caller;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	caller = site_open(site, 3, "jobs");
+	assert_reply(site_ask(caller, "BEGIN"), "DONE");
+	assert_reply(site_ask(caller, "WRITE c one"), "DONE core-");
+	kill(site->proxies[3], SIGTERM);
+	g_usleep(300000);
+	g_assert_cmpint(site_get(site, 3, true, "/ready", NULL), ==, 503);
+	assert_reply(site_ask(caller, "COMMIT"), "DONE core-");
+	g_assert_cmpint(harness_wait(&site->proxies[3], 10000), ==, 0);
+	site_disconnect(caller);
+}
+
+/* A key that nobody knows: the settings are refused with file, line, key and what was expected. */
+static void test_settings_errors(void)
+{
+	char *path = g_build_filename(site->dir, "bad.toml", NULL);
+	char *program = harness_program("proxy/cyclamenspan");
+	char *argv[] = {program, "--pooler", "--check-config", "--config", path, NULL};
+	char *errors = NULL;
+	int status;
+
+	g_file_set_contents(path, "[node]\nname = \"p\"\nzone = 7\n", -1, NULL);
+	g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, NULL, &errors,
+				   &status, NULL));
+	g_assert_cmpint(status, !=, 0);
+	g_assert_nonnull(strstr(errors, "line 3: node.zone = 7: expected a string"));
+	g_free(errors);
+	g_free(path);
+	g_free(program);
+}
+
+/* The template of the deployment renders to settings that are accepted. */
+static void test_template(void)
+{
+	static const char *const fields[][2] = {
+		{"{{nodeName|json}}", "\"front-plateau-1\""},
+		{"{{zone|json}}", "\"plateau\""},
+		{"{{listen.front|json}}", "\"10.1.0.8:8784\""},
+		{"{{listen.ready|json}}", "\"10.1.0.8:8785\""},
+		{"{{ip}}", "10.1.0.8"},
+		{"{{internalPorts.0}}", "7440"},
+		{"{{internalPorts.1}}", "7455"},
+		{"{{platform.addr|json}}", "\"10.200.1.7:8783\""},
+		{"{{cloudApi.addr|json}}", "\"10.200.0.160:8783\""},
+		{"{{bounds.graceS|json}}", "6.5"},
+	};
+	char *text = NULL;
+	char *path = g_build_filename(site->dir, "rendered.toml", NULL);
+	char *program = harness_program("proxy/cyclamenspan");
+	char *argv[] = {program, "--pooler", "--check-config", "--config", path, NULL};
+	int status;
+
+	g_assert_true(g_file_get_contents("deploy/proxy.toml", &text, NULL, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		char **parts = g_strsplit(text, fields[i][0], -1);
+
+		g_free(text);
+		text = g_strjoinv(fields[i][1], parts);
+		g_strfreev(parts);
+	}
+	g_assert_null(strstr(text, "{{"));
+	g_file_set_contents(path, text, -1, NULL);
+	g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_STDOUT_TO_DEV_NULL, NULL, NULL, NULL,
+				   NULL, &status, NULL));
+	g_assert_cmpint(status, ==, 0);
+	g_free(text);
+	g_free(path);
+	g_free(program);
+}
+
+int main(int argc, char **argv)
+{
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	site = site_start(2);
+	g_test_add_func("/site/statements", test_statements);
+	g_test_add_func("/site/packets", test_packets);
+	g_test_add_func("/site/bad-input", test_bad_input);
+	g_test_add_func("/site/bad-statements", test_bad_statements);
+	g_test_add_func("/site/oversize", test_oversize);
+	g_test_add_func("/site/unknown-database", test_unknown_database);
+	g_test_add_func("/site/metrics-and-state", test_metrics_and_state);
+	g_test_add_func("/site/log-lines", test_log_lines);
+	g_test_add_func("/site/log-without-reader", test_log_without_reader);
+	g_test_add_func("/site/shutdown", test_shutdown);
+	g_test_add_func("/site/settings-errors", test_settings_errors);
+	g_test_add_func("/site/template", test_template);
+	rc = g_test_run();
+	site_stop(site);
+	return rc;
+}
