--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -69,7 +69,7 @@
 		  LOG_INT("planned", change->planned),
 		  LOG_INT("since_start_ms", (int64_t)((now - change->started) / USEC_PER_MSEC)),
 		  LOG_INT("roster", service->pooler->sync.roster->revision),
-		  LOG_INT("fence", (int64_t)service->pooler->sync.fence));
+		  LOG_INT("fence", (int64_t)service->pooler->sync.own_fence));
 	change->step = step;
 	change->step_since = now;
 	change->next_probe = now;
@@ -203,7 +203,7 @@
 	roster_t *roster = roster_copy(NULL, pooler->sync.roster);
 
 	service->change.busy = true;
-	roster_put_group(roster, service->name, primary, changing, term, pooler->sync.fence);
+	roster_put_group(roster, service->name, primary, changing, term, pooler->sync.own_fence);
 	sync_commit(pooler, roster, on_stored, service);
 	talloc_free(roster);
 }
@@ -437,7 +437,7 @@
 	counter_add(&promotes_total, 1);
 	set_step(service, CHANGE_PROMOTING, now);
 	pooler->env->ops->promote(pooler->env, service->name, target->id, pooler->config.name,
-				  pooler->sync.fence);
+				  pooler->sync.own_fence);
 }
 
 static void commit_target(service_t *service, const member_t *target, usec_t now)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -225,7 +225,8 @@
 	bool acquiring;
 	uint64_t lease;
 	bool holding;
-	usec_t hold_until; /* by our clock, from the sending of the last renewal */
+	uint64_t own_fence; /* of our hold */
+	usec_t hold_until;  /* by our clock, from the sending of the last renewal */
 	usec_t held_since;
 	bool renewing;
 	usec_t renew_next;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -185,6 +185,20 @@
 
 /* --- who holds the duty --- */
 
+static void lose_duty(pooler_t *pooler, const char *reason)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (!sync->holding)
+		return;
+	sync->holding = false;
+	sync->acquire_after = now_of(pooler) + ACQUIRE_BACKOFF;
+	counter_set(&duty_held, 0);
+	LOG_EVENT(LOG_WARN, "duty lost", LOG_STR("reason", reason),
+		  LOG_INT("fence", (int64_t)sync->own_fence));
+	duty_abandon(pooler);
+}
+
 static void set_holder(pooler_t *pooler, const char *name, const char *address, uint64_t fence)
 {
 	sync_t *sync = &pooler->sync;
@@ -192,6 +206,9 @@
 
 	if (known || fence < sync->fence)
 		return;
+	/* Two with one token must never promote, however we hear of the other. */
+	if (sync->holding && fence > sync->own_fence)
+		lose_duty(pooler, "another proxy holds it");
 	talloc_free(sync->holder);
 	talloc_free(sync->holder_address);
 	sync->holder = talloc_strdup(pooler, name);
@@ -213,20 +230,6 @@
 	sync->holder_address = NULL;
 }
 
-static void lose_duty(pooler_t *pooler, const char *reason)
-{
-	sync_t *sync = &pooler->sync;
-
-	if (!sync->holding)
-		return;
-	sync->holding = false;
-	sync->acquire_after = now_of(pooler) + ACQUIRE_BACKOFF;
-	counter_set(&duty_held, 0);
-	LOG_EVENT(LOG_WARN, "duty lost", LOG_STR("reason", reason),
-		  LOG_INT("fence", (int64_t)sync->fence));
-	duty_abandon(pooler);
-}
-
 /* What the store says of the holder; item NULL: there is none. */
 static void on_holder_item(pooler_t *pooler, const kv_item_t *item, usec_t asked_at)
 {
@@ -244,8 +247,6 @@
 	}
 	value = json_loadb(item->value, item->len, 0, NULL);
 	if (json_unpack(value, "{s:s, s:s}", "name", &name, "address", &address) == 0) {
-		if (sync->holding && (uint64_t)item->created > sync->fence)
-			lose_duty(pooler, "another proxy holds it");
 		set_holder(pooler, name, address, (uint64_t)item->created);
 	}
 	json_decref(value);
@@ -442,16 +443,19 @@
 	usec_t now = now_of(pooler);
 
 	sync->acquiring = false;
-	if (result->status != KV_OK || now >= sync->hold_until) {
+	/* The answer may come after the hold has ended and gone to another. */
+	if (result->status != KV_OK || now >= sync->hold_until ||
+	    (uint64_t)result->as_of < sync->fence) {
 		sync->acquire_after = now + ACQUIRE_BACKOFF;
 		end_lease(pooler);
 		return;
 	}
 	sync->holding = true;
+	sync->own_fence = (uint64_t)result->as_of;
 	sync->held_since = now;
 	sync->renew_next = now + RENEW_INTERVAL;
 	counter_set(&duty_held, 1);
-	set_holder(pooler, pooler->config.name, pooler->config.address, (uint64_t)result->as_of);
+	set_holder(pooler, pooler->config.name, pooler->config.address, sync->own_fence);
 	push(pooler);
 }
 
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -618,6 +618,32 @@
 	world_destroy(world);
 }
 
+/*
+ * The key is taken away while its holder's lease lives on, and another proxy takes
+ * it. The old holder hears of that from a peer before it reads the store: from
+ * then on it holds nothing, or two would promote with one token.
+ */
+static void test_holder_hears_of_its_successor(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t holder = 0;
+	size_t holders = 0;
+
+	world_settle(world);
+	while (!sync_is_holder(world->nodes[holder].pooler, clock_now(&world->clock.base)))
+		holder++;
+	world->nodes[holder].kv.cut = true;
+	fake_kv_revoke(world->kv, "fleet/holder");
+	world_run(world, 1500 * MSEC);
+	world->nodes[holder].kv.cut = false;
+	world_run(world, 3 * SEC);
+	for (size_t i = 0; i < 3; i++)
+		holders += world->nodes[i].pooler->sync.holding;
+	g_assert_cmpuint(holders, ==, 1);
+	g_assert_false(world->nodes[holder].pooler->sync.holding);
+	world_destroy(world);
+}
+
 /* --- shutdown --- */
 
 /*
@@ -702,6 +728,7 @@
 	g_test_add_func("/store/down", test_store_down);
 	g_test_add_func("/store/turns-one-away", test_store_turns_one_away);
 	g_test_add_func("/store/duty-revoked", test_duty_key_is_revoked);
+	g_test_add_func("/store/successor", test_holder_hears_of_its_successor);
 	g_test_add_func("/process/shutdown", test_shutdown);
 	g_test_add_func("/process/all-killed", test_all_killed);
 	return g_test_run();
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -125,11 +125,13 @@
 			continue;
 		fprintf(stderr,
 			"p%zu: roster %ld, primary %s changing %d, confirmed %.3f, permitted to "
-			"%.3f, store cut %d, peers cut %d, frozen %d\n",
+			"%.3f, store cut %d, peers cut %d, frozen %d, holding %d, holder %s fence %lu\n",
 			i, (long)pooler->sync.roster->revision, group->primary, group->changing,
 			seconds(pooler->sync.confirmed_at), seconds(permit_end(pooler)),
 			play->world->nodes[i].kv.cut, play->world->nodes[i].cut_from_peers,
-			play->world->nodes[i].frozen);
+			play->world->nodes[i].frozen, pooler->sync.holding,
+			pooler->sync.holder != NULL ? pooler->sync.holder : "none",
+			(unsigned long)pooler->sync.fence);
 	}
 	for (size_t i = 0; i < 3; i++) {
 		const fake_member_t *member = &play->world->db->members[i];
@@ -567,6 +569,8 @@
 	for (size_t i = 0; i < CALLERS; i++)
 		step_client(play, &play->clients[i]);
 	check_end(play);
+	if (world_permitted(play->world, fake_leader(play->world->db)->id) != NODES)
+		describe_nodes(play);
 	/* It serves again, and did all along. */
 	g_assert_cmpuint(world_permitted(play->world, fake_leader(play->world->db)->id), ==, NODES);
 	g_assert_cmpuint(play->served, >, 100);
@@ -581,6 +585,7 @@
 /* Seeds that found a fault, each with its cause. */
 static const uint32_t regressions[] = {
 	8,   /* a superseded primary that was cut off was taken for the leader */
+	43,  /* a holder heard of its successor from a peer, and held on */
 	159, /* a member was promoted, crashed unseen, and the old primary stayed */
 };
 
