--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -407,8 +407,8 @@
 	sync_t *sync = &pooler->sync;
 	roster_t *roster;
 
-	if (sync->registering || sync->reading || sync->last_read_ok == 0 || pooler->draining ||
-	    permit_is_registered(pooler))
+	if (sync->registering || sync->reading || sync->confirmed_at == USEC_NEVER ||
+	    pooler->draining || permit_is_registered(pooler))
 		return;
 	sync->registering = true;
 	roster = roster_copy(NULL, sync->roster);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -599,6 +599,30 @@
 	world_destroy(world);
 }
 
+/*
+ * A proxy starts while the store turns it away. What it needs it hears from the
+ * others; once the store lets it in again it gets on the roster, though it has no
+ * reason to read the roster there.
+ */
+static void test_start_while_turned_away(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	world_kill(world, 1);
+	world->nodes[1].kv.cut = true;
+	world_start(world, 1);
+	/* A change of the roster, which the holder tells all that are on it. */
+	world->db->members[0].leaving = true;
+	world_run(world, 6 * SEC);
+	world->nodes[1].kv.cut = false;
+	world_run(world, 3 * SEC);
+	caller = world_open(world, 1);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-");
+	world_destroy(world);
+}
+
 /* The key of the duty is taken away: its holder notices, and no two promote at once. */
 static void test_duty_key_is_revoked(void)
 {
@@ -727,6 +751,7 @@
 	g_test_add_func("/primary/list-is-behind", test_list_is_behind);
 	g_test_add_func("/store/down", test_store_down);
 	g_test_add_func("/store/turns-one-away", test_store_turns_one_away);
+	g_test_add_func("/store/start-turned-away", test_start_while_turned_away);
 	g_test_add_func("/store/duty-revoked", test_duty_key_is_revoked);
 	g_test_add_func("/store/successor", test_holder_hears_of_its_successor);
 	g_test_add_func("/process/shutdown", test_shutdown);
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -125,13 +125,14 @@
 			continue;
 		fprintf(stderr,
 			"p%zu: roster %ld, primary %s changing %d, confirmed %.3f, permitted to "
-			"%.3f, store cut %d, peers cut %d, frozen %d, holding %d, holder %s fence %lu\n",
+			"%.3f, store cut %d, peers cut %d, frozen %d, holding %d, holder %s fence %lu, registered %d registering %d reading %d\n",
 			i, (long)pooler->sync.roster->revision, group->primary, group->changing,
 			seconds(pooler->sync.confirmed_at), seconds(permit_end(pooler)),
 			play->world->nodes[i].kv.cut, play->world->nodes[i].cut_from_peers,
 			play->world->nodes[i].frozen, pooler->sync.holding,
 			pooler->sync.holder != NULL ? pooler->sync.holder : "none",
-			(unsigned long)pooler->sync.fence);
+			(unsigned long)pooler->sync.fence, permit_is_registered(pooler),
+			pooler->sync.registering, pooler->sync.reading);
 	}
 	for (size_t i = 0; i < 3; i++) {
 		const fake_member_t *member = &play->world->db->members[i];
