--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -644,6 +644,8 @@
 
 void caller_drain(caller_t *caller, bool cut_transactions)
 {
+	bool rested;
+
 	caller->leaving = true;
 	if (caller->busy)
 		return;
@@ -651,10 +653,8 @@
 	 * After its answer, or when it has rested a little: one that has just come is about to
 	 * send, and a statement that crosses our close looks lost to its sender.
 	 */
-	if (caller->tx == TX_NONE &&
-	    (caller->served || now_of(caller->pooler) >= caller->idle_since + DRAIN_REST))
-		hang_up(caller);
-	else if (cut_transactions)
+	rested = caller->served || now_of(caller->pooler) >= caller->idle_since + DRAIN_REST;
+	if (cut_transactions || (caller->tx == TX_NONE && rested))
 		hang_up(caller);
 }
 
--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -5,45 +5,31 @@
 #include <talloc.h>
 
 #include "conn.h"
+#include "exchange.h"
+#include "hold.h"
 #include "member.h"
 #include "permit.h"
+#include "survey.h"
+#include "sweep.h"
 #include "sync.h"
+#include "verdict.h"
 
 #define LOG_MODULE "duty"
 #include "counter.h"
 #include "log.h"
 
-/* A report that a primary is down counts for so long: three questions' intervals. */
-#define REPORT_VALID (1 * USEC_PER_SEC)
-/* One that it is alive: an interval and a half, since it can have died just after. */
-#define ALIVE_VALID (450 * USEC_PER_MSEC)
-/* Between two questions to a primary that nobody uses. */
-#define UNUSED_CHECK (1 * USEC_PER_SEC)
-/* The same if another proxy says that it is down. */
-#define DOUBTED_CHECK (200 * USEC_PER_MSEC)
 /* After the duty was taken over: an earlier holder's call may still be on its way. */
 #define SETTLE_TIME (2 * USEC_PER_SEC)
-/* Members that have not told their position by then are left out. */
-#define SURVEY_TIME (350 * USEC_PER_MSEC)
-/* With synchronous replicas any one of them may be the only one with the last commit. */
-#define SURVEY_TIME_SYNC (3 * USEC_PER_SEC)
 /* How long a planned change waits for a replica to receive all that the primary has. */
 #define CATCH_UP_TIME (800 * USEC_PER_MSEC)
-#define PROBE_AGAIN   (60 * USEC_PER_MSEC)
 /* A promoted member leads after about 1 s on the users' sites. */
 #define LEAD_TIME (2500 * USEC_PER_MSEC)
 /* A call that has not changed anything by then won't. */
 #define EFFECT_TIME (1800 * USEC_PER_MSEC)
 /* Calls for one member before another one is tried. */
 #define CALLS_MAX 2
-/* A member's entry may come so much later than the change that it tells of. */
-#define LIST_LAG (3 * USEC_PER_SEC)
 /* After a false alarm. */
 #define QUIET_AFTER_CANCEL (1 * USEC_PER_SEC)
-/* A proxy not heard of for so long is marked as gone. */
-#define NODE_SILENT (10 * USEC_PER_SEC)
-/* Marked for so long, it is taken off the roster. */
-#define NODE_REMOVE (2 * PERMIT_TOGETHER)
 
 COUNTER_DEFINE(changes_total, "primary_changes_total", COUNTER_SUM,
 	       "Changes of primary that this proxy carried out.");
@@ -75,6 +61,12 @@
 	change->next_probe = now;
 }
 
+static void begin_survey(service_t *service, usec_t now)
+{
+	survey_begin(service);
+	set_step(service, CHANGE_SURVEYING, now);
+}
+
 static void clear(service_t *service)
 {
 	talloc_free(service->change.target);
@@ -87,106 +79,6 @@
 		clear(list_entry(it, service_t, node));
 }
 
-static roster_group_t *group_of(const service_t *service)
-{
-	return roster_group(service->pooler->sync.roster, service->name);
-}
-
-static member_t *old_primary(const service_t *service)
-{
-	const roster_group_t *group = group_of(service);
-
-	return group != NULL ? member_find(service->pooler, group->primary) : NULL;
-}
-
-/* --- is a change needed --- */
-
-typedef struct votes {
-	size_t down;
-	size_t alive;
-} votes_t;
-
-/* What the proxies, this one included, see of the primary. */
-static votes_t count_votes(const service_t *service, const member_t *primary, usec_t now)
-{
-	const pooler_t *pooler = service->pooler;
-	votes_t votes = {0};
-
-	if (primary->down)
-		votes.down++;
-	else if (primary->last_reply + ALIVE_WITHIN > now)
-		votes.alive++;
-	list_for_each (it, &pooler->sync.reports) {
-		const peer_report_t *report = list_entry(it, peer_report_t, node);
-
-		if (report->heard_at + REPORT_VALID < now)
-			continue;
-		votes.down += sync_lists(report->down, service->name);
-		if (report->heard_at + ALIVE_VALID > now)
-			votes.alive += sync_lists(report->alive, service->name);
-	}
-	return votes;
-}
-
-/*
- * The list of members lags behind: an old primary still says so after it was replaced. Only
- * what was said since then tells that somebody else has made a change.
- */
-static bool other_says_primary(const service_t *service, const member_t *primary)
-{
-	list_for_each (it, &service->members) {
-		const member_t *member = list_entry(it, member_t, in_service);
-
-		if (member != primary && member->says_primary && !member->gone &&
-		    member->says_since > service->settled_at + LIST_LAG)
-			return true;
-	}
-	return false;
-}
-
-/*
- * Some proxies that can't reach the primary are no reason to replace it: another member may
- * be out of reach for more of them, and the change costs all of them a second.
- */
-static bool is_lost(const service_t *service, const member_t *primary, votes_t votes)
-{
-	size_t proxies = list_length(&service->pooler->sync.roster->nodes);
-
-	return votes.down * 2 > proxies || (primary->down && votes.down > votes.alive);
-}
-
-/*
- * Nobody has used the primary of late, or some proxies can't: ask it, so that its failure is
- * known before it is needed.
- */
-static void check_unused(member_t *primary, usec_t now, usec_t interval)
-{
-	if (now < primary->checked_at + interval)
-		return;
-	primary->checked_at = now;
-	member_probe(primary);
-}
-
-/* Why the primary must be replaced, or NULL. */
-static const char *reason_to_change(const service_t *service, usec_t now)
-{
-	member_t *primary = old_primary(service);
-	votes_t votes;
-
-	if (primary == NULL || primary->gone)
-		return "primary is no longer listed";
-	if (primary->leaving)
-		return "primary is leaving";
-	if (!primary->says_primary && other_says_primary(service, primary))
-		return "another member leads";
-	votes = count_votes(service, primary, now);
-	if (is_lost(service, primary, votes))
-		return "primary does not answer";
-	if (votes.alive == 0 || votes.down != 0)
-		check_unused(primary, now, votes.down != 0 ? DOUBTED_CHECK : UNUSED_CHECK);
-	return NULL;
-}
-
 /* --- marking --- */
 
 static void on_stored(void *data, const kv_result_t *result)
@@ -210,14 +102,14 @@
 
 static void start_change(service_t *service, const char *reason, usec_t now)
 {
-	const member_t *primary = old_primary(service);
+	const member_t *primary = verdict_primary(service);
 
 	service->change.started = now;
 	service->change.planned = primary != NULL && !primary->down && !primary->gone;
 	LOG_EVENT(LOG_WARN, "primary is to be replaced", LOG_STR("service", service->name),
-		  LOG_STR("reason", reason), LOG_STR("member", group_of(service)->primary));
+		  LOG_STR("reason", reason), LOG_STR("member", verdict_group(service)->primary));
 	set_step(service, CHANGE_MARKING, now);
-	store_group(service, group_of(service)->primary, true, group_of(service)->term);
+	store_group(service, verdict_group(service)->primary, true, verdict_group(service)->term);
 }
 
 /* The first primary of a service is the one that says so itself. */
@@ -235,11 +127,9 @@
 	}
 }
 
-static void begin_survey(service_t *service, usec_t now);
-
 static void watch(service_t *service, usec_t now)
 {
-	const roster_group_t *group = group_of(service);
+	const roster_group_t *group = verdict_group(service);
 	change_t *change = &service->change;
 	const char *reason;
 
@@ -262,7 +152,7 @@
 	if (change->busy || now < change->quiet_until)
 		return;
 	change->step = CHANGE_NONE;
-	reason = reason_to_change(service, now);
+	reason = verdict_reason(service, now);
 	if (reason != NULL)
 		start_change(service, reason, now);
 }
@@ -271,7 +161,7 @@
 
 static bool has_released(const service_t *service, const roster_node_t *node)
 {
-	const peer_report_t *report = sync_report(service->pooler, node->name);
+	const peer_report_t *report = exchange_report(service->pooler, node->name);
 
 	/* What it was permitted before it was marked has ended by then. */
 	if (node->gone)
@@ -279,7 +169,7 @@
 		       now_of(service->pooler) >= report->gone_seen + PERMIT_TOGETHER;
 	return report != NULL && report->incarnation == node->incarnation &&
 	       report->revision >= service->change.marked_revision &&
-	       !sync_lists(report->in_use, service->name);
+	       !exchange_lists(report->in_use, service->name);
 }
 
 /*
@@ -296,7 +186,7 @@
 	*total = 0;
 	list_for_each (it, &pooler->sync.roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
-		const peer_report_t *report = sync_report(pooler, node->name);
+		const peer_report_t *report = exchange_report(pooler, node->name);
 		bool is_self = strcmp(node->name, pooler->config.name) == 0;
 
 		*total += is_self ||
@@ -327,99 +217,6 @@
 
 /* --- survey --- */
 
-static void begin_survey(service_t *service, usec_t now)
-{
-	list_for_each (it, &service->members) {
-		member_t *member = list_entry(it, member_t, in_service);
-
-		member->survey_done = false;
-	}
-	set_step(service, CHANGE_SURVEYING, now);
-}
-
-static void probe_all(service_t *service, usec_t now)
-{
-	if (now < service->change.next_probe)
-		return;
-	service->change.next_probe = now + PROBE_AGAIN;
-	list_for_each (it, &service->members) {
-		member_t *member = list_entry(it, member_t, in_service);
-
-		if (!member->gone)
-			member_ask_status(member);
-	}
-}
-
-static bool is_further(position_t a, position_t b)
-{
-	return a.term != b.term ? a.term > b.term : a.lsn > b.lsn;
-}
-
-/* Furthest in the newest term; a member that missed a change has an older term. */
-static bool is_better(const member_t *a, const member_t *b)
-{
-	if (a->status.term != b->status.term)
-		return a->status.term > b->status.term;
-	return is_further(a->status.received, b->status.received);
-}
-
-/* The member that received most, among those that may lead; NULL if none answered. */
-static member_t *best_candidate(const service_t *service, const member_t *old)
-{
-	member_t *best = NULL;
-
-	list_for_each (it, &service->members) {
-		member_t *member = list_entry(it, member_t, in_service);
-
-		if (member == old || !member->survey_done || member->gone || member->leaving)
-			continue;
-		if (best == NULL || is_better(member, best))
-			best = member;
-	}
-	return best;
-}
-
-/*
- * A member that leads already, in a newer term than the primary that is written down. A
- * superseded primary that is cut off calls itself primary too: taking it back would bring
- * writes back that were rolled back, and lose those since.
- */
-static member_t *leader_already(const service_t *service, const member_t *old)
-{
-	uint64_t term = group_of(service)->term;
-
-	if (old != NULL && old->survey_done && old->status.term > term)
-		term = old->status.term;
-	list_for_each (it, &service->members) {
-		member_t *member = list_entry(it, member_t, in_service);
-
-		if (member != old && member->survey_done && member->status.primary && term != 0 &&
-		    member->status.term > term)
-			return member;
-	}
-	return NULL;
-}
-
-static bool all_answered(const service_t *service)
-{
-	list_for_each (it, &service->members) {
-		const member_t *member = list_entry(it, member_t, in_service);
-
-		if (!member->gone && !member->down && !member->survey_done)
-			return false;
-	}
-	return true;
-}
-
-static bool is_sync(const service_t *service)
-{
-	const routes_t *routes = service->pooler->routes;
-	const service_limits_t *limits =
-		routes != NULL ? routes_service(routes, service->name) : NULL;
-
-	return limits != NULL && limits->sync_replicas;
-}
-
 static void promote(service_t *service, const member_t *target, usec_t now)
 {
 	pooler_t *pooler = service->pooler;
@@ -455,23 +252,21 @@
 static bool can_stay(const service_t *service, const member_t *old, usec_t now)
 {
 	return old != NULL && old->survey_done && old->status.primary && !old->leaving &&
-	       reason_to_change(service, now) == NULL;
+	       verdict_reason(service, now) == NULL;
 }
 
 static void survey(service_t *service, usec_t now)
 {
 	change_t *change = &service->change;
-	member_t *old = old_primary(service);
-	usec_t limit = is_sync(service) ? SURVEY_TIME_SYNC : SURVEY_TIME;
-	bool late = now >= change->step_since + limit;
+	member_t *old = verdict_primary(service);
 	member_t *leader;
 	member_t *best;
 	bool stays;
 
-	probe_all(service, now);
-	if (!all_answered(service) && !late)
+	survey_ask(service, now);
+	if (!survey_is_done(service, now))
 		return;
-	leader = leader_already(service, old);
+	leader = survey_leader(service, old);
 	if (leader != NULL) {
 		commit_target(service, leader, now);
 		return;
@@ -486,12 +281,12 @@
 	 * A member that was promoted unseen leads a newer term when it comes back. So the old
 	 * primary is promoted like any other; if it still leads, the call changes nothing.
 	 */
-	best = stays ? old : best_candidate(service, old);
+	best = stays ? old : survey_best(service, old);
 	if (best == NULL)
 		return;
 	/* With the writers stopped, a replica soon has all that an old primary still has. */
 	if (old != NULL && old->survey_done && now < change->step_since + CATCH_UP_TIME &&
-	    is_further(old->status.received, best->status.received))
+	    survey_is_further(old->status.received, best->status.received))
 		return;
 	if (now < service->pooler->sync.held_since + SETTLE_TIME)
 		return;
@@ -550,7 +345,7 @@
 		return;
 	}
 	if (now >= change->next_probe) {
-		change->next_probe = now + PROBE_AGAIN;
+		change->next_probe = now + SURVEY_INTERVAL;
 		member_ask_status(target);
 	}
 	if (now < change->step_since + LEAD_TIME)
@@ -563,7 +358,7 @@
 
 static void commit(service_t *service, usec_t now)
 {
-	const roster_group_t *group = group_of(service);
+	const roster_group_t *group = verdict_group(service);
 	change_t *change = &service->change;
 	usec_t quiet = change->quiet_until;
 
@@ -606,66 +401,11 @@
 	}
 }
 
-/* --- proxies that are gone --- */
-
-static void on_swept(void *data, const kv_result_t *result)
-{
-	pooler_t *pooler = data;
-
-	(void)result; /* looked at again with the next tick */
-	pooler->sweeping = false;
-}
-
-/* What is to become of a proxy's entry: returns true if roster was changed. */
-static bool sweep_node(pooler_t *pooler, roster_t *roster, const roster_node_t *node, usec_t now)
-{
-	peer_report_t *report = sync_get_report(pooler, node->name);
-	usec_t heard = report->heard_at;
-
-	if (strcmp(node->name, pooler->config.name) == 0)
-		return false;
-	if (!node->gone) {
-		report->gone_seen = 0;
-		if (heard < pooler->sync.held_since)
-			heard = pooler->sync.held_since;
-		if (now < heard + NODE_SILENT)
-			return false;
-		LOG_EVENT(LOG_WARN, "proxy is gone", LOG_STR("proxy", node->name));
-		roster_node(roster, node->name)->gone = true;
-		return true;
-	}
-	if (report->gone_seen == 0)
-		report->gone_seen = now;
-	if (now < report->gone_seen + NODE_REMOVE)
-		return false;
-	roster_remove_node(roster, node->name);
-	return true;
-}
-
-/* Proxies that went without a word must not hold up every change of primary for ever. */
-static void sweep(pooler_t *pooler, usec_t now)
-{
-	roster_t *roster;
-	bool changed = false;
-
-	if (pooler->sweeping)
-		return;
-	roster = roster_copy(NULL, pooler->sync.roster);
-	list_for_each (it, &pooler->sync.roster->nodes)
-		changed = sweep_node(pooler, roster, list_entry(it, roster_node_t, node), now) ||
-			  changed;
-	if (changed) {
-		pooler->sweeping = true;
-		sync_commit(pooler, roster, on_swept, pooler);
-	}
-	talloc_free(roster);
-}
-
 void duty_tick(pooler_t *pooler, usec_t now)
 {
-	if (!sync_is_holder(pooler, now))
+	if (!hold_is_ours(pooler, now))
 		return;
-	sweep(pooler, now);
+	sweep_tick(pooler, now);
 	list_for_each (it, &pooler->services)
 		step(list_entry(it, service_t, node), now);
 }
--- /dev/null
+++ b/pooler/exchange.c
@@ -0,0 +1,260 @@
+#include "exchange.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "duty.h"
+#include "hold.h"
+#include "member.h"
+#include "permit.h"
+#include "refresh.h"
+#include "sync.h"
+
+/* With news this old all peers are asked, so that the permission lasts while the store is away. */
+#define ASK_ALL_AFTER (1300 * USEC_PER_MSEC)
+/* Between two questions to the holder. */
+#define ASK_INTERVAL (250 * USEC_PER_MSEC)
+
+bool exchange_lists(const char *list, const char *word)
+{
+	size_t len = strlen(word);
+
+	while (list != NULL && *list != '\0') {
+		size_t span = strcspn(list, " ");
+
+		if (span == len && memcmp(list, word, len) == 0)
+			return true;
+		list += span;
+		list += *list == ' ';
+	}
+	return false;
+}
+
+static char *add_word(char *list, const char *word)
+{
+	return talloc_asprintf_append(list, "%s%s", *list != '\0' ? " " : "", word);
+}
+
+/* What this proxy knows of the primaries, for the holder. */
+static void describe(const pooler_t *pooler, usec_t now, peer_message_t *message, void *parent)
+{
+	char *down = talloc_strdup(parent, "");
+	char *alive = talloc_strdup(parent, "");
+	char *in_use = talloc_strdup(parent, "");
+
+	list_for_each (it, &pooler->services) {
+		const service_t *service = list_entry(it, service_t, node);
+		const roster_group_t *group = roster_group(pooler->sync.roster, service->name);
+		const member_t *primary =
+			group != NULL ? member_find(pooler, group->primary) : NULL;
+
+		if (primary != NULL && primary->down)
+			down = add_word(down, service->name);
+		else if (primary != NULL && primary->last_reply + ALIVE_WITHIN > now)
+			alive = add_word(alive, service->name);
+		if (group != NULL && group->changing && permit_in_use(service))
+			in_use = add_word(in_use, service->name);
+	}
+	message->down = down;
+	message->alive = alive;
+	message->in_use = in_use;
+}
+
+static void fill(const pooler_t *pooler, peer_message_t *message)
+{
+	message->from = pooler->config.name;
+	message->address = pooler->config.address;
+	message->incarnation = pooler->config.incarnation;
+	message->revision = pooler->sync.roster->revision;
+	message->config_version = pooler->routes != NULL ? pooler->routes->version : 0;
+	message->members_digest = refresh_members_digest(pooler);
+}
+
+static void send_to(const pooler_t *pooler, const char *name, const char *address,
+		    const peer_message_t *message)
+{
+	pooler->env->ops->peer_send(pooler->env, name, address, message);
+}
+
+static void send_state(const pooler_t *pooler, const char *name, const char *address, uint64_t echo,
+		       int64_t known)
+{
+	const sync_t *sync = &pooler->sync;
+	peer_message_t message = {.kind = PEER_STATE, .echo = echo};
+	usec_t now = now_of(pooler);
+
+	fill(pooler, &message);
+	message.age = sync->confirmed_at != USEC_NEVER ? now - sync->confirmed_at : USEC_NEVER;
+	if (known < sync->roster->revision)
+		message.roster = roster_encode(NULL, sync->roster);
+	message.holder = sync->holder;
+	message.holder_address = sync->holder_address;
+	message.fence = sync->fence;
+	send_to(pooler, name, address, &message);
+	talloc_free((void *)message.roster);
+}
+
+void exchange_push(pooler_t *pooler)
+{
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (strcmp(node->name, pooler->config.name) != 0)
+			send_state(pooler, node->name, node->address, 0, 0);
+	}
+}
+
+static const roster_node_t *other_peer(pooler_t *pooler)
+{
+	const roster_t *roster = pooler->sync.roster;
+	size_t count = list_length(&roster->nodes);
+	size_t index = count != 0 ? pooler->sync.next_peer++ % count : 0;
+
+	list_for_each (it, &roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (index-- == 0)
+			return strcmp(node->name, pooler->config.name) != 0 ? node : NULL;
+	}
+	return NULL;
+}
+
+/* The store seems to be away: the permission can only be prolonged together. */
+static void ask_all(pooler_t *pooler, const peer_message_t *message)
+{
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (strcmp(node->name, pooler->config.name) != 0)
+			send_to(pooler, node->name, node->address, message);
+	}
+}
+
+static void ask(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+	peer_message_t message = {.kind = PEER_ASK, .echo = now};
+	void *parent = talloc_new(NULL);
+	const roster_node_t *other;
+	char *told;
+
+	fill(pooler, &message);
+	describe(pooler, now, &message, parent);
+	told = talloc_asprintf(parent, "%s/%s/%" PRId64, message.down, message.in_use,
+			       message.revision);
+	if (now < sync->ask_next && sync->told != NULL && strcmp(told, sync->told) == 0) {
+		talloc_free(parent);
+		return;
+	}
+	talloc_free(sync->told);
+	sync->told = talloc_steal(pooler, told);
+	sync->ask_next = now + ASK_INTERVAL;
+	if (sync->holder != NULL && strcmp(sync->holder, pooler->config.name) != 0)
+		send_to(pooler, sync->holder, sync->holder_address, &message);
+	if (sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + ASK_ALL_AFTER) {
+		ask_all(pooler, &message);
+	} else if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT) {
+		other = other_peer(pooler);
+		if (other != NULL)
+			send_to(pooler, other->name, other->address, &message);
+	}
+	talloc_free(parent);
+}
+
+peer_report_t *exchange_get_report(pooler_t *pooler, const char *name)
+{
+	peer_report_t *report;
+
+	list_for_each (it, &pooler->sync.reports) {
+		report = list_entry(it, peer_report_t, node);
+		if (strcmp(report->name, name) == 0)
+			return report;
+	}
+	report = talloc_zero(pooler, peer_report_t);
+	report->name = talloc_strdup(report, name);
+	list_add_tail(&pooler->sync.reports, &report->node);
+	return report;
+}
+
+const peer_report_t *exchange_report(const pooler_t *pooler, const char *name)
+{
+	list_for_each (it, &pooler->sync.reports) {
+		const peer_report_t *report = list_entry(it, peer_report_t, node);
+
+		if (strcmp(report->name, name) == 0)
+			return report;
+	}
+	return NULL;
+}
+
+static void replace(peer_report_t *report, char **field, const char *text)
+{
+	talloc_free(*field);
+	*field = talloc_strdup(report, text != NULL ? text : "");
+}
+
+static void on_ask(pooler_t *pooler, const peer_message_t *message)
+{
+	peer_report_t *report = exchange_get_report(pooler, message->from);
+
+	/* Of an earlier process of that proxy, delivered late. */
+	if (message->incarnation < report->incarnation)
+		return;
+	report->incarnation = message->incarnation;
+	report->heard_at = now_of(pooler);
+	report->revision = message->revision;
+	replace(report, &report->down, message->down);
+	replace(report, &report->alive, message->alive);
+	replace(report, &report->in_use, message->in_use);
+	send_state(pooler, message->from, message->address, message->echo, message->revision);
+	if (hold_is_ours(pooler, now_of(pooler)))
+		duty_tick(pooler, now_of(pooler));
+}
+
+static void on_state(pooler_t *pooler, const peer_message_t *message)
+{
+	sync_t *sync = &pooler->sync;
+	usec_t now = now_of(pooler);
+	roster_t *roster;
+
+	if (message->holder != NULL && message->fence > sync->fence)
+		sync_set_holder(pooler, message->holder, message->holder_address, message->fence);
+	if (sync->holder != NULL && strcmp(sync->holder, message->from) == 0)
+		sync->holder_heard = now;
+	if (message->roster != NULL && message->revision > sync->roster->revision) {
+		roster = roster_decode(pooler, message->roster, strlen(message->roster),
+				       message->revision);
+		if (roster != NULL)
+			sync_adopt(pooler, roster);
+	}
+	/*
+	 * The answer was given no earlier than our question was sent, so the peer's read of the
+	 * store was sent no earlier than that less its age. Nobody's clock is compared.
+	 */
+	if (message->echo != 0 && message->echo <= now && message->age < message->echo &&
+	    message->revision == sync->roster->revision)
+		sync_confirm(pooler, message->echo - message->age);
+	if (message->echo != 0 && message->echo <= now &&
+	    message->revision == sync->roster->revision)
+		exchange_get_report(pooler, message->from)->agreed_at = message->echo;
+	refresh_compare(pooler, message, now);
+	sync_run_services(pooler);
+}
+
+void exchange_on_message(pooler_t *pooler, const peer_message_t *message)
+{
+	if (message->kind == PEER_ASK)
+		on_ask(pooler, message);
+	else
+		on_state(pooler, message);
+}
+
+void exchange_tick(pooler_t *pooler, usec_t now)
+{
+	const sync_t *sync = &pooler->sync;
+
+	if (!hold_is_ours(pooler, now) || now >= sync->confirmed_at + ASK_ALL_AFTER)
+		ask(pooler, now);
+}
--- /dev/null
+++ b/pooler/exchange.h
@@ -0,0 +1,28 @@
+/*
+ * What proxies tell each other: questions that report what the sender sees, and
+ * states that bring the roster and how old the news of it is.
+ */
+#pragma once
+
+#include "state.h"
+
+/* A primary that answered a proxy within this time is alive in the proxy's report. */
+#define ALIVE_WITHIN (300 * USEC_PER_MSEC)
+/* A holder silent for so long is not the only one asked. */
+#define HOLDER_SILENT (600 * USEC_PER_MSEC)
+
+void exchange_on_message(pooler_t *pooler, const peer_message_t *message);
+
+/* Tell all proxies the roster at once; who misses it hears it with the next answer. */
+void exchange_push(pooler_t *pooler);
+
+/* The record of a proxy's reports, made if there is none. */
+peer_report_t *exchange_get_report(pooler_t *pooler, const char *name);
+
+/* The last report of a proxy, or NULL. */
+const peer_report_t *exchange_report(const pooler_t *pooler, const char *name);
+
+/* True if word is in a list of words joined by blanks. */
+bool exchange_lists(const char *list, const char *word);
+
+void exchange_tick(pooler_t *pooler, usec_t now);
--- /dev/null
+++ b/pooler/hold.c
@@ -0,0 +1,206 @@
+#include "hold.h"
+
+#include <inttypes.h>
+
+#include <talloc.h>
+
+#include "duty.h"
+#include "exchange.h"
+#include "permit.h"
+#include "sync.h"
+
+#define LOG_MODULE "hold"
+#include "counter.h"
+#include "log.h"
+
+/* The lease of the duty: how long a holder that died keeps it. */
+#define DUTY_TTL (2000 * USEC_PER_MSEC)
+/* Taken off at our side, for the store's timers. */
+#define DUTY_MARGIN    (300 * USEC_PER_MSEC)
+#define RENEW_INTERVAL (600 * USEC_PER_MSEC)
+/* A renewal that failed is repeated after this. */
+#define RENEW_RETRY (200 * USEC_PER_MSEC)
+/* Wait before taking the duty; jittered, so that one of many gets it. */
+#define ACQUIRE_JITTER (200 * USEC_PER_MSEC)
+/* After a failed attempt. */
+#define ACQUIRE_BACKOFF (1 * USEC_PER_SEC)
+/* A read that showed no holder is believed for so long. */
+#define VACANT_BELIEVED (1 * USEC_PER_SEC)
+
+COUNTER_DEFINE(duty_held, "duty_held", COUNTER_GAUGE,
+	       "1 while this proxy holds the duty to promote.");
+
+void hold_lose(pooler_t *pooler, const char *reason)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (!sync->holding)
+		return;
+	sync->holding = false;
+	sync->acquire_after = now_of(pooler) + ACQUIRE_BACKOFF;
+	counter_set(&duty_held, 0);
+	LOG_EVENT(LOG_WARN, "duty lost", LOG_STR("reason", reason),
+		  LOG_INT("fence", (int64_t)sync->own_fence));
+	duty_abandon(pooler);
+}
+
+static void ignore_result(void *data, const kv_result_t *result)
+{
+	(void)data;
+	(void)result;
+}
+
+static void end_lease(pooler_t *pooler)
+{
+	kv_t *kv = pooler->env->kv;
+
+	/* If this is lost the lease ends by itself. */
+	if (pooler->sync.lease != 0)
+		kv->ops->lease_end(kv, pooler->sync.lease, ignore_result, NULL);
+	pooler->sync.lease = 0;
+}
+
+static void on_acquired(void *data, const kv_result_t *result)
+{
+	pooler_t *pooler = data;
+	sync_t *sync = &pooler->sync;
+	usec_t now = now_of(pooler);
+
+	sync->acquiring = false;
+	/* The answer may come after the hold has ended and gone to another. */
+	if (result->status != KV_OK || now >= sync->hold_until ||
+	    (uint64_t)result->as_of < sync->fence) {
+		sync->acquire_after = now + ACQUIRE_BACKOFF;
+		end_lease(pooler);
+		return;
+	}
+	sync->holding = true;
+	sync->own_fence = (uint64_t)result->as_of;
+	sync->held_since = now;
+	sync->renew_next = now + RENEW_INTERVAL;
+	counter_set(&duty_held, 1);
+	sync_set_holder(pooler, pooler->config.name, pooler->config.address, sync->own_fence);
+	exchange_push(pooler);
+}
+
+static void on_lease(void *data, const kv_result_t *result)
+{
+	pooler_t *pooler = data;
+	sync_t *sync = &pooler->sync;
+	kv_t *kv = pooler->env->kv;
+	char *key;
+	char *value;
+	kv_write_t write = {0};
+
+	if (result->status != KV_OK) {
+		sync->acquiring = false;
+		sync->acquire_after = now_of(pooler) + ACQUIRE_BACKOFF;
+		return;
+	}
+	sync->lease = result->lease;
+	key = sync_key(NULL, pooler, "holder");
+	value = talloc_asprintf(
+		key, "{\"name\":\"%s\",\"address\":\"%s\",\"incarnation\":%" PRIu64 "}",
+		pooler->config.name, pooler->config.address, pooler->config.incarnation);
+	write = (kv_write_t){.key = key, .value = value, .expected = 0, .lease = result->lease};
+	kv->ops->commit(kv, &write, 1, on_acquired, pooler);
+	talloc_free(key);
+}
+
+static void acquire(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+	kv_t *kv = pooler->env->kv;
+
+	sync->acquiring = true;
+	/* The lease runs from the call's arrival, which is no earlier than its sending. */
+	sync->hold_until = now + DUTY_TTL - DUTY_MARGIN;
+	kv->ops->lease_create(kv, DUTY_TTL / USEC_PER_MSEC, on_lease, pooler);
+}
+
+/* A vacant duty is taken after a short random wait. */
+static void consider_acquiring(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+	bool vacant = sync->last_read_ok != 0 && sync->holder == NULL &&
+		      now < sync->last_read_ok + VACANT_BELIEVED;
+
+	if (!vacant || sync->acquiring || sync->holding || pooler->draining ||
+	    !permit_is_registered(pooler))
+		return;
+	if (sync->acquire_after < sync->last_read_ok) {
+		sync->acquire_after = now + pooler_random(pooler, ACQUIRE_JITTER);
+		return;
+	}
+	if (now >= sync->acquire_after)
+		acquire(pooler, now);
+}
+
+typedef struct renewal {
+	pooler_t *pooler;
+	usec_t sent_at;
+	uint64_t lease;
+} renewal_t;
+
+static void on_renewed(void *data, const kv_result_t *result)
+{
+	renewal_t *renewal = data;
+	pooler_t *pooler = renewal->pooler;
+	sync_t *sync = &pooler->sync;
+	usec_t now = now_of(pooler);
+
+	sync->renewing = false;
+	if (sync->holding && sync->lease == renewal->lease) {
+		if (result->status == KV_OK) {
+			sync->hold_until = renewal->sent_at + DUTY_TTL - DUTY_MARGIN;
+			sync->renew_next = now + RENEW_INTERVAL;
+		} else if (result->status == KV_NOT_FOUND) {
+			hold_lose(pooler, "the lease ended");
+		} else {
+			sync->renew_next = now + RENEW_RETRY;
+		}
+	}
+	talloc_free(renewal);
+}
+
+static void renew(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+	kv_t *kv = pooler->env->kv;
+	renewal_t *renewal = talloc_zero(pooler, renewal_t);
+
+	sync->renewing = true;
+	renewal->pooler = pooler;
+	renewal->sent_at = now;
+	renewal->lease = sync->lease;
+	kv->ops->lease_keep(kv, sync->lease, on_renewed, renewal);
+}
+
+static void keep(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (!sync->holding)
+		return;
+	if (now >= sync->hold_until)
+		hold_lose(pooler, "the lease was not renewed in time");
+	else if (now >= sync->renew_next && !sync->renewing)
+		renew(pooler, now);
+}
+
+bool hold_is_ours(const pooler_t *pooler, usec_t now)
+{
+	return pooler->sync.holding && now < pooler->sync.hold_until;
+}
+
+void hold_release(pooler_t *pooler)
+{
+	hold_lose(pooler, "shutting down");
+	end_lease(pooler);
+}
+
+void hold_tick(pooler_t *pooler, usec_t now)
+{
+	keep(pooler, now);
+	consider_acquiring(pooler, now);
+}
--- /dev/null
+++ b/pooler/hold.h
@@ -0,0 +1,19 @@
+/*
+ * Our own hold on the duty to promote: a key of the store under a lease. It
+ * ends by our clock before it ends at the store, and at once when the key is
+ * seen to be gone or another's.
+ */
+#pragma once
+
+#include "state.h"
+
+/* True while this proxy certainly holds the duty. */
+bool hold_is_ours(const pooler_t *pooler, usec_t now);
+
+void hold_lose(pooler_t *pooler, const char *reason);
+
+/* Give the duty back. */
+void hold_release(pooler_t *pooler);
+
+/* Renew the hold, or take a vacant one. */
+void hold_tick(pooler_t *pooler, usec_t now);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -8,8 +8,11 @@
 #include "conn.h"
 #include "dispatch.h"
 #include "duty.h"
+#include "exchange.h"
+#include "hold.h"
 #include "member.h"
 #include "permit.h"
+#include "refresh.h"
 #include "sync.h"
 
 #define LOG_MODULE "pooler"
@@ -159,7 +162,10 @@
 	timers_arm(pooler->timers, timer, now + TICK_INTERVAL, on_tick);
 	summary_tick(&pooler->summary, now);
 	tick_members(pooler, now);
+	hold_tick(pooler, now);
+	refresh_tick(pooler, now);
 	sync_tick(pooler, now);
+	exchange_tick(pooler, now);
 	duty_tick(pooler, now);
 	list_for_each (it, &pooler->services) {
 		service_t *service = list_entry(it, service_t, node);
@@ -229,7 +235,7 @@
 	pooler->drain_started = now_of(pooler);
 	LOG_EVENT(LOG_INFO, "draining", LOG_INT("callers", (int64_t)list_length(&pooler->callers)));
 	/* Another proxy can take the duty at once. */
-	sync_release(pooler);
+	hold_release(pooler);
 	tick_callers(pooler, pooler->drain_started);
 }
 
@@ -279,7 +285,7 @@
 
 void pooler_on_message(pooler_t *pooler, const peer_message_t *message)
 {
-	sync_on_message(pooler, message);
+	exchange_on_message(pooler, message);
 }
 
 /* --- operators --- */
@@ -326,6 +332,6 @@
 					      ? (now - sync->confirmed_at) / USEC_PER_MSEC
 					      : 0),
 			 "holder", sync->holder != NULL ? sync->holder : "", "fence",
-			 (json_int_t)sync->fence, "holding", sync_is_holder(pooler, now), "callers",
+			 (json_int_t)sync->fence, "holding", hold_is_ours(pooler, now), "callers",
 			 (int)list_length(&pooler->callers), "services", services);
 }
--- /dev/null
+++ b/pooler/survey.c
@@ -0,0 +1,104 @@
+#include "survey.h"
+
+#include "member.h"
+#include "verdict.h"
+
+/* Members that have not told their position by then are left out. */
+#define SURVEY_TIME (350 * USEC_PER_MSEC)
+/* With synchronous replicas any one of them may be the only one with the last commit. */
+#define SURVEY_TIME_SYNC (3 * USEC_PER_SEC)
+
+void survey_begin(service_t *service)
+{
+	list_for_each (it, &service->members)
+		list_entry(it, member_t, in_service)->survey_done = false;
+}
+
+void survey_ask(service_t *service, usec_t now)
+{
+	if (now < service->change.next_probe)
+		return;
+	service->change.next_probe = now + SURVEY_INTERVAL;
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (!member->gone)
+			member_ask_status(member);
+	}
+}
+
+bool survey_is_further(position_t a, position_t b)
+{
+	return a.term != b.term ? a.term > b.term : a.lsn > b.lsn;
+}
+
+/* Furthest in the newest term; a member that missed a change has an older term. */
+static bool is_better(const member_t *a, const member_t *b)
+{
+	if (a->status.term != b->status.term)
+		return a->status.term > b->status.term;
+	return survey_is_further(a->status.received, b->status.received);
+}
+
+member_t *survey_best(const service_t *service, const member_t *old)
+{
+	member_t *best = NULL;
+
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (member == old || !member->survey_done || member->gone || member->leaving)
+			continue;
+		if (best == NULL || is_better(member, best))
+			best = member;
+	}
+	return best;
+}
+
+/*
+ * A member that leads already, in a newer term than the primary that is written down. A
+ * superseded primary that is cut off calls itself primary too: taking it back would bring
+ * writes back that were rolled back, and lose those since.
+ */
+member_t *survey_leader(const service_t *service, const member_t *old)
+{
+	uint64_t term = verdict_group(service)->term;
+
+	if (old != NULL && old->survey_done && old->status.term > term)
+		term = old->status.term;
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (member->survey_done && member->status.primary && term != 0 &&
+		    member->status.term > term)
+			return member;
+	}
+	return NULL;
+}
+
+static bool all_answered(const service_t *service)
+{
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (!member->gone && !member->down && !member->survey_done)
+			return false;
+	}
+	return true;
+}
+
+static bool is_sync(const service_t *service)
+{
+	const routes_t *routes = service->pooler->routes;
+	const service_limits_t *limits =
+		routes != NULL ? routes_service(routes, service->name) : NULL;
+
+	return limits != NULL && limits->sync_replicas;
+}
+
+bool survey_is_done(const service_t *service, usec_t now)
+{
+	usec_t limit = is_sync(service) ? SURVEY_TIME_SYNC : SURVEY_TIME;
+
+	return all_answered(service) || now >= service->change.step_since + limit;
+}
--- /dev/null
+++ b/pooler/survey.h
@@ -0,0 +1,27 @@
+/*
+ * Asking the members of a service how far they are, and choosing who is to lead.
+ */
+#pragma once
+
+#include "state.h"
+
+/* Between two questions to a member. */
+#define SURVEY_INTERVAL (60 * USEC_PER_MSEC)
+
+/* Forget earlier answers. */
+void survey_begin(service_t *service);
+
+/* Ask all members again if it is time. */
+void survey_ask(service_t *service, usec_t now);
+
+/* True once all that may answer have, or enough time has passed. */
+bool survey_is_done(const service_t *service, usec_t now);
+
+/* True if position a is behind b. */
+bool survey_is_further(position_t a, position_t b);
+
+/* The member that received most, among those that may lead; NULL if none answered. */
+member_t *survey_best(const service_t *service, const member_t *old);
+
+/* A member that leads already, in a newer term than the primary that is written down. */
+member_t *survey_leader(const service_t *service, const member_t *old);
--- a/pooler/sync.h
+++ b/pooler/sync.h
@@ -1,36 +1,32 @@
 /*
- * Keeping the roster: reading it from the store, hearing of it from peers,
- * being on it, and holding the duty to promote under a lease.
+ * Keeping the roster: reading it from the store, writing it, being on it, and
+ * what a new one means for the work under way.
  */
 #pragma once
 
 #include "state.h"
 
-/* A primary that answered a proxy within this time is alive in the proxy's report. */
-#define ALIVE_WITHIN (300 * USEC_PER_MSEC)
-
 void sync_init(pooler_t *pooler);
 void sync_destroy(pooler_t *pooler);
 void sync_tick(pooler_t *pooler, usec_t now);
-void sync_on_message(pooler_t *pooler, const peer_message_t *message);
 
-/* True while this proxy certainly holds the duty. */
-bool sync_is_holder(const pooler_t *pooler, usec_t now);
+/* A key of ours in the store, as a child of parent. */
+char *sync_key(void *parent, const pooler_t *pooler, const char *name);
+
+/* Take over a newer roster; it becomes the pooler's. */
+void sync_adopt(pooler_t *pooler, roster_t *roster);
+
+/* The store held the revision of our roster when asked at this time, or later. */
+void sync_confirm(pooler_t *pooler, usec_t asked_at);
+
+/* Who holds the duty, if fence is newer than what is known. */
+void sync_set_holder(pooler_t *pooler, const char *name, const char *address, uint64_t fence);
+
+/* Look whether waiting statements can be served now. */
+void sync_run_services(pooler_t *pooler);
 
 /*
  * Write roster if the store still holds the revision that it was copied from.
  * done is called with the result after the local copy was renewed.
  */
 void sync_commit(pooler_t *pooler, const roster_t *roster, kv_done_t done, void *data);
-
-/* The record of a proxy's reports, made if there is none. */
-peer_report_t *sync_get_report(pooler_t *pooler, const char *name);
-
-/* The last report of a proxy, or NULL. */
-const peer_report_t *sync_report(const pooler_t *pooler, const char *name);
-
-/* Give the duty back. */
-void sync_release(pooler_t *pooler);
-
-/* True if word is in a list of words joined by blanks. */
-bool sync_lists(const char *list, const char *word);
--- /dev/null
+++ b/pooler/verdict.c
@@ -0,0 +1,115 @@
+#include "verdict.h"
+
+#include <string.h>
+
+#include "exchange.h"
+#include "member.h"
+#include "sync.h"
+
+/* A report that a primary is down counts for so long: three questions' intervals. */
+#define REPORT_VALID (1 * USEC_PER_SEC)
+/* One that it is alive: an interval and a half, since it can have died just after. */
+#define ALIVE_VALID (450 * USEC_PER_MSEC)
+/* Between two questions to a primary that nobody uses. */
+#define UNUSED_CHECK (1 * USEC_PER_SEC)
+/* The same if another proxy says that it is down. */
+#define DOUBTED_CHECK (200 * USEC_PER_MSEC)
+/* A member's entry may come so much later than the change that it tells of. */
+#define LIST_LAG (3 * USEC_PER_SEC)
+
+typedef struct votes {
+	size_t down;
+	size_t alive;
+} votes_t;
+
+roster_group_t *verdict_group(const service_t *service)
+{
+	return roster_group(service->pooler->sync.roster, service->name);
+}
+
+member_t *verdict_primary(const service_t *service)
+{
+	const roster_group_t *group = verdict_group(service);
+
+	return group != NULL ? member_find(service->pooler, group->primary) : NULL;
+}
+
+/* What the proxies, this one included, see of the primary. */
+static votes_t count_votes(const service_t *service, const member_t *primary, usec_t now)
+{
+	const pooler_t *pooler = service->pooler;
+	votes_t votes = {0};
+
+	if (primary->down)
+		votes.down++;
+	else if (primary->last_reply + ALIVE_WITHIN > now)
+		votes.alive++;
+	list_for_each (it, &pooler->sync.reports) {
+		const peer_report_t *report = list_entry(it, peer_report_t, node);
+
+		if (report->heard_at + REPORT_VALID < now)
+			continue;
+		votes.down += exchange_lists(report->down, service->name);
+		if (report->heard_at + ALIVE_VALID > now)
+			votes.alive += exchange_lists(report->alive, service->name);
+	}
+	return votes;
+}
+
+/*
+ * The list of members lags behind: an old primary still says so after it was replaced. Only
+ * what was said since then tells that somebody else has made a change.
+ */
+static bool other_says_primary(const service_t *service, const member_t *primary)
+{
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (member != primary && member->says_primary && !member->gone &&
+		    member->says_since > service->settled_at + LIST_LAG)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Some proxies that can't reach the primary are no reason to replace it: another member may
+ * be out of reach for more of them, and the change costs all of them a second.
+ */
+static bool is_lost(const service_t *service, const member_t *primary, votes_t votes)
+{
+	size_t proxies = list_length(&service->pooler->sync.roster->nodes);
+
+	return votes.down * 2 > proxies || (primary->down && votes.down > votes.alive);
+}
+
+/*
+ * Nobody has used the primary of late, or some proxies can't: ask it, so that its failure is
+ * known before it is needed.
+ */
+static void check_unused(member_t *primary, usec_t now, usec_t interval)
+{
+	if (now < primary->checked_at + interval)
+		return;
+	primary->checked_at = now;
+	member_probe(primary);
+}
+
+const char *verdict_reason(const service_t *service, usec_t now)
+{
+	member_t *primary = verdict_primary(service);
+	votes_t votes;
+
+	if (primary == NULL || primary->gone)
+		return "primary is no longer listed";
+	if (primary->leaving)
+		return "primary is leaving";
+	if (!primary->says_primary && other_says_primary(service, primary))
+		return "another member leads";
+	votes = count_votes(service, primary, now);
+	if (is_lost(service, primary, votes))
+		return "primary does not answer";
+	if (votes.alive == 0 || votes.down != 0)
+		check_unused(primary, now, votes.down != 0 ? DOUBTED_CHECK : UNUSED_CHECK);
+	return NULL;
+}
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "hold.h"
 #include "permit.h"
 #include "pool_world.h"
 #include "sync.h"
@@ -487,7 +488,7 @@
 	size_t holder = 0;
 
 	world_settle(world);
-	while (!sync_is_holder(world->nodes[holder].pooler, clock_now(&world->clock.base)))
+	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
 		holder++;
 	world_kill(world, holder);
 	world_crash_member(world, 0);
@@ -511,7 +512,7 @@
 	size_t dead = 0;
 
 	world_settle(world);
-	while (sync_is_holder(world->nodes[dead].pooler, clock_now(&world->clock.base)))
+	while (hold_is_ours(world->nodes[dead].pooler, clock_now(&world->clock.base)))
 		dead++;
 	world_kill(world, dead);
 	world_run(world, SEC);
@@ -635,8 +636,8 @@
 		holders = 0;
 		world_run(world, 50 * MSEC);
 		for (size_t j = 0; j < 3; j++)
-			holders += sync_is_holder(world->nodes[j].pooler,
-						  clock_now(&world->clock.base));
+			holders +=
+				hold_is_ours(world->nodes[j].pooler, clock_now(&world->clock.base));
 	}
 	g_assert_cmpuint(holders, ==, 1);
 	world_destroy(world);
@@ -654,7 +655,7 @@
 	size_t holders = 0;
 
 	world_settle(world);
-	while (!sync_is_holder(world->nodes[holder].pooler, clock_now(&world->clock.base)))
+	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
 		holder++;
 	world->nodes[holder].kv.cut = true;
 	fake_kv_revoke(world->kv, "fleet/holder");
