--- a/proxy/main.c
+++ b/proxy/main.c
@@ -196,7 +196,9 @@
 static void reload(process_t *process, const char *why)
 {
 	err_t err = {0};
-	int rc = process->mode->reload(process->config_path, &process->grace, &err);
+	char effect[256];
+	int rc = process->mode->reload(process->config_path, &process->grace, effect,
+				       sizeof(effect), &err);
 
 	if (rc < 0) {
 		char line[512];
@@ -205,7 +207,7 @@
 		LOG_ERROR("reload refused, the old settings stay: %s", line);
 		return;
 	}
-	LOG_INFORM("reloaded, %s: settings that are not reloadable need a restart", why);
+	LOG_INFORM("reloaded: %s; the other settings need a restart (%s)", effect, why);
 }
 
 /* Returns true if the settings file is not the one that was read last. */
--- a/proxy/mode.h
+++ b/proxy/mode.h
@@ -14,8 +14,8 @@
 	const size_t *settings_len;
 	/* Read the settings and set up the log; the result is a talloc context, or NULL. */
 	void *(*load)(const char *path, usec_t *grace, err_t *err);
-	/* Read them again; what is reloadable takes effect. */
-	int (*reload)(const char *path, usec_t *grace, err_t *err);
+	/* Read them again; what is reloadable takes effect and is named in effect. */
+	int (*reload)(const char *path, usec_t *grace, char *effect, size_t len, err_t *err);
 	/* The context that the plug-ins share. */
 	void *(*context)(kernel_t *kernel, const void *settings, void (*on_drained)(void));
 	/* All plug-ins are there. */
--- a/proxy/mode_pooler.c
+++ b/proxy/mode_pooler.c
@@ -1,6 +1,7 @@
 #include "mode.h"
 
 #include <errno.h>
+#include <stdio.h>
 
 #include <talloc.h>
 
@@ -27,13 +28,18 @@
 	return conf;
 }
 
-static int reload(const char *path, usec_t *grace, err_t *err)
+static int reload(const char *path, usec_t *grace, char *effect, size_t len, err_t *err)
 {
 	platform_conf_t *fresh = load(path, grace, err);
 
 	if (fresh == NULL)
 		return -EINVAL;
 	deploy_set_addresses(&shared, fresh);
+	snprintf(effect, len,
+		 "log.level=%s log.json=%d shutdown.grace_s=%g store.address=%s "
+		 "promotion.address=%s",
+		 fresh->log_level, fresh->log_json, fresh->shutdown_grace_s, fresh->store_address,
+		 fresh->promotion_address);
 	talloc_free(fresh);
 	return 0;
 }
--- a/proxy/mode_requests.c
+++ b/proxy/mode_requests.c
@@ -1,6 +1,7 @@
 #include "mode.h"
 
 #include <errno.h>
+#include <stdio.h>
 
 #include <talloc.h>
 
@@ -37,12 +38,14 @@
 	return conf;
 }
 
-static int reload(const char *path, usec_t *grace, err_t *err)
+static int reload(const char *path, usec_t *grace, char *effect, size_t len, err_t *err)
 {
 	conf_t *fresh = load(path, grace, err);
 
 	if (fresh == NULL)
 		return -EINVAL;
+	snprintf(effect, len, "log.level=%s log.json=%d shutdown.grace_ms=%lld", fresh->log_level,
+		 fresh->log_json, (long long)fresh->shutdown_grace_ms);
 	talloc_free(fresh);
 	return 0;
 }
