--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -6,6 +6,7 @@
 
 #include "caller.h"
 #include "dispatch.h"
+#include "duty.h"
 #include "member.h"
 #include "permit.h"
 
@@ -401,6 +402,7 @@
 		conn_close(conn, "probe done");
 	else
 		conn_release(conn);
+	duty_tick(member->pooler, now_of(member->pooler));
 }
 
 /* The member is done with what nobody waits for. */
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -4,6 +4,7 @@
 
 #include "caller.h"
 #include "conn.h"
+#include "duty.h"
 #include "member.h"
 #include "permit.h"
 
@@ -22,14 +23,14 @@
 #define LAG_BELIEVED (300 * USEC_PER_MSEC)
 /* Added to it: the samples of the primary's position are so far apart. */
 #define LAG_MARGIN FRESHNESS_SPACING
-/* From the marking of a change of primary to its end: a promote takes about 1 s. */
-#define CHANGE_USUAL (1300 * USEC_PER_MSEC)
 /* From the first sign of a failed primary to the marking. */
 #define DETECTION_USUAL (700 * USEC_PER_MSEC)
 /* A primary that is leaving is used this long; the users' bound for leaving members is 7 s. */
 #define LEAVING_USE (5 * USEC_PER_SEC)
 /* A proxy that has just started gets on the roster within this. */
 #define REGISTER_USUAL (200 * USEC_PER_MSEC)
+/* What is left of a change that takes longer than expected. */
+#define OVERDUE_CHANGE (300 * USEC_PER_MSEC)
 /* When to come back if the end of the trouble isn't known. */
 #define UNKNOWN_RETRY (1 * USEC_PER_SEC)
 
@@ -263,7 +264,7 @@
 	const member_t *primary;
 
 	if (service->changing_since != USEC_NEVER)
-		return service->changing_since + CHANGE_USUAL;
+		return service->change_end > now ? service->change_end : now + OVERDUE_CHANGE;
 	if (now >= permit_end(service->pooler))
 		return USEC_NEVER;
 	if (!permit_is_registered(service->pooler))
--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -87,6 +87,7 @@
 
 	(void)result; /* the roster, read again, shows what holds */
 	service->change.busy = false;
+	duty_tick(service->pooler, now_of(service->pooler));
 }
 
 static void store_group(service_t *service, const char *primary, bool changing, uint64_t term)
@@ -228,6 +229,7 @@
 		change->calls = 0;
 	}
 	change->calls++;
+	change->called_at = now;
 	change->may_have_called = true;
 	change->target_led = target->status.primary;
 	change->target_term = target->status.term;
@@ -379,6 +381,8 @@
 
 static void step(service_t *service, usec_t now)
 {
+	if (service->change.step != CHANGE_NONE)
+		service->change_end = now + duty_remaining(service, now);
 	switch (service->change.step) {
 	case CHANGE_NONE:
 	case CHANGE_MARKING:
@@ -409,3 +413,28 @@
 	list_for_each (it, &pooler->services)
 		step(list_entry(it, service_t, node), now);
 }
+
+usec_t duty_remaining(const service_t *service, usec_t now)
+{
+	const change_t *change = &service->change;
+	usec_t end = now + CHANGE_USUAL;
+
+	switch (change->step) {
+	case CHANGE_RELEASING:
+		if (change->few_since != USEC_NEVER)
+			end = change->few_since + PERMIT_ALONE + CHANGE_USUAL;
+		else
+			end = change->marked_at + PERMIT_TOGETHER + CHANGE_USUAL;
+		break;
+	case CHANGE_PROMOTING:
+	case CHANGE_VERIFYING:
+		end = change->called_at + PROMOTE_USUAL;
+		break;
+	case CHANGE_COMMITTING:
+		end = now;
+		break;
+	default:
+		break;
+	}
+	return end > now ? end - now : 0;
+}
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -63,6 +63,8 @@
 	const char *holder;	 /* STATE: who holds the duty to promote, NULL if unknown */
 	uint64_t fence;		 /* STATE: the holder's */
 	const char *holder_address;
+	const char
+		*ends; /* STATE of the holder: changes under way, "SERVICE:MS " until their end */
 	/* ASK: services by name, as lists joined by blanks. */
 	const char *down;   /* their primary does not answer the sender */
 	const char *alive;  /* their primary answered the sender of late */
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <talloc.h>
@@ -78,6 +79,34 @@
 	pooler->env->ops->peer_send(pooler->env, name, address, message);
 }
 
+/* What the holder knows of the changes under way, for those whose callers wait. */
+static char *describe_ends(const pooler_t *pooler, usec_t now)
+{
+	char *ends = talloc_strdup(NULL, "");
+
+	list_for_each (it, &pooler->services) {
+		const service_t *service = list_entry(it, service_t, node);
+
+		if (service->change.step != CHANGE_NONE)
+			ends = talloc_asprintf_append(ends, "%s:%" PRIu64 " ", service->name,
+						      duty_remaining(service, now) / USEC_PER_MSEC);
+	}
+	return ends;
+}
+
+static void take_ends(pooler_t *pooler, const char *ends, usec_t now)
+{
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+		const char *at = strstr(ends, service->name);
+		size_t len = strlen(service->name);
+
+		if (at != NULL && at[len] == ':' && service->changing_since != USEC_NEVER)
+			service->change_end =
+				now + strtoull(at + len + 1, NULL, 10) * USEC_PER_MSEC;
+	}
+}
+
 static void send_state(const pooler_t *pooler, const char *name, const char *address, uint64_t echo,
 		       int64_t known)
 {
@@ -89,11 +118,14 @@
 	message.age = sync->confirmed_at != USEC_NEVER ? now - sync->confirmed_at : USEC_NEVER;
 	if (known < sync->roster->revision)
 		message.roster = roster_encode(NULL, sync->roster);
+	if (hold_is_ours(pooler, now))
+		message.ends = describe_ends(pooler, now);
 	message.holder = sync->holder;
 	message.holder_address = sync->holder_address;
 	message.fence = sync->fence;
 	send_to(pooler, name, address, &message);
 	talloc_free((void *)message.roster);
+	talloc_free((void *)message.ends);
 }
 
 void exchange_push(pooler_t *pooler)
@@ -239,6 +271,8 @@
 	if (message->echo != 0 && message->echo <= now &&
 	    message->revision == sync->roster->revision)
 		exchange_get_report(pooler, message->from)->agreed_at = message->echo;
+	if (message->ends != NULL)
+		take_ends(pooler, message->ends, now);
 	refresh_compare(pooler, message, now);
 	sync_run_services(pooler);
 }
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -7,9 +7,9 @@
 #include "state.h"
 
 /* A member without any reply for so long while it owes one is asked by a new connection. */
-#define MEMBER_SILENCE (250 * USEC_PER_MSEC)
+#define MEMBER_SILENCE (200 * USEC_PER_MSEC)
 /* A probe unanswered for so long means that the member is down: 20 handshakes' time. */
-#define PROBE_TIMEOUT (300 * USEC_PER_MSEC)
+#define PROBE_TIMEOUT (250 * USEC_PER_MSEC)
 /* Between probes of a member that is down. */
 #define PROBE_INTERVAL (250 * USEC_PER_MSEC)
 
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -81,11 +81,13 @@
 /* Commits at a primary that is changing get a little time; then their outcome is in doubt. */
 static void end_commits(service_t *service, usec_t now)
 {
-	if (service->changing_since == USEC_NEVER || now < service->changing_since + COMMIT_GRACE)
+	if (service->changing_since == USEC_NEVER)
 		return;
 	list_for_each (it, &service->members) {
 		member_t *member = list_entry(it, member_t, in_service);
 
+		if (!member->down && now < service->changing_since + COMMIT_GRACE)
+			continue;
 		list_for_each_safe (jt, &member->conns) {
 			conn_t *conn = list_entry(jt, conn_t, node);
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -167,7 +167,7 @@
 	bool target_led;      /* before the call the target called itself primary already */
 	uint64_t target_term; /* its term then */
 	usec_t next_probe;
-	usec_t next_call;
+	usec_t called_at;
 	unsigned calls;
 	usec_t quiet_until; /* after a change that came to nothing */
 } change_t;
@@ -185,6 +185,7 @@
 	freshness_t freshness;
 	char *fresh_primary;   /* the samples were taken there */
 	usec_t changing_since; /* as the roster told; USEC_NEVER: not changing */
+	usec_t change_end;     /* when the change is expected to be over */
 	usec_t settled_at;     /* when the roster last named another primary */
 	change_t change;
 } service_t;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -10,6 +10,7 @@
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
+#include "duty.h"
 #include "exchange.h"
 #include "hold.h"
 #include "permit.h"
@@ -85,6 +86,7 @@
 	if (moved)
 		service->settled_at = now_of(pooler);
 	service->changing_since = is->changing ? now_of(pooler) : USEC_NEVER;
+	service->change_end = now_of(pooler) + CHANGE_USUAL;
 	if (moved || is->changing)
 		revoke(service);
 }
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -335,6 +335,7 @@
 	mail->message.down = copy_text(mail, message->down);
 	mail->message.alive = copy_text(mail, message->alive);
 	mail->message.in_use = copy_text(mail, message->in_use);
+	mail->message.ends = copy_text(mail, message->ends);
 	timers_arm(&to->timers, &mail->timer, world_now(from->world) + LINK_DELAY, on_mail);
 }
 
