--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -10,6 +10,7 @@
 #include "conn.h"
 #include "dispatch.h"
 #include "permit.h"
+#include "report.h"
 
 #define LOG_MODULE "caller"
 #include "counter.h"
@@ -27,14 +28,6 @@
 /* Longest reason in an answer, bytes. */
 #define REASON_MAX 160
 
-COUNTER_DEFINE(done_total, "statements_done_total", COUNTER_SUM,
-	       "Statements answered with success.");
-COUNTER_DEFINE(refused_total, "statements_refused_total", COUNTER_SUM,
-	       "Statements refused with a promise that nothing was kept.");
-COUNTER_DEFINE(unsure_total, "statements_unsure_total", COUNTER_SUM,
-	       "Statements that ended in doubt or timed out.");
-COUNTER_DEFINE(failed_total, "statements_failed_total", COUNTER_SUM,
-	       "Statements that failed at the member.");
 COUNTER_DEFINE(retried_total, "statements_retried_total", COUNTER_SUM,
 	       "Attempts repeated without the caller seeing it.");
 COUNTER_DEFINE(transactions_total, "transactions_total", COUNTER_SUM, "Transactions begun.");
@@ -87,39 +80,19 @@
 {
 	caller_reply_t reply = {.kind = REPLY_RAW, .raw = from->raw};
 
-	counter_add(from->ok ? &done_total : &failed_total, 1);
+	if (from->ok)
+		report_done(caller);
+	else
+		report_failed(caller, from->code, "the member's answer");
 	finish(caller, &reply);
 }
 
-static void log_refusal(const caller_t *caller, code_t code, const char *reason)
-{
-	usec_t now = now_of(caller->pooler);
-	const sync_t *sync = &caller->pooler->sync;
-	bool confirmed = sync->confirmed_at != USEC_NEVER;
-
-	LOG_EVENT(LOG_WARN, "statement not served",
-		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
-		  LOG_STR("database", caller->database),
-		  LOG_STR("service", caller->service != NULL ? caller->service->name : ""),
-		  LOG_STR("outcome", code_name(code)), LOG_STR("reason", reason),
-		  LOG_INT("attempts", caller->attempts),
-		  LOG_INT("waited_ms", (int64_t)((now - caller->received_at) / USEC_PER_MSEC)),
-		  LOG_STR("member", caller->conn != NULL ? caller->conn->member->id : ""),
-		  LOG_INT("roster", sync->roster != NULL ? sync->roster->revision : 0),
-		  LOG_INT("roster_age_ms",
-			  confirmed ? (int64_t)((now - sync->confirmed_at) / USEC_PER_MSEC) : -1));
-}
-
 static void answer_error(caller_t *caller, code_t code, const char *reason)
 {
 	caller_reply_t reply = {
 		.kind = REPLY_ERROR, .code = code, .text = reason, .tx = caller->tx};
 
-	if (code == CODE_IN_DOUBT || code == CODE_TIMEOUT)
-		counter_add(&unsure_total, 1);
-	else
-		counter_add(&refused_total, 1);
-	log_refusal(caller, code, reason);
+	report_failed(caller, code, reason);
 	finish(caller, &reply);
 }
 
@@ -274,7 +247,6 @@
 /* An error inside a transaction, or of a lone statement that ran. */
 static void pass_error(caller_t *caller, conn_t *conn, const reply_t *reply)
 {
-	log_refusal(caller, reply->code, "the member's answer");
 	caller->tx = reply->tx;
 	conn->state = CONN_HELD;
 	conn->since = now_of(caller->pooler);
@@ -371,6 +343,7 @@
 	caller->reads = route->reads;
 	caller->max_age = route->max_age;
 	caller->timeout = route->statement_timeout;
+	caller->objective = route->objective;
 	caller->priority = route->priority;
 	return true;
 }
@@ -438,6 +411,7 @@
 	caller->deadline = caller->received_at + caller->timeout;
 	timers_arm(pooler->timers, &caller->timer, caller->deadline, on_deadline);
 	if (caller->conn != NULL) {
+		caller->placed_at = caller->received_at;
 		conn_run_held(caller->conn);
 		return;
 	}
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -323,6 +323,7 @@
 {
 	conn->caller = caller;
 	caller->conn = conn;
+	caller->placed_at = now_of(caller->pooler);
 	conn_run_held(conn);
 }
 
--- /dev/null
+++ b/pooler/report.c
@@ -0,0 +1,118 @@
+#include "report.h"
+
+#define LOG_MODULE "report"
+#include "counter.h"
+#include "histogram.h"
+#include "log.h"
+
+COUNTER_DEFINE(done_total, "statements_done_total", COUNTER_SUM,
+	       "Statements answered with success.");
+COUNTER_DEFINE(late_total, "statements_late_total", COUNTER_SUM,
+	       "Statements answered with success, but after the objective of their route.");
+COUNTER_DEFINE(refused_total, "statements_refused_total", COUNTER_SUM,
+	       "Statements refused with a promise that nothing was kept.");
+COUNTER_DEFINE(unsure_total, "statements_unsure_total", COUNTER_SUM,
+	       "Statements that ended in doubt or timed out.");
+COUNTER_DEFINE(failed_total, "statements_failed_total", COUNTER_SUM,
+	       "Statements that failed at the member, or were malformed.");
+
+#define STATEMENT_SECONDS "statement_seconds"
+#define STATEMENT_HELP	  "Time from a statement to its answer, by kind of reads and outcome."
+
+HISTOGRAM_DEFINE(primary_done, STATEMENT_SECONDS, "reads=\"primary\",outcome=\"done\"",
+		 STATEMENT_HELP);
+HISTOGRAM_DEFINE(primary_failed, STATEMENT_SECONDS, "reads=\"primary\",outcome=\"failed\"",
+		 STATEMENT_HELP);
+HISTOGRAM_DEFINE(bounded_done, STATEMENT_SECONDS, "reads=\"bounded\",outcome=\"done\"",
+		 STATEMENT_HELP);
+HISTOGRAM_DEFINE(bounded_failed, STATEMENT_SECONDS, "reads=\"bounded\",outcome=\"failed\"",
+		 STATEMENT_HELP);
+HISTOGRAM_DEFINE(session_done, STATEMENT_SECONDS, "reads=\"session\",outcome=\"done\"",
+		 STATEMENT_HELP);
+HISTOGRAM_DEFINE(session_failed, STATEMENT_SECONDS, "reads=\"session\",outcome=\"failed\"",
+		 STATEMENT_HELP);
+HISTOGRAM_DEFINE(wait_seconds, "statement_wait_seconds", "",
+		 "Time that a statement waited for a connection to a member.");
+
+static histogram_t *const done_seconds[] = {
+	[READS_PRIMARY] = &primary_done,
+	[READS_BOUNDED] = &bounded_done,
+	[READS_SESSION] = &session_done,
+};
+
+static histogram_t *const failed_seconds[] = {
+	[READS_PRIMARY] = &primary_failed,
+	[READS_BOUNDED] = &bounded_failed,
+	[READS_SESSION] = &session_failed,
+};
+
+static int64_t msec_since(usec_t now, usec_t then)
+{
+	return then <= now ? (int64_t)((now - then) / USEC_PER_MSEC) : -1;
+}
+
+/* -1: the store was never heard. */
+static int64_t roster_age(const caller_t *caller, usec_t now)
+{
+	usec_t confirmed = caller->pooler->sync.confirmed_at;
+
+	return confirmed != USEC_NEVER ? msec_since(now, confirmed) : -1;
+}
+
+void report_done(const caller_t *caller)
+{
+	usec_t now = now_of(caller->pooler);
+	usec_t took = now - caller->received_at;
+
+	counter_add(&done_total, 1);
+	histogram_add(done_seconds[caller->reads], took);
+	histogram_add(&wait_seconds, caller->placed_at - caller->received_at);
+	if (took <= caller->objective)
+		return;
+	counter_add(&late_total, 1);
+	LOG_EVENT(LOG_INFO, "statement served late",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("database", caller->database), LOG_STR("service", caller->service->name),
+		  LOG_INT("took_ms", took / USEC_PER_MSEC),
+		  LOG_INT("waited_ms", msec_since(caller->placed_at, caller->received_at)),
+		  LOG_INT("ran_ms", msec_since(now, caller->conn->sent_at)),
+		  LOG_INT("attempts", caller->attempts),
+		  LOG_STR("member", caller->conn->member->id),
+		  LOG_INT("member_usual_ms", caller->conn->member->response / USEC_PER_MSEC),
+		  LOG_INT("waiting", list_length(&caller->service->waiting)));
+}
+
+static counter_t *counter_of(code_t code)
+{
+	switch (code) {
+	case CODE_IN_DOUBT:
+	case CODE_TIMEOUT:
+		return &unsure_total;
+	case CODE_FAILED:
+	case CODE_NO_STATEMENT:
+	case CODE_MALFORMED:
+	case CODE_OTHER:
+		return &failed_total;
+	default:
+		return &refused_total;
+	}
+}
+
+void report_failed(const caller_t *caller, code_t code, const char *reason)
+{
+	usec_t now = now_of(caller->pooler);
+
+	counter_add(counter_of(code), 1);
+	histogram_add(failed_seconds[caller->reads], now - caller->received_at);
+	LOG_EVENT(LOG_WARN, "statement not served",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("database", caller->database),
+		  LOG_STR("service", caller->service != NULL ? caller->service->name : ""),
+		  LOG_STR("outcome", code_name(code)), LOG_STR("reason", reason),
+		  LOG_INT("attempts", caller->attempts),
+		  LOG_INT("waited_ms", msec_since(now, caller->received_at)),
+		  LOG_STR("member", caller->conn != NULL ? caller->conn->member->id : ""),
+		  LOG_INT("config", caller->pooler->routes->version),
+		  LOG_INT("roster", caller->pooler->sync.roster->revision),
+		  LOG_INT("roster_age_ms", roster_age(caller, now)));
+}
--- /dev/null
+++ b/pooler/report.h
@@ -0,0 +1,13 @@
+/*
+ * Telling what became of statements: counters and histograms for all, a log
+ * line for each that failed, was refused or came late.
+ */
+#pragma once
+
+#include "state.h"
+
+/* Answered with success. */
+void report_done(const caller_t *caller);
+
+/* Answered with an error of the member's or of our own. */
+void report_failed(const caller_t *caller, code_t code, const char *reason);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -118,12 +118,14 @@
 	reads_t reads;
 	usec_t max_age;
 	usec_t timeout;
+	usec_t objective;
 	int64_t priority;
 	/* Statement in progress. */
 	bool busy;
 	statement_t statement;
 	char *text; /* holds what statement's slices point to */
 	usec_t received_at;
+	usec_t placed_at; /* when it was given a connection */
 	usec_t deadline;
 	run_timer_t timer;
 	usec_t idle_since;
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -119,6 +119,8 @@
 	g_assert_cmpint(site_get(site, 0, false, "/metrics", body), ==, 200);
 	g_assert_nonnull(strstr(body->str, "cyclamenspan_statements_done_total "));
 	g_assert_nonnull(strstr(body->str, "cyclamenspan_config_version 3"));
+	g_assert_nonnull(strstr(body->str, "cyclamenspan_statement_seconds_bucket{"
+					   "reads=\"primary\",outcome=\"done\",le=\"0.064\"} "));
 	g_string_truncate(body, 0);
 	g_assert_cmpint(site_get(site, 0, false, "/state", body), ==, 200);
 	state = json_loads(body->str, 0, NULL);
