--- a/ctl/client.c
+++ b/ctl/client.c
@@ -22,9 +22,11 @@
 {
 	CURL *easy = curl_easy_init();
 	char *url = talloc_asprintf(NULL, "%s%s", client->endpoint, path);
-	char *auth = talloc_asprintf(url, "Authorization: Bearer %s", client->token);
+	char *auth = client->token != NULL
+			     ? talloc_asprintf(url, "Authorization: Bearer %s", client->token)
+			     : NULL;
 	char *post = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
-	struct curl_slist *headers = curl_slist_append(NULL, auth);
+	struct curl_slist *headers = auth != NULL ? curl_slist_append(NULL, auth) : NULL;
 	CURLcode code;
 
 	*answer = talloc_strdup(NULL, "");
--- /dev/null
+++ b/ctl/command.h
@@ -0,0 +1,64 @@
+/* What the commands of cyclamenctl share, and their entry points. */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "client.h"
+
+/* Exit codes, for scripts. */
+typedef enum {
+	CTL_OK,
+	CTL_LOCAL_ERROR,
+	CTL_USAGE,
+	CTL_REFUSED,
+	CTL_UNKNOWN,
+	CTL_UNREACHABLE,
+	CTL_DENIED,
+} ctl_exit_t;
+
+typedef struct ctl {
+	client_t client;
+	const char *author;
+	int64_t base_version; /* -1: the version read just before */
+	bool json;
+} ctl_t;
+
+/* What a command asks of the options. */
+typedef enum { NEEDS_TOKEN, NEEDS_ENDPOINT, NEEDS_NOTHING } command_needs_t;
+
+typedef struct command {
+	const char *group;
+	const char *name;
+	int min_args;
+	int max_args;
+	command_needs_t needs;
+	int (*run)(ctl_t *ctl, int argc, char **argv);
+	const char *args;
+	const char *help;
+} command_t;
+
+void command_print_error(const err_t *err);
+
+/* The answer as JSON, or NULL with *status set to the exit code. */
+json_t *command_call(ctl_t *ctl, const char *path, const json_t *body, int *status);
+
+void command_print_json(const json_t *value);
+
+/* The proxies of the fleet with their table versions. */
+void command_print_proxies(const json_t *fleet);
+
+/* Each returns an exit code; argv holds the arguments after the command's words. */
+int run_table_get(ctl_t *ctl, int argc, char **argv);
+int run_table_diff(ctl_t *ctl, int argc, char **argv);
+int run_table_apply(ctl_t *ctl, int argc, char **argv);
+int run_table_set(ctl_t *ctl, int argc, char **argv);
+int run_table_delete(ctl_t *ctl, int argc, char **argv);
+int run_table_history(ctl_t *ctl, int argc, char **argv);
+int run_table_status(ctl_t *ctl, int argc, char **argv);
+int run_fleet(ctl_t *ctl, int argc, char **argv);
+int run_state(ctl_t *ctl, int argc, char **argv);
+int run_metrics(ctl_t *ctl, int argc, char **argv);
+int run_drain(ctl_t *ctl, int argc, char **argv);
+int run_pooler(ctl_t *ctl, int argc, char **argv);
+int run_explain(ctl_t *ctl, int argc, char **argv);
--- a/tests/site.c
+++ b/tests/site.c
@@ -28,6 +28,11 @@
 	return site->port + 8 + 4 * proxy;
 }
 
+int site_operators_port(const site_harness_t *site, int proxy)
+{
+	return caller_port(site, proxy) + 2;
+}
+
 static void write_settings(const site_harness_t *site, int proxy, const char *path)
 {
 	int port = caller_port(site, proxy);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -181,6 +181,58 @@
 	close(pipe_fds[1]);
 }
 
+static char *run_ctl(char **argv, int *status)
+{
+	char *output = NULL;
+
+	g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &output, NULL,
+				   status, NULL));
+	return output;
+}
+
+/* A failed request's id is enough: the command finds its line, and what came before it. */
+static void test_explain(void)
+{
+	char *program = harness_program("ctl/cyclamenctl");
+	char *log = g_build_filename(site->dir, "p0.log", NULL);
+	char *argv[] = {program, "explain", "failed-one", log, NULL};
+	char *unknown[] = {program, "explain", "nobody", log, NULL};
+	site_caller_t *caller = site_open(site, 0, "jobs");
+	char *output;
+	int status;
+
+	site_send(caller, "QUERY failed-one EXEC none a\r\n", 31);
+	assert_reply(site_receive(caller), "ERR NOSTMT");
+	g_usleep(200000);
+	output = run_ctl(argv, &status);
+	g_assert_cmpint(status, ==, 0);
+	g_assert_nonnull(strstr(output, "* "));
+	g_assert_nonnull(strstr(output, "outcome=no_statement"));
+	g_free(output);
+	g_free(run_ctl(unknown, &status));
+	g_assert_cmpint(status, !=, 0);
+	site_disconnect(caller);
+	g_free(log);
+	g_free(program);
+}
+
+/* The state of a pooler for people. */
+static void test_ctl_pooler(void)
+{
+	char *program = harness_program("ctl/cyclamenctl");
+	char *endpoint = g_strdup_printf("http://127.0.0.1:%d", site_operators_port(site, 0));
+	char *argv[] = {program, "-e", endpoint, "pooler", NULL};
+	int status;
+	char *output = run_ctl(argv, &status);
+
+	g_assert_cmpint(status, ==, 0);
+	g_assert_nonnull(strstr(output, "proxy p0 ready, configuration 3"));
+	g_assert_nonnull(strstr(output, "service core primary core-0"));
+	g_free(output);
+	g_free(endpoint);
+	g_free(program);
+}
+
 /* SIGTERM: not ready at once, an open transaction may end, then the process ends by itself. */
 static void test_shutdown(void)
 {
@@ -272,6 +324,8 @@
 	g_test_add_func("/site/metrics-and-state", test_metrics_and_state);
 	g_test_add_func("/site/log-lines", test_log_lines);
 	g_test_add_func("/site/log-without-reader", test_log_without_reader);
+	g_test_add_func("/site/explain", test_explain);
+	g_test_add_func("/site/ctl-pooler", test_ctl_pooler);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
 	g_test_add_func("/site/template", test_template);
