A prepared name goes along with its statement; a bound on the values of a session

A name unknown to the member cost a round trip (12 ms -> 6 ms in the test); without it EXEC does not run, so one flight is safe.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -451,6 +451,10 @@
 {
 	switch (caller->statement.kind) {
 	case STATEMENT_SET:
+		if (caller->variables.count >= VARIABLES_MAX) {
+			answer_error(caller, CODE_FAILED, "too many values in this session");
+			break;
+		}
 		variables_set(&caller->variables, caller, caller->statement.name,
 			      caller->statement.value);
 		answer_done(caller);
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -210,16 +210,18 @@
 	conn->prepared_count = 0;
 }
 
+/* What goes to the member in one packet. */
 typedef struct flight {
 	conn_t *conn;
-	member_request_t requests[CONN_SETUP_MAX];
+	member_request_t requests[CONN_SETUP_MAX + 1];
+	size_t len;
 } flight_t;
 
 static void add(flight_t *flight, member_request_t request)
 {
 	conn_t *conn = flight->conn;
 
-	flight->requests[conn->setup_len] = request;
+	flight->requests[flight->len++] = request;
 	conn->setup[conn->setup_len++] = request.kind;
 }
 
@@ -275,9 +277,8 @@
 	add(flight, request);
 }
 
-static void send_statement(conn_t *conn)
+static void add_statement(flight_t *flight, const caller_t *caller)
 {
-	caller_t *caller = conn->caller;
 	member_request_t request = {.kind = REQUEST_FORWARD, .statement = &caller->statement};
 
 	if (caller->exec != NULL) {
@@ -288,16 +289,31 @@
 		request.has_after = caller->has_after;
 		request.after = caller->after;
 	}
-	set_state(conn, CONN_RUNNING);
-	send_requests(conn, &request, 1);
+	flight->requests[flight->len++] = request;
 }
 
-/* Returns true if something had to be sent first. */
-static bool prepare(conn_t *conn)
+static void send_flight(flight_t *flight, conn_state_t state)
+{
+	set_state(flight->conn, state);
+	send_requests(flight->conn, flight->requests, flight->len);
+}
+
+static void send_statement(conn_t *conn)
 {
-	caller_t *caller = conn->caller;
 	flight_t flight = {.conn = conn};
 
+	conn->setup_len = 0;
+	conn->setup_done = 0;
+	add_statement(&flight, conn->caller);
+	send_flight(&flight, CONN_RUNNING);
+}
+
+/* Set up what the statement needs; flight holds what must be sent for that. */
+static void prepare(flight_t *flight)
+{
+	conn_t *conn = flight->conn;
+	caller_t *caller = conn->caller;
+
 	conn->setup_len = 0;
 	conn->setup_done = 0;
 	conn->setup_code = CODE_NONE;
@@ -306,17 +322,11 @@
 			     conn->prepared_count >= PREPARED_MAX)) {
 		counter_add(&resets_total, 1);
 		forget_all(conn);
-		add(&flight, (member_request_t){.kind = REQUEST_RESET});
+		add(flight, (member_request_t){.kind = REQUEST_RESET});
 	}
-	add_variables(&flight, caller);
-	add_name(&flight, caller->exec);
-	add_begin(&flight, caller);
-	if (conn->setup_len == 0)
-		return false;
-	counter_add(&setups_total, 1);
-	set_state(conn, CONN_PREPARING);
-	send_requests(conn, flight.requests, conn->setup_len);
-	return true;
+	add_variables(flight, caller);
+	add_name(flight, caller->exec);
+	add_begin(flight, caller);
 }
 
 void conn_run(conn_t *conn, caller_t *caller)
@@ -329,12 +339,23 @@
 
 void conn_run_held(conn_t *conn)
 {
+	flight_t flight = {.conn = conn};
+	bool only_name;
+
+	prepare(&flight);
+	only_name = conn->setup_len == 1 && conn->setup[0] == REQUEST_PREPARE;
 	/*
-	 * The statement goes out only after the replies to what it rests on: in one flight a
-	 * failed BEGIN would let a write of a transaction run and commit by itself.
+	 * The statement waits for the replies to what it rests on: in one flight a failed BEGIN
+	 * would let a write of a transaction run and commit by itself. Only a name may go along:
+	 * without it the statement does not run.
 	 */
-	if (!prepare(conn))
-		send_statement(conn);
+	if (conn->setup_len != 0 && !only_name) {
+		counter_add(&setups_total, 1);
+		send_flight(&flight, CONN_PREPARING);
+		return;
+	}
+	add_statement(&flight, conn->caller);
+	send_flight(&flight, CONN_RUNNING);
 }
 
 /* --- replies --- */
@@ -363,6 +384,14 @@
 	caller_on_refused(caller, conn->setup_code);
 }
 
+/* The reply to a name that went along with its statement, whose own reply is next. */
+static void on_name_reply(conn_t *conn, const reply_t *reply)
+{
+	conn->setup_done++;
+	if (!reply->ok)
+		conn->prepared_count = 0;
+}
+
 static void measure(conn_t *conn, usec_t now)
 {
 	member_t *member = conn->member;
@@ -409,6 +438,10 @@
 /* The member is done with what nobody waits for. */
 static void on_late_reply(conn_t *conn, const reply_t *reply)
 {
+	if (conn->setup_done < conn->setup_len) {
+		on_name_reply(conn, reply);
+		return;
+	}
 	conn->in_tx = reply->tx != TX_NONE;
 	if (conn->state == CONN_CLEANING && conn->in_tx) {
 		conn_close(conn, "rollback failed");
@@ -438,6 +471,10 @@
 		on_setup_reply(conn, reply);
 		break;
 	case CONN_RUNNING:
+		if (conn->setup_done < conn->setup_len) {
+			on_name_reply(conn, reply);
+			return;
+		}
 		/* A refusal is quick and says nothing of how long work takes. */
 		if (reply->ok)
 			measure(conn, now);
@@ -465,6 +502,7 @@
 		conn->caller->conn = NULL;
 	conn->caller = NULL;
 	if (conn->in_tx) {
+		conn->setup_done = conn->setup_len;
 		set_state(conn, CONN_CLEANING);
 		send_requests(conn, &rollback, 1);
 		return;
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -23,8 +23,10 @@
 	CONN_PROBING,	/* asks for the member's status */
 } conn_state_t;
 
+/* Values that a session may set; far more than the users' applications do. */
+#define VARIABLES_MAX 48
 /* Requests of our own in one flight before a statement: RESET, values, a name, BEGIN. */
-#define CONN_SETUP_MAX 64
+#define CONN_SETUP_MAX (VARIABLES_MAX + 3)
 
 typedef struct conn {
 	list_t node; /* in member_t.conns */
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -118,6 +118,48 @@
 	world_destroy(world);
 }
 
+/*
+ * A prepared name that the member does not know yet costs no round trip of its
+ * own: if preparing fails, so does what rests on it, without having run.
+ */
+static void test_name_and_statement_in_one_flight(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *caller;
+	usec_t before;
+
+	world->reads = READS_PRIMARY;
+	world_settle(world);
+	caller = world_open(world, 0);
+	assert_begins(world_ask(caller, "READ a"), "ROW none");
+	world_ask(caller, "PREPARE s1 WRITE q1");
+	before = clock_now(&world->clock.base);
+	assert_begins(world_ask(caller, "EXEC s1 case-1 filed"), "DONE core-0");
+	/* Two ways of 1 ms, 4 ms of work, and a step of the world. */
+	g_assert_cmpuint(clock_now(&world->clock.base) - before, <=, 7 * MSEC);
+	world_destroy(world);
+}
+
+/* More values than a session may have are refused, and harm nobody. */
+static void test_too_many_values(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *caller;
+	bool refused = false;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	for (int i = 0; i < 100; i++) {
+		char text[32];
+
+		snprintf(text, sizeof(text), "SET n%d x", i);
+		refused = !g_str_has_prefix(world_ask(caller, text), "DONE") || refused;
+	}
+	g_assert_true(refused);
+	assert_begins(world_ask(caller, "READ a"), "ROW none");
+	world_destroy(world);
+}
+
 /*
  * A caller leaves in the middle of its transaction. The next one to use the
  * connection must not find itself inside it, and nothing of it may stay.
@@ -732,6 +774,8 @@
 	g_test_add_func("/calm/transaction", test_transaction);
 	g_test_add_func("/calm/empty-transaction", test_empty_transaction);
 	g_test_add_func("/calm/values-and-names", test_values_and_names_of_two_callers);
+	g_test_add_func("/calm/one-flight", test_name_and_statement_in_one_flight);
+	g_test_add_func("/calm/too-many-values", test_too_many_values);
 	g_test_add_func("/calm/caller-leaves", test_caller_leaves_in_transaction);
 	g_test_add_func("/calm/unknown-database", test_unknown_database);
 	g_test_add_func("/fresh/session", test_session_reads_its_write);
