--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -257,6 +257,22 @@
 	       verdict_reason(service, now) == NULL;
 }
 
+/*
+ * From when no call of an earlier holder can be on its way. Each one writes a change to the
+ * roster before it calls, so one that had written none lately has called nothing; if its
+ * change stands unfinished, it may call until its hold has ended.
+ */
+static usec_t settled_at(const service_t *service)
+{
+	const sync_t *sync = &service->pooler->sync;
+	const roster_group_t *group = verdict_group(service);
+	usec_t at = sync->foreign_change != 0 ? sync->foreign_change + SETTLE_TIME : 0;
+
+	if (group->fence != sync->own_fence && at < sync->held_since + SETTLE_TIME)
+		at = sync->held_since + SETTLE_TIME;
+	return at;
+}
+
 static void survey(service_t *service, usec_t now)
 {
 	change_t *change = &service->change;
@@ -290,7 +306,7 @@
 	if (old != NULL && old->survey_done && now < change->step_since + CATCH_UP_TIME &&
 	    survey_is_further(old->status.received, best->status.received))
 		return;
-	if (now < service->pooler->sync.held_since + SETTLE_TIME)
+	if (now < settled_at(service))
 		return;
 	promote(service, best, now);
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -230,8 +230,9 @@
 	bool acquiring;
 	uint64_t lease;
 	bool holding;
-	uint64_t own_fence; /* of our hold */
-	usec_t hold_until;  /* by our clock, from the sending of the last renewal */
+	uint64_t own_fence;    /* of our hold */
+	usec_t foreign_change; /* when another holder last wrote a group to the roster */
+	usec_t hold_until;     /* by our clock, from the sending of the last renewal */
 	usec_t held_since;
 	bool renewing;
 	usec_t renew_next;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -83,6 +83,8 @@
 		  LOG_STR("service", is->service), LOG_STR("member", is->primary),
 		  LOG_INT("roster", pooler->sync.roster->revision),
 		  LOG_INT("fence", (int64_t)is->fence));
+	if (is->fence != pooler->sync.own_fence)
+		pooler->sync.foreign_change = now_of(pooler);
 	if (moved)
 		service->settled_at = now_of(pooler);
 	service->changing_since = is->changing ? now_of(pooler) : USEC_NEVER;
@@ -278,7 +280,11 @@
 static bool must_read(const pooler_t *pooler, usec_t now)
 {
 	const sync_t *sync = &pooler->sync;
-	usec_t most = hold_is_ours(pooler, now) ? READ_HOLDER : READ_OTHERS + sync->read_jitter;
+	usec_t most = READ_OTHERS + sync->read_jitter;
+
+	/* The duty may become vacant: whoever sees that first takes it. */
+	if (hold_is_ours(pooler, now) || now >= sync->holder_heard + HOLDER_SILENT)
+		most = READ_HOLDER + sync->read_jitter / 2;
 
 	if (sync->reading || now < sync->read_after)
 		return false;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -488,6 +488,31 @@
 	world_destroy(world);
 }
 
+/*
+ * The holder of the duty is frozen when the primary crashes. Its successor need
+ * not wait for calls of a holder that had begun no change.
+ */
+static void test_holder_frozen_when_the_primary_crashes(void)
+{
+	pool_world_t *world = world_create(5, NULL);
+	world_caller_t *caller;
+	size_t holder = 0;
+
+	world_settle(world);
+	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
+		holder++;
+	caller = world_open(world, (holder + 1) % 5);
+	world_ask(caller, "WRITE job-1 a");
+	world_freeze(world, holder);
+	world_crash_member(world, 0);
+	world_run(world, 5600 * MSEC);
+	assert_begins(world_ask(caller, "WRITE job-1 b"), "DONE core-");
+	world_thaw(world, holder);
+	world_run(world, 3 * SEC);
+	g_assert_cmpuint(world->promote_count, ==, 1);
+	world_destroy(world);
+}
+
 /*
  * A member is promoted and crashes before anybody saw it lead; meanwhile the old
  * primary has no reason to go any more. It can't simply stay: the other one leads
@@ -791,6 +816,7 @@
 	g_test_add_func("/primary/holder-dies", test_holder_dies_with_the_primary);
 	g_test_add_func("/primary/dead-proxy", test_proxy_is_dead_when_the_primary_crashes);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
+	g_test_add_func("/primary/holder-frozen", test_holder_frozen_when_the_primary_crashes);
 	g_test_add_func("/primary/promoted-crashes", test_promoted_member_crashes_unseen);
 	g_test_add_func("/primary/promote-lost", test_promote_answer_is_lost);
 	g_test_add_func("/primary/list-is-behind", test_list_is_behind);
