--- a/pooler/state.h
+++ b/pooler/state.h
@@ -187,10 +187,11 @@
 	bool dispatching;
 	bool dispatch_again;
 	freshness_t freshness;
-	char *fresh_primary;   /* the samples were taken there */
-	usec_t changing_since; /* as the roster told; USEC_NEVER: not changing */
-	usec_t change_end;     /* when the change is expected to be over */
-	usec_t settled_at;     /* when the roster last named another primary */
+	char *fresh_primary;	  /* the samples were taken there */
+	usec_t changing_since;	  /* as the roster told; USEC_NEVER: not changing */
+	usec_t change_end;	  /* when the change is expected to be over */
+	usec_t settled_at;	  /* when the roster last named another primary */
+	int64_t settled_revision; /* of that roster */
 	change_t change;
 } service_t;
 
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -85,8 +85,10 @@
 		  LOG_INT("fence", (int64_t)is->fence));
 	if (is->fence != pooler->sync.own_fence)
 		pooler->sync.foreign_change = now_of(pooler);
-	if (moved)
+	if (moved) {
 		service->settled_at = now_of(pooler);
+		service->settled_revision = pooler->sync.roster->revision;
+	}
 	service->changing_since = is->changing ? now_of(pooler) : USEC_NEVER;
 	service->change_end = now_of(pooler) + CHANGE_USUAL;
 	if (moved || is->changing)
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -47,7 +47,9 @@
 	list_for_each (it, &pooler->sync.reports) {
 		const peer_report_t *report = list_entry(it, peer_report_t, node);
 
-		if (report->heard_at + REPORT_VALID < now)
+		/* A proxy that did not know this primary yet spoke of the one before. */
+		if (report->heard_at + REPORT_VALID < now ||
+		    report->revision < service->settled_revision)
 			continue;
 		votes.down += exchange_lists(report->down, service->name);
 		if (report->heard_at + ALIVE_VALID > now)
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -342,6 +342,37 @@
 	world_destroy(world);
 }
 
+/*
+ * Every proxy has reported the old primary as down. What was said of that one must
+ * not count against its successor, or the change is made twice: callers who had
+ * just been served again would wait a second time.
+ */
+static void test_reports_of_the_old_primary(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *callers[3];
+	const char *leader;
+
+	world_settle(world);
+	for (size_t i = 0; i < 3; i++) {
+		callers[i] = world_open(world, i);
+		world_ask(callers[i], "WRITE job-1 a");
+	}
+	world_crash_member(world, 0);
+	for (size_t i = 0; i < 3; i++)
+		world_send(callers[i], "WRITE job-1 b");
+	while (world->db->promoted_at == 0)
+		world_run(world, MSEC);
+	leader = fake_leader(world->db)->id;
+	while (world_permitted(world, leader) != 3)
+		world_run(world, MSEC);
+	for (int i = 0; i < 1500; i++) {
+		world_run(world, MSEC);
+		g_assert_cmpuint(world_permitted(world, leader), ==, 3);
+	}
+	world_destroy(world);
+}
+
 /*
  * The primary is leaving: it is replaced while it still answers. No committed
  * write is lost, and the old primary gets nothing new.
@@ -809,6 +840,7 @@
 	g_test_add_func("/outcome/lost-read", test_lost_answer_of_a_read);
 	g_test_add_func("/outcome/crash-in-transaction", test_primary_crashes_in_transaction);
 	g_test_add_func("/primary/crash", test_primary_crashes);
+	g_test_add_func("/primary/old-reports", test_reports_of_the_old_primary);
 	g_test_add_func("/primary/leaving", test_primary_is_leaving);
 	g_test_add_func("/primary/longest-log", test_longest_log_is_promoted);
 	g_test_add_func("/primary/cut-off-proxy", test_cut_off_proxy_stops_before_the_promote);
