Lost answers of the store are noticed sooner; a duty won without an answer is taken up

Calls now wait 6 times the usual response, 250 ms at least. Test /store/duty-unanswered failed first.

--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -23,7 +23,7 @@
 /* Wait before taking the duty; jittered, so that one of many gets it. */
 #define ACQUIRE_JITTER (200 * USEC_PER_MSEC)
 /* After a failed attempt. */
-#define ACQUIRE_BACKOFF (1 * USEC_PER_SEC)
+#define ACQUIRE_BACKOFF (400 * USEC_PER_MSEC)
 /* A read that showed no holder is believed for so long. */
 #define VACANT_BELIEVED (1 * USEC_PER_SEC)
 
@@ -60,6 +60,20 @@
 	pooler->sync.lease = 0;
 }
 
+static void take_up(pooler_t *pooler, uint64_t fence)
+{
+	sync_t *sync = &pooler->sync;
+	usec_t now = now_of(pooler);
+
+	sync->holding = true;
+	sync->own_fence = fence;
+	sync->held_since = now;
+	sync->renew_next = now;
+	counter_set(&duty_held, 1);
+	sync_set_holder(pooler, pooler->config.name, pooler->config.address, fence);
+	exchange_push(pooler);
+}
+
 static void on_acquired(void *data, const kv_result_t *result)
 {
 	pooler_t *pooler = data;
@@ -68,19 +82,26 @@
 
 	sync->acquiring = false;
 	/* The answer may come after the hold has ended and gone to another. */
-	if (result->status != KV_OK || now >= sync->hold_until ||
-	    (uint64_t)result->as_of < sync->fence) {
-		sync->acquire_after = now + ACQUIRE_BACKOFF;
-		end_lease(pooler);
+	if (result->status == KV_OK && now < sync->hold_until &&
+	    (uint64_t)result->as_of >= sync->fence) {
+		take_up(pooler, (uint64_t)result->as_of);
 		return;
 	}
-	sync->holding = true;
-	sync->own_fence = (uint64_t)result->as_of;
-	sync->held_since = now;
-	sync->renew_next = now + RENEW_INTERVAL;
-	counter_set(&duty_held, 1);
-	sync_set_holder(pooler, pooler->config.name, pooler->config.address, sync->own_fence);
-	exchange_push(pooler);
+	sync->acquire_after = now + ACQUIRE_BACKOFF;
+	/* Unanswered, it may have been won: the next read shows whose key is there. */
+	if (result->status != KV_LOST)
+		end_lease(pooler);
+}
+
+void hold_on_own_key(pooler_t *pooler, uint64_t incarnation, uint64_t fence)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (sync->holding || sync->lease == 0 || incarnation != pooler->config.incarnation ||
+	    now_of(pooler) >= sync->hold_until || fence < sync->fence)
+		return;
+	LOG_EVENT(LOG_INFO, "duty won, though no answer came", LOG_INT("fence", (int64_t)fence));
+	take_up(pooler, fence);
 }
 
 static void on_lease(void *data, const kv_result_t *result)
--- a/pooler/hold.h
+++ b/pooler/hold.h
@@ -10,6 +10,9 @@
 /* True while this proxy certainly holds the duty. */
 bool hold_is_ours(const pooler_t *pooler, usec_t now);
 
+/* The store has our name under the key of the duty, written by the process of that incarnation. */
+void hold_on_own_key(pooler_t *pooler, uint64_t incarnation, uint64_t fence);
+
 void hold_lose(pooler_t *pooler, const char *reason);
 
 /* Give the duty back. */
--- a/pooler/kv.h
+++ b/pooler/kv.h
@@ -48,6 +48,7 @@
 
 typedef struct kv {
 	const struct kv_ops *ops;
+	int64_t patience_ms; /* of a call that is no watch; 0: the implementation's own */
 } kv_t;
 
 typedef struct kv_ops {
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -219,6 +219,7 @@
 	usec_t read_after; /* back-off */
 	usec_t last_read_ok;
 	usec_t read_jitter;
+	usec_t store_response; /* smoothed time of a read of the roster */
 	bool registering;
 	usec_t ask_next;
 	char *told;   /* what the last question reported, to report changes at once */
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -27,6 +27,12 @@
 /* After a read that failed, plus as much jitter. */
 #define READ_BACKOFF (150 * USEC_PER_MSEC)
 
+/* Calls to the store are given up after so many times the usual wait, but not before this. */
+#define PATIENCE_FACTOR 6
+#define PATIENCE_LEAST	(250 * USEC_PER_MSEC)
+/* Smoothing of that: a quarter of each new one. */
+#define RESPONSE_WEIGHT 4
+
 COUNTER_DEFINE(roster_reads, "roster_reads_total", COUNTER_SUM, "Reads of the roster.");
 COUNTER_DEFINE(roster_failed, "roster_reads_failed_total", COUNTER_SUM,
 	       "Reads of the roster that failed.");
@@ -181,6 +187,7 @@
 	json_t *value;
 	const char *name;
 	const char *address;
+	json_int_t incarnation;
 
 	if (item == NULL) {
 		/* A read that was sent before we got hold of it proves nothing. */
@@ -190,7 +197,10 @@
 		return;
 	}
 	value = json_loadb(item->value, item->len, 0, NULL);
-	if (json_unpack(value, "{s:s, s:s}", "name", &name, "address", &address) == 0) {
+	if (json_unpack(value, "{s:s, s:s, s:I}", "name", &name, "address", &address, "incarnation",
+			&incarnation) == 0) {
+		if (strcmp(name, pooler->config.name) == 0)
+			hold_on_own_key(pooler, (uint64_t)incarnation, (uint64_t)item->created);
 		sync_set_holder(pooler, name, address, (uint64_t)item->created);
 	}
 	json_decref(value);
@@ -233,6 +243,26 @@
 				  (int64_t)((now - sync->last_read_ok) / USEC_PER_MSEC)));
 }
 
+/*
+ * How long the store's calls are waited for. An answer that is lost is noticed after some
+ * times the usual wait, not after the longest one that a slow store needs.
+ */
+static void learn_patience(pooler_t *pooler, kv_status_t status, usec_t took)
+{
+	sync_t *sync = &pooler->sync;
+	usec_t patience;
+
+	if (status == KV_LOST && took > sync->store_response)
+		sync->store_response = took;
+	else if (status == KV_OK)
+		sync->store_response =
+			(sync->store_response * (RESPONSE_WEIGHT - 1) + took) / RESPONSE_WEIGHT;
+	patience = sync->store_response * PATIENCE_FACTOR;
+	if (patience < PATIENCE_LEAST)
+		patience = PATIENCE_LEAST;
+	pooler->env->kv->patience_ms = (int64_t)(patience / USEC_PER_MSEC);
+}
+
 static void register_self(pooler_t *pooler);
 
 static void on_read(void *data, const kv_result_t *result)
@@ -245,6 +275,7 @@
 	const kv_item_t *item;
 
 	sync->reading = false;
+	learn_patience(pooler, result->status, now - sync->read_sent);
 	if (result->status != KV_OK) {
 		if (sync->read_after <= sync->last_read_ok)
 			LOG_EVENT(LOG_WARN, "store does not answer",
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -401,7 +401,8 @@
 	call->done = done;
 	call->data = data;
 	call->arrives = now_of(store) + store->delay;
-	call->ends = now_of(store) + CALL_TIMEOUT;
+	call->ends = now_of(store) + (kv->patience_ms != 0 ? (usec_t)kv->patience_ms * USEC_PER_MSEC
+							   : CALL_TIMEOUT);
 	list_add_tail(&store->calls, &call->node);
 	store->call_count++;
 	rearm(store);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -767,6 +767,27 @@
 	world_destroy(world);
 }
 
+/*
+ * The store carries writes out and loses their answers. The proxy that got hold of
+ * the duty so sees its own key there, and takes up the duty instead of waiting for
+ * the lease to end.
+ */
+static void test_duty_won_without_an_answer(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t holders = 0;
+
+	world_settle(world);
+	fake_kv_revoke(world->kv, "fleet/holder");
+	world->kv->lose_answers = 1;
+	world_run(world, 2 * SEC);
+	for (size_t i = 0; i < 3; i++)
+		holders += hold_is_ours(world->nodes[i].pooler, clock_now(&world->clock.base));
+	g_assert_cmpuint(world->kv->lose_answers, ==, 0);
+	g_assert_cmpuint(holders, ==, 1);
+	world_destroy(world);
+}
+
 /* --- shutdown --- */
 
 /*
@@ -857,6 +878,7 @@
 	g_test_add_func("/store/start-turned-away", test_start_while_turned_away);
 	g_test_add_func("/store/duty-revoked", test_duty_key_is_revoked);
 	g_test_add_func("/store/successor", test_holder_hears_of_its_successor);
+	g_test_add_func("/store/duty-unanswered", test_duty_won_without_an_answer);
 	g_test_add_func("/process/shutdown", test_shutdown);
 	g_test_add_func("/process/all-killed", test_all_killed);
 	return g_test_run();
