A proxy that went without a word no longer holds up changes of primary

Cause: a lost and replaced machine stayed on the roster as live for 10 s, then a change waited 12 s more from when it was marked; each planned change waited 1.8 s for its permission. Now: marked after 4 s of silence, waited for only until the rest of the fleet has known that for PERMIT_ALONE.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -164,44 +164,33 @@
 {
 	const peer_report_t *report = exchange_report(service->pooler, node->name);
 
-	/* What it was permitted before it was marked has ended by then. */
 	if (node->gone)
-		return report != NULL && report->gone_seen != 0 &&
-		       now_of(service->pooler) >= report->gone_seen + PERMIT_TOGETHER;
+		return report != NULL && sweep_has_ended(service->pooler, report);
 	return report != NULL && report->incarnation == node->incarnation &&
 	       report->revision >= service->change.marked_revision &&
 	       !exchange_lists(report->in_use, service->name);
 }
 
-/*
- * Proxies that have not let go yet. total: those that have been on the roster long enough to
- * be on everybody's. Newcomers don't count, or two old ones could be two thirds of a fleet that
- * they remember as smaller.
- */
-static size_t count_unreleased(const service_t *service, size_t *total)
+/* Proxies that have not let go yet. */
+static size_t count_unreleased(const service_t *service)
 {
 	const pooler_t *pooler = service->pooler;
-	usec_t now = now_of(pooler);
-	size_t unreleased = 0;
+	size_t unreleased = permit_in_use(service);
 
-	*total = 0;
 	list_for_each (it, &pooler->sync.roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
-		const peer_report_t *report = exchange_report(pooler, node->name);
-		bool is_self = strcmp(node->name, pooler->config.name) == 0;
 
-		*total += is_self ||
-			  (report != NULL && now >= report->listed_since + PERMIT_TOGETHER);
-		unreleased += !is_self && !has_released(service, node);
+		unreleased += strcmp(node->name, pooler->config.name) != 0 &&
+			      !has_released(service, node);
 	}
-	return unreleased + permit_in_use(service);
+	return unreleased;
 }
 
 static void release(service_t *service, usec_t now)
 {
 	change_t *change = &service->change;
-	size_t total;
-	size_t unreleased = count_unreleased(service, &total);
+	size_t total = permit_fleet(service->pooler);
+	size_t unreleased = count_unreleased(service);
 
 	if (unreleased >= permit_quorum(total))
 		change->few_since = USEC_NEVER;
--- a/pooler/permit.c
+++ b/pooler/permit.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "caller.h"
+#include "exchange.h"
 
 bool permit_is_registered(const pooler_t *pooler)
 {
@@ -72,6 +73,37 @@
 	return permit_primary(member->service, now) == member;
 }
 
+size_t permit_fleet(const pooler_t *pooler)
+{
+	usec_t now = now_of(pooler);
+	size_t total = 0;
+
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+		const peer_report_t *report = exchange_report(pooler, node->name);
+
+		total += strcmp(node->name, pooler->config.name) == 0 ||
+			 (report != NULL && now >= report->listed_since + PERMIT_TOGETHER);
+	}
+	return total;
+}
+
+bool permit_is_known(const pooler_t *pooler, int64_t revision)
+{
+	size_t behind = 0;
+
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+		const peer_report_t *report = exchange_report(pooler, node->name);
+
+		if (strcmp(node->name, pooler->config.name) == 0)
+			continue;
+		behind += report == NULL || report->incarnation != node->incarnation ||
+			  report->revision < revision;
+	}
+	return behind < permit_quorum(permit_fleet(pooler));
+}
+
 bool permit_in_use(const service_t *service)
 {
 	list_for_each (it, &service->members) {
--- a/pooler/permit.h
+++ b/pooler/permit.h
@@ -45,5 +45,17 @@
 /* True if member is the primary and may be used at now. */
 bool permit_covers(const member_t *member, usec_t now);
 
+/*
+ * Proxies that have been on the roster long enough to be on everybody's. Newcomers don't
+ * count, or two old ones could be two thirds of a fleet that they remember as smaller.
+ */
+size_t permit_fleet(const pooler_t *pooler);
+
+/*
+ * True if the proxies that are not known to hold the roster of that revision or a newer one
+ * are too few to be the two thirds.
+ */
+bool permit_is_known(const pooler_t *pooler, int64_t revision);
+
 /* True if this proxy has work at the primary that a change must wait for. */
 bool permit_in_use(const service_t *service);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -206,9 +206,11 @@
 	char *down;
 	char *alive;
 	char *in_use;
-	usec_t listed_since; /* when the roster was first seen to name it */
-	usec_t agreed_at;    /* when it was asked and knew no newer roster than ours */
-	usec_t gone_seen;    /* when the roster was first seen to call it gone; 0: it does not */
+	usec_t listed_since;   /* when the roster was first seen to name it */
+	usec_t agreed_at;      /* when it was asked and knew no newer roster than ours */
+	usec_t gone_seen;      /* when the roster was first seen to call it gone; 0: it does not */
+	int64_t gone_revision; /* of the roster seen then */
+	usec_t gone_known;     /* when enough proxies knew that roster; 0: not yet */
 } peer_report_t;
 
 typedef struct sync {
--- a/pooler/sweep.c
+++ b/pooler/sweep.c
@@ -11,8 +11,12 @@
 #define LOG_MODULE "sweep"
 #include "log.h"
 
-/* A proxy not heard of for so long is marked as gone. */
-#define NODE_SILENT (10 * USEC_PER_SEC)
+/*
+ * A proxy not heard of for so long is marked as gone. Proxies ask the holder every 0.25 s, and
+ * a process that was killed is back on the users' platform after 1.5 s; one that was marked by
+ * mistake registers itself again.
+ */
+#define NODE_SILENT (4 * USEC_PER_SEC)
 /* Marked for so long, it is taken off the roster. */
 #define NODE_REMOVE (2 * PERMIT_TOGETHER)
 
@@ -42,14 +46,29 @@
 		roster_node(roster, node->name)->gone = true;
 		return true;
 	}
-	if (report->gone_seen == 0)
+	if (report->gone_seen == 0) {
 		report->gone_seen = now;
+		report->gone_revision = pooler->sync.roster->revision;
+		report->gone_known = 0;
+	}
+	if (report->gone_known == 0 && permit_is_known(pooler, report->gone_revision))
+		report->gone_known = now;
 	if (now < report->gone_seen + NODE_REMOVE)
 		return false;
 	roster_remove_node(roster, node->name);
 	return true;
 }
 
+bool sweep_has_ended(const pooler_t *pooler, const peer_report_t *report)
+{
+	usec_t now = now_of(pooler);
+
+	if (report->gone_seen == 0)
+		return false;
+	return now >= report->gone_seen + PERMIT_TOGETHER ||
+	       (report->gone_known != 0 && now >= report->gone_known + PERMIT_ALONE);
+}
+
 void sweep_tick(pooler_t *pooler, usec_t now)
 {
 	roster_t *roster;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -103,8 +103,13 @@
 
 static void note_listed(pooler_t *pooler)
 {
-	list_for_each (it, &pooler->sync.reports)
-		list_entry(it, peer_report_t, node)->agreed_at = 0;
+	list_for_each (it, &pooler->sync.reports) {
+		peer_report_t *report = list_entry(it, peer_report_t, node);
+
+		report->agreed_at = 0;
+		if (roster_node(pooler->sync.roster, report->name) == NULL)
+			report->listed_since = 0;
+	}
 	list_for_each (it, &pooler->sync.roster->nodes) {
 		peer_report_t *report =
 			exchange_get_report(pooler, list_entry(it, roster_node_t, node)->name);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -622,6 +622,32 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: writes wait 2.6 s for a planned change of primary, long after a proxy was
+ * lost. What happens: its machine is replaced under another name, so it never answers, and each
+ * change waits for what it may have been permitted. Why that is needless: once the rest of the
+ * fleet knows it as gone, nobody renews that permission.
+ */
+static void test_gone_proxy_is_not_waited_for(void)
+{
+	pool_world_t *world = world_create(6, NULL);
+	world_caller_t *caller;
+	size_t dead = 0;
+
+	world_settle(world);
+	while (hold_is_ours(world->nodes[dead].pooler, clock_now(&world->clock.base)))
+		dead++;
+	world_kill(world, dead);
+	world_run(world, 9 * SEC);
+	caller = world_open(world, 5);
+	world->db->members[0].leaving = true;
+	world_publish(world);
+	world_run(world, 1500 * MSEC);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-");
+	g_assert_cmpstr(last_run(world, caller->id)->member, !=, "core-0");
+	world_destroy(world);
+}
+
 /* The answer to the promote call is lost, and it took effect: it is seen, not repeated blindly. */
 static void test_promote_answer_is_lost(void)
 {
@@ -868,6 +894,7 @@
 	g_test_add_func("/primary/frozen-proxy", test_frozen_proxy_with_an_answer);
 	g_test_add_func("/primary/holder-dies", test_holder_dies_with_the_primary);
 	g_test_add_func("/primary/dead-proxy", test_proxy_is_dead_when_the_primary_crashes);
+	g_test_add_func("/primary/gone-proxy", test_gone_proxy_is_not_waited_for);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
 	g_test_add_func("/primary/holder-frozen", test_holder_frozen_when_the_primary_crashes);
 	g_test_add_func("/primary/promoted-crashes", test_promoted_member_crashes_unseen);
