Connections are used by turns after a loss of power

Cause: a member keeps the connections of machines without power for 3 s; with 12 proxies 12 of 16 are dead and the first four proxies take the rest, the others refuse all for 2 s (log: 359 'no connection came free in time'). Ruled out: start (1.0 s, not ours), registration (0.3 s for 12).

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -8,6 +8,7 @@
 
 #include "duty.h"
 #include "hold.h"
+#include "lend.h"
 #include "member.h"
 #include "permit.h"
 #include "refresh.h"
@@ -44,6 +45,7 @@
 	char *down = talloc_strdup(parent, "");
 	char *alive = talloc_strdup(parent, "");
 	char *in_use = talloc_strdup(parent, "");
+	char *scarce = talloc_strdup(parent, "");
 
 	list_for_each (it, &pooler->services) {
 		const service_t *service = list_entry(it, service_t, node);
@@ -57,10 +59,13 @@
 			alive = add_word(alive, service->name);
 		if (group != NULL && group->changing && permit_in_use(service))
 			in_use = add_word(in_use, service->name);
+		if (service->was_refused && now < service->lending_until)
+			scarce = add_word(scarce, service->name);
 	}
 	message->down = down;
 	message->alive = alive;
 	message->in_use = in_use;
+	message->scarce = scarce;
 }
 
 static void fill(const pooler_t *pooler, peer_message_t *message)
@@ -164,18 +169,31 @@
 	}
 }
 
+/* Services without connections concern everybody; told once. */
+static bool is_news(pooler_t *pooler, const char *scarce)
+{
+	sync_t *sync = &pooler->sync;
+	bool news = *scarce != '\0' &&
+		    (sync->told_scarce == NULL || strcmp(sync->told_scarce, scarce) != 0);
+
+	talloc_free(sync->told_scarce);
+	sync->told_scarce = talloc_strdup(pooler, scarce);
+	return news;
+}
+
 static void ask(pooler_t *pooler, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
 	peer_message_t message = {.kind = PEER_ASK, .echo = now};
 	void *parent = talloc_new(NULL);
 	const roster_node_t *other;
+	bool tell_all;
 	char *told;
 
 	fill(pooler, &message);
 	describe(pooler, now, &message, parent);
-	told = talloc_asprintf(parent, "%s/%s/%" PRId64, message.down, message.in_use,
-			       message.revision);
+	told = talloc_asprintf(parent, "%s/%s/%s/%" PRId64, message.down, message.in_use,
+			       message.scarce, message.revision);
 	if (now < sync->ask_next && sync->told != NULL && strcmp(told, sync->told) == 0) {
 		talloc_free(parent);
 		return;
@@ -183,9 +201,11 @@
 	talloc_free(sync->told);
 	sync->told = talloc_steal(pooler, told);
 	sync->ask_next = now + ASK_INTERVAL;
+	tell_all = is_news(pooler, message.scarce);
 	if (sync->holder != NULL && strcmp(sync->holder, pooler->config.name) != 0)
 		send_to(pooler, sync->holder, sync->holder_address, &message);
-	if (sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + ASK_ALL_AFTER) {
+	if (tell_all || sync->confirmed_at == USEC_NEVER ||
+	    now >= sync->confirmed_at + ASK_ALL_AFTER) {
 		ask_all(pooler, &message);
 	} else if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT) {
 		other = other_peer(pooler);
@@ -240,6 +260,7 @@
 	replace(report, &report->down, message->down);
 	replace(report, &report->alive, message->alive);
 	replace(report, &report->in_use, message->in_use);
+	lend_on_heard(pooler, message->scarce, now_of(pooler));
 	send_state(pooler, message->from, message->address, message->echo, message->revision);
 	if (hold_is_ours(pooler, now_of(pooler)))
 		duty_tick(pooler, now_of(pooler));
--- /dev/null
+++ b/pooler/lend.c
@@ -0,0 +1,58 @@
+#include "lend.h"
+
+#include "conn.h"
+#include "exchange.h"
+
+#define LOG_MODULE "lend"
+#include "counter.h"
+#include "log.h"
+
+/* How long members keep the connections of machines that are gone (the platform's 3 s). */
+#define DEAD_KEPT (3 * USEC_PER_SEC)
+/* A turn: a connection takes 12 ms of a slot to make, so this spends an eighth on it. */
+#define TURN (90 * USEC_PER_MSEC)
+/* Longer than a refused proxy waits before it asks again (FULL_RETRY twice), so that it gets in. */
+#define PAUSE (130 * USEC_PER_MSEC)
+
+COUNTER_DEFINE(lent_total, "member_connections_lent_total", COUNTER_SUM,
+	       "Connections closed for others to have a turn.");
+
+static void take_turns(service_t *service, usec_t now)
+{
+	usec_t until = service->pooler->started + DEAD_KEPT;
+
+	if (now >= until || service->lending_until == until)
+		return;
+	service->lending_until = until;
+	LOG_EVENT(LOG_INFO, "connections are used by turns", LOG_STR("service", service->name),
+		  LOG_INT("for_ms", (int64_t)((until - now) / USEC_PER_MSEC)));
+}
+
+void lend_on_refused(service_t *service, usec_t now)
+{
+	take_turns(service, now);
+	service->was_refused = now < service->lending_until;
+}
+
+void lend_on_heard(pooler_t *pooler, const char *scarce, usec_t now)
+{
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+
+		if (exchange_lists(scarce, service->name))
+			take_turns(service, now);
+	}
+}
+
+bool lend_is_due(const conn_t *conn, usec_t now)
+{
+	return now < conn->member->service->lending_until && conn->state == CONN_IDLE &&
+	       !conn->probe && now >= conn->opened + TURN;
+}
+
+void lend_close(conn_t *conn, usec_t now)
+{
+	conn->member->open_after = now + PAUSE;
+	counter_add(&lent_total, 1);
+	conn_close(conn, "others wait for it");
+}
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -7,6 +7,7 @@
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
+#include "lend.h"
 
 #define LOG_MODULE "member"
 #include "log.h"
@@ -163,6 +164,10 @@
 			conn_close(conn, "idle");
 			return;
 		}
+		if (lend_is_due(conn, now)) {
+			lend_close(conn, now);
+			return;
+		}
 	}
 }
 
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -220,6 +220,7 @@
 	usec_t now = now_of(pooler);
 
 	pooler->last_tick = now;
+	pooler->started = now;
 	on_tick(&pooler->tick, now);
 }
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -35,6 +35,7 @@
 	conn_state_t state;
 	bool probe;
 	usec_t since;	/* of the state */
+	usec_t opened;	/* when it was first ready */
 	usec_t sent_at; /* of the last request */
 	struct caller *caller;
 	variables_t variables;
@@ -193,6 +194,8 @@
 	usec_t settled_at;	  /* when the roster last named another primary */
 	int64_t settled_revision; /* of that roster */
 	change_t change;
+	usec_t lending_until; /* its connections are used by turns; see lend.h */
+	bool was_refused;     /* the same, by what this proxy met itself */
 } service_t;
 
 /* --- the fleet --- */
@@ -224,7 +227,8 @@
 	usec_t store_response; /* smoothed time of a read of the roster */
 	bool registering;
 	usec_t ask_next;
-	char *told;   /* what the last question reported, to report changes at once */
+	char *told; /* what the last question reported, to report changes at once */
+	char *told_scarce;
 	char *holder; /* who holds the duty */
 	char *holder_address;
 	uint64_t fence;
@@ -260,6 +264,7 @@
 	sync_t sync;
 	run_timer_t tick;
 	usec_t last_tick;
+	usec_t started;
 	summary_t summary;
 	bool sweeping; /* the roster is being rid of proxies that are gone */
 	bool draining;
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -12,6 +12,8 @@
 
 /* One way over any link of this world. */
 #define LINK_DELAY (1 * USEC_PER_MSEC)
+/* How long members keep the connections of machines without power. */
+#define DEAD_KEPT (3 * USEC_PER_SEC)
 
 typedef struct world_link {
 	list_t node;
@@ -76,6 +78,8 @@
 	return item;
 }
 
+static void on_arrived_at_member(run_timer_t *timer, usec_t now);
+
 static void to_pooler(world_link_t *link, const char *text, size_t len)
 {
 	reply_scan_t scan = {0};
@@ -86,6 +90,7 @@
 	if (!link->started && scan.has_result && !scan.reply.ok) {
 		link->conn = NULL;
 		conn_on_down(conn, scan.reply.code, "refused");
+		post(link, &link->from->world->timers, NULL, 0, on_arrived_at_member);
 		return;
 	}
 	g_assert_cmpint(progress, ==, REPLY_WHOLE);
@@ -339,6 +344,7 @@
 	mail->message.down = copy_text(mail, message->down);
 	mail->message.alive = copy_text(mail, message->alive);
 	mail->message.in_use = copy_text(mail, message->in_use);
+	mail->message.scarce = copy_text(mail, message->scarce);
 	mail->message.ends = copy_text(mail, message->ends);
 	timers_arm(&to->timers, &mail->timer, world_now(from->world) + LINK_DELAY, on_mail);
 }
@@ -602,6 +608,17 @@
 	(void)world;
 }
 
+void world_power_off(pool_world_t *world, size_t at)
+{
+	list_for_each (it, &world->nodes[at].links) {
+		world_link_t *link = list_entry(it, world_link_t, node);
+
+		if (link->last_post < world_now(world) + DEAD_KEPT)
+			link->last_post = world_now(world) + DEAD_KEPT;
+	}
+	world_kill(world, at);
+}
+
 void world_freeze(pool_world_t *world, size_t at)
 {
 	world->nodes[at].frozen = true;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -870,6 +870,36 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: after a loss of power some proxies serve them and others refuse all for 2 s.
+ * What happens: 12 of a member's 16 connections are those of the machines before, which it keeps
+ * for 3 s, and the first four proxies take the rest. Why that is needless: a connection that is
+ * used by turns serves all of them.
+ */
+static void test_power_loss(void)
+{
+	pool_world_t *world = world_create(12, NULL);
+	world_caller_t *callers[12];
+
+	world_settle(world);
+	for (size_t i = 0; i < world->node_count; i++)
+		assert_begins(world_ask(world_open(world, i), "WRITE job-1 a"), "DONE core-0");
+	for (size_t i = 0; i < world->node_count; i++)
+		world_power_off(world, i);
+	world_run(world, SEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		world_start(world, i);
+	world_run(world, 400 * MSEC);
+	for (size_t i = 0; i < world->node_count; i++) {
+		callers[i] = world_open(world, i);
+		world_send(callers[i], "WRITE job-1 b");
+	}
+	world_run(world, 700 * MSEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		assert_begins(callers[i]->reply, "DONE core-0");
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -908,5 +938,6 @@
 	g_test_add_func("/store/duty-unanswered", test_duty_won_without_an_answer);
 	g_test_add_func("/process/shutdown", test_shutdown);
 	g_test_add_func("/process/all-killed", test_all_killed);
+	g_test_add_func("/process/power-loss", test_power_loss);
 	return g_test_run();
 }
