--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -128,6 +128,26 @@
 	}
 }
 
+/*
+ * A change that an earlier holder began. Its write of the end may be on its way to the store
+ * still, and could land while another member is being promoted: callers would write to the one
+ * and lose it to the other. A write of ours makes that one fail.
+ */
+static void take_up(service_t *service, usec_t now)
+{
+	const roster_group_t *group = verdict_group(service);
+	change_t *change = &service->change;
+
+	if (change->busy)
+		return;
+	if (change->step == CHANGE_NONE)
+		change->started = now;
+	change->taken_up = true;
+	change->may_have_called = true;
+	set_step(service, CHANGE_MARKING, now);
+	store_group(service, group->primary, true, group->term);
+}
+
 static void watch(service_t *service, usec_t now)
 {
 	const roster_group_t *group = verdict_group(service);
@@ -138,12 +158,13 @@
 		install(service);
 		return;
 	}
+	if (group->changing && group->fence != service->pooler->sync.own_fence) {
+		take_up(service, now);
+		return;
+	}
 	if (group->changing) {
-		/* Marked by us just now, or by an earlier holder. */
-		if (change->step == CHANGE_NONE) {
+		if (change->step == CHANGE_NONE)
 			change->started = now;
-			change->may_have_called = true;
-		}
 		change->marked_at = now;
 		change->few_since = USEC_NEVER;
 		change->marked_revision = service->pooler->sync.roster->revision;
@@ -153,6 +174,8 @@
 	if (change->busy || now < change->quiet_until)
 		return;
 	change->step = CHANGE_NONE;
+	change->taken_up = false;
+	change->may_have_called = false;
 	reason = verdict_reason(service, now);
 	if (reason != NULL)
 		start_change(service, reason, now);
@@ -254,10 +277,9 @@
 static usec_t settled_at(const service_t *service)
 {
 	const sync_t *sync = &service->pooler->sync;
-	const roster_group_t *group = verdict_group(service);
 	usec_t at = sync->foreign_change != 0 ? sync->foreign_change + SETTLE_TIME : 0;
 
-	if (group->fence != sync->own_fence && at < sync->held_since + SETTLE_TIME)
+	if (service->change.taken_up && at < sync->held_since + SETTLE_TIME)
 		at = sync->held_since + SETTLE_TIME;
 	return at;
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -168,6 +168,7 @@
 	usec_t few_since; /* when too few were left to prolong their permission together */
 	char *target;
 	uint64_t new_term;    /* that the target leads */
+	bool taken_up;	      /* an earlier holder began it */
 	bool may_have_called; /* a call to promote may have taken effect, now or later */
 	bool target_led;      /* before the call the target called itself primary already */
 	uint64_t target_term; /* its term then */
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <talloc.h>
 
 #include "hold.h"
 #include "permit.h"
@@ -38,6 +39,14 @@
 	return count;
 }
 
+/* How far a change of primary is at this proxy. */
+static change_step_t step_of(const pool_world_t *world, size_t node)
+{
+	pooler_t *pooler = world->nodes[node].pooler;
+
+	return pooler != NULL ? service_get(pooler, WORLD_SERVICE)->change.step : CHANGE_NONE;
+}
+
 /* --- a calm day --- */
 
 static void test_write_and_read(void)
@@ -544,6 +553,50 @@
 	world_destroy(world);
 }
 
+static void on_late_write(void *data, const kv_result_t *result)
+{
+	*(kv_status_t *)data = result->status;
+}
+
+/*
+ * What callers see: a commit they were told of is gone. What happens: a holder of the duty
+ * promotes a member and sends the end of the change to the store; the store is slow, the duty
+ * passes on, and the next holder takes the change up. Then the late write lands, callers use the
+ * first holder's member, and the second holder promotes another one. So taking a change up
+ * begins with a write of one's own, on which the late one fails.
+ */
+static void test_late_write_of_an_earlier_holder(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	kv_status_t status = KV_OK;
+	size_t holder = 0;
+	size_t next = 0;
+	char *text;
+	kv_write_t write = {.key = "fleet/roster"};
+
+	world_settle(world);
+	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
+		holder++;
+	world_crash_member(world, 0);
+	while (step_of(world, holder) != CHANGE_COMMITTING)
+		world_run(world, MSEC);
+	write.expected = world->nodes[holder].pooler->sync.roster->revision;
+	text = roster_encode(NULL, world->nodes[holder].pooler->sync.roster);
+	write.value = text;
+	world->nodes[holder].kv.cut = true;
+	world_kill(world, holder);
+	while (step_of(world, next) != CHANGE_SURVEYING) {
+		next = (next + 1) % world->node_count;
+		world_run(world, MSEC);
+	}
+	world->nodes[next].kv.kv.ops->commit(&world->nodes[next].kv.kv, &write, 1, on_late_write,
+					     &status);
+	world_run(world, 100 * MSEC);
+	g_assert_cmpint(status, ==, KV_CONFLICT);
+	talloc_free(text);
+	world_destroy(world);
+}
+
 /*
  * A member is promoted and crashes before anybody saw it lead; meanwhile the old
  * primary has no reason to go any more. It can't simply stay: the other one leads
@@ -927,6 +980,7 @@
 	g_test_add_func("/primary/gone-proxy", test_gone_proxy_is_not_waited_for);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
 	g_test_add_func("/primary/holder-frozen", test_holder_frozen_when_the_primary_crashes);
+	g_test_add_func("/primary/late-write", test_late_write_of_an_earlier_holder);
 	g_test_add_func("/primary/promoted-crashes", test_promoted_member_crashes_unseen);
 	g_test_add_func("/primary/promote-lost", test_promote_answer_is_lost);
 	g_test_add_func("/primary/list-is-behind", test_list_is_behind);
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -134,6 +134,12 @@
 			(unsigned long)pooler->sync.fence, permit_is_registered(pooler),
 			pooler->sync.registering, pooler->sync.reading);
 	}
+	for (size_t i = 0; i < play->world->promote_count; i++) {
+		const promote_call_t *call = &play->world->promotes[i];
+
+		fprintf(stderr, "promote at %.3f: %s by %s fence %lu\n", seconds(call->at),
+			call->member, call->holder, (unsigned long)call->fence);
+	}
 	for (size_t i = 0; i < 3; i++) {
 		const fake_member_t *member = &play->world->db->members[i];
 
@@ -585,9 +591,10 @@
 
 /* Seeds that found a fault, each with its cause. */
 static const uint32_t regressions[] = {
-	8,   /* a superseded primary that was cut off was taken for the leader */
-	43,  /* a holder heard of its successor from a peer, and held on */
-	159, /* a member was promoted, crashed unseen, and the old primary stayed */
+	8,    /* a superseded primary that was cut off was taken for the leader */
+	43,   /* a holder heard of its successor from a peer, and held on */
+	159,  /* a member was promoted, crashed unseen, and the old primary stayed */
+	5063, /* the end of an earlier holder's change landed late, in the next one's change */
 };
 
 static void test_regressions(void)
