--- a/pooler/lend.c
+++ b/pooler/lend.c
@@ -48,10 +48,18 @@
 	}
 }
 
+/* Not even one connection each. */
+static bool is_short(const service_t *service)
+{
+	return list_length(&service->pooler->sync.roster->nodes) > (size_t)service->max_connections;
+}
+
 bool lend_is_due(const conn_t *conn, usec_t now)
 {
-	return now < conn->member->service->lending_until && conn->state == CONN_IDLE &&
-	       !conn->probe && now >= conn->opened + TURN;
+	const service_t *service = conn->member->service;
+
+	return conn->state == CONN_IDLE && !conn->probe && now >= conn->opened + TURN &&
+	       (now < service->lending_until || is_short(service));
 }
 
 void lend_close(conn_t *conn, usec_t now)
--- a/pooler/lend.h
+++ b/pooler/lend.h
@@ -6,6 +6,8 @@
  * refused until the 3 s are over, although the members are idle. So a proxy that has just started
  * and was refused a connection tells the others, and all that have just started close each
  * connection after a short use and make a new one when they need it.
+ *
+ * The same holds all the time if there are more proxies than a member takes connections.
  */
 #pragma once
 
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -953,6 +953,38 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: some proxies of a large fleet serve and others refuse everything, for as long
+ * as the fleet is that large. What happens: the members take fewer connections than there are
+ * proxies, and who has one keeps it. Why turns suffice: the members are idle most of the time.
+ */
+static void test_more_proxies_than_connections(void)
+{
+	static const fake_db_config_t few = {
+		.service = WORLD_SERVICE,
+		.members = 3,
+		.slots = 2,
+		.max_connections = 6,
+		.work = 4 * MSEC,
+		.receive = 2 * MSEC,
+		.lag = 60 * MSEC,
+		.promote = 1000 * MSEC,
+	};
+	pool_world_t *world = world_create(12, &few);
+	world_caller_t *callers[12];
+
+	world_settle(world);
+	world_run(world, 5 * SEC);
+	for (size_t i = 0; i < world->node_count; i++) {
+		callers[i] = world_open(world, i);
+		world_send(callers[i], "WRITE job-1 b");
+	}
+	world_run(world, 700 * MSEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		assert_begins(callers[i]->reply, "DONE core-0");
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -993,5 +1025,6 @@
 	g_test_add_func("/process/shutdown", test_shutdown);
 	g_test_add_func("/process/all-killed", test_all_killed);
 	g_test_add_func("/process/power-loss", test_power_loss);
+	g_test_add_func("/process/few-connections", test_more_proxies_than_connections);
 	return g_test_run();
 }
