--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -867,6 +867,30 @@
 	world_destroy(world);
 }
 
+/*
+ * The store is slow, not away: each answer takes 400 ms. Callers must not notice while nothing
+ * happens, and a crashed primary is replaced later than usual, but is.
+ */
+static void test_store_slow(void)
+{
+	pool_world_t *world = world_create(5, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 3);
+	world->kv->delay = 400 * MSEC;
+	for (int i = 0; i < 40; i++) {
+		assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+		world_run(world, 250 * MSEC);
+	}
+	world_crash_member(world, 0);
+	world_ask(caller, "WRITE job-1 b");
+	world_run(world, 8 * SEC);
+	assert_begins(world_ask(caller, "WRITE job-1 c"), "DONE core-");
+	g_assert_cmpuint(world->promote_count, >=, 1);
+	world_destroy(world);
+}
+
 /* --- shutdown --- */
 
 /*
@@ -1017,6 +1041,7 @@
 	g_test_add_func("/primary/promote-lost", test_promote_answer_is_lost);
 	g_test_add_func("/primary/list-is-behind", test_list_is_behind);
 	g_test_add_func("/store/down", test_store_down);
+	g_test_add_func("/store/slow", test_store_slow);
 	g_test_add_func("/store/turns-one-away", test_store_turns_one_away);
 	g_test_add_func("/store/start-turned-away", test_start_while_turned_away);
 	g_test_add_func("/store/duty-revoked", test_duty_key_is_revoked);
