--- a/ctl/command.h
+++ b/ctl/command.h
@@ -62,3 +62,4 @@
 int run_drain(ctl_t *ctl, int argc, char **argv);
 int run_pooler(ctl_t *ctl, int argc, char **argv);
 int run_explain(ctl_t *ctl, int argc, char **argv);
+int run_changes(ctl_t *ctl, int argc, char **argv);
--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -3,31 +3,19 @@
  * and others wrote of its service, its member and the fleet just before.
  */
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
-#include <time.h>
-
-#include <talloc.h>
 
 #include "command.h"
+#include "logs.h"
 
-#define LINE_MAX_BYTES 8192
-#define WORDS_MAX      8
+#define WORDS_MAX 8
 /* How far back the cause of a failure is looked for: a change of primary and its detection. */
 #define BEFORE_MSEC 4000
 /* How much later a line may be that belongs to it, with the VMs' clocks apart. */
 #define AFTER_MSEC 500
 
-typedef struct line {
-	int64_t msec;
-	char *source; /* what stands before the JSON object, or the file's name */
-	json_t *object;
-	bool own; /* names the request */
-} line_t;
-
 typedef struct account {
-	line_t *lines; /* talloc array */
-	size_t count;
+	logs_t logs;
 	const char *id;
 	/* Services and members that the request's own lines name. */
 	const char *words[WORDS_MAX];
@@ -36,55 +24,9 @@
 	int64_t last;
 } account_t;
 
-/* Milliseconds of an ISO time such as 2026-01-18T20:17:51.056Z; -1 if it is none. */
-static int64_t parse_time(const char *text)
-{
-	struct tm tm = {0};
-	const char *rest = text != NULL ? strptime(text, "%Y-%m-%dT%H:%M:%S", &tm) : NULL;
-
-	if (rest == NULL || *rest != '.')
-		return -1;
-	return (int64_t)timegm(&tm) * 1000 + strtol(rest + 1, NULL, 10);
-}
-
-static const char *text_of(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return text != NULL ? text : "";
-}
-
-static void add_line(account_t *account, const char *name, char *text)
-{
-	char *brace = strchr(text, '{');
-	json_t *object;
-	int64_t msec;
-	line_t *line;
-
-	if (brace == NULL)
-		return;
-	object = json_loads(brace, 0, NULL);
-	msec = parse_time(text_of(object, "time"));
-	if (msec < 0) {
-		json_decref(object);
-		return;
-	}
-	if ((account->count & (account->count - 1)) == 0)
-		account->lines =
-			talloc_realloc(NULL, account->lines, line_t, 2 * account->count + 1);
-	line = &account->lines[account->count++];
-	*brace = '\0';
-	*line = (line_t){.msec = msec, .object = object};
-	line->source = talloc_strdup(account->lines, brace != text ? text : name);
-	line->own = strcmp(text_of(object, "request"), account->id) == 0;
-}
-
-static void read_lines(account_t *account, const char *name, FILE *in)
+static bool is_own(const account_t *account, const log_line_t *line)
 {
-	char text[LINE_MAX_BYTES];
-
-	while (fgets(text, sizeof(text), in) != NULL)
-		add_line(account, name, text);
+	return strcmp(logs_text(line, "request"), account->id) == 0;
 }
 
 static void note_word(account_t *account, const char *word)
@@ -102,32 +44,31 @@
 {
 	bool found = false;
 
-	for (size_t i = 0; i < account->count; i++) {
-		const line_t *line = &account->lines[i];
+	for (size_t i = 0; i < account->logs.count; i++) {
+		const log_line_t *line = &account->logs.lines[i];
 
-		if (!line->own)
+		if (!is_own(account, line))
 			continue;
-		note_word(account, text_of(line->object, "service"));
-		note_word(account, text_of(line->object, "member"));
-		if (!found || line->msec < account->first)
+		note_word(account, logs_text(line, "service"));
+		note_word(account, logs_text(line, "member"));
+		if (!found)
 			account->first = line->msec;
-		if (!found || line->msec > account->last)
-			account->last = line->msec;
+		account->last = line->msec;
 		found = true;
 	}
 	return found;
 }
 
 /* Lines of other requests are left out; what tells of a proxy or of the fleet is taken. */
-static bool belongs(const account_t *account, const line_t *line)
+static bool belongs(const account_t *account, const log_line_t *line)
 {
-	const char *service = text_of(line->object, "service");
-	const char *member = text_of(line->object, "member");
+	const char *service = logs_text(line, "service");
+	const char *member = logs_text(line, "member");
 
-	if (line->own)
+	if (is_own(account, line))
 		return true;
 	if (json_object_get(line->object, "request") != NULL ||
-	    strcmp(text_of(line->object, "module"), "summary") == 0)
+	    strcmp(logs_text(line, "module"), "summary") == 0)
 		return false;
 	if (line->msec < account->first - BEFORE_MSEC || line->msec > account->last + AFTER_MSEC)
 		return false;
@@ -141,22 +82,14 @@
 	return false;
 }
 
-static int compare(const void *a, const void *b)
-{
-	const line_t *left = a;
-	const line_t *right = b;
-
-	return (left->msec > right->msec) - (left->msec < right->msec);
-}
-
-static void print_line(const account_t *account, const line_t *line)
+static void print_line(const account_t *account, const log_line_t *line)
 {
 	const char *key;
 	json_t *value;
 
-	printf("%s %+6lld ms  %s %s: %s", line->own ? "*" : " ",
-	       (long long)(line->msec - account->last), line->source,
-	       text_of(line->object, "module"), text_of(line->object, "text"));
+	printf("%s %+6lld ms  %s %s: %s", is_own(account, line) ? "*" : " ",
+	       (long long)(line->msec - account->last), line->source, logs_text(line, "module"),
+	       logs_text(line, "text"));
 	json_object_foreach (line->object, key, value) {
 		if (strcmp(key, "time") == 0 || strcmp(key, "level") == 0 ||
 		    strcmp(key, "module") == 0 || strcmp(key, "text") == 0)
@@ -178,28 +111,10 @@
 			account->id);
 		return CTL_UNKNOWN;
 	}
-	qsort(account->lines, account->count, sizeof(account->lines[0]), compare);
 	printf("request %s; times are relative to its last line, marked *\n", account->id);
-	for (size_t i = 0; i < account->count; i++) {
-		if (belongs(account, &account->lines[i]))
-			print_line(account, &account->lines[i]);
-	}
-	return CTL_OK;
-}
-
-static int read_all(account_t *account, int argc, char **argv)
-{
-	if (argc == 1)
-		read_lines(account, "input", stdin);
-	for (int i = 1; i < argc; i++) {
-		FILE *in = fopen(argv[i], "r");
-
-		if (in == NULL) {
-			fprintf(stderr, "cyclamenctl: %s: the file can't be read\n", argv[i]);
-			return CTL_LOCAL_ERROR;
-		}
-		read_lines(account, argv[i], in);
-		fclose(in);
+	for (size_t i = 0; i < account->logs.count; i++) {
+		if (belongs(account, &account->logs.lines[i]))
+			print_line(account, &account->logs.lines[i]);
 	}
 	return CTL_OK;
 }
@@ -210,11 +125,9 @@
 	int status;
 
 	(void)ctl;
-	status = read_all(&account, argc, argv);
+	status = logs_read(&account.logs, argc - 1, argv + 1);
 	if (status == CTL_OK)
 		status = print_account(&account);
-	for (size_t i = 0; i < account.count; i++)
-		json_decref(account.lines[i].object);
-	talloc_free(account.lines);
+	logs_free(&account.logs);
 	return status;
 }
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -36,6 +36,8 @@
 	 "a pooler's services, primaries and roster (no token needed)"},
 	{"explain", NULL, 1, 64, NEEDS_NOTHING, run_explain, "ID [LOG]...",
 	 "gather what the logs of poolers (files, or input) tell of a request"},
+	{"changes", NULL, 0, 64, NEEDS_NOTHING, run_changes, "[LOG]...",
+	 "the changes of primary in those logs, and what their time went into"},
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -216,6 +216,41 @@
 	g_free(program);
 }
 
+/* Changes of primary out of the logs of two proxies, one change left unfinished. */
+static void test_changes(void)
+{
+	static const char text[] =
+		"{\"time\":\"2026-01-01T00:00:01.000Z\",\"text\":\"member is asked whether it lives\","
+		"\"service\":\"core\",\"member\":\"core-0\"}\n"
+		"{\"time\":\"2026-01-01T00:00:01.300Z\",\"text\":\"primary is to be replaced\","
+		"\"service\":\"core\",\"member\":\"core-0\",\"reason\":\"silent\"}\n"
+		"no log line\n"
+		"{\"time\":\"2026-01-01T00:00:03.000Z\",\"text\":\"primary in use\","
+		"\"service\":\"core\",\"member\":\"core-1\"}\n"
+		"p1 {\"time\":\"2026-01-01T00:00:01.500Z\",\"text\":\"change of primary\","
+		"\"service\":\"core\",\"step\":\"promoting\",\"target\":\"core-1\"}\n"
+		"p1 {\"time\":\"2026-01-01T00:00:02.600Z\",\"text\":\"change of primary\","
+		"\"service\":\"core\",\"step\":\"committing\",\"target\":\"core-1\"}\n"
+		"{\"time\":\"2026-01-01T00:00:09.000Z\",\"text\":\"primary is to be replaced\","
+		"\"service\":\"core\",\"member\":\"core-1\",\"reason\":\"leaving\"}\n";
+	char *program = harness_program("ctl/cyclamenctl");
+	char *log = g_build_filename(site->dir, "changes.log", NULL);
+	char *argv[] = {program, "changes", log, NULL};
+	char *output;
+	int status;
+
+	g_assert_true(g_file_set_contents(log, text, -1, NULL));
+	output = run_ctl(argv, &status);
+	g_assert_cmpint(status, ==, 0);
+	g_assert_nonnull(strstr(output, "core core-0 -> core-1, silent: detect 300 decide 200 "
+					"promote 1100 resume 400 whole 2000 ms\n"));
+	g_assert_nonnull(strstr(output, "core core-1 -> , leaving: not ended"));
+	g_assert_nonnull(strstr(output, "whole    ms: min 2000, median 2000"));
+	g_free(output);
+	g_free(log);
+	g_free(program);
+}
+
 /* The state of a pooler for people. */
 static void test_ctl_pooler(void)
 {
@@ -325,6 +360,7 @@
 	g_test_add_func("/site/log-lines", test_log_lines);
 	g_test_add_func("/site/log-without-reader", test_log_without_reader);
 	g_test_add_func("/site/explain", test_explain);
+	g_test_add_func("/site/changes", test_changes);
 	g_test_add_func("/site/ctl-pooler", test_ctl_pooler);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
