--- a/ctl/changes.c
+++ b/ctl/changes.c
@@ -13,7 +13,9 @@
 
 /* How long before the decision a sign of the failure may be: two suspicions and a probe. */
 #define SIGN_MSEC 4000
-#define NOT_YET	  INT64_MIN
+/* From the new primary seen to lead to its use; a slow store takes 0.5 s of it. */
+#define AT_ONCE_MSEC 2000
+#define NOT_YET	     INT64_MIN
 
 typedef enum { PART_DETECT, PART_DECIDE, PART_PROMOTE, PART_RESUME, PART_WHOLE, PART_COUNT } part_t;
 
@@ -21,7 +23,7 @@
 	[PART_DETECT] = "detect",   /* first sign at any proxy, to the decision */
 	[PART_DECIDE] = "decide",   /* marked, released, members asked, to the promote */
 	[PART_PROMOTE] = "promote", /* to the new primary seen to lead */
-	[PART_RESUME] = "resume",   /* to the last proxy that uses it */
+	[PART_RESUME] = "resume",   /* to the last proxy that heard of it at once */
 	[PART_WHOLE] = "whole",
 };
 
@@ -35,6 +37,7 @@
 	int64_t promoted;
 	int64_t seen;
 	int64_t resumed;
+	json_int_t roster; /* with which the proxies heard of it */
 } primary_change_t;
 
 typedef struct change_list {
@@ -104,6 +107,17 @@
 	};
 }
 
+/* Proxies that are cut off or start meanwhile hear of it later; not counted. */
+static void note_use(primary_change_t *change, const log_line_t *line)
+{
+	json_int_t roster = json_integer_value(json_object_get(line->object, "roster"));
+
+	if (change->resumed == NOT_YET)
+		change->roster = roster;
+	if (roster == change->roster && line->msec <= change->seen + AT_ONCE_MSEC)
+		change->resumed = line->msec;
+}
+
 static void take(primary_change_t *change, const log_line_t *line)
 {
 	const char *step = logs_text(line, "step");
@@ -115,7 +129,7 @@
 		change->seen = line->msec;
 		change->new = logs_text(line, "target");
 	} else if (says(line, "primary in use") && change->seen != NOT_YET) {
-		change->resumed = line->msec;
+		note_use(change, line);
 	}
 }
 
