A newcomer that holds the duty neither takes lapsed members for gone nor waits 12 s

Now 3 s for a primary never heard of, and the fleet's size is asked of those who hold the marked roster; a newcomer does not count itself (that was unsafe by one).

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -212,7 +212,7 @@
 static void release(service_t *service, usec_t now)
 {
 	change_t *change = &service->change;
-	size_t total = permit_fleet(service->pooler);
+	size_t total = permit_fleet(service->pooler, change->marked_revision);
 	size_t unreleased = count_unreleased(service);
 
 	if (unreleased >= permit_quorum(total))
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -66,6 +66,7 @@
 	message->alive = alive;
 	message->in_use = in_use;
 	message->scarce = scarce;
+	message->fleet = (int64_t)permit_listed(pooler);
 }
 
 static void fill(const pooler_t *pooler, peer_message_t *message)
@@ -257,6 +258,7 @@
 	report->incarnation = message->incarnation;
 	report->heard_at = now_of(pooler);
 	report->revision = message->revision;
+	report->fleet = message->fleet;
 	replace(report, &report->down, message->down);
 	replace(report, &report->alive, message->alive);
 	replace(report, &report->in_use, message->in_use);
--- a/pooler/permit.c
+++ b/pooler/permit.c
@@ -73,19 +73,38 @@
 	return permit_primary(member->service, now) == member;
 }
 
-size_t permit_fleet(const pooler_t *pooler)
+size_t permit_listed(const pooler_t *pooler)
 {
 	usec_t now = now_of(pooler);
-	size_t total = 0;
+	size_t listed = 0;
+
+	list_for_each (it, &pooler->sync.reports) {
+		const peer_report_t *report = list_entry(it, peer_report_t, node);
+
+		listed +=
+			report->listed_since != 0 && now >= report->listed_since + PERMIT_TOGETHER;
+	}
+	return listed;
+}
+
+static bool holds(const roster_node_t *node, const peer_report_t *report, int64_t revision)
+{
+	return report != NULL && report->incarnation == node->incarnation &&
+	       report->revision >= revision;
+}
+
+size_t permit_fleet(const pooler_t *pooler, int64_t revision)
+{
+	size_t fleet = permit_listed(pooler);
 
 	list_for_each (it, &pooler->sync.roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
 		const peer_report_t *report = exchange_report(pooler, node->name);
 
-		total += strcmp(node->name, pooler->config.name) == 0 ||
-			 (report != NULL && now >= report->listed_since + PERMIT_TOGETHER);
+		if (holds(node, report, revision) && report->fleet > (int64_t)fleet)
+			fleet = (size_t)report->fleet;
 	}
-	return total;
+	return fleet;
 }
 
 bool permit_is_known(const pooler_t *pooler, int64_t revision)
@@ -98,10 +117,9 @@
 
 		if (strcmp(node->name, pooler->config.name) == 0)
 			continue;
-		behind += report == NULL || report->incarnation != node->incarnation ||
-			  report->revision < revision;
+		behind += !holds(node, report, revision);
 	}
-	return behind < permit_quorum(permit_fleet(pooler));
+	return behind < permit_quorum(permit_fleet(pooler, revision));
 }
 
 bool permit_in_use(const service_t *service)
--- a/pooler/permit.h
+++ b/pooler/permit.h
@@ -45,11 +45,15 @@
 /* True if member is the primary and may be used at now. */
 bool permit_covers(const member_t *member, usec_t now);
 
+/* Proxies that this process has seen on the roster for PERMIT_TOGETHER. */
+size_t permit_listed(const pooler_t *pooler);
+
 /*
- * Proxies that have been on the roster long enough to be on everybody's. Newcomers don't
- * count, or two old ones could be two thirds of a fleet that they remember as smaller.
+ * Proxies that are on the roster of everybody who may still be permitted something by a roster
+ * older than that revision. Newcomers don't count, or two old ones could be two thirds of a fleet
+ * that they remember as smaller. A proxy that has just started asks those that hold the revision.
  */
-size_t permit_fleet(const pooler_t *pooler);
+size_t permit_fleet(const pooler_t *pooler, int64_t revision);
 
 /*
  * True if the proxies that are not known to hold the roster of that revision or a newer one
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -207,6 +207,7 @@
 	uint64_t incarnation;
 	usec_t heard_at;
 	int64_t revision; /* of the roster it holds */
+	int64_t fleet;	  /* proxies on it for PERMIT_TOGETHER, as that proxy knows */
 	char *down;
 	char *alive;
 	char *in_use;
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -22,6 +22,12 @@
 	size_t alive;
 } votes_t;
 
+/*
+ * From the begin of our hold, for a primary that this process has never heard of: members' entries
+ * lapse while the store is away, and are back within 2 s of its return.
+ */
+#define UNLISTED_TIME (3 * USEC_PER_SEC)
+
 roster_group_t *verdict_group(const service_t *service)
 {
 	return roster_group(service->pooler->sync.roster, service->name);
@@ -102,7 +108,11 @@
 	member_t *primary = verdict_primary(service);
 	votes_t votes;
 
-	if (primary == NULL || primary->gone)
+	if (primary == NULL)
+		return now >= service->pooler->sync.held_since + UNLISTED_TIME
+			       ? "primary is not listed"
+			       : NULL;
+	if (primary->gone)
 		return "primary is no longer listed";
 	if (primary->leaving)
 		return "primary is leaving";
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -41,8 +41,9 @@
 	struct fake_db *db;
 	char id[48];
 	bool primary;
-	bool stopped; /* its sessions are gone, new ones fail */
-	bool deaf;    /* receives nothing from the leader, and is not demoted */
+	bool stopped;  /* its sessions are gone, new ones fail */
+	bool deaf;     /* receives nothing from the leader, and is not demoted */
+	bool unlisted; /* its entry has lapsed with the store; who knows it goes on knowing it */
 	bool leaving;
 	uint64_t term;
 	fake_entry_t *log; /* talloc array */
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -468,7 +468,8 @@
 			.primary = member->primary,
 		};
 
-		pooler_on_member(node->pooler, &entry);
+		if (!member->unlisted)
+			pooler_on_member(node->pooler, &entry);
 	}
 }
 
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -370,6 +370,89 @@
 	world_destroy(world);
 }
 
+/* A process of that proxy is started anew, and gets hold of the duty. */
+static void let_newcomer_hold(pool_world_t *world, size_t newcomer)
+{
+	world_kill(world, newcomer);
+	world_start(world, newcomer);
+	world_run(world, 300 * MSEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		world->nodes[i].kv.cut = i != newcomer;
+	fake_kv_revoke(world->kv, "fleet/holder");
+	while (!hold_is_ours(world->nodes[newcomer].pooler, clock_now(&world->clock.base)))
+		world_run(world, MSEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		world->nodes[i].kv.cut = false;
+}
+
+/*
+ * What callers see: refusals for 12 s at a change of primary. What happens: a proxy that has just
+ * started holds the duty, and another one is dead. The newcomer can't tell how large the fleet
+ * was before, so it waits as if the dead one were two thirds of it. Why that is needless: the
+ * others can tell.
+ */
+static void test_newcomer_holds_beside_a_dead_proxy(void)
+{
+	pool_world_t *world = world_create(5, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	world_run(world, 15 * SEC);
+	world_kill(world, 4);
+	let_newcomer_hold(world, 1);
+	caller = world_open(world, 2);
+	world->db->members[0].leaving = true;
+	world_publish(world);
+	world_run(world, 3500 * MSEC);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-");
+	g_assert_cmpstr(last_run(world, caller->id)->member, !=, "core-0");
+	world_destroy(world);
+}
+
+/*
+ * What callers see: a change of primary, and refusals meanwhile, though the primary is well. What
+ * happens: members' entries lapse while the store is away. Proxies that know the members go on
+ * using them, but one that starts just then has never heard of the primary; it holds the duty
+ * and takes the primary for gone. The entries are back a moment later.
+ */
+static void test_newcomer_holds_with_a_list_that_lapsed(void)
+{
+	pool_world_t *world = world_create(5, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	world->db->members[0].unlisted = true;
+	let_newcomer_hold(world, 1);
+	world_run(world, 2 * SEC);
+	world->db->members[0].unlisted = false;
+	world_run(world, 3 * SEC);
+	g_assert_cmpuint(world->promote_count, ==, 0);
+	caller = world_open(world, 2);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	world_destroy(world);
+}
+
+/*
+ * What callers would see: commits gone. A proxy that has just started is not on the roster that
+ * others may still use together, so it must not count itself as one of their fleet either: with it,
+ * three of four would seem too few to go on serving.
+ */
+static void test_newcomer_is_in_no_old_fleet(void)
+{
+	pool_world_t *world = world_create(4, NULL);
+
+	world_settle(world);
+	world_run(world, 15 * SEC);
+	g_assert_cmpuint(permit_listed(world->nodes[1].pooler), ==, 4);
+	world_kill(world, 1);
+	world_start(world, 1);
+	world_run(world, 2 * SEC);
+	g_assert_cmpuint(permit_listed(world->nodes[1].pooler), ==, 0);
+	world_run(world, 15 * SEC);
+	g_assert_cmpuint(permit_listed(world->nodes[1].pooler), ==, 4);
+	world_destroy(world);
+}
+
 /*
  * What callers see: writes wait 2.6 s for a planned change of primary, long after a proxy was
  * lost. What happens: its machine is replaced under another name, so it never answers, and each
@@ -446,6 +529,9 @@
 	g_test_add_func("/primary/holder-dies", test_holder_dies_with_the_primary);
 	g_test_add_func("/primary/dead-proxy", test_proxy_is_dead_when_the_primary_crashes);
 	g_test_add_func("/primary/gone-proxy", test_gone_proxy_is_not_waited_for);
+	g_test_add_func("/primary/newcomer-and-dead", test_newcomer_holds_beside_a_dead_proxy);
+	g_test_add_func("/primary/newcomer-and-list", test_newcomer_holds_with_a_list_that_lapsed);
+	g_test_add_func("/primary/newcomer-alone", test_newcomer_is_in_no_old_fleet);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
 	g_test_add_func("/primary/holder-frozen", test_holder_frozen_when_the_primary_crashes);
 	g_test_add_func("/primary/late-write", test_late_write_of_an_earlier_holder);
