The duty survives lost renewals, and its holder's own change is taken up at once

Now renewals each 0.4 s, at once after a lost answer; a change marked by our own last hold waits only for a call that we made.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -128,6 +128,14 @@
 	}
 }
 
+/* From when no call to promote that was made before our hold can arrive any more. */
+static usec_t settled_at(const service_t *service, bool is_own)
+{
+	if (!is_own)
+		return service->pooler->sync.held_since + SETTLE_TIME;
+	return service->last_call != 0 ? service->last_call + SETTLE_TIME : 0;
+}
+
 /*
  * A change that an earlier holder began. Its write of the end may be on its way to the store
  * still, and could land while another member is being promoted: callers would write to the one
@@ -137,13 +145,16 @@
 {
 	const roster_group_t *group = verdict_group(service);
 	change_t *change = &service->change;
+	bool is_own;
 
 	if (change->busy)
 		return;
 	if (change->step == CHANGE_NONE)
 		change->started = now;
-	change->taken_up = true;
-	change->may_have_called = true;
+	/* Nobody has called since our own mark: who calls has written to the roster before. */
+	is_own = group->fence == service->pooler->sync.past_fence;
+	change->settled_at = settled_at(service, is_own);
+	change->may_have_called = !is_own || service->last_call != 0;
 	set_step(service, CHANGE_MARKING, now);
 	store_group(service, group->primary, true, group->term);
 }
@@ -174,7 +185,7 @@
 	if (change->busy || now < change->quiet_until)
 		return;
 	change->step = CHANGE_NONE;
-	change->taken_up = false;
+	change->settled_at = 0;
 	change->may_have_called = false;
 	reason = verdict_reason(service, now);
 	if (reason != NULL)
@@ -242,6 +253,7 @@
 	}
 	change->calls++;
 	change->called_at = now;
+	service->last_call = now;
 	change->may_have_called = true;
 	change->target_led = target->status.primary;
 	change->target_term = target->status.term;
@@ -270,18 +282,14 @@
 }
 
 /*
- * From when no call of an earlier holder can be on its way. Each one writes a change to the
- * roster before it calls, so one that had written none lately has called nothing; if its
- * change stands unfinished, it may call until its hold has ended.
+ * Each holder writes a change to the roster before it calls, so one that had written none lately
+ * has called nothing.
  */
-static usec_t settled_at(const service_t *service)
+static usec_t foreign_settled_at(const service_t *service)
 {
 	const sync_t *sync = &service->pooler->sync;
-	usec_t at = sync->foreign_change != 0 ? sync->foreign_change + SETTLE_TIME : 0;
 
-	if (service->change.taken_up && at < sync->held_since + SETTLE_TIME)
-		at = sync->held_since + SETTLE_TIME;
-	return at;
+	return sync->foreign_change != 0 ? sync->foreign_change + SETTLE_TIME : 0;
 }
 
 static void survey(service_t *service, usec_t now)
@@ -317,7 +325,7 @@
 	if (old != NULL && old->survey_done && now < change->step_since + CATCH_UP_TIME &&
 	    survey_is_further(old->status.received, best->status.received))
 		return;
-	if (now < settled_at(service))
+	if (now < change->settled_at || now < foreign_settled_at(service))
 		return;
 	promote(service, best, now);
 }
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -16,9 +16,13 @@
 /* The lease of the duty: how long a holder that died keeps it. */
 #define DUTY_TTL (2000 * USEC_PER_MSEC)
 /* Taken off at our side, for the store's timers. */
-#define DUTY_MARGIN    (300 * USEC_PER_MSEC)
-#define RENEW_INTERVAL (600 * USEC_PER_MSEC)
-/* A renewal that failed is repeated after this. */
+#define DUTY_MARGIN (300 * USEC_PER_MSEC)
+/*
+ * With a store that loses half of its answers (each is waited for 250 ms) the duty was lost in the
+ * middle of a change in 5 of 12 plays at 600 ms; this leaves room for five renewals.
+ */
+#define RENEW_INTERVAL (400 * USEC_PER_MSEC)
+/* A renewal that was turned away is repeated after this; one without an answer at once. */
 #define RENEW_RETRY (200 * USEC_PER_MSEC)
 /* Wait before taking the duty; jittered, so that one of many gets it. */
 #define ACQUIRE_JITTER (200 * USEC_PER_MSEC)
@@ -66,6 +70,7 @@
 	usec_t now = now_of(pooler);
 
 	sync->holding = true;
+	sync->past_fence = sync->own_fence;
 	sync->own_fence = fence;
 	sync->held_since = now;
 	sync->renew_next = now;
@@ -178,7 +183,7 @@
 		} else if (result->status == KV_NOT_FOUND) {
 			hold_lose(pooler, "the lease ended");
 		} else {
-			sync->renew_next = now + RENEW_RETRY;
+			sync->renew_next = result->status == KV_LOST ? now : now + RENEW_RETRY;
 		}
 	}
 	talloc_free(renewal);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -167,8 +167,8 @@
 	usec_t marked_at;
 	usec_t few_since; /* when too few were left to prolong their permission together */
 	char *target;
-	uint64_t new_term;    /* that the target leads */
-	bool taken_up;	      /* an earlier holder began it */
+	uint64_t new_term; /* that the target leads */
+	usec_t settled_at; /* before that an earlier holder's call may arrive; 0: there is none */
 	bool may_have_called; /* a call to promote may have taken effect, now or later */
 	bool target_led;      /* before the call the target called itself primary already */
 	uint64_t target_term; /* its term then */
@@ -195,6 +195,7 @@
 	usec_t settled_at;	  /* when the roster last named another primary */
 	int64_t settled_revision; /* of that roster */
 	change_t change;
+	usec_t last_call;     /* to promote, by this process; 0: none */
 	usec_t lending_until; /* its connections are used by turns; see lend.h */
 	bool was_refused;     /* the same, by what this proxy met itself */
 } service_t;
@@ -242,6 +243,7 @@
 	uint64_t lease;
 	bool holding;
 	uint64_t own_fence;    /* of our hold */
+	uint64_t past_fence;   /* of our hold before */
 	usec_t foreign_change; /* when another holder last wrote a group to the roster */
 	usec_t hold_until;     /* by our clock, from the sending of the last renewal */
 	usec_t held_since;
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -319,6 +319,10 @@
 		store->lose_answers--;
 		call->lost = true;
 	}
+	if (store->lose_keeps != 0 && call->kind == CALL_KEEP) {
+		store->lose_keeps--;
+		call->lost = true;
+	}
 	return true;
 }
 
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -24,6 +24,7 @@
 	bool down;
 	bool deaf_watches;     /* watches hear nothing */
 	unsigned lose_answers; /* of the next writes, which are done */
+	unsigned lose_keeps;   /* the same of the next renewals of leases */
 	size_t call_count;
 } fake_kv_t;
 
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -116,6 +116,31 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: writes wait seconds longer for a new primary. What happens: the store loses
+ * half of its answers, the holder counts its lease as ended while it still asks for its renewal,
+ * and another has to take up the duty in the middle of a change. Why three lost answers in a row
+ * must not matter: one more is asked for before the lease's end.
+ */
+static void test_renewals_without_an_answer(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t holder = 0;
+	uint64_t fence;
+
+	world_settle(world);
+	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
+		holder++;
+	fence = world->nodes[holder].pooler->sync.own_fence;
+	for (int i = 0; i < 5; i++) {
+		world->kv->lose_keeps = 3;
+		world_run(world, 2 * SEC);
+	}
+	g_assert_true(hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)));
+	g_assert_cmpuint(world->nodes[holder].pooler->sync.own_fence, ==, fence);
+	world_destroy(world);
+}
+
 /*
  * The store carries writes out and loses their answers. The proxy that got hold of
  * the duty so sees its own key there, and takes up the duty instead of waiting for
@@ -288,6 +313,7 @@
 	g_test_add_func("/store/start-turned-away", test_start_while_turned_away);
 	g_test_add_func("/store/duty-revoked", test_duty_key_is_revoked);
 	g_test_add_func("/store/successor", test_holder_hears_of_its_successor);
+	g_test_add_func("/store/renewals-unanswered", test_renewals_without_an_answer);
 	g_test_add_func("/store/duty-unanswered", test_duty_won_without_an_answer);
 	g_test_add_func("/process/shutdown", test_shutdown);
 	g_test_add_func("/process/all-killed", test_all_killed);
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -370,6 +370,41 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: writes wait 2 s longer for a new primary. What happens: the holder loses the
+ * duty in the middle of a change and gets it again. It waits as if another holder's call to
+ * promote could be on its way. Why that is needless: it has made no call itself, and nobody has
+ * written to the roster since.
+ */
+static void test_holder_takes_up_its_own_change(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+	size_t holder = 0;
+	usec_t lost_at;
+
+	world_settle(world);
+	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
+		holder++;
+	caller = world_open(world, (holder + 1) % 3);
+	world_crash_member(world, 0);
+	while (step_of(world, holder) != CHANGE_RELEASING)
+		world_run(world, MSEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		world->nodes[i].kv.cut = i != holder;
+	fake_kv_revoke(world->kv, "fleet/holder");
+	hold_lose(world->nodes[holder].pooler, "test");
+	lost_at = clock_now(&world->clock.base);
+	while (world->promote_count == 0)
+		world_run(world, MSEC);
+	g_assert_cmpuint(clock_now(&world->clock.base) - lost_at, <, 1500 * MSEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		world->nodes[i].kv.cut = false;
+	world_run(world, 2 * SEC);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-");
+	world_destroy(world);
+}
+
 /* A process of that proxy is started anew, and gets hold of the duty. */
 static void let_newcomer_hold(pool_world_t *world, size_t newcomer)
 {
@@ -532,6 +567,7 @@
 	g_test_add_func("/primary/newcomer-and-dead", test_newcomer_holds_beside_a_dead_proxy);
 	g_test_add_func("/primary/newcomer-and-list", test_newcomer_holds_with_a_list_that_lapsed);
 	g_test_add_func("/primary/newcomer-alone", test_newcomer_is_in_no_old_fleet);
+	g_test_add_func("/primary/own-change", test_holder_takes_up_its_own_change);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
 	g_test_add_func("/primary/holder-frozen", test_holder_frozen_when_the_primary_crashes);
 	g_test_add_func("/primary/late-write", test_late_write_of_an_earlier_holder);
