Read once more: the roster is copied only to be changed; one way to find the holder in tests

The two conditions on an answer that agrees are one. Behaviour and assertions are the same; all pooler tests and the regressions pass.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -273,6 +273,7 @@
 	sync_t *sync = &pooler->sync;
 	usec_t now = now_of(pooler);
 	roster_t *roster;
+	bool agrees;
 
 	if (message->holder != NULL && message->fence > sync->fence)
 		sync_set_holder(pooler, message->holder, message->holder_address, message->fence);
@@ -284,15 +285,15 @@
 		if (roster != NULL)
 			sync_adopt(pooler, roster);
 	}
+	agrees = message->echo != 0 && message->echo <= now &&
+		 message->revision == sync->roster->revision;
 	/*
 	 * The answer was given no earlier than our question was sent, so the peer's read of the
 	 * store was sent no earlier than that less its age. Nobody's clock is compared.
 	 */
-	if (message->echo != 0 && message->echo <= now && message->age < message->echo &&
-	    message->revision == sync->roster->revision)
+	if (agrees && message->age < message->echo)
 		sync_confirm(pooler, message->echo - message->age);
-	if (message->echo != 0 && message->echo <= now &&
-	    message->revision == sync->roster->revision)
+	if (agrees)
 		exchange_get_report(pooler, message->from)->agreed_at = message->echo;
 	if (message->ends != NULL)
 		take_ends(pooler, message->ends, now);
--- a/pooler/sweep.c
+++ b/pooler/sweep.c
@@ -28,23 +28,21 @@
 	pooler->sweeping = false;
 }
 
-/* What is to become of a proxy's entry: returns true if roster was changed. */
-static bool sweep_node(pooler_t *pooler, roster_t *roster, const roster_node_t *node, usec_t now)
+typedef enum { ENTRY_STAYS, ENTRY_GONE, ENTRY_REMOVED } entry_end_t;
+
+/* What is to become of a proxy's entry. */
+static entry_end_t judge(pooler_t *pooler, const roster_node_t *node, usec_t now)
 {
 	peer_report_t *report = exchange_get_report(pooler, node->name);
 	usec_t heard = report->heard_at;
 
 	if (strcmp(node->name, pooler->config.name) == 0)
-		return false;
+		return ENTRY_STAYS;
 	if (!node->gone) {
 		report->gone_seen = 0;
 		if (heard < pooler->sync.held_since)
 			heard = pooler->sync.held_since;
-		if (now < heard + NODE_SILENT)
-			return false;
-		LOG_EVENT(LOG_WARN, "proxy is gone", LOG_STR("proxy", node->name));
-		roster_node(roster, node->name)->gone = true;
-		return true;
+		return now < heard + NODE_SILENT ? ENTRY_STAYS : ENTRY_GONE;
 	}
 	if (report->gone_seen == 0) {
 		report->gone_seen = now;
@@ -53,10 +51,17 @@
 	}
 	if (report->gone_known == 0 && permit_is_known(pooler, report->gone_revision))
 		report->gone_known = now;
-	if (now < report->gone_seen + NODE_REMOVE)
-		return false;
-	roster_remove_node(roster, node->name);
-	return true;
+	return now < report->gone_seen + NODE_REMOVE ? ENTRY_STAYS : ENTRY_REMOVED;
+}
+
+static void change_entry(roster_t *roster, const char *name, entry_end_t end)
+{
+	if (end == ENTRY_REMOVED) {
+		roster_remove_node(roster, name);
+		return;
+	}
+	LOG_EVENT(LOG_WARN, "proxy is gone", LOG_STR("proxy", name));
+	roster_node(roster, name)->gone = true;
 }
 
 bool sweep_has_ended(const pooler_t *pooler, const peer_report_t *report)
@@ -71,18 +76,23 @@
 
 void sweep_tick(pooler_t *pooler, usec_t now)
 {
-	roster_t *roster;
-	bool changed = false;
+	roster_t *changed = NULL;
 
 	if (pooler->sweeping)
 		return;
-	roster = roster_copy(NULL, pooler->sync.roster);
-	list_for_each (it, &pooler->sync.roster->nodes)
-		changed = sweep_node(pooler, roster, list_entry(it, roster_node_t, node), now) ||
-			  changed;
-	if (changed) {
-		pooler->sweeping = true;
-		sync_commit(pooler, roster, on_swept, pooler);
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+		entry_end_t end = judge(pooler, node, now);
+
+		if (end == ENTRY_STAYS)
+			continue;
+		if (changed == NULL)
+			changed = roster_copy(NULL, pooler->sync.roster);
+		change_entry(changed, node->name, end);
 	}
-	talloc_free(roster);
+	if (changed == NULL)
+		return;
+	pooler->sweeping = true;
+	sync_commit(pooler, changed, on_swept, pooler);
+	talloc_free(changed);
 }
--- a/tests/pool_check.c
+++ b/tests/pool_check.c
@@ -4,6 +4,8 @@
 
 #include <glib.h>
 
+#include "hold.h"
+
 void assert_begins(const char *text, const char *with)
 {
 	if (!g_str_has_prefix(text, with))
@@ -19,6 +21,30 @@
 	return NULL;
 }
 
+bool holds_duty(const pool_world_t *world, size_t node)
+{
+	return hold_is_ours(world->nodes[node].pooler, clock_now(&world->clock.base));
+}
+
+static size_t find_node(const pool_world_t *world, bool holds)
+{
+	size_t node = 0;
+
+	while (holds_duty(world, node) != holds)
+		node++;
+	return node;
+}
+
+size_t find_holder(const pool_world_t *world)
+{
+	return find_node(world, true);
+}
+
+size_t find_other(const pool_world_t *world)
+{
+	return find_node(world, false);
+}
+
 size_t run_count(const pool_world_t *world, const char *id)
 {
 	size_t count = 0;
--- a/tests/pool_check.h
+++ b/tests/pool_check.h
@@ -12,5 +12,12 @@
 /* Where the statement of that id ran last, or NULL. */
 const fake_run_t *last_run(const pool_world_t *world, const char *id);
 
+/* True if the proxy holds the duty to promote. */
+bool holds_duty(const pool_world_t *world, size_t node);
+
+/* The first proxy that holds the duty, or that does not. */
+size_t find_holder(const pool_world_t *world);
+size_t find_other(const pool_world_t *world);
+
 /* How often the statement of that id ran, at all members. */
 size_t run_count(const pool_world_t *world, const char *id);
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -606,7 +606,6 @@
 	fake_kv_client_gone(&node->kv);
 	talloc_free(node->pooler);
 	node->pooler = NULL;
-	(void)world;
 }
 
 void world_power_off(pool_world_t *world, size_t at)
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -4,7 +4,6 @@
  */
 #include <glib.h>
 
-#include "hold.h"
 #include "permit.h"
 #include "pool_check.h"
 #include "sync.h"
@@ -83,8 +82,7 @@
 		holders = 0;
 		world_run(world, 50 * MSEC);
 		for (size_t j = 0; j < 3; j++)
-			holders +=
-				hold_is_ours(world->nodes[j].pooler, clock_now(&world->clock.base));
+			holders += holds_duty(world, j);
 	}
 	g_assert_cmpuint(holders, ==, 1);
 	world_destroy(world);
@@ -98,12 +96,11 @@
 static void test_holder_hears_of_its_successor(void)
 {
 	pool_world_t *world = world_create(3, NULL);
-	size_t holder = 0;
+	size_t holder;
 	size_t holders = 0;
 
 	world_settle(world);
-	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
-		holder++;
+	holder = find_holder(world);
 	world->nodes[holder].kv.cut = true;
 	fake_kv_revoke(world->kv, "fleet/holder");
 	world_run(world, 1500 * MSEC);
@@ -125,18 +122,17 @@
 static void test_renewals_without_an_answer(void)
 {
 	pool_world_t *world = world_create(3, NULL);
-	size_t holder = 0;
+	size_t holder;
 	uint64_t fence;
 
 	world_settle(world);
-	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
-		holder++;
+	holder = find_holder(world);
 	fence = world->nodes[holder].pooler->sync.own_fence;
 	for (int i = 0; i < 5; i++) {
 		world->kv->lose_keeps = 3;
 		world_run(world, 2 * SEC);
 	}
-	g_assert_true(hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)));
+	g_assert_true(holds_duty(world, holder));
 	g_assert_cmpuint(world->nodes[holder].pooler->sync.own_fence, ==, fence);
 	world_destroy(world);
 }
@@ -156,7 +152,7 @@
 	world->kv->lose_answers = 1;
 	world_run(world, 2 * SEC);
 	for (size_t i = 0; i < 3; i++)
-		holders += hold_is_ours(world->nodes[i].pooler, clock_now(&world->clock.base));
+		holders += holds_duty(world, i);
 	g_assert_cmpuint(world->kv->lose_answers, ==, 0);
 	g_assert_cmpuint(holders, ==, 1);
 	world_destroy(world);
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -231,11 +231,10 @@
 {
 	pool_world_t *world = world_create(5, NULL);
 	world_caller_t *caller;
-	size_t holder = 0;
+	size_t holder;
 
 	world_settle(world);
-	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
-		holder++;
+	holder = find_holder(world);
 	caller = world_open(world, (holder + 1) % 5);
 	world_ask(caller, "WRITE job-1 a");
 	world_freeze(world, holder);
@@ -264,14 +263,13 @@
 {
 	pool_world_t *world = world_create(3, NULL);
 	kv_status_t status = KV_OK;
-	size_t holder = 0;
+	size_t holder;
 	size_t next = 0;
 	char *text;
 	kv_write_t write = {.key = "fleet/roster"};
 
 	world_settle(world);
-	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
-		holder++;
+	holder = find_holder(world);
 	world_crash_member(world, 0);
 	while (step_of(world, holder) != CHANGE_COMMITTING)
 		world_run(world, MSEC);
@@ -331,11 +329,10 @@
 {
 	pool_world_t *world = world_create(3, NULL);
 	world_caller_t *caller;
-	size_t holder = 0;
+	size_t holder;
 
 	world_settle(world);
-	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
-		holder++;
+	holder = find_holder(world);
 	world_kill(world, holder);
 	world_crash_member(world, 0);
 	world_run(world, 8 * SEC);
@@ -355,11 +352,10 @@
 {
 	pool_world_t *world = world_create(9, NULL);
 	world_caller_t *caller;
-	size_t dead = 0;
+	size_t dead;
 
 	world_settle(world);
-	while (hold_is_ours(world->nodes[dead].pooler, clock_now(&world->clock.base)))
-		dead++;
+	dead = find_other(world);
 	world_kill(world, dead);
 	world_run(world, SEC);
 	caller = world_open(world, 8);
@@ -380,12 +376,11 @@
 {
 	pool_world_t *world = world_create(3, NULL);
 	world_caller_t *caller;
-	size_t holder = 0;
+	size_t holder;
 	usec_t lost_at;
 
 	world_settle(world);
-	while (!hold_is_ours(world->nodes[holder].pooler, clock_now(&world->clock.base)))
-		holder++;
+	holder = find_holder(world);
 	caller = world_open(world, (holder + 1) % 3);
 	world_crash_member(world, 0);
 	while (step_of(world, holder) != CHANGE_RELEASING)
@@ -414,7 +409,7 @@
 	for (size_t i = 0; i < world->node_count; i++)
 		world->nodes[i].kv.cut = i != newcomer;
 	fake_kv_revoke(world->kv, "fleet/holder");
-	while (!hold_is_ours(world->nodes[newcomer].pooler, clock_now(&world->clock.base)))
+	while (!holds_duty(world, newcomer))
 		world_run(world, MSEC);
 	for (size_t i = 0; i < world->node_count; i++)
 		world->nodes[i].kv.cut = false;
@@ -498,11 +493,10 @@
 {
 	pool_world_t *world = world_create(6, NULL);
 	world_caller_t *caller;
-	size_t dead = 0;
+	size_t dead;
 
 	world_settle(world);
-	while (hold_is_ours(world->nodes[dead].pooler, clock_now(&world->clock.base)))
-		dead++;
+	dead = find_other(world);
 	world_kill(world, dead);
 	world_run(world, 9 * SEC);
 	caller = world_open(world, 5);
