A primary that is back before the promote is kept at once; a change taken up twice stays another's

It may end at once: nobody was asked to promote.

Found by it, fault seed 10698: a holder that took up another's change, lost the duty and got it again believed the change to be its own, and forgot that its beginner may have called. The fault was there before (the survey would have kept the old primary too, if the promoted member was out of sight). Tests /primary/back-before-promote, /primary/taken-up-twice and the seed failed before.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -101,6 +101,18 @@
 	talloc_free(roster);
 }
 
+/* Write down who is the primary from now on. */
+static void commit_primary(service_t *service, const member_t *primary, uint64_t term, usec_t now)
+{
+	char *copy = talloc_strdup(service, primary->id);
+
+	talloc_free(service->change.target);
+	service->change.target = copy;
+	service->change.new_term = term;
+	set_step(service, CHANGE_COMMITTING, now);
+	store_group(service, copy, false, term);
+}
+
 static void start_change(service_t *service, const char *reason, usec_t now)
 {
 	const member_t *primary = verdict_primary(service);
@@ -151,8 +163,12 @@
 		return;
 	if (change->step == CHANGE_NONE)
 		change->started = now;
-	/* Nobody has called since our own mark: who calls has written to the roster before. */
-	is_own = group->fence == service->pooler->sync.past_fence;
+	/*
+	 * Nobody has called since our own mark: who calls has written to the roster before. But a
+	 * mark of ours on a change that we took up is no proof that its beginner had not called.
+	 */
+	is_own = group->fence == service->pooler->sync.past_fence && !service->taken_up;
+	service->taken_up = !is_own;
 	change->settled_at = settled_at(service, is_own);
 	change->may_have_called = !is_own || service->last_call != 0;
 	set_step(service, CHANGE_MARKING, now);
@@ -187,11 +203,43 @@
 	change->step = CHANGE_NONE;
 	change->settled_at = 0;
 	change->may_have_called = false;
+	service->taken_up = false;
 	reason = verdict_reason(service, now);
 	if (reason != NULL)
 		start_change(service, reason, now);
 }
 
+/* --- nothing was wrong, or is not any more --- */
+
+/* End the change with the primary that it began with. */
+static void keep_primary(service_t *service, const member_t *primary, uint64_t term, usec_t now)
+{
+	service->change.quiet_until = now + QUIET_AFTER_CANCEL;
+	service->change.kept = true;
+	commit_primary(service, primary, term, now);
+}
+
+/*
+ * True if the primary answers again, and nothing but its silence was a reason to replace it.
+ * Nobody has been asked to promote another one, so that others still use it does no harm: there
+ * is no need to wait until they have let go.
+ */
+static bool is_back(service_t *service, member_t *primary, usec_t now)
+{
+	change_t *change = &service->change;
+
+	if (change->may_have_called || primary == NULL || primary->down ||
+	    verdict_reason(service, now) != NULL)
+		return false;
+	if (now < primary->last_reply + ALIVE_WITHIN)
+		return true;
+	if (now >= change->next_probe) {
+		change->next_probe = now + SURVEY_INTERVAL;
+		member_ask_status(primary);
+	}
+	return false;
+}
+
 /* --- releasing --- */
 
 static bool has_released(const service_t *service, const roster_node_t *node)
@@ -225,7 +273,12 @@
 	change_t *change = &service->change;
 	size_t total = permit_fleet(service->pooler, change->marked_revision);
 	size_t unreleased = count_unreleased(service);
+	member_t *primary = verdict_primary(service);
 
+	if (is_back(service, primary, now)) {
+		keep_primary(service, primary, verdict_group(service)->term, now);
+		return;
+	}
 	if (unreleased >= permit_quorum(total))
 		change->few_since = USEC_NEVER;
 	else if (change->few_since == USEC_NEVER)
@@ -263,18 +316,7 @@
 				  pooler->sync.own_fence);
 }
 
-static void commit_target(service_t *service, const member_t *target, usec_t now)
-{
-	char *copy = talloc_strdup(service, target->id);
-
-	talloc_free(service->change.target);
-	service->change.target = copy;
-	service->change.new_term = target->status.term;
-	set_step(service, CHANGE_COMMITTING, now);
-	store_group(service, copy, false, service->change.new_term);
-}
-
-/* The alarm was false: the old primary leads and has no reason to go. */
+/* The old primary leads and has no reason to go. */
 static bool can_stay(const service_t *service, const member_t *old, usec_t now)
 {
 	return old != NULL && old->survey_done && old->status.primary && !old->leaving &&
@@ -305,13 +347,12 @@
 		return;
 	leader = survey_leader(service, old);
 	if (leader != NULL) {
-		commit_target(service, leader, now);
+		commit_primary(service, leader, leader->status.term, now);
 		return;
 	}
 	stays = can_stay(service, old, now);
 	if (stays && !change->may_have_called) {
-		change->quiet_until = now + QUIET_AFTER_CANCEL;
-		commit_target(service, old, now);
+		keep_primary(service, old, old->status.term, now);
 		return;
 	}
 	/*
@@ -378,7 +419,7 @@
 		return;
 	}
 	if (leads_now(service, target, now)) {
-		commit_target(service, target, now);
+		commit_primary(service, target, target->status.term, now);
 		return;
 	}
 	if (now >= change->next_probe) {
@@ -405,9 +446,10 @@
 		store_group(service, change->target, false, change->new_term);
 		return;
 	}
-	counter_add(&changes_total, 1);
-	LOG_EVENT(LOG_WARN, "primary replaced", LOG_STR("service", service->name),
-		  LOG_STR("member", group->primary),
+	if (!change->kept)
+		counter_add(&changes_total, 1);
+	LOG_EVENT(LOG_WARN, change->kept ? "primary kept" : "primary replaced",
+		  LOG_STR("service", service->name), LOG_STR("member", group->primary),
 		  LOG_INT("took_ms", (int64_t)((now - change->started) / USEC_PER_MSEC)),
 		  LOG_INT("roster", service->pooler->sync.roster->revision));
 	clear(service);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -180,6 +180,7 @@
 	usec_t called_at;
 	unsigned calls;
 	usec_t quiet_until; /* after a change that came to nothing */
+	bool kept;	    /* the primary was kept */
 } change_t;
 
 typedef struct service {
@@ -199,6 +200,7 @@
 	usec_t settled_at;	  /* when the roster last named another primary */
 	int64_t settled_revision; /* of that roster */
 	change_t change;
+	bool taken_up;	  /* the change under way was begun by another proxy */
 	usec_t last_call; /* to promote, by this process; 0: none */
 } service_t;
 
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -7,7 +7,7 @@
  * - nothing is acknowledged that the leading member lacks at that moment;
  * - no read misses a commit that its route promises to show.
  *
- * FAULT_SEEDS=N plays seeds 1 to N, FAULT_SEED=S plays S alone.
+ * FAULT_SEEDS=N plays N seeds from FAULT_FIRST (1), FAULT_SEED=S plays S alone.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -591,10 +591,11 @@
 
 /* Seeds that found a fault, each with its cause. */
 static const uint32_t regressions[] = {
-	8,    /* a superseded primary that was cut off was taken for the leader */
-	43,   /* a holder heard of its successor from a peer, and held on */
-	159,  /* a member was promoted, crashed unseen, and the old primary stayed */
-	5063, /* the end of an earlier holder's change landed late, in the next one's change */
+	8,     /* a superseded primary that was cut off was taken for the leader */
+	43,    /* a holder heard of its successor from a peer, and held on */
+	159,   /* a member was promoted, crashed unseen, and the old primary stayed */
+	10698, /* a change taken up twice was believed to be one's own, its call forgotten */
+	5063,  /* the end of an earlier holder's change landed late, in the next one's change */
 };
 
 static void test_regressions(void)
@@ -613,6 +614,7 @@
 static void test_seeds(void)
 {
 	uint32_t one = number_of("FAULT_SEED", 0);
+	uint32_t first = number_of("FAULT_FIRST", 1);
 	uint32_t count = number_of("FAULT_SEEDS", DEFAULT_SEEDS);
 
 	if (one != 0) {
@@ -620,7 +622,7 @@
 		return;
 	}
 	g_assert_cmpuint(count, >, 0);
-	for (uint32_t seed = 1; seed <= count; seed++)
+	for (uint32_t seed = first; seed < first + count; seed++)
 		play_seed(seed);
 }
 
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -125,6 +125,42 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: writes are refused for seconds though their primary is well. What happens: the
+ * holder and others lose the path to it for a second, and a proxy that is dead holds up the change
+ * that they begin. The path comes back while they wait for it. Why the change may end at once:
+ * nobody was asked to promote, so the primary that is written down is still the only one.
+ */
+static void test_primary_is_back_before_the_promote(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+	size_t holder;
+	size_t other;
+
+	world_settle(world);
+	holder = find_holder(world);
+	other = find_other(world);
+	for (size_t i = 0; i < 3; i++) {
+		if (i != holder && i != other)
+			world_power_off(world, i);
+	}
+	caller = world_open(world, other);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	world_cut_members(world, holder, true);
+	world_cut_members(world, other, true);
+	for (int i = 0; i < 40 && world_permitted(world, "core-0") != 0; i++)
+		world_run(world, 50 * MSEC);
+	g_assert_cmpuint(world_permitted(world, "core-0"), ==, 0);
+	world_cut_members(world, holder, false);
+	world_cut_members(world, other, false);
+	world_run(world, 600 * MSEC);
+	caller = world_open(world, other);
+	assert_begins(world_ask(caller, "WRITE job-1 b"), "DONE core-0");
+	g_assert_cmpuint(world->promote_count, ==, 0);
+	world_destroy(world);
+}
+
 /*
  * One proxy is cut off from the store and from the others, but still reaches
  * the old primary, which is alive and cut off from everybody else. It may not
@@ -400,6 +436,51 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: their writes go to a superseded primary, and are gone when that is found out.
+ * What happens: a holder has a member promoted and is frozen. The next one takes the change up,
+ * loses the duty and gets it again; now the mark in the roster is its own. It finds the old primary
+ * well, as nothing tells it of the call. Why it must remember that the change was not its own: the
+ * call may have taken effect.
+ */
+static void test_change_of_another_taken_up_twice(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t first;
+	size_t second;
+
+	world_settle(world);
+	first = find_holder(world);
+	world->db->members[0].leaving = true;
+	while (world->promote_count == 0)
+		world_run(world, MSEC);
+	world_freeze(world, first);
+	world->db->members[0].leaving = false;
+	second = first;
+	while (second == first || step_of(world, second) != CHANGE_RELEASING) {
+		world_run(world, MSEC);
+		second = (second + 1) % 3;
+	}
+	for (size_t i = 0; i < world->node_count; i++)
+		world->nodes[i].kv.cut = i != second;
+	fake_kv_revoke(world->kv, "fleet/holder");
+	hold_lose(world->nodes[second].pooler, "test");
+	while (!holds_duty(world, second))
+		world_run(world, MSEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		world->nodes[i].kv.cut = false;
+	for (int i = 0; i < 100; i++) {
+		world_run(world, 30 * MSEC);
+		if (world->db->promoted_at != 0)
+			g_assert_cmpuint(world_permitted(world, "core-0"), ==, 0);
+	}
+	world_thaw(world, first);
+	world_run(world, 4 * SEC);
+	g_assert_cmpstr(fake_leader(world->db)->id, !=, "core-0");
+	g_assert_cmpuint(world_permitted(world, fake_leader(world->db)->id), ==, 3);
+	world_destroy(world);
+}
+
 /* A process of that proxy is started anew, and gets hold of the duty. */
 static void let_newcomer_hold(pool_world_t *world, size_t newcomer)
 {
@@ -553,6 +634,7 @@
 	g_test_add_func("/primary/old-reports", test_reports_of_the_old_primary);
 	g_test_add_func("/primary/leaving", test_primary_is_leaving);
 	g_test_add_func("/primary/longest-log", test_longest_log_is_promoted);
+	g_test_add_func("/primary/back-before-promote", test_primary_is_back_before_the_promote);
 	g_test_add_func("/primary/cut-off-proxy", test_cut_off_proxy_stops_before_the_promote);
 	g_test_add_func("/primary/frozen-proxy", test_frozen_proxy_with_an_answer);
 	g_test_add_func("/primary/holder-dies", test_holder_dies_with_the_primary);
@@ -561,6 +643,7 @@
 	g_test_add_func("/primary/newcomer-and-dead", test_newcomer_holds_beside_a_dead_proxy);
 	g_test_add_func("/primary/newcomer-and-list", test_newcomer_holds_with_a_list_that_lapsed);
 	g_test_add_func("/primary/newcomer-alone", test_newcomer_is_in_no_old_fleet);
+	g_test_add_func("/primary/taken-up-twice", test_change_of_another_taken_up_twice);
 	g_test_add_func("/primary/own-change", test_holder_takes_up_its_own_change);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
 	g_test_add_func("/primary/holder-frozen", test_holder_frozen_when_the_primary_crashes);
