With synchronous replicas no member is promoted while one that may hold more is silent

Now every other member must have answered, or the best has all that the old primary has.

Ruled out: positions acknowledged, as the proxies know them (a proxy that starts again has forgotten its own). Test /primary/sync-replica-away failed before.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -366,7 +366,8 @@
 	if (old != NULL && old->survey_done && now < change->step_since + CATCH_UP_TIME &&
 	    survey_is_further(old->status.received, best->status.received))
 		return;
-	if (now < change->settled_at || now < foreign_settled_at(service))
+	if (now < change->settled_at || now < foreign_settled_at(service) ||
+	    !survey_holds_acknowledged(service, best, old, now))
 		return;
 	promote(service, best, now);
 }
--- a/pooler/survey.h
+++ b/pooler/survey.h
@@ -17,7 +17,7 @@
 /* True once all that may answer have, or enough time has passed. */
 bool survey_is_done(const service_t *service, usec_t now);
 
-/* True if position a is behind b. */
+/* True if position a is ahead of b. */
 bool survey_is_further(position_t a, position_t b);
 
 /* The member that received most, among those that may lead; NULL if none answered. */
@@ -25,3 +25,10 @@
 
 /* A member that leads already, in a newer term than the primary that is written down. */
 member_t *survey_leader(const service_t *service, const member_t *old);
+
+/*
+ * False if the service waits for a replica to receive each commit and best may lack one that was
+ * acknowledged, since a member that may have it has not answered. old: the primary, or NULL.
+ */
+bool survey_holds_acknowledged(const service_t *service, const member_t *best, const member_t *old,
+			       usec_t now);
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -449,6 +449,7 @@
 	add_route(routes, world, "session", READS_SESSION);
 	limits->name = WORLD_SERVICE;
 	limits->max_connections = (int64_t)world->db->config.max_connections;
+	limits->sync_replicas = world->sync_replicas;
 	list_add_tail(&routes->services, &limits->node);
 	return routes;
 }
@@ -456,13 +457,15 @@
 static void publish_members(pool_world_t *world, world_node_t *node)
 {
 	static const char *const zones[] = {"a", "b", "c"};
+	static const char *const addresses[FAKE_MEMBERS_MAX] = {
+		"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"};
 
 	for (size_t i = 0; i < world->db->config.members; i++) {
 		const fake_member_t *member = &world->db->members[i];
 		member_entry_t entry = {
 			.id = member->id,
 			.service = WORLD_SERVICE,
-			.address = "10.0.0.1:1",
+			.address = addresses[i],
 			.zone = zones[i % 3],
 			.slots = (int64_t)world->db->config.slots,
 			.leaving = member->leaving,
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -125,6 +125,42 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: commits that were acknowledged are gone, though the service waits for a replica
+ * to receive each. What happens: the primary crashes, one replica is dark and the other has
+ * received nothing of late; the holder asks whom it can reach, and promotes the second. Why it must
+ * wait: only the member that is away may have the last commits.
+ */
+static void test_sync_replica_is_away(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+	char id[40];
+
+	world->sync_replicas = true;
+	world->config_version++;
+	world_settle(world);
+	caller = world_open(world, 0);
+	world->db->members[2].deaf = true;
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	snprintf(id, sizeof(id), "%s", caller->id);
+	world_run(world, 200 * MSEC);
+	world_crash_member(world, 1);
+	world->db->members[1].unlisted = true;
+	world_run(world, SEC);
+	for (size_t i = 0; i < world->node_count; i++)
+		pooler_on_member_gone(world->nodes[i].pooler, "core-1");
+	world_crash_member(world, 0);
+	world_run(world, 8 * SEC);
+	g_assert_cmpuint(world->promote_count, ==, 0);
+	fake_start(&world->db->members[1]);
+	world->db->members[1].unlisted = false;
+	world_run(world, 3 * SEC);
+	g_assert_cmpstr(fake_leader(world->db)->id, ==, "core-1");
+	g_assert_cmpuint(fake_count(fake_leader(world->db), id), ==, 1);
+	world_destroy(world);
+}
+
 /*
  * What callers see: writes are refused for seconds though their primary is well. What happens: the
  * holder and others lose the path to it for a second, and a proxy that is dead holds up the change
@@ -634,6 +670,7 @@
 	g_test_add_func("/primary/old-reports", test_reports_of_the_old_primary);
 	g_test_add_func("/primary/leaving", test_primary_is_leaving);
 	g_test_add_func("/primary/longest-log", test_longest_log_is_promoted);
+	g_test_add_func("/primary/sync-replica-away", test_sync_replica_is_away);
 	g_test_add_func("/primary/back-before-promote", test_primary_is_back_before_the_promote);
 	g_test_add_func("/primary/cut-off-proxy", test_cut_off_proxy_stops_before_the_promote);
 	g_test_add_func("/primary/frozen-proxy", test_frozen_proxy_with_an_answer);
