Bounds and the least lease come from the platform's settings; incarnations grow though the clock steps back

Cause: read for deployments with other bounds: a leaving primary was used for 5 s, the directory read each 0.9 and 2 s, the duty leased for 2 s, whatever the platform's settings said.

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -27,8 +27,9 @@
 #define LAG_MARGIN FRESHNESS_SPACING
 /* From the first sign of a failed primary to the marking. */
 #define DETECTION_USUAL (700 * USEC_PER_MSEC)
-/* A primary that is leaving is used this long; the users' bound for leaving members is 7 s. */
-#define LEAVING_USE (5 * USEC_PER_SEC)
+/* The part of the bound for leaving members in which a primary that is leaving is used: 5 of 7 s.
+ */
+#define LEAVING_USE_PERCENT 70
 /* A proxy that has just started gets on the roster within this. */
 #define REGISTER_USUAL (200 * USEC_PER_MSEC)
 /* What is left of a change that takes longer than expected. */
@@ -136,9 +137,10 @@
 static member_t *choose_primary(caller_t *caller, usec_t now, bool *open)
 {
 	member_t *primary = permit_primary(caller->service, now);
+	usec_t leaving_use = caller->pooler->config.leaving_bound * LEAVING_USE_PERCENT / 100;
 
 	caller->has_after = false;
-	*open = primary != NULL && !primary->down && now < primary->leaving_since + LEAVING_USE;
+	*open = primary != NULL && !primary->down && now < primary->leaving_since + leaving_use;
 	if (!*open || !member_has_room(primary) ||
 	    (conn_idle(primary, caller) == NULL && !can_open(primary, caller, now)))
 		return NULL;
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -13,7 +13,7 @@
 #include "counter.h"
 #include "log.h"
 
-/* The lease of the duty: how long a holder that died keeps it. */
+/* The lease of the duty, if the store grants one so short: how long a holder that died keeps it. */
 #define DUTY_TTL (2000 * USEC_PER_MSEC)
 /* Taken off at our side, for the store's timers. */
 #define DUTY_MARGIN (300 * USEC_PER_MSEC)
@@ -133,6 +133,13 @@
 	talloc_free(key);
 }
 
+static usec_t duty_ttl(const pooler_t *pooler)
+{
+	usec_t least = pooler->config.lease_least;
+
+	return least > DUTY_TTL ? least : DUTY_TTL;
+}
+
 static void acquire(pooler_t *pooler, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
@@ -140,8 +147,8 @@
 
 	sync->acquiring = true;
 	/* The lease runs from the call's arrival, which is no earlier than its sending. */
-	sync->hold_until = now + DUTY_TTL - DUTY_MARGIN;
-	kv->ops->lease_create(kv, DUTY_TTL / USEC_PER_MSEC, on_lease, pooler);
+	sync->hold_until = now + duty_ttl(pooler) - DUTY_MARGIN;
+	kv->ops->lease_create(kv, (int64_t)(duty_ttl(pooler) / USEC_PER_MSEC), on_lease, pooler);
 }
 
 /* A vacant duty is taken after a short random wait. */
@@ -178,7 +185,7 @@
 	sync->renewing = false;
 	if (sync->holding && sync->lease == renewal->lease) {
 		if (result->status == KV_OK) {
-			sync->hold_until = renewal->sent_at + DUTY_TTL - DUTY_MARGIN;
+			sync->hold_until = renewal->sent_at + duty_ttl(pooler) - DUTY_MARGIN;
 			sync->renew_next = now + RENEW_INTERVAL;
 		} else if (result->status == KV_NOT_FOUND) {
 			hold_lose(pooler, "the lease ended");
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -24,6 +24,10 @@
 	uint64_t incarnation;
 	uint64_t seed;
 	usec_t grace; /* from the request to stop to the end */
+	/* The platform's bounds. */
+	usec_t config_bound;  /* within which a configuration must be in force */
+	usec_t leaving_bound; /* within which a leaving member must be left alone */
+	usec_t lease_least;   /* shortest lease that the store grants */
 } pooler_config_t;
 
 /* A backend server as the platform lists it. */
--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -7,12 +7,12 @@
 #include "exchange.h"
 
 /*
- * Between two readings of the directory by the holder, which all others compare theirs with.
- * The configuration must be in force within 3 s of its acceptance, a leaving member left
- * alone within 7 s.
+ * Between two readings of the directory by the holder, which all others compare theirs with: parts
+ * of the bounds within which the configuration must be in force (3 s on the users' sites) and a
+ * leaving member left alone (7 s), so that a reading may fail once or twice.
  */
-#define CONFIG_REFRESH	(900 * USEC_PER_MSEC)
-#define MEMBERS_REFRESH (2 * USEC_PER_SEC)
+#define CONFIG_REFRESH_PERCENT	30
+#define MEMBERS_REFRESH_PERCENT 28
 /* Answers in a row that show another list of members: one may cross a change under way. */
 #define MEMBERS_DIFFER_MAX 2
 
@@ -30,15 +30,25 @@
 	return digest >> 32;
 }
 
+static usec_t config_interval(const pooler_t *pooler)
+{
+	return pooler->config.config_bound * CONFIG_REFRESH_PERCENT / 100;
+}
+
+static usec_t members_interval(const pooler_t *pooler)
+{
+	return pooler->config.leaving_bound * MEMBERS_REFRESH_PERCENT / 100;
+}
+
 static void refresh_config(pooler_t *pooler, usec_t now)
 {
-	pooler->sync.config_due = now + CONFIG_REFRESH;
+	pooler->sync.config_due = now + config_interval(pooler);
 	pooler->env->ops->refresh_config(pooler->env);
 }
 
 static void refresh_members(pooler_t *pooler, usec_t now)
 {
-	pooler->sync.members_due = now + MEMBERS_REFRESH;
+	pooler->sync.members_due = now + members_interval(pooler);
 	pooler->sync.members_differ = 0;
 	pooler->env->ops->refresh_members(pooler->env);
 }
@@ -62,7 +72,8 @@
 	sync_t *sync = &pooler->sync;
 	int64_t version = pooler->routes != NULL ? pooler->routes->version : 0;
 
-	if (message->config_version > version && now + CONFIG_REFRESH / 2 >= sync->config_due)
+	if (message->config_version > version &&
+	    now + config_interval(pooler) / 2 >= sync->config_due)
 		refresh_config(pooler, now);
 	if (message->members_digest == refresh_members_digest(pooler))
 		sync->members_differ = 0;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -392,6 +392,19 @@
 			  LOG_INT("roster", pooler->sync.roster->revision));
 }
 
+/*
+ * Incarnations come from the time of day, which may have stepped back since our last life. The
+ * others would take our messages for late ones of that life, and our entry for one without a
+ * process.
+ */
+static void outgrow_last_life(pooler_t *pooler)
+{
+	const roster_node_t *entry = roster_node(pooler->sync.roster, pooler->config.name);
+
+	if (entry != NULL && entry->incarnation > pooler->config.incarnation)
+		pooler->config.incarnation = entry->incarnation + 1;
+}
+
 /* Our own entry; a proxy that is not on the roster uses no primary. */
 static void register_self(pooler_t *pooler)
 {
@@ -402,6 +415,7 @@
 	    pooler->draining || permit_is_registered(pooler))
 		return;
 	sync->registering = true;
+	outgrow_last_life(pooler);
 	roster = roster_copy(NULL, sync->roster);
 	roster_put_node(roster, pooler->config.name, pooler->config.address,
 			pooler->config.incarnation);
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -586,6 +586,9 @@
 		.incarnation = ++node->incarnation,
 		.seed = at + 1,
 		.grace = 6 * USEC_PER_SEC,
+		.config_bound = 3 * USEC_PER_SEC,
+		.leaving_bound = 7 * USEC_PER_SEC,
+		.lease_least = 1 * USEC_PER_SEC,
 	};
 
 	node->drained = false;
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -294,6 +294,39 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: one proxy refuses them every 4 s, and each change of primary takes 12 s. What
+ * happens: the time of day of its machine steps back, and the process starts again with a lower
+ * incarnation than its last; the others take its messages for late ones of a process before. Why a
+ * number above that of the entry it finds is enough: all compare with that entry.
+ */
+static void test_start_after_a_clock_step(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+	usec_t crashed_at;
+	size_t other;
+
+	world_settle(world);
+	other = find_other(world);
+	world_kill(world, other);
+	world->nodes[other].incarnation += 5000;
+	world_start(world, other);
+	world_run(world, SEC);
+	world_kill(world, other);
+	world->nodes[other].incarnation -= 4000;
+	world_start(world, other);
+	world_run(world, SEC);
+	caller = world_open(world, find_holder(world));
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	world_crash_member(world, 0);
+	crashed_at = clock_now(&world->clock.base);
+	while (!g_str_has_prefix(world_ask(caller, "WRITE job-1 b"), "DONE"))
+		world_run(world, 50 * MSEC);
+	g_assert_cmpuint(clock_now(&world->clock.base) - crashed_at, <, 2500 * MSEC);
+	world_destroy(world);
+}
+
 /*
  * What callers see: some proxies of a large fleet serve and others refuse everything, for as long
  * as the fleet is that large. What happens: the members take fewer connections than there are
@@ -339,6 +372,7 @@
 	g_test_add_func("/store/duty-unanswered", test_duty_won_without_an_answer);
 	g_test_add_func("/process/shutdown", test_shutdown);
 	g_test_add_func("/process/all-killed", test_all_killed);
+	g_test_add_func("/process/clock-step", test_start_after_a_clock_step);
 	g_test_add_func("/process/back-before-messages", test_back_before_its_messages);
 	g_test_add_func("/process/power-loss", test_power_loss);
 	g_test_add_func("/process/few-connections", test_more_proxies_than_connections);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -319,6 +319,15 @@
 		{"{{platform.addr|json}}", "\"10.200.1.7:8783\""},
 		{"{{cloudApi.addr|json}}", "\"10.200.0.160:8783\""},
 		{"{{bounds.graceS|json}}", "6.5"},
+		{"{{#platform.ttlMinMs}}", ""},
+		{"{{platform.ttlMinMs|json}}", "1000"},
+		{"{{/platform.ttlMinMs}}", ""},
+		{"{{#bounds.configApplyMs}}", ""},
+		{"{{bounds.configApplyMs|json}}", "3000"},
+		{"{{/bounds.configApplyMs}}", ""},
+		{"{{#bounds.drainMs}}", ""},
+		{"{{bounds.drainMs|json}}", "7000"},
+		{"{{/bounds.drainMs}}", ""},
 	};
 	char *text = NULL;
 	char *path = g_build_filename(site->dir, "rendered.toml", NULL);
