--- a/links/platform.c
+++ b/links/platform.c
@@ -20,9 +20,9 @@
 
 #define HTTP_OK 200
 
-COUNTER_DEFINE(calls_total, "store_calls_total", COUNTER_SUM,
+COUNTER_DEFINE(calls_total, "platform_calls_total", COUNTER_SUM,
 	       "Calls on the platform, a watch counted as one.");
-COUNTER_DEFINE(failed_total, "store_calls_failed_total", COUNTER_SUM,
+COUNTER_DEFINE(failed_total, "platform_calls_failed_total", COUNTER_SUM,
 	       "Calls on the platform without a usable answer.");
 
 typedef struct platform {
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -83,38 +83,48 @@
 	if (from->ok)
 		report_done(caller);
 	else
-		report_failed(caller, from->code, "the member's answer");
+		report_failed(caller, from->code, REASON_MEMBER_FAILED, code_name(from->code));
 	finish(caller, &reply);
 }
 
-static void answer_error(caller_t *caller, code_t code, const char *reason)
+/* detail: more about the reason, for the log; NULL: there is no more. */
+static void answer_error(caller_t *caller, code_t code, reason_t reason, const char *detail)
 {
 	caller_reply_t reply = {
-		.kind = REPLY_ERROR, .code = code, .text = reason, .tx = caller->tx};
+		.kind = REPLY_ERROR, .code = code, .text = reason_text(reason), .tx = caller->tx};
 
-	report_failed(caller, code, reason);
+	report_failed(caller, code, reason, detail);
 	finish(caller, &reply);
 }
 
-/* Fail the statement, and the transaction that it belongs to. */
-static void fail(caller_t *caller, code_t code, const char *reason)
+/* The statement has failed, and the transaction that it belongs to. */
+static void end_statement(caller_t *caller)
 {
 	dispatch_leave(caller);
 	if (caller->tx == TX_OPEN)
 		caller->tx = is_commit(caller) ? TX_NONE : TX_FAILED;
 	if (caller->conn != NULL)
 		conn_orphan(caller->conn);
-	answer_error(caller, code, reason);
 }
 
-void caller_refuse(caller_t *caller, code_t code, const char *reason, usec_t retry_after)
+static void fail(caller_t *caller, code_t code, reason_t reason, const char *detail)
+{
+	end_statement(caller);
+	answer_error(caller, code, reason, detail);
+}
+
+void caller_refuse(caller_t *caller, code_t code, reason_t reason, usec_t retry_after)
 {
 	char text[REASON_MAX];
+	caller_reply_t reply = {.kind = REPLY_ERROR, .code = code, .text = text};
 
 	/* The text is the only place on the wire that can say when to come back. */
-	snprintf(text, sizeof(text), "%s; retry-after-ms=%" PRIu64, reason,
+	snprintf(text, sizeof(text), "%s; retry-after-ms=%" PRIu64, reason_text(reason),
 		 retry_after / USEC_PER_MSEC);
-	fail(caller, code, text);
+	end_statement(caller);
+	reply.tx = caller->tx;
+	report_failed(caller, code, reason, text);
+	finish(caller, &reply);
 }
 
 /* --- trying again --- */
@@ -130,12 +140,12 @@
 }
 
 /* The statement certainly did not run: try again, or say so. */
-static void not_run(caller_t *caller, code_t code, const char *reason)
+static void not_run(caller_t *caller, code_t code, reason_t reason, const char *detail)
 {
 	if (code == CODE_LAGGING)
 		caller->only_primary = true;
 	if (caller->tx == TX_OPEN && caller->tx_ran) {
-		fail(caller, CODE_ABORTED, reason);
+		fail(caller, CODE_ABORTED, reason, detail);
 		return;
 	}
 	if (caller->attempts >= ATTEMPTS_MAX) {
@@ -152,7 +162,7 @@
 		caller_on_gone(caller);
 		return;
 	}
-	not_run(caller, code, "the member refused to begin");
+	not_run(caller, code, REASON_MEMBER_REFUSED, code_name(code));
 }
 
 bool caller_try_elsewhere(caller_t *caller)
@@ -164,22 +174,22 @@
 	return true;
 }
 
-static void lost_while_running(caller_t *caller, const char *reason)
+static void lost_while_running(caller_t *caller, const char *detail)
 {
 	if (caller_may_keep(caller)) {
 		if (caller->tx == TX_OPEN)
 			caller->tx = TX_NONE;
-		answer_error(caller, CODE_IN_DOUBT, reason);
+		answer_error(caller, CODE_IN_DOUBT, REASON_CONNECTION_LOST, detail);
 	} else if (caller->tx == TX_NONE) {
 		/* A read may run twice. */
-		not_run(caller, CODE_OTHER, reason);
+		not_run(caller, CODE_OTHER, REASON_CONNECTION_LOST, detail);
 	} else {
 		/* What was not committed is rolled back with the connection. */
-		fail(caller, CODE_ABORTED, reason);
+		fail(caller, CODE_ABORTED, REASON_CONNECTION_LOST, detail);
 	}
 }
 
-void caller_on_conn_lost(caller_t *caller, bool sent, const char *reason)
+void caller_on_conn_lost(caller_t *caller, bool sent, const char *detail)
 {
 	caller->conn = NULL;
 	if (!caller->busy) {
@@ -187,9 +197,9 @@
 		return;
 	}
 	if (sent)
-		lost_while_running(caller, reason);
+		lost_while_running(caller, detail);
 	else
-		not_run(caller, CODE_OTHER, reason);
+		not_run(caller, CODE_OTHER, REASON_CONNECTION_LOST, detail);
 }
 
 /* --- replies of members --- */
@@ -226,7 +236,7 @@
 		 */
 		if (caller->tx == TX_OPEN)
 			caller->tx = TX_NONE;
-		answer_error(caller, CODE_IN_DOUBT, "permission for the primary ended meanwhile");
+		answer_error(caller, CODE_IN_DOUBT, REASON_PERMISSION_ENDED, NULL);
 		conn_release(conn);
 		return;
 	}
@@ -266,7 +276,7 @@
 		return;
 	}
 	conn_release(conn);
-	not_run(caller, reply->code, code_name(reply->code));
+	not_run(caller, reply->code, REASON_MEMBER_REFUSED, code_name(reply->code));
 }
 
 void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply)
@@ -326,7 +336,7 @@
 	prepared_t *prepared = find_prepared(caller, caller->statement.name);
 
 	if (prepared == NULL) {
-		answer_error(caller, CODE_NO_STATEMENT, "no prepared statement of that name");
+		answer_error(caller, CODE_NO_STATEMENT, REASON_UNKNOWN_NAME, NULL);
 		return;
 	}
 	forget(prepared);
@@ -380,15 +390,15 @@
 	if (conn == NULL || conn->state != CONN_RUNNING) {
 		caller_refuse(caller,
 			      caller->tx == TX_OPEN && caller->tx_ran ? CODE_ABORTED : CODE_BUSY,
-			      "no connection came free in time", RETRY_STEP);
+			      REASON_NO_CONNECTION, RETRY_STEP);
 		return;
 	}
 	if (caller_may_keep(caller)) {
-		fail(caller, CODE_IN_DOUBT, "the member did not answer in time");
+		fail(caller, CODE_IN_DOUBT, REASON_NO_ANSWER, NULL);
 	} else if (caller->tx == TX_OPEN) {
-		fail(caller, CODE_ABORTED, "the member did not answer in time");
+		fail(caller, CODE_ABORTED, REASON_NO_ANSWER, NULL);
 	} else {
-		fail(caller, CODE_TIMEOUT, "the member did not answer in time");
+		fail(caller, CODE_TIMEOUT, REASON_NO_ANSWER, NULL);
 	}
 }
 
@@ -424,7 +434,7 @@
 {
 	caller->exec = find_prepared(caller, caller->statement.name);
 	if (caller->exec == NULL) {
-		answer_error(caller, CODE_NO_STATEMENT, "no prepared statement of that name");
+		answer_error(caller, CODE_NO_STATEMENT, REASON_UNKNOWN_NAME, NULL);
 		return;
 	}
 	caller->statement.writes = caller->exec->writes;
@@ -432,18 +442,18 @@
 }
 
 /* A statement in a transaction that is over: only its end is meaningful. */
-static void on_failed_tx(caller_t *caller, const char *reason)
+static void on_failed_tx(caller_t *caller)
 {
 	if (is_commit(caller)) {
 		caller->tx = TX_NONE;
 		if (caller->conn != NULL)
 			conn_release(caller->conn);
-		answer_error(caller, CODE_ABORTED, reason);
+		answer_error(caller, CODE_ABORTED, REASON_ROLLED_BACK, NULL);
 	} else if (caller->tx_lost) {
 		caller->tx_lost = false;
-		answer_error(caller, CODE_ABORTED, reason);
+		answer_error(caller, CODE_ABORTED, REASON_ROLLED_BACK, NULL);
 	} else {
-		answer_error(caller, CODE_MALFORMED, "the transaction failed; end it");
+		answer_error(caller, CODE_MALFORMED, REASON_TRANSACTION_FAILED, NULL);
 	}
 }
 
@@ -452,7 +462,7 @@
 	switch (caller->statement.kind) {
 	case STATEMENT_SET:
 		if (caller->variables.count >= VARIABLES_MAX) {
-			answer_error(caller, CODE_FAILED, "too many values in this session");
+			answer_error(caller, CODE_FAILED, REASON_TOO_MANY_VALUES, NULL);
 			break;
 		}
 		variables_set(&caller->variables, caller, caller->statement.name,
@@ -466,7 +476,7 @@
 		on_forget(caller);
 		break;
 	default:
-		answer_error(caller, CODE_MALFORMED, "not a statement that is known here");
+		answer_error(caller, CODE_MALFORMED, REASON_UNKNOWN_STATEMENT, NULL);
 	}
 }
 
@@ -479,13 +489,13 @@
 	case STATEMENT_WRITE:
 	case STATEMENT_EXEC:
 		if (!take_route(caller)) {
-			answer_error(caller, CODE_NO_DATABASE, "no such database");
+			answer_error(caller, CODE_NO_DATABASE, REASON_UNKNOWN_DATABASE, NULL);
 			return;
 		}
 		break;
 	case STATEMENT_COMMIT:
 	case STATEMENT_ROLLBACK:
-		answer_error(caller, CODE_MALFORMED, "no transaction is open");
+		answer_error(caller, CODE_MALFORMED, REASON_NO_TRANSACTION, NULL);
 		return;
 	default:
 		on_local(caller);
@@ -509,7 +519,7 @@
 		return;
 	}
 	if (caller->tx == TX_FAILED) {
-		on_failed_tx(caller, "the transaction was rolled back");
+		on_failed_tx(caller);
 		return;
 	}
 	switch (caller->statement.kind) {
--- a/pooler/caller.h
+++ b/pooler/caller.h
@@ -9,7 +9,7 @@
 #include "state.h"
 
 /* The connection broke. sent: its statement was at the member, unanswered. */
-void caller_on_conn_lost(caller_t *caller, bool sent, const char *reason);
+void caller_on_conn_lost(caller_t *caller, bool sent, const char *detail);
 
 /*
  * Ask for a read that is overdue once more, leaving the first answer to come or not.
@@ -23,7 +23,7 @@
 void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply);
 
 /* The statement waits for a connection and can't have one in time: refuse it now. */
-void caller_refuse(caller_t *caller, code_t code, const char *reason, usec_t retry_after);
+void caller_refuse(caller_t *caller, code_t code, reason_t reason, usec_t retry_after);
 
 /* True if the statement in progress, once sent, may leave something behind. */
 bool caller_may_keep(const caller_t *caller);
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -329,7 +329,7 @@
 	if (open || (end != USEC_NEVER && end < caller->deadline))
 		return;
 	back = end != USEC_NEVER && end > now ? end - now : UNKNOWN_RETRY;
-	caller_refuse(caller, CODE_BUSY, "no member can serve this now", back);
+	caller_refuse(caller, CODE_BUSY, REASON_NO_MEMBER, back);
 }
 
 void dispatch_check(service_t *service, usec_t now)
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -125,7 +125,7 @@
 				      caller->conn != NULL && caller_may_keep(caller)
 					      ? CODE_IN_DOUBT
 					      : CODE_ABORTED,
-				      "shutting down", 0);
+				      REASON_SHUTTING_DOWN, 0);
 		if (pooler->draining)
 			caller_drain(caller, cut);
 	}
--- /dev/null
+++ b/pooler/reason.c
@@ -0,0 +1,42 @@
+#include "reason.h"
+
+const char *const reason_names[REASON_COUNT] = {
+	[REASON_NO_MEMBER] = "no_member",
+	[REASON_NO_CONNECTION] = "no_connection",
+	[REASON_MEMBER_REFUSED] = "member_refused",
+	[REASON_SHUTTING_DOWN] = "shutting_down",
+	[REASON_NO_ANSWER] = "no_answer",
+	[REASON_CONNECTION_LOST] = "connection_lost",
+	[REASON_PERMISSION_ENDED] = "permission_ended",
+	[REASON_MEMBER_FAILED] = "member_failed",
+	[REASON_ROLLED_BACK] = "rolled_back",
+	[REASON_TRANSACTION_FAILED] = "transaction_failed",
+	[REASON_NO_TRANSACTION] = "no_transaction",
+	[REASON_UNKNOWN_NAME] = "unknown_name",
+	[REASON_UNKNOWN_DATABASE] = "unknown_database",
+	[REASON_UNKNOWN_STATEMENT] = "unknown_statement",
+	[REASON_TOO_MANY_VALUES] = "too_many_values",
+};
+
+const char *reason_text(reason_t reason)
+{
+	static const char *const texts[REASON_COUNT] = {
+		[REASON_NO_MEMBER] = "no member can serve this now",
+		[REASON_NO_CONNECTION] = "no connection came free in time",
+		[REASON_MEMBER_REFUSED] = "the members refused it",
+		[REASON_SHUTTING_DOWN] = "shutting down",
+		[REASON_NO_ANSWER] = "the member did not answer in time",
+		[REASON_CONNECTION_LOST] = "the connection to the member was lost",
+		[REASON_PERMISSION_ENDED] = "permission for the primary ended meanwhile",
+		[REASON_MEMBER_FAILED] = "the member's answer",
+		[REASON_ROLLED_BACK] = "the transaction was rolled back",
+		[REASON_TRANSACTION_FAILED] = "the transaction failed; end it",
+		[REASON_NO_TRANSACTION] = "no transaction is open",
+		[REASON_UNKNOWN_NAME] = "no prepared statement of that name",
+		[REASON_UNKNOWN_DATABASE] = "no such database",
+		[REASON_UNKNOWN_STATEMENT] = "not a statement that is known here",
+		[REASON_TOO_MANY_VALUES] = "too many values in this session",
+	};
+
+	return texts[reason];
+}
--- /dev/null
+++ b/pooler/reason.h
@@ -0,0 +1,30 @@
+/* Why a statement was not served, for the caller, the log and the metrics. */
+#pragma once
+
+typedef enum {
+	/* Refused before anything ran. */
+	REASON_NO_MEMBER,
+	REASON_NO_CONNECTION,
+	REASON_MEMBER_REFUSED,
+	REASON_SHUTTING_DOWN,
+	/* On its way. */
+	REASON_NO_ANSWER,
+	REASON_CONNECTION_LOST,
+	REASON_PERMISSION_ENDED,
+	REASON_MEMBER_FAILED,
+	REASON_ROLLED_BACK,
+	/* The statement itself. */
+	REASON_TRANSACTION_FAILED,
+	REASON_NO_TRANSACTION,
+	REASON_UNKNOWN_NAME,
+	REASON_UNKNOWN_DATABASE,
+	REASON_UNKNOWN_STATEMENT,
+	REASON_TOO_MANY_VALUES,
+	REASON_COUNT,
+} reason_t;
+
+/* Short, for metrics: "no_member". */
+extern const char *const reason_names[REASON_COUNT];
+
+/* A sentence, for callers and the log. */
+const char *reason_text(reason_t reason);
--- a/pooler/report.c
+++ b/pooler/report.c
@@ -16,6 +16,10 @@
 COUNTER_DEFINE(failed_total, "statements_failed_total", COUNTER_SUM,
 	       "Statements that failed at the member, or were malformed.");
 
+COUNTER_GRID_DEFINE(not_served_total, "statements_not_served_total", "reason", reason_names,
+		    "outcome", code_names,
+		    "Statements answered with an error, by why and with which outcome.");
+
 #define STATEMENT_SECONDS "statement_seconds"
 #define STATEMENT_HELP	  "Time from a statement to its answer, by kind of reads and outcome."
 
@@ -98,17 +102,19 @@
 	}
 }
 
-void report_failed(const caller_t *caller, code_t code, const char *reason)
+void report_failed(const caller_t *caller, code_t code, reason_t reason, const char *detail)
 {
 	usec_t now = now_of(caller->pooler);
 
 	counter_add(counter_of(code), 1);
+	counter_grid_add(&not_served_total, reason, code);
 	histogram_add(failed_seconds[caller->reads], now - caller->received_at);
 	LOG_EVENT(LOG_WARN, "statement not served",
 		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
 		  LOG_STR("database", caller->database),
 		  LOG_STR("service", caller->service != NULL ? caller->service->name : ""),
-		  LOG_STR("outcome", code_name(code)), LOG_STR("reason", reason),
+		  LOG_STR("outcome", code_name(code)), LOG_STR("reason", reason_text(reason)),
+		  LOG_STR("detail", detail != NULL ? detail : ""),
 		  LOG_INT("attempts", caller->attempts),
 		  LOG_INT("waited_ms", msec_since(now, caller->received_at)),
 		  LOG_STR("member", caller->conn != NULL ? caller->conn->member->id : ""),
--- a/pooler/report.h
+++ b/pooler/report.h
@@ -10,4 +10,4 @@
 void report_done(const caller_t *caller);
 
 /* Answered with an error of the member's or of our own. */
-void report_failed(const caller_t *caller, code_t code, const char *reason);
+void report_failed(const caller_t *caller, code_t code, reason_t reason, const char *detail);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -3,6 +3,7 @@
 
 #include "freshness.h"
 #include "pooler.h"
+#include "reason.h"
 #include "roster.h"
 #include "summary.h"
 #include "variables.h"
--- a/pooler/statement.c
+++ b/pooler/statement.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-static const char *const code_names[CODE_COUNT] = {
+const char *const code_names[CODE_COUNT] = {
 	[CODE_NONE] = "none",
 	[CODE_BUSY] = "busy",
 	[CODE_ABORTED] = "aborted",
--- a/pooler/statement.h
+++ b/pooler/statement.h
@@ -61,6 +61,9 @@
 	CODE_COUNT,
 } code_t;
 
+/* The names of all codes. */
+extern const char *const code_names[CODE_COUNT];
+
 /* Lower-case name of a code for logs and counters. */
 const char *code_name(code_t code);
 
--- a/pooler/summary.c
+++ b/pooler/summary.c
@@ -27,8 +27,7 @@
 	if (now < summary->next)
 		return;
 	for (size_t i = 0; i < COUNT; i++) {
-		const counter_t *counter = counter_find(names[i]);
-		int64_t value = counter != NULL ? counter->value : 0;
+		int64_t value = counters_total(names[i]);
 
 		fields[i] = LOG_INT(names[i], value - summary->before[i]);
 		summary->before[i] = value;
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -111,6 +111,20 @@
 	site_disconnect(caller);
 }
 
+/* A reader of metrics rejects all of them if one is described twice. */
+static void assert_described_once(const char *metrics)
+{
+	GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	char **lines = g_strsplit(metrics, "\n", -1);
+
+	for (char **line = lines; *line != NULL; line++) {
+		if (g_str_has_prefix(*line, "# TYPE ") && !g_hash_table_add(seen, g_strdup(*line)))
+			g_error("described twice: %s", *line);
+	}
+	g_strfreev(lines);
+	g_hash_table_destroy(seen);
+}
+
 static void test_metrics_and_state(void)
 {
 	GString *body = g_string_new(NULL);
@@ -121,6 +135,13 @@
 	g_assert_nonnull(strstr(body->str, "cyclamenspan_config_version 3"));
 	g_assert_nonnull(strstr(body->str, "cyclamenspan_statement_seconds_bucket{"
 					   "reads=\"primary\",outcome=\"done\",le=\"0.064\"} "));
+	g_assert_nonnull(strstr(body->str, "cyclamenspan_store_calls_total{"
+					   "call=\"range\",result=\"ok\"} "));
+	g_assert_nonnull(strstr(body->str, "cyclamenspan_statements_not_served_total{"
+					   "reason=\"unknown_statement\",outcome=\"malformed\"} "));
+	g_assert_nonnull(strstr(body->str, "cyclamenspan_member_connections_open{service="));
+	g_assert_nonnull(strstr(body->str, "cyclamenspan_roster_age_seconds "));
+	assert_described_once(body->str);
 	g_string_truncate(body, 0);
 	g_assert_cmpint(site_get(site, 0, false, "/state", body), ==, 200);
 	state = json_loads(body->str, 0, NULL);
