--- a/core/core.c
+++ b/core/core.c
@@ -60,9 +60,9 @@
 	va_list ap;
 
 	va_start(ap, fmt);
-	action->text = talloc_vasprintf(action, fmt, ap);
+	action->note.text = talloc_vasprintf(action, fmt, ap);
 	va_end(ap);
-	action->warning = warning;
+	action->note.warning = warning;
 }
 
 uint64_t core_id(core_t *core)
@@ -198,46 +198,46 @@
 	case EVENT_TICK:
 		break;
 	case EVENT_QUERY:
-		router_query(core, event);
+		router_query(core, event->id, &event->query);
 		break;
 	case EVENT_CALLER_GONE:
 		request_caller_gone(core, event->id);
 		break;
 	case EVENT_MESSAGE:
-		peers_take(core, event->peer, event->message);
+		peers_take(core, event->message.peer, event->message.message);
 		break;
 	case EVENT_UNSENT:
-		router_unsent(core, event);
+		router_unsent(core, event->id);
 		break;
 	case EVENT_CONN_UP:
-		pool_conn_up(core, event);
+		pool_conn_up(core, event->id, &event->conn_up);
 		break;
 	case EVENT_CONN_DOWN:
-		pool_conn_down(core, event);
+		pool_conn_down(core, event->id, &event->conn_down);
 		break;
 	case EVENT_RUN_DONE:
-		exec_run_done(core, event);
+		exec_run_done(core, event->id, &event->run);
 		break;
 	case EVENT_ORDER_DONE:
-		group_order_done(core, event);
+		group_order_done(core, event->id, &event->order);
 		break;
 	case EVENT_CONTROL_DOWN:
-		group_control_down(core, event);
+		group_control_down(core, &event->control);
 		break;
 	case EVENT_STORE_LOADED:
-		tablesync_loaded(core, event);
+		tablesync_loaded(core, event->id, &event->store);
 		break;
 	case EVENT_STORE_DONE:
-		edit_store_done(core, event);
+		edit_store_done(core, event->id, &event->store);
 		break;
 	case EVENT_WATCH_DOWN:
 		tablesync_watch_down(core);
 		break;
 	case EVENT_VMS:
-		tablesync_vms(core, event);
+		tablesync_vms(core, &event->vms);
 		break;
 	case EVENT_EDIT:
-		edit_start(core, event);
+		edit_start(core, event->id, &event->edit);
 		break;
 	case EVENT_DRAIN:
 		drain(core);
--- a/core/edit.c
+++ b/core/edit.c
@@ -21,14 +21,14 @@
 	va_list ap;
 
 	va_start(ap, fmt);
-	action->text = talloc_vasprintf(action, fmt, ap);
+	action->edit.text = talloc_vasprintf(action, fmt, ap);
 	va_end(ap);
 	action->id = edit->id;
-	action->edit_status = status;
-	action->table_version = core->table->version;
+	action->edit.status = status;
+	action->edit.table_version = core->table->version;
 	core_note(core, status != EDIT_ACCEPTED, "table edit %s id=%s author=%s version=%llu: %s",
 		  names[status], edit->edit_id, edit->author,
-		  (unsigned long long)core->table->version, action->text);
+		  (unsigned long long)core->table->version, action->edit.text);
 	timers_cancel(&core->timers, &edit->timer);
 	timers_cancel(&core->timers, &edit->retry_timer);
 	list_del(&edit->node);
@@ -67,16 +67,16 @@
 
 	edit->commit_sent = true;
 	action->id = edit->id;
-	action->head_revision = edit->sent_head;
-	action->table_version = edit->sent_version;
-	action->edit_id = talloc_strdup(action, edit->edit_id);
-	action->author = talloc_strdup(action, edit->author);
-	action->entries = talloc_array(action, table_entry_t, edit->entry_count);
-	action->entry_count = edit->entry_count;
+	action->commit.head_revision = edit->sent_head;
+	action->commit.table_version = edit->sent_version;
+	action->commit.edit_id = talloc_strdup(action, edit->edit_id);
+	action->commit.author = talloc_strdup(action, edit->author);
+	action->commit.entries = talloc_array(action, table_entry_t, edit->entry_count);
+	action->commit.entry_count = edit->entry_count;
 	for (size_t i = 0; i < edit->entry_count; i++) {
-		action->entries[i] = (table_entry_t){
-			.key = talloc_strdup(action->entries, edit->entries[i].key),
-			.value = talloc_strdup(action->entries, edit->entries[i].value),
+		action->commit.entries[i] = (table_entry_t){
+			.key = talloc_strdup(action->commit.entries, edit->entries[i].key),
+			.value = talloc_strdup(action->commit.entries, edit->entries[i].value),
 			.version = edit->sent_version,
 		};
 	}
@@ -113,7 +113,7 @@
 	send_commit(list_entry(timer, edit_t, retry_timer));
 }
 
-static void copy_entries(edit_t *edit, const event_t *event)
+static void copy_entries(edit_t *edit, const edit_event_t *event)
 {
 	edit->entries = talloc_array(edit, table_entry_t, event->entry_count);
 	edit->entry_count = event->entry_count;
@@ -125,13 +125,13 @@
 	}
 }
 
-void edit_start(core_t *core, const event_t *event)
+void edit_start(core_t *core, uint64_t id, const edit_event_t *event)
 {
 	const core_timings_t *timings = &core->config.timings;
 	edit_t *edit = talloc_zero(core, edit_t);
 
 	edit->core = core;
-	edit->id = event->id;
+	edit->id = id;
 	edit->edit_id = talloc_strdup(edit, event->edit_id);
 	edit->author = talloc_strdup(edit, event->author);
 	edit->base_version = event->base_version;
@@ -161,7 +161,7 @@
 }
 
 /* The edit, as the store now has it, goes into force here first. */
-static void taken(edit_t *edit, const event_t *event)
+static void taken(edit_t *edit, const store_event_t *event)
 {
 	core_t *core = edit->core;
 
@@ -173,7 +173,7 @@
 }
 
 /* Somebody else's edit came first: take it in, and try on top of it. */
-static void overtaken(edit_t *edit, const event_t *event)
+static void overtaken(edit_t *edit, const store_event_t *event)
 {
 	core_t *core = edit->core;
 
@@ -186,13 +186,13 @@
 		commit(edit);
 }
 
-void edit_store_done(core_t *core, const event_t *event)
+void edit_store_done(core_t *core, uint64_t id, const store_event_t *event)
 {
-	edit_t *edit = find_edit(core, event->id);
+	edit_t *edit = find_edit(core, id);
 
 	if (edit == NULL)
 		return;
-	switch (event->store_status) {
+	switch (event->status) {
 	case STORE_OK:
 		taken(edit, event);
 		break;
--- a/core/edit.h
+++ b/core/edit.h
@@ -7,7 +7,7 @@
 
 #include "state.h"
 
-void edit_start(core_t *core, const event_t *event);
+void edit_start(core_t *core, uint64_t id, const edit_event_t *event);
 
 /* The store answered an edit's compare-and-swap, or did not. */
-void edit_store_done(core_t *core, const event_t *event);
+void edit_store_done(core_t *core, uint64_t id, const store_event_t *event);
--- a/core/event.h
+++ b/core/event.h
@@ -81,31 +81,88 @@
 	EVENT_COUNT,
 } event_kind_t;
 
-typedef struct event {
-	event_kind_t kind;
-	uint64_t id; /* caller, request, connection, order, edit or store operation */
-	const char *peer;
+/* EVENT_QUERY; the id is the caller. */
+typedef struct query_event {
 	const query_t *query;
 	const char *token;
+} query_event_t;
+
+/* EVENT_MESSAGE. */
+typedef struct message_event {
+	const char *peer;
 	const message_t *message;
+} message_event_t;
+
+/* EVENT_CONN_UP; the id is the connection. */
+typedef struct conn_up_event {
+	int64_t slot; /* of the row's limit that the new connection has claimed */
+} conn_up_event_t;
+
+/* EVENT_CONN_DOWN; the id is the connection. */
+typedef struct conn_down_event {
+	const char *detail; /* may be NULL */
+} conn_down_event_t;
+
+/* EVENT_RUN_DONE; the id is the connection. */
+typedef struct run_event {
 	const run_result_t *result;
+} run_event_t;
+
+/* EVENT_ORDER_DONE; the id is the order. */
+typedef struct order_event {
 	const char *group;
 	const char *member;
-	order_status_t order_status;
-	report_t report;
-	int64_t slot; /* of the row's limit that a new connection has claimed */
-	store_status_t store_status;
+	order_status_t status;
+	report_t report; /* of a member that answered */
+} order_event_t;
+
+/* EVENT_CONTROL_DOWN. */
+typedef struct control_event {
+	const char *group;
+	const char *member;
+} control_event_t;
+
+/* EVENT_STORE_LOADED and EVENT_STORE_DONE; the id is the store operation or the edit. */
+typedef struct store_event {
+	store_status_t status;
 	const table_entry_t *entries;
 	size_t entry_count;
 	uint64_t table_version;
 	int64_t head_revision; /* the store's, of the table's head */
+	bool edit_found;       /* EVENT_STORE_DONE: the edit id is among those already taken */
+} store_event_t;
+
+/* EVENT_VMS; the id is the question. */
+typedef struct vms_event {
+	store_status_t status;
+	const vm_t *vms;
+	size_t count;
+} vms_event_t;
+
+/* EVENT_EDIT; the id is the operator's request. */
+typedef struct edit_event {
 	const char *edit_id;
-	bool edit_found; /* the edit id is among those already taken */
 	const char *author;
-	uint64_t base_version; /* the table version the operator edited */
-	const vm_t *vms;
-	size_t vm_count;
-	const char *detail;
+	uint64_t base_version; /* the table version that the operator edited */
+	const table_entry_t *entries;
+	size_t entry_count;
+} edit_event_t;
+
+typedef struct event {
+	event_kind_t kind;
+	uint64_t id; /* caller, request, connection, order, edit or store operation */
+	union {
+		query_event_t query;
+		message_event_t message;
+		conn_up_event_t conn_up;
+		conn_down_event_t conn_down;
+		run_event_t run;
+		order_event_t order;
+		control_event_t control;
+		store_event_t store;
+		vms_event_t vms;
+		edit_event_t edit;
+	};
 } event_t;
 
 typedef enum {
@@ -125,34 +182,92 @@
 	ACTION_COUNT,
 } action_kind_t;
 
-typedef struct action {
-	list_t node;
-	action_kind_t kind;
-	uint64_t id; /* caller, request, connection, order, edit or store operation */
-	char *peer;
+/* ACTION_ANSWER; the id is the caller. */
+typedef struct answer_action {
 	answer_t *answer;
-	char *token;
+	char *token; /* NULL: the session has not changed */
+} answer_action_t;
+
+/* ACTION_SEND; the id is the request that the message is about, if any. */
+typedef struct send_action {
+	char *peer;
+	char *address; /* NULL: unknown */
 	message_t *message;
+} send_action_t;
+
+/* ACTION_CONNECT; the id is the connection. */
+typedef struct connect_action {
 	char *group;
 	char *member;
-	char *target; /* host:port of the member; the new primary for a follow */
-	char *row;    /* "SERVICE/CLASS", whose limit the connection counts against */
+	char *address;
+	char *row; /* "SERVICE/CLASS", whose limit the connection counts against */
 	int64_t limit;
 	bool evict; /* if no slot is free, end a session that holds one */
-	run_kind_t run;
+} connect_action_t;
+
+/* ACTION_RUN; the id is the connection. */
+typedef struct run_action {
+	char *member;
+	run_kind_t kind;
 	query_t *query;
-	order_kind_t order;
+	usec_t timeout;
+} run_action_t;
+
+/* ACTION_ORDER; the id is the order. */
+typedef struct order_action {
+	char *group;
+	char *member;
+	char *address;
+	order_kind_t kind;
 	uint64_t term;
+	char *target; /* ORDER_FOLLOW: address of the new primary */
 	usec_t timeout;
-	table_entry_t *entries;
-	size_t entry_count;
+} order_action_t;
+
+/* ACTION_STORE_LOAD and ACTION_STORE_WATCH: what is known already. */
+typedef struct load_action {
 	uint64_t table_version;
 	int64_t head_revision;
+} load_action_t;
+
+/* ACTION_STORE_COMMIT; the id is the edit. */
+typedef struct commit_action {
+	int64_t head_revision; /* of the head that is to be replaced */
+	uint64_t table_version;
 	char *edit_id;
 	char *author;
-	edit_status_t edit_status;
-	char *text; /* of a note, or why an edit was refused */
+	table_entry_t *entries;
+	size_t entry_count;
+} commit_action_t;
+
+/* ACTION_EDIT_DONE; the id is the operator's request. */
+typedef struct edit_action {
+	edit_status_t status;
+	uint64_t table_version;
+	char *text; /* why it was refused */
+} edit_action_t;
+
+/* ACTION_NOTE. */
+typedef struct note_action {
+	char *text;
 	bool warning;
+} note_action_t;
+
+typedef struct action {
+	list_t node;
+	action_kind_t kind;
+	uint64_t id; /* caller, request, connection, order, edit or store operation */
+	union {
+		answer_action_t answer;
+		send_action_t send;
+		connect_action_t connect;
+		run_action_t run;
+		order_action_t order;
+		load_action_t load;
+		commit_action_t commit;
+		edit_action_t edit;
+		note_action_t note;
+	};
 } action_t;
 
 const char *event_kind_name(event_kind_t kind);
--- a/core/exec.c
+++ b/core/exec.c
@@ -127,10 +127,10 @@
 	request->runner->running++;
 	conn->request = request;
 	action->id = conn->id;
-	action->member = talloc_strdup(action, request->runner->spec.name);
-	action->run = kind;
-	action->query = query_copy(action, request->query);
-	action->timeout = request->deadline - core->now;
+	action->run.member = talloc_strdup(action, request->runner->spec.name);
+	action->run.kind = kind;
+	action->run.query = query_copy(action, request->query);
+	action->run.timeout = request->deadline - core->now;
 }
 
 static run_kind_t run_kind(const request_t *request)
@@ -429,9 +429,9 @@
 	exec_dispatch(member->group);
 }
 
-void exec_run_done(core_t *core, const event_t *event)
+void exec_run_done(core_t *core, uint64_t id, const run_event_t *event)
 {
-	conn_t *conn = pool_find(core, event->id);
+	conn_t *conn = pool_find(core, id);
 	request_t *request = conn != NULL ? conn->request : NULL;
 	const run_result_t *result = event->result;
 	group_t *group;
--- a/core/exec.h
+++ b/core/exec.h
@@ -12,7 +12,7 @@
 /* Start whatever can start. */
 void exec_dispatch(group_t *group);
 
-void exec_run_done(core_t *core, const event_t *event);
+void exec_run_done(core_t *core, uint64_t id, const run_event_t *event);
 
 /* The request's deadline passed. */
 void exec_deadline(request_t *request);
--- a/core/group.c
+++ b/core/group.c
@@ -93,14 +93,14 @@
 	action_t *action = core_act(core, ACTION_ORDER);
 
 	action->id = core_id(core);
-	action->group = talloc_strdup(action, member->group->name);
-	action->member = talloc_strdup(action, member->spec.name);
-	action->peer = talloc_strdup(action, member->spec.address);
-	action->order = kind;
-	action->term = term;
-	action->timeout = core->config.timings.order_timeout;
+	action->order.group = talloc_strdup(action, member->group->name);
+	action->order.member = talloc_strdup(action, member->spec.name);
+	action->order.address = talloc_strdup(action, member->spec.address);
+	action->order.kind = kind;
+	action->order.term = term;
+	action->order.timeout = core->config.timings.order_timeout;
 	if (target != NULL)
-		action->target = talloc_strdup(action, target->spec.address);
+		action->order.target = talloc_strdup(action, target->spec.address);
 	return action->id;
 }
 
@@ -264,17 +264,17 @@
 	member->srtt += (rtt >> SRTT_SHIFT) - (member->srtt >> SRTT_SHIFT);
 }
 
-static void report_done(group_t *group, member_t *member, const event_t *event)
+static void report_done(group_t *group, member_t *member, const order_event_t *event)
 {
 	usec_t sent = member->report_sent;
 
 	member->report_order = 0;
-	if (event->order_status == ORDER_OK) {
+	if (event->status == ORDER_OK) {
 		measure_rtt(member, group->core->now - sent);
 		group_take_report(group, member, &event->report, sent);
 	} else {
 		member->misses++;
-		if (event->order_status == ORDER_UNREACHABLE) {
+		if (event->status == ORDER_UNREACHABLE) {
 			member->unreachable++;
 			member->next_report = group->core->now + UNREACHABLE_RECHECK;
 		}
@@ -286,28 +286,28 @@
 	group_arm_timer(group);
 }
 
-static void follow_done(member_t *member, const event_t *event)
+static void follow_done(member_t *member, const order_event_t *event)
 {
-	if (event->order_status == ORDER_OK)
+	if (event->status == ORDER_OK)
 		member->followed = event->report.sealed;
 }
 
-void group_order_done(core_t *core, const event_t *event)
+void group_order_done(core_t *core, uint64_t id, const order_event_t *event)
 {
 	group_t *group = group_find(core, event->group);
 	member_t *member = group != NULL ? group_member(group, event->member) : NULL;
 
 	if (member == NULL)
 		return;
-	if (event->id == member->report_order)
+	if (id == member->report_order)
 		report_done(group, member, event);
-	else if (event->id == member->follow_order)
+	else if (id == member->follow_order)
 		follow_done(member, event);
 	else
-		takeover_order_done(group, member, event);
+		takeover_order_done(group, member, id, event);
 }
 
-void group_control_down(core_t *core, const event_t *event)
+void group_control_down(core_t *core, const control_event_t *event)
 {
 	group_t *group = group_find(core, event->group);
 	member_t *member = group != NULL ? group_member(group, event->member) : NULL;
--- a/core/group.h
+++ b/core/group.h
@@ -30,8 +30,8 @@
 /* Point a member at the group's primary unless it follows it already. */
 void group_order_follow(member_t *member);
 
-void group_order_done(core_t *core, const event_t *event);
-void group_control_down(core_t *core, const event_t *event);
+void group_order_done(core_t *core, uint64_t id, const order_event_t *event);
+void group_control_down(core_t *core, const control_event_t *event);
 
 /* The member takes no writes although we held it for the primary: ask everybody again. */
 void group_primary_denied(member_t *member);
--- a/core/peers.c
+++ b/core/peers.c
@@ -18,14 +18,14 @@
 	const proxy_t *proxy = fleet_find(core->fleet, peer);
 	action_t *action = core_act(core, ACTION_SEND);
 
-	action->peer = talloc_strdup(action, peer);
-	action->message = message_copy(action, message);
-	action->message->sent_at = core->now;
-	action->message->echo = proxy != NULL ? proxy->their_clock : 0;
-	action->message->incarnation = core->config.incarnation;
+	action->send.peer = talloc_strdup(action, peer);
+	action->send.message = message_copy(action, message);
+	action->send.message->sent_at = core->now;
+	action->send.message->echo = proxy != NULL ? proxy->their_clock : 0;
+	action->send.message->incarnation = core->config.incarnation;
 	action->id = message->request;
 	if (proxy != NULL)
-		action->target = talloc_strdup(action, proxy->address);
+		action->send.address = talloc_strdup(action, proxy->address);
 }
 
 static void send_heartbeat(core_t *core, const proxy_t *to)
--- a/core/pool.c
+++ b/core/pool.c
@@ -89,13 +89,13 @@
 	pool->connecting++;
 	action = core_act(core, ACTION_CONNECT);
 	action->id = conn->id;
-	action->group = talloc_strdup(action, member->group->name);
-	action->member = talloc_strdup(action, member->spec.name);
-	action->peer = talloc_strdup(action, member->spec.address);
-	action->row = talloc_strdup(action, row->name);
-	action->limit = row->connections;
+	action->connect.group = talloc_strdup(action, member->group->name);
+	action->connect.member = talloc_strdup(action, member->spec.name);
+	action->connect.address = talloc_strdup(action, member->spec.address);
+	action->connect.row = talloc_strdup(action, row->name);
+	action->connect.limit = row->connections;
 	/* A dead home's slots would be free only when the server has noticed. */
-	action->evict = fleet_replaces_suspect(&member->group->ranks);
+	action->connect.evict = fleet_replaces_suspect(&member->group->ranks);
 }
 
 void pool_release(conn_t *conn)
@@ -129,9 +129,9 @@
 		forget(core, conn);
 }
 
-void pool_conn_up(core_t *core, const event_t *event)
+void pool_conn_up(core_t *core, uint64_t id, const conn_up_event_t *event)
 {
-	conn_t *conn = pool_find(core, event->id);
+	conn_t *conn = pool_find(core, id);
 
 	if (conn == NULL)
 		return;
@@ -141,9 +141,9 @@
 	exec_dispatch(conn->pool->member->group);
 }
 
-void pool_conn_down(core_t *core, const event_t *event)
+void pool_conn_down(core_t *core, uint64_t id, const conn_down_event_t *event)
 {
-	conn_t *conn = pool_find(core, event->id);
+	conn_t *conn = pool_find(core, id);
 	group_t *group;
 
 	if (conn == NULL)
--- a/core/pool.h
+++ b/core/pool.h
@@ -20,8 +20,8 @@
 /* Close a connection, whatever it does; a run on it ends with EVENT_RUN_DONE. */
 void pool_close(conn_t *conn);
 
-void pool_conn_up(core_t *core, const event_t *event);
-void pool_conn_down(core_t *core, const event_t *event);
+void pool_conn_up(core_t *core, uint64_t id, const conn_up_event_t *event);
+void pool_conn_down(core_t *core, uint64_t id, const conn_down_event_t *event);
 
 /* Close connections unused for long or above a lowered limit. */
 void pool_close_idle(group_t *group);
--- a/core/request.c
+++ b/core/request.c
@@ -73,10 +73,10 @@
 	action_t *action = core_act(core, ACTION_ANSWER);
 
 	action->id = request->caller;
-	action->answer = answer_copy(action, answer);
+	action->answer.answer = answer_copy(action, answer);
 	if (answer->outcome == OUTCOME_DONE && answer->group != NULL)
 		session_merge(request->session, answer->group, answer->position);
-	action->token = session_encode(action, core->config.token_key, request->session);
+	action->answer.token = session_encode(action, core->config.token_key, request->session);
 }
 
 static void release(request_t *request)
--- a/core/router.c
+++ b/core/router.c
@@ -231,9 +231,9 @@
 		forward(request, home);
 }
 
-void router_query(core_t *core, const event_t *event)
+void router_query(core_t *core, uint64_t id, const query_event_t *event)
 {
-	request_t *request = request_from_caller(core, event->id, event->query);
+	request_t *request = request_from_caller(core, id, event->query);
 
 	if (!check_token(request, event->token) || !check_text(request))
 		return;
@@ -283,9 +283,9 @@
 	home_lost(list_entry(timer, request_t, ack_timer), "did not accept the request in time");
 }
 
-void router_unsent(core_t *core, const event_t *event)
+void router_unsent(core_t *core, uint64_t id)
 {
-	request_t *request = request_find(core, event->id);
+	request_t *request = request_find(core, id);
 	proxy_t *home;
 
 	if (request == NULL || request->state != REQUEST_FORWARDED || request->home == NULL)
--- a/core/router.h
+++ b/core/router.h
@@ -8,7 +8,7 @@
 #include "state.h"
 
 /* A caller's query. */
-void router_query(core_t *core, const event_t *event);
+void router_query(core_t *core, uint64_t id, const query_event_t *event);
 
 /* Messages from peers: execute, accepted, answer. */
 void router_execute(core_t *core, proxy_t *from, const message_t *message);
@@ -16,7 +16,7 @@
 void router_answer(core_t *core, const message_t *message);
 
 /* A message of this request was certainly not sent. */
-void router_unsent(core_t *core, const event_t *event);
+void router_unsent(core_t *core, uint64_t id);
 
 /* Give up on forwards whose home has become suspect. */
 void router_check_homes(core_t *core);
--- a/core/tablesync.c
+++ b/core/tablesync.c
@@ -61,8 +61,8 @@
 	core->store_op = core_id(core);
 	core->store_op_sent = core->now;
 	action->id = core->store_op;
-	action->table_version = core->table->version;
-	action->head_revision = core->head_revision;
+	action->load.table_version = core->table->version;
+	action->load.head_revision = core->head_revision;
 }
 
 static usec_t jitter(core_t *core, usec_t base)
@@ -183,18 +183,18 @@
 	core->watching = true;
 	action = core_act(core, ACTION_STORE_WATCH);
 	action->id = core_id(core);
-	action->head_revision = core->head_revision;
-	action->table_version = core->table->version;
+	action->load.head_revision = core->head_revision;
+	action->load.table_version = core->table->version;
 }
 
-void tablesync_loaded(core_t *core, const event_t *event)
+void tablesync_loaded(core_t *core, uint64_t id, const store_event_t *event)
 {
-	bool ours = event->id == core->store_op;
+	bool ours = id == core->store_op;
 	usec_t asked = ours ? core->store_op_sent : core->now;
 
 	if (ours)
 		core->store_op = 0;
-	if (event->store_status != STORE_OK)
+	if (event->status != STORE_OK)
 		return;
 	/* A watch brings single edits: after a gap the entries in between would be missing. */
 	if (!ours && event->table_version > core->table->version + 1) {
@@ -217,19 +217,19 @@
 	core->watching = false;
 }
 
-void tablesync_vms(core_t *core, const event_t *event)
+void tablesync_vms(core_t *core, const vms_event_t *event)
 {
 	vm_t *proxies;
 	size_t count = 0;
 
-	if (event->store_status != STORE_OK)
+	if (event->status != STORE_OK)
 		return;
-	proxies = talloc_array(core, vm_t, event->vm_count + 1);
-	for (size_t i = 0; i < event->vm_count; i++) {
+	proxies = talloc_array(core, vm_t, event->count + 1);
+	for (size_t i = 0; i < event->count; i++) {
 		if (!event->vms[i].backend)
 			proxies[count++] = event->vms[i];
 	}
 	fleet_take_list(core->fleet, core->now, proxies, count, core->config.timings.forget_after);
 	talloc_free(proxies);
-	groups_take_vms(core, event->vms, event->vm_count);
+	groups_take_vms(core, event->vms, event->count);
 }
--- a/core/tablesync.h
+++ b/core/tablesync.h
@@ -14,9 +14,9 @@
 void tablesync_pulled(core_t *core, proxy_t *from, const message_t *message);
 void tablesync_pushed(core_t *core, proxy_t *from, const message_t *message);
 
-void tablesync_loaded(core_t *core, const event_t *event);
+void tablesync_loaded(core_t *core, uint64_t id, const store_event_t *event);
 void tablesync_watch_down(core_t *core);
-void tablesync_vms(core_t *core, const event_t *event);
+void tablesync_vms(core_t *core, const vms_event_t *event);
 
 /* Take entries into the table and let everybody follow. */
 int tablesync_merge(core_t *core, const table_entry_t *entries, size_t count, uint64_t version,
--- a/core/takeover.c
+++ b/core/takeover.c
@@ -298,33 +298,33 @@
 	exec_dispatch(group);
 }
 
-static void seal_done(group_t *group, size_t i, const event_t *event)
+static void seal_done(group_t *group, size_t i, const order_event_t *event)
 {
 	takeover_t *takeover = &group->takeover;
 
 	takeover->orders[i] = 0;
-	if (event->order_status == ORDER_REFUSED) {
+	if (event->status == ORDER_REFUSED) {
 		takeover->reports[i] = event->report;
 		group_take_report(group, &group->members[i], &event->report, takeover->started);
 		fail(group, "a member has sealed a later term");
 		return;
 	}
-	if (event->order_status != ORDER_OK)
+	if (event->status != ORDER_OK)
 		return;
 	takeover->sealed[i] = true;
 	takeover->reports[i] = event->report;
 	choose_and_promote(group);
 }
 
-void takeover_order_done(group_t *group, member_t *member, const event_t *event)
+void takeover_order_done(group_t *group, member_t *member, uint64_t id, const order_event_t *event)
 {
 	takeover_t *takeover = &group->takeover;
 	size_t i = (size_t)(member - group->members);
 
-	if (takeover->state == TAKEOVER_SEALING && takeover->orders[i] == event->id) {
+	if (takeover->state == TAKEOVER_SEALING && takeover->orders[i] == id) {
 		seal_done(group, i, event);
-	} else if (takeover->state == TAKEOVER_PROMOTING && takeover->promote_order == event->id) {
-		if (event->order_status == ORDER_OK) {
+	} else if (takeover->state == TAKEOVER_PROMOTING && takeover->promote_order == id) {
+		if (event->status == ORDER_OK) {
 			finish(group, &event->report, takeover->sealed_at);
 		} else {
 			fail(group, "the chosen member was not promoted");
--- a/links/adapter.c
+++ b/links/adapter.c
@@ -67,11 +67,11 @@
 static void on_note(void *data, action_t *action)
 {
 	(void)data;
-	if (action->warning) {
+	if (action->note.warning) {
 		counter_add(&warnings_total, 1);
-		LOG_WARNING("%s", action->text);
+		LOG_WARNING("%s", action->note.text);
 	} else {
-		LOG_INFORM("%s", action->text);
+		LOG_INFORM("%s", action->note.text);
 	}
 }
 
--- a/links/callers.c
+++ b/links/callers.c
@@ -295,7 +295,7 @@
 static void on_answer(void *data, action_t *action)
 {
 	callers_t *self = data;
-	const answer_t *answer = action->answer;
+	const answer_t *answer = action->answer.answer;
 	waiting_t *waiting;
 	h2o_req_t *req;
 
@@ -305,7 +305,7 @@
 		return;
 	req = waiting->req;
 	forget(waiting);
-	httpd_send_json(req, status_of(answer), answer_body(answer, action->token),
+	httpd_send_json(req, status_of(answer), answer_body(answer, action->answer.token),
 			answer->retry_after / USEC_PER_MSEC);
 }
 
@@ -359,8 +359,7 @@
 	event_t event = {
 		.kind = EVENT_QUERY,
 		.id = wait_for_answer(self, req),
-		.query = &parsed->query,
-		.token = parsed->token,
+		.query = {.query = &parsed->query, .token = parsed->token},
 	};
 
 	adapter_submit(self->adapter, &event);
--- a/links/control.c
+++ b/links/control.c
@@ -90,10 +90,10 @@
 	event_t event = {
 		.kind = EVENT_ORDER_DONE,
 		.id = order->id,
-		.group = conn->group,
-		.member = conn->member,
-		.order_status = status,
-		.report = order->report,
+		.order = {.group = conn->group,
+			  .member = conn->member,
+			  .status = status,
+			  .report = order->report},
 	};
 
 	if (status == ORDER_TIMED_OUT || status == ORDER_UNREACHABLE)
@@ -202,7 +202,8 @@
 static void on_lost(pgio_t *io, bool refused, const char *why)
 {
 	control_conn_t *conn = list_entry(io, control_conn_t, io);
-	event_t event = {.kind = EVENT_CONTROL_DOWN, .group = conn->group, .member = conn->member};
+	event_t event = {.kind = EVENT_CONTROL_DOWN,
+			 .control = {.group = conn->group, .member = conn->member}};
 
 	LOG_DEBUG("control connection lost group=%s member=%s: %s", conn->group, conn->member, why);
 	conn->busy = false;
@@ -221,7 +222,7 @@
 
 static control_conn_t *get_conn(control_t *self, const action_t *action)
 {
-	char *key = talloc_asprintf(NULL, "%s/%s", action->group, action->member);
+	char *key = talloc_asprintf(NULL, "%s/%s", action->order.group, action->order.member);
 	control_conn_t *conn;
 
 	HASH_FIND_STR(self->conns, key, conn);
@@ -232,9 +233,9 @@
 	conn = talloc_zero(self->all, control_conn_t);
 	conn->control = self;
 	conn->key = talloc_steal(conn, key);
-	conn->group = talloc_strdup(conn, action->group);
-	conn->member = talloc_strdup(conn, action->member);
-	conn->address = talloc_strdup(conn, action->peer);
+	conn->group = talloc_strdup(conn, action->order.group);
+	conn->member = talloc_strdup(conn, action->order.member);
+	conn->address = talloc_strdup(conn, action->order.address);
 	conn->io.ops = &io_ops;
 	conn->io.loop = self->loop;
 	list_init(&conn->orders);
@@ -258,12 +259,12 @@
 	order_t *order = talloc_zero(conn, order_t);
 
 	counter_add(&orders_total, 1);
-	follow_address(conn, action->peer);
+	follow_address(conn, action->order.address);
 	order->id = action->id;
-	order->kind = action->order;
-	order->term = action->term;
-	order->target = talloc_strdup(order, action->target);
-	order->deadline = clock_now(self->loop->clock) + action->timeout;
+	order->kind = action->order.kind;
+	order->term = action->order.term;
+	order->target = talloc_strdup(order, action->order.target);
+	order->deadline = clock_now(self->loop->clock) + action->order.timeout;
 	list_add_tail(&conn->orders, &order->node);
 	if (!conn->open) {
 		conn->open = true;
--- a/links/etcd.c
+++ b/links/etcd.c
@@ -115,7 +115,7 @@
 	return request;
 }
 
-static json_t *head_value(const action_t *action, const json_t *edits)
+static json_t *head_value(const commit_action_t *commit, const json_t *edits)
 {
 	json_t *kept = json_array();
 	size_t count = json_array_size(edits);
@@ -123,9 +123,9 @@
 
 	for (size_t i = first; i < count; i++)
 		json_array_append(kept, json_array_get(edits, i));
-	json_array_append_new(kept, json_string(action->edit_id));
-	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)action->table_version,
-			 "edit", action->edit_id, "author", action->author, "edits", kept);
+	json_array_append_new(kept, json_string(commit->edit_id));
+	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)commit->table_version,
+			 "edit", commit->edit_id, "author", commit->author, "edits", kept);
 }
 
 static json_t *item_value(const table_entry_t *entry)
@@ -136,35 +136,35 @@
 }
 
 /* A line of the history, kept beside the table. */
-static json_t *history_value(const action_t *action)
+static json_t *history_value(const commit_action_t *commit)
 {
 	json_t *changes = json_object();
 
-	for (size_t i = 0; i < action->entry_count; i++)
-		json_object_set_new(changes, action->entries[i].key,
-				    item_value(&action->entries[i]));
-	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)action->table_version,
-			 "edit", action->edit_id, "author", action->author, "changes", changes);
+	for (size_t i = 0; i < commit->entry_count; i++)
+		json_object_set_new(changes, commit->entries[i].key,
+				    item_value(&commit->entries[i]));
+	return json_pack("{s:I, s:s, s:s, s:o}", "version", (json_int_t)commit->table_version,
+			 "edit", commit->edit_id, "author", commit->author, "changes", changes);
 }
 
-json_t *etcd_commit(const char *prefix, const action_t *action, const json_t *edits)
+json_t *etcd_commit(const char *prefix, const commit_action_t *commit, const json_t *edits)
 {
 	json_t *success = json_array();
 	json_t *compare = json_pack("{s:o, s:s, s:s, s:s}", "key", etcd_key(prefix, "head"),
 				    "target", "MOD", "result", "EQUAL", "mod_revision", "0");
 	char key[600];
 
-	json_object_set_new(compare, "mod_revision", json_integer(action->head_revision));
-	json_array_append_new(success, put(prefix, "head", head_value(action, edits)));
-	for (size_t i = 0; i < action->entry_count; i++) {
-		snprintf(key, sizeof(key), "item/%s", action->entries[i].key);
-		json_array_append_new(success, put(prefix, key, item_value(&action->entries[i])));
+	json_object_set_new(compare, "mod_revision", json_integer(commit->head_revision));
+	json_array_append_new(success, put(prefix, "head", head_value(commit, edits)));
+	for (size_t i = 0; i < commit->entry_count; i++) {
+		snprintf(key, sizeof(key), "item/%s", commit->entries[i].key);
+		json_array_append_new(success, put(prefix, key, item_value(&commit->entries[i])));
 	}
-	snprintf(key, sizeof(key), "history/%012llu", (unsigned long long)action->table_version);
-	json_array_append_new(success, put(prefix, key, history_value(action)));
-	if (action->table_version > KEPT_HISTORY) {
+	snprintf(key, sizeof(key), "history/%012llu", (unsigned long long)commit->table_version);
+	json_array_append_new(success, put(prefix, key, history_value(commit)));
+	if (commit->table_version > KEPT_HISTORY) {
 		snprintf(key, sizeof(key), "history/%012llu",
-			 (unsigned long long)(action->table_version - KEPT_HISTORY));
+			 (unsigned long long)(commit->table_version - KEPT_HISTORY));
 		json_array_append_new(success, json_pack("{s:{s:o}}", "requestDeleteRange", "key",
 							 etcd_key(prefix, key)));
 	}
--- a/links/etcd.h
+++ b/links/etcd.h
@@ -33,4 +33,4 @@
 size_t etcd_read_entries(const char *prefix, void *parent, const json_t *kvs, table_entry_t **out);
 
 /* The transaction that puts an edit on top of the head that the action names. */
-json_t *etcd_commit(const char *prefix, const action_t *action, const json_t *edits);
+json_t *etcd_commit(const char *prefix, const commit_action_t *commit, const json_t *edits);
--- a/links/operators.c
+++ b/links/operators.c
@@ -187,11 +187,12 @@
 {
 	void *scratch = talloc_new(NULL);
 	table_entry_t *entries;
-	event_t event = {.kind = EVENT_EDIT, .edit_id = edit_id, .author = author};
+	event_t event = {.kind = EVENT_EDIT, .edit = {.edit_id = edit_id, .author = author}};
 
-	event.entry_count = read_entries(scratch, json_object_get(body, "entries"), &entries);
-	event.entries = entries;
-	event.base_version = (uint64_t)json_integer_value(json_object_get(body, "base_version"));
+	event.edit.entry_count = read_entries(scratch, json_object_get(body, "entries"), &entries);
+	event.edit.entries = entries;
+	event.edit.base_version =
+		(uint64_t)json_integer_value(json_object_get(body, "base_version"));
 	event.id = wait_for_store(self, req)->id;
 	adapter_submit(self->adapter, &event);
 	talloc_free(scratch);
@@ -226,9 +227,9 @@
 	if (req == NULL)
 		return;
 	httpd_send_json(req, 200,
-			json_pack("{s:s, s:I, s:s}", "status", names[action->edit_status],
-				  "version", (json_int_t)action->table_version, "detail",
-				  action->text),
+			json_pack("{s:s, s:I, s:s}", "status", names[action->edit.status],
+				  "version", (json_int_t)action->edit.table_version, "detail",
+				  action->edit.text),
 			0);
 }
 
--- a/links/peerlink.c
+++ b/links/peerlink.c
@@ -24,7 +24,7 @@
 	peerlink_t *self = list_entry(zmq, peerlink_t, zmq);
 	char *from = NULL;
 	message_t *message = wire_decode(NULL, data, len, &from);
-	event_t event = {.kind = EVENT_MESSAGE, .peer = from, .message = message};
+	event_t event = {.kind = EVENT_MESSAGE, .message = {.peer = from, .message = message}};
 
 	if (message == NULL) {
 		counter_add(&bad_total, 1);
@@ -36,9 +36,9 @@
 
 static void tell_unsent(peerlink_t *self, const action_t *action)
 {
-	event_t event = {.kind = EVENT_UNSENT, .id = action->id, .peer = action->peer};
+	event_t event = {.kind = EVENT_UNSENT, .id = action->id};
 
-	if (action->message->kind == MESSAGE_EXECUTE)
+	if (action->send.message->kind == MESSAGE_EXECUTE)
 		adapter_submit(self->adapter, &event);
 }
 
@@ -48,8 +48,9 @@
 	msgpack_sbuffer buffer;
 
 	msgpack_sbuffer_init(&buffer);
-	wire_encode(&buffer, self->conf->node_name, action->message);
-	if (zmqlink_send(&self->zmq, action->peer, action->target, buffer.data, buffer.size) < 0)
+	wire_encode(&buffer, self->conf->node_name, action->send.message);
+	if (zmqlink_send(&self->zmq, action->send.peer, action->send.address, buffer.data,
+			 buffer.size) < 0)
 		tell_unsent(self, action);
 	msgpack_sbuffer_destroy(&buffer);
 }
--- a/links/platform.c
+++ b/links/platform.c
@@ -120,12 +120,12 @@
 	event_t event = {
 		.kind = op->answer,
 		.id = op->id,
-		.store_status = op->status,
-		.entries = entries,
-		.entry_count = count,
-		.table_version = op->head.version,
-		.head_revision = op->head.revision,
-		.edit_found = has_edit(op->head.edits, op->edit_id),
+		.store = {.status = op->status,
+			  .entries = entries,
+			  .entry_count = count,
+			  .table_version = op->head.version,
+			  .head_revision = op->head.revision,
+			  .edit_found = has_edit(op->head.edits, op->edit_id)},
 	};
 
 	adapter_submit(op->platform->adapter, &event);
@@ -195,22 +195,24 @@
 	post(op->platform, "/v3/kv/range", body, on_head, NULL, op);
 }
 
-static op_t *op_create(platform_t *self, const action_t *action, event_kind_t answer)
+static op_t *op_create(platform_t *self, uint64_t id, event_kind_t answer)
 {
 	op_t *op = talloc_zero(NULL, op_t);
 
 	op->platform = self;
-	op->id = action->id;
+	op->id = id;
 	op->answer = answer;
 	op->status = STORE_OK;
-	op->since = action->table_version;
-	op->since_revision = action->head_revision;
 	return op;
 }
 
 static void on_load(void *data, action_t *action)
 {
-	start_load(op_create(data, action, EVENT_STORE_LOADED));
+	op_t *op = op_create(data, action->id, EVENT_STORE_LOADED);
+
+	op->since = action->load.table_version;
+	op->since_revision = action->load.head_revision;
+	start_load(op);
 }
 
 /* --- commit --- */
@@ -237,7 +239,7 @@
 	start_load(op);
 }
 
-static void copy_entries(op_t *op, const action_t *action)
+static void copy_entries(op_t *op, const commit_action_t *action)
 {
 	op->version = action->table_version;
 	op->entry_count = action->entry_count;
@@ -252,7 +254,7 @@
 /* A commit waits for the ids of the last edits, which head must go on to carry. */
 typedef struct commit {
 	op_t *op;
-	action_t *action;
+	commit_action_t action;
 } commit_t;
 
 static void on_commit_head(httpc_call_t *call, bool ok, long status, const char *body, size_t len)
@@ -272,38 +274,34 @@
 	}
 	if (kv != NULL)
 		etcd_read_head(kv, &head);
-	post(self, "/v3/kv/txn", etcd_commit(prefix_of(self), commit->action, head.edits),
+	post(self, "/v3/kv/txn", etcd_commit(prefix_of(self), &commit->action, head.edits),
 	     on_commit_done, NULL, op);
 	json_decref(head.edits);
 	json_decref(answer);
 	talloc_free(commit);
 }
 
-static action_t *copy_commit(void *parent, const action_t *action, const op_t *op)
-{
-	action_t *copy = talloc_zero(parent, action_t);
-
-	copy->table_version = action->table_version;
-	copy->head_revision = action->head_revision;
-	copy->edit_id = talloc_strdup(copy, action->edit_id);
-	copy->author = talloc_strdup(copy, action->author);
-	copy->entries = op->entries;
-	copy->entry_count = op->entry_count;
-	return copy;
-}
-
 static void on_commit(void *data, action_t *action)
 {
 	platform_t *self = data;
-	op_t *op = op_create(self, action, EVENT_STORE_DONE);
+	const commit_action_t *from = &action->commit;
+	op_t *op = op_create(self, action->id, EVENT_STORE_DONE);
 	commit_t *commit = talloc_zero(op, commit_t);
 	json_t *body = json_pack("{s:o}", "key", etcd_key(prefix_of(self), "head"));
 
-	copy_entries(op, action);
-	op->since = action->table_version - 1;
-	op->edit_id = talloc_strdup(op, action->edit_id);
+	copy_entries(op, from);
+	op->since = from->table_version - 1;
+	op->since_revision = from->head_revision;
+	op->edit_id = talloc_strdup(op, from->edit_id);
 	commit->op = op;
-	commit->action = copy_commit(commit, action, op);
+	commit->action = (commit_action_t){
+		.head_revision = from->head_revision,
+		.table_version = from->table_version,
+		.edit_id = op->edit_id,
+		.author = talloc_strdup(commit, from->author),
+		.entries = op->entries,
+		.entry_count = op->entry_count,
+	};
 	post(self, "/v3/kv/range", body, on_commit_head, NULL, commit);
 }
 
@@ -392,7 +390,7 @@
 	json_t *items = json_array();
 	etcd_head_t head = {0};
 	table_entry_t *entries;
-	event_t event = {.kind = EVENT_STORE_LOADED, .store_status = STORE_OK};
+	event_t event = {.kind = EVENT_STORE_LOADED, .store = {.status = STORE_OK}};
 
 	for (size_t i = 0; i < json_array_size(events); i++) {
 		json_t *kv = json_object_get(json_array_get(events, i), "kv");
@@ -408,10 +406,10 @@
 			json_array_append(items, kv);
 		}
 	}
-	event.entry_count = read_entries(self, scratch, items, &entries);
-	event.entries = entries;
-	event.table_version = head.version;
-	event.head_revision = head.revision;
+	event.store.entry_count = read_entries(self, scratch, items, &entries);
+	event.store.entries = entries;
+	event.store.table_version = head.version;
+	event.store.head_revision = head.revision;
 	json_decref(items);
 	json_decref(head.edits);
 	if (head.version != 0)
@@ -448,7 +446,7 @@
 	platform_t *self = data;
 	json_t *create = json_pack("{s:o, s:o, s:I}", "key", etcd_key(prefix_of(self), ""),
 				   "range_end", etcd_key(prefix_of(self), "\x7f"), "start_revision",
-				   (json_int_t)action->head_revision + 1);
+				   (json_int_t)action->load.head_revision + 1);
 
 	talloc_free(self->watch_buffer);
 	self->watch_buffer = talloc_strdup(NULL, "");
@@ -480,13 +478,12 @@
 	event_t event = {
 		.kind = EVENT_VMS,
 		.id = call->id,
-		.store_status = json_is_array(list) ? STORE_OK : STORE_FAILED,
-		.vms = vms,
+		.vms = {.status = json_is_array(list) ? STORE_OK : STORE_FAILED, .vms = vms},
 	};
 
 	(void)len;
 	for (size_t i = 0; i < json_array_size(list); i++)
-		event.vm_count += read_vm(json_array_get(list, i), &vms[event.vm_count]);
+		event.vms.count += read_vm(json_array_get(list, i), &vms[event.vms.count]);
 	adapter_submit(self->adapter, &event);
 	talloc_free(vms);
 	json_decref(answer);
--- a/links/runner.c
+++ b/links/runner.c
@@ -256,7 +256,7 @@
 static void finish(runner_conn_t *conn, run_status_t status)
 {
 	run_t *run = conn->run;
-	event_t event = {.kind = EVENT_RUN_DONE, .id = conn->id, .result = &run->result};
+	event_t event = {.kind = EVENT_RUN_DONE, .id = conn->id, .run = {.result = &run->result}};
 
 	if (status == RUN_LOST_AT_COMMIT || status == RUN_LOST_BEFORE_COMMIT)
 		counter_add(&lost_total, 1);
@@ -284,7 +284,7 @@
 /* Tell core how a run ended whose connection is gone, then that the connection is. */
 static void lost(runner_conn_t *conn, const char *why)
 {
-	event_t event = {.kind = EVENT_CONN_DOWN, .id = conn->id, .detail = why};
+	event_t event = {.kind = EVENT_CONN_DOWN, .id = conn->id, .conn_down = {.detail = why}};
 	adapter_t *adapter = conn->runner->adapter;
 	run_t *run = conn->run;
 
@@ -482,7 +482,7 @@
 
 static void claim_done(runner_conn_t *conn)
 {
-	event_t event = {.kind = EVENT_CONN_UP, .id = conn->id, .slot = conn->slot};
+	event_t event = {.kind = EVENT_CONN_UP, .id = conn->id, .conn_up = {.slot = conn->slot}};
 
 	if (!conn->claimed && conn->evict) {
 		evict_and_claim(conn);
@@ -551,14 +551,14 @@
 
 	conn->runner = self;
 	conn->id = action->id;
-	conn->row = talloc_strdup(conn, action->row);
-	conn->limit = action->limit;
-	conn->evict = action->evict;
+	conn->row = talloc_strdup(conn, action->connect.row);
+	conn->limit = action->connect.limit;
+	conn->evict = action->connect.evict;
 	conn->io.ops = &io_ops;
 	conn->io.options = SESSION_OPTIONS;
 	HASH_ADD(hh, self->conns, id, sizeof(conn->id), conn);
 	counter_add(&conns_open, 1);
-	pgio_connect(&conn->io, self->loop, self->conf, self->password, action->peer);
+	pgio_connect(&conn->io, self->loop, self->conf, self->password, action->connect.address);
 }
 
 static void on_run(void *data, action_t *action)
@@ -569,13 +569,13 @@
 
 	counter_add(&runs_total, 1);
 	if (conn == NULL) {
-		event.result = &result;
+		event.run.result = &result;
 		adapter_submit(((runner_t *)data)->adapter, &event);
 		return;
 	}
 	conn->run = talloc_zero(conn, run_t);
-	conn->run->query = talloc_steal(conn->run, action->query);
-	send_part(conn, first_part[action->run]);
+	conn->run->query = talloc_steal(conn->run, action->run.query);
+	send_part(conn, first_part[action->run.kind]);
 }
 
 static void on_close(void *data, action_t *action)
--- a/tests/test_ages.c
+++ b/tests/test_ages.c
@@ -30,16 +30,16 @@
 
 static void answer_order(scene_t *scene, const action_t *action)
 {
-	int m = action->member[1] - '0';
+	int m = action->order.member[1] - '0';
 	event_t event = {
 		.kind = EVENT_ORDER_DONE,
 		.id = action->id,
-		.group = GROUP,
-		.member = action->member,
-		.order_status = scene->answers[m] ? ORDER_OK : ORDER_TIMED_OUT,
-		.report = {.sealed = TERM,
-			   .log = {.term = TERM, .lsn = scene->lsn[m]},
-			   .primary = m == 0},
+		.order = {.group = GROUP,
+			  .member = action->order.member,
+			  .status = scene->answers[m] ? ORDER_OK : ORDER_TIMED_OUT,
+			  .report = {.sealed = TERM,
+				     .log = {.term = TERM, .lsn = scene->lsn[m]},
+				     .primary = m == 0}},
 	};
 
 	scene->now += ANSWER_AFTER;
@@ -59,12 +59,12 @@
 
 	core_handle(scene->core, scene->now, event);
 	while ((action = core_take_action(scene->core)) != NULL) {
-		if (action->kind == ACTION_ORDER && action->order == ORDER_REPORT)
+		if (action->kind == ACTION_ORDER && action->order.kind == ORDER_REPORT)
 			answer_order(scene, action);
 		else if (action->kind == ACTION_CONNECT)
 			open_connection(scene, action);
 		else if (action->kind == ACTION_RUN && scene->ran_on == NULL)
-			scene->ran_on = g_strdup(action->member);
+			scene->ran_on = g_strdup(action->run.member);
 		talloc_free(action);
 	}
 }
@@ -101,11 +101,11 @@
 	char *group = group_text();
 	table_entry_t entries[] = {{"group/" GROUP, group, 1}, {"row/s/c", ROW, 1}};
 	event_t loaded = {.kind = EVENT_STORE_LOADED,
-			  .store_status = STORE_OK,
-			  .entries = entries,
-			  .entry_count = 2,
-			  .table_version = 1,
-			  .head_revision = 1};
+			  .store = {.status = STORE_OK,
+				    .entries = entries,
+				    .entry_count = 2,
+				    .table_version = 1,
+				    .head_revision = 1}};
 
 	scene->core = core_create(NULL, &config);
 	scene->now = USEC_PER_SEC;
@@ -126,7 +126,7 @@
 			 .class_name = "c",
 			 .text = "SELECT 1",
 			 .left = USEC_PER_SEC};
-	event_t event = {.kind = EVENT_QUERY, .id = 1, .query = &query};
+	event_t event = {.kind = EVENT_QUERY, .id = 1, .query = {.query = &query}};
 
 	g_clear_pointer(&scene->ran_on, g_free);
 	give(scene, &event);
--- a/tests/world.c
+++ b/tests/world.c
@@ -404,14 +404,14 @@
 {
 	fake_member_t *member = &world->members[m];
 
-	switch (action->order) {
+	switch (action->order.kind) {
 	case ORDER_SEAL:
-		if (action->term <= member->sealed)
+		if (action->order.term <= member->sealed)
 			return false;
-		seal(member, action->term);
+		seal(member, action->order.term);
 		return true;
 	case ORDER_PROMOTE:
-		if (action->term != member->sealed)
+		if (action->order.term != member->sealed)
 			return false;
 		if (!member->primary) {
 			member->primary = true;
@@ -419,11 +419,11 @@
 		}
 		return true;
 	case ORDER_FOLLOW:
-		if (action->term < member->sealed ||
-		    (member->primary && action->term == member->sealed))
+		if (action->order.term < member->sealed ||
+		    (member->primary && action->order.term == member->sealed))
 			return false;
-		seal(member, action->term);
-		member->upstream = member_at(action->target);
+		seal(member, action->order.term);
+		member->upstream = member_at(action->order.target);
 		return true;
 	default:
 		return true;
@@ -456,14 +456,14 @@
 	event_t event = {
 		.kind = EVENT_ORDER_DONE,
 		.id = order->action->id,
-		.group = order->action->group,
-		.member = order->action->member,
-		.order_status = order->status,
-		.report = order->report,
+		.order = {.group = order->action->order.group,
+			  .member = order->action->order.member,
+			  .status = order->status,
+			  .report = order->report},
 	};
 
 	if (!order->done) {
-		if (order->action->order == ORDER_PROMOTE && order->status == ORDER_OK)
+		if (order->action->order.kind == ORDER_PROMOTE && order->status == ORDER_OK)
 			world->marks.promoted = world->now;
 		order->done = true;
 		deliver(world, order->proxy, &event);
@@ -504,17 +504,17 @@
 	order_t *order = g_new0(order_t, 1);
 
 	world->counts.orders++;
-	if (action->order == ORDER_SEAL && world->marks.seal_sent == 0)
+	if (action->order.kind == ORDER_SEAL && world->marks.seal_sent == 0)
 		world->marks.seal_sent = world->now;
-	if (action->order == ORDER_PROMOTE)
+	if (action->order.kind == ORDER_PROMOTE)
 		world->marks.promote_sent = world->now;
 	order->proxy = proxy;
-	order->member = member_at(action->peer);
+	order->member = member_at(action->order.address);
 	order->action = action;
 	order->refs = 2;
 	plan(world, world->now + latency(world, proxy, member_node(order->member)),
 	     member_node(order->member), order_arrive, order);
-	plan(world, world->now + action->timeout, proxy, order_timeout, order);
+	plan(world, world->now + action->order.timeout, proxy, order_timeout, order);
 }
 
 /* --- pooled connections --- */
@@ -559,7 +559,7 @@
 static void conn_lost(world_t *world, fake_conn_t *conn, const char *why)
 {
 	event_t done = {.kind = EVENT_RUN_DONE, .id = conn->id};
-	event_t down = {.kind = EVENT_CONN_DOWN, .id = conn->id, .detail = why};
+	event_t down = {.kind = EVENT_CONN_DOWN, .id = conn->id, .conn_down = {.detail = why}};
 	run_result_t result = {.detail = (char *)why};
 	int proxy = conn->proxy;
 
@@ -570,7 +570,7 @@
 	if (conn->running) {
 		conn->running = false;
 		result.status = conn->commit_sent ? RUN_LOST_AT_COMMIT : RUN_LOST_BEFORE_COMMIT;
-		done.result = &result;
+		done.run.result = &result;
 		deliver(world, proxy, &done);
 	}
 	deliver(world, proxy, &down);
@@ -588,7 +588,7 @@
 
 static void run_finish(world_t *world, fake_conn_t *conn, const run_result_t *result)
 {
-	event_t event = {.kind = EVENT_RUN_DONE, .id = conn->id, .result = result};
+	event_t event = {.kind = EVENT_RUN_DONE, .id = conn->id, .run = {.result = result}};
 
 	conn->running = false;
 	deliver(world, conn->proxy, &event);
@@ -787,15 +787,15 @@
 	run_result_t result = {.status = RUN_LOST_BEFORE_COMMIT, .detail = "no connection"};
 
 	if (conn == NULL) {
-		event.result = &result;
+		event.run.result = &result;
 		deliver(world, proxy, &event);
 		return;
 	}
 	conn->running = true;
-	conn->commit_sent = action->run == RUN_COMMIT;
-	conn->kind = action->run;
+	conn->commit_sent = action->run.kind == RUN_COMMIT;
+	conn->kind = action->run.kind;
 	talloc_free(conn->query);
-	conn->query = query_copy(NULL, action->query);
+	conn->query = query_copy(NULL, action->run.query);
 	conn->refs++;
 	plan(world, world->now + latency(world, proxy, member_node(conn->member)),
 	     member_node(conn->member), run_arrive, conn);
@@ -882,7 +882,7 @@
 		conn_lost(world, conn, "no free slot");
 	} else {
 		conn->open = true;
-		up.slot = slot;
+		up.conn_up.slot = slot;
 		deliver(world, conn->proxy, &up);
 	}
 	conn_unref(conn);
@@ -898,7 +898,7 @@
 
 	conn->proxy = proxy;
 	conn->id = action->id;
-	conn->member = member_at(action->peer);
+	conn->member = member_at(action->connect.address);
 	conn->tx = g_ptr_array_new_with_free_func(entry_free);
 	conn->refs = 2;
 	conn->key = conn_key(proxy, action->id);
@@ -908,7 +908,8 @@
 	world->members[conn->member].conns++;
 	world->counts.peak_conns =
 		MAX(world->counts.peak_conns, world->members[conn->member].conns);
-	*step = (connect_step_t){conn, g_strdup(action->row), (int)action->limit, action->evict};
+	*step = (connect_step_t){conn, g_strdup(action->connect.row), (int)action->connect.limit,
+				 action->connect.evict};
 	plan(world, world->now + world->config.connect_time + 2 * latency(world, proxy, node),
 	     proxy, on_connected, step);
 }
@@ -933,7 +934,8 @@
 {
 	mail_t *mail = data;
 	char name[24];
-	event_t event = {.kind = EVENT_MESSAGE, .peer = name, .message = mail->message};
+	event_t event = {.kind = EVENT_MESSAGE,
+			 .message = {.peer = name, .message = mail->message}};
 
 	snprintf(name, sizeof(name), "p%d", mail->from);
 	if (!is_down(world, mail->to) && !is_cut(world, mail->from, mail->to))
@@ -945,17 +947,17 @@
 static void do_send(world_t *world, int proxy, action_t *action)
 {
 	mail_t *mail = g_new0(mail_t, 1);
-	int to = atoi(action->peer + 1);
-	event_t unsent = {.kind = EVENT_UNSENT, .id = action->id, .peer = action->peer};
+	int to = atoi(action->send.peer + 1);
+	event_t unsent = {.kind = EVENT_UNSENT, .id = action->id};
 
 	world->counts.messages++;
 	if (world->dead[to] && !world->vanished[to]) {
 		g_free(mail);
-		if (action->message->kind == MESSAGE_EXECUTE)
+		if (action->send.message->kind == MESSAGE_EXECUTE)
 			deliver(world, proxy, &unsent);
 		return;
 	}
-	*mail = (mail_t){proxy, to, message_copy(NULL, action->message)};
+	*mail = (mail_t){proxy, to, message_copy(NULL, action->send.message)};
 	plan(world, MAX(world->now + latency(world, proxy, to), world->stalled[proxy][to]), to,
 	     mail_arrive, mail);
 }
@@ -1004,10 +1006,10 @@
 	gather_t gather = {g_array_new(FALSE, FALSE, sizeof(table_entry_t)), since};
 
 	g_tree_foreach(world->store, gather_item, &gather);
-	event->entries = (table_entry_t *)gather.out->data;
-	event->entry_count = gather.out->len;
-	event->table_version = world->store_version;
-	event->head_revision = (int64_t)world->store_version;
+	event->store.entries = (table_entry_t *)gather.out->data;
+	event->store.entry_count = gather.out->len;
+	event->store.table_version = world->store_version;
+	event->store.head_revision = (int64_t)world->store_version;
 	deliver(world, proxy, event);
 	g_array_free(gather.out, TRUE);
 }
@@ -1021,13 +1023,16 @@
 {
 	store_call_t *call = data;
 	const action_t *action = call->action;
-	event_t event = {.id = action->id, .store_status = call->status};
-	uint64_t since = action->table_version;
+	event_t event = {
+		.kind = EVENT_STORE_LOADED, .id = action->id, .store = {.status = call->status}};
+	uint64_t since;
 
-	event.kind = action->kind == ACTION_STORE_LOAD ? EVENT_STORE_LOADED : EVENT_STORE_DONE;
-	if (event.kind == EVENT_STORE_DONE) {
-		since = action->table_version - 1;
-		event.edit_found = edit_was_taken(world, action->edit_id);
+	if (action->kind == ACTION_STORE_LOAD) {
+		since = action->load.table_version;
+	} else {
+		event.kind = EVENT_STORE_DONE;
+		since = action->commit.table_version - 1;
+		event.store.edit_found = edit_was_taken(world, action->commit.edit_id);
 	}
 	tell_table(world, call->proxy, &event, since);
 	talloc_free(call->action);
@@ -1054,7 +1059,7 @@
 static void on_watch_event(world_t *world, void *data)
 {
 	int proxy = GPOINTER_TO_INT(data);
-	event_t event = {.kind = EVENT_STORE_LOADED, .store_status = STORE_OK};
+	event_t event = {.kind = EVENT_STORE_LOADED, .store = {.status = STORE_OK}};
 
 	if (store_reachable(world, proxy))
 		tell_table(world, proxy, &event, world->store_version - 1);
@@ -1063,9 +1068,9 @@
 static void store_commit(world_t *world, const action_t *action)
 {
 	world->store_version++;
-	g_ptr_array_add(world->store_edits, g_strdup(action->edit_id));
-	for (size_t i = 0; i < action->entry_count; i++)
-		store_put(world, action->entries[i].key, action->entries[i].value);
+	g_ptr_array_add(world->store_edits, g_strdup(action->commit.edit_id));
+	for (size_t i = 0; i < action->commit.entry_count; i++)
+		store_put(world, action->commit.entries[i].key, action->commit.entries[i].value);
 	for (int i = 0; i < world->config.proxies; i++)
 		plan(world, world->now + STORE_LATENCY, i, on_watch_event, GINT_TO_POINTER(i));
 }
@@ -1079,7 +1084,7 @@
 	if (!store_reachable(world, call->proxy)) {
 		call->status = STORE_FAILED;
 	} else if (action->kind == ACTION_STORE_COMMIT) {
-		if (action->head_revision == (int64_t)world->store_version)
+		if (action->commit.head_revision == (int64_t)world->store_version)
 			store_commit(world, action);
 		else
 			call->status = STORE_CONFLICT;
@@ -1107,15 +1112,15 @@
 {
 	int proxy = GPOINTER_TO_INT(data);
 	vm_t vms[WORLD_NODES] = {0};
-	event_t event = {.kind = EVENT_VMS, .store_status = STORE_OK, .vms = vms};
+	event_t event = {.kind = EVENT_VMS, .vms = {.status = STORE_OK, .vms = vms}};
 	char *scratch = talloc_strdup(NULL, "");
 
 	if (!store_reachable(world, proxy))
-		event.store_status = STORE_FAILED;
+		event.vms.status = STORE_FAILED;
 	for (int i = 0; i < WORLD_STORE; i++) {
 		bool backend = i >= WORLD_MAX_PROXIES;
 		int number = backend ? i - WORLD_MAX_PROXIES : i;
-		vm_t *vm = &vms[event.vm_count];
+		vm_t *vm = &vms[event.vms.count];
 
 		if (number >= (backend ? world->config.members : world->config.proxies))
 			continue;
@@ -1124,7 +1129,7 @@
 		vm->address = talloc_asprintf(scratch, "%s:%d", backend ? "m" : "p", number);
 		vm->backend = backend;
 		vm->leaving = world->leaving[i];
-		event.vm_count++;
+		event.vms.count++;
 	}
 	deliver(world, proxy, &event);
 	talloc_free(scratch);
@@ -1190,7 +1195,7 @@
 	char *key = conn_key(proxy, action->id);
 	const char *name = g_hash_table_lookup(world->callers, key);
 	told_t *told = g_hash_table_lookup(world->told, name);
-	const answer_t *answer = action->answer;
+	const answer_t *answer = action->answer.answer;
 
 	g_free(key);
 	if (told->answered)
@@ -1204,7 +1209,7 @@
 	told->repeated = answer->repeated;
 	told->value = value_in(answer->rows);
 	told->member = g_strdup(answer->member);
-	told->token = g_strdup(action->token);
+	told->token = g_strdup(action->answer.token);
 	told->tx = g_strdup(answer->tx);
 	say(world, "p%d answer %s %s%s%s%s%s%s%s", proxy, name, outcome_name(answer->outcome),
 	    answer->refusal != REFUSAL_NONE ? " " : "",
@@ -1222,35 +1227,50 @@
 	char *key = conn_key(proxy, action->id);
 	const char *name = g_hash_table_lookup(world->edit_ids, key);
 
-	say(world, "p%d edit %s %s version=%llu: %s", proxy, name, names[action->edit_status],
-	    (unsigned long long)action->table_version, action->text);
-	g_hash_table_replace(world->edits, g_strdup(name), g_strdup(names[action->edit_status]));
+	say(world, "p%d edit %s %s version=%llu: %s", proxy, name, names[action->edit.status],
+	    (unsigned long long)action->edit.table_version, action->edit.text);
+	g_hash_table_replace(world->edits, g_strdup(name), g_strdup(names[action->edit.status]));
 	g_free(key);
 }
 
 /* --- cores --- */
 
+static void describe_order(world_t *world, int proxy, const order_action_t *order)
+{
+	if (order->kind == ORDER_REPORT)
+		return;
+	say(world, "p%d order %s %s term=%llu%s%s", proxy, order_kind_name(order->kind),
+	    order->member, (unsigned long long)order->term, order->target ? " target=" : "",
+	    order->target ? order->target : "");
+}
+
+static void describe_run(world_t *world, int proxy, const run_action_t *run)
+{
+	const char *text = run->query->text;
+
+	say(world, "p%d run %s %s%s%s", proxy, run_kind_name(run->kind), run->member,
+	    text ? " " : "", text ? text : "");
+}
+
 static void describe(world_t *world, int proxy, const action_t *action)
 {
 	switch (action->kind) {
 	case ACTION_NOTE:
-		say(world, "p%d note %s", proxy, action->text);
+		say(world, "p%d note %s", proxy, action->note.text);
 		break;
 	case ACTION_ORDER:
-		if (action->order != ORDER_REPORT)
-			say(world, "p%d order %s %s term=%llu%s%s", proxy,
-			    order_kind_name(action->order), action->member,
-			    (unsigned long long)action->term, action->target ? " target=" : "",
-			    action->target ? action->target : "");
+		describe_order(world, proxy, &action->order);
 		break;
 	case ACTION_RUN:
-		say(world, "p%d run %s %s%s%s", proxy, run_kind_name(action->run), action->member,
-		    action->query->text ? " " : "", action->query->text ? action->query->text : "");
+		describe_run(world, proxy, &action->run);
 		break;
 	case ACTION_SEND:
-		if (action->message->kind != MESSAGE_HEARTBEAT)
+		if (action->send.message->kind != MESSAGE_HEARTBEAT)
 			say(world, "p%d send %s to %s", proxy,
-			    message_kind_name(action->message->kind), action->peer);
+			    message_kind_name(action->send.message->kind), action->send.peer);
+		break;
+	case ACTION_CONNECT:
+		say(world, "p%d connect %s %s", proxy, action->connect.member, action->connect.row);
 		break;
 	case ACTION_ANSWER:
 	case ACTION_EDIT_DONE:
@@ -1258,9 +1278,7 @@
 	case ACTION_STORE_LOAD:
 		break;
 	default:
-		say(world, "p%d %s%s%s%s%s", proxy, action_kind_name(action->kind),
-		    action->member ? " " : "", action->member ? action->member : "",
-		    action->row ? " " : "", action->row ? action->row : "");
+		say(world, "p%d %s", proxy, action_kind_name(action->kind));
 		break;
 	}
 }
@@ -1404,7 +1422,8 @@
 	for_conns(world, node, node < WORLD_MAX_PROXIES ? abandon : tell_reset);
 	for (int i = 0; i < world->config.proxies && node >= WORLD_MAX_PROXIES; i++) {
 		char name[24];
-		event_t event = {.kind = EVENT_CONTROL_DOWN, .group = "callout-1", .member = name};
+		event_t event = {.kind = EVENT_CONTROL_DOWN,
+				 .control = {.group = "callout-1", .member = name}};
 
 		snprintf(name, sizeof(name), "m%d", node - WORLD_MAX_PROXIES);
 		if (node != WORLD_STORE && !is_cut(world, i, node))
@@ -1498,7 +1517,10 @@
 		.left = request->deadline != 0 ? request->deadline : 2 * USEC_PER_SEC,
 	};
 	event_t event = {
-		.kind = EVENT_QUERY, .id = caller, .query = &query, .token = request->token};
+		.kind = EVENT_QUERY,
+		.id = caller,
+		.query = {.query = &query, .token = request->token},
+	};
 	const char *acked =
 		request->key != NULL ? g_hash_table_lookup(world->acked, request->key) : NULL;
 
@@ -1534,11 +1556,11 @@
 	event_t event = {
 		.kind = EVENT_EDIT,
 		.id = ++world->next_caller,
-		.edit_id = name,
-		.author = "operator",
-		.base_version = base_version,
-		.entries = &entry,
-		.entry_count = 1,
+		.edit = {.edit_id = name,
+			 .author = "operator",
+			 .base_version = base_version,
+			 .entries = &entry,
+			 .entry_count = 1},
 	};
 
 	g_hash_table_replace(world->edit_ids, conn_key(proxy, event.id), g_strdup(name));
