--- /dev/null
+++ b/tests/world_cores.c
@@ -0,0 +1,281 @@
+#include "world_parts.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+
+#include <talloc.h>
+
+#define EXIT_TIME (100 * USEC_PER_MSEC)
+
+/* --- messages between proxies --- */
+
+typedef struct mail {
+	int from;
+	int to;
+	message_t *message;
+} mail_t;
+
+static void mail_arrive(world_t *world, void *data)
+{
+	mail_t *mail = data;
+	char name[24];
+	event_t event = {.kind = EVENT_MESSAGE,
+			 .message = {.peer = name, .message = mail->message}};
+
+	snprintf(name, sizeof(name), "p%d", mail->from);
+	if (!world_is_down(world, mail->to) && !world_is_cut(world, mail->from, mail->to))
+		world_deliver(world, mail->to, &event);
+	talloc_free(mail->message);
+	g_free(mail);
+}
+
+static void do_send(world_t *world, int proxy, action_t *action)
+{
+	mail_t *mail = g_new0(mail_t, 1);
+	int to = atoi(action->send.peer + 1);
+	event_t unsent = {.kind = EVENT_UNSENT, .id = action->id};
+
+	world->counts.messages++;
+	if (world->dead[to] && !world->vanished[to]) {
+		g_free(mail);
+		if (action->send.message->kind == MESSAGE_EXECUTE)
+			world_deliver(world, proxy, &unsent);
+		return;
+	}
+	*mail = (mail_t){proxy, to, message_copy(NULL, action->send.message)};
+	world_plan(world,
+		   MAX(world->now + world_latency(world, proxy, to), world->stalled[proxy][to]), to,
+		   mail_arrive, mail);
+}
+
+/* --- what callers and operators are told --- */
+
+void told_free(gpointer ptr)
+{
+	told_t *told = ptr;
+
+	g_free(told->name);
+	g_free(told->key);
+	g_free(told->written);
+	g_free(told->value);
+	g_free(told->member);
+	g_free(told->token);
+	g_free(told->tx);
+	g_free(told);
+}
+
+static char *value_in(const char *rows)
+{
+	json_t *whole = rows != NULL ? json_loads(rows, 0, NULL) : NULL;
+	const json_t *row = json_array_get(json_object_get(whole, "rows"), 0);
+	char *value = g_strdup(json_string_value(json_array_get(row, 0)));
+
+	json_decref(whole);
+	return value;
+}
+
+void world_violate(world_t *world, const char *fmt, ...)
+{
+	va_list ap;
+
+	g_string_append_printf(world->violations, "%.3f ", (double)world->now / 1000.0);
+	va_start(ap, fmt);
+	g_string_append_vprintf(world->violations, fmt, ap);
+	va_end(ap);
+	g_string_append_c(world->violations, '\n');
+}
+
+static void note_acknowledged(world_t *world, const told_t *told)
+{
+	g_hash_table_replace(world->acked, g_strdup(told->key), g_strdup(told->written));
+}
+
+/* The member's share of reads, for what was served by whom. */
+static void count_read(world_t *world, const told_t *told)
+{
+	if (told->outcome != OUTCOME_DONE || told->written != NULL || told->member == NULL)
+		return;
+	if (fake_member_at(told->member) == world_primary(world))
+		world->counts.reads_primary++;
+	else
+		world->counts.reads_replica++;
+}
+
+static void do_answer(world_t *world, int proxy, action_t *action)
+{
+	char *key = world_conn_key(proxy, action->id);
+	const char *name = g_hash_table_lookup(world->callers, key);
+	told_t *told = g_hash_table_lookup(world->told, name);
+	const answer_t *answer = action->answer.answer;
+
+	g_free(key);
+	if (told->answered)
+		world_violate(world, "%s was answered twice", name);
+	told->answered = true;
+	told->outcome = answer->outcome;
+	told->refusal = answer->refusal;
+	told->at = world->now;
+	told->age = answer->age;
+	told->retry_after = answer->retry_after;
+	told->repeated = answer->repeated;
+	told->value = value_in(answer->rows);
+	told->member = g_strdup(answer->member);
+	told->token = g_strdup(action->answer.token);
+	told->tx = g_strdup(answer->tx);
+	world_say(world, "p%d answer %s %s%s%s%s%s%s%s", proxy, name, outcome_name(answer->outcome),
+		  answer->refusal != REFUSAL_NONE ? " " : "",
+		  answer->refusal != REFUSAL_NONE ? refusal_name(answer->refusal) : "",
+		  told->value != NULL ? " value=" : "", told->value != NULL ? told->value : "",
+		  told->member != NULL ? " member=" : "", told->member != NULL ? told->member : "");
+	count_read(world, told);
+	if (told->outcome == OUTCOME_DONE && told->written != NULL)
+		note_acknowledged(world, told);
+}
+
+static void do_edit_done(world_t *world, int proxy, action_t *action)
+{
+	static const char *const names[] = {"accepted", "refused", "unknown"};
+	char *key = world_conn_key(proxy, action->id);
+	const char *name = g_hash_table_lookup(world->edit_ids, key);
+
+	world_say(world, "p%d edit %s %s version=%llu: %s", proxy, name, names[action->edit.status],
+		  (unsigned long long)action->edit.table_version, action->edit.text);
+	g_hash_table_replace(world->edits, g_strdup(name), g_strdup(names[action->edit.status]));
+	g_free(key);
+}
+
+/* --- cores --- */
+
+static void describe_order(world_t *world, int proxy, const order_action_t *order)
+{
+	if (order->kind == ORDER_REPORT)
+		return;
+	world_say(world, "p%d order %s %s term=%llu%s%s", proxy, order_kind_name(order->kind),
+		  order->member, (unsigned long long)order->term, order->target ? " target=" : "",
+		  order->target ? order->target : "");
+}
+
+static void describe_run(world_t *world, int proxy, const run_action_t *run)
+{
+	const char *text = run->query->text;
+
+	world_say(world, "p%d run %s %s%s%s", proxy, run_kind_name(run->kind), run->member,
+		  text ? " " : "", text ? text : "");
+}
+
+static void describe(world_t *world, int proxy, const action_t *action)
+{
+	switch (action->kind) {
+	case ACTION_NOTE:
+		world_say(world, "p%d note %s", proxy, action->note.text);
+		break;
+	case ACTION_ORDER:
+		describe_order(world, proxy, &action->order);
+		break;
+	case ACTION_RUN:
+		describe_run(world, proxy, &action->run);
+		break;
+	case ACTION_SEND:
+		if (action->send.message->kind != MESSAGE_HEARTBEAT)
+			world_say(world, "p%d send %s to %s", proxy,
+				  message_kind_name(action->send.message->kind), action->send.peer);
+		break;
+	case ACTION_CONNECT:
+		world_say(world, "p%d connect %s %s", proxy, action->connect.member,
+			  action->connect.row);
+		break;
+	case ACTION_ANSWER:
+	case ACTION_EDIT_DONE:
+	case ACTION_VMS:
+	case ACTION_STORE_LOAD:
+		break;
+	default:
+		world_say(world, "p%d %s", proxy, action_kind_name(action->kind));
+		break;
+	}
+}
+
+/* A process that says it has drained exits soon after. */
+static void on_exit_due(world_t *world, void *data)
+{
+	if (!world->ending)
+		world_kill(world, GPOINTER_TO_INT(data));
+}
+
+/* Returns true when the action has been kept. */
+static bool carry_out(world_t *world, int proxy, action_t *action)
+{
+	switch (action->kind) {
+	case ACTION_ANSWER:
+		do_answer(world, proxy, action);
+		return false;
+	case ACTION_SEND:
+		do_send(world, proxy, action);
+		return false;
+	case ACTION_CONNECT:
+		world_do_connect(world, proxy, action);
+		return false;
+	case ACTION_CLOSE:
+		world_do_close(world, proxy, action);
+		return false;
+	case ACTION_RUN:
+		world_do_run(world, proxy, action);
+		return false;
+	case ACTION_ORDER:
+		world_do_order(world, proxy, action);
+		return true;
+	case ACTION_STORE_LOAD:
+	case ACTION_STORE_COMMIT:
+		world_do_store(world, proxy, action);
+		return true;
+	case ACTION_VMS:
+		world->counts.store_calls++;
+		world_plan(world, world->now + 2 * STORE_LATENCY, proxy, world_do_vms,
+			   GINT_TO_POINTER(proxy));
+		return false;
+	case ACTION_EDIT_DONE:
+		do_edit_done(world, proxy, action);
+		return false;
+	case ACTION_DRAINED:
+		world_plan(world, world->now + EXIT_TIME, -1, on_exit_due, GINT_TO_POINTER(proxy));
+		return false;
+	default:
+		return false;
+	}
+}
+
+void world_on_tick(world_t *world, void *data)
+{
+	int proxy = GPOINTER_TO_INT(data);
+	event_t event = {.kind = EVENT_TICK};
+
+	world->proxies[proxy].ticking = USEC_NEVER;
+	world_deliver(world, proxy, &event);
+}
+
+static void plan_tick(world_t *world, int proxy)
+{
+	fake_proxy_t *p = &world->proxies[proxy];
+	usec_t wake = core_next_wake(p->core);
+
+	if (wake == USEC_NEVER || p->ticking <= wake)
+		return;
+	p->ticking = wake > world->now ? wake : world->now;
+	world_plan(world, p->ticking, proxy, world_on_tick, GINT_TO_POINTER(proxy));
+}
+
+void world_deliver(world_t *world, int proxy, const event_t *event)
+{
+	core_t *core = world->proxies[proxy].core;
+	action_t *action;
+
+	if (world_is_down(world, proxy))
+		return;
+	core_handle(core, world->now, event);
+	while ((action = core_take_action(core)) != NULL) {
+		describe(world, proxy, action);
+		if (!carry_out(world, proxy, action))
+			talloc_free(action);
+	}
+	plan_tick(world, proxy);
+}
--- /dev/null
+++ b/tests/world_faults.c
@@ -0,0 +1,136 @@
+#include "world_parts.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* After this the server ends the sessions of a proxy that is silent. */
+#define IDLE_SESSION_TIME (3 * USEC_PER_SEC)
+
+int world_node(const char *name)
+{
+	if (strcmp(name, "store") == 0)
+		return WORLD_STORE;
+	if (name[0] == 'p')
+		return atoi(name + 1);
+	return name[0] == 'm' ? world_member_node(atoi(name + 1)) : -1;
+}
+
+void world_for_conns(world_t *world, int node, void (*call)(world_t *, fake_conn_t *))
+{
+	GList *all = g_hash_table_get_values(world->conns);
+
+	for (GList *it = all; it != NULL; it = it->next) {
+		fake_conn_t *conn = it->data;
+
+		if (world_member_node(conn->member) == node || conn->proxy == node)
+			call(world, conn);
+	}
+	g_list_free(all);
+}
+
+/* The proxy's process is gone: the kernel resets its connections at once. */
+void world_abandon(world_t *world, fake_conn_t *conn)
+{
+	conn->open = false;
+	fake_conn_drop(world, conn);
+}
+
+/* The proxy has been silent for so long that the servers end its idle sessions. */
+static void on_idle_sessions(world_t *world, void *data)
+{
+	int proxy = GPOINTER_TO_INT(data);
+
+	if (!world->ending && (world->vanished[proxy] || world->frozen[proxy] > world->now))
+		world_for_conns(world, proxy, fake_conn_end_session);
+}
+
+static void plan_idle_sessions(world_t *world, int node)
+{
+	if (node < WORLD_MAX_PROXIES)
+		world_plan(world, world->now + IDLE_SESSION_TIME, -1, on_idle_sessions,
+			   GINT_TO_POINTER(node));
+}
+
+void world_kill(world_t *world, int node)
+{
+	world_say(world, "-- killed %s%d", node < WORLD_MAX_PROXIES ? "p" : "m",
+		  node < WORLD_MAX_PROXIES ? node : node - WORLD_MAX_PROXIES);
+	world->dead[node] = true;
+	world_for_conns(world, node,
+			node < WORLD_MAX_PROXIES ? world_abandon : fake_conn_tell_reset);
+	for (int i = 0; i < world->config.proxies && node >= WORLD_MAX_PROXIES; i++) {
+		char name[24];
+		event_t event = {.kind = EVENT_CONTROL_DOWN,
+				 .control = {.group = "callout-1", .member = name}};
+
+		snprintf(name, sizeof(name), "m%d", node - WORLD_MAX_PROXIES);
+		if (node != WORLD_STORE && !world_is_cut(world, i, node))
+			world_deliver(world, i, &event);
+	}
+}
+
+void world_vanish(world_t *world, int node)
+{
+	world_say(world, "-- vanished %s%d", node < WORLD_MAX_PROXIES ? "p" : "m",
+		  node < WORLD_MAX_PROXIES ? node : node - WORLD_MAX_PROXIES);
+	world->vanished[node] = true;
+	plan_idle_sessions(world, node);
+}
+
+void world_freeze(world_t *world, int node, usec_t for_how_long)
+{
+	world_say(world, "-- froze node %d for %.0f ms", node, (double)for_how_long / 1000.0);
+	world->frozen[node] = world->now + for_how_long;
+	plan_idle_sessions(world, node);
+}
+
+void world_cut(world_t *world, int a, int b, bool cut)
+{
+	world_say(world, "-- %s %d and %d", cut ? "cut" : "healed", a, b);
+	world->cut[a][b] = cut;
+	world->cut[b][a] = cut;
+}
+
+void world_stall(world_t *world, int a, int b, usec_t for_how_long)
+{
+	world_say(world, "-- stalled %d to %d for %.0f ms", a, b, (double)for_how_long / 1000.0);
+	world->stalled[a][b] = world->now + for_how_long;
+}
+
+void world_lose_answers(world_t *world, int count)
+{
+	world->lose_answers = count;
+}
+
+void world_set_lag(world_t *world, usec_t lag)
+{
+	world->config.replication_lag = lag;
+}
+
+void world_leave(world_t *world, int node)
+{
+	world->leaving[node] = true;
+}
+
+void world_drain(world_t *world, int node)
+{
+	event_t event = {.kind = EVENT_DRAIN};
+
+	world_deliver(world, node, &event);
+}
+
+void world_heal(world_t *world)
+{
+	memset(world->cut, 0, sizeof(world->cut));
+	for (int i = 0; i < WORLD_NODES; i++) {
+		bool is_proxy = i < WORLD_MAX_PROXIES;
+
+		if (world->frozen[i] > world->now)
+			world->frozen[i] = world->now;
+		/* A proxy that died keeps nothing; a member's log is on its disk. */
+		if (!is_proxy) {
+			world->vanished[i] = false;
+			world->dead[i] = false;
+		}
+	}
+}
--- /dev/null
+++ b/tests/world_time.c
@@ -0,0 +1,105 @@
+#include "world_parts.h"
+
+#include <stdarg.h>
+
+static gint compare_planned(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const planned_t *x = a;
+	const planned_t *y = b;
+
+	(void)data;
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	return x->seq < y->seq ? -1 : 1;
+}
+
+void world_plan(world_t *world, usec_t at, int node, callback_t run, void *data)
+{
+	planned_t *planned = g_new0(planned_t, 1);
+
+	planned->at = at;
+	planned->seq = ++world->seq;
+	planned->node = node;
+	planned->run = run;
+	planned->data = data;
+	g_sequence_insert_sorted(world->events, planned, compare_planned, NULL);
+}
+
+bool world_is_down(const world_t *world, int node)
+{
+	return node >= 0 && (world->dead[node] || world->vanished[node]);
+}
+
+void world_run(world_t *world, usec_t until)
+{
+	while (!g_sequence_is_empty(world->events)) {
+		GSequenceIter *first = g_sequence_get_begin_iter(world->events);
+		planned_t *planned = g_sequence_get(first);
+
+		if (planned->at > until)
+			break;
+		g_sequence_remove(first);
+		world->now = planned->at;
+		/* What reaches a stopped process waits in its buffers. */
+		if (planned->node >= 0 && world->frozen[planned->node] > world->now) {
+			planned->at = world->frozen[planned->node];
+			g_sequence_insert_sorted(world->events, planned, compare_planned, NULL);
+			continue;
+		}
+		planned->run(world, planned->data);
+		g_free(planned);
+	}
+	world->now = until;
+}
+
+usec_t world_now(const world_t *world)
+{
+	return world->now;
+}
+
+uint64_t world_random(world_t *world, uint64_t limit)
+{
+	world->rng = world->rng * 6364136223846793005u + 1442695040888963407u;
+	return (world->rng >> 33) % limit;
+}
+
+int world_member_node(int member)
+{
+	return WORLD_MAX_PROXIES + member;
+}
+
+int world_zone(const world_t *world, int node)
+{
+	int number = node >= WORLD_MAX_PROXIES ? node - WORLD_MAX_PROXIES : node;
+
+	return number % world->config.zones;
+}
+
+usec_t world_latency(world_t *world, int a, int b)
+{
+	usec_t base = world->config.zone_latency;
+
+	if (a == WORLD_STORE || b == WORLD_STORE)
+		return STORE_LATENCY;
+	if (world_zone(world, a) == world_zone(world, b))
+		base /= 10;
+	return base + world_random(world, base / 4 + 1);
+}
+
+bool world_is_cut(const world_t *world, int a, int b)
+{
+	return world->cut[a][b];
+}
+
+void world_say(world_t *world, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (world->config.quiet)
+		return;
+	g_string_append_printf(world->timeline, "%9.3f ", (double)world->now / 1000.0);
+	va_start(ap, fmt);
+	g_string_append_vprintf(world->timeline, fmt, ap);
+	va_end(ap);
+	g_string_append_c(world->timeline, '\n');
+}
