--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -251,8 +251,9 @@
  */
 static bool is_late(const caller_t *caller, usec_t now)
 {
-	return now + expected_response(caller, now) + CALLER_WAYS >=
-	       caller->received_at + caller->objective;
+	return !caller->pooler->config.in_order &&
+	       now + expected_response(caller, now) + CALLER_WAYS >=
+		       caller->received_at + caller->objective;
 }
 
 /* Serve one of the callers that are late, or are not; false if there is none that can be. */
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -105,16 +105,30 @@
 	return ends;
 }
 
+/* The milliseconds that a list of "SERVICE:MS" names for the service; false if it names none. */
+static bool find_end(const char *ends, const char *service, usec_t *left)
+{
+	size_t len = strlen(service);
+
+	while (*ends != '\0') {
+		if (strncmp(ends, service, len) == 0 && ends[len] == ':') {
+			*left = strtoull(ends + len + 1, NULL, 10) * USEC_PER_MSEC;
+			return true;
+		}
+		ends += strcspn(ends, " ");
+		ends += strspn(ends, " ");
+	}
+	return false;
+}
+
 static void take_ends(pooler_t *pooler, const char *ends, usec_t now)
 {
 	list_for_each (it, &pooler->services) {
 		service_t *service = list_entry(it, service_t, node);
-		const char *at = strstr(ends, service->name);
-		size_t len = strlen(service->name);
+		usec_t left;
 
-		if (at != NULL && at[len] == ':' && service->changing_since != USEC_NEVER)
-			service->change_end =
-				now + strtoull(at + len + 1, NULL, 10) * USEC_PER_MSEC;
+		if (service->changing_since != USEC_NEVER && find_end(ends, service->name, &left))
+			service->change_end = now + left;
 	}
 }
 
@@ -289,8 +303,10 @@
 	 */
 	if (agrees && message->age < message->echo)
 		sync_confirm(pooler, message->echo - message->age);
-	if (agrees)
+	if (agrees) {
 		exchange_get_report(pooler, message->from)->agreed_at = message->echo;
+		permit_on_agreed(pooler);
+	}
 	if (message->spare != NULL) {
 		peer_report_t *report = exchange_get_report(pooler, message->from);
 
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -92,8 +92,8 @@
 	const member_t *primary = permit_primary(caller->service, now);
 	const roster_node_t *helper;
 
-	if (caller->tx != TX_NONE || caller->job != NULL || primary == NULL ||
-	    !lend_lacks(primary, now))
+	if (pooler->config.alone || caller->tx != TX_NONE || caller->job != NULL ||
+	    primary == NULL || !lend_lacks(primary, now))
 		return false;
 	helper = find_helper(pooler, primary, now);
 	if (helper == NULL)
--- a/pooler/permit.c
+++ b/pooler/permit.c
@@ -1,7 +1,10 @@
 #include "permit.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include <talloc.h>
+
 #include "caller.h"
 #include "exchange.h"
 
@@ -12,32 +15,40 @@
 	return self != NULL && !self->gone && self->incarnation == pooler->config.incarnation;
 }
 
-/* The time at which more than two thirds of the fleet were last known to know no newer roster. */
-static usec_t agreed_at(const pooler_t *pooler)
+static int latest_first(const void *a, const void *b)
 {
-	const sync_t *sync = &pooler->sync;
-	size_t needed = permit_quorum(sync->proxies);
-	usec_t best = 0;
+	usec_t x = *(const usec_t *)a;
+	usec_t y = *(const usec_t *)b;
 
-	/* The latest of the times that enough others reach; this proxy itself always agrees. */
-	if (needed <= 1)
-		return now_of(pooler);
-	list_for_each (it, &sync->reports) {
-		usec_t at = list_entry(it, peer_report_t, node)->agreed_at;
-		size_t count = 1;
+	return (x < y) - (x > y);
+}
 
-		if (at <= best)
-			continue;
-		list_for_each (jt, &sync->reports) {
-			const peer_report_t *other = list_entry(jt, peer_report_t, node);
+void permit_on_agreed(pooler_t *pooler)
+{
+	sync_t *sync = &pooler->sync;
+	size_t needed = permit_quorum(sync->proxies);
+	usec_t *times = talloc_array(NULL, usec_t, sync->proxies);
+	size_t count = 0;
 
-			count += other->agreed_at >= at &&
-				 roster_node(sync->roster, other->name) != NULL;
-		}
-		if (count >= needed)
-			best = at;
+	list_for_each (it, &sync->roster->nodes) {
+		const peer_report_t *report =
+			exchange_report(pooler, list_entry(it, roster_node_t, node)->name);
+
+		if (report != NULL && report->agreed_at != 0)
+			times[count++] = report->agreed_at;
 	}
-	return best;
+	qsort(times, count, sizeof(*times), latest_first);
+	/* This proxy itself always agrees. */
+	sync->agreed_at = needed >= 2 && count >= needed - 1 ? times[needed - 2] : 0;
+	talloc_free(times);
+}
+
+/* The time at which more than two thirds of the fleet were last known to know no newer roster. */
+static usec_t agreed_at(const pooler_t *pooler)
+{
+	if (permit_quorum(pooler->sync.proxies) <= 1)
+		return now_of(pooler);
+	return pooler->sync.agreed_at;
 }
 
 usec_t permit_end(const pooler_t *pooler)
--- a/pooler/permit.h
+++ b/pooler/permit.h
@@ -36,6 +36,9 @@
 /* When the permission ends, as things are known now; 0: there is none. */
 usec_t permit_end(const pooler_t *pooler);
 
+/* A proxy was heard to know no newer roster than ours; kept, since every statement asks. */
+void permit_on_agreed(pooler_t *pooler);
+
 /* True if the roster names this process as a member of the fleet. */
 bool permit_is_registered(const pooler_t *pooler);
 
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -28,6 +28,9 @@
 	usec_t config_bound;  /* within which a configuration must be in force */
 	usec_t leaving_bound; /* within which a leaving member must be left alone */
 	usec_t lease_least;   /* shortest lease that the store grants */
+	/* Without the safeguards that are measured against this: ./dev/measure pooler. */
+	bool in_order; /* the queue serves in order of arrival, whoever is late */
+	bool alone;    /* no statement is handed to another proxy */
 } pooler_config_t;
 
 /* A backend server as the platform lists it. */
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -109,6 +109,7 @@
 
 static void note_listed(pooler_t *pooler, const roster_t *old)
 {
+	pooler->sync.agreed_at = 0;
 	list_for_each (it, &pooler->sync.reports) {
 		peer_report_t *report = list_entry(it, peer_report_t, node);
 
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -580,6 +580,8 @@
 		.config_bound = 3 * USEC_PER_SEC,
 		.leaving_bound = 7 * USEC_PER_SEC,
 		.lease_least = 1 * USEC_PER_SEC,
+		.in_order = node->world->plain,
+		.alone = node->world->plain,
 	};
 
 	node->drained = false;
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -68,7 +68,8 @@
 	reads_t reads; /* of the route */
 	usec_t max_age;
 	int64_t config_version;
-	bool sync_replicas;	  /* as the configuration says */
+	bool plain;	    /* of proxies that start: no order by lateness, no help of others */
+	bool sync_replicas; /* as the configuration says */
 	promote_call_t *promotes; /* talloc array */
 	size_t promote_count;
 	unsigned lose_promotes; /* of the next calls: done, not answered */
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -127,6 +127,31 @@
 	world_destroy(world);
 }
 
+/* A service whose name ends in another's is not taken for it. */
+static void test_ends_by_whole_names(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	peer_message_t message = {
+		.kind = PEER_STATE, .age = USEC_NEVER, .ends = "encore:9000 core:100 "};
+	const world_node_t *other;
+	pooler_t *pooler;
+	service_t *service;
+	usec_t now;
+
+	world_settle(world);
+	pooler = world->nodes[find_other(world)].pooler;
+	other = &world->nodes[find_holder(world)];
+	now = clock_now(&world->clock.base);
+	service = service_get(pooler, WORLD_SERVICE);
+	service->changing_since = now;
+	message.from = other->name;
+	message.address = other->address;
+	message.incarnation = other->incarnation;
+	pooler_on_message(pooler, &message);
+	g_assert_cmpuint(service->change_end, ==, now + 100 * MSEC);
+	world_destroy(world);
+}
+
 /* The same at the moment of hearing it, before the store or the lease could tell. */
 static void test_successor_is_believed_at_once(void)
 {
@@ -405,6 +430,7 @@
 	g_test_add_func("/store/duty-revoked", test_duty_key_is_revoked);
 	g_test_add_func("/store/successor", test_holder_hears_of_its_successor);
 	g_test_add_func("/store/own-clock", test_hold_ends_by_the_own_clock);
+	g_test_add_func("/process/ends", test_ends_by_whole_names);
 	g_test_add_func("/store/successor-told", test_successor_is_believed_at_once);
 	g_test_add_func("/store/renewals-unanswered", test_renewals_without_an_answer);
 	g_test_add_func("/store/duty-unanswered", test_duty_won_without_an_answer);
