--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -31,6 +31,11 @@
 /* The part of the bound for leaving members in which a primary that is leaving is used: 5 of 7 s.
  */
 #define LEAVING_USE_PERCENT 70
+/*
+ * While the store is away a new roster is agreed on within this: a question to all and its answers,
+ * over connections that may have to be made, and a tick.
+ */
+#define AGREE_USUAL (150 * USEC_PER_MSEC)
 /* A proxy that has just started gets on the roster within this. */
 #define REGISTER_USUAL (200 * USEC_PER_MSEC)
 /* What is left of a change that takes longer than expected. */
@@ -330,7 +335,8 @@
 	if (service->changing_since != USEC_NEVER)
 		return service->change_end > now ? service->change_end : now + OVERDUE_CHANGE;
 	if (now >= permit_end(service->pooler))
-		return USEC_NEVER;
+		return now < sync->adopted_at + AGREE_USUAL ? sync->adopted_at + AGREE_USUAL
+							    : USEC_NEVER;
 	if (!permit_is_registered(service->pooler))
 		return now + REGISTER_USUAL;
 	group = roster_group(sync->roster, service->name);
--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -28,6 +28,8 @@
 #define EFFECT_TIME (1800 * USEC_PER_MSEC)
 /* Calls for one member before another one is tried. */
 #define CALLS_MAX 2
+/* The first primary is installed without its term if it does not tell it by then. */
+#define FIRST_TERM_TIME (500 * USEC_PER_MSEC)
 /* After a false alarm. */
 #define QUIET_AFTER_CANCEL (1 * USEC_PER_SEC)
 
@@ -125,17 +127,29 @@
 	store_group(service, verdict_group(service)->primary, true, verdict_group(service)->term);
 }
 
-/* The first primary of a service is the one that says so itself. */
-static void install(service_t *service)
+/*
+ * The first primary of a service is the one that says so itself. Its term is written down with it:
+ * a later one is known by a higher term.
+ */
+static void install(service_t *service, usec_t now)
 {
-	if (service->change.busy)
+	change_t *change = &service->change;
+
+	if (change->busy)
 		return;
 	list_for_each (it, &service->members) {
-		const member_t *member = list_entry(it, member_t, in_service);
+		member_t *member = list_entry(it, member_t, in_service);
 
 		if (!member->says_primary || member->gone)
 			continue;
-		store_group(service, member->id, false, 0);
+		if (change->started == 0)
+			change->started = now;
+		if (member->survey_done || now >= change->started + FIRST_TERM_TIME) {
+			store_group(service, member->id, false, member->status.term);
+		} else if (now >= change->next_probe) {
+			change->next_probe = now + SURVEY_INTERVAL;
+			member_ask_status(member);
+		}
 		return;
 	}
 }
@@ -182,7 +196,7 @@
 	const char *reason;
 
 	if (group == NULL) {
-		install(service);
+		install(service, now);
 		return;
 	}
 	if (group->changing && group->fence != service->pooler->sync.own_fence) {
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -292,8 +292,11 @@
 	if (message->roster != NULL && message->revision > sync->roster->revision) {
 		roster = roster_decode(pooler, message->roster, strlen(message->roster),
 				       message->revision);
-		if (roster != NULL)
+		if (roster != NULL) {
 			sync_adopt(pooler, roster);
+			/* At once: while the store is away it is agreed on anew. */
+			exchange_tick(pooler, now);
+		}
 	}
 	agrees = message->echo != 0 && message->echo <= now &&
 		 message->revision == sync->roster->revision;
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -30,6 +30,9 @@
 #define FORGET_MEMBER (30 * USEC_PER_SEC)
 /* The balancer asks once a second and believes the second "not ready"; with some room. */
 #define NOTICE_TIME (2300 * USEC_PER_MSEC)
+/* Entries that lapsed with the store are back within 2 s of its return; a process that starts then
+ * is not ready before it knows the primaries, or this has passed. */
+#define LISTED_TIME (3 * USEC_PER_SEC)
 /* Waiting callers are refused in good time before the process ends. */
 #define END_MARGIN (300 * USEC_PER_MSEC)
 
@@ -231,10 +234,24 @@
 	on_tick(&pooler->tick, now);
 }
 
+/* True if every primary of the roster is listed, so that this proxy has its address. */
+static bool knows_primaries(const pooler_t *pooler)
+{
+	list_for_each (it, &pooler->sync.roster->groups) {
+		if (member_find(pooler, list_entry(it, roster_group_t, node)->primary) == NULL)
+			return false;
+	}
+	return true;
+}
+
 bool pooler_is_ready(const pooler_t *pooler)
 {
+	usec_t now = now_of(pooler);
+
 	/* Getting on the roster takes some ms more; statements wait for it. */
-	return pooler->routes != NULL && !pooler->draining && now_of(pooler) < permit_end(pooler);
+	if (pooler->routes == NULL || pooler->draining || now >= permit_end(pooler))
+		return false;
+	return knows_primaries(pooler) || now >= pooler->started + LISTED_TIME;
 }
 
 void pooler_drain(pooler_t *pooler)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -245,6 +245,7 @@
 typedef struct sync {
 	roster_t *roster;    /* the newest known */
 	size_t proxies;	     /* on it */
+	usec_t adopted_at;   /* when it came */
 	usec_t agreed_at;    /* enough proxies knew no newer roster then; see permit_on_agreed() */
 	usec_t confirmed_at; /* the store held it when asked at this time; USEC_NEVER: never */
 	bool reading;
--- a/pooler/survey.c
+++ b/pooler/survey.c
@@ -62,10 +62,11 @@
 /* A member that starts again has another id, the same address and its log. */
 static bool is_back(const member_t *member)
 {
-	list_for_each (it, &member->service->members) {
-		const member_t *other = list_entry(it, member_t, in_service);
+	list_for_each (it, &member->pooler->members) {
+		const member_t *other = list_entry(it, member_t, node);
 
-		if (other != member && !other->gone && strcmp(other->address, member->address) == 0)
+		if (other->service == member->service && other != member && !other->gone &&
+		    strcmp(other->address, member->address) == 0)
 			return true;
 	}
 	return false;
@@ -140,20 +141,38 @@
 	return all_answered(service) || now >= service->change.step_since + limit;
 }
 
+/* True if the member has not answered, and may have what nobody else has. */
+static bool is_missing(const member_t *member)
+{
+	return !member->survey_done && (!member->gone || log_is_missing(member));
+}
+
+/* Members, the old primary included. */
+static size_t count_missing(const service_t *service)
+{
+	size_t missing = 0;
+
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		missing += is_missing(member);
+	}
+	return missing;
+}
+
 bool survey_holds_acknowledged(const service_t *service, const member_t *best, const member_t *old,
 			       usec_t now)
 {
+	size_t missing;
+
 	if (!is_sync(service) || now >= service->change.started + SYNC_PATIENCE)
 		return true;
 	if (old != NULL && old->survey_done &&
 	    !survey_is_further(old->status.received, best->status.received))
 		return true;
-	list_for_each (it, &service->members) {
-		const member_t *member = list_entry(it, member_t, in_service);
-
-		if (member != old && !member->survey_done &&
-		    (!member->gone || log_is_missing(member)))
-			return false;
-	}
-	return true;
+	/* What the old primary has acknowledged, a replica has too. */
+	missing = count_missing(service);
+	if (old != NULL && is_missing(old))
+		missing--;
+	return missing == 0;
 }
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -135,6 +135,7 @@
 	talloc_steal(pooler, roster);
 	pooler->sync.roster = roster;
 	pooler->sync.proxies = list_length(&roster->nodes);
+	pooler->sync.adopted_at = now_of(pooler);
 	counter_set(&roster_revision, roster->revision);
 	list_for_each (it, &roster->groups) {
 		const roster_group_t *group = list_entry(it, roster_group_t, node);
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -89,6 +89,62 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: a burst of refusals ("come back in 1 s") in the middle of an outage of the
+ * store. What happens: the proxies prolong their permission together; one that the store lets in
+ * registers, and what the others had agreed on is void, for the roster is a new one. Why waiting
+ * for some ms is enough: they ask each other about the new one at once.
+ */
+static void test_roster_changes_while_the_store_is_away(void)
+{
+	pool_world_t *world = world_create(4, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	world_kill(world, 3);
+	for (size_t i = 0; i < 3; i++)
+		world->nodes[i].kv.cut = true;
+	world_run(world, 3 * SEC);
+	caller = world_open(world, find_other(world));
+	world_start(world, 3);
+	for (int i = 0; i < 200; i++) {
+		assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+		world_run(world, 2 * MSEC);
+	}
+	world_destroy(world);
+}
+
+/*
+ * What callers see: a proxy that has just started refuses those of one database. What happens: the
+ * entry of its primary lapsed with the store, and is back only some time after the store; the other
+ * proxies still know it. Why it is enough not to be ready: the balancer sends callers to the
+ * others.
+ */
+static void test_not_ready_without_a_primary(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t other;
+
+	world_settle(world);
+	other = find_other(world);
+	world->db->members[0].unlisted = true;
+	world_kill(world, other);
+	world_start(world, other);
+	world_run(world, SEC);
+	g_assert_true(permit_is_registered(world->nodes[other].pooler));
+	g_assert_false(pooler_is_ready(world->nodes[other].pooler));
+	world->db->members[0].unlisted = false;
+	world_run(world, 500 * MSEC);
+	g_assert_true(pooler_is_ready(world->nodes[other].pooler));
+	/* It can't wait for ever: another member may be promoted meanwhile. */
+	world->db->members[0].unlisted = true;
+	world_kill(world, other);
+	world_start(world, other);
+	world_run(world, 4 * SEC);
+	g_assert_true(pooler_is_ready(world->nodes[other].pooler));
+	world_destroy(world);
+}
+
 /*
  * The key is taken away while its holder's lease lives on, and another proxy takes
  * it. The old holder hears of that from a peer before it reads the store: from
@@ -426,6 +482,8 @@
 	g_test_add_func("/store/down", test_store_down);
 	g_test_add_func("/store/slow", test_store_slow);
 	g_test_add_func("/store/turns-one-away", test_store_turns_one_away);
+	g_test_add_func("/store/roster-changes", test_roster_changes_while_the_store_is_away);
+	g_test_add_func("/store/not-ready-without-primary", test_not_ready_without_a_primary);
 	g_test_add_func("/store/start-turned-away", test_start_while_turned_away);
 	g_test_add_func("/store/duty-revoked", test_duty_key_is_revoked);
 	g_test_add_func("/store/successor", test_holder_hears_of_its_successor);
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "exchange.h"
 #include "forward.h"
 #include "lend.h"
 #include "pool_check.h"
@@ -24,16 +25,36 @@
 	.promote = 1000 * MSEC,
 };
 
-/* A proxy that lacks a connection to the member, while another one has one. */
+static void send_warm_ups(pool_world_t *world)
+{
+	for (size_t i = 0; i < NODES; i++)
+		world_send(world_open_database(world, i, "strict"), "READ warm-up");
+}
+
+/* True if another proxy has told this one of its connection to the member just now. */
+static bool knows_helper(const pooler_t *pooler)
+{
+	list_for_each (it, &pooler->sync.reports) {
+		const peer_report_t *report = list_entry(it, peer_report_t, node);
+
+		if (now_of(pooler) < report->spare_at + 300 * MSEC &&
+		    exchange_lists(report->spare, "core-0"))
+			return true;
+	}
+	return false;
+}
+
+/* A proxy that lacks a connection to the member, and knows one that has. */
 static size_t find_lacking(pool_world_t *world)
 {
-	for (size_t round = 0; round < 100; round++) {
+	for (size_t round = 0; round < 400; round++) {
+		if (round % 20 == 0)
+			send_warm_ups(world);
 		for (size_t i = 0; i < NODES; i++) {
-			pooler_t *pooler = world->nodes[i].pooler;
-			const member_t *member = member_find(pooler, "core-0");
+			const pooler_t *pooler = world->nodes[i].pooler;
 
-			if (!lend_has_any(member) &&
-			    lend_lacks(member, clock_now(&world->clock.base)))
+			if (lend_lacks(member_find(pooler, "core-0"), now_of(pooler)) &&
+			    knows_helper(pooler))
 				return i;
 		}
 		world_run(world, 5 * MSEC);
@@ -41,17 +62,12 @@
 	g_assert_not_reached();
 }
 
-/* Every proxy has sent something, so that some have a connection and the others know it. */
 static pool_world_t *make_scarce(void)
 {
 	pool_world_t *world = world_create(NODES, &scarce);
-	world_caller_t *callers[NODES];
 
 	world_settle(world);
-	for (size_t i = 0; i < NODES; i++) {
-		callers[i] = world_open_database(world, i, "strict");
-		world_send(callers[i], "READ warm-up");
-	}
+	send_warm_ups(world);
 	world_run(world, 60 * MSEC);
 	return world;
 }
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -517,6 +517,31 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: writes wait 2 s longer than need be. What happens: the holder has a member
+ * promoted and dies; its successor does not recognize that member as the new leader, since the term
+ * of the first primary was never written down, and has it promoted once more without any effect.
+ * Why it suffices to ask the first primary for its term before it is written down.
+ */
+static void test_holder_dies_after_the_first_promote(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	world_caller_t *caller;
+	size_t holder;
+
+	world_settle(world);
+	holder = find_holder(world);
+	caller = world_open(world, find_other(world));
+	world_crash_member(world, 0);
+	while (world->promote_count == 0)
+		world_run(world, MSEC);
+	world_kill(world, holder);
+	world_run(world, 8 * SEC);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-");
+	g_assert_cmpuint(world->promote_count, ==, 1);
+	world_destroy(world);
+}
+
 /* A process of that proxy is started anew, and gets hold of the duty. */
 static void let_newcomer_hold(pool_world_t *world, size_t newcomer)
 {
@@ -681,6 +706,8 @@
 	g_test_add_func("/primary/newcomer-and-list", test_newcomer_holds_with_a_list_that_lapsed);
 	g_test_add_func("/primary/newcomer-alone", test_newcomer_is_in_no_old_fleet);
 	g_test_add_func("/primary/taken-up-twice", test_change_of_another_taken_up_twice);
+	g_test_add_func("/primary/holder-dies-after-promote",
+			test_holder_dies_after_the_first_promote);
 	g_test_add_func("/primary/own-change", test_holder_takes_up_its_own_change);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_taken_back);
 	g_test_add_func("/primary/holder-frozen", test_holder_frozen_when_the_primary_crashes);
