The holder of the duty tells of its lack too; a lack is told to 12 proxies in turn

Cause, found by reading: the holder asks nobody for the roster, so it never said that it lacked a connection nor heard who had one (/forward/holder-lacks, failed before). And each proxy without a connection asked all others four times a second, n x n messages in a large fleet that lacks connections all the time. An entry without slots would have had room for nothing.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -17,6 +17,8 @@
 
 /* With news this old all peers are asked, so that the permission lasts while the store is away. */
 #define ASK_ALL_AFTER (1300 * USEC_PER_MSEC)
+/* Proxies told at a time of a lack of connections, in turn; the users' fleets have 7 to 12. */
+#define SCARCE_PEERS 12
 /* Between two questions to the holder. */
 #define ASK_INTERVAL (250 * USEC_PER_MSEC)
 
@@ -182,6 +184,17 @@
 	return NULL;
 }
 
+/* Who lacks a connection asks a few at a time, so that a large fleet has not n x n messages. */
+static void ask_some(pooler_t *pooler, const peer_message_t *message)
+{
+	for (size_t i = 0; i < SCARCE_PEERS && i < pooler->sync.proxies; i++) {
+		const roster_node_t *other = other_peer(pooler);
+
+		if (other != NULL)
+			send_to(pooler, other->name, other->address, message);
+	}
+}
+
 /* The store seems to be away: the permission can only be prolonged together. */
 static void ask_all(pooler_t *pooler, const peer_message_t *message)
 {
@@ -215,8 +228,9 @@
 	if (sync->holder != NULL && strcmp(sync->holder, pooler->config.name) != 0)
 		send_to(pooler, sync->holder, sync->holder_address, &message);
 	/* Whoever has a connection that we lack must hear of it for as long as we do. */
-	if (*message.scarce != '\0' || sync->confirmed_at == USEC_NEVER ||
-	    now >= sync->confirmed_at + ASK_ALL_AFTER) {
+	if (*message.scarce != '\0')
+		ask_some(pooler, &message);
+	if (sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + ASK_ALL_AFTER) {
 		ask_all(pooler, &message);
 	} else if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT) {
 		other = other_peer(pooler);
@@ -340,10 +354,21 @@
 	}
 }
 
+static bool lacks_any(const pooler_t *pooler, usec_t now)
+{
+	list_for_each (it, &pooler->members) {
+		if (lend_lacks(list_entry(it, member_t, node), now))
+			return true;
+	}
+	return false;
+}
+
 void exchange_tick(pooler_t *pooler, usec_t now)
 {
 	const sync_t *sync = &pooler->sync;
 
-	if (!hold_is_ours(pooler, now) || now >= sync->confirmed_at + ASK_ALL_AFTER)
+	/* The holder knows what the others ask it for, but not who has what it lacks. */
+	if (!hold_is_ours(pooler, now) || now >= sync->confirmed_at + ASK_ALL_AFTER ||
+	    lacks_any(pooler, now))
 		ask(pooler, now);
 }
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -287,8 +287,8 @@
 	size_t proxies = member->pooler->sync.proxies;
 	size_t most = (size_t)member->slots * STATEMENTS_PER_SLOT;
 
-	/* Rounded up, so that each proxy may have one. */
-	return proxies == 0 || member_load(member) * proxies < most;
+	/* Rounded up, so that each proxy may have one; an entry without slots tells nothing. */
+	return most == 0 || member_load(member) * proxies < most;
 }
 
 size_t member_load(const member_t *member)
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -197,6 +197,28 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: those of one proxy are refused while all others are served. What happens: it
+ * holds the duty, has nobody to ask for the roster, and so never says that it lacks a connection.
+ */
+static void test_holder_lacks_a_connection(void)
+{
+	pool_world_t *world = make_scarce();
+	size_t holder = find_holder(world);
+	const pooler_t *pooler = world->nodes[holder].pooler;
+	bool helped = false;
+
+	for (size_t round = 0; round < 2000 && !helped; round++) {
+		if (round % 20 == 0)
+			send_warm_ups(world);
+		world_run(world, 5 * MSEC);
+		helped = lend_lacks(member_find(pooler, "core-0"), now_of(pooler)) &&
+			 knows_helper(pooler);
+	}
+	g_assert_true(helped);
+	world_destroy(world);
+}
+
 /* A proxy that shuts down takes no statements of others; who asked is not kept waiting. */
 static void test_helper_shuts_down(void)
 {
@@ -222,6 +244,7 @@
 	g_test_add_func("/forward/helper-dies", test_helper_dies);
 	g_test_add_func("/forward/answer-after-freeze", test_answer_after_a_freeze);
 	g_test_add_func("/forward/answer-after-permission", test_answer_after_the_permission);
+	g_test_add_func("/forward/holder-lacks", test_holder_lacks_a_connection);
 	g_test_add_func("/forward/helper-shuts-down", test_helper_shuts_down);
 	return g_test_run();
 }
