A statement is run for another proxy only under the same configuration

Cause, found by reading: a proxy that had a newer configuration in force could have had a statement handled by an older one (/forward/other-configuration, failed before).

--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -179,12 +179,12 @@
 	pooler->env->ops->peer_send(pooler->env, to, address, &message);
 }
 
-static void refuse(const pooler_t *pooler, const peer_message_t *message, code_t code)
+static void refuse(const pooler_t *pooler, const peer_message_t *message)
 {
 	forward_result_t result = {
 		.number = message->request->number,
 		.member = "",
-		.code = code,
+		.code = CODE_BUSY,
 		.text = "the proxy that helps can't",
 	};
 
@@ -214,19 +214,20 @@
 {
 	const forward_request_t *request = message->request;
 	caller_t *caller;
-	code_t code = CODE_BUSY;
+	code_t code;
 	job_t *job;
 
-	if (pooler->draining) {
-		refuse(pooler, message, CODE_BUSY);
+	/* By an older one the sender would fall back behind what it has shown its callers. */
+	if (pooler->draining || pooler->routes == NULL ||
+	    pooler->routes->version != message->config_version) {
+		refuse(pooler, message);
 		return;
 	}
 	job = talloc_zero(pooler, job_t);
 	caller = pooler_caller_open(pooler, request->database, job, &code);
 	if (caller == NULL) {
 		talloc_free(job);
-		/* Our configuration may be another than the sender's; it decides. */
-		refuse(pooler, message, CODE_BUSY);
+		refuse(pooler, message);
 		return;
 	}
 	counter_add(&jobs_total, 1);
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -72,6 +72,19 @@
 	return world;
 }
 
+/* True if that statement of the proxy of that name is in progress at this one. */
+static bool runs_for(const pooler_t *pooler, const char *name, uint64_t number)
+{
+	list_for_each (it, &pooler->callers) {
+		const caller_t *caller = list_entry(it, caller_t, node);
+
+		if (caller->job != NULL && caller->job->number == number &&
+		    strcmp(caller->job->from, name) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* The proxy that the caller's statement was handed to. */
 static world_node_t *helper_of(pool_world_t *world, const world_caller_t *caller)
 {
@@ -219,6 +232,30 @@
 	world_destroy(world);
 }
 
+/*
+ * What the caller must not see: its statement handled by an older configuration than the one
+ * before. What happens: the proxy that could help has not heard of the newest one yet.
+ */
+static void test_helper_has_another_configuration(void)
+{
+	pool_world_t *world = make_scarce();
+	size_t lacking = find_lacking(world);
+	world_caller_t *reader = world_open_database(world, lacking, "strict");
+	uint64_t number;
+
+	world->nodes[lacking].pooler->routes->version++;
+	world_send(reader, "READ job-1");
+	number = reader->caller->forward_number;
+	g_assert_cmpuint(number, !=, 0);
+	for (size_t step = 0; step < 40; step++) {
+		world_run(world, MSEC / 2);
+		for (size_t i = 0; i < NODES; i++)
+			g_assert_false(runs_for(world->nodes[i].pooler, world->nodes[lacking].name,
+						number));
+	}
+	world_destroy(world);
+}
+
 /* A proxy that shuts down takes no statements of others; who asked is not kept waiting. */
 static void test_helper_shuts_down(void)
 {
@@ -245,6 +282,7 @@
 	g_test_add_func("/forward/answer-after-freeze", test_answer_after_a_freeze);
 	g_test_add_func("/forward/answer-after-permission", test_answer_after_the_permission);
 	g_test_add_func("/forward/holder-lacks", test_holder_lacks_a_connection);
+	g_test_add_func("/forward/other-configuration", test_helper_has_another_configuration);
 	g_test_add_func("/forward/helper-shuts-down", test_helper_shuts_down);
 	return g_test_run();
 }
