--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -256,6 +256,29 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: transactions at four proxies of six are refused for as long as the fleet is
+ * that large. What happens: they are not handed on, and who has a connection keeps it. Why it
+ * suffices that connections go round: each is needed for some ms only.
+ */
+static void test_transactions_get_a_turn(void)
+{
+	pool_world_t *world = make_scarce();
+
+	for (size_t i = 0; i < NODES; i++) {
+		world_caller_t *caller = world_open_database(world, i, "strict");
+		bool done = false;
+
+		for (size_t attempt = 0; attempt < 5 && !done; attempt++) {
+			assert_begins(world_ask(caller, "BEGIN"), "DONE -");
+			done = g_str_has_prefix(world_ask(caller, "WRITE job-1 a"), "DONE");
+			world_ask(caller, done ? "COMMIT" : "ROLLBACK");
+		}
+		g_assert_true(done);
+	}
+	world_destroy(world);
+}
+
 /* A proxy that shuts down takes no statements of others; who asked is not kept waiting. */
 static void test_helper_shuts_down(void)
 {
@@ -283,6 +306,7 @@
 	g_test_add_func("/forward/answer-after-permission", test_answer_after_the_permission);
 	g_test_add_func("/forward/holder-lacks", test_holder_lacks_a_connection);
 	g_test_add_func("/forward/other-configuration", test_helper_has_another_configuration);
+	g_test_add_func("/forward/transactions", test_transactions_get_a_turn);
 	g_test_add_func("/forward/helper-shuts-down", test_helper_shuts_down);
 	return g_test_run();
 }
