--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -9,6 +9,8 @@
 #include "conn.h"
 #include "dispatch.h"
 #include "forward.h"
+#include "home.h"
+#include "job.h"
 #include "member.h"
 #include "permit.h"
 #include "report.h"
@@ -65,12 +67,14 @@
 	caller->want = WANT_NONE;
 	caller->idle_since = now_of(pooler);
 	timers_cancel(pooler->timers, &caller->timer);
-	if (caller->tx == TX_NONE)
-		caller->service = NULL;
 	if (caller->job != NULL)
-		forward_answer(caller, reply, from);
+		job_answer(caller, reply, from);
 	else if (caller->link != NULL)
 		pooler->env->ops->caller_reply(pooler->env, caller->link, reply);
+	if (caller->tx == TX_NONE) {
+		caller->service = NULL;
+		caller->remote = 0;
+	}
 }
 
 static void answer_done(caller_t *caller)
@@ -110,6 +114,7 @@
 		caller->tx = is_commit(caller) ? TX_NONE : TX_FAILED;
 	if (caller->conn != NULL)
 		conn_orphan(caller->conn);
+	forward_end(caller);
 }
 
 static void fail(caller_t *caller, code_t code, reason_t reason, const char *detail)
@@ -319,21 +324,51 @@
 	}
 	if (caller_may_keep(caller))
 		remember_commit(caller, &reply);
+	if (caller->tx == TX_OPEN) {
+		caller->tx_ran = true;
+		caller->tx_wrote = caller->tx_wrote || is_write(caller);
+		caller->tx = result->tx;
+	}
 	answer_raw(caller, &reply);
 }
 
-void caller_on_forwarded(caller_t *caller, const forward_result_t *result)
+/* The proxy that had it could not have it served: its word is ours, with its time to come back. */
+static void pass_refusal(caller_t *caller, const forward_result_t *result)
+{
+	caller_reply_t reply = {.kind = REPLY_ERROR, .code = result->code, .text = result->text};
+
+	end_statement(caller);
+	reply.tx = caller->tx;
+	report_failed(caller, result->code, REASON_NOT_SERVED_ELSEWHERE, result->text);
+	finish(caller, &reply, NULL);
+}
+
+static void on_forwarded_error(caller_t *caller, const forward_result_t *result)
 {
 	reply_t reply = {.code = result->code, .raw = result->raw};
 
-	if (result->ok)
-		on_forwarded_success(caller, result);
-	else if (code_is_not_run(result->code))
-		not_run(caller, result->code, REASON_MEMBER_REFUSED, result->text);
-	else if (result->is_raw)
+	if (result->is_raw) {
+		caller->tx = result->tx;
 		answer_raw(caller, &reply);
-	else
+	} else if (home_applies(caller->service)) {
+		pass_refusal(caller, result);
+	} else if (code_is_not_run(result->code)) {
+		not_run(caller, result->code, REASON_MEMBER_REFUSED, result->text);
+	} else {
 		lost_while_running(caller, result->text);
+	}
+}
+
+void caller_on_forwarded(caller_t *caller, const forward_result_t *result)
+{
+	if (result->declined) {
+		caller->remote = 0;
+		not_run(caller, result->code, REASON_MEMBER_REFUSED, result->text);
+	} else if (result->ok) {
+		on_forwarded_success(caller, result);
+	} else {
+		on_forwarded_error(caller, result);
+	}
 	leave_if_done(caller);
 }
 
@@ -375,15 +410,21 @@
 	return true;
 }
 
-static void on_begin(caller_t *caller)
+void caller_begin(caller_t *caller, bool read_only)
 {
-	counter_add(&transactions_total, 1);
 	caller->tx = TX_OPEN;
-	caller->tx_read_only = caller->statement.kind == STATEMENT_BEGIN_READ;
+	caller->tx_read_only = read_only;
 	caller->tx_ran = false;
 	caller->tx_wrote = false;
 	caller->tx_lost = false;
 	caller->only_primary = false;
+	take_route(caller);
+}
+
+static void on_begin(caller_t *caller)
+{
+	counter_add(&transactions_total, 1);
+	caller_begin(caller, caller->statement.kind == STATEMENT_BEGIN_READ);
 	/* The member's BEGIN waits for the first statement: pauses before it cost no connection. */
 	answer_done(caller);
 }
@@ -393,6 +434,7 @@
 	caller->tx = TX_NONE;
 	if (caller->conn != NULL)
 		conn_release(caller->conn);
+	forward_end(caller);
 	answer_done(caller);
 }
 
@@ -444,6 +486,11 @@
 		conn_run_held(caller->conn);
 		return;
 	}
+	if (caller->remote != 0) {
+		if (!forward_go_on(caller, caller->received_at))
+			fail(caller, CODE_ABORTED, REASON_CONNECTION_LOST, "home is out of reach");
+		return;
+	}
 	if (caller->tx == TX_NONE)
 		caller->only_primary = false;
 	dispatch_join(caller);
@@ -635,6 +682,7 @@
 	/* A commit or lone write that is under way is left to finish; the rest is rolled back. */
 	if (caller->conn != NULL)
 		conn_orphan(caller->conn);
+	forward_end(caller);
 	list_del(&caller->node);
 	counter_add(&open_callers, -1);
 	talloc_free(caller);
--- a/pooler/caller.h
+++ b/pooler/caller.h
@@ -22,6 +22,9 @@
 
 void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply);
 
+/* Begin a transaction; its first statement takes it to a member. */
+void caller_begin(caller_t *caller, bool read_only);
+
 /* What came of the statement at another proxy. */
 void caller_on_forwarded(caller_t *caller, const forward_result_t *result);
 
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -182,9 +182,14 @@
 static bool place(caller_t *caller, usec_t now)
 {
 	bool open;
-	member_t *member = choose(caller, now, &open);
+	member_t *member;
 	conn_t *conn;
 
+	if (forward_to_home(caller, now)) {
+		dispatch_leave(caller);
+		return true;
+	}
+	member = choose(caller, now, &open);
 	if (member == NULL) {
 		if (!forward_try(caller, now))
 			return false;
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -56,7 +56,10 @@
 	PEER_STORED,
 } peer_message_kind_t;
 
-/* PEER_REQUEST: a statement that the sender can't get to a member. */
+/*
+ * PEER_REQUEST: a statement that the sender can't get to a member. In a transaction, ROLLBACK is
+ * its end, which has no result.
+ */
 typedef struct forward_request {
 	uint64_t number; /* the sender's, comes back with the result */
 	const char *database;
@@ -66,6 +69,9 @@
 	const variables_t *variables;
 	bool has_commit;
 	position_t commit; /* the session's last one */
+	uint64_t session;  /* the sender's number of the transaction; 0: a lone statement */
+	bool begins;	   /* its first statement */
+	bool read_only;
 } forward_request_t;
 
 /* PEER_RESULT: what came of it. */
@@ -79,6 +85,8 @@
 	const char *member; /* that ran it, "" if none did */
 	code_t code;
 	const char *text;
+	tx_state_t tx;
+	bool declined; /* the receiver did not take it at all */
 } forward_result_t;
 
 typedef enum {
@@ -112,6 +120,7 @@
 	peer_message_kind_t kind;
 	const char *from;
 	const char *address; /* of the sender */
+	const char *zone;    /* of the sender */
 	uint64_t incarnation;
 	uint64_t echo;	  /* ASK: when it was sent, by its sender's clock; STATE: the same back */
 	int64_t revision; /* of the roster that the sender holds */
@@ -151,7 +160,8 @@
 	void (*member_send)(struct env *env, void *link, const member_request_t *requests,
 			    size_t count);
 	void (*member_close)(struct env *env, void *link);
-	void (*peer_send)(struct env *env, const char *name, const char *address,
+	/* False: it was certainly not sent. */
+	bool (*peer_send)(struct env *env, const char *name, const char *address,
 			  const peer_message_t *message);
 	/* pooler_on_promoted follows. */
 	void (*promote)(struct env *env, const char *service, const char *member,
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -9,6 +9,8 @@
 #include "duty.h"
 #include "forward.h"
 #include "hold.h"
+#include "job.h"
+#include "join.h"
 #include "lend.h"
 #include "member.h"
 #include "permit.h"
@@ -81,10 +83,10 @@
 {
 	message->from = pooler->config.name;
 	message->address = pooler->config.address;
+	message->zone = pooler->config.zone;
 	message->incarnation = pooler->config.incarnation;
 	message->revision = pooler->sync.roster->revision;
 	message->config_version = pooler->routes != NULL ? pooler->routes->version : 0;
-	message->members_digest = refresh_members_digest(pooler);
 	message->cut_off = relay_is_cut_off(pooler->relay);
 }
 
@@ -147,9 +149,10 @@
 	usec_t now = now_of(pooler);
 
 	exchange_fill(pooler, &message);
+	message.members_digest = refresh_members_digest(pooler);
 	message.age = sync->confirmed_at != USEC_NEVER ? now - sync->confirmed_at : USEC_NEVER;
 	if (known < sync->roster->revision)
-		message.roster = roster_encode(parent, sync->roster);
+		message.roster = roster_text(sync->roster);
 	if (hold_is_ours(pooler, now))
 		message.ends = describe_ends(pooler, now, parent);
 	if (ask != NULL && ask->scarce != NULL)
@@ -161,6 +164,11 @@
 	talloc_free(parent);
 }
 
+void exchange_tell(const pooler_t *pooler, const char *name, const char *address)
+{
+	send_state(pooler, name, address, NULL);
+}
+
 void exchange_push(pooler_t *pooler)
 {
 	list_for_each (it, &pooler->sync.roster->nodes) {
@@ -171,6 +179,18 @@
 	}
 }
 
+void exchange_ask(const pooler_t *pooler, const roster_node_t *peer)
+{
+	peer_message_t message = {.kind = PEER_ASK, .echo = now_of(pooler)};
+	void *parent = talloc_new(NULL);
+
+	exchange_fill(pooler, &message);
+	message.members_digest = refresh_members_digest(pooler);
+	describe(pooler, message.echo, &message, parent);
+	send_to(pooler, peer->name, peer->address, &message);
+	talloc_free(parent);
+}
+
 static const roster_node_t *other_peer(pooler_t *pooler)
 {
 	const roster_t *roster = pooler->sync.roster;
@@ -217,6 +237,7 @@
 	char *told;
 
 	exchange_fill(pooler, &message);
+	message.members_digest = refresh_members_digest(pooler);
 	describe(pooler, now, &message, parent);
 	told = talloc_asprintf(parent, "%s/%s/%s/%" PRId64, message.down, message.in_use,
 			       message.scarce, message.revision);
@@ -244,34 +265,37 @@
 
 peer_report_t *exchange_get_report(pooler_t *pooler, const char *name)
 {
+	sync_t *sync = &pooler->sync;
 	peer_report_t *report;
 
-	list_for_each (it, &pooler->sync.reports) {
-		report = list_entry(it, peer_report_t, node);
-		if (strcmp(report->name, name) == 0)
-			return report;
-	}
+	HASH_FIND_STR(sync->by_name, name, report);
+	if (report != NULL)
+		return report;
 	report = talloc_zero(pooler, peer_report_t);
 	report->name = talloc_strdup(report, name);
-	list_add_tail(&pooler->sync.reports, &report->node);
+	list_add_tail(&sync->reports, &report->node);
+	HASH_ADD_KEYPTR(hh, sync->by_name, report->name, strlen(name), report);
 	return report;
 }
 
 const peer_report_t *exchange_report(const pooler_t *pooler, const char *name)
 {
-	list_for_each (it, &pooler->sync.reports) {
-		const peer_report_t *report = list_entry(it, peer_report_t, node);
+	const peer_report_t *report;
 
-		if (strcmp(report->name, name) == 0)
-			return report;
-	}
-	return NULL;
+	HASH_FIND_STR(pooler->sync.by_name, name, report);
+	return report;
 }
 
-static void replace(peer_report_t *report, char **field, const char *text)
+/* True if the text is another one than before. */
+static bool replace(peer_report_t *report, char **field, const char *text)
 {
+	if (text == NULL)
+		text = "";
+	if (*field != NULL && strcmp(*field, text) == 0)
+		return false;
 	talloc_free(*field);
-	*field = talloc_strdup(report, text != NULL ? text : "");
+	*field = talloc_strdup(report, text);
+	return true;
 }
 
 static void note_access(peer_report_t *report, const peer_message_t *message, usec_t now)
@@ -283,21 +307,25 @@
 static void on_ask(pooler_t *pooler, const peer_message_t *message)
 {
 	peer_report_t *report = exchange_get_report(pooler, message->from);
+	bool news;
 
 	/* Of an earlier process of that proxy, delivered late. */
 	if (message->incarnation < report->incarnation)
 		return;
 	report->incarnation = message->incarnation;
 	report->heard_at = now_of(pooler);
+	news = report->revision != message->revision;
 	report->revision = message->revision;
 	report->fleet = message->fleet;
 	note_access(report, message, now_of(pooler));
-	replace(report, &report->down, message->down);
+	news |= replace(report, &report->down, message->down);
+	news |= replace(report, &report->in_use, message->in_use);
 	replace(report, &report->alive, message->alive);
-	replace(report, &report->in_use, message->in_use);
 	lend_on_heard(pooler, message->scarce, now_of(pooler));
 	send_state(pooler, message->from, message->address, message);
-	if (hold_is_ours(pooler, now_of(pooler)))
+	join_on_ask(pooler, message);
+	/* Only what a change may wait for: with 75 proxies four questions a second each come in. */
+	if (news && hold_is_ours(pooler, now_of(pooler)))
 		duty_tick(pooler, now_of(pooler));
 }
 
@@ -348,6 +376,8 @@
 
 void exchange_on_message(pooler_t *pooler, const peer_message_t *message)
 {
+	if (message->kind != PEER_RESULT)
+		forward_on_heard(pooler, message->from);
 	switch (message->kind) {
 	case PEER_ASK:
 		on_ask(pooler, message);
@@ -356,7 +386,7 @@
 		on_state(pooler, message);
 		break;
 	case PEER_REQUEST:
-		forward_on_request(pooler, message);
+		job_on_request(pooler, message);
 		break;
 	case PEER_RESULT:
 		forward_on_result(pooler, message);
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -8,6 +8,7 @@
 #include "conn.h"
 #include "dispatch.h"
 #include "exchange.h"
+#include "home.h"
 #include "lend.h"
 #include "permit.h"
 
@@ -25,12 +26,13 @@
 /* A read that is not answered by then is tried again: several times what a loaded member takes. */
 #define READ_PATIENCE (300 * USEC_PER_MSEC)
 
+/* Of a result from its proxy to us, with what both need to get to it under load. */
+#define RESULT_WAYS (20 * USEC_PER_MSEC)
+
 COUNTER_DEFINE(forwarded_total, "statements_forwarded_total", COUNTER_SUM,
 	       "Statements handed to another proxy.");
 COUNTER_DEFINE(unanswered_total, "statements_forwarded_unanswered_total", COUNTER_SUM,
 	       "Of these, reads that were tried again without an answer.");
-COUNTER_DEFINE(jobs_total, "statements_run_for_others_total", COUNTER_SUM,
-	       "Statements run for another proxy.");
 
 /* --- handing on --- */
 
@@ -66,24 +68,76 @@
 	return best;
 }
 
-static void send_request(caller_t *caller, const roster_node_t *helper, usec_t now)
+/* False if it was certainly not sent. */
+static bool send_request(caller_t *caller, const roster_node_t *helper,
+			 const statement_t *statement, usec_t now)
 {
 	pooler_t *pooler = caller->pooler;
+	usec_t left = caller->deadline > now ? caller->deadline - now : 0;
 	forward_request_t request = {
 		.number = caller->forward_number,
 		.database = caller->database,
-		.left = caller->deadline > now ? caller->deadline - now : 0,
-		.statement = &caller->statement,
+		/* So that a refusal, which promises something, comes before we give up. */
+		.left = left > RESULT_WAYS ? left - RESULT_WAYS : left,
+		.statement = statement,
 		.variables = &caller->variables,
 		.has_commit = caller->has_commit,
 		.commit = caller->commit,
+		.session = caller->remote,
+		.begins = !caller->tx_ran,
+		.read_only = caller->tx_read_only,
 	};
 	peer_message_t message = {.kind = PEER_REQUEST, .request = &request};
 
 	if (caller->exec != NULL)
 		request.shape = slice_of(caller->exec->shape, strlen(caller->exec->shape));
 	exchange_fill(pooler, &message);
-	pooler->env->ops->peer_send(pooler->env, helper->name, helper->address, &message);
+	return pooler->env->ops->peer_send(pooler->env, helper->name, helper->address, &message);
+}
+
+/* The statement is at the helper from now on; false if there is no link to that one yet. */
+static bool hand_over(caller_t *caller, const roster_node_t *helper, usec_t now)
+{
+	pooler_t *pooler = caller->pooler;
+
+	caller->forward_number = ++pooler->forward_count;
+	if (!send_request(caller, helper, &caller->statement, now)) {
+		caller->forward_number = 0;
+		return false;
+	}
+	caller->forwarded_at = now;
+	caller->placed_at = now;
+	list_add_tail(&pooler->forwarded, &caller->forwarded);
+	counter_add(&forwarded_total, 1);
+	home_on_sent(pooler, helper->name, now);
+	return true;
+}
+
+static void set_helper(caller_t *caller, const char *name)
+{
+	char *copy = talloc_strdup(caller, name);
+
+	talloc_free(caller->helper);
+	caller->helper = copy;
+}
+
+bool forward_to_home(caller_t *caller, usec_t now)
+{
+	pooler_t *pooler = caller->pooler;
+	const roster_node_t *home;
+
+	if (caller->job != NULL || !home_applies(caller->service) ||
+	    permit_primary(caller->service, now) == NULL)
+		return false;
+	home = home_find(caller->service, now);
+	if (home == NULL || strcmp(home->name, pooler->config.name) == 0)
+		return false;
+	if (caller->tx == TX_OPEN)
+		caller->remote = ++pooler->forward_count;
+	set_helper(caller, home->name);
+	if (!hand_over(caller, home, now))
+		caller->remote = 0;
+	return caller->forward_number != 0;
 }
 
 bool forward_try(caller_t *caller, usec_t now)
@@ -98,15 +152,36 @@
 	helper = find_helper(pooler, primary, now);
 	if (helper == NULL)
 		return false;
-	caller->forward_number = ++pooler->forward_count;
-	caller->forwarded_at = now;
-	caller->placed_at = now;
-	talloc_free(caller->helper);
-	caller->helper = talloc_strdup(caller, helper->name);
-	list_add_tail(&pooler->forwarded, &caller->forwarded);
-	counter_add(&forwarded_total, 1);
-	send_request(caller, helper, now);
-	return true;
+	set_helper(caller, helper->name);
+	return hand_over(caller, helper, now);
+}
+
+bool forward_go_on(caller_t *caller, usec_t now)
+{
+	const pooler_t *pooler = caller->pooler;
+	const roster_node_t *helper = roster_node(pooler->sync.roster, caller->helper);
+
+	if (helper == NULL || helper->gone || home_is_suspect(pooler, caller->helper, now))
+		return false;
+	return hand_over(caller, helper, now);
+}
+
+void forward_end(caller_t *caller)
+{
+	static const statement_t rollback = {
+		.kind = STATEMENT_ROLLBACK,
+		.id = {.at = "end", .len = 3},
+		.text = {.at = "ROLLBACK", .len = 8},
+	};
+	const roster_node_t *helper;
+
+	if (caller->remote == 0)
+		return;
+	helper = roster_node(caller->pooler->sync.roster, caller->helper);
+	/* If this is lost, the transaction ends by the limit for idle ones. */
+	if (helper != NULL)
+		send_request(caller, helper, &rollback, now_of(caller->pooler));
+	caller->remote = 0;
 }
 
 void forward_forget(caller_t *caller)
@@ -133,10 +208,33 @@
 	caller_t *caller = find_forwarded(pooler, message->result->number);
 
 	/* Given up meanwhile, or asked of somebody else since. */
-	if (caller == NULL || strcmp(caller->helper, message->from) != 0)
-		return;
-	forward_forget(caller);
-	caller_on_forwarded(caller, message->result);
+	if (caller != NULL && strcmp(caller->helper, message->from) == 0)
+		forward_forget(caller);
+	else
+		caller = NULL;
+	forward_on_heard(pooler, message->from);
+	if (message->result->declined)
+		home_on_declined(pooler, message->from, now_of(pooler));
+	if (caller != NULL)
+		caller_on_forwarded(caller, message->result);
+}
+
+void forward_on_heard(pooler_t *pooler, const char *peer)
+{
+	const peer_report_t *report = exchange_report(pooler, peer);
+
+	if (report != NULL && report->unanswered_since != 0)
+		home_on_heard(pooler, peer, count_at(pooler, peer), now_of(pooler));
+}
+
+/* Nothing more is expected of the helper for what the caller has asked. */
+static bool is_given_up(const caller_t *caller, usec_t now)
+{
+	if (caller_may_keep(caller))
+		return false;
+	if (home_applies(caller->service))
+		return home_is_suspect(caller->pooler, caller->helper, now);
+	return now >= caller->forwarded_at + READ_PATIENCE;
 }
 
 void forward_tick(pooler_t *pooler, usec_t now)
@@ -144,7 +242,7 @@
 	list_for_each_safe (it, &pooler->forwarded) {
 		caller_t *caller = list_entry(it, caller_t, forwarded);
 
-		if (caller_may_keep(caller) || now < caller->forwarded_at + READ_PATIENCE)
+		if (!is_given_up(caller, now))
 			continue;
 		forward_forget(caller);
 		counter_add(&unanswered_total, 1);
@@ -152,8 +250,6 @@
 	}
 }
 
-/* --- running for others --- */
-
 char *forward_spare(const pooler_t *pooler, const char *members, void *parent)
 {
 	char *spare = talloc_strdup(parent, "");
@@ -169,96 +265,3 @@
 	}
 	return spare;
 }
-
-static void send_result(const pooler_t *pooler, const char *to, const char *address,
-			const forward_result_t *result)
-{
-	peer_message_t message = {.kind = PEER_RESULT, .result = result};
-
-	exchange_fill(pooler, &message);
-	pooler->env->ops->peer_send(pooler->env, to, address, &message);
-}
-
-static void refuse(const pooler_t *pooler, const peer_message_t *message)
-{
-	forward_result_t result = {
-		.number = message->request->number,
-		.member = "",
-		.code = CODE_BUSY,
-		.text = "the proxy that helps can't",
-	};
-
-	send_result(pooler, message->from, message->address, &result);
-}
-
-/* The session as far as its statement needs it. */
-static void give_session(caller_t *caller, const forward_request_t *request)
-{
-	const statement_t *statement = request->statement;
-
-	list_for_each (it, &request->variables->list) {
-		const variable_t *variable = list_entry(it, variable_t, node);
-
-		variables_set(&caller->variables, caller,
-			      slice_of(variable->name, strlen(variable->name)),
-			      slice_of(variable->value, strlen(variable->value)));
-	}
-	if (statement->kind == STATEMENT_EXEC)
-		prepared_put(&caller->prepared, caller, statement->name, request->shape,
-			     statement->writes);
-	caller->has_commit = request->has_commit;
-	caller->commit = request->commit;
-	caller->committed_at = now_of(caller->pooler);
-}
-
-void forward_on_request(pooler_t *pooler, const peer_message_t *message)
-{
-	const forward_request_t *request = message->request;
-	caller_t *caller;
-	code_t code;
-	job_t *job;
-
-	/* By an older one the sender would fall back behind what it has shown its callers. */
-	if (pooler->draining || pooler->routes == NULL ||
-	    pooler->routes->version != message->config_version) {
-		refuse(pooler, message);
-		return;
-	}
-	job = talloc_zero(pooler, job_t);
-	caller = pooler_caller_open(pooler, request->database, job, &code);
-	if (caller == NULL) {
-		talloc_free(job);
-		refuse(pooler, message);
-		return;
-	}
-	counter_add(&jobs_total, 1);
-	caller->job = talloc_steal(caller, job);
-	job->from = talloc_strdup(job, message->from);
-	job->address = talloc_strdup(job, message->address);
-	job->number = request->number;
-	job->left = request->left;
-	give_session(caller, request);
-	caller_on_statement(caller, request->statement);
-}
-
-void forward_answer(caller_t *caller, const caller_reply_t *reply, const reply_t *from)
-{
-	job_t *job = caller->job;
-	forward_result_t result = {
-		.number = job->number,
-		.is_raw = from != NULL,
-		.member = caller->conn != NULL ? caller->conn->member->id : "",
-		.code = reply->code,
-		.text = reply->text != NULL ? reply->text : "",
-	};
-
-	if (from != NULL) {
-		result.raw = from->raw;
-		result.ok = from->ok;
-		result.code = from->code;
-		result.has_position = from->has_position;
-		result.position = from->position;
-	}
-	job->done = true;
-	send_result(caller->pooler, job->from, job->address, &result);
-}
--- /dev/null
+++ b/pooler/home.c
@@ -0,0 +1,281 @@
+#include "home.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "exchange.h"
+#include "member.h"
+
+#define LOG_MODULE "home"
+#include "counter.h"
+#include "log.h"
+
+/*
+ * Proxies for each connection of a member above which homes hold them, in percent. Below that every
+ * proxy can have one of its own, and a way more for each statement gains nothing.
+ */
+#define DIRECT_PERCENT 50
+/* Connections to a member that make a home worth having; with fewer there are fewer homes. */
+#define HOME_LEAST 2
+/* A home with a statement unanswered for so long is asked whether it lives: usual work and more. */
+#define PING_AFTER (100 * USEC_PER_MSEC)
+/* Between two such questions. */
+#define PING_INTERVAL (100 * USEC_PER_MSEC)
+/* Nothing heard for so long since it was handed a statement: a question, its answer and a tick. */
+#define SUSPECT_AFTER (250 * USEC_PER_MSEC)
+/* One that declined, since it shuts down or has another configuration, is left alone for so long.
+ */
+#define DECLINED_FOR (100 * USEC_PER_MSEC)
+/* Who was handed a statement keeps connections for so long after. */
+#define SERVES_FOR (2 * USEC_PER_SEC)
+
+COUNTER_DEFINE(suspected_total, "homes_suspected_total", COUNTER_SUM,
+	       "Times that a proxy which holds connections for us did not answer.");
+
+bool home_applies(const service_t *service)
+{
+	return service->pooler->sync.proxies * 100 >
+	       (size_t)service->max_connections * DIRECT_PERCENT;
+}
+
+/* --- the order of the candidates --- */
+
+typedef struct candidate {
+	const roster_node_t *node;
+	bool near;  /* in our zone */
+	bool first; /* of its zone, by hash */
+	uint64_t hash;
+} candidate_t;
+
+static int by_hash(const void *a, const void *b)
+{
+	const candidate_t *x = a;
+	const candidate_t *y = b;
+
+	return (x->hash > y->hash) - (x->hash < y->hash);
+}
+
+static uint64_t hash_of(const char *name, const char *service)
+{
+	return XXH64(name, strlen(name), XXH64(service, strlen(service), 0));
+}
+
+/* candidates are sorted by hash. */
+static bool is_first_of_zone(const candidate_t *candidates, size_t index)
+{
+	for (size_t i = 0; i < index; i++) {
+		if (strcmp(candidates[i].node->zone, candidates[index].node->zone) == 0)
+			return false;
+	}
+	return true;
+}
+
+/* The proxies of the roster, sorted by hash, as a child of parent. */
+static candidate_t *list_candidates(const service_t *service, void *parent, size_t *count)
+{
+	const pooler_t *pooler = service->pooler;
+	candidate_t *candidates = talloc_array(parent, candidate_t, pooler->sync.proxies);
+
+	*count = 0;
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (node->gone)
+			continue;
+		candidates[(*count)++] = (candidate_t){
+			.node = node,
+			.near = strcmp(node->zone, pooler->config.zone) == 0,
+			.hash = hash_of(node->name, service->name),
+		};
+	}
+	qsort(candidates, *count, sizeof(*candidates), by_hash);
+	for (size_t i = 0; i < *count; i++)
+		candidates[i].first = is_first_of_zone(candidates, i);
+	return candidates;
+}
+
+/* As many as there are zones, or fewer if each would have too few connections. */
+static size_t count_homes(const service_t *service, const candidate_t *candidates, size_t count)
+{
+	size_t most = (size_t)service->max_connections / MEMBER_SHARED_PART / HOME_LEAST;
+	size_t zones = 0;
+
+	for (size_t i = 0; i < count; i++)
+		zones += candidates[i].first;
+	if (most == 0)
+		most = 1;
+	return zones < most ? zones : most;
+}
+
+static void keep(homes_t *homes, const candidate_t *candidate)
+{
+	if (homes->len < HOME_CANDIDATES)
+		homes->names[homes->len++] = talloc_strdup(homes->parent, candidate->node->name);
+}
+
+static void work_out(service_t *service)
+{
+	homes_t *homes = &service->homes;
+	size_t count;
+	candidate_t *candidates = list_candidates(service, NULL, &count);
+	size_t kept = 0;
+	bool has_near = false;
+
+	talloc_free(homes->parent);
+	homes->parent = talloc_new(service);
+	homes->revision = service->pooler->sync.roster->revision;
+	homes->len = 0;
+	homes->count = count_homes(service, candidates, count);
+	/* Our zone's home, and who takes its place; then the homes of the others. */
+	for (size_t i = 0; i < count && kept < homes->count; i++) {
+		kept += candidates[i].first;
+		has_near = has_near || (candidates[i].first && candidates[i].near);
+	}
+	for (size_t i = 0; i < count && homes->len < HOME_IN_ZONE && has_near; i++) {
+		if (candidates[i].near)
+			keep(homes, &candidates[i]);
+	}
+	for (size_t i = 0; i < count; i++) {
+		if (candidates[i].first && !(has_near && candidates[i].near))
+			keep(homes, &candidates[i]);
+	}
+	talloc_free(candidates);
+}
+
+/* A link is made with the first message, which may be lost; so it is none of a caller's. */
+static void warm_up(const service_t *service)
+{
+	pooler_t *pooler = service->pooler;
+
+	for (size_t i = 0; i < service->homes.len && home_applies(service); i++) {
+		const char *name = service->homes.names[i];
+		peer_report_t *report = exchange_get_report(pooler, name);
+
+		if (report->pinged_at != 0 || strcmp(name, pooler->config.name) == 0)
+			continue;
+		report->pinged_at = now_of(pooler);
+		exchange_ask(pooler, roster_node(pooler->sync.roster, name));
+	}
+}
+
+static const homes_t *homes_of(service_t *service)
+{
+	if (service->homes.parent == NULL ||
+	    service->homes.revision != service->pooler->sync.roster->revision)
+		work_out(service);
+	return &service->homes;
+}
+
+size_t home_count(const service_t *service)
+{
+	return service->homes.count != 0 ? service->homes.count : 1;
+}
+
+/* --- who serves --- */
+
+static bool is_usable(const pooler_t *pooler, const char *name, usec_t now)
+{
+	const peer_report_t *report = exchange_report(pooler, name);
+
+	return report == NULL ||
+	       (now >= report->declined_until && !home_is_suspect(pooler, name, now));
+}
+
+const roster_node_t *home_find(service_t *service, usec_t now)
+{
+	const pooler_t *pooler = service->pooler;
+	const homes_t *homes = homes_of(service);
+
+	for (size_t i = 0; i < homes->len; i++) {
+		if (strcmp(homes->names[i], pooler->config.name) == 0 ||
+		    is_usable(pooler, homes->names[i], now))
+			return roster_node(pooler->sync.roster, homes->names[i]);
+	}
+	return NULL;
+}
+
+bool home_serves(service_t *service, usec_t now)
+{
+	const roster_node_t *home;
+
+	if (service->served_others != 0 && now < service->served_others + SERVES_FOR)
+		return true;
+	home = home_find(service, now);
+	return home != NULL && strcmp(home->name, service->pooler->config.name) == 0;
+}
+
+/* --- what is known of a peer --- */
+
+void home_on_sent(pooler_t *pooler, const char *name, usec_t now)
+{
+	peer_report_t *report = exchange_get_report(pooler, name);
+
+	if (report->unanswered_since == 0)
+		report->unanswered_since = now;
+}
+
+void home_on_heard(pooler_t *pooler, const char *name, size_t outstanding, usec_t now)
+{
+	peer_report_t *report = exchange_get_report(pooler, name);
+
+	if (report->suspected)
+		LOG_EVENT(LOG_INFO, "home answers again", LOG_STR("proxy", name));
+	report->suspected = false;
+	report->unanswered_since = outstanding != 0 ? now : 0;
+}
+
+void home_on_declined(pooler_t *pooler, const char *name, usec_t now)
+{
+	exchange_get_report(pooler, name)->declined_until = now + DECLINED_FOR;
+}
+
+bool home_is_suspect(const pooler_t *pooler, const char *name, usec_t now)
+{
+	const peer_report_t *report = exchange_report(pooler, name);
+
+	return report != NULL && report->unanswered_since != 0 &&
+	       now >= report->unanswered_since + SUSPECT_AFTER;
+}
+
+static void suspect(peer_report_t *report, usec_t now)
+{
+	if (report->suspected || now < report->unanswered_since + SUSPECT_AFTER)
+		return;
+	report->suspected = true;
+	counter_add(&suspected_total, 1);
+	LOG_EVENT(
+		LOG_WARN, "home does not answer", LOG_STR("proxy", report->name),
+		LOG_INT("silent_ms", (int64_t)((now - report->unanswered_since) / USEC_PER_MSEC)));
+}
+
+void home_tick(pooler_t *pooler, usec_t now)
+{
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+
+		if (home_applies(service)) {
+			homes_of(service);
+			warm_up(service);
+		}
+	}
+	list_for_each (it, &pooler->sync.reports) {
+		peer_report_t *report = list_entry(it, peer_report_t, node);
+		const roster_node_t *node;
+
+		if (report->unanswered_since == 0 || now < report->unanswered_since + PING_AFTER)
+			continue;
+		suspect(report, now);
+		node = roster_node(pooler->sync.roster, report->name);
+		if (node == NULL || node->gone) {
+			report->unanswered_since = 0;
+			continue;
+		}
+		if (now < report->pinged_at + PING_INTERVAL)
+			continue;
+		report->pinged_at = now;
+		exchange_ask(pooler, node);
+	}
+}
--- /dev/null
+++ b/pooler/join.c
@@ -0,0 +1,189 @@
+#include "join.h"
+
+#include <talloc.h>
+
+#include "exchange.h"
+#include "permit.h"
+#include "sync.h"
+
+#define LOG_MODULE "join"
+#include "counter.h"
+#include "log.h"
+
+/*
+ * Whoever was asked adds us within this, or we try again ourselves: its write under way, the next
+ * one, and the ways; more when the store is slow.
+ */
+#define ADDED_WITHIN (150 * USEC_PER_MSEC)
+
+COUNTER_DEFINE(added_total, "proxies_added_total", COUNTER_SUM,
+	       "Proxies that this one has put on the roster since they asked.");
+
+/* A proxy that wants to be added. */
+typedef struct joiner {
+	list_t node; /* in sync_t.joiners */
+	char *name;
+	char *address;
+	char *zone;
+	uint64_t incarnation;
+} joiner_t;
+
+/* --- our own entry --- */
+
+static void on_registered(void *data, const kv_result_t *result)
+{
+	pooler_t *pooler = data;
+	sync_t *sync = &pooler->sync;
+
+	sync->registering = false;
+	sync->join_failed = result->status == KV_CONFLICT;
+	if (result->status == KV_OK)
+		LOG_EVENT(LOG_INFO, "on the roster", LOG_INT("roster", sync->roster->revision));
+	else
+		join_run(pooler, now_of(pooler));
+}
+
+/*
+ * Incarnations come from the time of day, which may have stepped back since our last life. The
+ * others would take our messages for late ones of that life, and our entry for one without a
+ * process.
+ */
+static void outgrow_last_life(pooler_t *pooler)
+{
+	const roster_node_t *entry = roster_node(pooler->sync.roster, pooler->config.name);
+
+	if (entry != NULL && entry->incarnation > pooler->config.incarnation)
+		pooler->config.incarnation = entry->incarnation + 1;
+}
+
+static void write_own_entry(pooler_t *pooler)
+{
+	roster_t *roster;
+
+	pooler->sync.registering = true;
+	outgrow_last_life(pooler);
+	roster = roster_copy(NULL, pooler->sync.roster);
+	roster_put_node(roster, pooler->config.name, pooler->config.address, pooler->config.zone,
+			pooler->config.incarnation);
+	sync_commit(pooler, roster, on_registered, pooler);
+	talloc_free(roster);
+}
+
+/* False if the proxy that wrote last can't be asked. */
+static bool ask_writer(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+	const roster_node_t *writer = sync->roster->writer != NULL
+					      ? roster_node(sync->roster, sync->roster->writer)
+					      : NULL;
+
+	if (!sync->join_failed || writer == NULL || writer->gone ||
+	    strcmp(writer->name, pooler->config.name) == 0)
+		return false;
+	sync->join_failed = false;
+	sync->join_wait = now + ADDED_WITHIN;
+	outgrow_last_life(pooler);
+	exchange_ask(pooler, writer);
+	return true;
+}
+
+/* A proxy that is not on the roster uses no primary. */
+static void register_self(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (sync->registering || sync->reading || sync->confirmed_at == USEC_NEVER ||
+	    pooler->draining || permit_is_registered(pooler) || now < sync->join_wait)
+		return;
+	if (!ask_writer(pooler, now))
+		write_own_entry(pooler);
+}
+
+/* --- those that ask us --- */
+
+void join_on_ask(pooler_t *pooler, const peer_message_t *message)
+{
+	const roster_node_t *node = roster_node(pooler->sync.roster, message->from);
+	joiner_t *joiner;
+
+	if (pooler->draining || !permit_is_registered(pooler) || message->zone == NULL ||
+	    (node != NULL && !node->gone && node->incarnation >= message->incarnation))
+		return;
+	joiner = talloc_zero(pooler, joiner_t);
+	joiner->name = talloc_strdup(joiner, message->from);
+	joiner->address = talloc_strdup(joiner, message->address);
+	joiner->zone = talloc_strdup(joiner, message->zone);
+	joiner->incarnation = message->incarnation;
+	list_add_tail(&pooler->sync.joiners, &joiner->node);
+	join_run(pooler, now_of(pooler));
+}
+
+static void forget(joiner_t *joiner)
+{
+	list_del(&joiner->node);
+	talloc_free(joiner);
+}
+
+static bool is_on(const roster_t *roster, const joiner_t *joiner)
+{
+	const roster_node_t *node = roster_node(roster, joiner->name);
+
+	return node != NULL && !node->gone && node->incarnation >= joiner->incarnation;
+}
+
+/* Tell those that are on the roster now. */
+static void tell_added(pooler_t *pooler)
+{
+	const roster_t *roster = pooler->sync.roster;
+
+	list_for_each_safe (it, &pooler->sync.joiners) {
+		joiner_t *joiner = list_entry(it, joiner_t, node);
+
+		if (!is_on(roster, joiner))
+			continue;
+		counter_add(&added_total, 1);
+		exchange_tell(pooler, joiner->name, joiner->address);
+		forget(joiner);
+	}
+}
+
+static void on_added(void *data, const kv_result_t *result)
+{
+	pooler_t *pooler = data;
+
+	pooler->sync.adding = false;
+	tell_added(pooler);
+	/* Without an answer they try for themselves. */
+	if (result->status == KV_OK || result->status == KV_CONFLICT) {
+		join_run(pooler, now_of(pooler));
+		return;
+	}
+	list_for_each_safe (it, &pooler->sync.joiners)
+		forget(list_entry(it, joiner_t, node));
+}
+
+static void add_others(pooler_t *pooler)
+{
+	sync_t *sync = &pooler->sync;
+	roster_t *roster;
+
+	if (sync->adding || list_empty(&sync->joiners))
+		return;
+	sync->adding = true;
+	roster = roster_copy(NULL, sync->roster);
+	list_for_each (it, &sync->joiners) {
+		const joiner_t *joiner = list_entry(it, joiner_t, node);
+
+		if (!is_on(roster, joiner))
+			roster_put_node(roster, joiner->name, joiner->address, joiner->zone,
+					joiner->incarnation);
+	}
+	sync_commit(pooler, roster, on_added, pooler);
+	talloc_free(roster);
+}
+
+void join_run(pooler_t *pooler, usec_t now)
+{
+	register_self(pooler, now);
+	add_others(pooler);
+}
--- /dev/null
+++ b/pooler/join.h
@@ -0,0 +1,14 @@
+/*
+ * Getting on the roster. It changes by one write after another, each on top of the last one: of a
+ * fleet that starts at once, all but one fail each time. So whoever fails asks the proxy that
+ * wrote last, and that one adds all that have asked it meanwhile with its next write.
+ */
+#pragma once
+
+#include "state.h"
+
+/* A question of a proxy that may not be on the roster yet. */
+void join_on_ask(pooler_t *pooler, const peer_message_t *message);
+
+/* Put ourselves on the roster, and those that have asked us for it. */
+void join_run(pooler_t *pooler, usec_t now);
--- a/pooler/kv.h
+++ b/pooler/kv.h
@@ -19,7 +19,8 @@
 
 typedef enum {
 	KV_OK,
-	KV_CONFLICT,  /* a condition did not hold; nothing was done */
+	/* A condition did not hold; nothing was done. May bring what its keys hold instead. */
+	KV_CONFLICT,
 	KV_NOT_FOUND, /* no such lease */
 	KV_COMPACTED, /* the history that a watch asked for is gone */
 	KV_REFUSED,   /* turned away; nothing was done */
--- a/pooler/lend.c
+++ b/pooler/lend.c
@@ -2,6 +2,7 @@
 
 #include "conn.h"
 #include "exchange.h"
+#include "home.h"
 #include "member.h"
 
 #define LOG_MODULE "lend"
@@ -96,7 +97,7 @@
 /* Not even one connection each. */
 static bool is_short(const service_t *service)
 {
-	return service->max_connections > 0 &&
+	return service->max_connections > 0 && !home_applies(service) &&
 	       service->pooler->sync.proxies > (size_t)service->max_connections;
 }
 
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -7,6 +7,7 @@
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
+#include "home.h"
 #include "lend.h"
 
 #define LOG_MODULE "member"
@@ -34,12 +35,6 @@
 #define OVERDUE_FLOOR  (50 * USEC_PER_MSEC)
 /* A connection whose caller gave up is kept for a late answer so long. */
 #define ORPHAN_TIME (150 * USEC_PER_MSEC)
-/*
- * The part of a member's connections that is shared out evenly. The rest is for demand, and
- * for the fleet after a loss of power: a member keeps the connections of machines that are
- * gone for 3 s, and with all of them in use nobody can be served until then.
- */
-#define SHARED_PART 2
 /*
  * What one proxy may borrow beyond its share. With an eighth a fleet of 12 uses up all connections
  * of a member that takes 16, and after a loss of power none is left for 3 s. Means of four or five
@@ -252,10 +247,20 @@
 	close_idle(member, now);
 }
 
+/* Proxies that have connections to the service's members in normal times. */
+static size_t sharers(const service_t *service)
+{
+	return home_applies(service) ? home_count(service) : service->pooler->sync.proxies;
+}
+
 size_t member_share(const member_t *member)
 {
-	size_t nodes = member->pooler->sync.proxies;
-	size_t shared = (size_t)member->service->max_connections / SHARED_PART;
+	size_t nodes = sharers(member->service);
+	size_t shared = (size_t)member->service->max_connections / MEMBER_SHARED_PART;
+
+	/* What is opened all the same, since no home answers, is closed when it is idle. */
+	if (home_applies(member->service) && !home_serves(member->service, now_of(member->pooler)))
+		return 0;
 
 	return nodes != 0 && shared > nodes ? shared / nodes : 1;
 }
@@ -284,7 +289,7 @@
  */
 bool member_has_room(const member_t *member)
 {
-	size_t proxies = member->pooler->sync.proxies;
+	size_t proxies = sharers(member->service);
 	size_t most = (size_t)member->slots * STATEMENTS_PER_SLOT;
 
 	/* Rounded up, so that each proxy may have one; an entry without slots tells nothing. */
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -6,6 +6,13 @@
 
 #include "state.h"
 
+/*
+ * The part of a member's connections that is shared out evenly. The rest is for demand, and
+ * for the fleet after a loss of power: a member keeps the connections of machines that are
+ * gone for 3 s, and with all of them in use nobody can be served until then.
+ */
+#define MEMBER_SHARED_PART 2
+
 /* A member without any reply for so long while it owes one is asked by a new connection. */
 #define MEMBER_SILENCE (200 * USEC_PER_MSEC)
 /* A probe unanswered for so long means that the member is down: 20 handshakes' time. */
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -11,6 +11,8 @@
 #include "exchange.h"
 #include "forward.h"
 #include "hold.h"
+#include "home.h"
+#include "job.h"
 #include "member.h"
 #include "permit.h"
 #include "refresh.h"
@@ -131,7 +133,7 @@
 	list_for_each_safe (it, &pooler->callers) {
 		caller_t *caller = list_entry(it, caller_t, node);
 
-		if (caller->job != NULL && caller->job->done) {
+		if (job_is_over(caller)) {
 			caller_on_gone(caller);
 			continue;
 		}
@@ -185,6 +187,7 @@
 	relay_tick(pooler->relay, now);
 	sync_tick(pooler, now);
 	exchange_tick(pooler, now);
+	home_tick(pooler, now);
 	forward_tick(pooler, now);
 	duty_tick(pooler, now);
 	list_for_each (it, &pooler->services) {
@@ -204,6 +207,7 @@
 static int pooler_destructor(pooler_t *pooler)
 {
 	timers_cancel(pooler->timers, &pooler->tick);
+	sync_destroy(pooler);
 	list_for_each (it, &pooler->services)
 		timers_cancel(pooler->timers, &list_entry(it, service_t, node)->retry);
 	list_for_each (it, &pooler->callers)
--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -11,8 +11,11 @@
 #include "counter.h"
 #include "log.h"
 
-/* After a failure of our own call, others go through a peer at once for so long. */
-#define DIRECT_RETRY (1 * USEC_PER_SEC)
+/*
+ * While our own calls fail all go through a peer at once: a renewal that is tried first on our own
+ * costs most of the time that a hold has left. Our own access is tried so often.
+ */
+#define PROBE_INTERVAL (1 * USEC_PER_SEC)
 /* What a peer says of its access to the store counts for so long: two of its questions and a half.
  */
 #define ACCESS_VALID (700 * USEC_PER_MSEC)
@@ -23,6 +26,13 @@
 /* The ways between proxies, on top of the time that the peer gives its own call. */
 #define WAYS (100 * USEC_PER_MSEC)
 
+/* Our own calls are given up after so many times the usual wait, but not before or after these. */
+#define PATIENCE_FACTOR 6
+#define PATIENCE_LEAST	(250 * USEC_PER_MSEC)
+#define PATIENCE_MOST	(1500 * USEC_PER_MSEC)
+/* Smoothing of that wait: a quarter of each new one. */
+#define RESPONSE_WEIGHT 4
+
 COUNTER_DEFINE(relayed_total, "store_calls_relayed_total", COUNTER_SUM,
 	       "Calls to the store that a peer was asked to make.");
 COUNTER_DEFINE(unanswered_total, "store_calls_relayed_unanswered_total", COUNTER_SUM,
@@ -38,7 +48,9 @@
 	uint64_t numbers;
 	size_t jobs;
 	bool cut_off;
-	usec_t failed_at; /* the last call of our own that did */
+	bool probing; /* whether our own calls are answered again */
+	usec_t probe_at;
+	usec_t response; /* smoothed time of our own calls */
 };
 
 /* A call of this proxy that has not ended. */
@@ -50,7 +62,8 @@
 	void *data;
 	char *helper;
 	unsigned helpers; /* asked so far */
-	usec_t asked_at;
+	usec_t began_at;  /* our own try */
+	usec_t asked_at;  /* the helper */
 } call_t;
 
 /* A call that is made for another proxy. */
@@ -72,19 +85,34 @@
 {
 	bool failed = status == KV_REFUSED || status == KV_LOST;
 
-	if (failed)
-		relay->failed_at = now_of(relay->pooler);
 	if (failed == relay->cut_off)
 		return;
 	relay->cut_off = failed;
+	relay->probe_at = now_of(relay->pooler) + PROBE_INTERVAL;
 	LOG_EVENT(failed ? LOG_WARN : LOG_INFO,
 		  failed ? "store can't be reached" : "store is reached again",
 		  LOG_INT("status", status));
 }
 
-static bool must_go_round(const relay_t *relay)
+/*
+ * How long our own calls are waited for. An answer that is lost is noticed after some times the
+ * usual wait, not after the longest one that a slow store needs.
+ */
+static void learn_patience(relay_t *relay, kv_status_t status, usec_t took)
 {
-	return relay->cut_off && now_of(relay->pooler) < relay->failed_at + DIRECT_RETRY;
+	usec_t patience;
+
+	if (status == KV_LOST && took > relay->response)
+		relay->response = took;
+	else if (status == KV_OK)
+		relay->response =
+			(relay->response * (RESPONSE_WEIGHT - 1) + took) / RESPONSE_WEIGHT;
+	patience = relay->response * PATIENCE_FACTOR;
+	if (patience < PATIENCE_LEAST)
+		patience = PATIENCE_LEAST;
+	if (patience > PATIENCE_MOST)
+		patience = PATIENCE_MOST;
+	relay->direct->patience_ms = (int64_t)(patience / USEC_PER_MSEC);
 }
 
 static void make_call(kv_t *kv, const store_request_t *request, kv_done_t done, void *data)
@@ -188,14 +216,19 @@
 		result->status == KV_REFUSED || (result->status == KV_LOST && is_repeatable(call));
 
 	note_access(call->relay, result->status);
+	/* A lost renewal must not make the next one wait longer: the hold would end meanwhile. */
+	if (call->request.op == STORE_RANGE)
+		learn_patience(call->relay, result->status,
+			       now_of(call->relay->pooler) - call->began_at);
 	if (!again || !ask_peer(call))
 		finish(call, result);
 }
 
 static void begin(call_t *call)
 {
-	if (must_go_round(call->relay) && ask_peer(call))
+	if (call->relay->cut_off && ask_peer(call))
 		return;
+	call->began_at = now_of(call->relay->pooler);
 	make_call(call->relay->direct, &call->request, on_direct, call);
 }
 
@@ -229,6 +262,24 @@
 	}
 }
 
+static void on_probed(void *data, const kv_result_t *result)
+{
+	relay_t *relay = data;
+
+	relay->probing = false;
+	relay->probe_at = now_of(relay->pooler) + PROBE_INTERVAL;
+	note_access(relay, result->status);
+}
+
+static void probe(relay_t *relay, usec_t now)
+{
+	if (!relay->cut_off || relay->probing || now < relay->probe_at)
+		return;
+	relay->probing = true;
+	relay->direct->ops->range(relay->direct, relay->pooler->config.prefix, "", on_probed,
+				  relay);
+}
+
 void relay_tick(relay_t *relay, usec_t now)
 {
 	usec_t patience = (usec_t)relay->direct->patience_ms * USEC_PER_MSEC + WAYS;
@@ -242,6 +293,7 @@
 		counter_add(&unanswered_total, 1);
 		on_no_help(call, KV_LOST);
 	}
+	probe(relay, now);
 }
 
 /* --- for a peer --- */
@@ -271,7 +323,7 @@
 	const store_request_t *request = message->store;
 	relay_job_t *job;
 
-	if (must_go_round(relay) || relay->pooler->draining || relay->jobs >= JOBS_MAX) {
+	if (relay->cut_off || relay->pooler->draining || relay->jobs >= JOBS_MAX) {
 		answer(relay, message->from, message->address, request->number, &refused);
 		return;
 	}
@@ -391,6 +443,12 @@
 	relay->pooler = pooler;
 	relay->direct = direct;
 	list_init(&relay->calls);
+	/*
+	 * Until the store has answered once it is asked again as soon as if it were quick: a fleet
+	 * that started 0.2 s before the end of an outage waited 0.7 s for calls that were lost in
+	 * it.
+	 */
+	direct->patience_ms = PATIENCE_LEAST / USEC_PER_MSEC;
 	return relay;
 }
 
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -12,13 +12,17 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <uthash.h>
+
 #include "clock.h"
 #include "list.h"
 
 typedef struct roster_node {
 	list_t node;
+	UT_hash_handle hh; /* in roster_t.by_name: every message looks its sender up */
 	char *name;
-	char *address;	      /* for messages between proxies */
+	char *address; /* for messages between proxies */
+	char *zone;
 	uint64_t incarnation; /* of its process */
 	bool gone;	      /* not heard of: it may use no primary, and is removed later */
 } roster_node_t;
@@ -35,7 +39,10 @@
 typedef struct roster {
 	int64_t revision; /* in the store; 0: not there yet */
 	list_t nodes;
+	roster_node_t *by_name;
 	list_t groups;
+	char *writer; /* the proxy that wrote this; NULL: unknown */
+	char *text;   /* encoded; NULL until it is asked for */
 } roster_t;
 
 roster_t *roster_create(void *parent);
@@ -46,13 +53,15 @@
 
 /* Add or replace. */
 roster_node_t *roster_put_node(roster_t *roster, const char *name, const char *address,
-			       uint64_t incarnation);
+			       const char *zone, uint64_t incarnation);
 void roster_remove_node(roster_t *roster, const char *name);
 void roster_put_group(roster_t *roster, const char *service, const char *primary, bool changing,
 		      uint64_t term, uint64_t fence);
 
-/* As JSON text, a child of parent. */
-char *roster_encode(void *parent, const roster_t *roster);
+void roster_set_writer(roster_t *roster, const char *name);
+
+/* As JSON text. It is kept, since a whole fleet is told the same; no change may follow. */
+const char *roster_text(roster_t *roster);
 
 /* NULL if text is no roster. */
 roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -99,9 +99,11 @@
 typedef struct job {
 	char *from; /* the proxy */
 	char *address;
+	uint64_t incarnation;
 	uint64_t number;
-	usec_t left; /* from the job's arrival */
-	bool done;   /* the result was sent */
+	uint64_t session; /* its number of the transaction; 0: a lone statement */
+	usec_t left;	  /* from the job's arrival */
+	bool done;	  /* the last result was sent */
 } job_t;
 
 typedef struct caller {
@@ -153,8 +155,9 @@
 	list_t forwarded;	 /* in pooler_t.forwarded */
 	uint64_t forward_number; /* 0: it is not */
 	usec_t forwarded_at;
-	char *helper; /* that proxy, or the last one that did */
-	job_t *job;   /* NULL: a caller of our own */
+	char *helper;	 /* that proxy, or the last one that did */
+	uint64_t remote; /* number of the transaction that is at the helper; 0: none is */
+	job_t *job;	 /* NULL: a caller of our own */
 } caller_t;
 
 /* --- services --- */
@@ -192,6 +195,19 @@
 	bool kept;	    /* the primary was kept */
 } change_t;
 
+/* Candidates kept for each service: two in our zone, and the homes of two others. */
+#define HOME_CANDIDATES 4
+#define HOME_IN_ZONE	2
+
+/* Who holds a service's connections, in the order in which we ask; see home.h. */
+typedef struct homes {
+	void *parent;	  /* of the names; NULL: not worked out yet */
+	int64_t revision; /* of the roster that it follows from */
+	const char *names[HOME_CANDIDATES];
+	size_t len;   /* of names */
+	size_t count; /* homes in the fleet */
+} homes_t;
+
 typedef struct service {
 	list_t node; /* in pooler_t.services */
 	struct pooler *pooler;
@@ -209,14 +225,17 @@
 	usec_t settled_at;	  /* when the roster last named another primary */
 	int64_t settled_revision; /* of that roster */
 	change_t change;
-	bool taken_up;	  /* the change under way was begun by another proxy */
-	usec_t last_call; /* to promote, by this process; 0: none */
+	homes_t homes;
+	usec_t served_others; /* when a statement of another proxy last came; 0: never */
+	bool taken_up;	      /* the change under way was begun by another proxy */
+	usec_t last_call;     /* to promote, by this process; 0: none */
 } service_t;
 
 /* --- the fleet --- */
 
 typedef struct peer_report {
 	list_t node;
+	UT_hash_handle hh; /* in sync_t.by_name */
 	char *name;
 	uint64_t incarnation;
 	usec_t heard_at;
@@ -227,8 +246,12 @@
 	char *in_use;
 	char *spare; /* members that we lack and that proxy has a connection to */
 	usec_t spare_at;
-	bool cut_off;	       /* the store does not serve it, as it said */
-	usec_t access_at;      /* when it said so, or the contrary; 0: never */
+	bool cut_off;		 /* the store does not serve it, as it said */
+	usec_t access_at;	 /* when it said so, or the contrary; 0: never */
+	usec_t unanswered_since; /* it was handed a statement, and not heard since; 0: none */
+	usec_t pinged_at;
+	usec_t declined_until;
+	bool suspected;	       /* as was logged */
 	usec_t listed_since;   /* when the roster was first seen to name it */
 	usec_t entered_at;     /* when it was last seen to have put itself there */
 	usec_t agreed_at;      /* when it was asked and knew no newer roster than ours */
@@ -248,8 +271,11 @@
 	usec_t read_after; /* back-off */
 	usec_t last_read_ok;
 	usec_t read_jitter;
-	usec_t store_response; /* smoothed time of a read of the roster */
 	bool registering;
+	bool join_failed; /* our own write to get on the roster met another one */
+	usec_t join_wait; /* another proxy was asked to add us; not before this again */
+	bool adding;	  /* others to the roster */
+	list_t joiners;	  /* that have asked for it; see join.c */
 	usec_t ask_next;
 	char *told;   /* what the last question reported, to report changes at once */
 	char *holder; /* who holds the duty */
@@ -270,6 +296,7 @@
 	usec_t renew_next;
 	usec_t acquire_after;
 	list_t reports; /* peer_report_t */
+	peer_report_t *by_name;
 	/* Reading the directory again, since a watch can miss changes without a sign. */
 	usec_t config_due;
 	usec_t members_due;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -13,6 +13,7 @@
 #include "duty.h"
 #include "exchange.h"
 #include "hold.h"
+#include "join.h"
 #include "permit.h"
 
 #define LOG_MODULE "sync"
@@ -27,12 +28,6 @@
 /* After a read that failed, plus as much jitter. */
 #define READ_BACKOFF (150 * USEC_PER_MSEC)
 
-/* Calls to the store are given up after so many times the usual wait, but not before this. */
-#define PATIENCE_FACTOR 6
-#define PATIENCE_LEAST	(250 * USEC_PER_MSEC)
-/* Smoothing of that: a quarter of each new one. */
-#define RESPONSE_WEIGHT 4
-
 COUNTER_DEFINE(roster_reads, "roster_reads_total", COUNTER_SUM, "Reads of the roster.");
 COUNTER_DEFINE(roster_failed, "roster_reads_failed_total", COUNTER_SUM,
 	       "Reads of the roster that failed.");
@@ -51,16 +46,12 @@
 	sync->confirmed_at = USEC_NEVER;
 	sync->roster = roster_create(pooler);
 	list_init(&sync->reports);
-	/*
-	 * Until the store has answered once it is asked again as soon as if it were quick: a fleet
-	 * that started 0.2 s before the end of an outage waited 0.7 s for calls that were lost in
-	 * it.
-	 */
-	pooler->env->kv->patience_ms = PATIENCE_LEAST / USEC_PER_MSEC;
+	list_init(&sync->joiners);
 }
 
 void sync_destroy(pooler_t *pooler)
 {
+	HASH_CLEAR(hh, pooler->sync.by_name);
 	talloc_free(pooler->sync.roster);
 }
 
@@ -265,28 +256,6 @@
 				  (int64_t)((now - sync->last_read_ok) / USEC_PER_MSEC)));
 }
 
-/*
- * How long the store's calls are waited for. An answer that is lost is noticed after some
- * times the usual wait, not after the longest one that a slow store needs.
- */
-static void learn_patience(pooler_t *pooler, kv_status_t status, usec_t took)
-{
-	sync_t *sync = &pooler->sync;
-	usec_t patience;
-
-	if (status == KV_LOST && took > sync->store_response)
-		sync->store_response = took;
-	else if (status == KV_OK)
-		sync->store_response =
-			(sync->store_response * (RESPONSE_WEIGHT - 1) + took) / RESPONSE_WEIGHT;
-	patience = sync->store_response * PATIENCE_FACTOR;
-	if (patience < PATIENCE_LEAST)
-		patience = PATIENCE_LEAST;
-	pooler->env->kv->patience_ms = (int64_t)(patience / USEC_PER_MSEC);
-}
-
-static void register_self(pooler_t *pooler);
-
 static void on_read(void *data, const kv_result_t *result)
 {
 	pooler_t *pooler = data;
@@ -297,7 +266,6 @@
 	const kv_item_t *item;
 
 	sync->reading = false;
-	learn_patience(pooler, result->status, now - sync->read_sent);
 	if (result->status != KV_OK) {
 		if (sync->read_after <= sync->last_read_ok)
 			LOG_EVENT(LOG_WARN, "store does not answer",
@@ -317,7 +285,7 @@
 	on_holder_item(pooler, item_named(result, holder_key), sync->read_sent);
 	talloc_free(roster_key);
 	/* At once: a fleet that starts together takes turns at this, one write after another. */
-	register_self(pooler);
+	join_run(pooler, now);
 	sync_run_services(pooler);
 }
 
@@ -351,24 +319,59 @@
 
 typedef struct commit {
 	pooler_t *pooler;
+	usec_t sent_at;
 	roster_t *roster;
 	kv_done_t done;
 	void *data;
 } commit_t;
 
+/* The write failed, and what the store holds instead came with the answer. */
+static void on_conflict(commit_t *commit, const kv_result_t *result)
+{
+	pooler_t *pooler = commit->pooler;
+	char *key = sync_key(commit, pooler, "roster");
+	const kv_item_t *item = item_named(result, key);
+
+	if (item == NULL) {
+		if (!pooler->sync.reading)
+			read_store(pooler, now_of(pooler));
+		return;
+	}
+	on_roster_item(pooler, item);
+	if (item->revision == pooler->sync.roster->revision)
+		sync_confirm(pooler, commit->sent_at);
+	sync_run_services(pooler);
+}
+
+/* Whoever uses a primary that changes must hear of it at once. */
+static bool differs_in_groups(const roster_t *was, const roster_t *is)
+{
+	list_for_each (it, &is->groups) {
+		const roster_group_t *group = list_entry(it, roster_group_t, node);
+		const roster_group_t *before = roster_group(was, group->service);
+
+		if (before == NULL || before->changing != group->changing ||
+		    strcmp(before->primary, group->primary) != 0)
+			return true;
+	}
+	return false;
+}
+
 static void on_committed(void *data, const kv_result_t *result)
 {
 	commit_t *commit = data;
 	pooler_t *pooler = commit->pooler;
+	bool push;
 
 	if (result->status == KV_OK && result->as_of > pooler->sync.roster->revision) {
+		push = differs_in_groups(pooler->sync.roster, commit->roster);
 		commit->roster->revision = result->as_of;
 		sync_adopt(pooler, commit->roster);
-		exchange_push(pooler);
+		if (push)
+			exchange_push(pooler);
 		sync_run_services(pooler);
-	} else if (result->status == KV_CONFLICT && !pooler->sync.reading) {
-		/* Whatever the store holds now, read it before the next attempt. */
-		read_store(pooler, now_of(pooler));
+	} else if (result->status == KV_CONFLICT) {
+		on_conflict(commit, result);
 	}
 	commit->done(commit->data, result);
 	talloc_free(commit);
@@ -379,65 +382,23 @@
 	kv_t *kv = pooler_store(pooler);
 	commit_t *commit = talloc_zero(pooler, commit_t);
 	char *key = sync_key(commit, pooler, "roster");
-	kv_write_t write = {
-		.key = key,
-		.value = roster_encode(commit, roster),
-		.expected = roster->revision,
-	};
+	kv_write_t write = {.key = key, .expected = roster->revision};
 
 	commit->pooler = pooler;
+	commit->sent_at = now_of(pooler);
 	commit->roster = roster_copy(commit, roster);
+	roster_set_writer(commit->roster, pooler->config.name);
+	write.value = roster_text(commit->roster);
 	commit->done = done;
 	commit->data = data;
 	kv->ops->commit(kv, &write, 1, on_committed, commit);
 }
 
-static void on_registered(void *data, const kv_result_t *result)
-{
-	pooler_t *pooler = data;
-
-	pooler->sync.registering = false;
-	if (result->status == KV_OK)
-		LOG_EVENT(LOG_INFO, "on the roster",
-			  LOG_INT("roster", pooler->sync.roster->revision));
-}
-
-/*
- * Incarnations come from the time of day, which may have stepped back since our last life. The
- * others would take our messages for late ones of that life, and our entry for one without a
- * process.
- */
-static void outgrow_last_life(pooler_t *pooler)
-{
-	const roster_node_t *entry = roster_node(pooler->sync.roster, pooler->config.name);
-
-	if (entry != NULL && entry->incarnation > pooler->config.incarnation)
-		pooler->config.incarnation = entry->incarnation + 1;
-}
-
-/* Our own entry; a proxy that is not on the roster uses no primary. */
-static void register_self(pooler_t *pooler)
-{
-	sync_t *sync = &pooler->sync;
-	roster_t *roster;
-
-	if (sync->registering || sync->reading || sync->confirmed_at == USEC_NEVER ||
-	    pooler->draining || permit_is_registered(pooler))
-		return;
-	sync->registering = true;
-	outgrow_last_life(pooler);
-	roster = roster_copy(NULL, sync->roster);
-	roster_put_node(roster, pooler->config.name, pooler->config.address,
-			pooler->config.incarnation);
-	sync_commit(pooler, roster, on_registered, pooler);
-	talloc_free(roster);
-}
-
 /* --- the clock --- */
 
 void sync_tick(pooler_t *pooler, usec_t now)
 {
 	if (must_read(pooler, now))
 		read_store(pooler, now);
-	register_self(pooler);
+	join_run(pooler, now);
 }
