--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -18,9 +18,10 @@
 #include "sync.h"
 
 /* With news this old peers are asked, so that the permission lasts while the store is away. */
-#define ASK_ALL_AFTER (1300 * USEC_PER_MSEC)
-/* In so many times everybody is asked: 1.25 s, well within PERMIT_ALONE. */
-#define ASK_ROUNDS 5
+#define ASK_ALL_AFTER (1000 * USEC_PER_MSEC)
+/* In so many times everybody is asked, and more than half in two: 0.5 s of the 0.8 s that are left.
+ */
+#define ASK_ROUNDS 3
 /* So many are asked each time in any case: all of a small fleet. */
 #define ASK_LEAST 12
 /* Between two questions to the holder. */
@@ -83,10 +84,11 @@
 	message->cut_off = relay_is_cut_off(pooler->relay);
 }
 
-static void send_to(const pooler_t *pooler, const char *name, const char *address,
+/* False if it was certainly not sent: there is no link to that proxy yet. */
+static bool send_to(const pooler_t *pooler, const char *name, const char *address,
 		    const peer_message_t *message)
 {
-	pooler->env->ops->peer_send(pooler->env, name, address, message);
+	return pooler->env->ops->peer_send(pooler->env, name, address, message);
 }
 
 /* What the holder knows of the changes under way, for those whose callers wait. */
@@ -132,7 +134,7 @@
 }
 
 /* ask: what is answered; NULL: nobody has asked. */
-static void send_state(const pooler_t *pooler, const char *name, const char *address,
+static bool send_state(const pooler_t *pooler, const char *name, const char *address,
 		       const peer_message_t *ask)
 {
 	int64_t known = ask != NULL ? ask->revision : 0;
@@ -140,6 +142,7 @@
 	peer_message_t message = {.kind = PEER_STATE, .echo = ask != NULL ? ask->echo : 0};
 	void *parent = talloc_new(NULL);
 	usec_t now = now_of(pooler);
+	bool sent;
 
 	exchange_fill(pooler, &message);
 	message.members_digest = refresh_members_digest(pooler);
@@ -151,13 +154,14 @@
 	message.holder = sync->holder;
 	message.holder_address = sync->holder_address;
 	message.fence = sync->fence;
-	send_to(pooler, name, address, &message);
+	sent = send_to(pooler, name, address, &message);
 	talloc_free(parent);
+	return sent;
 }
 
-void exchange_tell(const pooler_t *pooler, const char *name, const char *address)
+bool exchange_tell(const pooler_t *pooler, const char *name, const char *address)
 {
-	send_state(pooler, name, address, NULL);
+	return send_state(pooler, name, address, NULL);
 }
 
 void exchange_push(pooler_t *pooler)
@@ -186,16 +190,18 @@
 	send_to(pooler, message->from, message->address, &pong);
 }
 
-void exchange_ask(const pooler_t *pooler, const roster_node_t *peer)
+bool exchange_ask(const pooler_t *pooler, const roster_node_t *peer)
 {
 	peer_message_t message = {.kind = PEER_ASK, .echo = now_of(pooler)};
 	void *parent = talloc_new(NULL);
+	bool sent;
 
 	exchange_fill(pooler, &message);
 	message.members_digest = refresh_members_digest(pooler);
 	describe(pooler, message.echo, &message, parent);
-	send_to(pooler, peer->name, peer->address, &message);
+	sent = send_to(pooler, peer->name, peer->address, &message);
 	talloc_free(parent);
+	return sent;
 }
 
 static const roster_node_t *other_peer(pooler_t *pooler)
--- a/pooler/exchange.h
+++ b/pooler/exchange.h
@@ -19,14 +19,14 @@
 /* Tell all proxies the roster at once; who misses it hears it with the next answer. */
 void exchange_push(pooler_t *pooler);
 
-/* Tell one proxy the roster, though it has not asked. */
-void exchange_tell(const pooler_t *pooler, const char *name, const char *address);
+/* Tell one proxy the roster, though it has not asked; false if there is no link to it yet. */
+bool exchange_tell(const pooler_t *pooler, const char *name, const char *address);
 
 /* Ask one proxy whether it lives. */
 void exchange_ping(const pooler_t *pooler, const roster_node_t *peer);
 
-/* Ask one proxy for its state. */
-void exchange_ask(const pooler_t *pooler, const roster_node_t *peer);
+/* Ask one proxy for its state; false if there is no link to it yet. */
+bool exchange_ask(const pooler_t *pooler, const roster_node_t *peer);
 
 /* The record of a proxy's reports, made if there is none. */
 peer_report_t *exchange_get_report(pooler_t *pooler, const char *name);
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -8,6 +8,7 @@
 
 #include "exchange.h"
 #include "member.h"
+#include "permit.h"
 
 #define LOG_MODULE "home"
 #include "counter.h"
@@ -166,6 +167,26 @@
 	return &service->homes;
 }
 
+/*
+ * A link takes some ms to be made: so it is made before the first caller needs it. In the first two
+ * seconds of a fleet of 75 without this 298 of 2,647 were late.
+ */
+static void warm_up(service_t *service, usec_t now)
+{
+	pooler_t *pooler = service->pooler;
+	const char *name = homes_of(service)->len != 0 ? service->homes.names[0] : NULL;
+	const roster_node_t *node = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
+	peer_report_t *report;
+
+	if (node == NULL || strcmp(name, pooler->config.name) == 0)
+		return;
+	report = exchange_get_report(pooler, name);
+	if (report->pinged_at != 0)
+		return;
+	report->pinged_at = now;
+	exchange_ping(pooler, node);
+}
+
 size_t home_count(const service_t *service)
 {
 	return service->homes.count != 0 ? service->homes.count : 1;
@@ -277,6 +298,12 @@
 
 void home_tick(pooler_t *pooler, usec_t now)
 {
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+
+		if (home_applies(service) && permit_is_registered(pooler))
+			warm_up(service, now);
+	}
 	list_for_each (it, &pooler->sync.reports) {
 		peer_report_t *report = list_entry(it, peer_report_t, node);
 		const roster_node_t *node;
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -81,9 +81,11 @@
 	    strcmp(writer->name, pooler->config.name) == 0)
 		return false;
 	sync->join_failed = false;
-	sync->join_wait = now + ADDED_WITHIN;
 	outgrow_last_life(pooler);
-	exchange_ask(pooler, writer);
+	/* The first message makes the link; until it is there our own tries go on. */
+	if (!exchange_ask(pooler, writer))
+		return false;
+	sync->join_wait = now + ADDED_WITHIN;
 	return true;
 }
 
@@ -141,8 +143,10 @@
 
 		if (!is_on(roster, joiner))
 			continue;
+		/* Without a link to it yet, once more with the next tick. */
+		if (!exchange_tell(pooler, joiner->name, joiner->address))
+			continue;
 		counter_add(&added_total, 1);
-		exchange_tell(pooler, joiner->name, joiner->address);
 		forget(joiner);
 	}
 }
@@ -153,11 +157,12 @@
 
 	pooler->sync.adding = false;
 	tell_added(pooler);
-	/* Without an answer they try for themselves. */
-	if (result->status == KV_OK || result->status == KV_CONFLICT) {
+	/* Another write was first: once more on top of it. Without an answer they try themselves.
+	 */
+	if (result->status == KV_CONFLICT)
 		join_run(pooler, now_of(pooler));
+	if (result->status == KV_OK || result->status == KV_CONFLICT)
 		return;
-	}
 	list_for_each_safe (it, &pooler->sync.joiners)
 		forget(list_entry(it, joiner_t, node));
 }
@@ -165,19 +170,25 @@
 static void add_others(pooler_t *pooler)
 {
 	sync_t *sync = &pooler->sync;
-	roster_t *roster;
+	roster_t *roster = NULL;
 
 	if (sync->adding || list_empty(&sync->joiners))
 		return;
-	sync->adding = true;
-	roster = roster_copy(NULL, sync->roster);
 	list_for_each (it, &sync->joiners) {
 		const joiner_t *joiner = list_entry(it, joiner_t, node);
 
-		if (!is_on(roster, joiner))
-			roster_put_node(roster, joiner->name, joiner->address, joiner->zone,
-					joiner->incarnation);
+		if (is_on(roster != NULL ? roster : sync->roster, joiner))
+			continue;
+		if (roster == NULL)
+			roster = roster_copy(NULL, sync->roster);
+		roster_put_node(roster, joiner->name, joiner->address, joiner->zone,
+				joiner->incarnation);
 	}
+	if (roster == NULL) {
+		tell_added(pooler);
+		return;
+	}
+	sync->adding = true;
 	sync_commit(pooler, roster, on_added, pooler);
 	talloc_free(roster);
 }
