--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -32,9 +32,10 @@
 	bool frozen;
 	bool cut_from_members;
 	bool cut_from_peers;
-	int island;	/* proxies of another one are out of reach */
-	list_t links;	/* to members */
-	list_t callers; /* world_caller_t */
+	int island;			 /* proxies of another one are out of reach */
+	usec_t link_at[WORLD_NODES_MAX]; /* when its link to that proxy is made; 0: not begun */
+	list_t links;			 /* to members */
+	list_t callers;			 /* world_caller_t */
 	bool drained;
 	size_t refreshes; /* of the directory that the pooler asked for */
 } world_node_t;
@@ -69,6 +70,7 @@
 	reads_t reads; /* of the route */
 	usec_t max_age;
 	int64_t config_version;
+	bool new_links;	    /* a message to a proxy that none was sent to before is not sent */
 	bool plain;	    /* of proxies that start: no order by lateness, no help of others */
 	bool sync_replicas; /* as the configuration says */
 	promote_call_t *promotes; /* talloc array */
