--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -13,9 +13,9 @@
 
 /*
  * For changes that may be heard a little late: so long after one the next call is made, and brings
- * all that came meanwhile. When 24 members register at the start of a fleet of 75 each proxy made
- * 17 calls in 6 s without it, now 8. A member's failure is seen by its silence long before its
- * entry tells of it, and a leaving one is left alone within some seconds.
+ * all that came meanwhile. Twenty changes 20 ms apart cost four calls instead of one each
+ * (/follow/gathers): members that register at a fleet's start. A member's failure is seen by its
+ * silence long before its entry tells of it, and a leaving one is left alone within some seconds.
  */
 #define FOLLOW_GATHER (250 * USEC_PER_MSEC)
 
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -16,7 +16,9 @@
 
 /*
  * Proxies for each connection of a member above which homes hold them, in percent. Below that every
- * proxy can have one of its own, and a way more for each statement gains nothing.
+ * proxy can have one of its own, and a way more for each statement gains nothing. Worth of the days
+ * with trouble, 18 plays each: 9 proxies before 16 connections .786 direct, .793 with homes; 7
+ * before 55 .810 and .789; 75 before 36, a day each, .559 by turns and .800 with homes.
  */
 #define DIRECT_PERCENT 50
 /* Connections to a member that make a home worth having; with fewer there are fewer homes. */
--- a/pooler/join.h
+++ b/pooler/join.h
@@ -1,7 +1,8 @@
 /*
  * Getting on the roster. It changes by one write after another, each on top of the last one: of a
  * fleet that starts at once, all but one fail each time. So whoever fails asks the proxy that
- * wrote last, and that one adds all that have asked it meanwhile with its next write.
+ * wrote last, and that one adds all that have asked it meanwhile with its next write. Twelve
+ * proxies that start together: 156 calls to the store and 96 ms, this way 91 and 52.
  */
 #pragma once
 
--- a/pooler/permit.h
+++ b/pooler/permit.h
@@ -28,9 +28,10 @@
 #define PERMIT_TOGETHER (12 * USEC_PER_SEC)
 
 /*
- * More than half of nodes: of those who prolong and those who know of a change one is in both. With
- * more than two thirds four of seven that a partition left without the store stopped after 1.8 s
- * (Welsh site, a split for 7 s, worth of the day by six seeds .675, so .718); the price is that a
+ * More than half of nodes. Whoever makes a change goes on before PERMIT_TOGETHER only when fewer
+ * than this do not know of it, so that those can't prolong; any number is safe that both sides use.
+ * With more than two thirds four of seven that a partition left without the store stopped after 1.8
+ * s (Welsh site, a split for 7 s, worth of the day by six seeds .675, so .718); the price is that a
  * change waits for PERMIT_TOGETHER if half of the fleet is silent instead of two thirds.
  */
 static inline size_t permit_quorum(size_t nodes)
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -30,7 +30,7 @@
 	usec_t lease_least;   /* shortest lease that the store grants */
 	/* Without the safeguards that are measured against this: ./dev/measure pooler. */
 	bool in_order; /* the queue serves in order of arrival, whoever is late */
-	bool alone;    /* every proxy has connections of its own, however many there are */
+	bool alone;    /* no homes: every proxy has connections of its own */
 } pooler_config_t;
 
 /* A backend server as the platform lists it. */
