A proxy that asked to be added and died is forgotten; a refused write onto the roster waits for the tick

Found reading the change again. A write that the store refused was repeated at once, call after call, instead of with the next tick; only a conflict is.

--- a/pooler/join.c
+++ b/pooler/join.c
@@ -26,6 +26,7 @@
 	char *address;
 	char *zone;
 	uint64_t incarnation;
+	usec_t asked_at;
 } joiner_t;
 
 /* --- our own entry --- */
@@ -39,7 +40,7 @@
 	sync->join_failed = result->status == KV_CONFLICT;
 	if (result->status == KV_OK)
 		LOG_EVENT(LOG_INFO, "on the roster", LOG_INT("roster", sync->roster->revision));
-	else
+	else if (sync->join_failed)
 		join_run(pooler, now_of(pooler));
 }
 
@@ -116,6 +117,7 @@
 	joiner->address = talloc_strdup(joiner, message->address);
 	joiner->zone = talloc_strdup(joiner, message->zone);
 	joiner->incarnation = message->incarnation;
+	joiner->asked_at = now_of(pooler);
 	list_add_tail(&pooler->sync.joiners, &joiner->node);
 	join_run(pooler, now_of(pooler));
 }
@@ -167,6 +169,20 @@
 		forget(list_entry(it, joiner_t, node));
 }
 
+/*
+ * By then they try themselves. One that died could never be told, and would be put on the roster
+ * again each time it is called gone.
+ */
+static void forget_old(pooler_t *pooler, usec_t now)
+{
+	list_for_each_safe (it, &pooler->sync.joiners) {
+		joiner_t *joiner = list_entry(it, joiner_t, node);
+
+		if (now >= joiner->asked_at + ADDED_WITHIN)
+			forget(joiner);
+	}
+}
+
 static void add_others(pooler_t *pooler)
 {
 	sync_t *sync = &pooler->sync;
@@ -196,5 +212,6 @@
 void join_run(pooler_t *pooler, usec_t now)
 {
 	register_self(pooler, now);
+	forget_old(pooler, now);
 	add_others(pooler);
 }
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -518,6 +518,35 @@
 	world_destroy(world);
 }
 
+/*
+ * What operators see: the roster changes every few seconds, for ever. What happens: a proxy asks to
+ * be added and dies before it can be told. Why it suffices to forget it after a moment: it is added
+ * once, called gone for its silence, and tries itself if it lives.
+ */
+static void test_dead_joiner_is_forgotten(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	peer_message_t message = {.kind = PEER_ASK,
+				  .from = "ghost",
+				  .address = "10.0.9.9:1",
+				  .zone = "a",
+				  .incarnation = 1,
+				  .age = USEC_NEVER};
+	const pooler_t *pooler;
+
+	world_settle(world);
+	pooler = world->nodes[find_holder(world)].pooler;
+	pooler_on_message(world->nodes[find_holder(world)].pooler, &message);
+	world_run(world, 6 * SEC);
+	for (int i = 0; i < 40; i++) {
+		const roster_node_t *ghost = roster_node(pooler->sync.roster, "ghost");
+
+		g_assert_true(ghost == NULL || ghost->gone);
+		world_run(world, 200 * MSEC);
+	}
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -537,6 +566,7 @@
 	g_test_add_func("/process/shutdown", test_shutdown);
 	g_test_add_func("/process/all-killed", test_all_killed);
 	g_test_add_func("/process/start-together", test_start_together);
+	g_test_add_func("/process/dead-joiner", test_dead_joiner_is_forgotten);
 	g_test_add_func("/process/clock-step", test_start_after_a_clock_step);
 	g_test_add_func("/process/back-before-messages", test_back_before_its_messages);
 	g_test_add_func("/process/power-loss", test_power_loss);
