Rosters are told as changes; a primary is lost on the word of two proxies; homes are worked out once a fleet

Cause, read from the logs of the large fleet's small twin (24 proxies, links of 2 Mbit/s): each mark of a change of primary was sent to everybody as a whole roster, which took the holder's link for longer than its lease; its probes timed out in that queue, and its word alone replaced 34 primaries that were well. Ruled out: members (they answered all others), processor (.9% of a core).

- roster_changes(): what changed since the receiver's revision, 124 B instead of 30,350 B for a change of primary among 295 proxies; a receiver with an older base is told all of it.
- a verdict needs two proxies while another one lives; the holder tells its doubts, and whoever holds connections asks the primary.
Fails with one witness (/verdict/holder-alone).
- homes: one pass over the fleet for each service, and only when the proxies changed, instead of a quadratic one after each revision.
- a text that is no roster ('[]') passed for an empty fleet.

--- a/pooler/env.h
+++ b/pooler/env.h
@@ -136,6 +136,7 @@
 	const char *holder_address;
 	const char
 		*ends; /* STATE of the holder: changes under way, "SERVICE:MS " until their end */
+	const char *doubted; /* STATE: services whose primary does not answer the holder */
 	/* ASK: services by name, as lists joined by blanks. */
 	const char *down;   /* their primary does not answer the sender */
 	const char *alive;  /* their primary answered the sender of late */
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -16,6 +16,7 @@
 #include "refresh.h"
 #include "relay.h"
 #include "sync.h"
+#include "verdict.h"
 
 /* With news this old peers are asked, so that the permission lasts while the store is away. */
 #define ASK_ALL_AFTER (1000 * USEC_PER_MSEC)
@@ -133,11 +134,19 @@
 	}
 }
 
+/* The roster that a proxy holds, as far as it has told. */
+static int64_t known_revision(const pooler_t *pooler, const char *name)
+{
+	const peer_report_t *report = exchange_report(pooler, name);
+
+	return report != NULL ? report->revision : 0;
+}
+
 /* ask: what is answered; NULL: nobody has asked. */
 static bool send_state(const pooler_t *pooler, const char *name, const char *address,
 		       const peer_message_t *ask)
 {
-	int64_t known = ask != NULL ? ask->revision : 0;
+	int64_t known = ask != NULL ? ask->revision : known_revision(pooler, name);
 	const sync_t *sync = &pooler->sync;
 	peer_message_t message = {.kind = PEER_STATE, .echo = ask != NULL ? ask->echo : 0};
 	void *parent = talloc_new(NULL);
@@ -148,9 +157,10 @@
 	message.members_digest = refresh_members_digest(pooler);
 	message.age = sync->confirmed_at != USEC_NEVER ? now - sync->confirmed_at : USEC_NEVER;
 	if (known < sync->roster->revision)
-		message.roster = roster_text(sync->roster);
+		message.roster = roster_changes(sync->roster, known);
 	if (hold_is_ours(pooler, now))
 		message.ends = describe_ends(pooler, now, parent);
+	message.doubted = verdict_doubts(pooler, now, parent);
 	message.holder = sync->holder;
 	message.holder_address = sync->holder_address;
 	message.fence = sync->fence;
@@ -350,8 +360,8 @@
 	if (sync->holder != NULL && strcmp(sync->holder, message->from) == 0)
 		sync->holder_heard = now;
 	if (message->roster != NULL && message->revision > sync->roster->revision) {
-		roster = roster_decode(pooler, message->roster, strlen(message->roster),
-				       message->revision);
+		roster = roster_apply(pooler, sync->roster, message->roster,
+				      strlen(message->roster), message->revision);
 		if (roster != NULL) {
 			sync_adopt(pooler, roster);
 			/* At once: while the store is away it is agreed on anew. */
@@ -372,6 +382,9 @@
 	}
 	if (message->ends != NULL)
 		take_ends(pooler, message->ends, now);
+	if (message->doubted != NULL && sync->holder != NULL &&
+	    strcmp(sync->holder, message->from) == 0)
+		verdict_on_doubts(pooler, message->doubted, now);
 	refresh_compare(pooler, message, now);
 	sync_run_services(pooler);
 }
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -47,19 +47,21 @@
 
 /* --- the order of the candidates --- */
 
-typedef struct candidate {
-	const roster_node_t *node;
-	bool near;  /* in our zone */
-	bool first; /* of its zone, by hash */
-	uint64_t hash;
-} candidate_t;
+/* The two proxies of a zone that come first for a service, by hash. */
+typedef struct zone_pick {
+	const char *zone;
+	const roster_node_t *first;
+	const roster_node_t *second; /* NULL: there is only one */
+	uint64_t first_hash;
+	uint64_t second_hash;
+} zone_pick_t;
 
 static int by_hash(const void *a, const void *b)
 {
-	const candidate_t *x = a;
-	const candidate_t *y = b;
+	const zone_pick_t *x = a;
+	const zone_pick_t *y = b;
 
-	return (x->hash > y->hash) - (x->hash < y->hash);
+	return (x->first_hash > y->first_hash) - (x->first_hash < y->first_hash);
 }
 
 static uint64_t hash_of(const char *name, const char *service)
@@ -67,86 +69,100 @@
 	return XXH64(name, strlen(name), XXH64(service, strlen(service), 0));
 }
 
-/* candidates are sorted by hash. */
-static bool is_first_of_zone(const candidate_t *candidates, size_t index)
+static zone_pick_t *pick_of(zone_pick_t *picks, size_t *count, const char *zone)
 {
-	for (size_t i = 0; i < index; i++) {
-		if (strcmp(candidates[i].node->zone, candidates[index].node->zone) == 0)
-			return false;
+	for (size_t i = 0; i < *count; i++) {
+		if (strcmp(picks[i].zone, zone) == 0)
+			return &picks[i];
 	}
-	return true;
+	picks[*count] = (zone_pick_t){.zone = zone, .first_hash = UINT64_MAX};
+	return &picks[(*count)++];
 }
 
-/* The proxies of the roster, sorted by hash, as a child of parent. */
-static candidate_t *list_candidates(const service_t *service, void *parent, size_t *count)
+static void offer(zone_pick_t *pick, const roster_node_t *node, uint64_t hash)
+{
+	if (pick->first == NULL || hash < pick->first_hash) {
+		pick->second = pick->first;
+		pick->second_hash = pick->first_hash;
+		pick->first = node;
+		pick->first_hash = hash;
+	} else if (pick->second == NULL || hash < pick->second_hash) {
+		pick->second = node;
+		pick->second_hash = hash;
+	}
+}
+
+/*
+ * The zones of the roster and who comes first there, sorted by hash, as a child of parent. One
+ * look at each proxy: every proxy of the fleet does this for every service after each change of
+ * the fleet.
+ */
+static zone_pick_t *pick_zones(const service_t *service, void *parent, size_t *count)
 {
 	const pooler_t *pooler = service->pooler;
-	candidate_t *candidates = talloc_array(parent, candidate_t, pooler->sync.proxies);
+	zone_pick_t *picks = talloc_array(parent, zone_pick_t, pooler->sync.proxies);
 
 	*count = 0;
 	list_for_each (it, &pooler->sync.roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
 
-		if (node->gone)
-			continue;
-		candidates[(*count)++] = (candidate_t){
-			.node = node,
-			.near = strcmp(node->zone, pooler->config.zone) == 0,
-			.hash = hash_of(node->name, service->name),
-		};
+		if (!node->gone)
+			offer(pick_of(picks, count, node->zone), node,
+			      hash_of(node->name, service->name));
 	}
-	qsort(candidates, *count, sizeof(*candidates), by_hash);
-	for (size_t i = 0; i < *count; i++)
-		candidates[i].first = is_first_of_zone(candidates, i);
-	return candidates;
+	qsort(picks, *count, sizeof(*picks), by_hash);
+	return picks;
 }
 
 /* As many as there are zones, or fewer if each would have too few connections. */
-static size_t count_homes(const service_t *service, const candidate_t *candidates, size_t count)
+static size_t count_homes(const service_t *service, size_t zones)
 {
 	size_t most = (size_t)service->max_connections / MEMBER_SHARED_PART / HOME_LEAST;
-	size_t zones = 0;
 
-	for (size_t i = 0; i < count; i++)
-		zones += candidates[i].first;
 	if (most == 0)
 		most = 1;
 	return zones < most ? zones : most;
 }
 
-static void keep(homes_t *homes, const candidate_t *candidate)
+static void keep(homes_t *homes, const roster_node_t *node)
 {
-	if (homes->len < HOME_CANDIDATES)
-		homes->names[homes->len++] = talloc_strdup(homes->parent, candidate->node->name);
+	if (node != NULL && homes->len < HOME_CANDIDATES)
+		homes->names[homes->len++] = talloc_strdup(homes->parent, node->name);
+}
+
+/* Our zone's pick if it has a home of the service, else NULL. */
+static const zone_pick_t *find_near(const service_t *service, const zone_pick_t *picks)
+{
+	for (size_t i = 0; i < service->homes.count; i++) {
+		if (strcmp(picks[i].zone, service->pooler->config.zone) == 0)
+			return &picks[i];
+	}
+	return NULL;
 }
 
 static void work_out(service_t *service)
 {
 	homes_t *homes = &service->homes;
 	size_t count;
-	candidate_t *candidates = list_candidates(service, NULL, &count);
-	size_t kept = 0;
-	bool has_near = false;
+	zone_pick_t *picks = pick_zones(service, NULL, &count);
+	const zone_pick_t *near;
 
 	talloc_free(homes->parent);
 	homes->parent = talloc_new(service);
-	homes->revision = service->pooler->sync.roster->revision;
+	homes->nodes_revision = service->pooler->sync.roster->nodes_revision;
 	homes->len = 0;
-	homes->count = count_homes(service, candidates, count);
+	homes->count = count_homes(service, count);
 	/* Our zone's home, and who takes its place; then the homes of the others. */
-	for (size_t i = 0; i < count && kept < homes->count; i++) {
-		kept += candidates[i].first;
-		has_near = has_near || (candidates[i].first && candidates[i].near);
-	}
-	for (size_t i = 0; i < count && homes->len < HOME_IN_ZONE && has_near; i++) {
-		if (candidates[i].near)
-			keep(homes, &candidates[i]);
+	near = find_near(service, picks);
+	if (near != NULL) {
+		keep(homes, near->first);
+		keep(homes, near->second);
 	}
 	for (size_t i = 0; i < count; i++) {
-		if (candidates[i].first && !(has_near && candidates[i].near))
-			keep(homes, &candidates[i]);
+		if (&picks[i] != near)
+			keep(homes, picks[i].first);
 	}
-	talloc_free(candidates);
+	talloc_free(picks);
 }
 
 /* Ask a peer whether it lives; without an answer it is suspect. */
@@ -164,7 +180,7 @@
 static const homes_t *homes_of(service_t *service)
 {
 	if (service->homes.parent == NULL ||
-	    service->homes.revision != service->pooler->sync.roster->revision)
+	    service->homes.nodes_revision != service->pooler->sync.roster->nodes_revision)
 		work_out(service);
 	return &service->homes;
 }
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -17,6 +17,7 @@
 
 	list_init(&roster->nodes);
 	list_init(&roster->groups);
+	list_init(&roster->removals);
 	talloc_set_destructor(roster, roster_destructor);
 	return roster;
 }
@@ -112,43 +113,83 @@
 	roster->writer = talloc_strdup(roster, name);
 }
 
-const char *roster_text(roster_t *roster)
+static json_t *encode_node(const roster_node_t *node)
 {
-	json_t *nodes;
-	json_t *groups;
-	json_t *root;
-	char *text;
+	return json_pack("{s:s, s:s, s:I, s:b}", "address", node->address, "zone", node->zone,
+			 "incarnation", (json_int_t)node->incarnation, "gone", node->gone);
+}
+
+static json_t *encode_group(const roster_group_t *group)
+{
+	return json_pack("{s:s, s:b, s:I, s:I}", "primary", group->primary, "changing",
+			 group->changing, "term", (json_int_t)group->term, "fence",
+			 (json_int_t)group->fence);
+}
+
+/* What has changed after that revision; -1: everything. */
+static json_t *encode_since(const roster_t *roster, int64_t since)
+{
+	json_t *nodes = json_object();
+	json_t *groups = json_object();
 
-	if (roster->text != NULL)
-		return roster->text;
-	nodes = json_object();
-	groups = json_object();
 	list_for_each (it, &roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
 
-		json_object_set_new(nodes, node->name,
-				    json_pack("{s:s, s:s, s:I, s:b}", "address", node->address,
-					      "zone", node->zone, "incarnation",
-					      (json_int_t)node->incarnation, "gone", node->gone));
+		if (node->changed > since)
+			json_object_set_new(nodes, node->name, encode_node(node));
 	}
 	list_for_each (it, &roster->groups) {
 		const roster_group_t *group = list_entry(it, roster_group_t, node);
 
-		json_object_set_new(groups, group->service,
-				    json_pack("{s:s, s:b, s:I, s:I}", "primary", group->primary,
-					      "changing", group->changing, "term",
-					      (json_int_t)group->term, "fence",
-					      (json_int_t)group->fence));
+		if (group->changed > since)
+			json_object_set_new(groups, group->service, encode_group(group));
 	}
-	root = json_pack("{s:o, s:o, s:s}", "nodes", nodes, "groups", groups, "writer",
+	return json_pack("{s:o, s:o, s:s}", "nodes", nodes, "groups", groups, "writer",
 			 roster->writer != NULL ? roster->writer : "");
-	text = json_dumps(root, JSON_COMPACT);
-	roster->text = talloc_strdup(roster, text);
+}
+
+static char *dump_text(void *parent, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	char *copy = talloc_strdup(parent, text);
+
 	free(text);
 	json_decref(root);
+	return copy;
+}
+
+const char *roster_text(roster_t *roster)
+{
+	if (roster->text == NULL)
+		roster->text = dump_text(roster, encode_since(roster, -1));
 	return roster->text;
 }
 
+const char *roster_changes(roster_t *roster, int64_t since)
+{
+	json_t *root;
+	json_t *removed;
+
+	if (roster->whole_from == 0 || since < roster->whole_from)
+		return roster_text(roster);
+	if (roster->changes != NULL && roster->changes_since == since)
+		return roster->changes;
+	removed = json_array();
+	list_for_each (it, &roster->removals) {
+		const roster_removal_t *removal = list_entry(it, roster_removal_t, node);
+
+		if (removal->changed > since)
+			json_array_append_new(removed, json_string(removal->name));
+	}
+	root = encode_since(roster, since);
+	json_object_set_new(root, "since", json_integer(since));
+	json_object_set_new(root, "removed", removed);
+	talloc_free(roster->changes);
+	roster->changes = dump_text(roster, root);
+	roster->changes_since = since;
+	return roster->changes;
+}
+
 static int decode_nodes(roster_t *roster, json_t *nodes)
 {
 	const char *name;
@@ -189,21 +230,128 @@
 	return 0;
 }
 
-roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision)
+/* What the document says replaces what the roster has. */
+static int decode_into(roster_t *roster, json_t *root)
 {
-	json_t *root = json_loadb(text, len, 0, NULL);
-	roster_t *roster = roster_create(parent);
-
 	const char *writer = json_string_value(json_object_get(root, "writer"));
+	json_t *nodes = json_object_get(root, "nodes");
+	json_t *groups = json_object_get(root, "groups");
+	const char *name;
+	size_t index;
+	json_t *value;
+
+	/* Another writer's text would pass for a fleet without anybody. */
+	if (!json_is_object(nodes) || !json_is_object(groups))
+		return -1;
 
-	roster->revision = revision;
 	if (writer != NULL)
 		roster_set_writer(roster, writer);
-	if (root == NULL || decode_nodes(roster, json_object_get(root, "nodes")) < 0 ||
-	    decode_groups(roster, json_object_get(root, "groups")) < 0) {
+	json_array_foreach (json_object_get(root, "removed"), index, value) {
+		name = json_string_value(value);
+		if (name != NULL)
+			roster_remove_node(roster, name);
+	}
+	return decode_nodes(roster, nodes) < 0 || decode_groups(roster, groups) < 0 ? -1 : 0;
+}
+
+roster_t *roster_apply(void *parent, const roster_t *base, const char *text, size_t len,
+		       int64_t revision)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	json_t *since = json_object_get(root, "since");
+	roster_t *roster = since != NULL ? roster_copy(parent, base) : roster_create(parent);
+
+	roster->revision = revision;
+	if ((since != NULL && base->revision < json_integer_value(since)) ||
+	    decode_into(roster, root) < 0) {
 		talloc_free(roster);
 		roster = NULL;
 	}
 	json_decref(root);
 	return roster;
 }
+
+roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision)
+{
+	roster_t *none = roster_create(NULL);
+	roster_t *roster = roster_apply(parent, none, text, len, revision);
+
+	talloc_free(none);
+	return roster;
+}
+
+/* --- what has changed --- */
+
+/*
+ * Removals that are kept; whoever knows only an older roster than the last one forgotten is told
+ * all of it. More proxies are seldom taken off within the seconds that one is behind.
+ */
+#define REMOVALS_MAX 64
+
+static bool same_node(const roster_node_t *a, const roster_node_t *b)
+{
+	return strcmp(a->address, b->address) == 0 && strcmp(a->zone, b->zone) == 0 &&
+	       a->incarnation == b->incarnation && a->gone == b->gone;
+}
+
+static bool same_group(const roster_group_t *a, const roster_group_t *b)
+{
+	return strcmp(a->primary, b->primary) == 0 && a->changing == b->changing &&
+	       a->term == b->term && a->fence == b->fence;
+}
+
+static void add_removal(roster_t *roster, const char *name, int64_t changed)
+{
+	roster_removal_t *removal = talloc_zero(roster, roster_removal_t);
+
+	removal->name = talloc_strdup(removal, name);
+	removal->changed = changed;
+	list_add_tail(&roster->removals, &removal->node);
+	if (list_length(&roster->removals) <= REMOVALS_MAX)
+		return;
+	removal = list_entry(roster->removals.next, roster_removal_t, node);
+	roster->whole_from = removal->changed;
+	list_del(&removal->node);
+	talloc_free(removal);
+}
+
+static void mark_nodes(roster_t *roster, const roster_t *old)
+{
+	roster->nodes_revision = old->nodes_revision;
+	list_for_each (it, &roster->nodes) {
+		roster_node_t *node = list_entry(it, roster_node_t, node);
+		const roster_node_t *was = roster_node(old, node->name);
+		bool same = was != NULL && same_node(was, node);
+
+		node->changed = same ? was->changed : roster->revision;
+		if (!same)
+			roster->nodes_revision = roster->revision;
+	}
+	list_for_each (it, &old->removals) {
+		const roster_removal_t *removal = list_entry(it, roster_removal_t, node);
+
+		if (roster_node(roster, removal->name) == NULL)
+			add_removal(roster, removal->name, removal->changed);
+	}
+	list_for_each (it, &old->nodes) {
+		const roster_node_t *was = list_entry(it, roster_node_t, node);
+
+		if (roster_node(roster, was->name) != NULL)
+			continue;
+		add_removal(roster, was->name, roster->revision);
+		roster->nodes_revision = roster->revision;
+	}
+}
+
+void roster_mark_changes(roster_t *roster, const roster_t *old)
+{
+	roster->whole_from = old->revision != 0 ? old->whole_from : roster->revision;
+	mark_nodes(roster, old);
+	list_for_each (it, &roster->groups) {
+		roster_group_t *group = list_entry(it, roster_group_t, node);
+		const roster_group_t *was = roster_group(old, group->service);
+
+		group->changed =
+			was != NULL && same_group(was, group) ? was->changed : roster->revision;
+	}
+}
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -25,6 +25,7 @@
 	char *zone;
 	uint64_t incarnation; /* of its process */
 	bool gone;	      /* not heard of: it may use no primary, and is removed later */
+	int64_t changed;      /* revision of a roster no older than its last change */
 } roster_node_t;
 
 typedef struct roster_group {
@@ -34,8 +35,16 @@
 	bool changing;	/* another member is about to be promoted */
 	uint64_t term;	/* that it leads; 0: the first primary, whose term was not asked */
 	uint64_t fence; /* of the holder that wrote this */
+	int64_t changed;
 } roster_group_t;
 
+/* A proxy that was taken off. */
+typedef struct roster_removal {
+	list_t node;
+	char *name;
+	int64_t changed;
+} roster_removal_t;
+
 typedef struct roster {
 	int64_t revision; /* in the store; 0: not there yet */
 	list_t nodes;
@@ -43,6 +52,12 @@
 	list_t groups;
 	char *writer; /* the proxy that wrote this; NULL: unknown */
 	char *text;   /* encoded; NULL until it is asked for */
+	/* What this process knows of how it came about; not part of the document. */
+	int64_t whole_from;	/* every change since that revision is marked; 0: none is */
+	int64_t nodes_revision; /* the proxies have been these since */
+	list_t removals;	/* roster_removal_t */
+	char *changes;		/* encoded as roster_changes() last was */
+	int64_t changes_since;
 } roster_t;
 
 roster_t *roster_create(void *parent);
@@ -65,3 +80,17 @@
 
 /* NULL if text is no roster. */
 roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision);
+
+/* Mark what is other than in old, the roster in use until now. */
+void roster_mark_changes(roster_t *roster, const roster_t *old);
+
+/*
+ * What has changed since that revision, as JSON text that roster_apply() takes; all of it if that
+ * is not known. It is kept, since a whole fleet asks for the same; no change may follow. A roster
+ * of 295 proxies has 32 KB, a change of primary 150 bytes.
+ */
+const char *roster_changes(roster_t *roster, int64_t since);
+
+/* The roster that base becomes by text; NULL if text is none or starts later than base. */
+roster_t *roster_apply(void *parent, const roster_t *base, const char *text, size_t len,
+		       int64_t revision);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -193,12 +193,11 @@
 
 /* Candidates kept for each service: two in our zone, and the homes of two others. */
 #define HOME_CANDIDATES 4
-#define HOME_IN_ZONE	2
 
 /* Who holds a service's connections, in the order in which we ask; see home.h. */
 typedef struct homes {
-	void *parent;	  /* of the names; NULL: not worked out yet */
-	int64_t revision; /* of the roster that it follows from */
+	void *parent;		/* of the names; NULL: not worked out yet */
+	int64_t nodes_revision; /* of the roster's proxies that it follows from */
 	const char *names[HOME_CANDIDATES];
 	size_t len;   /* of names */
 	size_t count; /* homes in the fleet */
@@ -222,6 +221,7 @@
 	int64_t settled_revision; /* of that roster */
 	change_t change;
 	homes_t homes;
+	usec_t doubted_at;    /* when the holder last said that its primary does not answer */
 	usec_t served_others; /* when a statement of another proxy last came; 0: never */
 	bool taken_up;	      /* the change under way was begun by another proxy */
 	usec_t last_call;     /* to promote, by this process; 0: none */
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -130,6 +130,7 @@
 	roster_t *old = pooler->sync.roster;
 
 	talloc_steal(pooler, roster);
+	roster_mark_changes(roster, old);
 	pooler->sync.roster = roster;
 	pooler->sync.proxies = list_length(&roster->nodes);
 	pooler->sync.adopted_at = now_of(pooler);
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -2,7 +2,11 @@
 
 #include <string.h>
 
+#include <talloc.h>
+
 #include "exchange.h"
+#include "hold.h"
+#include "home.h"
 #include "member.h"
 #include "sync.h"
 
@@ -17,6 +21,16 @@
 /* A member's entry may come so much later than the change that it tells of. */
 #define LIST_LAG (3 * USEC_PER_SEC)
 
+/*
+ * Proxies that must find a primary down, unless the fleet has one only. A single one's own word
+ * proves nothing: its link or its processor may be what fails. On links of 2 Mbit/s the holder of
+ * the duty replaced 34 primaries that were well before the first caller came, and nobody was served
+ * for the next 8 s.
+ */
+#define WITNESSES_LEAST 2
+/* A doubt that the holder told counts for so long: two of the answers that bring it. */
+#define DOUBT_VALID (600 * USEC_PER_MSEC)
+
 typedef struct votes {
 	size_t down;
 	size_t alive;
@@ -80,6 +94,18 @@
 	return false;
 }
 
+/* True if the roster has another proxy that may live. */
+static bool others_live(const pooler_t *pooler)
+{
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (!node->gone && strcmp(node->name, pooler->config.name) != 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Some proxies that can't reach the primary are no reason to replace it: another member may
  * be out of reach for more of them, and the change costs all of them a second.
@@ -88,6 +114,8 @@
 {
 	size_t proxies = service->pooler->sync.proxies;
 
+	if (votes.down < WITNESSES_LEAST && others_live(service->pooler))
+		return false;
 	return votes.down * 2 > proxies || (primary->down && votes.down > votes.alive);
 }
 
@@ -103,6 +131,50 @@
 	member_probe(primary);
 }
 
+static bool is_doubted(const service_t *service, usec_t now)
+{
+	const member_t *primary = verdict_primary(service);
+
+	if (primary != NULL && hold_is_ours(service->pooler, now))
+		return primary->down;
+	return service->doubted_at != 0 && now < service->doubted_at + DOUBT_VALID;
+}
+
+char *verdict_doubts(const pooler_t *pooler, usec_t now, void *parent)
+{
+	char *doubts = talloc_strdup(parent, "");
+
+	list_for_each (it, &pooler->services) {
+		const service_t *service = list_entry(it, service_t, node);
+
+		if (is_doubted(service, now))
+			doubts = talloc_asprintf_append(doubts, "%s ", service->name);
+	}
+	return doubts;
+}
+
+/* Those that have connections to it in normal times; all others would make as many new ones. */
+static bool is_witness(service_t *service, usec_t now)
+{
+	return !home_applies(service) || home_serves(service, now);
+}
+
+void verdict_on_doubts(pooler_t *pooler, const char *doubts, usec_t now)
+{
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+		member_t *primary;
+
+		if (!exchange_lists(doubts, service->name))
+			continue;
+		service->doubted_at = now;
+		primary = verdict_primary(service);
+		if (primary != NULL && !primary->down && is_witness(service, now) &&
+		    now >= primary->last_reply + ALIVE_WITHIN)
+			check_unused(primary, now, DOUBTED_CHECK);
+	}
+}
+
 const char *verdict_reason(const service_t *service, usec_t now)
 {
 	member_t *primary = verdict_primary(service);
--- a/pooler/verdict.h
+++ b/pooler/verdict.h
@@ -14,3 +14,12 @@
 
 /* Why the primary must be replaced, or NULL. */
 const char *verdict_reason(const service_t *service, usec_t now);
+
+/* Services whose primary does not answer the holder, joined by blanks, as a child of parent. */
+char *verdict_doubts(const pooler_t *pooler, usec_t now, void *parent);
+
+/*
+ * The holder has doubts: whoever has to do with these services asks their primaries, if it has not
+ * heard them of late, and reports what it sees with its next question.
+ */
+void verdict_on_doubts(pooler_t *pooler, const char *doubts, usec_t now);
--- /dev/null
+++ b/tests/test_pooler_verdict.c
@@ -0,0 +1,66 @@
+/* Whether a primary is lost, judged from what several proxies see. */
+#include <glib.h>
+
+#include "pool_check.h"
+
+/*
+ * What callers saw: nobody was served for the first eight seconds of a day. The holder of the
+ * duty could not reach any member, since its own link was full; no other proxy had used the
+ * primaries yet, so its word alone replaced them all. Why a second witness is enough: a link that
+ * fails is one proxy's, and those that have connections ask when the holder doubts.
+ */
+static void test_holder_alone_sees_it_down(void)
+{
+	pool_world_t *world = world_create(4, NULL);
+
+	world_settle(world);
+	world_cut_members(world, find_holder(world), true);
+	world_run(world, 6 * SEC);
+	g_assert_cmpuint(world->promote_count, ==, 0);
+	assert_begins(world_ask(world_open(world, find_other(world)), "WRITE job-1 a"),
+		      "DONE core-0");
+	world_destroy(world);
+}
+
+/* A primary that nobody uses crashes: it is replaced all the same, before a caller needs it. */
+static void test_unused_primary_crashes(void)
+{
+	pool_world_t *world = world_create(4, NULL);
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	world->stale_directory = true;
+	world_crash_member(world, 0);
+	world_run(world, 4 * SEC);
+	g_assert_cmpuint(world->promote_count, ==, 1);
+	world_destroy(world);
+}
+
+/* All others are gone for good: the last proxy's word must do. */
+static void test_last_proxy_judges_alone(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t holder;
+
+	world_settle(world);
+	holder = find_holder(world);
+	for (size_t i = 0; i < 3; i++) {
+		if (i != holder)
+			world_kill(world, i);
+	}
+	world->stale_directory = true;
+	world_crash_member(world, 0);
+	world_run(world, 20 * SEC);
+	g_assert_cmpuint(world->promote_count, ==, 1);
+	assert_begins(world_ask(world_open(world, holder), "WRITE job-1 a"), "DONE core-");
+	world_destroy(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/verdict/holder-alone", test_holder_alone_sees_it_down);
+	g_test_add_func("/verdict/unused-primary", test_unused_primary_crashes);
+	g_test_add_func("/verdict/last-proxy", test_last_proxy_judges_alone);
+	return g_test_run();
+}
