--- a/pooler/home.c
+++ b/pooler/home.c
@@ -205,6 +205,20 @@
 	exchange_ping(pooler, node);
 }
 
+static bool names(const homes_t *homes, const char *name)
+{
+	for (size_t i = 0; i < homes->len; i++) {
+		if (strcmp(homes->names[i], name) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool home_is_candidate(service_t *service)
+{
+	return names(homes_of(service), service->pooler->config.name);
+}
+
 size_t home_count(const service_t *service)
 {
 	return service->homes.count != 0 ? service->homes.count : 1;
@@ -277,15 +291,6 @@
 	       now >= pooler->awake_since + SUSPECT_AFTER;
 }
 
-static bool names(const homes_t *homes, const char *name)
-{
-	for (size_t i = 0; i < homes->len; i++) {
-		if (strcmp(homes->names[i], name) == 0)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Those that come next may be out of reach too, and each would be found out by statements that
  * wait for it in vain.
--- a/pooler/home.h
+++ b/pooler/home.h
@@ -17,6 +17,9 @@
 /* True if the fleet is too large for connections of every proxy to the service's members. */
 bool home_applies(const service_t *service);
 
+/* True if this proxy is the service's home in its zone, or the next one. */
+bool home_is_candidate(service_t *service);
+
 /* The homes of the service in the fleet. */
 size_t home_count(const service_t *service);
 
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -153,10 +153,13 @@
 	return doubts;
 }
 
-/* Those that have connections to it in normal times; all others would make as many new ones. */
+/*
+ * Those that have connections to it in normal times, or come next: the holder may be the only home.
+ * All others would make as many new connections.
+ */
 static bool is_witness(service_t *service, usec_t now)
 {
-	return !home_applies(service) || home_serves(service, now);
+	return !home_applies(service) || home_serves(service, now) || home_is_candidate(service);
 }
 
 void verdict_on_doubts(pooler_t *pooler, const char *doubts, usec_t now)
--- a/tests/standin_site.c
+++ b/tests/standin_site.c
@@ -281,7 +281,22 @@
 	return out;
 }
 
-/* Writes and deletes as the kv interface has them: a row each, with its expected revision. */
+static bool lists_key(const json_t *keys, const char *key)
+{
+	size_t index;
+	json_t *value;
+
+	json_array_foreach (keys, index, value) {
+		if (strcmp(json_string_value(value), key) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Writes, deletes and mere conditions as the kv interface has them: a row each, with its expected
+ * revision.
+ */
 static void commit(site_t *site, h2o_req_t *req, const json_t *body)
 {
 	const json_t *expected = json_object_get(body, "expected");
@@ -296,10 +311,12 @@
 
 		writes[i].key = json_string_value(json_object_get(row, "key"));
 		writes[i].expected = json_integer_value(json_object_get(row, "rev"));
+		writes[i].only_check = !lists_key(json_object_get(body, "deletes"), writes[i].key);
 		json_array_foreach (json_object_get(body, "writes"), index, write) {
 			if (strcmp(json_string_value(json_object_get(write, "key")),
 				   writes[i].key) != 0)
 				continue;
+			writes[i].only_check = false;
 			writes[i].value = decode_value(
 				writes, json_string_value(json_object_get(write, "value")));
 			writes[i].lease =
--- a/tests/test_pooler_verdict.c
+++ b/tests/test_pooler_verdict.c
@@ -36,6 +36,36 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers saw: writes refused for as long as the primary was down. Of two proxies only the
+ * holder has connections to the members, as the home of the service, and the other was no witness.
+ * Why it is enough to ask who comes next: it would serve if the holder did not.
+ */
+static void test_only_home_is_the_holder(void)
+{
+	static const fake_db_config_t config = {
+		.service = WORLD_SERVICE,
+		.members = 3,
+		.slots = 2,
+		.max_connections = 3,
+		.work = 4 * MSEC,
+		.open = 12 * MSEC,
+		.promote = 1000 * MSEC,
+	};
+	pool_world_t *world = world_create(2, &config);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	world->stale_directory = true;
+	world_crash_member(world, 0);
+	world_ask(caller, "WRITE job-1 b");
+	world_run(world, 4 * SEC);
+	g_assert_cmpuint(world->promote_count, ==, 1);
+	world_destroy(world);
+}
+
 /* All others are gone for good: the last proxy's word must do. */
 static void test_last_proxy_judges_alone(void)
 {
@@ -61,6 +91,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/verdict/holder-alone", test_holder_alone_sees_it_down);
 	g_test_add_func("/verdict/unused-primary", test_unused_primary_crashes);
+	g_test_add_func("/verdict/only-home", test_only_home_is_the_holder);
 	g_test_add_func("/verdict/last-proxy", test_last_proxy_judges_alone);
 	return g_test_run();
 }
