After a restart of the whole fleet: the former hold ends at once, one write adds all that ask

- who finds its own name at the duty's key, from an earlier life, ends that lease (/store/holder-restarts, 2 s before);
- who is asked to add others before it is on the roster adds them with its own first write;
- in an outage the fleet makes some 40 tries a second together, whatever its size, not each proxy four;
- a refusal tells to come back after 1.5 s at most: a change that waits for silent proxies may take 13 s, and ends when they are back.

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -68,6 +68,12 @@
 	return true;
 }
 
+/*
+ * A change of primary that waits for silent proxies may take 13 s, and ends at once when they are
+ * back: a caller that is told to come back after its deadline gives up instead.
+ */
+#define RETRY_MOST (1500 * USEC_PER_MSEC)
+
 /* --- choosing a member for a read --- */
 
 static usec_t cost_of(const member_t *member, const caller_t *caller, bool primary)
@@ -378,6 +384,8 @@
 	if (open || (end != USEC_NEVER && end < caller->deadline))
 		return;
 	back = end != USEC_NEVER && end > now ? end - now : UNKNOWN_RETRY;
+	if (back > RETRY_MOST)
+		back = RETRY_MOST;
 	caller_refuse(caller, CODE_BUSY, REASON_NO_MEMBER, back);
 }
 
--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -12,7 +12,7 @@
 #define WATCH_WAIT_MSEC 20000
 /* Back-off after a failed call: doubles from the first to the last, plus up to as much jitter. */
 #define BACKOFF_FIRST	  (100 * USEC_PER_MSEC)
-#define BACKOFF_DOUBLINGS 2
+#define BACKOFF_DOUBLINGS 4
 /* Owners whose entries lapsed with the store have them back within 2 s of its return. */
 #define RETURN_TIME (2300 * USEC_PER_MSEC)
 
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -64,6 +64,27 @@
 	pooler->sync.lease = 0;
 }
 
+static void on_former_ended(void *data, const kv_result_t *result)
+{
+	pooler_t *pooler = data;
+
+	if (result->status != KV_OK)
+		pooler->sync.former_lease = 0;
+	/* The next reading shows that the duty is vacant. */
+	pooler->sync.behind = true;
+}
+
+void hold_end_former(pooler_t *pooler, uint64_t lease)
+{
+	kv_t *kv = pooler_store(pooler);
+
+	if (lease == 0 || lease == pooler->sync.former_lease)
+		return;
+	pooler->sync.former_lease = lease;
+	LOG_EVENT(LOG_INFO, "lease of an earlier life is ended", LOG_INT("lease", (int64_t)lease));
+	kv->ops->lease_end(kv, lease, on_former_ended, pooler);
+}
+
 static void take_up(pooler_t *pooler, uint64_t fence)
 {
 	sync_t *sync = &pooler->sync;
--- a/pooler/hold.h
+++ b/pooler/hold.h
@@ -19,4 +19,10 @@
 void hold_release(pooler_t *pooler);
 
 /* Renew the hold, or take a vacant one. */
+/*
+ * The key is that of an earlier life of this process, which can't do anything any more: its lease
+ * is ended, instead of keeping the duty vacant for up to 2 s.
+ */
+void hold_end_former(pooler_t *pooler, uint64_t lease);
+
 void hold_tick(pooler_t *pooler, usec_t now);
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -36,6 +36,54 @@
 
 /* --- our own entry --- */
 
+static bool is_on(const roster_t *roster, const joiner_t *joiner)
+{
+	const roster_node_t *node = roster_node(roster, joiner->name);
+
+	return node != NULL && !node->gone && node->incarnation >= joiner->incarnation;
+}
+
+/* False if there is none that is not on it. */
+static bool put_joiners(const pooler_t *pooler, roster_t *roster)
+{
+	bool any = false;
+
+	list_for_each (it, &pooler->sync.joiners) {
+		const joiner_t *joiner = list_entry(it, joiner_t, node);
+
+		if (is_on(roster, joiner))
+			continue;
+		roster_put_node(roster, joiner->name, joiner->address, joiner->zone,
+				joiner->incarnation);
+		any = true;
+	}
+	return any;
+}
+
+static void forget(joiner_t *joiner)
+{
+	list_del(&joiner->node);
+	talloc_free(joiner);
+}
+
+/* Tell those that are on the roster now. */
+static void tell_added(pooler_t *pooler)
+{
+	const roster_t *roster = pooler->sync.roster;
+
+	list_for_each_safe (it, &pooler->sync.joiners) {
+		joiner_t *joiner = list_entry(it, joiner_t, node);
+
+		if (!is_on(roster, joiner))
+			continue;
+		/* Without a link to it yet, once more with the next tick. */
+		if (!exchange_tell(pooler, joiner->name, joiner->address))
+			continue;
+		counter_add(&added_total, 1);
+		forget(joiner);
+	}
+}
+
 static void on_registered(void *data, const kv_result_t *result)
 {
 	pooler_t *pooler = data;
@@ -45,9 +93,10 @@
 	sync->join_asked = false;
 	sync->join_began = 0;
 	sync->join_failed = result->status == KV_CONFLICT;
-	if (result->status == KV_OK)
+	if (result->status == KV_OK) {
+		tell_added(pooler);
 		LOG_EVENT(LOG_INFO, "on the roster", LOG_INT("roster", sync->roster->revision));
-	else if (sync->join_failed)
+	} else if (sync->join_failed)
 		join_run(pooler, now_of(pooler));
 }
 
@@ -64,6 +113,10 @@
 		pooler->config.incarnation = entry->incarnation + 1;
 }
 
+/*
+ * With those that have asked us before we were on the roster ourselves: a fleet that starts again
+ * asks the holder of before, which has just started like all others.
+ */
 static void write_own_entry(pooler_t *pooler)
 {
 	roster_t *roster;
@@ -73,6 +126,7 @@
 	roster = roster_copy(NULL, pooler->sync.roster);
 	roster_put_node(roster, pooler->config.name, pooler->config.address, pooler->config.zone,
 			pooler->config.incarnation);
+	put_joiners(pooler, roster);
 	sync_commit(pooler, roster, on_registered, pooler);
 	talloc_free(roster);
 }
@@ -149,7 +203,7 @@
 	const roster_node_t *node = roster_node(pooler->sync.roster, message->from);
 	joiner_t *joiner;
 
-	if (pooler->draining || !permit_is_registered(pooler) || message->zone == NULL ||
+	if (pooler->draining || message->zone == NULL ||
 	    (node != NULL && !node->gone && node->incarnation >= message->incarnation))
 		return;
 	joiner = talloc_zero(pooler, joiner_t);
@@ -162,37 +216,6 @@
 	join_run(pooler, now_of(pooler));
 }
 
-static void forget(joiner_t *joiner)
-{
-	list_del(&joiner->node);
-	talloc_free(joiner);
-}
-
-static bool is_on(const roster_t *roster, const joiner_t *joiner)
-{
-	const roster_node_t *node = roster_node(roster, joiner->name);
-
-	return node != NULL && !node->gone && node->incarnation >= joiner->incarnation;
-}
-
-/* Tell those that are on the roster now. */
-static void tell_added(pooler_t *pooler)
-{
-	const roster_t *roster = pooler->sync.roster;
-
-	list_for_each_safe (it, &pooler->sync.joiners) {
-		joiner_t *joiner = list_entry(it, joiner_t, node);
-
-		if (!is_on(roster, joiner))
-			continue;
-		/* Without a link to it yet, once more with the next tick. */
-		if (!exchange_tell(pooler, joiner->name, joiner->address))
-			continue;
-		counter_add(&added_total, 1);
-		forget(joiner);
-	}
-}
-
 static void on_added(void *data, const kv_result_t *result)
 {
 	pooler_t *pooler = data;
@@ -226,21 +249,13 @@
 static void add_others(pooler_t *pooler)
 {
 	sync_t *sync = &pooler->sync;
-	roster_t *roster = NULL;
+	roster_t *roster;
 
-	if (sync->adding || list_empty(&sync->joiners))
+	if (sync->adding || list_empty(&sync->joiners) || !permit_is_registered(pooler))
 		return;
-	list_for_each (it, &sync->joiners) {
-		const joiner_t *joiner = list_entry(it, joiner_t, node);
-
-		if (is_on(roster != NULL ? roster : sync->roster, joiner))
-			continue;
-		if (roster == NULL)
-			roster = roster_copy(NULL, sync->roster);
-		roster_put_node(roster, joiner->name, joiner->address, joiner->zone,
-				joiner->incarnation);
-	}
-	if (roster == NULL) {
+	roster = roster_copy(NULL, sync->roster);
+	if (!put_joiners(pooler, roster)) {
+		talloc_free(roster);
 		tell_added(pooler);
 		return;
 	}
--- a/pooler/kv.h
+++ b/pooler/kv.h
@@ -15,6 +15,7 @@
 	size_t len;
 	int64_t revision; /* of its last change */
 	int64_t created;  /* revision of its creation */
+	uint64_t lease;	  /* that it ends with; 0: none, or not told */
 } kv_item_t;
 
 typedef enum {
--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -16,6 +16,9 @@
  * costs most of the time that a hold has left. Our own access is tried so often.
  */
 #define PROBE_INTERVAL (1 * USEC_PER_SEC)
+/* In a larger fleet the proxies make as many of these calls a second together, up to this. */
+#define PROBE_INTERVAL_MOST (4 * USEC_PER_SEC)
+#define PROBE_INTERVAL_EACH (80 * USEC_PER_MSEC)
 /* What a peer says of its access to the store counts for so long: two of its questions and a half.
  */
 #define ACCESS_VALID (700 * USEC_PER_MSEC)
@@ -81,6 +84,15 @@
 	return relay->cut_off;
 }
 
+static usec_t probe_interval(const relay_t *relay)
+{
+	usec_t interval = relay->pooler->sync.proxies * PROBE_INTERVAL_EACH;
+
+	if (interval < PROBE_INTERVAL)
+		return PROBE_INTERVAL;
+	return interval < PROBE_INTERVAL_MOST ? interval : PROBE_INTERVAL_MOST;
+}
+
 static void note_access(relay_t *relay, kv_status_t status)
 {
 	bool failed = status == KV_REFUSED || status == KV_LOST;
@@ -88,7 +100,7 @@
 	if (failed == relay->cut_off)
 		return;
 	relay->cut_off = failed;
-	relay->probe_at = now_of(relay->pooler) + PROBE_INTERVAL;
+	relay->probe_at = now_of(relay->pooler) + probe_interval(relay);
 	LOG_EVENT(failed ? LOG_WARN : LOG_INFO,
 		  failed ? "store can't be reached" : "store is reached again",
 		  LOG_INT("status", status));
@@ -267,7 +279,7 @@
 	relay_t *relay = data;
 
 	relay->probing = false;
-	relay->probe_at = now_of(relay->pooler) + PROBE_INTERVAL;
+	relay->probe_at = now_of(relay->pooler) + probe_interval(relay);
 	note_access(relay, result->status);
 }
 
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -39,8 +39,13 @@
 #define READ_JITTER (300 * USEC_PER_MSEC)
 /* The same where the news comes by a hub, one question later. */
 #define READ_BELOW (1200 * USEC_PER_MSEC)
-/* After a read that failed, plus as much jitter. */
-#define READ_BACKOFF (150 * USEC_PER_MSEC)
+/*
+ * After a read that failed, plus as much jitter; longer in a larger fleet, so that all of it makes
+ * some 40 tries a second: whoever succeeds tells the others.
+ */
+#define READ_BACKOFF	  (150 * USEC_PER_MSEC)
+#define READ_BACKOFF_MOST (1 * USEC_PER_SEC)
+#define READ_BACKOFF_ALL  (20 * USEC_PER_MSEC)
 
 COUNTER_DEFINE(roster_reads, "roster_reads_total", COUNTER_SUM, "Reads of the roster.");
 COUNTER_DEFINE(roster_failed, "roster_reads_failed_total", COUNTER_SUM,
@@ -228,8 +233,11 @@
 	value = json_loadb(item->value, item->len, 0, NULL);
 	if (json_unpack(value, "{s:s, s:s, s:I}", "name", &name, "address", &address, "incarnation",
 			&incarnation) == 0) {
-		if (strcmp(name, pooler->config.name) == 0)
+		if (strcmp(name, pooler->config.name) == 0) {
 			hold_on_own_key(pooler, (uint64_t)incarnation, (uint64_t)item->created);
+			if ((uint64_t)incarnation < pooler->config.incarnation)
+				hold_end_former(pooler, item->lease);
+		}
 		sync_set_holder(pooler, name, address, (uint64_t)item->created);
 	}
 	json_decref(value);
@@ -272,6 +280,15 @@
 				  (int64_t)((now - sync->last_read_ok) / USEC_PER_MSEC)));
 }
 
+static usec_t read_backoff(const pooler_t *pooler)
+{
+	usec_t base = pooler->sync.proxies * READ_BACKOFF_ALL;
+
+	if (base < READ_BACKOFF)
+		return READ_BACKOFF;
+	return base < READ_BACKOFF_MOST ? base : READ_BACKOFF_MOST;
+}
+
 static void on_read(void *data, const kv_result_t *result)
 {
 	pooler_t *pooler = data;
@@ -287,7 +304,8 @@
 			LOG_EVENT(LOG_WARN, "store does not answer",
 				  LOG_INT("status", result->status));
 		counter_add(&roster_failed, 1);
-		sync->read_after = now + READ_BACKOFF + pooler_random(pooler, READ_BACKOFF);
+		sync->read_after =
+			now + read_backoff(pooler) + pooler_random(pooler, read_backoff(pooler));
 		talloc_free(roster_key);
 		return;
 	}
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -210,6 +210,7 @@
 		.len = strlen(item->value),
 		.revision = item->revision,
 		.created = item->created,
+		.lease = item->lease,
 	};
 }
 
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -547,6 +547,32 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: nobody replaces a crashed primary for two seconds after all proxies have
+ * restarted. What happens: the key of the duty is that of a process that is gone, and ends with its
+ * lease. Why its successor may end it at once: it has the same name, so the other is gone.
+ */
+static void test_holder_restarts(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t holder;
+	size_t holders = 0;
+
+	world_settle(world);
+	holder = find_holder(world);
+	for (size_t i = 0; i < 3; i++)
+		world_kill(world, i);
+	world_run(world, 50 * MSEC);
+	for (size_t i = 0; i < 3; i++)
+		world_start(world, i);
+	world_run(world, 600 * MSEC);
+	for (size_t i = 0; i < 3; i++)
+		holders += holds_duty(world, i);
+	g_assert_cmpuint(holders, ==, 1);
+	g_assert_true(permit_is_registered(world->nodes[holder].pooler));
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -571,5 +597,6 @@
 	g_test_add_func("/process/back-before-messages", test_back_before_its_messages);
 	g_test_add_func("/process/power-loss", test_power_loss);
 	g_test_add_func("/process/few-connections", test_more_proxies_than_connections);
+	g_test_add_func("/store/holder-restarts", test_holder_restarts);
 	return g_test_run();
 }
