Members that start again under their id; entries of other writers name nobody

A newer born voids what was known of the process before (connections, positions, response, survey, samples of the primary), an older one is of the past (/member/starts-again). A service that the configuration does not name gets no primary.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -189,6 +189,14 @@
 	store_group(service, group->primary, true, group->term);
 }
 
+/* An entry in the store may name a service that the operators know nothing of. */
+static bool is_configured(const service_t *service)
+{
+	const routes_t *routes = service->pooler->routes;
+
+	return routes != NULL && routes_service(routes, service->name) != NULL;
+}
+
 static void watch(service_t *service, usec_t now)
 {
 	const roster_group_t *group = verdict_group(service);
@@ -196,7 +204,8 @@
 	const char *reason;
 
 	if (group == NULL) {
-		install(service, now);
+		if (is_configured(service))
+			install(service, now);
 		return;
 	}
 	if (group->changing && group->fence != service->pooler->sync.own_fence) {
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -8,6 +8,7 @@
 #include "conn.h"
 #include "dispatch.h"
 #include "home.h"
+#include "verdict.h"
 
 #define LOG_MODULE "member"
 #include "log.h"
@@ -52,8 +53,46 @@
 	}
 }
 
+/*
+ * Its process is another one now, under the same id. The connections are the earlier one's, with
+ * what it knew of sessions' values and prepared names; how far it was and how quick says nothing
+ * of this one. Read with an old position it would pass for a replica that has caught up.
+ */
+static void start_again(member_t *member)
+{
+	LOG_EVENT(LOG_WARN, "member started again", LOG_STR("service", member->service->name),
+		  LOG_STR("member", member->id), LOG_INT("born", member->born));
+	while (!list_empty(&member->conns))
+		conn_close(list_entry(member->conns.next, conn_t, node), "member started again");
+	member->applied = (position_t){0};
+	member->applied_at = 0;
+	member->lagged_at = 0;
+	member->full_until = 0;
+	member->open_after = 0;
+	member->response = FIRST_RESPONSE;
+	member->survey_done = false;
+	member->status = (member_status_t){0};
+	if (verdict_primary(member->service) == member)
+		freshness_reset(&member->service->freshness);
+}
+
+/* False if the entry is of an earlier life. */
+static bool take_born(member_t *member, int64_t born)
+{
+	bool again = born > member->born && member->born != 0;
+
+	if (born < member->born)
+		return false;
+	member->born = born;
+	if (again)
+		start_again(member);
+	return true;
+}
+
 void member_update(member_t *member, const member_entry_t *entry)
 {
+	if (!take_born(member, entry->born))
+		return;
 	if (strcmp(member->address, entry->address) != 0) {
 		talloc_free(member->address);
 		member->address = talloc_strdup(member, entry->address);
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -42,6 +42,7 @@
 	int64_t slots;
 	bool leaving;
 	bool primary; /* how it sees itself */
+	int64_t born; /* when its process started, in ms since 1970; 0: not told */
 } member_entry_t;
 
 pooler_t *pooler_create(void *parent, const pooler_config_t *config, env_t *env,
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -67,6 +67,7 @@
 	usec_t leaving_since; /* USEC_NEVER less a margin while it is not leaving */
 	bool gone;	      /* not listed any more */
 	usec_t gone_since;
+	int64_t born; /* of its process, as it says; 0: not told */
 	bool says_primary;
 	usec_t says_since; /* when says_primary was last heard to change */
 	list_t conns;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "pool_check.h"
+#include "state.h"
 
 /* --- a calm day --- */
 
@@ -333,6 +334,49 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers would see: a name that the member does not know, or an old row. A member starts
+ * again under its id; connections, names and log positions are of the process before. An entry of
+ * that process, told late, says nothing either.
+ */
+static void test_member_starts_again(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *caller;
+	pooler_t *pooler;
+	member_t *member;
+	member_entry_t entry;
+
+	world_settle(world);
+	pooler = world->nodes[0].pooler;
+	caller = world_open(world, 0);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	world->stale_directory = true;
+	member = member_find(pooler, "core-0");
+	entry = (member_entry_t){
+		.id = "core-0",
+		.service = WORLD_SERVICE,
+		.address = member->address,
+		.zone = member->zone,
+		.slots = member->slots,
+		.primary = true,
+		.born = 1000,
+	};
+	pooler_on_member(pooler, &entry);
+	g_assert_cmpuint(member->conn_count, !=, 0);
+	g_assert_cmpuint(member->applied.lsn, !=, 0);
+	entry.born = 2000;
+	pooler_on_member(pooler, &entry);
+	g_assert_cmpuint(member->conn_count, ==, 0);
+	g_assert_cmpuint(member->applied.lsn, ==, 0);
+	entry.born = 1500;
+	entry.leaving = true;
+	pooler_on_member(pooler, &entry);
+	g_assert_false(member->leaving);
+	assert_begins(world_ask(caller, "WRITE job-1 b"), "DONE core-0");
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -351,5 +395,6 @@
 	g_test_add_func("/outcome/lost-write", test_lost_answer_of_a_write);
 	g_test_add_func("/outcome/lost-read", test_lost_answer_of_a_read);
 	g_test_add_func("/outcome/crash-in-transaction", test_primary_crashes_in_transaction);
+	g_test_add_func("/member/starts-again", test_member_starts_again);
 	return g_test_run();
 }
