--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -23,10 +23,14 @@
 
 #define DEFAULT_SEEDS 30
 #define NODES	      5
-#define CALLERS	      12
-#define ITEMS	      6
-#define PLAY_TIME     (20 * SEC)
-#define STEP	      (2 * MSEC)
+/* Seeds from here on play a fleet that is large enough to have hubs. */
+#define LARGE_FIRST 1000000
+#define LARGE_SEEDS 6
+#define LARGE_NODES 20
+#define CALLERS	    12
+#define ITEMS	    6
+#define PLAY_TIME   (20 * SEC)
+#define STEP	    (2 * MSEC)
 /* Between two faults on average. */
 #define FAULT_EVERY 600
 #define WRITES_MAX  20000
@@ -70,7 +74,8 @@
 	write_record_t *writes;
 	size_t write_count;
 	usec_t member_back[FAKE_MEMBERS_MAX];
-	usec_t node_back[NODES];
+	size_t nodes;
+	usec_t node_back[LARGE_NODES];
 	usec_t store_back;
 	size_t served;
 	uint32_t seed;
@@ -116,7 +121,7 @@
 /* For whoever looks for the cause. */
 static void describe_nodes(const play_t *play)
 {
-	for (size_t i = 0; i < NODES; i++) {
+	for (size_t i = 0; i < play->nodes; i++) {
 		const pooler_t *pooler = play->world->nodes[i].pooler;
 		const roster_group_t *group =
 			pooler != NULL ? roster_group(pooler->sync.roster, WORLD_SERVICE) : NULL;
@@ -397,7 +402,7 @@
 {
 	pool_world_t *world = play->world;
 
-	client->node = (size_t)g_rand_int_range(play->rand, 0, NODES);
+	client->node = (size_t)g_rand_int_range(play->rand, 0, (gint32)play->nodes);
 	if (world->nodes[client->node].pooler == NULL || world->nodes[client->node].frozen)
 		return;
 	client->caller = world_open_database(world, client->node, databases[client->route]);
@@ -453,7 +458,7 @@
 
 static void fault_node(play_t *play)
 {
-	size_t at = (size_t)g_rand_int_range(play->rand, 0, NODES);
+	size_t at = (size_t)g_rand_int_range(play->rand, 0, (gint32)play->nodes);
 	world_node_t *node = &play->world->nodes[at];
 
 	if (play->node_back[at] != 0)
@@ -517,7 +522,7 @@
 		if (world->db->members[i].stopped)
 			fake_start(&world->db->members[i]);
 	}
-	for (size_t i = 0; i < NODES; i++) {
+	for (size_t i = 0; i < play->nodes; i++) {
 		if (play->node_back[i] == 0 || (!all && now < play->node_back[i]))
 			continue;
 		play->node_back[i] = 0;
@@ -595,8 +600,9 @@
 	usec_t end;
 
 	play->seed = seed;
+	play->nodes = seed >= LARGE_FIRST ? LARGE_NODES : NODES;
 	play->rand = g_rand_new_with_seed(seed);
-	play->world = world_create(NODES, config_of(seed));
+	play->world = world_create(play->nodes, config_of(seed));
 	play->writes = g_new0(write_record_t, WRITES_MAX);
 	for (size_t i = 0; i < CALLERS; i++)
 		play->clients[i].route = (route_kind_t)(i % 3);
@@ -613,10 +619,11 @@
 	for (size_t i = 0; i < CALLERS; i++)
 		step_client(play, &play->clients[i]);
 	check_end(play);
-	if (world_permitted(play->world, fake_leader(play->world->db)->id) != NODES)
+	if (world_permitted(play->world, fake_leader(play->world->db)->id) != play->nodes)
 		describe_nodes(play);
 	/* It serves again, and did all along. */
-	g_assert_cmpuint(world_permitted(play->world, fake_leader(play->world->db)->id), ==, NODES);
+	g_assert_cmpuint(world_permitted(play->world, fake_leader(play->world->db)->id), ==,
+			 play->nodes);
 	g_assert_cmpuint(play->served, >, 100);
 	g_test_message("seed %u: %zu operations, %zu writes, %zu promotes", seed, play->served,
 		       play->write_count, play->world->promote_count);
@@ -663,10 +670,19 @@
 		play_seed(seed);
 }
 
+/* The same faults in a fleet whose proxies hear of the holder through hubs. */
+static void test_large_seeds(void)
+{
+	for (uint32_t seed = LARGE_FIRST; seed < LARGE_FIRST + LARGE_SEEDS; seed++)
+		play_seed(seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/faults/regressions", test_regressions);
 	g_test_add_func("/faults/seeds", test_seeds);
+	if (number_of("FAULT_SEED", 0) == 0)
+		g_test_add_func("/faults/large-seeds", test_large_seeds);
 	return g_test_run();
 }
