--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -45,7 +45,7 @@
 {
 	roster_node_t *node = roster_node(roster, name);
 
-	if (node == NULL)
+	if (node == NULL || roster->by_name == NULL)
 		return;
 	list_del(&node->node);
 	HASH_DEL(roster->by_name, node);
@@ -230,15 +230,25 @@
 	return 0;
 }
 
+static void remove_nodes(roster_t *roster, json_t *names)
+{
+	size_t index;
+	json_t *value;
+
+	json_array_foreach (names, index, value) {
+		const char *name = json_string_value(value);
+
+		if (name != NULL)
+			roster_remove_node(roster, name);
+	}
+}
+
 /* What the document says replaces what the roster has. */
 static int decode_into(roster_t *roster, json_t *root)
 {
 	const char *writer = json_string_value(json_object_get(root, "writer"));
 	json_t *nodes = json_object_get(root, "nodes");
 	json_t *groups = json_object_get(root, "groups");
-	const char *name;
-	size_t index;
-	json_t *value;
 
 	/* Another writer's text would pass for a fleet without anybody. */
 	if (!json_is_object(nodes) || !json_is_object(groups))
@@ -246,11 +256,6 @@
 
 	if (writer != NULL)
 		roster_set_writer(roster, writer);
-	json_array_foreach (json_object_get(root, "removed"), index, value) {
-		name = json_string_value(value);
-		if (name != NULL)
-			roster_remove_node(roster, name);
-	}
 	return decode_nodes(roster, nodes) < 0 || decode_groups(roster, groups) < 0 ? -1 : 0;
 }
 
@@ -262,6 +267,8 @@
 	roster_t *roster = since != NULL ? roster_copy(parent, base) : roster_create(parent);
 
 	roster->revision = revision;
+	if (since != NULL)
+		remove_nodes(roster, json_object_get(root, "removed"));
 	if ((since != NULL && base->revision < json_integer_value(since)) ||
 	    decode_into(roster, root) < 0) {
 		talloc_free(roster);
