Groups that change together are written together

Cause: each service wrote the roster for itself, with the revision that all had; of N that start, or lose their primaries, together one write succeeded and N - 1 came back with the whole roster, and so on: N squared over two. Ruled out: load (the same beside work and alone), processor and links (busiest at 36% and 737 kB a second at 30).

duty.c keeps what each service wants written and makes one write at a time with all of it; nothing is written after the hold has ended. 30 first primaries take 8 calls to the store instead of 465 writes (/verdict/many-first-primaries).

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -73,6 +73,8 @@
 {
 	talloc_free(service->change.target);
 	service->change = (change_t){.step = CHANGE_NONE};
+	talloc_free(service->wanted.primary);
+	service->wanted.primary = NULL;
 }
 
 void duty_abandon(pooler_t *pooler)
@@ -83,26 +85,68 @@
 
 /* --- marking --- */
 
+static void flush(pooler_t *pooler);
+
 static void on_stored(void *data, const kv_result_t *result)
 {
-	service_t *service = data;
+	pooler_t *pooler = data;
 
 	(void)result; /* the roster, read again, shows what holds */
-	service->change.busy = false;
-	duty_tick(service->pooler, now_of(service->pooler));
+	pooler->sync.storing = false;
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+
+		if (service->storing) {
+			service->storing = false;
+			service->change.busy = service->wanted.primary != NULL;
+		}
+	}
+	flush(pooler);
+	duty_tick(pooler, now_of(pooler));
 }
 
-static void store_group(service_t *service, const char *primary, bool changing, uint64_t term)
+/*
+ * One write at a time, with all groups that are to change. When each service wrote for itself, of N
+ * that start together, or lose their primaries together, one write succeeded and N - 1 met it: 30
+ * first primaries took 465 writes of the whole roster, and a fleet before 100 databases never came
+ * to serve.
+ */
+static void flush(pooler_t *pooler)
 {
-	pooler_t *pooler = service->pooler;
-	roster_t *roster = roster_copy(NULL, pooler->sync.roster);
+	roster_t *roster = NULL;
 
-	service->change.busy = true;
-	roster_put_group(roster, service->name, primary, changing, term, pooler->sync.own_fence);
-	sync_commit(pooler, roster, on_stored, service);
+	if (pooler->sync.storing || !hold_is_ours(pooler, now_of(pooler)))
+		return;
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+
+		if (service->wanted.primary == NULL)
+			continue;
+		if (roster == NULL)
+			roster = roster_copy(NULL, pooler->sync.roster);
+		roster_put_group(roster, service->name, service->wanted.primary,
+				 service->wanted.changing, service->wanted.term,
+				 pooler->sync.own_fence);
+		talloc_free(service->wanted.primary);
+		service->wanted.primary = NULL;
+		service->storing = true;
+	}
+	if (roster == NULL)
+		return;
+	pooler->sync.storing = true;
+	sync_commit(pooler, roster, on_stored, pooler);
 	talloc_free(roster);
 }
 
+static void store_group(service_t *service, const char *primary, bool changing, uint64_t term)
+{
+	service->change.busy = true;
+	talloc_free(service->wanted.primary);
+	service->wanted.primary = talloc_strdup(service, primary);
+	service->wanted.changing = changing;
+	service->wanted.term = term;
+}
+
 /* Write down who is the primary from now on. */
 static void commit_primary(service_t *service, const member_t *primary, uint64_t term, usec_t now)
 {
@@ -513,6 +557,7 @@
 	sweep_tick(pooler, now);
 	list_for_each (it, &pooler->services)
 		step(list_entry(it, service_t, node), now);
+	flush(pooler);
 }
 
 usec_t duty_remaining(const service_t *service, usec_t now)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -224,6 +224,12 @@
 	int64_t settled_revision; /* of that roster */
 	change_t change;
 	homes_t homes;
+	struct {
+		char *primary; /* NULL: nothing */
+		bool changing;
+		uint64_t term;
+	} wanted;	      /* to be written to the roster */
+	bool storing;	      /* a write with it is under way */
 	usec_t doubted_at;    /* when the holder last said that its primary does not answer */
 	usec_t served_others; /* when a statement of another proxy last came; 0: never */
 	bool taken_up;	      /* the change under way was begun by another proxy */
@@ -291,6 +297,7 @@
 	usec_t join_began;
 	bool join_failed; /* our own write to get on the roster met another one */
 	usec_t join_wait; /* another proxy was asked to add us; not before this again */
+	bool storing;	  /* groups are being written */
 	bool adding;	  /* others to the roster */
 	list_t joiners;	  /* that have asked for it; see join.c */
 	usec_t ask_next;
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -110,6 +110,9 @@
 
 static bool is_lost(const world_link_t *link)
 {
+	/* A member that is only listed: nobody is at its address. */
+	if (link->member == NULL)
+		return true;
 	return link->from->cut_from_members;
 }
 
--- a/tests/test_pooler_verdict.c
+++ b/tests/test_pooler_verdict.c
@@ -1,7 +1,9 @@
 /* Whether a primary is lost, judged from what several proxies see. */
 #include <glib.h>
+#include <talloc.h>
 
 #include "pool_check.h"
+#include "state.h"
 
 /*
  * What callers saw: nobody was served for the first eight seconds of a day. The holder of the
@@ -86,6 +88,57 @@
 	world_destroy(world);
 }
 
+#define MANY 30
+
+/* More services, each with a member that says it is the primary; nobody answers there. */
+static void add_services(pool_world_t *world, size_t node)
+{
+	pooler_t *pooler = world->nodes[node].pooler;
+	routes_t *routes = routes_create(NULL);
+
+	routes->version = 1000;
+	for (int i = 0; i < MANY; i++) {
+		service_limits_t *limits = talloc_zero(routes, service_limits_t);
+		g_autofree char *id = g_strdup_printf("more-%d-0", i);
+
+		limits->name = talloc_asprintf(limits, "more-%d", i);
+		limits->max_connections = 4;
+		list_add_tail(&routes->services, &limits->node);
+		pooler_on_member(pooler, &(member_entry_t){.id = id,
+							   .service = limits->name,
+							   .address = "10.9.9.9:1",
+							   .zone = "a",
+							   .slots = 2,
+							   .primary = true});
+	}
+	pooler_on_routes(pooler, routes);
+}
+
+/*
+ * What callers saw: nobody was served, or not for many seconds, before 100 databases. Each first
+ * primary was written down by a write of its own, and each write made all others fail. One write
+ * with all of them is enough; some more come from members that tell their term late.
+ */
+static void test_many_first_primaries(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t holder;
+	size_t calls;
+
+	world_settle(world);
+	world->stale_directory = true;
+	holder = find_holder(world);
+	calls = world->kv->call_count;
+	for (size_t i = 0; i < 3; i++)
+		add_services(world, i);
+	world_run(world, 2 * SEC);
+	g_assert_cmpuint(list_length(&world->nodes[holder].pooler->sync.roster->groups), ==,
+			 MANY + 1);
+	g_test_message("%zu calls to the store", world->kv->call_count - calls);
+	g_assert_cmpuint(world->kv->call_count - calls, <, MANY);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -93,5 +146,6 @@
 	g_test_add_func("/verdict/unused-primary", test_unused_primary_crashes);
 	g_test_add_func("/verdict/only-home", test_only_home_is_the_holder);
 	g_test_add_func("/verdict/last-proxy", test_last_proxy_judges_alone);
+	g_test_add_func("/verdict/many-first-primaries", test_many_first_primaries);
 	return g_test_run();
 }
