Why and how sessions are ended by us, and how late the loop is, can be told from logs and metrics

Nothing said whether a session that a proxy closed still had input, why it was closed, or how late the loop was, so the hypotheses on the lost request could not be told apart. Lines and counters for each end of a session, for input that is thrown away, and a histogram of the tick's lateness.

--- a/kernel/stream.c
+++ b/kernel/stream.c
@@ -113,12 +113,10 @@
 
 /* --- input --- */
 
-bool stream_has_input(const stream_t *stream)
+static bool has_input(const stream_t *stream)
 {
 	struct pollfd poll_fd = {.events = POLLIN};
 
-	if (stream->sock == NULL)
-		return false;
 	if (stream->sock->input->size != 0)
 		return true;
 	poll_fd.fd = h2o_socket_get_fd(stream->sock);
@@ -137,6 +135,7 @@
 
 		if (stream->finishing) {
 			used = stream->sock->input->size;
+			stream->dropped += used;
 		} else {
 			used = stream->ops->on_data(stream, stream->sock->input->bytes,
 						    stream->sock->input->size);
@@ -248,6 +247,14 @@
 			   on_finish);
 }
 
+bool stream_leave(stream_t *stream)
+{
+	if (stream->sock != NULL && has_input(stream))
+		return false;
+	stream_finish(stream);
+	return true;
+}
+
 /* --- opening --- */
 
 static void start(stream_t *stream)
@@ -279,6 +286,7 @@
 		return err_set(err, -EINVAL, "connect", address, "expected IP:PORT");
 	stream->loop = loop;
 	stream->finishing = false;
+	stream->dropped = 0;
 	stream->up = false;
 	stream->sock =
 		h2o_socket_connect(loop->h2o, (struct sockaddr *)&sin, sizeof(sin), on_connected);
@@ -295,6 +303,7 @@
 	stream->loop = loop;
 	stream->sock = sock;
 	stream->finishing = false;
+	stream->dropped = 0;
 	sock->data = stream;
 	set_options(sock, silence_ms);
 	start(stream);
--- a/kernel/stream.h
+++ b/kernel/stream.h
@@ -30,6 +30,7 @@
 	h2o_socket_t *sock; /* NULL when closed */
 	bool up;
 	bool finishing;
+	size_t dropped; /* bytes of input that came after stream_finish() */
 	run_timer_t finish;
 	bool *closed; /* set by stream_close() for a callback that is running */
 	char *out;    /* handed to the socket */
@@ -50,9 +51,6 @@
 /* Returns 0, -ENOTCONN, or -ENOBUFS when the peer does not read. */
 int stream_send(stream_t *stream, const char *data, size_t len);
 
-/* True if there is input that on_data has not been given. */
-bool stream_has_input(const stream_t *stream);
-
 /* Look at the input again that on_data has left. */
 void stream_resume(stream_t *stream);
 
@@ -62,6 +60,12 @@
 /* Close when all output has left; input is thrown away, on_down is called in the end. */
 void stream_finish(stream_t *stream);
 
+/*
+ * End the connection of a peer that is not in the middle of anything. Returns false, and leaves it
+ * open, if there is input that on_data has not been given.
+ */
+bool stream_leave(stream_t *stream);
+
 /* Open a listening socket on address. Returns its descriptor or a negative errno. */
 int stream_listen(const char *address, err_t *err);
 
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -9,6 +9,7 @@
 #include "conn.h"
 #include "dispatch.h"
 #include "forward.h"
+#include "hangup.h"
 #include "job.h"
 #include "member.h"
 #include "permit.h"
@@ -25,8 +26,6 @@
 #define HEDGES_MAX 2
 /* Before the same member is tried again after a refusal, grows with the attempts. */
 #define RETRY_STEP (4 * USEC_PER_MSEC)
-/* While shutting down, a session without a statement for so long is closed. */
-#define DRAIN_REST (400 * USEC_PER_MSEC)
 /* Longest reason in an answer, bytes. */
 #define REASON_MAX 160
 
@@ -288,20 +287,13 @@
 	not_run(caller, reply->code, REASON_MEMBER_REFUSED, code_name(reply->code));
 }
 
-/* While shutting down. */
-static void leave_if_done(caller_t *caller)
-{
-	if (caller->leaving && caller->tx == TX_NONE && !caller->busy)
-		caller_drain(caller, false);
-}
-
 void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply)
 {
 	if (reply->ok)
 		on_success(caller, conn, reply);
 	else
 		on_error(caller, conn, reply);
-	leave_if_done(caller);
+	hangup_if_done(caller);
 }
 
 /* --- results of another proxy --- */
@@ -364,7 +356,7 @@
 	} else {
 		on_forwarded_error(caller, result);
 	}
-	leave_if_done(caller);
+	hangup_if_done(caller);
 }
 
 /* --- statements that are answered here --- */
@@ -631,7 +623,7 @@
 		on_outside_tx(caller);
 	else
 		on_inside_tx(caller);
-	leave_if_done(caller);
+	hangup_if_done(caller);
 }
 
 bool caller_is_busy(const caller_t *caller)
@@ -683,46 +675,6 @@
 	talloc_free(caller);
 }
 
-/*
- * What the caller sees otherwise: its whole request gets neither an answer nor a refusal. On a busy
- * VM the loop is 0.3 s late, and a session that looks idle here has a request in the socket's
- * buffer, sent long before the close. It is answered first; the session ends with a later tick.
- */
-static bool has_unread(const caller_t *caller)
-{
-	env_t *env = caller->pooler->env;
-
-	return caller->job == NULL && env->ops->caller_has_input(env, caller->link);
-}
-
-static void hang_up(caller_t *caller)
-{
-	pooler_t *pooler = caller->pooler;
-	void *link = caller->link;
-
-	bool is_job = caller->job != NULL;
-
-	caller_on_gone(caller);
-	if (!is_job)
-		pooler->env->ops->caller_close(pooler->env, link);
-}
-
-void caller_drain(caller_t *caller, bool cut_transactions)
-{
-	bool rested;
-
-	caller->leaving = true;
-	if (caller->busy)
-		return;
-	/*
-	 * After its answer, or when it has rested a little: one that has just come is about to
-	 * send, and a statement that crosses our close looks lost to its sender.
-	 */
-	rested = caller->served || now_of(caller->pooler) >= caller->idle_since + DRAIN_REST;
-	if (cut_transactions || (caller->tx == TX_NONE && rested && !has_unread(caller)))
-		hang_up(caller);
-}
-
 bool caller_may_write(const caller_t *caller)
 {
 	if (caller->tx == TX_OPEN)
@@ -730,14 +682,6 @@
 	return caller->busy && is_write(caller);
 }
 
-void caller_let_go(caller_t *caller, usec_t now)
-{
-	/* One that has just come, or was just refused, may be about to send. */
-	if (caller->job == NULL && !caller->busy && caller->tx == TX_NONE &&
-	    now >= caller->idle_since + DRAIN_REST && !has_unread(caller))
-		hang_up(caller);
-}
-
 void caller_tick(caller_t *caller, usec_t now)
 {
 	const routes_t *routes = caller->pooler->routes;
--- a/pooler/caller.h
+++ b/pooler/caller.h
@@ -37,10 +37,4 @@
 /* True if a write may still follow on the caller's connection, or is under way. */
 bool caller_may_write(const caller_t *caller);
 
-/* End what the shutdown does not wait for any longer. */
-void caller_drain(caller_t *caller, bool cut_transactions);
-
-/* Close the session if it rests, so that its client connects to another proxy. */
-void caller_let_go(caller_t *caller, usec_t now);
-
 void caller_tick(caller_t *caller, usec_t now);
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -167,12 +167,17 @@
 
 typedef enum { PROMOTE_OK, PROMOTE_REFUSED, PROMOTE_LOST } promote_status_t;
 
+typedef enum {
+	CLOSE_DONE,
+	CLOSE_UNREAD, /* the caller has sent something that was not handed in yet */
+} close_result_t;
+
 typedef struct env_ops {
 	void (*caller_reply)(struct env *env, void *link, const caller_reply_t *reply);
-	/* True if the caller has sent something that was not handed in yet. */
-	bool (*caller_has_input)(struct env *env, void *link);
-	/* Close once everything sent has left. */
-	void (*caller_close)(struct env *env, void *link);
+	/* Close, unless something of the caller is under way. */
+	close_result_t (*caller_close)(struct env *env, void *link);
+	/* Close once everything sent has left, whatever the caller has sent. */
+	void (*caller_abort)(struct env *env, void *link);
 	/* NULL if it fails at once; else conn_on_ready or conn_on_down follows. */
 	void *(*member_connect)(struct env *env, const char *address, const char *service,
 				const char *member, struct conn *conn);
--- /dev/null
+++ b/pooler/hangup.c
@@ -0,0 +1,88 @@
+#include "hangup.h"
+
+#include "caller.h"
+
+#define LOG_MODULE "hangup"
+#include "counter.h"
+#include "log.h"
+
+/*
+ * A session without a statement for so long rests: one that has just come, or was just refused, is
+ * about to send, and a statement that crosses our close looks lost to its sender.
+ */
+#define REST (400 * USEC_PER_MSEC)
+
+typedef enum { END_SHUTDOWN, END_CUT, END_NO_PERMISSION } end_reason_t;
+
+static const char *const reasons[] = {
+	[END_SHUTDOWN] = "shutdown",
+	[END_CUT] = "transaction_cut",
+	[END_NO_PERMISSION] = "no_permission",
+};
+
+static const char *const outcomes[] = {
+	[CLOSE_DONE] = "closed",
+	[CLOSE_UNREAD] = "unread",
+};
+
+COUNTER_GRID_DEFINE(ended_total, "caller_sessions_ended_total", "reason", reasons, "outcome",
+		    outcomes,
+		    "Sessions to be closed by us: closed, or kept for what was not read yet.");
+
+static void report(const caller_t *caller, end_reason_t reason, close_result_t result)
+{
+	counter_grid_add(&ended_total, reason, result);
+	LOG_EVENT(LOG_INFO, "session ends", LOG_STR("reason", reasons[reason]),
+		  LOG_STR("outcome", outcomes[result]), LOG_STR("database", caller->database),
+		  LOG_INT("idle_ms", (int64_t)((now_of(caller->pooler) - caller->idle_since) /
+					       USEC_PER_MSEC)));
+}
+
+/*
+ * What the caller sees otherwise: its whole request gets neither an answer nor a refusal. On a busy
+ * VM the loop is 0.3 s late, and a session that looks idle here has a request in the socket's
+ * buffer, sent long before the close. It is answered first; the session ends with a later tick.
+ */
+static void hang_up(caller_t *caller, end_reason_t reason)
+{
+	env_t *env = caller->pooler->env;
+	close_result_t result = CLOSE_DONE;
+
+	/* A session that stands for another proxy's has no link of its own. */
+	if (caller->job == NULL) {
+		if (reason == END_CUT)
+			env->ops->caller_abort(env, caller->link);
+		else
+			result = env->ops->caller_close(env, caller->link);
+		report(caller, reason, result);
+	}
+	if (result == CLOSE_DONE)
+		caller_on_gone(caller);
+}
+
+void hangup_drain(caller_t *caller, bool cut)
+{
+	bool rested;
+
+	caller->leaving = true;
+	if (caller->busy)
+		return;
+	rested = caller->served || now_of(caller->pooler) >= caller->idle_since + REST;
+	if (cut)
+		hang_up(caller, END_CUT);
+	else if (caller->tx == TX_NONE && rested)
+		hang_up(caller, END_SHUTDOWN);
+}
+
+void hangup_if_done(caller_t *caller)
+{
+	if (caller->leaving && caller->tx == TX_NONE && !caller->busy)
+		hangup_drain(caller, false);
+}
+
+void hangup_let_go(caller_t *caller, usec_t now)
+{
+	if (caller->job == NULL && !caller->busy && caller->tx == TX_NONE &&
+	    now >= caller->idle_since + REST)
+		hang_up(caller, END_NO_PERMISSION);
+}
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -10,6 +10,7 @@
 #include "duty.h"
 #include "exchange.h"
 #include "forward.h"
+#include "hangup.h"
 #include "hold.h"
 #include "home.h"
 #include "job.h"
@@ -21,6 +22,7 @@
 
 #define LOG_MODULE "pooler"
 #include "counter.h"
+#include "histogram.h"
 #include "log.h"
 
 /* How often time-outs that need no precision are looked at. */
@@ -58,6 +60,8 @@
 COUNTER_DEFINE(config_version, "config_version", COUNTER_GAUGE,
 	       "Version of the operators' configuration in force.");
 COUNTER_DEFINE(pauses_total, "pauses_total", COUNTER_SUM, "Times this process was found stopped.");
+HISTOGRAM_DEFINE(late_seconds, "tick_late_seconds", "",
+		 "How late the clock tick came: what the process has not looked at may be as old.");
 
 uint64_t pooler_random(pooler_t *pooler, uint64_t bound)
 {
@@ -166,9 +170,9 @@
 					      : CODE_ABORTED,
 				      REASON_SHUTTING_DOWN, 0);
 		if (pooler->draining)
-			caller_drain(caller, cut);
+			hangup_drain(caller, cut);
 		else if (let_go)
-			caller_let_go(caller, now);
+			hangup_let_go(caller, now);
 	}
 }
 
@@ -203,6 +207,8 @@
 	}
 	if (now > pooler->last_tick + TICK_INTERVAL + STALL_NOTICED)
 		pooler->awake_since = now;
+	if (now > pooler->last_tick + TICK_INTERVAL)
+		histogram_add(&late_seconds, now - pooler->last_tick - TICK_INTERVAL);
 	pooler->last_tick = now;
 	timers_arm(pooler->timers, timer, now + TICK_INTERVAL, on_tick);
 	summary_tick(&pooler->summary, now);
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -239,16 +239,18 @@
 	protocol_buffer_free(&buffer);
 }
 
-static bool caller_has_input(env_t *env, void *data)
+static void caller_abort(env_t *env, void *data)
 {
 	(void)env;
-	return ((world_caller_t *)data)->unread;
+	((world_caller_t *)data)->caller = NULL;
 }
 
-static void caller_close(env_t *env, void *data)
+static close_result_t caller_close(env_t *env, void *data)
 {
-	(void)env;
-	((world_caller_t *)data)->caller = NULL;
+	if (((world_caller_t *)data)->unread)
+		return CLOSE_UNREAD;
+	caller_abort(env, data);
+	return CLOSE_DONE;
 }
 
 world_caller_t *world_open(pool_world_t *world, size_t at)
@@ -428,7 +430,7 @@
 static const env_ops_t ops = {
 	.caller_reply = caller_reply,
 	.caller_close = caller_close,
-	.caller_has_input = caller_has_input,
+	.caller_abort = caller_abort,
 	.member_connect = member_connect,
 	.member_send = member_send,
 	.member_close = member_close,
