--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -599,6 +599,32 @@
 	world_destroy(world);
 }
 
+/*
+ * What the caller sees: in a transaction it sends its next statement and gets neither an answer nor
+ * a refusal. What happens: the proxy shuts down; half of its grace is over, so that transactions
+ * which rest are cut; its loop is late, and the statement lies unread. Why it is enough to let the
+ * caller have that answer: the session is looked at again with each tick until the grace ends.
+ */
+static void test_unread_request_at_the_cut(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	world_ask(caller, "BEGIN");
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	pooler_drain(world->nodes[0].pooler);
+	caller->unread = true;
+	world_run(world, 3500 * MSEC);
+	g_assert_nonnull(caller->caller);
+	caller->unread = false;
+	assert_begins(world_ask(caller, "READ job-1"), "ROW a");
+	world_run(world, 200 * MSEC);
+	g_assert_null(caller->caller);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -625,5 +651,6 @@
 	g_test_add_func("/process/few-connections", test_more_proxies_than_connections);
 	g_test_add_func("/store/holder-restarts", test_holder_restarts);
 	g_test_add_func("/end/unread-request", test_unread_request_is_answered);
+	g_test_add_func("/end/unread-at-the-cut", test_unread_request_at_the_cut);
 	return g_test_run();
 }
