A session is closed in the same step as it is looked at; unread input and unsent answers keep it open

Cause: at shutdown, and without permission, a session that looks idle is closed. The look came first, the close with a later turn of the loop, which reads all sockets before and throws away what comes for a session that is ending; behind an answer the close waited for all else that was ready. The cut of resting transactions took no look; a START that was read in the last 0.1 s was told READY by a process about to end. Class: deciding on an idle look and acting later. Ruled out: statements in progress (never closed), the end of the grace and of the listener (2.3 s and later, the record has 84 ms). Now stream_leave() looks and closes in one step and refuses otherwise; the session is tried again when its answer has left, or with a tick.

--- a/kernel/stream.c
+++ b/kernel/stream.c
@@ -183,6 +183,8 @@
 		write_next(stream);
 	else if (stream->finishing)
 		go_down(stream, "finished");
+	else if (stream->ops->on_sent != NULL)
+		stream->ops->on_sent(stream);
 }
 
 static void write_next(stream_t *stream)
@@ -247,12 +249,16 @@
 			   on_finish);
 }
 
-bool stream_leave(stream_t *stream)
+stream_leave_t stream_leave(stream_t *stream)
 {
-	if (stream->sock != NULL && has_input(stream))
-		return false;
-	stream_finish(stream);
-	return true;
+	if (stream->sock == NULL)
+		return STREAM_LEFT;
+	if (has_input(stream))
+		return STREAM_UNREAD;
+	if (stream->finishing || stream->out != NULL || stream->next_len != 0)
+		return STREAM_UNSENT;
+	stream_close(stream);
+	return STREAM_LEFT;
 }
 
 /* --- opening --- */
--- a/kernel/stream.h
+++ b/kernel/stream.h
@@ -20,10 +20,19 @@
 	void (*on_up)(struct stream *stream);
 	/* Input; returns how many bytes were used up. The rest comes again with more. */
 	size_t (*on_data)(struct stream *stream, const char *data, size_t len);
+	/* All output has left; may be NULL. */
+	void (*on_sent)(struct stream *stream);
 	/* The connection is gone, by the peer or an error; the stream is closed already. */
 	void (*on_down)(struct stream *stream, const char *reason);
 } stream_ops_t;
 
+/* What came of stream_leave(). */
+typedef enum {
+	STREAM_LEFT,   /* it is closed */
+	STREAM_UNREAD, /* there is input that on_data has not used up */
+	STREAM_UNSENT, /* there is output that has not left */
+} stream_leave_t;
+
 typedef struct stream {
 	const stream_ops_t *ops;
 	loop_t *loop;
@@ -61,10 +70,12 @@
 void stream_finish(stream_t *stream);
 
 /*
- * End the connection of a peer that is not in the middle of anything. Returns false, and leaves it
- * open, if there is input that on_data has not been given.
+ * End the connection of a peer that is not in the middle of anything. The look and the close are
+ * one step: if the close waited for a later turn of the loop, what comes in between would be thrown
+ * away, and its sender get neither an answer nor a refusal. Only what is on its way right now can
+ * still cross the close. Without a callback; if it stays open, on_data or on_sent follows.
  */
-bool stream_leave(stream_t *stream);
+stream_leave_t stream_leave(stream_t *stream);
 
 /* Open a listening socket on address. Returns its descriptor or a negative errno. */
 int stream_listen(const char *address, err_t *err);
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -637,7 +637,8 @@
 {
 	caller_t *caller;
 
-	if (pooler->routes == NULL) {
+	/* One whose START was read so late would be cut off by the end of the process. */
+	if (pooler->routes == NULL || pooler->drained_told) {
 		*code = CODE_BUSY;
 		return NULL;
 	}
@@ -659,6 +660,11 @@
 	return caller;
 }
 
+void caller_on_sent(caller_t *caller)
+{
+	hangup_if_done(caller);
+}
+
 void caller_on_gone(caller_t *caller)
 {
 	pooler_t *pooler = caller->pooler;
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -167,16 +167,18 @@
 
 typedef enum { PROMOTE_OK, PROMOTE_REFUSED, PROMOTE_LOST } promote_status_t;
 
+/* What came of closing a caller's session. */
 typedef enum {
 	CLOSE_DONE,
 	CLOSE_UNREAD, /* the caller has sent something that was not handed in yet */
+	CLOSE_UNSENT, /* an answer to it has not left yet; caller_on_sent() follows */
 } close_result_t;
 
 typedef struct env_ops {
 	void (*caller_reply)(struct env *env, void *link, const caller_reply_t *reply);
-	/* Close, unless something of the caller is under way. */
+	/* Close now, unless something of the caller is under way: then it stays open. */
 	close_result_t (*caller_close)(struct env *env, void *link);
-	/* Close once everything sent has left, whatever the caller has sent. */
+	/* Close now, whatever is under way. */
 	void (*caller_abort)(struct env *env, void *link);
 	/* NULL if it fails at once; else conn_on_ready or conn_on_down follows. */
 	void *(*member_connect)(struct env *env, const char *address, const char *service,
--- a/pooler/hangup.c
+++ b/pooler/hangup.c
@@ -12,26 +12,31 @@
  */
 #define REST (400 * USEC_PER_MSEC)
 
-typedef enum { END_SHUTDOWN, END_CUT, END_NO_PERMISSION } end_reason_t;
+typedef enum { END_SHUTDOWN, END_CUT, END_NO_PERMISSION, END_NOT_READING } end_reason_t;
 
 static const char *const reasons[] = {
 	[END_SHUTDOWN] = "shutdown",
 	[END_CUT] = "transaction_cut",
 	[END_NO_PERMISSION] = "no_permission",
+	[END_NOT_READING] = "caller_does_not_read",
 };
 
 static const char *const outcomes[] = {
 	[CLOSE_DONE] = "closed",
 	[CLOSE_UNREAD] = "unread",
+	[CLOSE_UNSENT] = "unsent",
 };
 
 COUNTER_GRID_DEFINE(ended_total, "caller_sessions_ended_total", "reason", reasons, "outcome",
 		    outcomes,
-		    "Sessions to be closed by us: closed, or kept for what was not read yet.");
+		    "Sessions to be closed by us: closed, or kept for what is under way.");
 
 static void report(const caller_t *caller, end_reason_t reason, close_result_t result)
 {
 	counter_grid_add(&ended_total, reason, result);
+	/* Behind each answer of a shutdown: it is closed as soon as the answer has left. */
+	if (result == CLOSE_UNSENT)
+		return;
 	LOG_EVENT(LOG_INFO, "session ends", LOG_STR("reason", reasons[reason]),
 		  LOG_STR("outcome", outcomes[result]), LOG_STR("database", caller->database),
 		  LOG_INT("idle_ms", (int64_t)((now_of(caller->pooler) - caller->idle_since) /
@@ -41,7 +46,9 @@
 /*
  * What the caller sees otherwise: its whole request gets neither an answer nor a refusal. On a busy
  * VM the loop is 0.3 s late, and a session that looks idle here has a request in the socket's
- * buffer, sent long before the close. It is answered first; the session ends with a later tick.
+ * buffer, sent long before the close. The link closes only if nothing is under way, in the same
+ * step as it looks; else the request is answered first, and the session ends behind that answer or
+ * with a later tick.
  */
 static void hang_up(caller_t *caller, end_reason_t reason)
 {
@@ -50,17 +57,31 @@
 
 	/* A session that stands for another proxy's has no link of its own. */
 	if (caller->job == NULL) {
-		if (reason == END_CUT)
-			env->ops->caller_abort(env, caller->link);
-		else
-			result = env->ops->caller_close(env, caller->link);
+		result = env->ops->caller_close(env, caller->link);
 		report(caller, reason, result);
 	}
 	if (result == CLOSE_DONE)
 		caller_on_gone(caller);
 }
 
-void hangup_drain(caller_t *caller, bool cut)
+/*
+ * One that does not read its answer for the whole grace would keep the process from ending in good
+ * order, and all others from being told.
+ */
+static void give_up(caller_t *caller)
+{
+	env_t *env = caller->pooler->env;
+	close_result_t result = env->ops->caller_close(env, caller->link);
+
+	if (result == CLOSE_UNREAD)
+		return;
+	if (result == CLOSE_UNSENT)
+		env->ops->caller_abort(env, caller->link);
+	report(caller, result == CLOSE_UNSENT ? END_NOT_READING : END_CUT, CLOSE_DONE);
+	caller_on_gone(caller);
+}
+
+void hangup_drain(caller_t *caller, drain_phase_t phase)
 {
 	bool rested;
 
@@ -68,7 +89,9 @@
 	if (caller->busy)
 		return;
 	rested = caller->served || now_of(caller->pooler) >= caller->idle_since + REST;
-	if (cut)
+	if (phase == DRAIN_ALL && caller->job == NULL)
+		give_up(caller);
+	else if (phase != DRAIN_RESTING)
 		hang_up(caller, END_CUT);
 	else if (caller->tx == TX_NONE && rested)
 		hang_up(caller, END_SHUTDOWN);
@@ -77,7 +100,7 @@
 void hangup_if_done(caller_t *caller)
 {
 	if (caller->leaving && caller->tx == TX_NONE && !caller->busy)
-		hangup_drain(caller, false);
+		hangup_drain(caller, DRAIN_RESTING);
 }
 
 void hangup_let_go(caller_t *caller, usec_t now)
--- a/pooler/hangup.h
+++ b/pooler/hangup.h
@@ -6,8 +6,15 @@
 
 #include "state.h"
 
-/* For the shutdown: close the session if it rests. cut: also if it rests inside a transaction. */
-void hangup_drain(caller_t *caller, bool cut);
+/* How far a shutdown has come; each phase ends more than the one before. */
+typedef enum {
+	DRAIN_RESTING,	    /* sessions that rest outside a transaction */
+	DRAIN_TRANSACTIONS, /* and inside of one */
+	DRAIN_ALL,	    /* and those that do not read their last answer */
+} drain_phase_t;
+
+/* For the shutdown: close the session unless it has a statement in progress. */
+void hangup_drain(caller_t *caller, drain_phase_t phase);
 
 /* While shutting down: close the session if its last statement has just been answered. */
 void hangup_if_done(caller_t *caller);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -148,11 +148,19 @@
 	return pooler->last_permitted != 0 && now >= pooler->last_permitted + LET_GO_AFTER;
 }
 
+static drain_phase_t drain_phase(const pooler_t *pooler, usec_t now)
+{
+	usec_t grace = pooler->config.grace;
+
+	if (now >= pooler->drain_started + grace - END_MARGIN)
+		return DRAIN_ALL;
+	return now >= pooler->drain_started + grace / 2 ? DRAIN_TRANSACTIONS : DRAIN_RESTING;
+}
+
 static void tick_callers(pooler_t *pooler, usec_t now)
 {
-	bool cut = pooler->draining && now >= pooler->drain_started + pooler->config.grace / 2;
-	bool end = pooler->draining &&
-		   now >= pooler->drain_started + pooler->config.grace - END_MARGIN;
+	drain_phase_t phase = drain_phase(pooler, now);
+	bool end = pooler->draining && phase == DRAIN_ALL;
 	bool let_go = serves_nobody(pooler, now);
 
 	list_for_each_safe (it, &pooler->callers) {
@@ -170,7 +178,7 @@
 					      : CODE_ABORTED,
 				      REASON_SHUTTING_DOWN, 0);
 		if (pooler->draining)
-			hangup_drain(caller, cut);
+			hangup_drain(caller, phase);
 		else if (let_go)
 			hangup_let_go(caller, now);
 	}
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -69,6 +69,8 @@
 /* True while a statement is unanswered; the next one must wait. */
 bool caller_is_busy(const struct caller *caller);
 void caller_on_statement(struct caller *caller, const statement_t *statement);
+/* All answers to the caller have left. */
+void caller_on_sent(struct caller *caller);
 void caller_on_gone(struct caller *caller);
 
 /* --- members --- */
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -49,6 +49,7 @@
 	size_t replies;
 	code_t refused; /* of the session itself */
 	bool unread;	/* it has sent something that the proxy has not looked at */
+	bool unsent;	/* it does not read its answers */
 } world_caller_t;
 
 typedef struct promote_call {
