--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -9,6 +9,7 @@
 #include "duty.h"
 #include "forward.h"
 #include "hold.h"
+#include "home.h"
 #include "job.h"
 #include "join.h"
 #include "member.h"
@@ -87,6 +88,7 @@
 	message->revision = pooler->sync.roster->revision;
 	message->config_version = pooler->routes != NULL ? pooler->routes->version : 0;
 	message->cut_off = relay_is_cut_off(pooler->relay);
+	message->draining = pooler->draining;
 }
 
 /* False if it was certainly not sent: there is no link to that proxy yet. */
@@ -606,6 +608,7 @@
 
 void exchange_on_message(pooler_t *pooler, const peer_message_t *message)
 {
+	home_on_message(pooler, message);
 	if (message->kind != PEER_RESULT)
 		forward_on_heard(pooler, message->from);
 	switch (message->kind) {
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -33,6 +33,8 @@
 /* One that declined, since it shuts down or has another configuration, is left alone for so long.
  */
 #define DECLINED_FOR (100 * USEC_PER_MSEC)
+/* One that shuts down is asked so often whether its next process is there. */
+#define RETURN_INTERVAL (200 * USEC_PER_MSEC)
 /* Who was handed a statement keeps connections for so long after. */
 #define SERVES_FOR (2 * USEC_PER_SEC)
 
@@ -232,8 +234,8 @@
 {
 	const peer_report_t *report = exchange_report(pooler, name);
 
-	return report == NULL ||
-	       (now >= report->declined_until && !home_is_suspect(pooler, name, now));
+	return report == NULL || (!report->leaving && now >= report->declined_until &&
+				  !home_is_suspect(pooler, name, now));
 }
 
 const roster_node_t *home_find(service_t *service, usec_t now)
@@ -279,6 +281,23 @@
 	report->unanswered_since = outstanding != 0 ? now : 0;
 }
 
+/*
+ * What callers see otherwise: 250 ms of waiting at each restart of a home, once for every proxy
+ * that hands it statements, since each has to find out that it is gone. It says so itself while it
+ * still runs, and is left alone until its next process is heard.
+ */
+void home_on_message(pooler_t *pooler, const peer_message_t *message)
+{
+	peer_report_t *report = exchange_get_report(pooler, message->from);
+
+	if (message->incarnation < report->life)
+		return;
+	if (message->draining && !report->leaving)
+		LOG_EVENT(LOG_INFO, "proxy shuts down", LOG_STR("proxy", message->from));
+	report->life = message->incarnation;
+	report->leaving = message->draining;
+}
+
 void home_on_declined(pooler_t *pooler, const char *name, usec_t now)
 {
 	exchange_get_report(pooler, name)->declined_until = now + DECLINED_FOR;
@@ -321,6 +340,17 @@
 	ping_next(pooler, report->name, now);
 }
 
+/* Without a statement that would wait for it. */
+static void look_for_return(pooler_t *pooler, peer_report_t *report, usec_t now)
+{
+	const roster_node_t *node = roster_node(pooler->sync.roster, report->name);
+
+	if (node == NULL || node->gone || now < report->pinged_at + RETURN_INTERVAL)
+		return;
+	report->pinged_at = now;
+	exchange_ping(pooler, node);
+}
+
 void home_tick(pooler_t *pooler, usec_t now)
 {
 	list_for_each (it, &pooler->services) {
@@ -333,6 +363,8 @@
 		peer_report_t *report = list_entry(it, peer_report_t, node);
 		const roster_node_t *node;
 
+		if (report->leaving)
+			look_for_return(pooler, report, now);
 		if (report->unanswered_since == 0 || now < report->unanswered_since + PING_AFTER)
 			continue;
 		suspect(pooler, report, now);
--- a/pooler/home.h
+++ b/pooler/home.h
@@ -38,6 +38,9 @@
 void home_on_heard(pooler_t *pooler, const char *name, size_t outstanding, usec_t now);
 
 /* It does not take statements now. */
+/* A message of any kind: whether its sender shuts down. */
+void home_on_message(pooler_t *pooler, const peer_message_t *message);
+
 void home_on_declined(pooler_t *pooler, const char *name, usec_t now);
 
 /* True if it has not answered for too long. */
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -255,6 +255,8 @@
 	usec_t pinged_at;
 	bool ponged; /* it has answered, so there are links both ways */
 	usec_t declined_until;
+	uint64_t life;	       /* incarnation of its last message; see home_on_message() */
+	bool leaving;	       /* that one shuts down */
 	bool suspected;	       /* as was logged */
 	usec_t listed_since;   /* when the roster was first seen to name it */
 	usec_t entered_at;     /* when it was last seen to have put itself there */
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -407,6 +407,41 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: after a planned restart of the home each proxy's next statement waits for 250
+ * ms. What happens: the home has declined statements while it shut down, then its process ended,
+ * and every proxy finds that out for itself. Why it suffices that the home says so with what it
+ * sends: whoever hands it statements hears from it in that time.
+ */
+static void test_home_shuts_down(void)
+{
+	pool_world_t *world = make_scarce();
+	size_t away = find_away(world);
+	world_caller_t *caller = world_open(world, away);
+	world_node_t *home;
+	size_t at;
+
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	home = helper_of(world, caller);
+	at = (size_t)(home - world->nodes);
+	pooler_drain(home->pooler);
+	for (int i = 0; i < 30; i++) {
+		world_ask(caller, "READ job-1");
+		world_run(world, 100 * MSEC);
+	}
+	world_kill(world, at);
+	world_run(world, 200 * MSEC);
+	world_send(caller, "READ job-1");
+	world_run(world, 60 * MSEC);
+	assert_begins(caller->reply, "ROW a");
+	/* Its next process is used again. */
+	world_start(world, at);
+	world_run(world, 800 * MSEC);
+	assert_begins(world_ask(caller, "READ job-1"), "ROW a");
+	g_assert_true(helper_of(world, caller) == home);
+	world_destroy(world);
+}
+
 /*
  * What callers see: a write in doubt, a read refused, after the whole time-out, though the member
  * has answered. What happens: the home has never sent anything to this proxy; it has no link for
@@ -450,6 +485,7 @@
 	g_test_add_func("/home/restarts-in-transaction", test_home_restarts_in_a_transaction);
 	g_test_add_func("/home/caller-leaves", test_caller_leaves_its_home);
 	g_test_add_func("/home/proxy-dies", test_proxy_dies_away_from_home);
+	g_test_add_func("/home/shuts-down", test_home_shuts_down);
 	g_test_add_func("/forward/first-result", test_first_result_waits_for_its_link);
 	g_test_add_func("/home/frozen", test_home_is_frozen);
 	g_test_add_func("/home/sessions-let-go", test_sessions_are_let_go);
