Test runs claim their ports: each takes a block that is free

tests/site.c and tests/harness.c took blocks of ports by process number (modulo 31 and modulo 155), so two runs on one machine, or two harnesses in one process, could take the same block and fail each other ('can't bind 127.0.0.1:31000' in test_site beside demo_platform). tests/ports.c now hands out blocks for both: the run that listens on the block's last port has it, its processes inherit that socket, and a block with a foreign listener is passed over.

--- a/measure/real.c
+++ b/measure/real.c
@@ -92,7 +92,7 @@
 
 static double store_calls(const harness_t *h)
 {
-	json_t *counts = harness_call(h->port, "/control", NULL, NULL);
+	json_t *counts = harness_call(h->ports.first, "/control", NULL, NULL);
 	double calls = (double)json_integer_value(json_object_get(counts, "calls"));
 
 	json_decref(counts);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -13,11 +13,8 @@
 #include <libpq-fe.h>
 #include <zmq.h>
 
-#define PORTS_PER_HARNESS 64
-#define PORT_FIRST	  20000
-#define PORT_SPAN	  10000
-#define TOKEN		  "operators-secret"
-#define SESSION_KEY	  "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define TOKEN	    "operators-secret"
+#define SESSION_KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
 int harness_member_conns = 15;
 gboolean harness_http2;
@@ -51,22 +48,22 @@
 
 int harness_caller_port(const harness_t *h, int proxy)
 {
-	return h->port + 10 + 3 * proxy;
+	return h->ports.first + 10 + 3 * proxy;
 }
 
 int harness_operator_port(const harness_t *h, int proxy)
 {
-	return h->port + 11 + 3 * proxy;
+	return h->ports.first + 11 + 3 * proxy;
 }
 
 static int peer_port(const harness_t *h, int proxy)
 {
-	return h->port + 12 + 3 * proxy;
+	return h->ports.first + 12 + 3 * proxy;
 }
 
 int harness_member_port(const harness_t *h, int member)
 {
-	return h->port + 1 + member;
+	return h->ports.first + 1 + member;
 }
 
 static void write_file(const harness_t *h, const char *name, const char *text)
@@ -80,7 +77,7 @@
 static void start_platform(harness_t *h)
 {
 	char *argv[] = {harness_program("tests/standin_platform"), "--listen",
-			g_strdup_printf("127.0.0.1:%d", h->port), NULL};
+			g_strdup_printf("127.0.0.1:%d", h->ports.first), NULL};
 
 	h->platform = spawn(h, "platform.log", argv);
 	g_free(argv[0]);
@@ -126,9 +123,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	h->dir = g_dir_make_tmp("cyclamenspan-XXXXXX", &error);
 	g_assert_no_error(error);
-	/* Processes of one run differ by pid, so that test programs can run side by side. */
-	h->port =
-		PORT_FIRST + (int)(getpid() * PORTS_PER_HARNESS) % (PORT_SPAN - PORTS_PER_HARNESS);
+	ports_take(&h->ports);
 	h->lag_ms = lag_ms;
 	write_file(h, "token", TOKEN "\n");
 	write_file(h, "session.key", SESSION_KEY "\n");
@@ -167,7 +162,7 @@
 		"[platform]\nurl = \"http://127.0.0.1:%d\"\n"
 		"[session]\nkey_file = \"%s/session.key\"\n%s",
 		i, zones[i % 3], harness_caller_port(h, i), harness_operator_port(h, i), h->dir,
-		peer_port(h, i), list, h->public_key, h->dir, h->port, h->dir,
+		peer_port(h, i), list, h->public_key, h->dir, h->ports.first, h->dir,
 		extra_settings != NULL ? extra_settings : "");
 
 	write_file(h, name, text);
@@ -330,6 +325,7 @@
 	for (int i = 0; i < HARNESS_MEMBERS; i++)
 		harness_kill(&h->members[i]);
 	harness_kill(&h->platform);
+	ports_release(&h->ports);
 	if (g_getenv("KEEP_LOGS") != NULL)
 		g_printerr("logs kept in %s\n", h->dir);
 	else
@@ -437,7 +433,8 @@
 		g_free(name);
 		g_free(address);
 	}
-	json_decref(harness_call(h->port, "/control/vms", json_pack("{s:o}", "vms", vms), NULL));
+	json_decref(
+		harness_call(h->ports.first, "/control/vms", json_pack("{s:o}", "vms", vms), NULL));
 }
 
 static void wait_for_writes(const harness_t *h, int proxy)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -1,7 +1,6 @@
 /*
  * Runs a small fleet as real processes on loopback for tests and the demo: a
- * platform, groups of three backend servers, proxies. Each test picks its own
- * ports below the range that the kernel hands out.
+ * platform, groups of three backend servers, proxies.
  */
 #pragma once
 
@@ -10,12 +9,14 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "ports.h"
+
 #define HARNESS_MEMBERS	    3
 #define HARNESS_MAX_PROXIES 9
 
 typedef struct harness {
 	char *dir; /* settings, secrets and logs */
-	int port;  /* first port */
+	ports_t ports;
 	pid_t platform;
 	pid_t members[HARNESS_MEMBERS];
 	pid_t proxies[HARNESS_MAX_PROXIES];
--- a/tests/site.c
+++ b/tests/site.c
@@ -17,15 +17,12 @@
 
 #include "harness.h"
 
-#define PORTS_PER_SITE	32
-#define PORT_FIRST	31000
-#define PORT_SPAN	1000
 #define READY_TIMEOUT	20000
 #define RECEIVE_TIMEOUT 10000
 
 static int caller_port(const site_harness_t *site, int proxy)
 {
-	return site->port + 8 + 4 * proxy;
+	return site->ports.first + 8 + 4 * proxy;
 }
 
 int site_operators_port(const site_harness_t *site, int proxy)
@@ -42,7 +39,8 @@
 		"[operators]\nlisten = \"127.0.0.1:%d\"\n[peers]\nlisten = \"127.0.0.1:%d\"\n"
 		"[store]\naddress = \"127.0.0.1:%d\"\n[promotion]\naddress = \"127.0.0.1:%d\"\n"
 		"[shutdown]\ngrace_s = 4\n",
-		proxy, port, port + 1, port + 2, port + 3, site->port, site->port + 1);
+		proxy, port, port + 1, port + 2, port + 3, site->ports.first,
+		site->ports.first + 1);
 
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
@@ -99,8 +97,8 @@
 	char *argv[3] = {program};
 
 	site->dir = g_dir_make_tmp("cyclamenspan-site-XXXXXX", NULL);
-	site->port = PORT_FIRST + (int)(getpid() % (PORT_SPAN / PORTS_PER_SITE)) * PORTS_PER_SITE;
-	port = g_strdup_printf("%d", site->port);
+	ports_take(&site->ports);
+	port = g_strdup_printf("%d", site->ports.first);
 	argv[1] = port;
 	site->platform = spawn(argv, STDERR_FILENO);
 	for (int i = 0; i < proxies; i++)
@@ -120,6 +118,7 @@
 	for (int i = 0; i < SITE_PROXIES_MAX; i++)
 		harness_kill(&site->proxies[i]);
 	harness_kill(&site->platform);
+	ports_release(&site->ports);
 	while ((name = g_dir_read_name(dir)) != NULL) {
 		char *path = g_build_filename(site->dir, name, NULL);
 
--- a/tests/site.h
+++ b/tests/site.h
@@ -9,11 +9,13 @@
 
 #include <glib.h>
 
+#include "ports.h"
+
 #define SITE_PROXIES_MAX 4
 
 typedef struct site_harness {
 	char *dir; /* settings and logs */
-	int port;  /* first one */
+	ports_t ports;
 	pid_t platform;
 	pid_t proxies[SITE_PROXIES_MAX];
 } site_harness_t;
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -128,7 +128,7 @@
 {
 	harness_t *h = harness_start_fleet(3, 5);
 
-	json_decref(harness_call(h->port, "/control", json_pack("{s:b}", "down", 1), NULL));
+	json_decref(harness_call(h->ports.first, "/control", json_pack("{s:b}", "down", 1), NULL));
 	g_usleep(4000000);
 	g_free(write_done(h, 0, "job-1", "v1", "a1"));
 	harness_kill(&h->proxies[2]);
@@ -140,7 +140,7 @@
 	g_assert_cmpint(harness_ctl(h, 2, NULL, "table", "set", "row/dispatch/status",
 				    "max_age_ms=700", NULL),
 			==, 4);
-	json_decref(harness_call(h->port, "/control", json_pack("{s:b}", "down", 0), NULL));
+	json_decref(harness_call(h->ports.first, "/control", json_pack("{s:b}", "down", 0), NULL));
 	g_usleep(3000000);
 	g_assert_cmpint(harness_ctl(h, 2, NULL, "table", "set", "row/dispatch/status",
 				    "max_age_ms=800", NULL),
