A proxy that ends takes up what was sent to it before: listener's queue, open connections, other proxies' messages

kernel_settle() asks each plug-in before the end; httpd_settle() closes a connection in the moment in which nothing is unread on it and says whether others are left.

--- a/kernel/plugin.c
+++ b/kernel/plugin.c
@@ -60,6 +60,19 @@
 	}
 }
 
+bool kernel_settle(kernel_t *kernel)
+{
+	bool settled = true;
+
+	list_for_each (it, &kernel->started) {
+		plugin_t *plugin = list_entry(it, plugin_t, started);
+
+		if (plugin->ops->settle != NULL && !plugin->ops->settle(plugin))
+			settled = false;
+	}
+	return settled;
+}
+
 json_t *kernel_dump(const kernel_t *kernel)
 {
 	json_t *out = json_object();
--- a/kernel/plugin.h
+++ b/kernel/plugin.h
@@ -27,7 +27,9 @@
 	const char *family; /* of plug-ins that serve together; NULL: the first one */
 	int order;	    /* lower starts earlier */
 	int (*start)(struct plugin *plugin, kernel_t *kernel, err_t *err);
-	void (*drain)(struct plugin *plugin);	      /* may be NULL */
+	void (*drain)(struct plugin *plugin); /* may be NULL */
+	/* See kernel_settle(); may be NULL. */
+	bool (*settle)(struct plugin *plugin);
 	json_t *(*dump)(const struct plugin *plugin); /* state for operators; may be NULL */
 	void (*destroy)(struct plugin *plugin);
 } plugin_ops_t;
@@ -55,6 +57,14 @@
 int kernel_start(kernel_t *kernel, err_t *err);
 void kernel_drain(kernel_t *kernel);
 
+/*
+ * After the drain: close connections on which nothing is left to do, and say
+ * whether that is all of them. If not, let the loop turn and ask again; a
+ * process that ended without asking would reset connections with requests on
+ * them that it has not read yet.
+ */
+bool kernel_settle(kernel_t *kernel);
+
 /* One object, a key a plug-in. The caller owns it. */
 json_t *kernel_dump(const kernel_t *kernel);
 void kernel_destroy(kernel_t *kernel);
--- a/links/callers.c
+++ b/links/callers.c
@@ -428,6 +428,13 @@
 			 self->httpd.listener != NULL);
 }
 
+static bool settle(plugin_t *plugin)
+{
+	callers_t *self = (callers_t *)plugin;
+
+	return self->waiting == NULL && httpd_settle(&self->httpd);
+}
+
 static void destroy(plugin_t *plugin)
 {
 	(void)plugin; /* h2o's connections end with the process */
@@ -439,6 +446,7 @@
 	.start = start,
 	.drain = drain,
 	.dump = dump,
+	.settle = settle,
 	.destroy = destroy,
 };
 
--- a/links/httpd.c
+++ b/links/httpd.c
@@ -2,26 +2,62 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <talloc.h>
 
 #include "stream.h"
 
 #define HTTP1_IDLE_MSEC 60000
 #define JSON_TYPE	"application/json"
+/*
+ * Looks before the end at a connection that goes on having something to read or
+ * write. Each look follows a turn of the loop, which serves 256 connections, so
+ * it suffices for 25,000 of them; then it is a caller that doesn't take its
+ * answer, and the process doesn't wait for it. Looks are counted, not time: a
+ * process that is held up has served nobody meanwhile.
+ */
+#define LOOKS_MAX 100
 
 typedef struct handler {
 	h2o_handler_t base;
 	httpd_t *httpd;
 } handler_t;
 
-static void on_accept(h2o_socket_t *listener, const char *err)
+/* A connection, in httpd_t.conns until h2o closes its socket. */
+typedef struct conn {
+	list_t node;
+	h2o_socket_t *sock;
+} conn_t;
+
+static void on_close(void *data)
+{
+	conn_t *conn = data;
+
+	list_del(&conn->node);
+	talloc_free(conn);
+}
+
+static void accept_waiting(httpd_t *httpd)
 {
-	httpd_t *httpd = listener->data;
 	h2o_socket_t *sock;
 
-	if (err != NULL)
-		return;
-	while ((sock = h2o_evloop_socket_accept(listener)) != NULL)
+	while ((sock = h2o_evloop_socket_accept(httpd->listener)) != NULL) {
+		conn_t *conn = talloc_zero(NULL, conn_t);
+
+		conn->sock = sock;
+		sock->on_close.cb = on_close;
+		sock->on_close.data = conn;
+		list_add_tail(&httpd->conns, &conn->node);
 		h2o_accept(&httpd->accept, sock);
+	}
+}
+
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	if (err == NULL)
+		accept_waiting(listener->data);
 }
 
 static int on_req(h2o_handler_t *base, h2o_req_t *req)
@@ -43,6 +79,7 @@
 		return fd;
 	httpd->handle = handle;
 	httpd->data = data;
+	list_init(&httpd->conns);
 	h2o_config_init(&httpd->config);
 	httpd->config.max_request_entity_size = max_body;
 	httpd->config.http1.req_timeout = HTTP1_IDLE_MSEC;
@@ -65,12 +102,42 @@
 {
 	if (httpd->listener == NULL)
 		return;
+	/*
+	 * When the loop is late, callers have connected and sent requests that the
+	 * kernel holds for us; closing the listener would reset them all.
+	 */
+	accept_waiting(httpd);
 	h2o_socket_read_stop(httpd->listener);
 	h2o_socket_close(httpd->listener);
 	httpd->listener = NULL;
 	h2o_context_request_shutdown(&httpd->context);
 }
 
+static bool has_unread(const conn_t *conn)
+{
+	int bytes = 0;
+
+	return ioctl(h2o_socket_get_fd(conn->sock), FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
+bool httpd_settle(httpd_t *httpd)
+{
+	bool settled = true;
+	bool last_look = ++httpd->looks >= LOOKS_MAX;
+
+	httpd_drain(httpd);
+	list_for_each (it, &httpd->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		/* Closed right after the look: what is sent later is told by the end of input. */
+		if (last_look || (!has_unread(conn) && !h2o_socket_is_writing(conn->sock)))
+			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+		else
+			settled = false;
+	}
+	return settled;
+}
+
 static const char *reason_of(int status)
 {
 	switch (status) {
--- a/links/httpd.h
+++ b/links/httpd.h
@@ -5,6 +5,7 @@
 #include <jansson.h>
 
 #include "err.h"
+#include "list.h"
 #include "loop.h"
 
 struct httpd;
@@ -17,6 +18,8 @@
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
 	h2o_socket_t *listener;
+	list_t conns;
+	int looks; /* of httpd_settle() */
 	httpd_handler_t handle;
 	void *data;
 } httpd_t;
@@ -25,9 +28,15 @@
 int httpd_start(httpd_t *httpd, loop_t *loop, const char *address, size_t max_body,
 		httpd_handler_t handle, void *data, err_t *err);
 
-/* Accept no more; connections end when their requests have. */
+/* Accept no more than what has connected by now; connections end when their requests have. */
 void httpd_drain(httpd_t *httpd);
 
+/*
+ * Drain, close the connections that have nothing to read or write, and return
+ * true if there are no others. Requests must not be waiting for their answers.
+ */
+bool httpd_settle(httpd_t *httpd);
+
 /* Answer with a JSON body, which is taken over. retry_after_ms 0: none. */
 void httpd_send_json(h2o_req_t *req, int status, json_t *body, uint64_t retry_after_ms);
 
--- a/links/operators.c
+++ b/links/operators.c
@@ -281,6 +281,13 @@
 			   self, err);
 }
 
+static bool settle(plugin_t *plugin)
+{
+	operators_t *self = (operators_t *)plugin;
+
+	return self->pending == NULL && httpd_settle(&self->httpd);
+}
+
 static void destroy(plugin_t *plugin)
 {
 	operators_t *self = (operators_t *)plugin;
@@ -292,6 +299,7 @@
 	.name = "operators",
 	.order = 40,
 	.start = start,
+	.settle = settle,
 	.destroy = destroy,
 };
 
--- a/links/peerlink.c
+++ b/links/peerlink.c
@@ -91,6 +91,12 @@
 			 "authenticated", self->secret_key != NULL);
 }
 
+static bool settle(plugin_t *plugin)
+{
+	zmqlink_receive(&((peerlink_t *)plugin)->zmq);
+	return true;
+}
+
 static void destroy(plugin_t *plugin)
 {
 	peerlink_t *self = (peerlink_t *)plugin;
@@ -104,6 +110,7 @@
 	.order = 30,
 	.start = start,
 	.dump = dump,
+	.settle = settle,
 	.destroy = destroy,
 };
 
--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -35,8 +35,16 @@
 #define KEEPALIVE_PROBES       3
 #define CURVE_KEY_CHARS	       40
 #define RECHECK_INTERVAL       (50 * USEC_PER_MSEC)
-#define ZAP_ENDPOINT	       "inproc://zeromq.zap.01"
-#define ZAP_FRAMES	       7
+/*
+ * What ZeroMQ's thread has not written yet when we stop would be thrown away:
+ * the last answers to other proxies, which would then not know whether the
+ * request was run. A connection that is up takes them within milliseconds;
+ * one whose peer is away holds nothing (ZMQ_IMMEDIATE); one whose peer has
+ * stopped reading is given up after 500 ms, long before its keepers end us.
+ */
+#define LINGER_MSEC  500
+#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
+#define ZAP_FRAMES   7
 
 COUNTER_DEFINE(sent_total, "peer_messages_sent_total", COUNTER_SUM, "Messages sent to peers.");
 COUNTER_DEFINE(sent_bytes, "peer_bytes_sent_total", COUNTER_SUM, "Bytes sent to peers.");
@@ -113,20 +121,23 @@
 }
 
 /* The descriptor tells of changes only, so read until nothing is left. */
-static void on_router_readable(loop_watch_t *watch)
+void zmqlink_receive(zmqlink_t *self)
 {
-	zmqlink_t *self = list_entry(watch, zmqlink_t, router_watch);
-
 	while (receive_one(self))
 		;
 }
 
+static void on_router_readable(loop_watch_t *watch)
+{
+	zmqlink_receive(list_entry(watch, zmqlink_t, router_watch));
+}
+
 static void on_recheck(run_timer_t *timer, usec_t now)
 {
 	zmqlink_t *self = list_entry(timer, zmqlink_t, recheck);
 
 	/* An edge can be missed between two looks at the socket; this bounds the delay. */
-	on_router_readable(&self->router_watch);
+	zmqlink_receive(self);
 	timers_arm(&self->loop->timers, timer, now + RECHECK_INTERVAL, on_recheck);
 }
 
@@ -317,8 +328,12 @@
 	timers_cancel(&self->loop->timers, &self->recheck);
 	loop_watch_stop(&self->router_watch);
 	loop_watch_stop(&self->zap_watch);
-	list_for_each_safe (it, &self->peers)
-		close_peer(list_entry(it, peer_t, node));
+	list_for_each_safe (it, &self->peers) {
+		peer_t *peer = list_entry(it, peer_t, node);
+
+		set_int(peer->socket, ZMQ_LINGER, LINGER_MSEC);
+		close_peer(peer);
+	}
 	zmq_close(self->router);
 	if (self->zap != NULL)
 		zmq_close(self->zap);
--- a/proxy/main.c
+++ b/proxy/main.c
@@ -26,6 +26,8 @@
 #define CONFIG_VARIABLE "CYCLAMENSPAN_SETTINGS"
 /* Between the last answer and the end, so that it leaves the socket. */
 #define FLUSH_TIME (100 * USEC_PER_MSEC)
+/* Between two looks at what came in late: time for the loop to read and answer it. */
+#define SETTLE_INTERVAL (10 * USEC_PER_MSEC)
 
 typedef struct options {
 	const char *config;
@@ -144,8 +146,10 @@
 {
 	process_t *process = list_entry(timer, process_t, flush_timer);
 
-	(void)now;
-	loop_stop(&process->kernel.loop);
+	if (kernel_settle(&process->kernel))
+		loop_stop(&process->kernel.loop);
+	else
+		timers_arm(&process->kernel.loop.timers, timer, now + SETTLE_INTERVAL, on_flushed);
 }
 
 static void on_drained(void)
--- a/tests/site.c
+++ b/tests/site.c
@@ -25,6 +25,11 @@
 	return site->ports.first + 8 + 4 * proxy;
 }
 
+int site_probe_port(const site_harness_t *site, int proxy)
+{
+	return caller_port(site, proxy) + 1;
+}
+
 int site_operators_port(const site_harness_t *site, int proxy)
 {
 	return caller_port(site, proxy) + 2;
--- a/tests/site.h
+++ b/tests/site.h
@@ -39,6 +39,7 @@
 /* Status of GET path at the probe's or the operators' address; body may be NULL. */
 long site_get(const site_harness_t *site, int proxy, bool probe, const char *path, GString *body);
 
+int site_probe_port(const site_harness_t *site, int proxy);
 int site_operators_port(const site_harness_t *site, int proxy);
 
 /* The log of a proxy so far. */
--- /dev/null
+++ b/tests/test_zmqlink.c
@@ -0,0 +1,160 @@
+/* Messages between proxies: what becomes of them when a process ends. */
+#include <string.h>
+
+#include "ports.h"
+#include "zmqlink.h"
+
+#define MESSAGES      500
+#define MESSAGE_BYTES 4096
+#define WAIT_USEC     (10 * G_USEC_PER_SEC)
+
+typedef struct receiver {
+	zmqlink_t link; /* first: frames find the receiver by it */
+	loop_t loop;
+	int received;
+} receiver_t;
+
+static void on_frame(zmqlink_t *link, const void *data, size_t len)
+{
+	receiver_t *receiver = (receiver_t *)link;
+
+	(void)data;
+	g_assert_cmpuint(len, ==, MESSAGE_BYTES);
+	receiver->received++;
+}
+
+static void ignore_frame(zmqlink_t *link, const void *data, size_t len)
+{
+	(void)link;
+	(void)data;
+	(void)len;
+}
+
+static void start(zmqlink_t *link, loop_t *loop, zmqlink_frame_t on_message, int port)
+{
+	char *address = g_strdup_printf("127.0.0.1:%d", port);
+	err_t err = {0};
+
+	g_assert_cmpint(loop_init(loop, clock_system()), ==, 0);
+	link->on_frame = on_message;
+	g_assert_cmpint(zmqlink_start(link, loop, address, &err), ==, 0);
+	g_free(address);
+}
+
+static void turn(loop_t *loop)
+{
+	h2o_evloop_run(loop->h2o, 10);
+	timers_expire(&loop->timers, clock_now(loop->clock));
+}
+
+static void receive(receiver_t *receiver, int count)
+{
+	gint64 end = g_get_monotonic_time() + WAIT_USEC;
+
+	while (receiver->received < count && g_get_monotonic_time() < end)
+		turn(&receiver->loop);
+}
+
+/* The first message goes out once the connection is up. */
+static void connect_to(zmqlink_t *sender, receiver_t *receiver, const char *address,
+		       const char *message)
+{
+	gint64 end = g_get_monotonic_time() + WAIT_USEC;
+
+	while (zmqlink_send(sender, "b", address, message, MESSAGE_BYTES) < 0) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end);
+		turn(&receiver->loop);
+	}
+	receive(receiver, 1);
+	g_assert_cmpint(receiver->received, ==, 1);
+}
+
+/*
+ * What callers see: "unknown" for a write that was done, and refusals after 250 ms of waiting. What
+ * happens: a proxy that ends has handed its last answers to ZeroMQ, whose thread has not written
+ * them yet when the sockets are closed. Why lingering suffices: the peer is connected and reads.
+ */
+static void test_last_messages_arrive(void)
+{
+	ports_t ports;
+	receiver_t receiver = {0};
+	zmqlink_t sender = {0};
+	loop_t sender_loop;
+	char message[MESSAGE_BYTES] = "";
+	char *address;
+
+	ports_take(&ports);
+	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
+	start(&receiver.link, &receiver.loop, on_frame, ports.first + 1);
+	start(&sender, &sender_loop, ignore_frame, ports.first);
+	connect_to(&sender, &receiver, address, message);
+	for (int i = 0; i < MESSAGES; i++)
+		g_assert_cmpint(zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES), ==, 0);
+	zmqlink_stop(&sender);
+	receive(&receiver, MESSAGES + 1);
+	g_assert_cmpint(receiver.received, ==, MESSAGES + 1);
+	zmqlink_stop(&receiver.link);
+	ports_release(&ports);
+	g_free(address);
+}
+
+/* A peer that has gone doesn't keep the process from its end. */
+static void test_peer_is_gone(void)
+{
+	ports_t ports;
+	receiver_t receiver = {0};
+	zmqlink_t sender = {0};
+	loop_t sender_loop;
+	char message[MESSAGE_BYTES] = "";
+	gint64 stopped;
+	char *address;
+
+	ports_take(&ports);
+	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
+	start(&receiver.link, &receiver.loop, on_frame, ports.first + 1);
+	start(&sender, &sender_loop, ignore_frame, ports.first);
+	connect_to(&sender, &receiver, address, message);
+	zmqlink_stop(&receiver.link);
+	for (int i = 0; i < MESSAGES; i++)
+		zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES);
+	stopped = g_get_monotonic_time();
+	zmqlink_stop(&sender);
+	g_assert_cmpint(g_get_monotonic_time() - stopped, <, 2 * G_USEC_PER_SEC);
+	ports_release(&ports);
+	g_free(address);
+}
+
+/* A message that came before the end is taken up although the loop has not told of it. */
+static void test_receive_before_the_end(void)
+{
+	ports_t ports;
+	receiver_t receiver = {0};
+	zmqlink_t sender = {0};
+	loop_t sender_loop;
+	char message[MESSAGE_BYTES] = "";
+	gint64 end = g_get_monotonic_time() + WAIT_USEC;
+	char *address;
+
+	ports_take(&ports);
+	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
+	start(&receiver.link, &receiver.loop, on_frame, ports.first + 1);
+	start(&sender, &sender_loop, ignore_frame, ports.first);
+	connect_to(&sender, &receiver, address, message);
+	g_assert_cmpint(zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES), ==, 0);
+	while (receiver.received < 2 && g_get_monotonic_time() < end)
+		zmqlink_receive(&receiver.link);
+	g_assert_cmpint(receiver.received, ==, 2);
+	zmqlink_stop(&sender);
+	zmqlink_stop(&receiver.link);
+	ports_release(&ports);
+	g_free(address);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/zmqlink/last-messages-arrive", test_last_messages_arrive);
+	g_test_add_func("/zmqlink/peer-is-gone", test_peer_is_gone);
+	g_test_add_func("/zmqlink/receive-before-the-end", test_receive_before_the_end);
+	return g_test_run();
+}
