--- a/core/router.c
+++ b/core/router.c
@@ -22,8 +22,45 @@
 #define RETRY_AFTER_TABLE    USEC_PER_SEC
 #define RETRY_AFTER_SHUTDOWN (10 * USEC_PER_MSEC)
 #define FIRST_WATCH	     USEC_PER_SEC
+/* How often a request that waits after our own pause is tried again. */
+#define WAKE_RETRY (50 * USEC_PER_MSEC)
 
 static void route(request_t *request);
+static void admit(request_t *request);
+
+/* --- after a pause of our own --- */
+
+static void on_wake_retry(run_timer_t *timer, usec_t now)
+{
+	request_t *request = list_entry(timer, request_t, ack_timer);
+
+	(void)now;
+	if (request->group_name == NULL)
+		admit(request);
+	else
+		route(request);
+}
+
+/*
+ * A process that was paused believes nothing that it knew before: not that its
+ * table is current, that its peers can be reached or that backend servers
+ * respond. A request that is the first thing it finds would be refused for what
+ * is known some milliseconds later, when the peers' messages are read and the
+ * connections made anew. It is tried again instead until a peer in good health
+ * would have been heard. Returns false when that time is over.
+ */
+static bool wait_after_pause(request_t *request)
+{
+	core_t *core = request->core;
+
+	if (core->pauses == 0 ||
+	    core->now - core->awake_since >= core->config.timings.suspect_after)
+		return false;
+	request->home = NULL;
+	request->tries = 0;
+	timers_arm(&core->timers, &request->ack_timer, core->now + WAKE_RETRY, on_wake_retry);
+	return true;
+}
 
 /* --- checks on arrival --- */
 
@@ -87,6 +124,8 @@
 		return false;
 	}
 	if (!table_is_current(core)) {
+		if (request->peer == NULL && wait_after_pause(request))
+			return false;
 		request_refuse(request, REFUSAL_NO_TABLE, RETRY_AFTER_TABLE,
 			       "the operators' table (version %llu) can't be known to be current",
 			       (unsigned long long)core->table->version);
@@ -196,6 +235,8 @@
 			home = choose_home(request, &group->ranks);
 	}
 	if (home == NULL) {
+		if (wait_after_pause(request))
+			return;
 		request_refuse(request, REFUSAL_NO_HOME, RETRY_AFTER_HOME,
 			       "no proxy that serves group %s can be reached", request->group_name);
 		return;
@@ -231,6 +272,12 @@
 		forward(request, home);
 }
 
+static void admit(request_t *request)
+{
+	if (check_service(request) && apply_row(request))
+		route(request);
+}
+
 void router_query(core_t *core, uint64_t id, const query_event_t *event)
 {
 	request_t *request = request_from_caller(core, id, event->query);
@@ -241,9 +288,7 @@
 		route_tx(request);
 		return;
 	}
-	if (!check_service(request) || !apply_row(request))
-		return;
-	route(request);
+	admit(request);
 }
 
 /* --- what becomes of a forward --- */
@@ -323,7 +368,8 @@
 	request_t *next;
 
 	HASH_ITER (hh, core->requests, request, next) {
-		if (request->state == REQUEST_FORWARDED && timer_is_armed(&request->ack_timer))
+		if (request->state == REQUEST_FORWARDED && request->home != NULL &&
+		    timer_is_armed(&request->ack_timer))
 			timers_arm(&core->timers, &request->ack_timer,
 				   core->now + core->config.timings.ack, on_ack_timeout);
 	}
@@ -333,7 +379,7 @@
 {
 	request_t *request = request_find(core, message->request);
 
-	if (request != NULL && request->state == REQUEST_FORWARDED)
+	if (request != NULL && request->state == REQUEST_FORWARDED && request->home != NULL)
 		timers_cancel(&core->timers, &request->ack_timer);
 }
 
@@ -376,7 +422,7 @@
 void router_deadline(request_t *request)
 {
 	/* Reads have no effect, but whether this one was run is not known either. */
-	request->maybe_ran = request->home != NULL;
+	request->maybe_ran |= request->home != NULL;
 	request_refuse(request, REFUSAL_DEADLINE, RETRY_AFTER_HOME,
 		       "proxy %s has not answered by the deadline",
 		       request->home != NULL ? request->home : "none");
