BEGIN is tried at the next rank when the serving proxy does not accept it in time

A BEGIN has no effect that outlasts its connection, so nothing of it is unknown, and it can be tried elsewhere as a read can; an unseen one is closed when idle, as one would be that the caller begins again by itself.

--- a/core/request.c
+++ b/core/request.c
@@ -63,8 +63,9 @@
 
 bool request_is_repeatable(const request_t *request)
 {
+	/* A transaction that was begun unseen changes nothing, and is closed when it stays idle. */
 	return request->kind == ROW_READ || request->query->repeatable ||
-	       request->query->request_id != NULL;
+	       request->query->request_id != NULL || request->query->verb == VERB_BEGIN;
 }
 
 static void answer_caller(request_t *request, const answer_t *answer)
--- a/core/router.c
+++ b/core/router.c
@@ -315,7 +315,7 @@
 		return;
 	}
 	/* The next home must not say "not run" of what the first may be running. */
-	if (request->kind == ROW_WRITE) {
+	if (request->kind == ROW_WRITE && request->query->verb != VERB_BEGIN) {
 		request->maybe_ran = true;
 		request->query->resend = true;
 	}
