A request whose body's length has two readings gets 400, and its connection is closed

Two different Content-Length fields, and one beside Transfer-Encoding, were accepted: h2o takes one of them, something before us may take the other, and the rest of the body passes for a request (smuggling). The head is looked at as it came (links/framing.c), since h2o keeps neither field.

--- a/links/httpd.c
+++ b/links/httpd.c
@@ -7,10 +7,12 @@
 
 #include <talloc.h>
 
+#include "framing.h"
 #include "stream.h"
 
 #define HTTP1_IDLE_MSEC 60000
 #define JSON_TYPE	"application/json"
+#define HTTP2		0x200 /* of h2o_req_t.version */
 /*
  * Looks before the end at a connection that goes on having something to read or
  * write. Each look follows a turn of the loop, which serves 256 connections, so
@@ -60,10 +62,37 @@
 		accept_waiting(listener->data);
 }
 
+/*
+ * h2o takes one of several lengths and keeps none of them for us to see. The
+ * head as it came still begins the connection's input, since that is consumed
+ * when the request has been answered.
+ */
+static bool is_ambiguous(h2o_req_t *req)
+{
+	const h2o_buffer_t *input;
+
+	if (req->version >= HTTP2)
+		return false; /* bodies come in frames */
+	input = req->conn->callbacks->get_socket(req->conn)->input;
+	if (input->size < req->method.len ||
+	    memcmp(input->bytes, req->method.base, req->method.len) != 0)
+		return true;
+	return framing_is_ambiguous(input->bytes, input->size);
+}
+
 static int on_req(h2o_handler_t *base, h2o_req_t *req)
 {
 	httpd_t *httpd = ((handler_t *)base)->httpd;
 
+	if (is_ambiguous(req)) {
+		req->http1_is_persistent = 0;
+		httpd_send_json(req, 400,
+				json_pack("{s:s, s:s, s:s}", "outcome", "not_run", "reason",
+					  "bad_request", "detail",
+					  "the length of the body has two readings"),
+				0);
+		return 0;
+	}
 	return httpd->handle(httpd, req);
 }
 
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -2,9 +2,12 @@
  * Bad input to real processes: each gets a clear error, nothing is sent on to a
  * backend server, and the proxy goes on serving.
  */
+#include <arpa/inet.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "harness.h"
 
@@ -182,6 +185,91 @@
 	json_decref(read);
 }
 
+/* Send raw text; what came back until the other side closed. */
+static char *exchange(int port, const char *text)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+				  .sin_port = htons((uint16_t)port),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct timeval patience = {.tv_sec = 5};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	GString *got = g_string_new(NULL);
+	char buffer[4096];
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
+	g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==, (ssize_t)strlen(text));
+	while ((n = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+		g_string_append_len(got, buffer, n);
+	g_assert_cmpint(n, ==, 0);
+	close(fd);
+	return g_string_free(got, FALSE);
+}
+
+#define HEAD "POST /v1/statement HTTP/1.1\r\nHost: x\r\n"
+
+/* A request with one reading, which leaves the connection open. */
+static char *clear_request(void)
+{
+	static const char body[] = "{\"service\": \"dispatch\", \"class\": \"assignment\", "
+				   "\"statement\": \"SELECT value FROM records WHERE key = $1\", "
+				   "\"params\": [\"harness\"]}";
+
+	return g_strdup_printf(HEAD "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
+}
+
+/* Two readings of where the body ends; whatever comes behind it must not be run. */
+static const char *const ambiguous[] = {
+	HEAD "Content-Length: 2\r\nContent-Length: 40\r\n\r\n{}",
+	HEAD "content-length: 2\r\nX: y\r\nCONTENT-LENGTH:3\r\n\r\n{} ",
+	HEAD "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	HEAD "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+};
+
+/*
+ * What callers see: an answer to a request that they have not sent. What happens: something between
+ * us and them reads the end of a body elsewhere than we do, and takes the rest for a request of its
+ * own. Why refusing suffices: with the connection closed there is no next request to mistake.
+ */
+static void test_ambiguous_length(void)
+{
+	char *before = clear_request();
+
+	for (gsize i = 0; i < G_N_ELEMENTS(ambiguous); i++) {
+		char *text = g_strconcat(before, ambiguous[i], before, NULL);
+		char *got = exchange(harness_caller_port(h, 0), text);
+		const char *refused = strstr(got, "two readings");
+
+		g_test_message("%s", ambiguous[i]);
+		g_assert_true(g_str_has_prefix(got, "HTTP/1.1 200"));
+		g_assert_nonnull(strstr(got, "HTTP/1.1 400"));
+		g_assert_nonnull(refused);
+		g_assert_null(strstr(refused, "HTTP/1.1"));
+		g_free(got);
+		g_free(text);
+	}
+	g_free(before);
+	assert_serves();
+}
+
+/* The same length told twice has one reading, and so has a transfer encoding alone. */
+static void test_clear_length(void)
+{
+	static const char *const clear[] = {
+		HEAD "Connection: close\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n{}",
+		HEAD "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+		     "2\r\n{}\r\n0\r\n\r\n",
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(clear); i++) {
+		char *got = exchange(harness_caller_port(h, 0), clear[i]);
+
+		g_assert_nonnull(strstr(got, "service is missing"));
+		g_free(got);
+	}
+}
+
 /* The same over HTTP/2: a write, and an error in the body. */
 static void test_http2(void)
 {
@@ -237,6 +325,8 @@
 	g_test_add_func("/input/ctl", test_ctl);
 	g_test_add_func("/input/settings", test_settings);
 	g_test_add_func("/input/same-request-id", test_same_request_id);
+	g_test_add_func("/input/ambiguous-length", test_ambiguous_length);
+	g_test_add_func("/input/clear-length", test_clear_length);
 	g_test_add_func("/input/http2", test_http2);
 	g_test_add_func("/input/signals", test_signals);
 	g_test_add_func("/input/peer-key", test_peer_key);
--- a/tests/test_zmqlink.c
+++ b/tests/test_zmqlink.c
@@ -8,9 +8,10 @@
 #define MESSAGE_BYTES 4096
 #define WAIT_USEC     (10 * G_USEC_PER_SEC)
 
+static loop_t loop;
+
 typedef struct receiver {
 	zmqlink_t link; /* first: frames find the receiver by it */
-	loop_t loop;
 	int received;
 } receiver_t;
 
@@ -30,21 +31,20 @@
 	(void)len;
 }
 
-static void start(zmqlink_t *link, loop_t *loop, zmqlink_frame_t on_message, int port)
+static void start(zmqlink_t *link, zmqlink_frame_t on_message, int port)
 {
 	char *address = g_strdup_printf("127.0.0.1:%d", port);
 	err_t err = {0};
 
-	g_assert_cmpint(loop_init(loop, clock_system()), ==, 0);
 	link->on_frame = on_message;
-	g_assert_cmpint(zmqlink_start(link, loop, address, &err), ==, 0);
+	g_assert_cmpint(zmqlink_start(link, &loop, address, &err), ==, 0);
 	g_free(address);
 }
 
-static void turn(loop_t *loop)
+static void turn(void)
 {
-	h2o_evloop_run(loop->h2o, 10);
-	timers_expire(&loop->timers, clock_now(loop->clock));
+	h2o_evloop_run(loop.h2o, 10);
+	timers_expire(&loop.timers, clock_now(loop.clock));
 }
 
 static void receive(receiver_t *receiver, int count)
@@ -52,7 +52,7 @@
 	gint64 end = g_get_monotonic_time() + WAIT_USEC;
 
 	while (receiver->received < count && g_get_monotonic_time() < end)
-		turn(&receiver->loop);
+		turn();
 }
 
 /* The first message goes out once the connection is up. */
@@ -63,7 +63,7 @@
 
 	while (zmqlink_send(sender, "b", address, message, MESSAGE_BYTES) < 0) {
 		g_assert_cmpint(g_get_monotonic_time(), <, end);
-		turn(&receiver->loop);
+		turn();
 	}
 	receive(receiver, 1);
 	g_assert_cmpint(receiver->received, ==, 1);
@@ -79,14 +79,13 @@
 	ports_t ports;
 	receiver_t receiver = {0};
 	zmqlink_t sender = {0};
-	loop_t sender_loop;
 	char message[MESSAGE_BYTES] = "";
 	char *address;
 
 	ports_take(&ports);
 	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
-	start(&receiver.link, &receiver.loop, on_frame, ports.first + 1);
-	start(&sender, &sender_loop, ignore_frame, ports.first);
+	start(&receiver.link, on_frame, ports.first + 1);
+	start(&sender, ignore_frame, ports.first);
 	connect_to(&sender, &receiver, address, message);
 	for (int i = 0; i < MESSAGES; i++)
 		g_assert_cmpint(zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES), ==, 0);
@@ -104,15 +103,14 @@
 	ports_t ports;
 	receiver_t receiver = {0};
 	zmqlink_t sender = {0};
-	loop_t sender_loop;
 	char message[MESSAGE_BYTES] = "";
 	gint64 stopped;
 	char *address;
 
 	ports_take(&ports);
 	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
-	start(&receiver.link, &receiver.loop, on_frame, ports.first + 1);
-	start(&sender, &sender_loop, ignore_frame, ports.first);
+	start(&receiver.link, on_frame, ports.first + 1);
+	start(&sender, ignore_frame, ports.first);
 	connect_to(&sender, &receiver, address, message);
 	zmqlink_stop(&receiver.link);
 	for (int i = 0; i < MESSAGES; i++)
@@ -130,15 +128,14 @@
 	ports_t ports;
 	receiver_t receiver = {0};
 	zmqlink_t sender = {0};
-	loop_t sender_loop;
 	char message[MESSAGE_BYTES] = "";
 	gint64 end = g_get_monotonic_time() + WAIT_USEC;
 	char *address;
 
 	ports_take(&ports);
 	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
-	start(&receiver.link, &receiver.loop, on_frame, ports.first + 1);
-	start(&sender, &sender_loop, ignore_frame, ports.first);
+	start(&receiver.link, on_frame, ports.first + 1);
+	start(&sender, ignore_frame, ports.first);
 	connect_to(&sender, &receiver, address, message);
 	g_assert_cmpint(zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES), ==, 0);
 	while (receiver.received < 2 && g_get_monotonic_time() < end)
@@ -153,6 +150,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(loop_init(&loop, clock_system()), ==, 0);
 	g_test_add_func("/zmqlink/last-messages-arrive", test_last_messages_arrive);
 	g_test_add_func("/zmqlink/peer-is-gone", test_peer_is_gone);
 	g_test_add_func("/zmqlink/receive-before-the-end", test_receive_before_the_end);
