--- a/tests/test_shutdown.c
+++ b/tests/test_shutdown.c
@@ -232,6 +232,75 @@
 	site_stop(site);
 }
 
+/* How many sessions got neither the end of an answer nor a refusal; closes them. */
+static int count_unanswered_sessions(site_caller_t **callers, int count)
+{
+	int unanswered = 0;
+
+	for (int i = 0; i < count; i++) {
+		char *reply = site_receive(callers[i]);
+
+		unanswered += strstr(reply, "READY ") == NULL && strstr(reply, "ERR ") == NULL;
+		g_free(reply);
+		site_disconnect(callers[i]);
+	}
+	return unanswered;
+}
+
+/*
+ * What callers see: on a session that was open for long, a statement that gets neither an answer
+ * nor a refusal. What happens: the proxy's loop is late, the statements wait in its sockets, and
+ * the order to stop is taken up first, which closes sessions that rest. Why a look suffices: it is
+ * one step with the close.
+ */
+static void test_sessions_late_loop(void)
+{
+	static const char statement[] = "QUERY late READ nothing\r\n";
+	site_harness_t *site = site_start(2);
+	site_caller_t *callers[OPEN_CONNS];
+
+	for (int i = 0; i < OPEN_CONNS; i++)
+		callers[i] = site_open(site, 0, "jobs");
+	g_usleep(2 * SENT_BEFORE);
+	kill(site->proxies[0], SIGSTOP);
+	for (int i = 0; i < OPEN_CONNS; i++)
+		site_send(callers[i], statement, strlen(statement));
+	g_usleep(SENT_BEFORE);
+	kill(site->proxies[0], SIGTERM);
+	kill(site->proxies[0], SIGCONT);
+	g_assert_cmpint(count_unanswered_sessions(callers, OPEN_CONNS), ==, 0);
+	g_assert_cmpint(harness_wait(&site->proxies[0], END_MSEC), ==, 0);
+	site_stop(site);
+}
+
+/*
+ * What callers see: a session that they open is reset without a word. What happens: the balancer
+ * still sends callers to a proxy that shuts down; it is held up until the moment in which it takes
+ * no new ones, and closes its listener with theirs in the queue. Why a refusal suffices: they go to
+ * another proxy at once.
+ */
+static void test_sessions_in_the_queue(void)
+{
+	static const char start[] = "START jobs x\r\n";
+	/* Of the 2.3 s for which new callers are taken. */
+	static const gulong before = 1800000;
+	site_harness_t *site = site_start(2);
+	site_caller_t *callers[NEW_CONNS];
+
+	kill(site->proxies[0], SIGTERM);
+	g_usleep(before);
+	kill(site->proxies[0], SIGSTOP);
+	for (int i = 0; i < NEW_CONNS; i++) {
+		callers[i] = site_connect(site, 0);
+		site_send(callers[i], start, strlen(start));
+	}
+	g_usleep(before);
+	kill(site->proxies[0], SIGCONT);
+	g_assert_cmpint(count_unanswered_sessions(callers, NEW_CONNS), ==, 0);
+	g_assert_cmpint(harness_wait(&site->proxies[0], END_MSEC), ==, 0);
+	site_stop(site);
+}
+
 /* A caller that never reads its answers doesn't keep the process from its end. */
 static void test_caller_that_does_not_read(void)
 {
@@ -257,5 +326,7 @@
 	g_test_add_func("/shutdown/operator-held-up", test_operator_held_up);
 	g_test_add_func("/shutdown/pooler-held-up", test_pooler_held_up);
 	g_test_add_func("/shutdown/caller-that-does-not-read", test_caller_that_does_not_read);
+	g_test_add_func("/shutdown/sessions-late-loop", test_sessions_late_loop);
+	g_test_add_func("/shutdown/sessions-in-the-queue", test_sessions_in_the_queue);
 	return g_test_run();
 }
