--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -442,6 +442,30 @@
 	world_destroy(world);
 }
 
+/*
+ * What the caller sees: its write is refused as aborted, a promise that nothing is kept, and yet it
+ * is committed; sent again, it takes effect twice. What happens: the write is in progress at the
+ * proxy's home when the proxy comes to the end of its grace and refuses what is unanswered. Why in
+ * doubt: the home goes on with the statement, as a member would.
+ */
+static void test_shutdown_with_a_write_at_home(void)
+{
+	pool_world_t *world = make_scarce();
+	size_t away = find_away(world);
+	world_caller_t *caller = world_open_database(world, away, "strict");
+
+	fake_leader(world->db)->slow = 600 * MSEC;
+	world->nodes[away].pooler->config.grace = 500 * MSEC;
+	world_send(caller, "WRITE job-1 a");
+	world_run(world, 2 * MSEC);
+	g_assert_cmpuint(caller->caller->forward_number, !=, 0);
+	pooler_drain(world->nodes[away].pooler);
+	world_run(world, SEC);
+	g_assert_cmpuint(fake_count(fake_leader(world->db), caller->id), ==, 1);
+	assert_begins(caller->reply, "ERR INDOUBT");
+	world_destroy(world);
+}
+
 /*
  * What callers see: a write in doubt, a read refused, after the whole time-out, though the member
  * has answered. What happens: the home has never sent anything to this proxy; it has no link for
@@ -480,6 +504,7 @@
 	g_test_add_func("/forward/other-configuration", test_helper_has_another_configuration);
 	g_test_add_func("/forward/transactions", test_transactions);
 	g_test_add_func("/forward/helper-shuts-down", test_helper_shuts_down);
+	g_test_add_func("/forward/shutdown-with-a-write", test_shutdown_with_a_write_at_home);
 	g_test_add_func("/home/dies-in-transaction", test_home_dies_in_a_transaction);
 	g_test_add_func("/home/dies-with-commit", test_home_dies_with_a_commit);
 	g_test_add_func("/home/restarts-in-transaction", test_home_restarts_in_a_transaction);
