--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -699,6 +699,35 @@
 	world_destroy(world);
 }
 
+/*
+ * What the caller sees: instead of its refusal, or of the rest of a long answer, the end of its
+ * connection; the log says that it does not read. What happens: at the end of the grace a statement
+ * is refused, and in the same step the session is cut, since that refusal has not left yet. Why it
+ * must wait for a tick or two: there is time for that before the process ends.
+ */
+static void test_refusal_at_the_end_leaves(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	fake_leader(world->db)->slow = 2 * SEC;
+	world->nodes[0].pooler->config.grace = 600 * MSEC;
+	world_send(caller, "WRITE job-1 a");
+	world_run(world, 2 * MSEC);
+	pooler_drain(world->nodes[0].pooler);
+	caller->unsent = true;
+	while (caller->replies == 0)
+		world_run(world, MSEC);
+	assert_begins(caller->reply, "ERR INDOUBT");
+	g_assert_nonnull(caller->caller);
+	caller->unsent = false;
+	world_run(world, 100 * MSEC);
+	g_assert_null(caller->caller);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -729,5 +758,6 @@
 	g_test_add_func("/end/start-while-ending", test_start_while_ending);
 	g_test_add_func("/end/caller-does-not-read", test_caller_does_not_read);
 	g_test_add_func("/end/resting-in-turn", test_resting_sessions_end_in_turn);
+	g_test_add_func("/end/refusal-leaves", test_refusal_at_the_end_leaves);
 	return g_test_run();
 }
