--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -728,6 +728,29 @@
 	world_destroy(world);
 }
 
+/*
+ * What the caller sees: it is told that its session is ready, sends its request at once, and finds
+ * the connection closed. What happens: half of the grace is over, but the balancer has not noticed
+ * yet and sends new callers; each is closed with the next tick. Why it is to rest first: it has
+ * just come, and is about to send.
+ */
+static void test_new_session_behind_the_cut(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	world->nodes[0].pooler->config.grace = 4 * SEC;
+	pooler_drain(world->nodes[0].pooler);
+	world_run(world, 2100 * MSEC);
+	caller = world_open(world, 0);
+	g_assert_nonnull(caller->caller);
+	world_run(world, 100 * MSEC);
+	g_assert_nonnull(caller->caller);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -759,5 +782,6 @@
 	g_test_add_func("/end/caller-does-not-read", test_caller_does_not_read);
 	g_test_add_func("/end/resting-in-turn", test_resting_sessions_end_in_turn);
 	g_test_add_func("/end/refusal-leaves", test_refusal_at_the_end_leaves);
+	g_test_add_func("/end/new-behind-the-cut", test_new_session_behind_the_cut);
 	return g_test_run();
 }
