--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -346,6 +346,26 @@
 	site_disconnect(caller);
 }
 
+/*
+ * What callers see: those that open a session until the last moment are told that it is ready, and
+ * then cut off; operators see a shutdown that was cut short. What happens: one caller has sent half
+ * a line, and its session is kept for unread input until the process is stopped by its grace. Why
+ * it may be closed: it has sent no whole request, so there is nothing to answer.
+ */
+static void test_half_a_line_at_shutdown(void)
+{
+	site_caller_t *caller;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	caller = site_open(site, 3, "jobs");
+	site_send(caller, "QUERY x READ", 12);
+	g_usleep(100000);
+	kill(site->proxies[3], SIGTERM);
+	g_assert_cmpint(harness_wait(&site->proxies[3], 10000), ==, 0);
+	site_disconnect(caller);
+}
+
 /* A key that nobody knows: the settings are refused with file, line, key and what was expected. */
 static void test_settings_errors(void)
 {
@@ -433,6 +453,7 @@
 	g_test_add_func("/site/ctl-pooler", test_ctl_pooler);
 	g_test_add_func("/site/start-without-store", test_start_while_the_store_is_away);
 	g_test_add_func("/site/shutdown", test_shutdown);
+	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
 	g_test_add_func("/site/template", test_template);
 	rc = g_test_run();
