--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -366,6 +366,54 @@
 	site_disconnect(caller);
 }
 
+static void set_grace(int proxy, const char *value)
+{
+	char *name = g_strdup_printf("p%d.toml", proxy);
+	char *path = g_build_filename(site->dir, name, NULL);
+	char *text = NULL;
+	char **parts;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	parts = g_strsplit(text, "grace_s = 4", -1);
+	g_assert_cmpuint(g_strv_length(parts), ==, 2);
+	g_free(text);
+	text = g_strjoinv(value, parts);
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	g_strfreev(parts);
+	g_free(text);
+	g_free(path);
+	g_free(name);
+}
+
+/*
+ * What the caller sees: its statement gets neither an answer nor a refusal. What happens: operators
+ * have shortened the grace with a reload, and the proxy shuts down; the process ends with the new
+ * grace, but refuses what is unanswered as if it had the old one. Why: there are two copies of it.
+ */
+static void test_shutdown_with_a_reloaded_grace(void)
+{
+	site_caller_t *caller;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	set_grace(3, "grace_s = 0.6");
+	kill(site->proxies[3], SIGHUP);
+	g_usleep(300000);
+	caller = site_open(site, 3, "jobs");
+	kill(site->platform, SIGSTOP);
+	site_send(caller, "QUERY reloaded WRITE e one\r\n", 28);
+	g_usleep(20000);
+	kill(site->proxies[3], SIGTERM);
+	assert_reply(site_receive(caller), "ERR ");
+	kill(site->platform, SIGCONT);
+	harness_wait(&site->proxies[3], 10000);
+	site_disconnect(caller);
+	/* The members stood still with the store, so their primary may be about to change. */
+	caller = site_open(site, 0, "jobs");
+	wait_for_write(caller);
+	site_disconnect(caller);
+}
+
 /* A key that nobody knows: the settings are refused with file, line, key and what was expected. */
 static void test_settings_errors(void)
 {
@@ -454,6 +502,7 @@
 	g_test_add_func("/site/start-without-store", test_start_while_the_store_is_away);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
+	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
 	g_test_add_func("/site/template", test_template);
 	rc = g_test_run();
