--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -414,6 +414,34 @@
 	site_disconnect(caller);
 }
 
+/*
+ * What the caller sees: its connection is made, it sends START, and the connection is reset. What
+ * happens: the proxy is stopped for a moment when it is to close its listener in a shutdown, and
+ * closes it before it has taken what waits there. Why: awake again the loop runs its timers before
+ * it reads, as the stop has interrupted its wait; closing a listener resets what it holds.
+ */
+static void test_connection_at_the_listeners_end(void)
+{
+	site_caller_t *caller;
+	char *reply;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	kill(site->proxies[3], SIGTERM);
+	g_usleep(2 * G_USEC_PER_SEC);
+	kill(site->proxies[3], SIGSTOP);
+	g_usleep(50000);
+	caller = site_connect(site, 3);
+	site_send(caller, "START jobs x\r\n", 14);
+	g_usleep(600000);
+	kill(site->proxies[3], SIGCONT);
+	reply = site_receive(caller);
+	g_assert_cmpstr(reply, !=, "");
+	g_free(reply);
+	site_disconnect(caller);
+	harness_wait(&site->proxies[3], 10000);
+}
+
 /* A key that nobody knows: the settings are refused with file, line, key and what was expected. */
 static void test_settings_errors(void)
 {
@@ -503,6 +531,7 @@
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
 	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
+	g_test_add_func("/site/at-the-listeners-end", test_connection_at_the_listeners_end);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
 	g_test_add_func("/site/template", test_template);
 	rc = g_test_run();
