--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -626,6 +626,33 @@
 	world_destroy(world);
 }
 
+/*
+ * The same, but it has not rested for longer than a transaction may: its statement is served, and
+ * so is its commit if that lies unread by then.
+ */
+static void test_unread_request_at_the_cut_is_served(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	world_ask(caller, "BEGIN");
+	pooler_drain(world->nodes[0].pooler);
+	world_run(world, 2500 * MSEC);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	caller->unread = true;
+	world_run(world, 1000 * MSEC);
+	g_assert_nonnull(caller->caller);
+	assert_begins(world_ask(caller, "READ job-1"), "ROW a");
+	world_run(world, 200 * MSEC);
+	assert_begins(world_ask(caller, "COMMIT"), "DONE core-0");
+	caller->unread = false;
+	world_run(world, 200 * MSEC);
+	g_assert_null(caller->caller);
+	world_destroy(world);
+}
+
 /*
  * What the caller sees: it is told that its session is ready, sends a request, and gets neither an
  * answer nor a refusal. What happens: the proxy has no callers left and is about to end; a
@@ -778,6 +805,7 @@
 	g_test_add_func("/store/holder-restarts", test_holder_restarts);
 	g_test_add_func("/end/unread-request", test_unread_request_is_answered);
 	g_test_add_func("/end/unread-at-the-cut", test_unread_request_at_the_cut);
+	g_test_add_func("/end/served-at-the-cut", test_unread_request_at_the_cut_is_served);
 	g_test_add_func("/end/start-while-ending", test_start_while_ending);
 	g_test_add_func("/end/caller-does-not-read", test_caller_does_not_read);
 	g_test_add_func("/end/resting-in-turn", test_resting_sessions_end_in_turn);
