--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -442,6 +442,36 @@
 	harness_wait(&site->proxies[3], 10000);
 }
 
+/*
+ * What the caller sees: its read has no answer in time, though the member gave one in time. What
+ * happens: the proxy is stopped for a moment while the answer comes in, and awake again it runs its
+ * timers, with them the statement's deadline, before it reads. Why: the stop has interrupted its
+ * wait, and a turn that was interrupted reads nothing.
+ */
+static void test_answer_during_a_stop(void)
+{
+	site_caller_t *caller;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	caller = site_open(site, 3, "jobs");
+	kill(site->platform, SIGSTOP);
+	site_send(caller, "QUERY stopped READ warm\r\n", 25);
+	g_usleep(100000);
+	kill(site->proxies[3], SIGSTOP);
+	kill(site->platform, SIGCONT);
+	g_usleep(900000);
+	kill(site->proxies[3], SIGCONT);
+	assert_reply(site_receive(caller), "ROW up");
+	site_disconnect(caller);
+	kill(site->proxies[3], SIGTERM);
+	g_assert_cmpint(harness_wait(&site->proxies[3], 10000), ==, 0);
+	/* The members stood still with the store, so their primary may be about to change. */
+	caller = site_open(site, 0, "jobs");
+	wait_for_write(caller);
+	site_disconnect(caller);
+}
+
 /* A key that nobody knows: the settings are refused with file, line, key and what was expected. */
 static void test_settings_errors(void)
 {
@@ -532,6 +562,7 @@
 	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
 	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
 	g_test_add_func("/site/at-the-listeners-end", test_connection_at_the_listeners_end);
+	g_test_add_func("/site/answer-during-a-stop", test_answer_during_a_stop);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
 	g_test_add_func("/site/template", test_template);
 	rc = g_test_run();
