--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -626,6 +626,33 @@
 	world_destroy(world);
 }
 
+/*
+ * The same, but it has not rested for longer than a transaction may: its statement is served, and
+ * so is its commit if that lies unread by then.
+ */
+static void test_unread_request_at_the_cut_is_served(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	world_ask(caller, "BEGIN");
+	pooler_drain(world->nodes[0].pooler);
+	world_run(world, 2500 * MSEC);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	caller->unread = true;
+	world_run(world, 1000 * MSEC);
+	g_assert_nonnull(caller->caller);
+	assert_begins(world_ask(caller, "READ job-1"), "ROW a");
+	world_run(world, 200 * MSEC);
+	assert_begins(world_ask(caller, "COMMIT"), "DONE core-0");
+	caller->unread = false;
+	world_run(world, 200 * MSEC);
+	g_assert_null(caller->caller);
+	world_destroy(world);
+}
+
 /*
  * What the caller sees: it is told that its session is ready, sends a request, and gets neither an
  * answer nor a refusal. What happens: the proxy has no callers left and is about to end; a
@@ -699,6 +726,58 @@
 	world_destroy(world);
 }
 
+/*
+ * What the caller sees: instead of its refusal, or of the rest of a long answer, the end of its
+ * connection; the log says that it does not read. What happens: at the end of the grace a statement
+ * is refused, and in the same step the session is cut, since that refusal has not left yet. Why it
+ * must wait for a tick or two: there is time for that before the process ends.
+ */
+static void test_refusal_at_the_end_leaves(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	fake_leader(world->db)->slow = 2 * SEC;
+	world->nodes[0].pooler->config.grace = 600 * MSEC;
+	world_send(caller, "WRITE job-1 a");
+	world_run(world, 2 * MSEC);
+	pooler_drain(world->nodes[0].pooler);
+	caller->unsent = true;
+	while (caller->replies == 0)
+		world_run(world, MSEC);
+	assert_begins(caller->reply, "ERR INDOUBT");
+	g_assert_nonnull(caller->caller);
+	caller->unsent = false;
+	world_run(world, 100 * MSEC);
+	g_assert_null(caller->caller);
+	world_destroy(world);
+}
+
+/*
+ * What the caller sees: it is told that its session is ready, sends its request at once, and finds
+ * the connection closed. What happens: half of the grace is over, but the balancer has not noticed
+ * yet and sends new callers; each is closed with the next tick. Why it is to rest first: it has
+ * just come, and is about to send.
+ */
+static void test_new_session_behind_the_cut(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	world->nodes[0].pooler->config.grace = 4 * SEC;
+	pooler_drain(world->nodes[0].pooler);
+	world_run(world, 2100 * MSEC);
+	caller = world_open(world, 0);
+	g_assert_nonnull(caller->caller);
+	world_run(world, 100 * MSEC);
+	g_assert_nonnull(caller->caller);
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -726,8 +805,11 @@
 	g_test_add_func("/store/holder-restarts", test_holder_restarts);
 	g_test_add_func("/end/unread-request", test_unread_request_is_answered);
 	g_test_add_func("/end/unread-at-the-cut", test_unread_request_at_the_cut);
+	g_test_add_func("/end/served-at-the-cut", test_unread_request_at_the_cut_is_served);
 	g_test_add_func("/end/start-while-ending", test_start_while_ending);
 	g_test_add_func("/end/caller-does-not-read", test_caller_does_not_read);
 	g_test_add_func("/end/resting-in-turn", test_resting_sessions_end_in_turn);
+	g_test_add_func("/end/refusal-leaves", test_refusal_at_the_end_leaves);
+	g_test_add_func("/end/new-behind-the-cut", test_new_session_behind_the_cut);
 	return g_test_run();
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -346,6 +346,132 @@
 	site_disconnect(caller);
 }
 
+/*
+ * What callers see: those that open a session until the last moment are told that it is ready, and
+ * then cut off; operators see a shutdown that was cut short. What happens: one caller has sent half
+ * a line, and its session is kept for unread input until the process is stopped by its grace. Why
+ * it may be closed: it has sent no whole request, so there is nothing to answer.
+ */
+static void test_half_a_line_at_shutdown(void)
+{
+	site_caller_t *caller;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	caller = site_open(site, 3, "jobs");
+	site_send(caller, "QUERY x READ", 12);
+	g_usleep(100000);
+	kill(site->proxies[3], SIGTERM);
+	g_assert_cmpint(harness_wait(&site->proxies[3], 10000), ==, 0);
+	site_disconnect(caller);
+}
+
+static void set_grace(int proxy, const char *value)
+{
+	char *name = g_strdup_printf("p%d.toml", proxy);
+	char *path = g_build_filename(site->dir, name, NULL);
+	char *text = NULL;
+	char **parts;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	parts = g_strsplit(text, "grace_s = 4", -1);
+	g_assert_cmpuint(g_strv_length(parts), ==, 2);
+	g_free(text);
+	text = g_strjoinv(value, parts);
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	g_strfreev(parts);
+	g_free(text);
+	g_free(path);
+	g_free(name);
+}
+
+/*
+ * What the caller sees: its statement gets neither an answer nor a refusal. What happens: operators
+ * have shortened the grace with a reload, and the proxy shuts down; the process ends with the new
+ * grace, but refuses what is unanswered as if it had the old one. Why: there are two copies of it.
+ */
+static void test_shutdown_with_a_reloaded_grace(void)
+{
+	site_caller_t *caller;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	set_grace(3, "grace_s = 0.6");
+	kill(site->proxies[3], SIGHUP);
+	g_usleep(300000);
+	caller = site_open(site, 3, "jobs");
+	kill(site->platform, SIGSTOP);
+	site_send(caller, "QUERY reloaded WRITE e one\r\n", 28);
+	g_usleep(20000);
+	kill(site->proxies[3], SIGTERM);
+	assert_reply(site_receive(caller), "ERR ");
+	kill(site->platform, SIGCONT);
+	harness_wait(&site->proxies[3], 10000);
+	site_disconnect(caller);
+	/* The members stood still with the store, so their primary may be about to change. */
+	caller = site_open(site, 0, "jobs");
+	wait_for_write(caller);
+	site_disconnect(caller);
+}
+
+/*
+ * What the caller sees: its connection is made, it sends START, and the connection is reset. What
+ * happens: the proxy is stopped for a moment when it is to close its listener in a shutdown, and
+ * closes it before it has taken what waits there. Why: awake again the loop runs its timers before
+ * it reads, as the stop has interrupted its wait; closing a listener resets what it holds.
+ */
+static void test_connection_at_the_listeners_end(void)
+{
+	site_caller_t *caller;
+	char *reply;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	kill(site->proxies[3], SIGTERM);
+	g_usleep(2 * G_USEC_PER_SEC);
+	kill(site->proxies[3], SIGSTOP);
+	g_usleep(50000);
+	caller = site_connect(site, 3);
+	site_send(caller, "START jobs x\r\n", 14);
+	g_usleep(600000);
+	kill(site->proxies[3], SIGCONT);
+	reply = site_receive(caller);
+	g_assert_cmpstr(reply, !=, "");
+	g_free(reply);
+	site_disconnect(caller);
+	harness_wait(&site->proxies[3], 10000);
+}
+
+/*
+ * What the caller sees: its read has no answer in time, though the member gave one in time. What
+ * happens: the proxy is stopped for a moment while the answer comes in, and awake again it runs its
+ * timers, with them the statement's deadline, before it reads. Why: the stop has interrupted its
+ * wait, and a turn that was interrupted reads nothing.
+ */
+static void test_answer_during_a_stop(void)
+{
+	site_caller_t *caller;
+
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	caller = site_open(site, 3, "jobs");
+	kill(site->platform, SIGSTOP);
+	site_send(caller, "QUERY stopped READ warm\r\n", 25);
+	g_usleep(100000);
+	kill(site->proxies[3], SIGSTOP);
+	kill(site->platform, SIGCONT);
+	g_usleep(900000);
+	kill(site->proxies[3], SIGCONT);
+	assert_reply(site_receive(caller), "ROW up");
+	site_disconnect(caller);
+	kill(site->proxies[3], SIGTERM);
+	g_assert_cmpint(harness_wait(&site->proxies[3], 10000), ==, 0);
+	/* The members stood still with the store, so their primary may be about to change. */
+	caller = site_open(site, 0, "jobs");
+	wait_for_write(caller);
+	site_disconnect(caller);
+}
+
 /* A key that nobody knows: the settings are refused with file, line, key and what was expected. */
 static void test_settings_errors(void)
 {
@@ -433,6 +559,10 @@
 	g_test_add_func("/site/ctl-pooler", test_ctl_pooler);
 	g_test_add_func("/site/start-without-store", test_start_while_the_store_is_away);
 	g_test_add_func("/site/shutdown", test_shutdown);
+	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
+	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
+	g_test_add_func("/site/at-the-listeners-end", test_connection_at_the_listeners_end);
+	g_test_add_func("/site/answer-during-a-stop", test_answer_during_a_stop);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
 	g_test_add_func("/site/template", test_template);
 	rc = g_test_run();
