--- a/pooler/hangup.c
+++ b/pooler/hangup.c
@@ -11,12 +11,6 @@
  * about to send, and a statement that crosses our close looks lost to its sender.
  */
 #define REST (400 * USEC_PER_MSEC)
-/*
- * Sessions that rest when a shutdown begins are closed one after the other over this time, less
- * than the balancer takes to notice it, so that their clients do not come to the other proxies of
- * the zone all at once.
- */
-#define SPREAD (1800 * USEC_PER_MSEC)
 /* An answer leaves within two ticks; one that has not is not being read. */
 #define ANSWER_LEAVES (100 * USEC_PER_MSEC)
 
@@ -59,7 +53,7 @@
  * step as it looks; else the request is answered first, and the session ends behind that answer or
  * with a later tick.
  */
-static close_result_t hang_up(caller_t *caller, end_reason_t reason)
+static void hang_up(caller_t *caller, end_reason_t reason)
 {
 	env_t *env = caller->pooler->env;
 	close_result_t result = CLOSE_DONE;
@@ -71,31 +65,6 @@
 	}
 	if (result == CLOSE_DONE)
 		caller_on_gone(caller);
-	return result;
-}
-
-void hangup_begin(pooler_t *pooler)
-{
-	pooler->open_at_drain = list_length(&pooler->callers);
-	pooler->closed_at_rest = 0;
-}
-
-/* True if one more of the sessions that rest may be closed by now. */
-static bool is_due(const pooler_t *pooler)
-{
-	usec_t elapsed = now_of(pooler) - pooler->drain_started;
-
-	return elapsed >= SPREAD ||
-	       pooler->closed_at_rest <= pooler->open_at_drain * elapsed / SPREAD;
-}
-
-static void end_resting(caller_t *caller, drain_phase_t phase)
-{
-	pooler_t *pooler = caller->pooler;
-
-	if ((phase != DRAIN_RESTING || is_due(pooler)) &&
-	    hang_up(caller, END_SHUTDOWN) == CLOSE_DONE)
-		pooler->closed_at_rest++;
 }
 
 /*
@@ -127,10 +96,8 @@
 		hang_up(caller, END_CUT);
 	else if (caller->tx != TX_NONE)
 		return;
-	else if (caller->served)
+	else if (caller->served || now_of(caller->pooler) >= caller->idle_since + REST)
 		hang_up(caller, END_SHUTDOWN);
-	else if (now_of(caller->pooler) >= caller->idle_since + REST)
-		end_resting(caller, phase);
 }
 
 void hangup_if_done(caller_t *caller)
--- a/pooler/hangup.h
+++ b/pooler/hangup.h
@@ -13,9 +13,6 @@
 	DRAIN_ALL,	    /* and those that do not read their last answer */
 } drain_phase_t;
 
-/* A shutdown begins: the sessions that are open now are to be closed. */
-void hangup_begin(pooler_t *pooler);
-
 /* For the shutdown: close the session unless it has a statement in progress. */
 void hangup_drain(caller_t *caller, drain_phase_t phase);
 
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -338,7 +338,6 @@
 	LOG_EVENT(LOG_INFO, "draining", LOG_INT("callers", (int64_t)list_length(&pooler->callers)));
 	/* Another proxy can take the duty at once. */
 	hold_release(pooler);
-	hangup_begin(pooler);
 	tick_callers(pooler, pooler->drain_started);
 }
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -360,9 +360,7 @@
 	bool sweeping; /* the roster is being rid of proxies that are gone */
 	bool draining;
 	usec_t drain_started;
-	size_t open_at_drain;  /* sessions when the shutdown began; see hangup.c */
-	size_t closed_at_rest; /* by us since then, while they rested */
-	bool closed;	       /* no new callers are taken */
+	bool closed; /* no new callers are taken */
 	bool drained_told;
 	uint64_t random;
 };
