A proxy that shuts down says so, and is no home from then on

Messages carry whether their sender shuts down; the process that said so is passed over until the roster names a later one (/home/leaves, which fails before).

--- a/pooler/env.h
+++ b/pooler/env.h
@@ -162,7 +162,8 @@
 	const forward_result_t *result;
 	const store_request_t *store;
 	const store_answer_t *stored;
-	bool cut_off; /* the store does not serve the sender */
+	bool cut_off;  /* the store does not serve the sender */
+	bool draining; /* the sender shuts down and takes no statements of others */
 } peer_message_t;
 
 typedef enum { PROMOTE_OK, PROMOTE_REFUSED, PROMOTE_LOST } promote_status_t;
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -136,6 +136,7 @@
 	message->revision = pooler->sync.roster->revision;
 	message->config_version = pooler->routes != NULL ? pooler->routes->version : 0;
 	message->cut_off = relay_is_cut_off(pooler->relay);
+	message->draining = pooler->draining;
 }
 
 /* False if it was certainly not sent: there is no link to that proxy yet. */
@@ -653,6 +654,8 @@
 
 void exchange_on_message(pooler_t *pooler, const peer_message_t *message)
 {
+	if (message->draining)
+		exchange_get_report(pooler, message->from)->drained_as = message->incarnation;
 	if (message->kind != PEER_RESULT)
 		forward_on_heard(pooler, message->from);
 	switch (message->kind) {
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -254,12 +254,24 @@
 
 /* --- who serves --- */
 
+/*
+ * The process that the roster names shuts down, or is gone since: nobody has to find that out by a
+ * statement that waits for SUSPECT_AFTER.
+ */
+static bool is_leaving(const pooler_t *pooler, const peer_report_t *report)
+{
+	const roster_node_t *node = roster_node(pooler->sync.roster, report->name);
+
+	return node == NULL || node->incarnation <= report->drained_as;
+}
+
 static bool is_usable(const pooler_t *pooler, const char *name, usec_t now)
 {
 	const peer_report_t *report = exchange_report(pooler, name);
 
 	return report == NULL ||
-	       (now >= report->declined_until && !home_is_suspect(pooler, name, now));
+	       (now >= report->declined_until && !home_is_suspect(pooler, name, now) &&
+		!is_leaving(pooler, report));
 }
 
 const roster_node_t *home_find(service_t *service, usec_t now)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -258,6 +258,7 @@
 	char *down;
 	char *alive;
 	char *in_use;
+	uint64_t drained_as;	 /* its last process that said it shuts down; 0: none did */
 	bool cut_off;		 /* the store does not serve it, as it said */
 	usec_t access_at;	 /* when it said so, or the contrary; 0: never */
 	usec_t unanswered_since; /* it was handed a statement, and not heard since; 0: none */
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -407,6 +407,41 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: of 100 proxies 29 shut down together, and for three seconds half of all
+ * statements are late. What happens: each of the others finds out for each of these homes that it
+ * does not answer, by a statement that waits 250 ms. Why it is enough that a proxy that shuts down
+ * says so with whatever it sends: for 2.3 s it still answers that it takes no more statements.
+ */
+static void test_home_leaves(void)
+{
+	pool_world_t *world = world_create(WORLD_NODES_MAX, NULL);
+	size_t away = 0;
+	size_t home = 0;
+	world_caller_t *caller;
+
+	world_settle(world);
+	while (strcmp(home_of(world, away), world->nodes[away].name) == 0)
+		away++;
+	while (strcmp(home_of(world, away), world->nodes[home].name) != 0)
+		home++;
+	caller = world_open_database(world, away, "session");
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	pooler_drain(world->nodes[home].pooler);
+	assert_begins(world_ask(caller, "WRITE job-1 b"), "DONE core-0");
+	world_run(world, 2500 * MSEC);
+	world_kill(world, home);
+	world_send(caller, "WRITE job-1 c");
+	world_run(world, 60 * MSEC);
+	g_assert_cmpuint(caller->replies, ==, 3);
+	assert_begins(caller->reply, "DONE core-0");
+	/* The process that takes its place is a home again. */
+	world_start(world, home);
+	world_run(world, 2 * SEC);
+	g_assert_cmpstr(home_of(world, away), ==, world->nodes[home].name);
+	world_destroy(world);
+}
+
 /*
  * What callers see: a write in doubt, a read refused, after the whole time-out, though the member
  * has answered. What happens: the home has never sent anything to this proxy; it has no link for
@@ -451,6 +486,7 @@
 	g_test_add_func("/home/caller-leaves", test_caller_leaves_its_home);
 	g_test_add_func("/home/proxy-dies", test_proxy_dies_away_from_home);
 	g_test_add_func("/forward/first-result", test_first_result_waits_for_its_link);
+	g_test_add_func("/home/leaves", test_home_leaves);
 	g_test_add_func("/home/frozen", test_home_is_frozen);
 	g_test_add_func("/home/sessions-let-go", test_sessions_are_let_go);
 	return g_test_run();
