Tests: the site's stand-in plays several services, takes commands and records what its members run

The fault soak needs members that crash, lag, fall silent or answer BUSY, a store that is down, slow or loses answers, and a record of what ran and what was committed.

--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -22,6 +22,7 @@
 typedef struct shape {
 	list_t node;
 	char name[40];
+	char shape[40];
 	bool writes;
 } shape_t;
 
@@ -38,6 +39,7 @@
 	size_t write_count;
 	char values[96];
 	char after[24]; /* of the statement that runs */
+	char shape[40]; /* the same */
 	list_t shapes;
 	list_t queue; /* line_t that wait for their turn */
 	run_timer_t timer;
@@ -87,13 +89,13 @@
 	member->log[member->len++] = *entry;
 }
 
+/* Logs that agree on an entry agree on all before it, so the search goes back from the end. */
 static size_t common_prefix(const fake_member_t *a, const fake_member_t *b)
 {
-	size_t n = 0;
+	size_t n = a->len < b->len ? a->len : b->len;
 
-	while (n < a->len && n < b->len && a->log[n].term == b->log[n].term &&
-	       a->log[n].number == b->log[n].number)
-		n++;
+	while (n > 0 && a->log[n - 1].term != b->log[n - 1].term)
+		n--;
 	return n;
 }
 
@@ -122,7 +124,7 @@
 
 	if (member->primary)
 		return len;
-	while (len > 0 && member->log[len - 1].at + member->db->config.lag > now)
+	while (len > 0 && member->log[len - 1].at + member->db->config.lag + member->lag > now)
 		len--;
 	return len;
 }
@@ -194,31 +196,57 @@
 	send_reply(session, text);
 }
 
+static void signature(const fake_member_t *member, char *text, size_t size)
+{
+	if (member->db->config.numbered)
+		snprintf(text, size, "%s.%" PRIu64, member->id, member->db->run_number);
+	else
+		snprintf(text, size, "%s", member->id);
+}
+
 static void done(fake_session_t *session, const char *row, bool is_signed)
 {
 	char text[REPLY_MAX / 2];
+	char name[80] = "-";
 
+	if (is_signed)
+		signature(session->member, name, sizeof(name));
 	snprintf(text, sizeof(text), "%s%s%sDONE %s\r\n", row != NULL ? "ROW " : "",
-		 row != NULL ? row : "", row != NULL ? "\r\n" : "",
-		 is_signed ? session->member->id : "-");
+		 row != NULL ? row : "", row != NULL ? "\r\n" : "", name);
 	send_reply(session, text);
 }
 
 /* --- statements --- */
 
-static void record(fake_session_t *session, const char *id, const char *text)
+static void keep_run(fake_db_t *db, const fake_run_t *run)
+{
+	if (is_full(db->run_count))
+		db->runs = talloc_realloc(db, db->runs, fake_run_t, 2 * db->run_count + 1);
+	db->runs[db->run_count++] = *run;
+}
+
+static void record(fake_session_t *session, const char *id, const char *text, const char *row)
 {
-	fake_db_t *db = session->member->db;
-	fake_run_t run = {.at = now_of(db), .tx = session->tx};
+	fake_member_t *member = session->member;
+	fake_db_t *db = member->db;
+	fake_run_t run = {.at = now_of(db), .tx = session->tx, .number = ++db->run_number};
+	size_t len = applied_len(member);
 
 	snprintf(run.id, sizeof(run.id), "%s", id);
 	snprintf(run.text, sizeof(run.text), "%s", text);
-	snprintf(run.member, sizeof(run.member), "%s", session->member->id);
+	snprintf(run.member, sizeof(run.member), "%s", member->id);
 	snprintf(run.values, sizeof(run.values), "%s", session->values);
 	snprintf(run.after, sizeof(run.after), "%s", session->after);
-	if (is_full(db->run_count))
-		db->runs = talloc_realloc(db, db->runs, fake_run_t, 2 * db->run_count + 1);
-	db->runs[db->run_count++] = run;
+	snprintf(run.shape, sizeof(run.shape), "%s", session->shape);
+	snprintf(run.row, sizeof(run.row), "%s", row);
+	if (len != 0) {
+		run.log_term = member->log[len - 1].term;
+		run.log_number = member->log[len - 1].number;
+	}
+	if (db->events != NULL)
+		db->events->ops->ran(db->events, &run);
+	else
+		keep_run(db, &run);
 }
 
 static void add_write(fake_session_t *session, const char *id, const char *item, const char *data)
@@ -252,6 +280,8 @@
 		snprintf(entry.item, sizeof(entry.item), "%s", session->writes[i].item);
 		snprintf(entry.data, sizeof(entry.data), "%s", session->writes[i].data);
 		append(member, &entry);
+		if (member->db->events != NULL)
+			member->db->events->ops->committed(member->db->events, member, &entry);
 	}
 	rollback(session);
 }
@@ -274,21 +304,18 @@
 	uint64_t term = strtoull(position, NULL, 10);
 	const char *dot = strchr(position, '.');
 	uint64_t number = dot != NULL ? strtoull(dot + 1, NULL, 10) : 0;
-	size_t len = applied_len(member);
 
 	if (number == 0)
 		return member->term >= term;
-	for (size_t i = 0; i < len; i++) {
-		if (member->log[i].term == term && member->log[i].number == number)
-			return true;
-	}
-	return false;
+	return number <= applied_len(member) && member->log[number - 1].term == term;
 }
 
 static void run_read(fake_session_t *session, const char *id, const char *text, const char *item)
 {
-	record(session, id, text);
-	done(session, read_value(session, item), true);
+	const char *value = read_value(session, item);
+
+	record(session, id, text, value);
+	done(session, value, true);
 }
 
 static void run_write(fake_session_t *session, const char *id, const char *text, char *item)
@@ -301,7 +328,7 @@
 	}
 	if (data != NULL)
 		*data++ = '\0';
-	record(session, id, text);
+	record(session, id, text, "");
 	add_write(session, id, item, data != NULL ? data : "");
 	if (session->state == SESSION_IDLE)
 		commit(session);
@@ -327,6 +354,8 @@
 	if (args != NULL)
 		*args++ = '\0';
 	shape = find_shape(session, rest);
+	if (shape != NULL)
+		snprintf(session->shape, sizeof(session->shape), "%s", shape->shape);
 	if (shape == NULL || args == NULL)
 		fail(session, "NOSTMT");
 	else if (shape->writes)
@@ -338,8 +367,11 @@
 static void prepare(fake_session_t *session, char *rest)
 {
 	char *mode = strchr(rest, ' ');
+	const char *words = mode != NULL ? strchr(mode + 1, ' ') : NULL;
 	shape_t *shape = talloc_zero(session, shape_t);
 
+	if (words != NULL)
+		snprintf(shape->shape, sizeof(shape->shape), "%s", words + 1);
 	if (mode != NULL)
 		*mode++ = '\0';
 	snprintf(shape->name, sizeof(shape->name), "%s", rest);
@@ -375,7 +407,7 @@
 		fail(session, "READONLY");
 		return;
 	}
-	record(session, id, "COMMIT");
+	record(session, id, "COMMIT", "");
 	commit(session);
 	done(session, NULL, true);
 }
@@ -407,6 +439,7 @@
 	char *rest;
 
 	session->after[0] = '\0';
+	session->shape[0] = '\0';
 	if ((rest = (char *)after(text, "AFTER ")) != NULL) {
 		text = strchr(rest, ' ');
 		*text++ = '\0';
@@ -476,6 +509,7 @@
 	char *id = text + strlen("QUERY ");
 	char *body = strchr(id, ' ');
 	fake_reply_t reply = session->reply;
+	bool uses_slot = takes_slot(text);
 	bool counts;
 
 	if (body == NULL) {
@@ -490,6 +524,11 @@
 		fail(session, "BUSY");
 		return;
 	}
+	if (counts && uses_slot && member->refuse_runs != 0) {
+		member->refuse_runs--;
+		fail(session, "BUSY");
+		return;
+	}
 	if (counts && member->reset_answers != 0) {
 		member->reset_answers--;
 		session->reply = ignore_reply;
@@ -672,6 +711,14 @@
 		member->busy_until[i] = 0;
 }
 
+void fake_replace(fake_member_t *member, const char *id)
+{
+	fake_stop(member);
+	member->leaving = false;
+	member->unlisted = false;
+	snprintf(member->id, sizeof(member->id), "%s", id);
+}
+
 static void on_promote(run_timer_t *timer, usec_t now)
 {
 	fake_db_t *db = list_entry(timer, fake_db_t, promote_timer);
@@ -687,6 +734,8 @@
 	db->promoted_at = now;
 	member->term = db->term;
 	member->primary = true;
+	if (db->events != NULL)
+		db->events->ops->promoted(db->events, member);
 }
 
 bool fake_promote(fake_db_t *db, fake_member_t *member)
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -25,6 +25,7 @@
 	usec_t lag;	/* until it has applied it */
 	usec_t promote; /* from the call to its effect */
 	usec_t open;	/* of a slot, to take a connection */
+	bool numbered;	/* each signature differs: the member's id and the number of the run */
 } fake_db_config_t;
 
 typedef struct fake_entry {
@@ -55,7 +56,9 @@
 	unsigned lose_answers;	/* of the next statements that it runs */
 	unsigned reset_answers; /* the same, and the connection breaks */
 	unsigned refuse_begins; /* so many BEGIN are answered with BUSY */
-	usec_t slow;		/* more work for each statement */
+	unsigned refuse_runs; /* so many statements that would take a slot are answered with BUSY */
+	usec_t slow;	      /* more work for each statement */
+	usec_t lag;	      /* more time until it has applied a commit */
 	usec_t demote_at;
 } fake_member_t;
 
@@ -65,11 +68,31 @@
 	char id[40];
 	char text[96];
 	char member[48];
-	char values[96]; /* the session's, "name value;" in order of setting */
-	char after[24];	 /* position that the log had to hold, "" for none */
-	uint64_t tx;	 /* which transaction, 0: none */
+	char values[96];   /* the session's, "name value;" in order of setting */
+	char after[24];	   /* position that the log had to hold, "" for none */
+	uint64_t tx;	   /* which transaction, 0: none */
+	uint64_t number;   /* of the run, as in a numbered signature */
+	char shape[40];	   /* of a prepared statement, "" for none */
+	char row[64];	   /* that it returned, "" for none */
+	uint64_t log_term; /* last entry that it saw, 0.0 for none */
+	uint64_t log_number;
 } fake_run_t;
 
+struct fake_events;
+
+/* Told as it happens, in place of the record in runs. */
+typedef struct fake_events_ops {
+	void (*ran)(struct fake_events *events, const fake_run_t *run);
+	void (*committed)(struct fake_events *events, const fake_member_t *member,
+			  const fake_entry_t *entry);
+	/* It leads its new term from the end of its log on. */
+	void (*promoted)(struct fake_events *events, const fake_member_t *member);
+} fake_events_ops_t;
+
+typedef struct fake_events {
+	const fake_events_ops_t *ops;
+} fake_events_t;
+
 typedef struct fake_db {
 	fake_db_config_t config;
 	const run_clock_t *clock;
@@ -77,8 +100,10 @@
 	fake_member_t members[FAKE_MEMBERS_MAX];
 	uint64_t term;
 	uint64_t next_tx;
-	fake_run_t *runs; /* talloc array */
+	fake_run_t *runs; /* talloc array; stays empty with events */
 	size_t run_count;
+	uint64_t run_number;
+	fake_events_t *events; /* NULL: nobody is told */
 	run_timer_t promote_timer;
 	fake_member_t *promoting;
 	usec_t promoted_at; /* of the last promote's effect */
@@ -106,6 +131,9 @@
 void fake_stop(fake_member_t *member);
 void fake_start(fake_member_t *member);
 
+/* It is gone for good; a new member under another id takes its place and log, not running yet. */
+void fake_replace(fake_member_t *member, const char *id);
+
 /* The platform's call; takes effect later. Returns false if the member does not run. */
 bool fake_promote(fake_db_t *db, fake_member_t *member);
 
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -42,6 +42,7 @@
 	char *prefix;
 	char *after_key;
 	int64_t after;
+	int64_t scanned; /* a watch has looked at events up to here */
 	int64_t ttl_ms;
 	uint64_t lease;
 	kv_write_t *writes;
@@ -73,6 +74,23 @@
 	return NULL;
 }
 
+static void drop_event(fake_kv_t *store, event_t *event)
+{
+	list_del(&event->node);
+	talloc_free(event);
+	store->event_count--;
+}
+
+static void trim_history(fake_kv_t *store)
+{
+	while (store->history != 0 && store->event_count > store->history) {
+		event_t *oldest = list_entry(store->events.next, event_t, node);
+
+		store->compacted = oldest->revision;
+		drop_event(store, oldest);
+	}
+}
+
 static void add_event(fake_kv_t *store, const item_t *item, const char *value)
 {
 	event_t *event = talloc_zero(store, event_t);
@@ -82,6 +100,8 @@
 	event->revision = store->revision;
 	event->created = item->created;
 	list_add_tail(&store->events, &event->node);
+	store->event_count++;
+	trim_history(store);
 }
 
 static void insert(fake_kv_t *store, item_t *item)
@@ -150,10 +170,7 @@
 void fake_kv_drop_events(fake_kv_t *store)
 {
 	list_for_each_safe (it, &store->events) {
-		event_t *event = list_entry(it, event_t, node);
-
-		list_del(&event->node);
-		talloc_free(event);
+		drop_event(store, list_entry(it, event_t, node));
 	}
 }
 
@@ -242,8 +259,9 @@
 		call->result.status = KV_COMPACTED;
 		return true;
 	}
-	if (store->deaf_watches)
+	if (store->deaf_watches || call->scanned == store->revision)
 		return false;
+	call->scanned = store->revision;
 	list_for_each (it, &store->events) {
 		event_t *event = list_entry(it, event_t, node);
 
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -18,7 +18,9 @@
 	list_t items;
 	list_t leases;
 	list_t events;
-	list_t calls; /* waiting for their answer */
+	size_t event_count;
+	size_t history; /* events that it keeps at most, 0: all */
+	list_t calls;	/* waiting for their answer */
 	run_timer_t timer;
 	usec_t delay; /* of an answer */
 	bool down;
--- a/tests/standin_site.c
+++ b/tests/standin_site.c
@@ -1,175 +1,56 @@
 /*
  * Stand-in for the users' platform as one process: the metadata store, the call
- * to promote, and three members of one service, over their real protocols.
+ * to promote, and three members of each service, over their real protocols.
  *
- * Usage: standin_site BASE_PORT; the store listens there, the promote call one
- * above, the members above that. SIGUSR1 crashes the leading member, SIGUSR2
- * brings every member back.
+ * Usage: standin_site [--services N] [--slots N] [--connections N] [--control]
+ *                     [--link-offset N] BASE_PORT
+ *
+ * The store listens at BASE_PORT, the promote call one above, a door that turns
+ * every call to the store away two above, the members above that. SIGUSR1
+ * crashes the leading member of the first service, SIGUSR2 brings every member
+ * back. With --control, commands are read from standard input.
  */
+#include "standin_site.h"
+
+#include <getopt.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
 #include <jansson.h>
 #include <sodium.h>
 #include <talloc.h>
 
-#include "fake_db.h"
-#include "fake_kv.h"
-#include "httpd.h"
-#include "loop.h"
-#include "stream.h"
-#include "protocol.h"
+#include "names.h"
 
-#define MEMBERS	      3
-#define SERVICE	      "core"
 #define BODY_MAX      (2 * 1024 * 1024)
 #define LIST_INTERVAL (50 * USEC_PER_MSEC)
-
-typedef struct listener {
-	struct site *site;
-	fake_member_t *member;
-	h2o_socket_t *sock;
-	char address[32];
-	char listed[512]; /* its entry as last written */
-} listener_t;
-
-typedef struct site {
-	loop_t loop;
-	fake_kv_t *kv;
-	fake_kv_client_t client;
-	fake_db_t *db;
-	httpd_t store;
-	httpd_t cloud;
-	listener_t listeners[MEMBERS];
-	list_t links;
-	run_timer_t list_timer;
-} site_t;
+/* Changes that the store remembers: a minute of a busy fleet. */
+#define HISTORY 2000
 
 static volatile sig_atomic_t crash_asked;
 static volatile sig_atomic_t return_asked;
 
-/* --- members --- */
-
-typedef struct link {
-	list_t node;
-	stream_t stream;
-	fake_session_t *session;
-	fake_member_t *member;
-} link_t;
-
-static void free_link(link_t *link)
-{
-	list_del(&link->node);
-	talloc_free(link);
-}
-
-static void on_member_reply(void *data, const char *text, size_t len)
-{
-	link_t *link = data;
-
-	if (text != NULL) {
-		stream_send(&link->stream, text, len);
-		return;
-	}
-	link->session = NULL;
-	stream_finish(&link->stream);
-}
-
-static size_t on_line(stream_t *stream, const char *data, size_t len)
-{
-	link_t *link = list_entry(stream, link_t, stream);
-	size_t line = protocol_line(data, len, 0);
-
-	if (line != 0 && link->session != NULL)
-		fake_line(link->session, data, line - 2);
-	return line;
-}
-
-static void on_link_down(stream_t *stream, const char *reason)
-{
-	link_t *link = list_entry(stream, link_t, stream);
-
-	(void)reason;
-	if (link->session != NULL)
-		fake_close(link->session);
-	free_link(link);
-}
-
-static const stream_ops_t link_ops = {.on_data = on_line, .on_down = on_link_down};
-
-static void on_accept(h2o_socket_t *sock, const char *err)
-{
-	listener_t *listener = sock->data;
-	h2o_socket_t *accepted;
-
-	if (err != NULL)
-		return;
-	while ((accepted = h2o_evloop_socket_accept(sock)) != NULL) {
-		link_t *link = talloc_zero(NULL, link_t);
-
-		link->member = listener->member;
-		link->session = fake_open(listener->member, on_member_reply, link);
-		link->stream.ops = &link_ops;
-		list_add_tail(&listener->site->links, &link->node);
-		stream_accept(&link->stream, &listener->site->loop, accepted, 5000);
-		if (link->session == NULL)
-			stream_finish(&link->stream);
-	}
-}
-
-static void list_member(site_t *site, listener_t *listener)
-{
-	const fake_member_t *member = listener->member;
-	char key[64];
-	char value[512];
-
-	snprintf(key, sizeof(key), "servers/%s", member->id);
-	snprintf(
-		value, sizeof(value),
-		"{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"plateau\",\"slots\":2,\"state\":\"%s\","
-		"\"dbRole\":\"%s\",\"seq\":1}",
-		SERVICE, listener->address, member->leaving ? "draining" : "ready",
-		member->primary ? "primary" : "replica");
-	if (strcmp(value, listener->listed) == 0 || member->stopped)
-		return;
-	memcpy(listener->listed, value, sizeof(value));
-	fake_kv_put(site->kv, key, value);
-}
-
-static void crash_leader(site_t *site)
-{
-	fake_member_t *leader = fake_leader(site->db);
-
-	fake_stop(leader);
-	list_for_each_safe (it, &site->links) {
-		link_t *link = list_entry(it, link_t, node);
-
-		if (link->member != leader)
-			continue;
-		if (link->session != NULL)
-			fake_close(link->session);
-		stream_close(&link->stream);
-		free_link(link);
-	}
-}
+static const char *const service_names[SITE_SERVICES_MAX] = {"core",  "ledger", "fleet", "stock",
+							     "depot", "crew",	"rota",	 "map"};
 
 static void on_list(run_timer_t *timer, usec_t now)
 {
 	site_t *site = list_entry(timer, site_t, list_timer);
 
 	if (crash_asked)
-		crash_leader(site);
+		members_crash(site, fake_leader(site->services[0]));
 	crash_asked = 0;
-	for (size_t i = 0; return_asked && i < MEMBERS; i++) {
-		if (site->db->members[i].stopped)
-			fake_start(&site->db->members[i]);
+	for (size_t i = 0; return_asked && i < site->service_count * SITE_MEMBERS; i++) {
+		if (site->listeners[i].member->stopped)
+			fake_start(site->listeners[i].member);
 	}
 	return_asked = 0;
-	for (size_t i = 0; i < MEMBERS; i++)
-		list_member(site, &site->listeners[i]);
+	members_list(site);
+	control_flush();
 	timers_arm(&site->loop.timers, timer, now + LIST_INTERVAL, on_list);
 }
 
@@ -207,16 +88,21 @@
 
 static json_t *encode_item(const kv_item_t *item)
 {
-	char text[8192];
+	size_t size = sodium_base64_encoded_len(item->len, sodium_base64_VARIANT_ORIGINAL);
+	char *text;
+	json_t *object;
 
 	if (item->value == NULL)
 		return json_pack("{s:s, s:I, s:b}", "key", item->key, "rev",
 				 (json_int_t)item->revision, "tombstone", 1);
-	sodium_bin2base64(text, sizeof(text), (const unsigned char *)item->value, item->len,
+	text = talloc_size(NULL, size);
+	sodium_bin2base64(text, size, (const unsigned char *)item->value, item->len,
 			  sodium_base64_VARIANT_ORIGINAL);
-	return json_pack("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", text, "rev",
-			 (json_int_t)item->revision, "createdRev", (json_int_t)item->created,
-			 "lease", 0);
+	object = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value", text, "rev",
+			   (json_int_t)item->revision, "createdRev", (json_int_t)item->created,
+			   "lease", (json_int_t)item->lease);
+	talloc_free(text);
+	return object;
 }
 
 static int http_status(kv_status_t status)
@@ -378,18 +264,56 @@
 	return rc;
 }
 
+/* The store turns this caller away: nothing is done. */
+static int refuse_store(httpd_t *httpd, h2o_req_t *req)
+{
+	(void)httpd;
+	httpd_send_json(req, STATUS_UNAVAILABLE, json_object(), 0);
+	return 0;
+}
+
 /* --- the call to promote --- */
 
+static fake_member_t *find_member(site_t *site, const char *id)
+{
+	fake_member_t *member = NULL;
+
+	for (size_t i = 0; id != NULL && member == NULL && i < site->service_count; i++)
+		member = fake_find(site->services[i], id);
+	return member;
+}
+
+static char *header(void *parent, const h2o_req_t *req, const char *name)
+{
+	char *lower = g_ascii_strdown(name, -1);
+	ssize_t index = h2o_find_header_by_str(&req->headers, lower, strlen(lower), -1);
+
+	g_free(lower);
+	if (index < 0)
+		return talloc_strdup(parent, "");
+	return talloc_strndup(parent, req->headers.entries[index].value.base,
+			      req->headers.entries[index].value.len);
+}
+
 static int handle_cloud(httpd_t *httpd, h2o_req_t *req)
 {
 	site_t *site = httpd->data;
 	json_t *body = json_loadb(req->entity.base, req->entity.len, 0, NULL);
 	const char *id = json_string_value(json_object_get(body, "id"));
-	fake_member_t *member = id != NULL ? fake_find(site->db, id) : NULL;
-	bool done = member != NULL && fake_promote(site->db, member);
+	fake_member_t *member = find_member(site, id);
+	void *scratch = talloc_new(NULL);
+	bool done = site->cloud_state != CLOUD_REFUSES && member != NULL &&
+		    fake_promote(member->db, member);
 
+	control_record_promote(header(scratch, req, HEADER_HOLDER),
+			       header(scratch, req, HEADER_FENCE),
+			       member != NULL ? member->db->config.service : "", id, done);
+	talloc_free(scratch);
 	json_decref(body);
-	httpd_send_json(req, done ? 200 : 409, json_object(), 0);
+	if (site->cloud_state == CLOUD_REFUSES)
+		httpd_send_json(req, STATUS_UNAVAILABLE, json_object(), 0);
+	else if (site->cloud_state == CLOUD_UP)
+		httpd_send_json(req, done ? STATUS_OK : 409, json_object(), 0);
 	return 0;
 }
 
@@ -406,16 +330,14 @@
 	"\"services\":[{\"name\":\"core\",\"maxConns\":16,\"syncReplicas\":0}],"
 	"\"limits\":{\"txIdleMs\":3000}}";
 
-static const fake_db_config_t db_config = {
-	.service = SERVICE,
-	.members = MEMBERS,
-	.slots = 2,
-	.max_connections = 16,
-	.work = 2 * USEC_PER_MSEC,
-	.receive = 1 * USEC_PER_MSEC,
-	.lag = 20 * USEC_PER_MSEC,
-	.promote = 300 * USEC_PER_MSEC,
-};
+typedef struct options {
+	int base;
+	size_t services;
+	size_t slots;
+	size_t connections;
+	int link_offset;
+	bool control;
+} options_t;
 
 static void on_signal(int signo)
 {
@@ -425,58 +347,100 @@
 		return_asked = 1;
 }
 
-static int listen_members(site_t *site, int base, err_t *err)
+static void create_services(site_t *site, const options_t *options)
 {
-	for (int i = 0; i < MEMBERS; i++) {
-		listener_t *listener = &site->listeners[i];
-		int fd;
-
-		listener->site = site;
-		listener->member = &site->db->members[i];
-		snprintf(listener->address, sizeof(listener->address), "127.0.0.1:%d",
-			 base + 2 + i);
-		fd = stream_listen(listener->address, err);
-		if (fd < 0)
-			return fd;
-		listener->sock =
-			h2o_evloop_socket_create(site->loop.h2o, fd, H2O_SOCKET_FLAG_DONT_READ);
-		listener->sock->data = listener;
-		h2o_socket_read_start(listener->sock, on_accept);
+	for (size_t i = 0; i < options->services; i++) {
+		const fake_db_config_t db_config = {
+			.service = service_names[i],
+			.members = SITE_MEMBERS,
+			.slots = options->slots,
+			.max_connections = options->connections,
+			.work = 2 * USEC_PER_MSEC,
+			.receive = 1 * USEC_PER_MSEC,
+			.lag = 20 * USEC_PER_MSEC,
+			.promote = 300 * USEC_PER_MSEC,
+			.numbered = options->control,
+		};
+
+		site->services[i] =
+			fake_db_create(NULL, &db_config, site->loop.clock, &site->loop.timers);
 	}
-	return 0;
+	site->service_count = options->services;
 }
 
-static int start(site_t *site, int base, err_t *err)
+static int listen_http(site_t *site, httpd_t *httpd, int port, httpd_handler_t handle, err_t *err)
 {
 	char address[32];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+	return httpd_start(httpd, &site->loop, address, BODY_MAX, handle, site, err);
+}
+
+static int start(site_t *site, const options_t *options, err_t *err)
+{
 	int rc;
 
 	site->kv = fake_kv_create(NULL, site->loop.clock, &site->loop.timers);
+	site->kv->history = HISTORY;
 	fake_kv_client_init(&site->client, site->kv);
-	site->db = fake_db_create(NULL, &db_config, site->loop.clock, &site->loop.timers);
+	site->link_offset = options->link_offset;
+	create_services(site, options);
 	list_init(&site->links);
-	fake_kv_put(site->kv, "op/config", config);
-	snprintf(address, sizeof(address), "127.0.0.1:%d", base);
-	rc = httpd_start(&site->store, &site->loop, address, BODY_MAX, handle_store, site, err);
-	snprintf(address, sizeof(address), "127.0.0.1:%d", base + 1);
+	fake_kv_put(site->kv, KEY_CONFIG, config);
+	rc = listen_http(site, &site->store, options->base, handle_store, err);
+	if (rc == 0)
+		rc = listen_http(site, &site->cloud, options->base + 1, handle_cloud, err);
 	if (rc == 0)
-		rc = httpd_start(&site->cloud, &site->loop, address, BODY_MAX, handle_cloud, site,
-				 err);
+		rc = listen_http(site, &site->closed_door, options->base + 2, refuse_store, err);
 	if (rc == 0)
-		rc = listen_members(site, base, err);
+		rc = members_start(site, options->base + SITE_FIRST_MEMBER, err);
+	if (rc == 0 && options->control)
+		rc = control_start(site);
 	if (rc == 0)
 		on_list(&site->list_timer, clock_now(site->loop.clock));
 	return rc;
 }
 
+static bool read_options(options_t *options, int argc, char **argv)
+{
+	static const struct option longopts[] = {
+		{"services", required_argument, NULL, 's'},
+		{"slots", required_argument, NULL, 'w'},
+		{"connections", required_argument, NULL, 'n'},
+		{"link-offset", required_argument, NULL, 'l'},
+		{"control", no_argument, NULL, 'c'},
+		{NULL, 0, NULL, 0},
+	};
+	int opt;
+
+	while ((opt = getopt_long(argc, argv, "", longopts, NULL)) != -1) {
+		if (opt == 's')
+			options->services = strtoul(optarg, NULL, 10);
+		else if (opt == 'w')
+			options->slots = strtoul(optarg, NULL, 10);
+		else if (opt == 'n')
+			options->connections = strtoul(optarg, NULL, 10);
+		else if (opt == 'l')
+			options->link_offset = (int)strtol(optarg, NULL, 10);
+		else if (opt == 'c')
+			options->control = true;
+		else
+			return false;
+	}
+	options->base = optind == argc - 1 ? (int)strtol(argv[optind], NULL, 10) : 0;
+	return options->base > 0 && options->base <= 65000 && options->services > 0 &&
+	       options->services <= SITE_SERVICES_MAX;
+}
+
 int main(int argc, char **argv)
 {
 	static site_t site;
+	options_t options = {.services = 1, .slots = 2, .connections = 16};
 	err_t err = {0};
-	int base = argc == 2 ? atoi(argv[1]) : 0;
 
-	if (base <= 0 || base > 65000) {
-		fprintf(stderr, "usage: standin_site BASE_PORT\n");
+	if (!read_options(&options, argc, argv)) {
+		fprintf(stderr, "usage: standin_site [--services N] [--slots N] [--connections N] "
+				"[--control] [--link-offset N] BASE_PORT\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
@@ -484,7 +448,7 @@
 	signal(SIGUSR2, on_signal);
 	if (sodium_init() < 0 || loop_init(&site.loop, clock_system()) < 0)
 		return 1;
-	if (start(&site, base, &err) < 0) {
+	if (start(&site, &options, &err) < 0) {
 		char line[256];
 
 		err_format(&err, line, sizeof(line));
