--- /dev/null
+++ b/soak/fleet.c
@@ -0,0 +1,514 @@
+#include "fleet.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <glib/gstdio.h>
+#include <talloc.h>
+
+#include "finding.h"
+#include "harness.h"
+#include "ports.h"
+
+/* Offsets from the first port: the stand-in's own, the links of its members, then proxies. */
+#define PORT_STORE	1
+#define PORT_MEMBERS	4
+#define MEMBER_LINKS	26
+#define PORT_PROXIES	64
+#define PORTS_PER_PROXY 5
+
+/* Until a process that did not end in time is started again. */
+#define RESTART_AFTER (300 * USEC_PER_MSEC)
+/* From the end of the grace to the end of the process: its last turn of the loop. */
+#define END_SLACK (1 * USEC_PER_SEC)
+
+/* What the deployment grants a proxy. */
+#define MEMORY_MAX_KB (260 * 1024)
+#define FDS_MAX	      4200
+/*
+ * Each place in the code may log 20 lines a second of some 400 bytes; at most two dozen places
+ * speak in the same second. The start has lines of its own.
+ */
+#define LOG_RATE_MAX  (24 * 8 * 1024)
+#define LOG_START_MAX (1024 * 1024)
+
+#if defined(__SANITIZE_ADDRESS__)
+/* Shadow memory and quarantine are not the program's. */
+#define CHECKS_MEMORY false
+#else
+#define CHECKS_MEMORY true
+#endif
+
+static usec_t now_of(const fleet_t *fleet)
+{
+	return clock_now(fleet->loop->clock);
+}
+
+int fleet_store_port(const fleet_t *fleet)
+{
+	return fleet->port + PORT_STORE;
+}
+
+int fleet_closed_door(const fleet_t *fleet)
+{
+	return fleet_store_port(fleet) + 2;
+}
+
+int fleet_caller_port(const fleet_t *fleet, unsigned proxy)
+{
+	return fleet->port + PORT_PROXIES + PORTS_PER_PROXY * (int)proxy;
+}
+
+static char *path_of(const fleet_t *fleet, const proxy_t *proxy, const char *suffix)
+{
+	return g_strdup_printf("%s/%s.%s", fleet->options.dir, proxy->name, suffix);
+}
+
+void fleet_note_span(GArray *spans, usec_t from, usec_t duration)
+{
+	const span_t span = {.from = from, .to = from + duration};
+
+	g_array_append_val(spans, span);
+}
+
+bool fleet_overlaps(const GArray *spans, usec_t from, usec_t to)
+{
+	for (guint i = 0; i < spans->len; i++) {
+		const span_t *span = &g_array_index(spans, span_t, i);
+
+		if (span->from <= to && span->to >= from)
+			return true;
+	}
+	return false;
+}
+
+/* --- proxies --- */
+
+static void write_settings(const fleet_t *fleet, unsigned index)
+{
+	const proxy_t *proxy = &fleet->proxies[index];
+	int port = fleet_caller_port(fleet, index);
+	char *path = path_of(fleet, proxy, "toml");
+	char *text = g_strdup_printf(
+		"[node]\nname = \"%s\"\nzone = \"%s\"\n"
+		"[callers]\nlisten = \"127.0.0.1:%d\"\n[probe]\nlisten = \"127.0.0.1:%d\"\n"
+		"[operators]\nlisten = \"127.0.0.1:%d\"\n[peers]\nlisten = \"127.0.0.1:%d\"\n"
+		"[store]\naddress = \"127.0.0.1:%d\"\n[promotion]\naddress = \"127.0.0.1:%d\"\n"
+		"[shutdown]\ngrace_s = %d\n[log]\nlevel = \"%s\"\n",
+		proxy->name, index % 3 == 0 ? "plateau" : "almadies", port, port + 1, port + 2,
+		port + 3, port + 4, fleet_store_port(fleet) + 1, (int)(FLEET_GRACE / USEC_PER_SEC),
+		proxy->log_verbose ? "debug" : "info");
+
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	g_free(text);
+	g_free(path);
+}
+
+static off_t log_size(const fleet_t *fleet, const proxy_t *proxy)
+{
+	char *path = path_of(fleet, proxy, "log");
+	struct stat info;
+	off_t size = stat(path, &info) == 0 ? info.st_size : 0;
+
+	g_free(path);
+	return size;
+}
+
+static void start_proxy(fleet_t *fleet, unsigned index)
+{
+	proxy_t *proxy = &fleet->proxies[index];
+	char *program = harness_program("proxy/cyclamenspan");
+	char *config = path_of(fleet, proxy, "toml");
+	char *log = path_of(fleet, proxy, "log");
+	char *argv[] = {program, "--pooler", "--config", config, NULL};
+	int fd = g_open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+
+	write_settings(fleet, index);
+	proxy->log_before = log_size(fleet, proxy);
+	proxy->pid = harness_spawn(argv, (const int[]){-1, fd, fd});
+	proxy->state = PROXY_RUNS;
+	proxy->started_at = now_of(fleet);
+	proxy->killed = false;
+	proxy->down = RESTART_AFTER;
+	proxy->term_at = 0;
+	proxy->ends_by = 0;
+	proxy->paused_until = 0;
+	close(fd);
+	g_free(log);
+	g_free(config);
+	g_free(program);
+}
+
+/* Was it paused, so that it could not end in time? */
+static void push_end(proxy_t *proxy, usec_t by)
+{
+	if (proxy->ends_by != 0)
+		proxy->ends_by += by;
+}
+
+void fleet_pause(fleet_t *fleet, unsigned index, usec_t until)
+{
+	proxy_t *proxy = &fleet->proxies[index];
+	usec_t now = now_of(fleet);
+
+	if (proxy->state == PROXY_DOWN || until <= now)
+		return;
+	kill(proxy->pid, SIGSTOP);
+	push_end(proxy, until - now);
+	if (until > proxy->paused_until)
+		proxy->paused_until = until;
+	fleet_note_span(proxy->disturbed, now, until - now);
+}
+
+static void resume(proxy_t *proxy, usec_t now)
+{
+	kill(proxy->pid, SIGCONT);
+	proxy->paused_until = 0;
+	/* It may have come later than it was to. */
+	fleet_note_span(proxy->disturbed, now, 0);
+}
+
+void fleet_kill(fleet_t *fleet, unsigned index, usec_t down)
+{
+	proxy_t *proxy = &fleet->proxies[index];
+
+	fleet_note_span(proxy->disturbed, now_of(fleet), 0);
+	proxy->down = down;
+	if (proxy->state == PROXY_DOWN)
+		return;
+	proxy->killed = true;
+	kill(proxy->pid, SIGKILL);
+}
+
+void fleet_term(fleet_t *fleet, unsigned index, usec_t down)
+{
+	proxy_t *proxy = &fleet->proxies[index];
+	usec_t now = now_of(fleet);
+
+	if (proxy->state == PROXY_DOWN)
+		return;
+	/* A second signal is sent too; what counts is the first. */
+	kill(proxy->pid, SIGTERM);
+	if (proxy->state == PROXY_ENDS)
+		return;
+	proxy->state = PROXY_ENDS;
+	proxy->term_at = now;
+	proxy->ends_by = now + FLEET_GRACE + END_SLACK;
+	if (proxy->paused_until > now)
+		proxy->ends_by += proxy->paused_until - now;
+	proxy->down = down;
+}
+
+void fleet_hangup(fleet_t *fleet, unsigned index)
+{
+	proxy_t *proxy = &fleet->proxies[index];
+
+	if (proxy->state == PROXY_DOWN)
+		return;
+	proxy->log_verbose = !proxy->log_verbose;
+	write_settings(fleet, index);
+	kill(proxy->pid, SIGHUP);
+}
+
+static void on_exit_of(fleet_t *fleet, proxy_t *proxy, int status, usec_t now)
+{
+	bool orderly = WIFEXITED(status) && WEXITSTATUS(status) == 0 && proxy->term_at != 0;
+
+	if (!proxy->killed && !orderly && !fleet->stopping)
+		finding_add(PROMISE_PROCESS, proxy->name, "ended by itself, exit %d, signal %d",
+			    WIFEXITED(status) ? WEXITSTATUS(status) : -1,
+			    WIFSIGNALED(status) ? WTERMSIG(status) : 0);
+	proxy->state = PROXY_DOWN;
+	proxy->restart_at = now + proxy->down;
+}
+
+static void look_after(fleet_t *fleet, unsigned index, usec_t now)
+{
+	proxy_t *proxy = &fleet->proxies[index];
+	int status;
+
+	if (proxy->state != PROXY_DOWN && waitpid(proxy->pid, &status, WNOHANG) == proxy->pid)
+		on_exit_of(fleet, proxy, status, now);
+	if (proxy->state == PROXY_DOWN) {
+		if (now >= proxy->restart_at && !fleet->stopping)
+			start_proxy(fleet, index);
+		return;
+	}
+	if (proxy->paused_until != 0 && now >= proxy->paused_until)
+		resume(proxy, now);
+	if (proxy->ends_by != 0 && now >= proxy->ends_by && proxy->paused_until == 0) {
+		finding_add(PROMISE_PROCESS, proxy->name, "has not ended %.1f s after SIGTERM",
+			    (double)(now - proxy->term_at) / USEC_PER_SEC);
+		fleet_kill(fleet, index, RESTART_AFTER);
+		proxy->ends_by = 0;
+	}
+}
+
+/* --- bounds --- */
+
+static long read_rss_kb(pid_t pid)
+{
+	char path[64];
+	char *text = NULL;
+	long pages = 0;
+
+	snprintf(path, sizeof(path), "/proc/%d/statm", (int)pid);
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(text, "%*d %ld", &pages);
+	g_free(text);
+	return pages * (sysconf(_SC_PAGESIZE) / 1024);
+}
+
+static long count_fds(pid_t pid)
+{
+	char path[64];
+	GDir *dir;
+	long count = 0;
+
+	snprintf(path, sizeof(path), "/proc/%d/fd", (int)pid);
+	dir = g_dir_open(path, 0, NULL);
+	if (dir == NULL)
+		return 0;
+	while (g_dir_read_name(dir) != NULL)
+		count++;
+	g_dir_close(dir);
+	return count;
+}
+
+static void check_bounds(fleet_t *fleet, proxy_t *proxy, usec_t now)
+{
+	long rss = read_rss_kb(proxy->pid);
+	long fds = count_fds(proxy->pid);
+	off_t log = log_size(fleet, proxy) - proxy->log_before;
+	usec_t age = now - proxy->started_at;
+
+	proxy->peak_kb = MAX(proxy->peak_kb, rss);
+	proxy->peak_fds = MAX(proxy->peak_fds, fds);
+	if (CHECKS_MEMORY && rss > MEMORY_MAX_KB)
+		finding_add(PROMISE_BOUNDS, proxy->name, "%ld KB of memory", rss);
+	if (fds > FDS_MAX)
+		finding_add(PROMISE_BOUNDS, proxy->name, "%ld descriptors", fds);
+	if ((usec_t)log > LOG_START_MAX + LOG_RATE_MAX * age / USEC_PER_SEC)
+		finding_add(PROMISE_BOUNDS, proxy->name, "%ld bytes of log in %.1f s", (long)log,
+			    (double)age / USEC_PER_SEC);
+}
+
+void fleet_check_bounds(fleet_t *fleet, usec_t now)
+{
+	for (unsigned i = 0; i < fleet->options.proxies; i++) {
+		if (fleet->proxies[i].state != PROXY_DOWN)
+			check_bounds(fleet, &fleet->proxies[i], now);
+	}
+}
+
+/* --- the platform --- */
+
+void fleet_command(fleet_t *fleet, const char *fmt, ...)
+{
+	va_list args;
+	char *text;
+	ssize_t written;
+
+	va_start(args, fmt);
+	text = g_strdup_vprintf(fmt, args);
+	va_end(args);
+	written = write(fleet->control, text, strlen(text));
+	if (written == (ssize_t)strlen(text))
+		written = write(fleet->control, "\n", 1);
+	if (written != 1)
+		finding_add(PROMISE_PROCESS, "platform", "takes no commands: %s", strerror(errno));
+	g_free(text);
+}
+
+static void add_routes(const fleet_t *fleet, GString *text, unsigned service)
+{
+	static const struct {
+		const char *database;
+		const char *kind;
+		unsigned max_stale_ms;
+	} routes[] = {
+		{"jobs", "primary", 0}, {"lookups", "bounded", 1500}, {"updates", "session", 2500}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"r%u-%zu\",\"host\":\"%s%u\",\"kind\":\"%s\",\"timeoutMs\":%u,"
+			"\"sloMs\":300,\"priority\":1,\"service\":\"%s\"",
+			service + i != 0 ? "," : "", service, i, routes[i].database, service,
+			routes[i].kind, fleet->timeout_ms, ledger_service_name(service));
+		if (routes[i].max_stale_ms != 0)
+			g_string_append_printf(text, ",\"maxStaleMs\":%u", routes[i].max_stale_ms);
+		g_string_append_c(text, '}');
+	}
+}
+
+void fleet_configure(fleet_t *fleet, unsigned timeout_ms)
+{
+	GString *text = g_string_new(NULL);
+
+	fleet->config_version += 1 + timeout_ms % 3;
+	fleet->timeout_ms = timeout_ms;
+	g_string_append_printf(text, "{\"version\":%u,\"routes\":[", fleet->config_version);
+	for (unsigned i = 0; i < fleet->options.services; i++)
+		add_routes(fleet, text, i);
+	g_string_append(text, "],\"services\":[");
+	for (unsigned i = 0; i < fleet->options.services; i++)
+		g_string_append_printf(
+			text, "%s{\"name\":\"%s\",\"maxConns\":%u,\"syncReplicas\":0}",
+			i != 0 ? "," : "", ledger_service_name(i), fleet->options.connections);
+	g_string_append(text, "],\"limits\":{\"txIdleMs\":3000}}");
+	fleet_command(fleet, "config %s", text->str);
+	g_string_free(text, TRUE);
+}
+
+void fleet_pause_platform(fleet_t *fleet, usec_t until)
+{
+	kill(fleet->platform, SIGSTOP);
+	if (until > fleet->platform_paused_until)
+		fleet->platform_paused_until = until;
+}
+
+static void on_record(loop_watch_t *watch)
+{
+	fleet_t *fleet = list_entry(watch, fleet_t, watch);
+	char buffer[65536];
+	ssize_t n = read(fleet->record, buffer, sizeof(buffer));
+
+	if (n > 0) {
+		ledger_read(fleet->ledger, buffer, (size_t)n);
+		return;
+	}
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	loop_watch_stop(watch);
+	if (!fleet->stopping)
+		finding_add(PROMISE_PROCESS, "platform", "the stand-in has ended");
+}
+
+static int start_platform(fleet_t *fleet)
+{
+	char *program = harness_program("tests/standin_site");
+	char *numbers[] = {g_strdup_printf("%u", fleet->options.services),
+			   g_strdup_printf("%u", fleet->options.slots),
+			   g_strdup_printf("%u", fleet->options.connections),
+			   g_strdup_printf("%d", MEMBER_LINKS),
+			   g_strdup_printf("%d", fleet_store_port(fleet))};
+	char *argv[] = {program,    "--services",    numbers[0], "--slots",
+			numbers[1], "--connections", numbers[2], "--link-offset",
+			numbers[3], "--control",     numbers[4], NULL};
+	int in[2];
+	int out[2];
+	int rc = -1;
+
+	if (pipe2(in, O_CLOEXEC) == 0 && pipe2(out, O_CLOEXEC) == 0) {
+		fcntl(out[1], F_SETPIPE_SZ, 1024 * 1024);
+		fleet->platform = harness_spawn(argv, (const int[]){in[0], out[1], -1});
+		close(in[0]);
+		close(out[1]);
+		fleet->control = in[1];
+		fleet->record = out[0];
+		fcntl(fleet->record, F_SETFL, O_NONBLOCK);
+		rc = loop_watch_start(fleet->loop, &fleet->watch, fleet->record, on_record);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++)
+		g_free(numbers[i]);
+	g_free(program);
+	return rc;
+}
+
+/* --- the whole --- */
+
+static int create_links(fleet_t *fleet)
+{
+	unsigned members = fleet->options.services * FLEET_MEMBERS;
+	int port = fleet_store_port(fleet) + PORT_MEMBERS - 1;
+
+	fleet->members = talloc_zero_array(fleet, link_t *, members);
+	for (unsigned i = 0; i < members; i++) {
+		fleet->members[i] = link_create(fleet, fleet->loop, port + MEMBER_LINKS + (int)i,
+						port + (int)i);
+		if (fleet->members[i] == NULL)
+			return -1;
+	}
+	for (unsigned i = 0; i < fleet->options.proxies; i++) {
+		fleet->proxies[i].store =
+			link_create(fleet, fleet->loop, fleet_caller_port(fleet, i) + 4,
+				    fleet_store_port(fleet));
+		if (fleet->proxies[i].store == NULL)
+			return -1;
+	}
+	return 0;
+}
+
+static int destructor(fleet_t *fleet)
+{
+	for (unsigned i = 0; i < fleet->options.proxies; i++)
+		g_array_unref(fleet->proxies[i].disturbed);
+	for (unsigned i = 0; i < SERVICES_MAX; i++)
+		g_array_unref(fleet->member_trouble[i]);
+	return 0;
+}
+
+static void init(fleet_t *fleet)
+{
+	for (unsigned i = 0; i < fleet->options.proxies; i++) {
+		proxy_t *proxy = &fleet->proxies[i];
+
+		snprintf(proxy->name, sizeof(proxy->name), "p%u", i);
+		proxy->disturbed = g_array_new(FALSE, FALSE, sizeof(span_t));
+	}
+	for (unsigned i = 0; i < SERVICES_MAX; i++)
+		fleet->member_trouble[i] = g_array_new(FALSE, FALSE, sizeof(span_t));
+	talloc_set_destructor(fleet, destructor);
+}
+
+fleet_t *fleet_create(void *parent, loop_t *loop, ledger_t *ledger, const fleet_options_t *options)
+{
+	fleet_t *fleet = talloc_zero(parent, fleet_t);
+
+	fleet->options = *options;
+	fleet->loop = loop;
+	fleet->ledger = ledger;
+	fleet->config_version = 3;
+	fleet->proxies = talloc_zero_array(fleet, proxy_t, options->proxies);
+	fleet->port = ports_reserve(PORT_PROXIES + PORTS_PER_PROXY * (int)options->proxies);
+	init(fleet);
+	if (fleet->port < 0 || create_links(fleet) < 0 || start_platform(fleet) < 0) {
+		talloc_free(fleet);
+		return NULL;
+	}
+	fleet_configure(fleet, 800);
+	for (unsigned i = 0; i < options->proxies; i++)
+		start_proxy(fleet, i);
+	return fleet;
+}
+
+void fleet_tick(fleet_t *fleet, usec_t now)
+{
+	for (unsigned i = 0; i < fleet->options.proxies; i++)
+		look_after(fleet, i, now);
+	if (fleet->platform_paused_until != 0 && now >= fleet->platform_paused_until) {
+		kill(fleet->platform, SIGCONT);
+		fleet->platform_paused_until = 0;
+	}
+}
+
+void fleet_stop(fleet_t *fleet)
+{
+	fleet->stopping = true;
+	loop_watch_stop(&fleet->watch);
+	for (unsigned i = 0; i < fleet->options.proxies; i++) {
+		if (fleet->proxies[i].state != PROXY_DOWN)
+			harness_kill(&fleet->proxies[i].pid);
+	}
+	harness_kill(&fleet->platform);
+	close(fleet->control);
+	close(fleet->record);
+}
--- /dev/null
+++ b/soak/fleet.h
@@ -0,0 +1,104 @@
+/*
+ * The processes of a soak: the platform's stand-in and the proxies, each proxy
+ * with a link of ours on its way to the store, and a link in front of each
+ * member. Only processes that it started are signalled, by their ids.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <sys/types.h>
+
+#include "ledger.h"
+#include "link.h"
+#include "loop.h"
+
+#define FLEET_MEMBERS 3 /* of a service */
+/* As the settings of proxies say. */
+#define FLEET_GRACE (4 * USEC_PER_SEC)
+
+typedef struct fleet_options {
+	unsigned proxies;
+	unsigned services;
+	unsigned connections; /* that a member allows */
+	unsigned slots;	      /* of a member */
+	const char *dir;      /* settings and logs */
+} fleet_options_t;
+
+/* When something was harmed; the last span may reach into the future. */
+typedef struct span {
+	usec_t from;
+	usec_t to;
+} span_t;
+
+typedef enum { PROXY_DOWN, PROXY_RUNS, PROXY_ENDS } proxy_state_t;
+
+typedef struct proxy {
+	char name[16];
+	pid_t pid;
+	proxy_state_t state;
+	bool killed; /* by us, so that its end is no finding */
+	usec_t started_at;
+	usec_t term_at; /* of the SIGTERM under way, 0: none */
+	usec_t down;	/* from its end to its next start */
+	usec_t restart_at;
+	usec_t paused_until; /* 0: it is not paused */
+	GArray *disturbed;   /* span_t: paused, killed, its way to the store harmed */
+	usec_t ends_by;	     /* it must have ended by then, 0: it need not */
+	bool log_verbose;
+	link_t *store;
+	off_t log_before; /* size of its log at its start */
+	long peak_kb;
+	long peak_fds;
+	size_t served; /* operations since the last fault was over for long enough */
+} proxy_t;
+
+typedef struct fleet {
+	fleet_options_t options;
+	loop_t *loop;
+	ledger_t *ledger;
+	int port;
+	pid_t platform;
+	int control; /* commands to the stand-in */
+	int record;  /* its output */
+	loop_watch_t watch;
+	usec_t platform_paused_until;
+	proxy_t *proxies;
+	link_t **members;
+	GArray *member_trouble[SERVICES_MAX]; /* span_t: of members, or of the ways to them */
+	unsigned config_version;
+	unsigned timeout_ms; /* of routes */
+	bool stopping;
+} fleet_t;
+
+/* A child of parent with all processes started, or NULL. */
+fleet_t *fleet_create(void *parent, loop_t *loop, ledger_t *ledger, const fleet_options_t *options);
+
+/* End all of its processes. */
+void fleet_stop(fleet_t *fleet);
+
+/* Look after processes: ends, restarts, pauses that are over. */
+void fleet_tick(fleet_t *fleet, usec_t now);
+
+/* Check what /proc says of each proxy. */
+void fleet_check_bounds(fleet_t *fleet, usec_t now);
+
+int fleet_caller_port(const fleet_t *fleet, unsigned proxy);
+
+void fleet_note_span(GArray *spans, usec_t from, usec_t duration);
+bool fleet_overlaps(const GArray *spans, usec_t from, usec_t to);
+
+/* One command to the stand-in. */
+void fleet_command(fleet_t *fleet, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+
+/* A new configuration with this timeout of routes. */
+void fleet_configure(fleet_t *fleet, unsigned timeout_ms);
+
+void fleet_pause(fleet_t *fleet, unsigned proxy, usec_t until);
+void fleet_kill(fleet_t *fleet, unsigned proxy, usec_t down);
+void fleet_term(fleet_t *fleet, unsigned proxy, usec_t down);
+void fleet_hangup(fleet_t *fleet, unsigned proxy);
+void fleet_pause_platform(fleet_t *fleet, usec_t until);
+
+/* Where the door is that turns calls to the store away, and the store itself. */
+int fleet_closed_door(const fleet_t *fleet);
+int fleet_store_port(const fleet_t *fleet);
--- /dev/null
+++ b/soak/inject.h
@@ -0,0 +1,25 @@
+/* Plays a plan's faults on a fleet. */
+#pragma once
+
+#include "fleet.h"
+#include "plan.h"
+
+typedef struct inject {
+	fleet_t *fleet;
+	const plan_t *plan;
+	guint next;	/* fault of the plan */
+	usec_t started; /* 0: not yet */
+	list_t undos;
+	unsigned replaced; /* members so far, so that ids differ */
+	bool verbose;	   /* tell each fault as it comes */
+} inject_t;
+
+inject_t *inject_create(void *parent, fleet_t *fleet, const plan_t *plan, bool verbose);
+
+void inject_start(inject_t *inject, usec_t now);
+
+/* Play what is due, and undo what has lasted long enough. */
+void inject_tick(inject_t *inject, usec_t now);
+
+/* All faults were played and undone. */
+bool inject_is_over(const inject_t *inject, usec_t now);
--- /dev/null
+++ b/soak/ledger.c
@@ -0,0 +1,402 @@
+#include "ledger.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "finding.h"
+
+#define FIELDS_MAX 12
+/* Terms start at 1; the first that a promote begins is 2. */
+#define FIRST_PROMOTED 2
+
+static const char *const service_names[SERVICES_MAX] = {"core",	 "ledger", "fleet", "stock",
+							"depot", "crew",   "rota",  "map"};
+
+const char *ledger_service_name(unsigned service)
+{
+	return service_names[service];
+}
+
+unsigned ledger_service(const char *name)
+{
+	size_t len = strcspn(name, "-");
+
+	for (unsigned i = 0; i < SERVICES_MAX; i++) {
+		if (strlen(service_names[i]) == len && strncmp(name, service_names[i], len) == 0)
+			return i;
+	}
+	return 0;
+}
+
+/* --- what callers do --- */
+
+static int destructor(ledger_t *ledger)
+{
+	for (size_t i = 0; i < SERVICES_MAX; i++) {
+		g_array_unref(ledger->services[i].branches);
+		g_ptr_array_unref(ledger->services[i].acks);
+	}
+	g_hash_table_unref(ledger->statements);
+	g_hash_table_unref(ledger->transactions);
+	return 0;
+}
+
+ledger_t *ledger_create(void *parent)
+{
+	ledger_t *ledger = talloc_zero(parent, ledger_t);
+
+	ledger->statements = g_hash_table_new(g_str_hash, g_str_equal);
+	ledger->transactions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (size_t i = 0; i < SERVICES_MAX; i++) {
+		ledger->services[i].branches = g_array_new(FALSE, TRUE, sizeof(branch_t));
+		ledger->services[i].acks = g_ptr_array_new();
+	}
+	talloc_set_destructor(ledger, destructor);
+	return ledger;
+}
+
+attempt_t *ledger_begin(ledger_t *ledger, unsigned service, read_kind_t reads, usec_t max_age)
+{
+	attempt_t *attempt = talloc_zero(ledger, attempt_t);
+
+	attempt->service = service;
+	attempt->reads = reads;
+	attempt->max_age = max_age;
+	attempt->next = ledger->attempts;
+	ledger->attempts = attempt;
+	return attempt;
+}
+
+statement_t *ledger_add(ledger_t *ledger, attempt_t *attempt, kind_t kind)
+{
+	statement_t *statement = talloc_zero(attempt, statement_t);
+
+	statement->attempt = attempt;
+	statement->kind = kind;
+	snprintf(statement->id, sizeof(statement->id), "q%" PRIu64, ++ledger->next_id);
+	if (attempt->last != NULL)
+		attempt->last->next = statement;
+	else
+		attempt->first = statement;
+	attempt->last = statement;
+	if (kind == KIND_COMMIT)
+		attempt->commit_asked = true;
+	g_hash_table_insert(ledger->statements, statement->id, statement);
+	return statement;
+}
+
+static bool acknowledges_writes(const statement_t *statement)
+{
+	const attempt_t *attempt = statement->attempt;
+
+	if (statement->kind == KIND_WRITE)
+		return !attempt->in_tx;
+	if (statement->kind != KIND_COMMIT)
+		return false;
+	for (const statement_t *it = attempt->first; it != NULL; it = it->next) {
+		if (it->kind == KIND_WRITE && it->fate == FATE_DONE)
+			return true;
+	}
+	return false;
+}
+
+void ledger_answered(ledger_t *ledger, statement_t *statement, fate_t fate, usec_t now)
+{
+	statement->fate = fate;
+	statement->ended_at = now;
+	if (fate == FATE_REFUSED)
+		statement->attempt->refused = true;
+	if (fate == FATE_DONE && acknowledges_writes(statement))
+		g_ptr_array_add(ledger->services[statement->attempt->service].acks, statement);
+}
+
+const statement_t *ledger_committed_write(const attempt_t *attempt)
+{
+	for (const statement_t *it = attempt->first; it != NULL; it = it->next) {
+		if (it->commits != NULL)
+			return it;
+	}
+	return NULL;
+}
+
+/* --- logs --- */
+
+uint64_t ledger_newest_term(const ledger_t *ledger, unsigned service)
+{
+	return ledger->services[service].branches->len + FIRST_PROMOTED - 1;
+}
+
+const branch_t *ledger_branch(const ledger_t *ledger, unsigned service, uint64_t term)
+{
+	const GArray *branches = ledger->services[service].branches;
+	const branch_t *branch;
+
+	if (term < FIRST_PROMOTED || term - FIRST_PROMOTED >= branches->len)
+		return NULL;
+	branch = &g_array_index(branches, branch_t, term - FIRST_PROMOTED);
+	return branch->at != 0 ? branch : NULL;
+}
+
+bool ledger_holds(const ledger_t *ledger, unsigned service, position_t log, position_t position)
+{
+	/* From branch to branch back to the one that the commit was made on. */
+	while (log.term > position.term) {
+		const branch_t *branch = ledger_branch(ledger, service, log.term);
+
+		if (branch == NULL)
+			return false;
+		log = branch->base;
+	}
+	return log.term == position.term && log.number >= position.number;
+}
+
+bool ledger_rolled_back(const ledger_t *ledger, unsigned service, position_t position, usec_t *at)
+{
+	uint64_t newest = ledger_newest_term(ledger, service);
+
+	for (uint64_t term = position.term + 1; term <= newest; term++) {
+		const branch_t *branch = ledger_branch(ledger, service, term);
+
+		if (branch == NULL || ledger_holds(ledger, service, branch->base, position))
+			continue;
+		*at = branch->at;
+		return true;
+	}
+	return false;
+}
+
+/* --- the record of the members --- */
+
+static position_t parse_position(const char *text)
+{
+	position_t position = {.term = strtoull(text, NULL, 10)};
+	const char *dot = strchr(text, '.');
+
+	position.number = dot != NULL ? strtoull(dot + 1, NULL, 10) : 0;
+	return position;
+}
+
+/* The last value of name in "name value;name value;", as length and start. */
+static const char *find_value(const char *values, const char *name, size_t *len)
+{
+	const char *found = NULL;
+	size_t name_len = strlen(name);
+
+	for (const char *at = values; *at != '\0';) {
+		size_t entry = strcspn(at, ";");
+
+		if (entry > name_len && strncmp(at, name, name_len) == 0 && at[name_len] == ' ') {
+			found = at + name_len + 1;
+			*len = entry - name_len - 1;
+		}
+		at += at[entry] == ';' ? entry + 1 : entry;
+	}
+	return found;
+}
+
+static bool same_value(const char *left, const char *right, const char *name)
+{
+	size_t left_len = 0;
+	size_t right_len = 0;
+	const char *a = find_value(left, name, &left_len);
+	const char *b = find_value(right, name, &right_len);
+
+	if (a == NULL || b == NULL)
+		return a == b;
+	return left_len == right_len && strncmp(a, b, left_len) == 0;
+}
+
+/* Names of prepared statements may differ: "EXEC name item data". */
+static bool same_text(const char *asked, const char *ran)
+{
+	if (strncmp(asked, "EXEC ", 5) != 0 || strncmp(ran, "EXEC ", 5) != 0)
+		return strcmp(asked, ran) == 0;
+	asked = strchr(asked + 5, ' ');
+	ran = strchr(ran + 5, ' ');
+	return asked != NULL && ran != NULL && strcmp(asked, ran) == 0;
+}
+
+static void check_tx(ledger_t *ledger, const statement_t *statement, const char *member,
+		     uint64_t tx)
+{
+	attempt_t *attempt = statement->attempt;
+	char *key;
+	attempt_t *known;
+
+	if (!attempt->in_tx || tx == 0) {
+		if (attempt->in_tx != (tx != 0))
+			finding_add(PROMISE_PINNED, statement->id,
+				    "in transaction %" PRIu64 " of member %s", tx, member);
+		return;
+	}
+	if (attempt->tx != 0 && attempt->tx != tx)
+		finding_add(PROMISE_PINNED, statement->id,
+			    "in transaction %" PRIu64 " of member %s, begun in %" PRIu64, tx,
+			    member, attempt->tx);
+	attempt->tx = tx;
+	key = g_strdup_printf("%u %" PRIu64, attempt->service, tx);
+	known = g_hash_table_lookup(ledger->transactions, key);
+	if (known != NULL && known != attempt)
+		finding_add(PROMISE_PINNED, statement->id,
+			    "in transaction %" PRIu64 " of member %s, which is that of %s", tx,
+			    member, known->first->id);
+	if (known == NULL)
+		g_hash_table_insert(ledger->transactions, key, attempt);
+	else
+		g_free(key);
+}
+
+static void check_run(ledger_t *ledger, const statement_t *statement, char *const *fields)
+{
+	static const char *const names[] = {"tz", "lang"};
+	const char *values = fields[7];
+
+	if (!same_text(statement->text, fields[10]))
+		finding_add(PROMISE_UNASKED, statement->id, "asked \"%s\", member %s ran \"%s\"",
+			    statement->text, fields[3], fields[10]);
+	if (strcmp(statement->shape, fields[8]) != 0)
+		finding_add(PROMISE_PINNED, statement->id, "prepared as %s, ran as %s at %s",
+			    statement->shape, fields[8], fields[3]);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (!same_value(statement->values, values, names[i]))
+			finding_add(PROMISE_PINNED, statement->id,
+				    "with the values \"%s\" at %s, its session has \"%s\"", values,
+				    fields[3], statement->values);
+	}
+	check_tx(ledger, statement, fields[3], strtoull(fields[4], NULL, 10));
+}
+
+static statement_t *find_statement(const ledger_t *ledger, char *const *fields)
+{
+	statement_t *statement = g_hash_table_lookup(ledger->statements, fields[2]);
+
+	if (statement == NULL)
+		finding_add(PROMISE_UNASKED, fields[2], "no caller sent what member %s ran",
+			    fields[3]);
+	return statement;
+}
+
+/* R, time, id, member, transaction, number, log, values, shape, row, text */
+static void on_run(ledger_t *ledger, char *const *fields)
+{
+	statement_t *statement = find_statement(ledger, fields);
+	run_t *run;
+
+	if (statement == NULL)
+		return;
+	run = talloc_zero(statement, run_t);
+	run->at = strtoull(fields[1], NULL, 10);
+	run->number = strtoull(fields[5], NULL, 10);
+	run->log = parse_position(fields[6]);
+	snprintf(run->member, sizeof(run->member), "%s", fields[3]);
+	snprintf(run->row, sizeof(run->row), "%s", fields[9]);
+	run->next = statement->runs;
+	statement->runs = run;
+	check_run(ledger, statement, fields);
+}
+
+/* C, time, id, member, position, item, data */
+static void on_commit(ledger_t *ledger, char *const *fields)
+{
+	statement_t *statement = find_statement(ledger, fields);
+	commit_t *commit;
+
+	if (statement == NULL)
+		return;
+	commit = talloc_zero(statement, commit_t);
+	commit->at = strtoull(fields[1], NULL, 10);
+	commit->position = parse_position(fields[4]);
+	commit->next = statement->commits;
+	statement->commits = commit;
+	if (statement->attempt->in_tx && !statement->attempt->commit_asked)
+		finding_add(PROMISE_UNASKED, statement->id,
+			    "committed at %s, its caller has not asked for that", fields[3]);
+}
+
+/* P, time, service, member, term, length, term of the last entry */
+static void on_promote(ledger_t *ledger, char *const *fields)
+{
+	GArray *branches = ledger->services[ledger_service(fields[2])].branches;
+	uint64_t term = strtoull(fields[4], NULL, 10);
+	branch_t *branch;
+
+	if (term < FIRST_PROMOTED)
+		return;
+	if (branches->len < term - FIRST_PROMOTED + 1)
+		g_array_set_size(branches, (guint)(term - FIRST_PROMOTED + 1));
+	branch = &g_array_index(branches, branch_t, term - FIRST_PROMOTED);
+	branch->at = strtoull(fields[1], NULL, 10);
+	branch->base.number = strtoull(fields[5], NULL, 10);
+	branch->base.term = strtoull(fields[6], NULL, 10);
+	snprintf(branch->member, sizeof(branch->member), "%s", fields[3]);
+	ledger->promotes++;
+}
+
+/* K, time, holder, fence, service, member, done */
+static void on_call(ledger_t *ledger, char *const *fields)
+{
+	uint64_t fence = strtoull(fields[3], NULL, 10);
+
+	if (fence < ledger->fence)
+		finding_add(PROMISE_ONE_PROMOTE, fields[4],
+			    "%s promotes with fence %" PRIu64 " after %s with %" PRIu64, fields[2],
+			    fence, ledger->holder, ledger->fence);
+	else if (fence == ledger->fence && strcmp(fields[2], ledger->holder) != 0)
+		finding_add(PROMISE_ONE_PROMOTE, fields[4],
+			    "%s and %s promote with the same fence %" PRIu64, fields[2],
+			    ledger->holder, fence);
+	if (fence < ledger->fence)
+		return;
+	ledger->fence = fence;
+	snprintf(ledger->holder, sizeof(ledger->holder), "%s", fields[2]);
+}
+
+typedef struct record_kind {
+	char letter;
+	size_t fields;
+	void (*take)(ledger_t *ledger, char *const *fields);
+} record_kind_t;
+
+static const record_kind_t record_kinds[] = {
+	{'R', 11, on_run}, {'C', 7, on_commit}, {'P', 7, on_promote},
+	{'K', 7, on_call}, {'S', 3, NULL},
+};
+
+static void take_line(ledger_t *ledger, char *line)
+{
+	char *fields[FIELDS_MAX] = {line};
+	size_t count = 1;
+
+	for (char *tab = strchr(line, '\t'); tab != NULL && count < FIELDS_MAX;
+	     tab = strchr(tab + 1, '\t')) {
+		*tab = '\0';
+		fields[count++] = tab + 1;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(record_kinds); i++) {
+		const record_kind_t *kind = &record_kinds[i];
+
+		if (line[0] != kind->letter || count < kind->fields)
+			continue;
+		if (kind->take != NULL)
+			kind->take(ledger, fields);
+		ledger->horizon = strtoull(fields[1], NULL, 10);
+	}
+}
+
+void ledger_read(ledger_t *ledger, const char *data, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (data[i] != '\n') {
+			if (ledger->line_len < sizeof(ledger->line) - 1)
+				ledger->line[ledger->line_len++] = data[i];
+			continue;
+		}
+		ledger->line[ledger->line_len] = '\0';
+		ledger->line_len = 0;
+		take_line(ledger, ledger->line);
+	}
+}
--- /dev/null
+++ b/soak/link.c
@@ -0,0 +1,269 @@
+#include "link.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+/* Sent data unacknowledged for so long ends a connection; longer than any fault of a soak. */
+#define SILENCE_MS 60000
+
+typedef struct chunk {
+	list_t node;
+	usec_t due;
+	size_t len;
+	char data[];
+} chunk_t;
+
+typedef struct flow {
+	struct pair *pair;
+	stream_t *to;
+	list_t chunks;
+	usec_t free_at; /* with a limited rate: when the next byte may leave */
+	bool ended;	/* the sender has closed; the receiver hears of it after the chunks */
+	run_timer_t timer;
+} flow_t;
+
+typedef struct pair {
+	list_t node;
+	link_t *link;
+	stream_t caller;
+	stream_t target;
+	flow_t flows[LINK_DIRECTIONS];
+	bool silent;
+} pair_t;
+
+static usec_t now_of(const link_t *link)
+{
+	return clock_now(link->loop->clock);
+}
+
+static void dispose(pair_t *pair)
+{
+	for (int i = 0; i < LINK_DIRECTIONS; i++)
+		timers_cancel(&pair->link->loop->timers, &pair->flows[i].timer);
+	stream_close(&pair->caller);
+	stream_close(&pair->target);
+	list_del(&pair->node);
+	talloc_free(pair);
+}
+
+static void reset(stream_t *stream)
+{
+	const struct linger now = {.l_onoff = 1, .l_linger = 0};
+
+	if (stream->sock != NULL)
+		setsockopt(h2o_socket_get_fd(stream->sock), SOL_SOCKET, SO_LINGER, &now,
+			   sizeof(now));
+}
+
+static void reset_pair(pair_t *pair)
+{
+	reset(&pair->caller);
+	reset(&pair->target);
+	dispose(pair);
+}
+
+static bool is_held(const flow_t *flow)
+{
+	const pair_t *pair = flow->pair;
+
+	return pair->silent || pair->link->cut[flow - pair->flows];
+}
+
+/* Pass on what is due. The pair may be gone afterwards. */
+static void pump(flow_t *flow)
+{
+	pair_t *pair = flow->pair;
+	usec_t now = now_of(pair->link);
+
+	while (!is_held(flow) && !list_empty(&flow->chunks)) {
+		chunk_t *chunk = list_entry(flow->chunks.next, chunk_t, node);
+
+		if (chunk->due > now) {
+			timers_arm(&pair->link->loop->timers, &flow->timer, chunk->due,
+				   flow->timer.cb);
+			return;
+		}
+		if (stream_send(flow->to, chunk->data, chunk->len) == -ENOBUFS) {
+			reset_pair(pair);
+			return;
+		}
+		list_del(&chunk->node);
+		talloc_free(chunk);
+	}
+	if (!is_held(flow) && flow->ended)
+		stream_finish(flow->to);
+}
+
+static void on_due(run_timer_t *timer, usec_t now)
+{
+	(void)now;
+	pump(list_entry(timer, flow_t, timer));
+}
+
+static usec_t due_at(flow_t *flow, size_t len)
+{
+	const link_t *link = flow->pair->link;
+	usec_t at = now_of(link) + link->delay;
+
+	if (link->rate == 0)
+		return at;
+	at = at > flow->free_at ? at : flow->free_at;
+	flow->free_at = at + len * USEC_PER_SEC / link->rate;
+	return flow->free_at;
+}
+
+static size_t pass(flow_t *flow, const char *data, size_t len)
+{
+	pair_t *pair = flow->pair;
+	chunk_t *chunk = talloc_size(pair, sizeof(*chunk) + len);
+
+	chunk->len = len;
+	chunk->due = due_at(flow, len);
+	memcpy(chunk->data, data, len);
+	list_add_tail(&flow->chunks, &chunk->node);
+	pump(flow);
+	return len;
+}
+
+static void end(flow_t *flow, const stream_t *other)
+{
+	flow->ended = true;
+	if (other->sock == NULL)
+		dispose(flow->pair);
+	else
+		pump(flow);
+}
+
+static size_t on_caller_data(stream_t *stream, const char *data, size_t len)
+{
+	return pass(&list_entry(stream, pair_t, caller)->flows[LINK_OUT], data, len);
+}
+
+static size_t on_target_data(stream_t *stream, const char *data, size_t len)
+{
+	return pass(&list_entry(stream, pair_t, target)->flows[LINK_BACK], data, len);
+}
+
+static void on_caller_down(stream_t *stream, const char *reason)
+{
+	pair_t *pair = list_entry(stream, pair_t, caller);
+
+	(void)reason;
+	end(&pair->flows[LINK_OUT], &pair->target);
+}
+
+static void on_target_down(stream_t *stream, const char *reason)
+{
+	pair_t *pair = list_entry(stream, pair_t, target);
+
+	(void)reason;
+	end(&pair->flows[LINK_BACK], &pair->caller);
+}
+
+static const stream_ops_t caller_ops = {.on_data = on_caller_data, .on_down = on_caller_down};
+static const stream_ops_t target_ops = {.on_data = on_target_data, .on_down = on_target_down};
+
+static void init_flow(pair_t *pair, link_direction_t direction, stream_t *to)
+{
+	flow_t *flow = &pair->flows[direction];
+
+	flow->pair = pair;
+	flow->to = to;
+	flow->timer.cb = on_due;
+	list_init(&flow->chunks);
+}
+
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	link_t *link = listener->data;
+	h2o_socket_t *sock;
+
+	if (err != NULL)
+		return;
+	while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
+		pair_t *pair = talloc_zero(link, pair_t);
+		err_t error = {0};
+
+		pair->link = link;
+		pair->caller.ops = &caller_ops;
+		pair->target.ops = &target_ops;
+		init_flow(pair, LINK_OUT, &pair->target);
+		init_flow(pair, LINK_BACK, &pair->caller);
+		list_add_tail(&link->pairs, &pair->node);
+		if (stream_connect(&pair->target, link->loop, link->target, SILENCE_MS, &error) <
+		    0) {
+			h2o_socket_close(sock);
+			dispose(pair);
+			continue;
+		}
+		stream_accept(&pair->caller, link->loop, sock, SILENCE_MS);
+	}
+}
+
+static void set_target(link_t *link, int port)
+{
+	snprintf(link->target, sizeof(link->target), "127.0.0.1:%d", port);
+}
+
+link_t *link_create(void *parent, loop_t *loop, int port, int target_port)
+{
+	link_t *link = talloc_zero(parent, link_t);
+	err_t err = {0};
+	char address[32];
+	int fd;
+
+	link->loop = loop;
+	list_init(&link->pairs);
+	set_target(link, target_port);
+	snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+	fd = stream_listen(address, &err);
+	if (fd < 0) {
+		talloc_free(link);
+		return NULL;
+	}
+	link->listener = h2o_evloop_socket_create(loop->h2o, fd, H2O_SOCKET_FLAG_DONT_READ);
+	link->listener->data = link;
+	h2o_socket_read_start(link->listener, on_accept);
+	return link;
+}
+
+void link_reset(link_t *link)
+{
+	link->harmed_at = now_of(link);
+	while (!list_empty(&link->pairs))
+		reset_pair(list_entry(link->pairs.next, pair_t, node));
+}
+
+void link_redirect(link_t *link, int target_port)
+{
+	set_target(link, target_port);
+	link_reset(link);
+}
+
+void link_silence(link_t *link)
+{
+	link->harmed_at = now_of(link);
+	list_for_each (it, &link->pairs)
+		list_entry(it, pair_t, node)->silent = true;
+}
+
+void link_heal(link_t *link)
+{
+	link->harmed_at = now_of(link);
+	link->delay = 0;
+	link->rate = 0;
+	for (int i = 0; i < LINK_DIRECTIONS; i++) {
+		link->cut[i] = false;
+		/* A pair may end while its bytes are passed on. */
+		list_for_each_safe (it, &link->pairs)
+			pump(&list_entry(it, pair_t, node)->flows[i]);
+	}
+}
+
+bool link_is_harmed(const link_t *link)
+{
+	return link->delay != 0 || link->rate != 0 || link->cut[LINK_OUT] || link->cut[LINK_BACK];
+}
--- /dev/null
+++ b/soak/plan.c
@@ -0,0 +1,177 @@
+#include "plan.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include <talloc.h>
+
+#define MSEC USEC_PER_MSEC
+/* Between two faults on average; a series has its own pace. */
+#define FAULT_INTERVAL (650 * MSEC)
+#define SERIES_MAX     5
+#define SERIES_LEAST   (60 * MSEC)
+#define SERIES_MOST    (700 * MSEC)
+/* A day leaves out some kinds, so that rarer mixtures come too. */
+#define KIND_PERCENT 55
+
+typedef struct fault_shape {
+	const char *name;
+	unsigned weight;
+	unsigned least_ms; /* duration */
+	unsigned most_ms;
+	unsigned amount_least;
+	unsigned amount_most;
+	unsigned series_percent; /* how often it comes in a series */
+} fault_shape_t;
+
+static const fault_shape_t shapes[FAULT_COUNT] = {
+	[FAULT_PAUSE] = {"pause", 10, 50, 4000, 0, 0, 30},
+	[FAULT_KILL] = {"kill", 8, 200, 2500, 0, 0, 30},
+	[FAULT_TERM] = {"term", 10, 100, 1500, 0, 0, 30},
+	[FAULT_ROLLING_RESTART] = {"rolling-restart", 2, 100, 600, 150, 900, 0},
+	[FAULT_HANGUP] = {"hangup", 4, 0, 0, 0, 0, 50},
+	[FAULT_POWER_LOSS] = {"power-loss", 1, 200, 1500, 0, 0, 0},
+	[FAULT_STORE_LINK_CUT] = {"store-link-cut", 4, 200, 6000, 0, 0, 20},
+	[FAULT_STORE_LINK_ONE_WAY] = {"store-link-one-way", 3, 200, 5000, 0, 1, 20},
+	[FAULT_STORE_LINK_DELAY] = {"store-link-delay", 3, 500, 6000, 20, 900, 20},
+	[FAULT_STORE_LINK_RESET] = {"store-link-reset", 4, 0, 0, 0, 0, 50},
+	[FAULT_STORE_LINK_SILENCE] = {"store-link-silence", 3, 0, 0, 0, 0, 30},
+	[FAULT_STORE_TURNS_AWAY] = {"store-turns-away", 4, 300, 6000, 0, 0, 20},
+	[FAULT_STORE_DOWN] = {"store-down", 3, 200, 6000, 0, 0, 10},
+	[FAULT_STORE_SLOW] = {"store-slow", 3, 500, 6000, 40, 500, 0},
+	[FAULT_STORE_LOSES] = {"store-loses", 4, 0, 0, 1, 5, 30},
+	[FAULT_STORE_FORGETS] = {"store-forgets", 3, 0, 0, 0, 0, 30},
+	[FAULT_STORE_DEAF] = {"store-deaf", 2, 300, 4000, 0, 0, 0},
+	[FAULT_PLATFORM_PAUSE] = {"platform-pause", 1, 100, 2500, 0, 0, 0},
+	[FAULT_PROMOTE_LOSES] = {"promote-loses", 3, 500, 5000, 0, 0, 0},
+	[FAULT_PROMOTE_REFUSES] = {"promote-refuses", 2, 500, 5000, 0, 0, 0},
+	[FAULT_CONFIG] = {"config", 5, 0, 0, 500, 1500, 40},
+	[FAULT_MEMBER_CRASH] = {"member-crash", 5, 300, 6000, 0, 0, 10},
+	[FAULT_LEADER_CRASH] = {"leader-crash", 6, 300, 6000, 0, 0, 10},
+	[FAULT_MEMBER_REPLACE] = {"member-replace", 3, 2000, 6000, 0, 0, 0},
+	[FAULT_LEADER_REPLACE] = {"leader-replace", 4, 2000, 6000, 0, 0, 0},
+	[FAULT_MEMBER_SLOW] = {"member-slow", 4, 500, 5000, 10, 600, 0},
+	[FAULT_MEMBER_LAG] = {"member-lag", 5, 500, 6000, 50, 3500, 0},
+	[FAULT_MEMBER_LOSES] = {"member-loses", 5, 0, 0, 1, 20, 20},
+	[FAULT_MEMBER_RESETS] = {"member-resets", 5, 0, 0, 1, 20, 20},
+	[FAULT_MEMBER_GREY] = {"member-grey", 4, 0, 0, 1, 60, 20},
+	[FAULT_MEMBER_DEAF] = {"member-deaf", 3, 300, 5000, 0, 0, 0},
+	[FAULT_MEMBER_LINK_CUT] = {"member-link-cut", 4, 200, 5000, 0, 0, 10},
+	[FAULT_MEMBER_LINK_ONE_WAY] = {"member-link-one-way", 4, 200, 5000, 0, 1, 10},
+	[FAULT_MEMBER_LINK_DELAY] = {"member-link-delay", 4, 300, 4000, 5, 700, 10},
+	[FAULT_MEMBER_LINK_LIMIT] = {"member-link-limit", 2, 300, 4000, 2000, 30000, 0},
+	[FAULT_MEMBER_LINK_RESET] = {"member-link-reset", 4, 0, 0, 0, 0, 40},
+	[FAULT_MEMBER_LINK_SILENCE] = {"member-link-silence", 4, 0, 0, 0, 0, 20},
+};
+
+const char *plan_fault_name(fault_kind_t kind)
+{
+	return shapes[kind].name;
+}
+
+static unsigned between(GRand *rand, unsigned least, unsigned most)
+{
+	return most > least ? (unsigned)g_rand_int_range(rand, (gint32)least, (gint32)most + 1)
+			    : least;
+}
+
+static void choose_kinds(GRand *rand, unsigned *weights)
+{
+	for (size_t i = 0; i < FAULT_COUNT; i++)
+		weights[i] = between(rand, 1, 100) <= KIND_PERCENT ? shapes[i].weight : 0;
+	/* Some restart is in each. */
+	weights[FAULT_TERM] = shapes[FAULT_TERM].weight;
+}
+
+static fault_kind_t choose_kind(GRand *rand, const unsigned *weights)
+{
+	unsigned sum = 0;
+	unsigned left;
+	size_t kind = 0;
+
+	for (size_t i = 0; i < FAULT_COUNT; i++)
+		sum += weights[i];
+	left = between(rand, 0, sum - 1);
+	while (left >= weights[kind])
+		left -= weights[kind++];
+	return (fault_kind_t)kind;
+}
+
+static void add(plan_t *plan, fault_t fault)
+{
+	if (fault.at + fault.duration > plan->length) {
+		if (fault.at + MSEC > plan->length)
+			return;
+		fault.duration = plan->length - fault.at;
+	}
+	g_array_append_val(plan->faults, fault);
+}
+
+static void add_series(plan_t *plan, GRand *rand, fault_kind_t kind, usec_t at)
+{
+	const fault_shape_t *shape = &shapes[kind];
+	unsigned count = 1;
+
+	if (between(rand, 1, 100) <= shape->series_percent)
+		count = between(rand, 2, SERIES_MAX);
+	for (unsigned i = 0; i < count; i++) {
+		fault_t fault = {.at = at, .kind = kind, .target = between(rand, 0, 1 << 20)};
+
+		fault.duration = between(rand, shape->least_ms, shape->most_ms) * MSEC;
+		fault.amount = between(rand, shape->amount_least, shape->amount_most);
+		add(plan, fault);
+		at += between(rand, SERIES_LEAST, SERIES_MOST);
+	}
+}
+
+static int by_time(const void *a, const void *b)
+{
+	const fault_t *left = a;
+	const fault_t *right = b;
+
+	if (left->at != right->at)
+		return left->at < right->at ? -1 : 1;
+	return (int)left->kind - (int)right->kind;
+}
+
+static int destructor(plan_t *plan)
+{
+	g_array_unref(plan->faults);
+	return 0;
+}
+
+plan_t *plan_create(void *parent, unsigned seed, usec_t length, unsigned proxies)
+{
+	plan_t *plan = talloc_zero(parent, plan_t);
+	GRand *rand = g_rand_new_with_seed(seed);
+	unsigned weights[FAULT_COUNT];
+	usec_t interval = FAULT_INTERVAL;
+	usec_t at = 0;
+
+	plan->length = length;
+	plan->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
+	talloc_set_destructor(plan, destructor);
+	choose_kinds(rand, weights);
+	/* A large fleet has as many faults a proxy and second as half a dozen proxies, within
+	 * reason. */
+	if (proxies > 24)
+		interval /= 3;
+	while (at < length) {
+		at += between(rand, 1, (unsigned)(2 * interval));
+		add_series(plan, rand, choose_kind(rand, weights), at);
+	}
+	g_array_sort(plan->faults, by_time);
+	g_rand_free(rand);
+	return plan;
+}
+
+void plan_print(const plan_t *plan)
+{
+	for (guint i = 0; i < plan->faults->len; i++) {
+		const fault_t *fault = &g_array_index(plan->faults, fault_t, i);
+
+		printf("%7.3f %-20s target %u for %" PRIu64 " ms, amount %u\n",
+		       (double)fault->at / USEC_PER_SEC, shapes[fault->kind].name, fault->target,
+		       fault->duration / MSEC, fault->amount);
+	}
+}
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,353 @@
+/*
+ * A randomized soak: real proxies as separate processes on loopback, faults from
+ * outside them, and the promises checked while it runs, from what callers and
+ * members see. The seed decides faults and load.
+ */
+#include <getopt.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <talloc.h>
+
+#include "check.h"
+#include "client.h"
+#include "finding.h"
+#include "fleet.h"
+#include "inject.h"
+#include "plan.h"
+
+#define TICK (10 * USEC_PER_MSEC)
+/* This process was late when a tick comes so long after the one before. */
+#define LATE_TICK (60 * USEC_PER_MSEC)
+/* Times that it has taken within this are not to be used then. */
+#define LATE_SPAN     (300 * USEC_PER_MSEC)
+#define SYNC_INTERVAL (200 * USEC_PER_MSEC)
+#define LOOK_INTERVAL (1 * USEC_PER_SEC)
+/* A fleet that starts for the first time has to find its primaries. */
+#define START_TIMEOUT (25 * USEC_PER_SEC)
+/* Everything is served again so long after the last fault. */
+#define RECOVER (12 * USEC_PER_SEC)
+/* Then everything is served for so long. */
+#define SERVED_SPAN (3 * USEC_PER_SEC)
+/* The record of the members must come to the end within this. */
+#define RECORD_TIMEOUT (5 * USEC_PER_SEC)
+
+typedef enum { STAGE_START, STAGE_FAULTS, STAGE_RECOVER, STAGE_SERVED, STAGE_RECORD } stage_t;
+
+typedef struct soak {
+	loop_t loop;
+	fleet_t *fleet;
+	ledger_t *ledger;
+	clients_t *clients;
+	plan_t *plan;
+	inject_t *inject;
+	stage_t stage;
+	usec_t stage_until;
+	usec_t next_sync;
+	usec_t next_look;
+	usec_t last_tick;
+	size_t late_ticks;
+	run_timer_t tick;
+} soak_t;
+
+typedef struct options {
+	unsigned seed;
+	unsigned seconds;
+	unsigned proxies;
+	unsigned services;
+	unsigned sessions;
+	bool keep;
+	bool verbose;
+	bool only_plan;
+} options_t;
+
+static volatile sig_atomic_t stop_asked;
+
+static void on_stop(int signo)
+{
+	(void)signo;
+	stop_asked = 1;
+}
+
+/* --- stages --- */
+
+static void enter(soak_t *soak, stage_t stage, usec_t now)
+{
+	soak->stage = stage;
+	switch (stage) {
+	case STAGE_START:
+		soak->stage_until = now + START_TIMEOUT;
+		break;
+	case STAGE_FAULTS:
+		inject_start(soak->inject, now);
+		break;
+	case STAGE_RECOVER:
+		soak->stage_until = now + RECOVER;
+		break;
+	case STAGE_SERVED:
+		clients_mark(soak->clients);
+		soak->clients->counting = true;
+		soak->stage_until = now + SERVED_SPAN;
+		break;
+	case STAGE_RECORD:
+		soak->clients->counting = false;
+		clients_stop(soak->clients);
+		fleet_command(soak->fleet, "sync end");
+		soak->stage_until = now + RECORD_TIMEOUT;
+		break;
+	}
+}
+
+static void step_start(soak_t *soak, usec_t now)
+{
+	if (clients_all_served(soak->clients)) {
+		enter(soak, STAGE_FAULTS, now);
+	} else if (now >= soak->stage_until) {
+		finding_add(PROMISE_RECOVERY, "start", "some proxy serves nobody after %.0f s",
+			    (double)START_TIMEOUT / USEC_PER_SEC);
+		enter(soak, STAGE_RECORD, now);
+	}
+}
+
+static void step_served(soak_t *soak, usec_t now)
+{
+	if (now < soak->stage_until)
+		return;
+	for (unsigned i = 0; i < soak->fleet->options.proxies; i++) {
+		if (soak->fleet->proxies[i].served == 0)
+			finding_add(PROMISE_RECOVERY, soak->fleet->proxies[i].name,
+				    "serves nobody after the last fault");
+	}
+	enter(soak, STAGE_RECORD, now);
+}
+
+static void step(soak_t *soak, usec_t now)
+{
+	switch (soak->stage) {
+	case STAGE_START:
+		step_start(soak, now);
+		break;
+	case STAGE_FAULTS:
+		if (inject_is_over(soak->inject, now))
+			enter(soak, STAGE_RECOVER, now);
+		break;
+	case STAGE_RECOVER:
+		if (now >= soak->stage_until)
+			enter(soak, STAGE_SERVED, now);
+		break;
+	case STAGE_SERVED:
+		step_served(soak, now);
+		break;
+	case STAGE_RECORD:
+		/* What was sent before the clients stopped has run or not by then. */
+		if (now >= soak->stage_until - RECORD_TIMEOUT + USEC_PER_SEC &&
+		    soak->ledger->horizon + USEC_PER_SEC / 2 > now)
+			loop_stop(&soak->loop);
+		else if (now >= soak->stage_until)
+			finding_add(PROMISE_PROCESS, "platform", "its record does not come"),
+				loop_stop(&soak->loop);
+		break;
+	}
+}
+
+static void note_lateness(soak_t *soak, usec_t now)
+{
+	if (soak->last_tick != 0 && now - soak->last_tick > LATE_TICK) {
+		soak->clients->late_until = now + LATE_SPAN;
+		soak->late_ticks++;
+	}
+	soak->last_tick = now;
+}
+
+static void on_tick(run_timer_t *timer, usec_t now)
+{
+	soak_t *soak = list_entry(timer, soak_t, tick);
+
+	note_lateness(soak, now);
+	inject_tick(soak->inject, now);
+	fleet_tick(soak->fleet, now);
+	if (now >= soak->next_sync) {
+		fleet_command(soak->fleet, "sync now");
+		soak->next_sync = now + SYNC_INTERVAL;
+	}
+	if (now >= soak->next_look) {
+		fleet_check_bounds(soak->fleet, now);
+		check_answers(soak->clients);
+		soak->next_look = now + LOOK_INTERVAL;
+	}
+	step(soak, now);
+	if (stop_asked)
+		loop_stop(&soak->loop);
+	timers_arm(&soak->loop.timers, timer, now + TICK, on_tick);
+}
+
+/* --- the run --- */
+
+static void report(const soak_t *soak, const options_t *options, usec_t took)
+{
+	const clients_t *clients = soak->clients;
+	char names[256];
+	long kb = 0;
+	long fds = 0;
+
+	for (unsigned i = 0; i < options->proxies; i++) {
+		kb = MAX(kb, soak->fleet->proxies[i].peak_kb);
+		fds = MAX(fds, soak->fleet->proxies[i].peak_fds);
+	}
+	finding_names(names, sizeof(names));
+	printf("seed %u, %u proxies, %.0f s: broken promises: %s; %u faults, %zu promotes, %zu sessions, "
+	       "%zu statements (%zu done, %zu refused, %zu unsure), at most %ld KB and %ld descriptors, "
+	       "soak late %zu times\n",
+	       options->seed, options->proxies, (double)took / USEC_PER_SEC, names,
+	       soak->inject->next, soak->ledger->promotes, clients->opened, clients->statements,
+	       clients->fates[FATE_DONE], clients->fates[FATE_REFUSED], clients->fates[FATE_UNSURE],
+	       kb, fds, soak->late_ticks);
+}
+
+static void remove_dir(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+		g_free(file);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+	g_rmdir(path);
+}
+
+static int start(soak_t *soak, void *parent, const options_t *options, const char *dir)
+{
+	const fleet_options_t fleet_options = {
+		.proxies = options->proxies,
+		.services = options->services,
+		.connections = 32,
+		.slots = 4,
+		.dir = dir,
+	};
+	const clients_options_t client_options = {
+		.seed = options->seed,
+		.sessions = options->sessions,
+		.rest = 150 * USEC_PER_MSEC,
+	};
+	usec_t now;
+
+	if (loop_init(&soak->loop, clock_system()) < 0)
+		return -1;
+	soak->ledger = ledger_create(parent);
+	soak->fleet = fleet_create(parent, &soak->loop, soak->ledger, &fleet_options);
+	if (soak->fleet == NULL)
+		return -1;
+	soak->clients = clients_create(parent, soak->fleet, soak->ledger, &client_options);
+	soak->inject = inject_create(parent, soak->fleet, soak->plan, options->verbose);
+	now = clock_now(soak->loop.clock);
+	enter(soak, STAGE_START, now);
+	timers_arm(&soak->loop.timers, &soak->tick, now, on_tick);
+	return 0;
+}
+
+static int run(const options_t *options, void *parent, plan_t *plan)
+{
+	static soak_t soak;
+	char *dir = g_dir_make_tmp("cyclamenspan-soak-XXXXXX", NULL);
+	usec_t began = clock_now(clock_system());
+	bool keep;
+
+	soak.plan = plan;
+	if (dir == NULL || start(&soak, parent, options, dir) < 0) {
+		fprintf(stderr, "soak: the processes can't be started\n");
+		return 2;
+	}
+	loop_run(&soak.loop);
+	fleet_stop(soak.fleet);
+	check_end(soak.clients);
+	report(&soak, options, clock_now(soak.loop.clock) - began);
+	keep = finding_count() != 0 || options->keep;
+	if (keep)
+		printf("logs are in %s: cyclamenctl explain ID %s/p*.log\n", dir, dir);
+	else
+		remove_dir(dir);
+	g_free(dir);
+	if (stop_asked)
+		return 2;
+	return finding_count() != 0 ? 1 : 0;
+}
+
+/* --- the command line --- */
+
+static const char usage[] =
+	"usage: soak --seed N [--seconds S] [--proxies P] [--services N] [--sessions N]\n"
+	"            [--keep-logs] [--verbose] [--plan]\n"
+	"Faults last for S seconds, then everything must be served again.\n";
+
+static bool read_options(options_t *options, int argc, char **argv)
+{
+	static const struct option longopts[] = {
+		{"seed", required_argument, NULL, 's'},
+		{"seconds", required_argument, NULL, 't'},
+		{"proxies", required_argument, NULL, 'p'},
+		{"services", required_argument, NULL, 'n'},
+		{"sessions", required_argument, NULL, 'c'},
+		{"keep-logs", no_argument, NULL, 'k'},
+		{"verbose", no_argument, NULL, 'v'},
+		{"plan", no_argument, NULL, 'l'},
+		{NULL, 0, NULL, 0},
+	};
+	unsigned *const numbers[] = {
+		['s'] = &options->seed,	    ['t'] = &options->seconds,	['p'] = &options->proxies,
+		['n'] = &options->services, ['c'] = &options->sessions,
+	};
+	bool has_seed = false;
+	int opt;
+
+	while ((opt = getopt_long(argc, argv, "", longopts, NULL)) != -1) {
+		has_seed = has_seed || opt == 's';
+		if (opt == 'k')
+			options->keep = true;
+		else if (opt == 'v')
+			options->verbose = true;
+		else if (opt == 'l')
+			options->only_plan = true;
+		else if (opt == '?')
+			return false;
+		else
+			*numbers[opt] = (unsigned)strtoul(optarg, NULL, 10);
+	}
+	if (options->sessions == 0)
+		options->sessions = 8 * options->proxies;
+	return has_seed && optind == argc && options->proxies > 0 && options->services > 0 &&
+	       options->services <= SERVICES_MAX && options->seconds > 0;
+}
+
+int main(int argc, char **argv)
+{
+	options_t options = {.seconds = 25, .proxies = 6, .services = 2};
+	void *parent = talloc_new(NULL);
+	plan_t *plan;
+	int rc = 0;
+
+	if (!read_options(&options, argc, argv)) {
+		fputs(usage, stderr);
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	signal(SIGINT, on_stop);
+	signal(SIGTERM, on_stop);
+	finding_start(options.seed);
+	plan = plan_create(parent, options.seed, options.seconds * USEC_PER_SEC, options.proxies);
+	if (options.only_plan)
+		plan_print(plan);
+	else
+		rc = run(&options, parent, plan);
+	talloc_free(parent);
+	return rc;
+}
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -380,10 +380,31 @@
 	done(session, NULL, false);
 }
 
+/* Take the entry of this name out of "name value;name value;". */
+static void unset_value(char *values, const char *name, size_t len)
+{
+	char *at = values;
+
+	while (*at != '\0') {
+		char *end = strchr(at, ';') + 1;
+
+		if (strncmp(at, name, len) == 0 && at[len] == ' ')
+			memmove(at, end, strlen(end) + 1);
+		else
+			at = end;
+	}
+}
+
 static void set_value(fake_session_t *session, const char *rest)
 {
-	size_t len = strlen(session->values);
+	size_t len;
 
+	unset_value(session->values, rest, strcspn(rest, " "));
+	len = strlen(session->values);
+	if (len + strlen(rest) + 2 > sizeof(session->values)) {
+		fail(session, "MALFORMED");
+		return;
+	}
 	snprintf(session->values + len, sizeof(session->values) - len, "%s;", rest);
 	done(session, NULL, false);
 }
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -1,6 +1,7 @@
 #include "harness.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,20 +32,32 @@
 	return g_build_filename(build != NULL ? build : "build-test", name, NULL);
 }
 
-static pid_t spawn(const harness_t *h, const char *log_name, char **argv)
+pid_t harness_spawn(char *const *argv, const int *fds)
 {
-	char *log = g_build_filename(h->dir, log_name, NULL);
 	pid_t pid = fork();
 
 	g_assert_cmpint(pid, >=, 0);
 	if (pid == 0) {
-		/* A test that fails by abort leaves nothing running. */
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
-		if (freopen(log, "a", stderr) == NULL)
-			_exit(126);
+		for (int i = 0; i < 3; i++) {
+			if (fds[i] >= 0)
+				dup2(fds[i], i);
+		}
 		execv(argv[0], argv);
 		_exit(127);
 	}
+	return pid;
+}
+
+static pid_t spawn(const harness_t *h, const char *log_name, char **argv)
+{
+	char *log = g_build_filename(h->dir, log_name, NULL);
+	int fds[] = {-1, -1, g_open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600)};
+	pid_t pid;
+
+	g_assert_cmpint(fds[2], >=, 0);
+	pid = harness_spawn(argv, fds);
+	close(fds[2]);
 	g_free(log);
 	return pid;
 }
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -63,6 +63,12 @@
 /* Run cyclamenctl with these words; the exit code, and what it printed. */
 int harness_ctl(const harness_t *h, int proxy, char **output, ...) G_GNUC_NULL_TERMINATED;
 
+/*
+ * Run argv[0] with these descriptors as standard input, output and error (-1: ours). It is killed
+ * when this process ends, so that a test that fails by abort leaves nothing running.
+ */
+pid_t harness_spawn(char *const *argv, const int *fds);
+
 void harness_kill(pid_t *pid);
 /* Waits at most timeout_ms for an orderly end; its exit code, -1 if it did not come. */
 int harness_wait(pid_t *pid, int timeout_ms);
--- a/tests/site.c
+++ b/tests/site.c
@@ -7,7 +7,6 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -48,21 +47,6 @@
 	g_free(text);
 }
 
-static pid_t spawn(char *const *argv, int stdout_fd)
-{
-	pid_t pid = fork();
-
-	g_assert_cmpint(pid, >=, 0);
-	if (pid == 0) {
-		/* A test that fails by abort leaves nothing running. */
-		prctl(PR_SET_PDEATHSIG, SIGKILL);
-		dup2(stdout_fd, STDOUT_FILENO);
-		execv(argv[0], argv);
-		_exit(127);
-	}
-	return pid;
-}
-
 static char *log_path(const site_harness_t *site, int proxy)
 {
 	char *name = g_strdup_printf("p%d.log", proxy);
@@ -82,7 +66,7 @@
 	int fd = stdout_fd >= 0 ? stdout_fd : g_open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 	write_settings(site, proxy, config);
-	site->proxies[proxy] = spawn(argv, fd);
+	site->proxies[proxy] = harness_spawn(argv, (const int[]){-1, fd, -1});
 	if (stdout_fd < 0)
 		close(fd);
 	g_free(name);
@@ -102,7 +86,7 @@
 	site->port = PORT_FIRST + (int)(getpid() % (PORT_SPAN / PORTS_PER_SITE)) * PORTS_PER_SITE;
 	port = g_strdup_printf("%d", site->port);
 	argv[1] = port;
-	site->platform = spawn(argv, STDERR_FILENO);
+	site->platform = harness_spawn(argv, (const int[]){-1, STDERR_FILENO, -1});
 	for (int i = 0; i < proxies; i++)
 		site_start_proxy(site, i, -1);
 	for (int i = 0; i < proxies; i++)
--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -113,7 +113,8 @@
 			fake_start(member);
 	} else if (strcmp(word, "replace") == 0) {
 		members_crash(site, member);
-		snprintf(id, sizeof(id), "%.32s-n%u", member->db->config.service, number);
+		snprintf(id, sizeof(id), "%.32s-n%u%c", member->db->config.service, number,
+			 (char)('a' + (member - member->db->members)));
 		fake_replace(member, id);
 	} else if (strcmp(word, "leave") == 0) {
 		member->leaving = true;
@@ -149,6 +150,22 @@
 		change_member(site, member, word, number);
 }
 
+/* "leavers SERVICE WORD NUMBER": each member of the service that is leaving. */
+static void run_leavers(site_t *site, char *rest)
+{
+	char word[16] = "";
+	unsigned service = 0;
+	unsigned number = 0;
+	fake_db_t *db;
+
+	sscanf(rest, "%u %15s %u", &service, word, &number);
+	db = site->services[service % site->service_count];
+	for (size_t i = 0; i < db->config.members; i++) {
+		if (db->members[i].leaving)
+			change_member(site, &db->members[i], word, number);
+	}
+}
+
 static void run_config(site_t *site, char *rest)
 {
 	fake_kv_put(site->kv, KEY_CONFIG, rest);
@@ -161,8 +178,8 @@
 }
 
 static const command_t commands[] = {
-	{"store ", run_store},	 {"cloud ", run_cloud}, {"member ", run_member},
-	{"config ", run_config}, {"sync ", run_sync},
+	{"store ", run_store},	   {"cloud ", run_cloud},   {"member ", run_member},
+	{"leavers ", run_leavers}, {"config ", run_config}, {"sync ", run_sync},
 };
 
 static void run_line(char *line)
