A connection that a timer writes to and closes no longer freezes the process

Cause: timers ran outside h2o's loop. A socket that one of them writes to is put into h2o's list of callbacks to run; if it is closed in the same pass, h2o frees it at the start of its next turn, before that list is run. A connection that is accepted in this turn gets the same memory, and the list gets a cycle. Ruled out: descriptors inherited by children (all are close-on-exec), a write without end (the callback never ran; the list held one socket).

test_loop: before, killed by its alarm after 30.0 s, 28.3 s of them in user mode, at the first try; after, passed in 0.28 s. The timers now run as a timeout of h2o, which runs all waiting callbacks right after them.

--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -4,11 +4,32 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "list.h"
 #include "log.h"
 
 /* Longest sleep in h2o's loop, milliseconds: bounds the wait for a signal flag. */
 #define MAX_WAIT_MSEC 100
 
+static void on_turn(h2o_timeout_entry_t *entry)
+{
+	loop_t *loop = list_entry(entry, loop_t, turn_entry);
+
+	timers_expire(&loop->timers, clock_now(loop->clock));
+}
+
+/*
+ * A socket that a timer writes to waits in h2o's list of callbacks. If the timer closes it too, h2o
+ * would free it at the start of its next turn and give its memory to a connection accepted then,
+ * while it is still in that list: the list gets a cycle and the process answers nobody any more.
+ * Run as a timeout of h2o, the timers are followed by all waiting callbacks, so that no socket is
+ * in the list when it is freed.
+ */
+static void run_timers(loop_t *loop)
+{
+	h2o_timeout_link(loop->h2o, &loop->turn, &loop->turn_entry);
+	h2o_timeout_run(loop->h2o, &loop->turn, h2o_now(loop->h2o));
+}
+
 int loop_init(loop_t *loop, const run_clock_t *clock)
 {
 	loop->h2o = h2o_evloop_create();
@@ -17,11 +38,14 @@
 	loop->clock = clock;
 	loop->stopping = false;
 	timers_init(&loop->timers);
+	h2o_timeout_init(loop->h2o, &loop->turn, 0);
+	loop->turn_entry = (h2o_timeout_entry_t){.cb = on_turn};
 	return 0;
 }
 
 void loop_destroy(loop_t *loop)
 {
+	h2o_timeout_dispose(loop->h2o, &loop->turn);
 	timers_destroy(&loop->timers);
 	/* h2o 2.2's evloop has no complete destructor; the process is about to end. */
 }
@@ -44,7 +68,7 @@
 {
 	while (!loop->stopping) {
 		h2o_evloop_run(loop->h2o, wait_msec(loop));
-		timers_expire(&loop->timers, clock_now(loop->clock));
+		run_timers(loop);
 		log_flush();
 	}
 }
