The code with which a member refuses a session's values is read before its connection is freed

A use after free on the way on which a member refuses a SET: the code came from the connection that had just been closed. Found by /calm/too-many-values when the tests' member got a limit on values (96 bytes, too few for a session that the proxy lets have 48; now 1,024). /calm/member-refuses-values ends in the sanitizer before, passes now.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -363,6 +363,7 @@
 {
 	caller_t *caller = conn->caller;
 	request_kind_t kind = conn->setup[conn->setup_done++];
+	code_t code;
 
 	if (!reply->ok && conn->setup_code == CODE_NONE)
 		conn->setup_code = reply->code;
@@ -376,11 +377,12 @@
 	}
 	/* Only BEGIN can be refused without leaving the connection in an unknown state. */
 	conn->caller = NULL;
+	code = conn->setup_code;
 	if (kind == REQUEST_BEGIN || kind == REQUEST_BEGIN_READ)
 		set_state(conn, CONN_IDLE);
 	else
 		conn_close(conn, "setting up failed");
-	caller_on_refused(caller, conn->setup_code);
+	caller_on_refused(caller, code);
 }
 
 /* The reply to a name that went along with its statement, whose own reply is next. */
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -28,6 +28,9 @@
 
 typedef enum { SESSION_NEW, SESSION_IDLE, SESSION_TX, SESSION_FAILED } session_state_t;
 
+/* Longest values of a session, bytes: more than a proxy lets one have. */
+#define VALUES_MAX 1024
+
 struct fake_session {
 	fake_member_t *member;
 	fake_reply_t reply;
@@ -37,7 +40,7 @@
 	uint64_t tx;
 	write_t *writes;
 	size_t write_count;
-	char values[96];
+	char values[VALUES_MAX];
 	char after[24]; /* of the statement that runs */
 	char shape[40]; /* the same */
 	list_t shapes;
@@ -235,7 +238,7 @@
 	snprintf(run.id, sizeof(run.id), "%s", id);
 	snprintf(run.text, sizeof(run.text), "%s", text);
 	snprintf(run.member, sizeof(run.member), "%s", member->id);
-	snprintf(run.values, sizeof(run.values), "%s", session->values);
+	snprintf(run.values, sizeof(run.values), "%.95s", session->values);
 	snprintf(run.after, sizeof(run.after), "%s", session->after);
 	snprintf(run.shape, sizeof(run.shape), "%s", session->shape);
 	snprintf(run.row, sizeof(run.row), "%s", row);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -131,6 +131,28 @@
 	world_destroy(world);
 }
 
+/*
+ * What the caller sees: its statement is refused, since the member takes no more values. What
+ * happens besides: the connection is closed, as its state is not known, and what the member said
+ * was read from it after that. Why a copy: the connection is freed with its close.
+ */
+static void test_member_refuses_values(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *caller;
+
+	world_settle(world);
+	caller = world_open(world, 0);
+	for (int i = 0; i < 6; i++) {
+		char text[240];
+
+		snprintf(text, sizeof(text), "SET n%d %0200d", i, i);
+		assert_begins(world_ask(caller, text), "DONE");
+	}
+	assert_begins(world_ask(caller, "READ a"), "ERR BUSY");
+	world_destroy(world);
+}
+
 /*
  * A caller leaves in the middle of its transaction. The next one to use the
  * connection must not find itself inside it, and nothing of it may stay.
@@ -386,6 +408,7 @@
 	g_test_add_func("/calm/values-and-names", test_values_and_names_of_two_callers);
 	g_test_add_func("/calm/one-flight", test_name_and_statement_in_one_flight);
 	g_test_add_func("/calm/too-many-values", test_too_many_values);
+	g_test_add_func("/calm/member-refuses-values", test_member_refuses_values);
 	g_test_add_func("/calm/caller-leaves", test_caller_leaves_in_transaction);
 	g_test_add_func("/calm/unknown-database", test_unknown_database);
 	g_test_add_func("/fresh/session", test_session_reads_its_write);
