--- a/links/wire.c
+++ b/links/wire.c
@@ -1,9 +1,12 @@
 #include "wire.h"
 
+#include <limits.h>
 #include <string.h>
 
 #include <talloc.h>
 
+#include "bounds.h"
+
 typedef enum { WIRE_TEXT, WIRE_NUMBER, WIRE_INT, WIRE_FLAG } wire_type_t;
 
 typedef struct wire_field {
@@ -192,6 +195,12 @@
 	return talloc_strndup(parent, value->via.str.ptr, value->via.str.size);
 }
 
+/* Cut off at its upper bits, a number of no meaning would pass for one that has some. */
+static int int_of(uint64_t number)
+{
+	return number <= INT_MAX ? (int)number : INT_MAX;
+}
+
 static void unpack_field(void *parent, const wire_field_t *field, const msgpack_object *value,
 			 void *base)
 {
@@ -206,7 +215,7 @@
 		*(uint64_t *)at = is_number ? value->via.u64 : 0;
 		break;
 	case WIRE_INT:
-		*(int *)at = is_number ? (int)value->via.u64 : 0;
+		*(int *)at = is_number ? int_of(value->via.u64) : 0;
 		break;
 	case WIRE_FLAG:
 		*(bool *)at = value->type == MSGPACK_OBJECT_BOOLEAN && value->via.boolean;
@@ -290,7 +299,7 @@
 		const msgpack_object_kv *kv = &map->via.map.ptr[i];
 
 		if (key_is(&kv->key, "v") && kv->val.type == MSGPACK_OBJECT_POSITIVE_INTEGER)
-			version = (int)kv->val.via.u64;
+			version = int_of(kv->val.via.u64);
 		else if (key_is(&kv->key, "from"))
 			*from = copy_text(message, &kv->val);
 		else
@@ -308,7 +317,8 @@
 	msgpack_unpacked unpacked;
 
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, data, len, NULL) == MSGPACK_UNPACK_SUCCESS &&
+	if (bounds_are_kept(data, len) &&
+	    msgpack_unpack_next(&unpacked, data, len, NULL) == MSGPACK_UNPACK_SUCCESS &&
 	    unpacked.data.type == MSGPACK_OBJECT_MAP)
 		message = unpack_message(parent, &unpacked.data, from);
 	msgpack_unpacked_destroy(&unpacked);
