--- a/tests/test_zmqlink.c
+++ b/tests/test_zmqlink.c
@@ -69,6 +69,36 @@
 	g_assert_cmpint(receiver->received, ==, 1);
 }
 
+/* Two proxies of which the first has a connection to the second. */
+typedef struct pair {
+	ports_t ports;
+	zmqlink_t sender;
+	receiver_t receiver;
+	char message[MESSAGE_BYTES];
+} pair_t;
+
+static void pair_start(pair_t *pair)
+{
+	char *address;
+
+	ports_take(&pair->ports);
+	address = g_strdup_printf("127.0.0.1:%d", pair->ports.first + 1);
+	start(&pair->receiver.link, on_frame, pair->ports.first + 1);
+	start(&pair->sender, ignore_frame, pair->ports.first);
+	connect_to(&pair->sender, &pair->receiver, address, pair->message);
+	g_free(address);
+}
+
+/* Messages that were handed over. */
+static int pair_send(pair_t *pair, int count)
+{
+	int sent = 0;
+
+	for (int i = 0; i < count; i++)
+		sent += zmqlink_send(&pair->sender, "b", NULL, pair->message, MESSAGE_BYTES) == 0;
+	return sent;
+}
+
 /*
  * What callers see: "unknown" for a write that was done, and refusals after 250 ms of waiting. What
  * happens: a proxy that ends has handed its last answers to ZeroMQ, whose thread has not written
@@ -76,75 +106,46 @@
  */
 static void test_last_messages_arrive(void)
 {
-	ports_t ports;
-	receiver_t receiver = {0};
-	zmqlink_t sender = {0};
-	char message[MESSAGE_BYTES] = "";
-	char *address;
-
-	ports_take(&ports);
-	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
-	start(&receiver.link, on_frame, ports.first + 1);
-	start(&sender, ignore_frame, ports.first);
-	connect_to(&sender, &receiver, address, message);
-	for (int i = 0; i < MESSAGES; i++)
-		g_assert_cmpint(zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES), ==, 0);
-	zmqlink_stop(&sender);
-	receive(&receiver, MESSAGES + 1);
-	g_assert_cmpint(receiver.received, ==, MESSAGES + 1);
-	zmqlink_stop(&receiver.link);
-	ports_release(&ports);
-	g_free(address);
+	pair_t pair = {0};
+
+	pair_start(&pair);
+	g_assert_cmpint(pair_send(&pair, MESSAGES), ==, MESSAGES);
+	zmqlink_stop(&pair.sender);
+	receive(&pair.receiver, MESSAGES + 1);
+	g_assert_cmpint(pair.receiver.received, ==, MESSAGES + 1);
+	zmqlink_stop(&pair.receiver.link);
+	ports_release(&pair.ports);
 }
 
 /* A peer that has gone doesn't keep the process from its end. */
 static void test_peer_is_gone(void)
 {
-	ports_t ports;
-	receiver_t receiver = {0};
-	zmqlink_t sender = {0};
-	char message[MESSAGE_BYTES] = "";
+	pair_t pair = {0};
 	gint64 stopped;
-	char *address;
 
-	ports_take(&ports);
-	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
-	start(&receiver.link, on_frame, ports.first + 1);
-	start(&sender, ignore_frame, ports.first);
-	connect_to(&sender, &receiver, address, message);
-	zmqlink_stop(&receiver.link);
-	for (int i = 0; i < MESSAGES; i++)
-		zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES);
+	pair_start(&pair);
+	zmqlink_stop(&pair.receiver.link);
+	pair_send(&pair, MESSAGES);
 	stopped = g_get_monotonic_time();
-	zmqlink_stop(&sender);
+	zmqlink_stop(&pair.sender);
 	g_assert_cmpint(g_get_monotonic_time() - stopped, <, 2 * G_USEC_PER_SEC);
-	ports_release(&ports);
-	g_free(address);
+	ports_release(&pair.ports);
 }
 
 /* A message that came before the end is taken up although the loop has not told of it. */
 static void test_receive_before_the_end(void)
 {
-	ports_t ports;
-	receiver_t receiver = {0};
-	zmqlink_t sender = {0};
-	char message[MESSAGE_BYTES] = "";
 	gint64 end = g_get_monotonic_time() + WAIT_USEC;
-	char *address;
-
-	ports_take(&ports);
-	address = g_strdup_printf("127.0.0.1:%d", ports.first + 1);
-	start(&receiver.link, on_frame, ports.first + 1);
-	start(&sender, ignore_frame, ports.first);
-	connect_to(&sender, &receiver, address, message);
-	g_assert_cmpint(zmqlink_send(&sender, "b", NULL, message, MESSAGE_BYTES), ==, 0);
-	while (receiver.received < 2 && g_get_monotonic_time() < end)
-		zmqlink_receive(&receiver.link);
-	g_assert_cmpint(receiver.received, ==, 2);
-	zmqlink_stop(&sender);
-	zmqlink_stop(&receiver.link);
-	ports_release(&ports);
-	g_free(address);
+	pair_t pair = {0};
+
+	pair_start(&pair);
+	g_assert_cmpint(pair_send(&pair, 1), ==, 1);
+	while (pair.receiver.received < 2 && g_get_monotonic_time() < end)
+		zmqlink_receive(&pair.receiver.link);
+	g_assert_cmpint(pair.receiver.received, ==, 2);
+	zmqlink_stop(&pair.sender);
+	zmqlink_stop(&pair.receiver.link);
+	ports_release(&pair.ports);
 }
 
 int main(int argc, char **argv)
