graceful-shutdown waits until its slow statement has arrived before it stops the proxy

The test was at fault: it now waits for what its text says, a slow statement that runs. Its assertions are as they were.

--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -242,6 +242,23 @@
 	return NULL;
 }
 
+/* Until the proxy has read a caller's request and not answered it yet. */
+static void wait_for_request(const harness_t *h, int proxy)
+{
+	gint64 end = g_get_monotonic_time() + FOREVER_MS * 1000;
+	json_int_t waiting = 0;
+
+	while (waiting == 0) {
+		json_t *state = harness_operate(h, proxy, "/v1/state", NULL);
+
+		g_assert_cmpint(g_get_monotonic_time(), <, end);
+		waiting = json_integer_value(
+			json_object_get(json_object_get(state, "callers"), "waiting"));
+		json_decref(state);
+		g_usleep(10000);
+	}
+}
+
 /*
  * The serving proxy is told to stop while a slow statement runs and a
  * transaction is open. Both finish; new requests through it are refused at
@@ -257,7 +274,7 @@
 	GThread *thread = g_thread_new("slow", ask_slowly, &slow);
 	json_t *answer;
 
-	g_usleep(300000);
+	wait_for_request(h, home);
 	kill(h->proxies[home], SIGTERM);
 	g_usleep(300000);
 	g_free(write_done(h, other, "job-9", "v1", "a9"));
