--- /dev/null
+++ b/links/run.h
@@ -0,0 +1,64 @@
+/*
+ * A run on a connection, step by step: what is sent for it and what its results
+ * say. Steps are sent in parts, each as one pipeline.
+ */
+#pragma once
+
+#include "event.h"
+#include "pgio.h"
+
+#define RUN_STEPS_MAX 6
+
+typedef enum {
+	STEP_END,
+	STEP_BEGIN,
+	STEP_BEGIN_READ,
+	STEP_INSERT_ID, /* left out when the query has no request id */
+	STEP_STATEMENT,
+	STEP_STORE_ANSWER, /* likewise */
+	STEP_COMMIT,
+	STEP_ROLLBACK,
+	STEP_FIND_ANSWER,
+	STEP_REPORT_BEFORE,
+	STEP_REPORT_AFTER,
+} step_t;
+
+/* Parts of a run, each sent as one pipeline and judged at its end. */
+typedef enum {
+	PART_READ,
+	PART_WRITE,
+	PART_WRITE_COMMIT,
+	PART_BEGIN,
+	PART_STATEMENT,
+	PART_COMMIT,
+	PART_ROLLBACK,
+	PART_CLEAN_UP, /* roll back after an error */
+	PART_FIND_ANSWER,
+} part_t;
+
+typedef struct run {
+	query_t *query;
+	part_t part;
+	step_t sent[RUN_STEPS_MAX]; /* steps of this part, in the order of their results */
+	size_t sent_len;
+	size_t next_result;
+	bool commit_sent;
+	bool committed;
+	bool failed;	  /* some step of this part failed */
+	bool id_is_known; /* the request id was there already */
+	bool not_primary;
+	bool commit_in_doubt; /* the server ended the session instead of answering */
+	run_result_t result;
+} run_t;
+
+/* The part that a run of this kind begins with. */
+part_t run_first_part(run_kind_t kind);
+
+/* Send the steps of a part. */
+void run_send(run_t *run, pgio_t *io, part_t part);
+
+/* The next result of the part. */
+void run_take(run_t *run, const PGresult *result);
+
+/* Why it failed; the first reason stays. */
+void run_set_detail(run_t *run, const char *detail);
--- a/links/runner.c
+++ b/links/runner.c
@@ -9,11 +9,11 @@
 #include <jansson.h>
 #include <talloc.h>
 #include <uthash.h>
-#include <xxhash.h>
 
 #include "adapter.h"
 #include "counter.h"
 #include "pgio.h"
+#include "run.h"
 #include "sql.h"
 
 #define LOG_MODULE "runner"
@@ -28,9 +28,6 @@
  */
 #define SESSION_OPTIONS "-c idle_session_timeout=3000 -c idle_in_transaction_session_timeout=12000"
 
-#define MAX_STEPS  6
-#define MAX_PARAMS 64
-
 COUNTER_DEFINE(connects_total, "backend_connects_total", COUNTER_SUM, "Connections opened.");
 COUNTER_DEFINE(no_slot_total, "backend_no_slot_total", COUNTER_SUM,
 	       "Connections given back because the row's limit was taken by others.");
@@ -40,67 +37,6 @@
 COUNTER_DEFINE(lost_total, "backend_lost_total", COUNTER_SUM, "Runs whose connection was lost.");
 COUNTER_DEFINE(conns_open, "backend_connections", COUNTER_GAUGE, "Pooled connections.");
 
-typedef enum {
-	STEP_END,
-	STEP_BEGIN,
-	STEP_BEGIN_READ,
-	STEP_INSERT_ID, /* left out when the query has no request id */
-	STEP_STATEMENT,
-	STEP_STORE_ANSWER, /* likewise */
-	STEP_COMMIT,
-	STEP_ROLLBACK,
-	STEP_FIND_ANSWER,
-	STEP_REPORT_BEFORE,
-	STEP_REPORT_AFTER,
-} step_t;
-
-/* Parts of a run, each sent as one pipeline and judged at its end. */
-typedef enum {
-	PART_READ,
-	PART_WRITE,
-	PART_WRITE_COMMIT,
-	PART_BEGIN,
-	PART_STATEMENT,
-	PART_COMMIT,
-	PART_ROLLBACK,
-	PART_CLEAN_UP, /* roll back after an error */
-	PART_FIND_ANSWER,
-} part_t;
-
-static const step_t part_steps[][MAX_STEPS] = {
-	[PART_READ] = {STEP_BEGIN_READ, STEP_REPORT_BEFORE, STEP_STATEMENT, STEP_REPORT_AFTER,
-		       STEP_COMMIT},
-	[PART_WRITE] = {STEP_BEGIN, STEP_INSERT_ID, STEP_STATEMENT},
-	[PART_WRITE_COMMIT] = {STEP_STORE_ANSWER, STEP_COMMIT, STEP_REPORT_AFTER},
-	[PART_BEGIN] = {STEP_BEGIN, STEP_REPORT_AFTER},
-	[PART_STATEMENT] = {STEP_STATEMENT, STEP_REPORT_AFTER},
-	[PART_COMMIT] = {STEP_INSERT_ID, STEP_COMMIT, STEP_REPORT_AFTER},
-	[PART_ROLLBACK] = {STEP_ROLLBACK},
-	[PART_CLEAN_UP] = {STEP_ROLLBACK},
-	[PART_FIND_ANSWER] = {STEP_FIND_ANSWER, STEP_REPORT_AFTER},
-};
-
-static const part_t first_part[RUN_COUNT] = {
-	[RUN_READ] = PART_READ,	    [RUN_WRITE] = PART_WRITE,
-	[RUN_BEGIN] = PART_BEGIN,   [RUN_STATEMENT] = PART_STATEMENT,
-	[RUN_COMMIT] = PART_COMMIT, [RUN_ROLLBACK] = PART_ROLLBACK,
-};
-
-typedef struct run {
-	query_t *query;
-	part_t part;
-	step_t sent[MAX_STEPS]; /* steps of this part, in the order of their results */
-	size_t sent_len;
-	size_t next_result;
-	bool commit_sent;
-	bool committed;
-	bool failed;	  /* some step of this part failed */
-	bool id_is_known; /* the request id was there already */
-	bool not_primary;
-	bool commit_in_doubt; /* the server ended the session instead of answering */
-	run_result_t result;
-} run_t;
-
 struct runner;
 
 typedef struct runner_conn {
@@ -126,131 +62,6 @@
 	runner_conn_t *conns;
 } runner_t;
 
-/* --- sending --- */
-
-static int read_params(void *parent, const char *text, const char **out)
-{
-	json_t *list = text != NULL ? json_loads(text, 0, NULL) : NULL;
-	int count = (int)json_array_size(list);
-
-	for (int i = 0; i < count && i < MAX_PARAMS; i++) {
-		const json_t *item = json_array_get(list, (size_t)i);
-		char *shown;
-
-		if (json_is_null(item)) {
-			out[i] = NULL;
-		} else if (json_is_string(item)) {
-			out[i] = talloc_strdup(parent, json_string_value(item));
-		} else {
-			shown = json_dumps(item, JSON_ENCODE_ANY);
-			out[i] = talloc_strdup(parent, shown);
-			free(shown);
-		}
-	}
-	json_decref(list);
-	return count < MAX_PARAMS ? count : MAX_PARAMS;
-}
-
-static void send_statement(runner_conn_t *conn)
-{
-	const query_t *query = conn->run->query;
-	const char *params[MAX_PARAMS];
-	void *scratch = talloc_new(NULL);
-	int count = read_params(scratch, query->params, params);
-
-	pgio_send(&conn->io, query->text, count, params);
-	talloc_free(scratch);
-}
-
-/*
- * What the request is, apart from its id. Two callers that chose the same id must
- * not get each other's answers: a stored answer starts with this.
- */
-static char *fingerprint(void *parent, const query_t *query)
-{
-	const char *const parts[] = {query->service, query->class_name, query->text, query->params};
-	uint64_t hash = 0;
-
-	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
-		const char *part = parts[i] != NULL ? parts[i] : "";
-
-		hash = XXH64(part, strlen(part), hash + i);
-	}
-	return talloc_asprintf(parent, "%016llx ", (unsigned long long)hash);
-}
-
-static char *stored_answer(void *parent, const run_t *run)
-{
-	const char *rows = run->result.rows != NULL ? run->result.rows : "";
-
-	return talloc_asprintf_append(fingerprint(parent, run->query), "%s", rows);
-}
-
-static void send_step(runner_conn_t *conn, step_t step)
-{
-	run_t *run = conn->run;
-	const char *id_and_answer[] = {run->query->request_id, NULL};
-
-	switch (step) {
-	case STEP_BEGIN:
-		pgio_send(&conn->io, "BEGIN", 0, NULL);
-		break;
-	case STEP_BEGIN_READ:
-		pgio_send(&conn->io, "BEGIN READ ONLY", 0, NULL);
-		break;
-	case STEP_INSERT_ID:
-		pgio_send(&conn->io, SQL_INSERT_ID, 1, id_and_answer);
-		break;
-	case STEP_STATEMENT:
-		send_statement(conn);
-		break;
-	case STEP_STORE_ANSWER:
-		id_and_answer[1] = stored_answer(run, run);
-		pgio_send(&conn->io, SQL_STORE_ANSWER, 2, id_and_answer);
-		break;
-	case STEP_COMMIT:
-		run->commit_sent = true;
-		pgio_send(&conn->io, "COMMIT", 0, NULL);
-		break;
-	case STEP_ROLLBACK:
-		pgio_send(&conn->io, "ROLLBACK", 0, NULL);
-		break;
-	case STEP_FIND_ANSWER:
-		pgio_send(&conn->io, SQL_FIND_ANSWER, 1, id_and_answer);
-		break;
-	case STEP_REPORT_BEFORE:
-	case STEP_REPORT_AFTER:
-		pgio_send(&conn->io, SQL_REPORT, 0, NULL);
-		break;
-	case STEP_END:
-		return;
-	}
-	run->sent[run->sent_len++] = step;
-}
-
-static bool needs_id(step_t step)
-{
-	return step == STEP_INSERT_ID || step == STEP_STORE_ANSWER;
-}
-
-static void send_part(runner_conn_t *conn, part_t part)
-{
-	run_t *run = conn->run;
-
-	run->part = part;
-	run->sent_len = 0;
-	run->next_result = 0;
-	run->failed = false;
-	for (size_t i = 0; i < MAX_STEPS && part_steps[part][i] != STEP_END; i++) {
-		step_t step = part_steps[part][i];
-
-		if (needs_id(step) && run->query->request_id == NULL)
-			continue;
-		send_step(conn, step);
-	}
-	pgio_sync(&conn->io);
-}
-
 /* --- ends --- */
 
 static void finish(runner_conn_t *conn, run_status_t status)
@@ -275,12 +86,6 @@
 	pgio_close(&conn->io);
 }
 
-static void set_detail(run_t *run, const char *detail)
-{
-	if (run->result.detail == NULL)
-		run->result.detail = talloc_strdup(run, detail);
-}
-
 /* Tell core how a run ended whose connection is gone, then that the connection is. */
 static void lost(runner_conn_t *conn, const char *why)
 {
@@ -290,7 +95,7 @@
 
 	unlist(conn); /* first, so that a close decided meanwhile finds nothing */
 	if (run != NULL) {
-		set_detail(run, why);
+		run_set_detail(run, why);
 		/* Once committed the answer may be lost, but the commit is not in doubt. */
 		finish(conn, run->commit_sent ? RUN_LOST_AT_COMMIT : RUN_LOST_BEFORE_COMMIT);
 	}
@@ -298,88 +103,7 @@
 	talloc_free(conn);
 }
 
-/* --- results --- */
-
-static void take_report(run_t *run, step_t step, const PGresult *result)
-{
-	report_t *out = step == STEP_REPORT_BEFORE ? &run->result.before : &run->result.after;
-	bool accepted;
-
-	if (sql_read_report(result, &accepted, out) < 0) {
-		run->failed = true;
-		set_detail(run, "the member's report could not be read");
-	}
-}
-
-/* A commit stores no answer: its id alone says that it took. */
-static bool is_own_answer(const run_t *run, const char *stored, const char *mark)
-{
-	if (run->query->verb == VERB_COMMIT)
-		return stored[0] == '\0';
-	return strncmp(stored, mark, strlen(mark)) == 0;
-}
-
-static void take_answer(run_t *run, const PGresult *result)
-{
-	char *mark = fingerprint(run, run->query);
-	const char *stored;
-
-	if (PQntuples(result) != 1)
-		return;
-	stored = PQgetvalue(result, 0, 0);
-	if (!is_own_answer(run, stored, mark)) {
-		set_detail(run, "the request id was used for another request");
-		return;
-	}
-	talloc_free(run->result.rows);
-	run->result.rows = stored[0] != '\0' ? talloc_strdup(run, stored + strlen(mark)) : NULL;
-	run->result.repeated = true;
-}
-
-static void take_error(run_t *run, step_t step, const PGresult *result)
-{
-	run->failed = true;
-	if (PQresultStatus(result) == PGRES_PIPELINE_ABORTED)
-		return; /* an earlier step has said why */
-	if (step == STEP_INSERT_ID && sql_has_state(result, SQLSTATE_UNIQUE_VIOLATION)) {
-		run->id_is_known = true;
-		return;
-	}
-	run->not_primary = sql_has_state(result, SQLSTATE_READ_ONLY) && run->part != PART_READ;
-	run->commit_in_doubt = step == STEP_COMMIT && sql_is_fatal(result);
-	talloc_free(run->result.detail);
-	run->result.detail = sql_error_text(run, result);
-}
-
-static void take_step(run_t *run, step_t step, const PGresult *result)
-{
-	if (sql_is_error(result)) {
-		take_error(run, step, result);
-		return;
-	}
-	switch (step) {
-	case STEP_STATEMENT:
-		run->result.rows = sql_rows_to_json(run, result);
-		break;
-	case STEP_REPORT_BEFORE:
-	case STEP_REPORT_AFTER:
-		take_report(run, step, result);
-		break;
-	case STEP_FIND_ANSWER:
-		take_answer(run, result);
-		break;
-	case STEP_COMMIT:
-		/* The server answers the commit of a failed transaction with ROLLBACK. */
-		run->committed = strcmp(PQcmdStatus((PGresult *)result), "COMMIT") == 0;
-		if (!run->committed) {
-			run->failed = true;
-			set_detail(run, "the transaction had failed and was rolled back");
-		}
-		break;
-	default:
-		break;
-	}
-}
+/* --- from part to part --- */
 
 static void part_ok(runner_conn_t *conn)
 {
@@ -387,11 +111,11 @@
 
 	switch (run->part) {
 	case PART_WRITE:
-		send_part(conn, PART_WRITE_COMMIT);
+		run_send(conn->run, &conn->io, PART_WRITE_COMMIT);
 		break;
 	case PART_CLEAN_UP:
 		if (run->id_is_known)
-			send_part(conn, PART_FIND_ANSWER);
+			run_send(conn->run, &conn->io, PART_FIND_ANSWER);
 		else
 			finish(conn, run->not_primary ? RUN_NOT_PRIMARY : RUN_REJECTED);
 		break;
@@ -401,7 +125,7 @@
 			break;
 		}
 		/* Another request's; or its attempt was rolled back a moment ago. */
-		set_detail(run, "an attempt with the same request id had just ended");
+		run_set_detail(run, "an attempt with the same request id had just ended");
 		finish(conn, RUN_REJECTED);
 		break;
 	default:
@@ -433,7 +157,7 @@
 		return;
 	}
 	run->commit_sent = false; /* answered: it did not take */
-	send_part(conn, PART_CLEAN_UP);
+	run_send(conn->run, &conn->io, PART_CLEAN_UP);
 }
 
 static void part_done(runner_conn_t *conn)
@@ -518,8 +242,8 @@
 	}
 	if (result == NULL)
 		part_done(conn);
-	else if (run->next_result < run->sent_len)
-		take_step(run, run->sent[run->next_result++], result);
+	else
+		run_take(run, result);
 }
 
 static void on_lost(pgio_t *io, bool refused, const char *why)
@@ -575,7 +299,7 @@
 	}
 	conn->run = talloc_zero(conn, run_t);
 	conn->run->query = talloc_steal(conn->run, action->run.query);
-	send_part(conn, first_part[action->run.kind]);
+	run_send(conn->run, &conn->io, run_first_part(action->run.kind));
 }
 
 static void on_close(void *data, action_t *action)
