--- /dev/null
+++ b/tests/pool_callers.c
@@ -0,0 +1,94 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "pool_parts.h"
+#include "protocol.h"
+
+void callers_reply(env_t *env, void *data, const caller_reply_t *reply)
+{
+	world_caller_t *caller = data;
+	protocol_buffer_t buffer = {0};
+
+	(void)env;
+	protocol_encode_reply(&buffer, reply);
+	snprintf(caller->reply, sizeof(caller->reply), "%.*s", (int)buffer.len, buffer.data);
+	caller->replies++;
+	protocol_buffer_free(&buffer);
+}
+
+void callers_abort(env_t *env, void *data)
+{
+	(void)env;
+	((world_caller_t *)data)->caller = NULL;
+}
+
+close_result_t callers_close(env_t *env, void *data)
+{
+	const world_caller_t *caller = data;
+
+	if (caller->unread)
+		return CLOSE_UNREAD;
+	if (caller->unsent)
+		return CLOSE_UNSENT;
+	callers_abort(env, data);
+	return CLOSE_DONE;
+}
+
+world_caller_t *world_open(pool_world_t *world, size_t at)
+{
+	return world_open_database(world, at, WORLD_DATABASE);
+}
+
+world_caller_t *world_open_database(pool_world_t *world, size_t at, const char *database)
+{
+	world_node_t *node = &world->nodes[at];
+	world_caller_t *caller = talloc_zero(world, world_caller_t);
+
+	caller->at = node;
+	list_add_tail(&node->callers, &caller->node);
+	caller->caller = pooler_caller_open(node->pooler, database, caller, &caller->refused);
+	return caller;
+}
+
+void world_send(world_caller_t *caller, const char *text)
+{
+	char line[256];
+	caller_message_t message;
+
+	g_assert_nonnull(caller->caller);
+	g_assert_false(caller_is_busy(caller->caller));
+	snprintf(caller->id, sizeof(caller->id), "q%zu", caller->at->world->next_id++);
+	snprintf(line, sizeof(line), "QUERY %s %s", caller->id, text);
+	protocol_decode_caller(line, strlen(line), &message);
+	caller->reply[0] = '\0';
+	caller_on_statement(caller->caller, &message.statement);
+}
+
+const char *world_ask(world_caller_t *caller, const char *text)
+{
+	size_t before = caller->replies;
+
+	world_send(caller, text);
+	for (int i = 0; i < 2000 && caller->replies == before; i++)
+		world_run(caller->at->world, USEC_PER_MSEC);
+	return caller->reply;
+}
+
+void world_leave(world_caller_t *caller)
+{
+	struct caller *gone = caller->caller;
+
+	caller->caller = NULL;
+	if (gone != NULL)
+		caller_on_gone(gone);
+}
+
+bool world_state_is(const world_caller_t *caller, const char *ready)
+{
+	const char *last = strstr(caller->reply, "READY ");
+
+	return last != NULL && strncmp(last, ready, strlen(ready)) == 0;
+}
--- /dev/null
+++ b/tests/pool_links.c
@@ -0,0 +1,253 @@
+#include <string.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "pool_parts.h"
+#include "protocol.h"
+
+typedef struct world_link {
+	list_t node;
+	world_node_t *from;
+	fake_member_t *member;
+	struct conn *conn; /* NULL: closed by the pooler */
+	fake_session_t *session;
+	bool started;
+	bool ended;
+	list_t posts;	  /* under way in either direction */
+	usec_t last_post; /* a connection delivers in order */
+} world_link_t;
+
+/* Something on its way. */
+typedef struct post {
+	run_timer_t timer;
+	list_t node;
+	timer_set_t *timers;
+	world_link_t *link;
+	char *text; /* NULL: the end of the connection */
+	size_t len;
+} post_t;
+
+static void release_link(world_link_t *link)
+{
+	if (link->conn != NULL || link->session != NULL || !list_empty(&link->posts))
+		return;
+	list_del(&link->node);
+	talloc_free(link);
+}
+
+static post_t *post(world_link_t *link, timer_set_t *timers, const char *text, size_t len,
+		    timer_cb_t cb)
+{
+	pool_world_t *world = link->from->world;
+	post_t *item = talloc_zero(world, post_t);
+
+	item->timers = timers;
+	item->link = link;
+	item->text = text != NULL ? talloc_strndup(item, text, len) : NULL;
+	item->len = len;
+	list_add_tail(&link->posts, &item->node);
+	if (link->last_post < world_now(world) + LINK_DELAY)
+		link->last_post = world_now(world) + LINK_DELAY;
+	/* Timers of one time may fire in any order. */
+	timers_arm(timers, &item->timer, link->last_post++, cb);
+	return item;
+}
+
+static void on_arrived_at_member(run_timer_t *timer, usec_t now);
+
+static void to_pooler(world_link_t *link, const char *text, size_t len)
+{
+	reply_scan_t scan = {0};
+	reply_progress_t progress = protocol_scan_reply(&scan, text, len);
+	member_status_t status;
+	struct conn *conn = link->conn;
+
+	if (!link->started && scan.has_result && !scan.reply.ok) {
+		link->conn = NULL;
+		conn_on_down(conn, scan.reply.code, "refused");
+		post(link, &link->from->world->timers, NULL, 0, on_arrived_at_member);
+		return;
+	}
+	g_assert_cmpint(progress, ==, REPLY_WHOLE);
+	g_assert_cmpuint(scan.reply.raw.len, ==, len);
+	if (!link->started) {
+		link->started = true;
+		conn_on_ready(conn);
+		return;
+	}
+	conn_on_reply(conn, &scan.reply,
+		      scan.reply.ok && protocol_decode_status(scan.reply.row, &status) ? &status
+										       : NULL);
+}
+
+static bool is_lost(const world_link_t *link)
+{
+	/* A member that is only listed: nobody is at its address. */
+	if (link->member == NULL)
+		return true;
+	return link->from->cut_from_members;
+}
+
+/* At the proxy. */
+static void on_arrived_at_node(run_timer_t *timer, usec_t now)
+{
+	post_t *item = list_entry(timer, post_t, timer);
+	world_link_t *link = item->link;
+	struct conn *conn = link->conn;
+
+	(void)now;
+	list_del(&item->node);
+	if (conn != NULL && !is_lost(link)) {
+		if (item->text != NULL) {
+			to_pooler(link, item->text, item->len);
+		} else {
+			link->conn = NULL;
+			conn_on_down(conn, CODE_NONE, "closed");
+		}
+	}
+	talloc_free(item);
+	release_link(link);
+}
+
+static void on_member_reply(void *data, const char *text, size_t len)
+{
+	world_link_t *link = data;
+
+	if (text == NULL)
+		link->session = NULL;
+	post(link, &link->from->timers, text, len, on_arrived_at_node);
+}
+
+/* At the member. */
+static void on_arrived_at_member(run_timer_t *timer, usec_t now)
+{
+	post_t *item = list_entry(timer, post_t, timer);
+	world_link_t *link = item->link;
+
+	(void)now;
+	list_del(&item->node);
+	if (link->session == NULL && !link->ended && !is_lost(link) && item->text != NULL) {
+		link->session = fake_open(link->member, on_member_reply, link);
+		if (link->session == NULL) {
+			link->ended = true;
+			post(link, &link->from->timers, NULL, 0, on_arrived_at_node);
+		}
+	}
+	if (link->session != NULL && !is_lost(link)) {
+		if (item->text != NULL) {
+			fake_line(link->session, item->text, item->len);
+		} else {
+			fake_close(link->session);
+			link->session = NULL;
+			link->ended = true;
+		}
+	}
+	talloc_free(item);
+	release_link(link);
+}
+
+static void send_lines(world_link_t *link, const char *text, size_t len)
+{
+	size_t done = 0;
+
+	while (done < len) {
+		size_t line = protocol_line(text + done, len - done, 0);
+
+		post(link, &link->from->world->timers, text + done, line - 2, on_arrived_at_member);
+		done += line;
+	}
+}
+
+void *links_connect(env_t *env, const char *address, const char *service, const char *member,
+		    struct conn *conn)
+{
+	world_node_t *node = (world_node_t *)env;
+	world_link_t *link = talloc_zero(node->world, world_link_t);
+	protocol_buffer_t buffer = {0};
+
+	(void)address;
+	link->from = node;
+	link->conn = conn;
+	link->member = fake_find(node->world->db, member);
+	list_init(&link->posts);
+	list_add_tail(&node->links, &link->node);
+	protocol_encode_start(&buffer, service, "world", member);
+	send_lines(link, buffer.data, buffer.len);
+	protocol_buffer_free(&buffer);
+	return link;
+}
+
+void links_send(env_t *env, void *data, const member_request_t *requests, size_t count)
+{
+	protocol_buffer_t buffer = {0};
+
+	(void)env;
+	for (size_t i = 0; i < count; i++)
+		protocol_encode_request(&buffer, &requests[i]);
+	send_lines(data, buffer.data, buffer.len);
+	protocol_buffer_free(&buffer);
+}
+
+void links_close(env_t *env, void *data)
+{
+	world_link_t *link = data;
+
+	(void)env;
+	link->conn = NULL;
+	post(link, &link->from->world->timers, NULL, 0, on_arrived_at_member);
+}
+
+void links_close_all(world_node_t *node)
+{
+	list_for_each_safe (it, &node->links) {
+		world_link_t *link = list_entry(it, world_link_t, node);
+
+		if (link->conn != NULL)
+			links_close(&node->env, link);
+	}
+}
+
+void links_delay(world_node_t *node, usec_t by)
+{
+	usec_t until = world_now(node->world) + by;
+
+	list_for_each (it, &node->links) {
+		world_link_t *link = list_entry(it, world_link_t, node);
+
+		if (link->last_post < until)
+			link->last_post = until;
+	}
+}
+
+bool world_in_transaction(const pool_world_t *world)
+{
+	for (size_t i = 0; i < world->node_count; i++) {
+		list_for_each (it, &world->nodes[i].links) {
+			const world_link_t *link = list_entry(it, world_link_t, node);
+
+			if (link->session != NULL && fake_in_transaction(link->session))
+				return true;
+		}
+	}
+	return false;
+}
+
+void world_crash_member(pool_world_t *world, size_t at)
+{
+	fake_member_t *member = &world->db->members[at];
+
+	fake_stop(member);
+	for (size_t i = 0; i < world->node_count; i++) {
+		list_for_each (it, &world->nodes[i].links) {
+			world_link_t *link = list_entry(it, world_link_t, node);
+
+			if (link->member != member || link->session == NULL)
+				continue;
+			fake_close(link->session);
+			link->session = NULL;
+			link->ended = true;
+			post(link, &link->from->timers, NULL, 0, on_arrived_at_node);
+		}
+	}
+}
--- /dev/null
+++ b/tests/pool_parts.h
@@ -0,0 +1,35 @@
+/* What the parts of the poolers' world share: its links, for the pooler's environment. */
+#pragma once
+
+#include "pool_world.h"
+
+/* One way over any link of this world. */
+#define LINK_DELAY (1 * USEC_PER_MSEC)
+
+static inline usec_t world_now(const pool_world_t *world)
+{
+	return clock_now(&world->clock.base);
+}
+
+/* --- to members: env_ops_t --- */
+
+void *links_connect(env_t *env, const char *address, const char *service, const char *member,
+		    struct conn *conn);
+void links_send(env_t *env, void *data, const member_request_t *requests, size_t count);
+void links_close(env_t *env, void *data);
+
+/* The process is gone, and its connections with it. */
+void links_close_all(world_node_t *node);
+
+/* Nothing more arrives on the links of the node, in either direction, for so long. */
+void links_delay(world_node_t *node, usec_t by);
+
+/* --- to callers: env_ops_t --- */
+
+void callers_reply(env_t *env, void *data, const caller_reply_t *reply);
+void callers_abort(env_t *env, void *data);
+close_result_t callers_close(env_t *env, void *data);
+
+/* --- to other proxies: env_ops_t --- */
+
+bool peers_send(env_t *env, const char *name, const char *address, const peer_message_t *message);
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -8,370 +8,12 @@
 #include <glib.h>
 #include <talloc.h>
 
-#include "fleet_codec.h"
 #include "permit.h"
-#include "protocol.h"
+#include "pool_parts.h"
 
-/* One way over any link of this world. */
-#define LINK_DELAY (1 * USEC_PER_MSEC)
 /* How long members keep the connections of machines without power. */
 #define DEAD_KEPT (3 * USEC_PER_SEC)
 
-typedef struct world_link {
-	list_t node;
-	world_node_t *from;
-	fake_member_t *member;
-	struct conn *conn; /* NULL: closed by the pooler */
-	fake_session_t *session;
-	bool started;
-	bool ended;
-	list_t posts;	  /* under way in either direction */
-	usec_t last_post; /* a connection delivers in order */
-} world_link_t;
-
-/* Something on its way. */
-typedef struct post {
-	run_timer_t timer;
-	list_t node;
-	timer_set_t *timers;
-	world_link_t *link;
-	char *text; /* NULL: the end of the connection */
-	size_t len;
-} post_t;
-
-typedef struct mail {
-	run_timer_t timer;
-	list_t node;
-	pool_world_t *world;
-	char to[32];
-	int island; /* of the sender */
-	const peer_message_t *message;
-} mail_t;
-
-static usec_t world_now(const pool_world_t *world)
-{
-	return clock_now(&world->clock.base);
-}
-
-/* --- links to members --- */
-
-static void release_link(world_link_t *link)
-{
-	if (link->conn != NULL || link->session != NULL || !list_empty(&link->posts))
-		return;
-	list_del(&link->node);
-	talloc_free(link);
-}
-
-static post_t *post(world_link_t *link, timer_set_t *timers, const char *text, size_t len,
-		    timer_cb_t cb)
-{
-	pool_world_t *world = link->from->world;
-	post_t *item = talloc_zero(world, post_t);
-
-	item->timers = timers;
-	item->link = link;
-	item->text = text != NULL ? talloc_strndup(item, text, len) : NULL;
-	item->len = len;
-	list_add_tail(&link->posts, &item->node);
-	if (link->last_post < world_now(world) + LINK_DELAY)
-		link->last_post = world_now(world) + LINK_DELAY;
-	/* Timers of one time may fire in any order. */
-	timers_arm(timers, &item->timer, link->last_post++, cb);
-	return item;
-}
-
-static void on_arrived_at_member(run_timer_t *timer, usec_t now);
-
-static void to_pooler(world_link_t *link, const char *text, size_t len)
-{
-	reply_scan_t scan = {0};
-	reply_progress_t progress = protocol_scan_reply(&scan, text, len);
-	member_status_t status;
-	struct conn *conn = link->conn;
-
-	if (!link->started && scan.has_result && !scan.reply.ok) {
-		link->conn = NULL;
-		conn_on_down(conn, scan.reply.code, "refused");
-		post(link, &link->from->world->timers, NULL, 0, on_arrived_at_member);
-		return;
-	}
-	g_assert_cmpint(progress, ==, REPLY_WHOLE);
-	g_assert_cmpuint(scan.reply.raw.len, ==, len);
-	if (!link->started) {
-		link->started = true;
-		conn_on_ready(conn);
-		return;
-	}
-	conn_on_reply(conn, &scan.reply,
-		      scan.reply.ok && protocol_decode_status(scan.reply.row, &status) ? &status
-										       : NULL);
-}
-
-static bool is_lost(const world_link_t *link)
-{
-	/* A member that is only listed: nobody is at its address. */
-	if (link->member == NULL)
-		return true;
-	return link->from->cut_from_members;
-}
-
-/* At the proxy. */
-static void on_arrived_at_node(run_timer_t *timer, usec_t now)
-{
-	post_t *item = list_entry(timer, post_t, timer);
-	world_link_t *link = item->link;
-	struct conn *conn = link->conn;
-
-	(void)now;
-	list_del(&item->node);
-	if (conn != NULL && !is_lost(link)) {
-		if (item->text != NULL) {
-			to_pooler(link, item->text, item->len);
-		} else {
-			link->conn = NULL;
-			conn_on_down(conn, CODE_NONE, "closed");
-		}
-	}
-	talloc_free(item);
-	release_link(link);
-}
-
-static void on_member_reply(void *data, const char *text, size_t len)
-{
-	world_link_t *link = data;
-
-	if (text == NULL)
-		link->session = NULL;
-	post(link, &link->from->timers, text, len, on_arrived_at_node);
-}
-
-/* At the member. */
-static void on_arrived_at_member(run_timer_t *timer, usec_t now)
-{
-	post_t *item = list_entry(timer, post_t, timer);
-	world_link_t *link = item->link;
-
-	(void)now;
-	list_del(&item->node);
-	if (link->session == NULL && !link->ended && !is_lost(link) && item->text != NULL) {
-		link->session = fake_open(link->member, on_member_reply, link);
-		if (link->session == NULL) {
-			link->ended = true;
-			post(link, &link->from->timers, NULL, 0, on_arrived_at_node);
-		}
-	}
-	if (link->session != NULL && !is_lost(link)) {
-		if (item->text != NULL) {
-			fake_line(link->session, item->text, item->len);
-		} else {
-			fake_close(link->session);
-			link->session = NULL;
-			link->ended = true;
-		}
-	}
-	talloc_free(item);
-	release_link(link);
-}
-
-static void send_lines(world_link_t *link, const char *text, size_t len)
-{
-	size_t done = 0;
-
-	while (done < len) {
-		size_t line = protocol_line(text + done, len - done, 0);
-
-		post(link, &link->from->world->timers, text + done, line - 2, on_arrived_at_member);
-		done += line;
-	}
-}
-
-static void *member_connect(env_t *env, const char *address, const char *service,
-			    const char *member, struct conn *conn)
-{
-	world_node_t *node = (world_node_t *)env;
-	world_link_t *link = talloc_zero(node->world, world_link_t);
-	protocol_buffer_t buffer = {0};
-
-	(void)address;
-	link->from = node;
-	link->conn = conn;
-	link->member = fake_find(node->world->db, member);
-	list_init(&link->posts);
-	list_add_tail(&node->links, &link->node);
-	protocol_encode_start(&buffer, service, "world", member);
-	send_lines(link, buffer.data, buffer.len);
-	protocol_buffer_free(&buffer);
-	return link;
-}
-
-static void member_send(env_t *env, void *data, const member_request_t *requests, size_t count)
-{
-	protocol_buffer_t buffer = {0};
-
-	(void)env;
-	for (size_t i = 0; i < count; i++)
-		protocol_encode_request(&buffer, &requests[i]);
-	send_lines(data, buffer.data, buffer.len);
-	protocol_buffer_free(&buffer);
-}
-
-static void member_close(env_t *env, void *data)
-{
-	world_link_t *link = data;
-
-	(void)env;
-	link->conn = NULL;
-	post(link, &link->from->world->timers, NULL, 0, on_arrived_at_member);
-}
-
-/* --- callers --- */
-
-static void caller_reply(env_t *env, void *data, const caller_reply_t *reply)
-{
-	world_caller_t *caller = data;
-	protocol_buffer_t buffer = {0};
-
-	(void)env;
-	protocol_encode_reply(&buffer, reply);
-	snprintf(caller->reply, sizeof(caller->reply), "%.*s", (int)buffer.len, buffer.data);
-	caller->replies++;
-	protocol_buffer_free(&buffer);
-}
-
-static void caller_abort(env_t *env, void *data)
-{
-	(void)env;
-	((world_caller_t *)data)->caller = NULL;
-}
-
-static close_result_t caller_close(env_t *env, void *data)
-{
-	const world_caller_t *caller = data;
-
-	if (caller->unread)
-		return CLOSE_UNREAD;
-	if (caller->unsent)
-		return CLOSE_UNSENT;
-	caller_abort(env, data);
-	return CLOSE_DONE;
-}
-
-world_caller_t *world_open(pool_world_t *world, size_t at)
-{
-	return world_open_database(world, at, WORLD_DATABASE);
-}
-
-world_caller_t *world_open_database(pool_world_t *world, size_t at, const char *database)
-{
-	world_node_t *node = &world->nodes[at];
-	world_caller_t *caller = talloc_zero(world, world_caller_t);
-
-	caller->at = node;
-	list_add_tail(&node->callers, &caller->node);
-	caller->caller = pooler_caller_open(node->pooler, database, caller, &caller->refused);
-	return caller;
-}
-
-void world_send(world_caller_t *caller, const char *text)
-{
-	char line[256];
-	caller_message_t message;
-
-	g_assert_nonnull(caller->caller);
-	g_assert_false(caller_is_busy(caller->caller));
-	snprintf(caller->id, sizeof(caller->id), "q%zu", caller->at->world->next_id++);
-	snprintf(line, sizeof(line), "QUERY %s %s", caller->id, text);
-	protocol_decode_caller(line, strlen(line), &message);
-	caller->reply[0] = '\0';
-	caller_on_statement(caller->caller, &message.statement);
-}
-
-const char *world_ask(world_caller_t *caller, const char *text)
-{
-	size_t before = caller->replies;
-
-	world_send(caller, text);
-	for (int i = 0; i < 2000 && caller->replies == before; i++)
-		world_run(caller->at->world, USEC_PER_MSEC);
-	return caller->reply;
-}
-
-void world_leave(world_caller_t *caller)
-{
-	struct caller *gone = caller->caller;
-
-	caller->caller = NULL;
-	if (gone != NULL)
-		caller_on_gone(gone);
-}
-
-bool world_state_is(const world_caller_t *caller, const char *ready)
-{
-	const char *last = strstr(caller->reply, "READY ");
-
-	return last != NULL && strncmp(last, ready, strlen(ready)) == 0;
-}
-
-/* --- peers --- */
-
-static world_node_t *find_node(pool_world_t *world, const char *name)
-{
-	for (size_t i = 0; i < world->node_count; i++) {
-		if (strcmp(world->nodes[i].name, name) == 0)
-			return &world->nodes[i];
-	}
-	return NULL;
-}
-
-static void on_mail(run_timer_t *timer, usec_t now)
-{
-	mail_t *mail = list_entry(timer, mail_t, timer);
-	world_node_t *node = find_node(mail->world, mail->to);
-
-	(void)now;
-	if (node->pooler != NULL && !node->cut_from_peers && node->island == mail->island)
-		pooler_on_message(node->pooler, mail->message);
-	talloc_free(mail);
-}
-
-/* A link is made with the first message, which is not sent; it takes a way there and back. */
-static bool has_link(world_node_t *from, const world_node_t *to)
-{
-	usec_t *at = &from->link_at[to - from->world->nodes];
-
-	if (!from->world->new_links)
-		return true;
-	if (*at == 0)
-		*at = world_now(from->world) + 2 * LINK_DELAY;
-	return world_now(from->world) >= *at;
-}
-
-static bool peer_send(env_t *env, const char *name, const char *address,
-		      const peer_message_t *message)
-{
-	world_node_t *from = (world_node_t *)env;
-	world_node_t *to = find_node(from->world, name);
-	mail_t *mail;
-	char *text;
-
-	(void)address;
-	if (to == NULL || !has_link(from, to))
-		return false;
-	if (from->cut_from_peers || to->cut_from_peers)
-		return true;
-	mail = talloc_zero(from->world, mail_t);
-	mail->world = from->world;
-	mail->island = from->island;
-	snprintf(mail->to, sizeof(mail->to), "%s", name);
-	text = fleet_encode(message);
-	mail->message = fleet_decode(mail, text, strlen(text));
-	g_assert_nonnull(mail->message);
-	free(text);
-	timers_arm(&to->timers, &mail->timer, world_now(from->world) + LINK_DELAY, on_mail);
-	return true;
-}
-
 /* --- the platform --- */
 
 typedef struct promote_answer {
@@ -432,13 +74,13 @@
 }
 
 static const env_ops_t ops = {
-	.caller_reply = caller_reply,
-	.caller_close = caller_close,
-	.caller_abort = caller_abort,
-	.member_connect = member_connect,
-	.member_send = member_send,
-	.member_close = member_close,
-	.peer_send = peer_send,
+	.caller_reply = callers_reply,
+	.caller_close = callers_close,
+	.caller_abort = callers_abort,
+	.member_connect = links_connect,
+	.member_send = links_send,
+	.member_close = links_close,
+	.peer_send = peers_send,
 	.promote = promote,
 	.refresh_config = count_refresh,
 	.refresh_members = count_refresh,
@@ -559,19 +201,6 @@
 	paused_clock_advance(&world->clock, end - world_now(world));
 }
 
-bool world_in_transaction(const pool_world_t *world)
-{
-	for (size_t i = 0; i < world->node_count; i++) {
-		list_for_each (it, &world->nodes[i].links) {
-			const world_link_t *link = list_entry(it, world_link_t, node);
-
-			if (link->session != NULL && fake_in_transaction(link->session))
-				return true;
-		}
-	}
-	return false;
-}
-
 size_t world_permitted(pool_world_t *world, const char *member)
 {
 	size_t count = 0;
@@ -641,12 +270,7 @@
 {
 	world_node_t *node = &world->nodes[at];
 
-	list_for_each_safe (it, &node->links) {
-		world_link_t *link = list_entry(it, world_link_t, node);
-
-		if (link->conn != NULL)
-			member_close(&node->env, link);
-	}
+	links_close_all(node);
 	list_for_each (it, &node->callers)
 		list_entry(it, world_caller_t, node)->caller = NULL;
 	fake_kv_client_gone(&node->kv);
@@ -656,12 +280,7 @@
 
 void world_power_off(pool_world_t *world, size_t at)
 {
-	list_for_each (it, &world->nodes[at].links) {
-		world_link_t *link = list_entry(it, world_link_t, node);
-
-		if (link->last_post < world_now(world) + DEAD_KEPT)
-			link->last_post = world_now(world) + DEAD_KEPT;
-	}
+	links_delay(&world->nodes[at], DEAD_KEPT);
 	world_kill(world, at);
 }
 
@@ -675,25 +294,6 @@
 	world->nodes[at].frozen = false;
 }
 
-void world_crash_member(pool_world_t *world, size_t at)
-{
-	fake_member_t *member = &world->db->members[at];
-
-	fake_stop(member);
-	for (size_t i = 0; i < world->node_count; i++) {
-		list_for_each (it, &world->nodes[i].links) {
-			world_link_t *link = list_entry(it, world_link_t, node);
-
-			if (link->member != member || link->session == NULL)
-				continue;
-			fake_close(link->session);
-			link->session = NULL;
-			link->ended = true;
-			post(link, &link->from->timers, NULL, 0, on_arrived_at_node);
-		}
-	}
-}
-
 void world_cut_members(pool_world_t *world, size_t at, bool cut)
 {
 	world->nodes[at].cut_from_members = cut;
