Messages that waited while a proxy was paused don't show that its table is current

Found while tracing the wake-up of /failures/proxy-stopped: a proxy took its peers as heard at the time at which it read their messages, also those that had waited in its buffers since before its pause, and so answered by an old row more than three seconds after an edit had been accepted (promise 'an accepted edit is in force everywhere'). Their echo of our clock, kept since long and used for nothing, bounds when a message was sent; a majority counts by it now.

--- a/core/fleet.h
+++ b/core/fleet.h
@@ -98,5 +98,6 @@
 /* True if a proxy ranked before this one is suspect: we act in its place. */
 bool fleet_replaces_suspect(const ranks_t *ranks);
 
-/* True if more than half of the fleet, self included, was heard since then. */
+/* True if more than half of the fleet, self included, has sent something since then that has come.
+ */
 bool fleet_majority_heard(const fleet_t *fleet, usec_t since);
