A statement of a transaction waits until a broken connection to its home is made anew

A broken connection between proxies is tried again after 50 to 250 ms, but a message that finds none was given up at once, and the transaction stayed open until it had been idle for 10 s.

--- a/core/router.c
+++ b/core/router.c
@@ -24,6 +24,13 @@
 #define FIRST_WATCH	     USEC_PER_SEC
 /* How often a request that waits after our own pause is tried again. */
 #define WAKE_RETRY (50 * USEC_PER_MSEC)
+/*
+ * Proxies try a broken connection again every 250 ms at the latest, and an
+ * attempt may take 300 ms. A caller whose transaction's home is gone hears of it
+ * as much later.
+ */
+#define LINK_WAIT  (600 * USEC_PER_MSEC)
+#define LINK_RETRY (50 * USEC_PER_MSEC)
 
 static void route(request_t *request);
 static void admit(request_t *request);
@@ -328,6 +335,32 @@
 	home_lost(list_entry(timer, request_t, ack_timer), "did not accept the request in time");
 }
 
+static void on_link_retry(run_timer_t *timer, usec_t now)
+{
+	request_t *request = list_entry(timer, request_t, ack_timer);
+
+	(void)now;
+	request->tries = 0;
+	forward(request, request->home);
+}
+
+/*
+ * A statement of a transaction can go nowhere but to its home. When the
+ * connection there breaks, both proxies and the transaction are well, and a
+ * caller who were told that it is lost would leave it open, with its locks,
+ * until it has been idle for long. It was certainly not sent: it waits until a
+ * connection would have been made anew. Returns false when that time is over.
+ */
+static bool wait_for_link(request_t *request)
+{
+	core_t *core = request->core;
+
+	if (core->now - request->arrived >= LINK_WAIT)
+		return false;
+	timers_arm(&core->timers, &request->ack_timer, core->now + LINK_RETRY, on_link_retry);
+	return true;
+}
+
 void router_unsent(core_t *core, uint64_t id)
 {
 	request_t *request = request_find(core, id);
@@ -335,6 +368,8 @@
 
 	if (request == NULL || request->state != REQUEST_FORWARDED || request->home == NULL)
 		return;
+	if (request->query->tx != NULL && wait_for_link(request))
+		return;
 	home = fleet_find(core->fleet, request->home);
 	if (home != NULL)
 		fleet_set_suspect(home, core->now);
--- a/tests/session.c
+++ b/tests/session.c
@@ -139,6 +139,11 @@
 	world_stall(play->world, world_node(words[1]), world_node(words[2]), msec(words[3]));
 }
 
+static void do_unlink(play_t *play, char **words)
+{
+	world_unlink(play->world, world_node(words[1]), world_node(words[2]), msec(words[3]));
+}
+
 static void do_lag(play_t *play, char **words)
 {
 	world_set_lag(play->world, msec(words[1]));
@@ -248,6 +253,7 @@
 	{"cut", 3, do_cut},
 	{"heal", 3, do_heal},
 	{"stall", 4, do_stall},
+	{"unlink", 4, do_unlink},
 	{"lag", 2, do_lag},
 	{"lose-answers", 2, do_lose},
 	{"leave", 2, do_leave},
--- a/tests/world_faults.c
+++ b/tests/world_faults.c
@@ -97,6 +97,12 @@
 	world->stalled[a][b] = world->now + for_how_long;
 }
 
+void world_unlink(world_t *world, int a, int b, usec_t for_how_long)
+{
+	world_say(world, "-- unlinked %d from %d for %.0f ms", a, b, (double)for_how_long / 1000.0);
+	world->unlinked[a][b] = world->now + for_how_long;
+}
+
 void world_lose_answers(world_t *world, int count)
 {
 	world->lose_answers = count;
--- a/tests/world_parts.h
+++ b/tests/world_parts.h
@@ -70,7 +70,8 @@
 	usec_t frozen[WORLD_NODES]; /* until */
 	bool cut[WORLD_NODES][WORLD_NODES];
 	usec_t stalled[WORLD_NODES][WORLD_NODES]; /* messages sent meanwhile arrive then */
-	GHashTable *conns;			  /* "proxy:id" */
+	usec_t unlinked[WORLD_NODES][WORLD_NODES];
+	GHashTable *conns; /* "proxy:id" */
 	GHashTable *told;
 	GHashTable *callers; /* "proxy:caller" to name */
 	GHashTable *edits;
