--- a/tests/session.c
+++ b/tests/session.c
@@ -43,6 +43,12 @@
 	return found;
 }
 
+/* A transaction that did not begin has no handle: its statements are refused, not malformed. */
+static const char *handle_of(const told_t *tx)
+{
+	return tx->tx != NULL ? tx->tx : "nobody:0:0";
+}
+
 /* words: VERB NAME PROXY [CLASS] [KEY] [VALUE] options; what stands where depends on the verb. */
 static void ask(play_t *play, verb_t verb, char **words, int class_at, int key_at, int value_at)
 {
@@ -59,7 +65,7 @@
 		.value = value_at > 0 ? words[value_at] : NULL,
 		.request_id = option(words, "id"),
 		.token = session != NULL ? session->token : forged,
-		.tx = tx != NULL ? tx->tx : NULL,
+		.tx = tx != NULL ? handle_of(tx) : NULL,
 		.repeatable = flag(words, "repeatable"),
 		.resend = flag(words, "resend"),
 		.continued = flag(words, "continued"),
