Outlier detection: failed reads run elsewhere, failing primaries are replaced

Cause: a member that answers its health check and fails its statements stayed in use, as the quickest of all; a primary that did so failed writes for as long as it lasted, and clients may not ask again after FAILED.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -21,6 +21,8 @@
 #define FULL_FOR (1 * USEC_PER_SEC)
 /* The same for a connection inside our share. */
 #define FULL_RETRY (60 * USEC_PER_MSEC)
+/* Connections that break within this time have one cause: the way of the resets differs by ms. */
+#define SAME_LOSS (50 * USEC_PER_MSEC)
 /* Names prepared on one connection before it is reset. */
 #define PREPARED_MAX 256
 
@@ -49,6 +51,30 @@
 	env->ops->member_send(env, conn->link, requests, count);
 }
 
+/* The statement that is at the member did not go well there. */
+static void note_failure(conn_t *conn, evidence_t evidence)
+{
+	if (conn->caller != NULL)
+		conn->caller->failed_at = conn->member;
+	member_note(conn->member, evidence);
+}
+
+/*
+ * A link or a process that ends breaks many connections at once. Counted one by one they look like
+ * a member that fails whatever it is sent, and all homes would see a primary as failing.
+ */
+static void note_loss(conn_t *conn)
+{
+	member_t *member = conn->member;
+	usec_t now = now_of(member->pooler);
+
+	conn->caller->failed_at = member;
+	if (now < member->lost_at + SAME_LOSS)
+		return;
+	member->lost_at = now;
+	member_note(member, EVIDENCE_FAILED);
+}
+
 /* --- open and close --- */
 
 conn_t *conn_open(member_t *member, bool probe)
@@ -109,12 +135,7 @@
 	env->ops->member_close(env, conn->link);
 	if (failed_probe) {
 		member->open_after = now_of(member->pooler) + PROBE_INTERVAL;
-		if (!member->down) {
-			member->down = true;
-			LOG_EVENT(LOG_WARN, "member is down",
-				  LOG_STR("service", member->service->name),
-				  LOG_STR("member", member->id), LOG_STR("reason", reason));
-		}
+		member_found_down(member, reason);
 	}
 	end(conn, reason);
 }
@@ -171,14 +192,12 @@
 		on_refused(conn, code);
 	} else if (conn->probe) {
 		member->open_after = now_of(pooler) + PROBE_INTERVAL;
-		if (!member->down)
-			LOG_EVENT(LOG_WARN, "member is down",
-				  LOG_STR("service", member->service->name),
-				  LOG_STR("member", member->id), LOG_STR("reason", reason));
-		member->down = true;
+		member_found_down(member, reason);
 	} else {
 		member->open_after = now_of(pooler) + (opening ? REOPEN_AFTER : 0) +
 				     pooler_random(pooler, 20000);
+		if (conn->state == CONN_RUNNING)
+			note_loss(conn);
 		end(conn, reason);
 		member_suspect(member, reason);
 		return;
@@ -376,6 +395,8 @@
 		send_statement(conn);
 		return;
 	}
+	if (conn->setup_code == CODE_BUSY)
+		note_failure(conn, EVIDENCE_REFUSED);
 	/* Only BEGIN can be refused without leaving the connection in an unknown state. */
 	conn->caller = NULL;
 	if (kind == REQUEST_BEGIN || kind == REQUEST_BEGIN_READ)
@@ -443,6 +464,43 @@
 	conn_release(conn);
 }
 
+/* What the reply to a statement tells of the member; a refusal by position or role is no fault. */
+static void note_outcome(conn_t *conn, const reply_t *reply)
+{
+	if (reply->ok && reply->is_signed)
+		member_note(conn->member, EVIDENCE_GOOD);
+	else if (reply->ok || reply->code == CODE_FAILED || reply->code == CODE_TIMEOUT)
+		note_failure(conn, EVIDENCE_FAILED);
+	else if (reply->code == CODE_BUSY)
+		note_failure(conn, EVIDENCE_REFUSED);
+}
+
+/*
+ * Callers see a read fail that any other member would serve. It changes nothing, so it is run
+ * once more, at most twice, elsewhere if it may; a failure that is its own repeats itself.
+ */
+static bool read_again(conn_t *conn, const reply_t *reply)
+{
+	if (reply->ok || reply->code != CODE_FAILED || !caller_try_elsewhere(conn->caller))
+		return false;
+	conn_release(conn);
+	return true;
+}
+
+/* The reply to the caller's statement itself. */
+static void on_statement_reply(conn_t *conn, const reply_t *reply, usec_t now)
+{
+	/* A refusal is quick and says nothing of how long work takes. */
+	if (reply->ok)
+		member_measure(conn->member, now - conn->sent_at);
+	else if (reply->code == CODE_LAGGING)
+		conn->member->lagged_at = now;
+	conn->in_tx = reply->tx != TX_NONE;
+	note_outcome(conn, reply);
+	if (!read_again(conn, reply))
+		caller_on_reply(conn->caller, conn, reply);
+}
+
 void conn_on_reply(conn_t *conn, const reply_t *reply, const member_status_t *status)
 {
 	usec_t now = now_of(conn->member->pooler);
@@ -468,13 +526,7 @@
 			on_name_reply(conn, reply);
 			return;
 		}
-		/* A refusal is quick and says nothing of how long work takes. */
-		if (reply->ok)
-			member_measure(conn->member, now - conn->sent_at);
-		else if (reply->code == CODE_LAGGING)
-			conn->member->lagged_at = now;
-		conn->in_tx = reply->tx != TX_NONE;
-		caller_on_reply(conn->caller, conn, reply);
+		on_statement_reply(conn, reply, now);
 		break;
 	case CONN_CLEANING:
 	case CONN_ORPHANED:
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -16,6 +16,13 @@
 #define OTHER_ZONE (3 * USEC_PER_MSEC)
 /* The primary has the writes to serve, which nobody else can. */
 #define IS_PRIMARY (8 * USEC_PER_MSEC)
+/* A member that failed this read a moment ago, or gets no reads, serves it if nobody else can. */
+#define LAST_CHOICE (1 * USEC_PER_SEC)
+/*
+ * Who has waited for this part of its objective for members that are well is given to one that
+ * fails statements: it may be served there, and nowhere else in time.
+ */
+#define WAIT_FOR_WELL(objective) ((objective) / 4)
 /* A connection that must first be made takes 12 ms of a slot. */
 #define NO_CONNECTION (15 * USEC_PER_MSEC)
 /* A wait that justifies a connection beyond our share: the time that one takes to make. */
@@ -92,9 +99,23 @@
 		cost += IS_PRIMARY;
 	if (conn_idle(member, caller) == NULL)
 		cost += NO_CONNECTION;
+	if (!outlier_takes(&member->outlier, member_load(member), now_of(caller->pooler)) ||
+	    (caller->attempts != 0 && caller->failed_at == member))
+		cost += LAST_CHOICE;
 	return cost;
 }
 
+/* True if the caller may be served by members that fail part of their statements. */
+static bool takes_any(const caller_t *caller, usec_t now)
+{
+	return now >= caller->received_at + WAIT_FOR_WELL(caller->objective);
+}
+
+static bool may_read_at(const member_t *member, const caller_t *caller, usec_t now)
+{
+	return outlier_takes(&member->outlier, member_load(member), now) || takes_any(caller, now);
+}
+
 /* True if the caller has waited long enough for a connection beyond our share. */
 static bool may_borrow(const caller_t *caller, usec_t now)
 {
@@ -146,7 +167,7 @@
 		if (member != primary && (!fresh || !replica_fits(member, &wanted, now)))
 			continue;
 		*open = *open || member_is_usable(member);
-		if (!can_serve(member, caller, now))
+		if (!may_read_at(member, caller, now) || !can_serve(member, caller, now))
 			continue;
 		cost = cost_of(member, caller, member == primary);
 		if (cost < best_cost) {
@@ -322,6 +343,9 @@
 			*next = caller->not_before;
 		if (!may_borrow(caller, now) && caller->received_at + BORROW_AFTER < *next)
 			*next = caller->received_at + BORROW_AFTER;
+		if (caller->want == WANT_ANY && !takes_any(caller, now) &&
+		    caller->received_at + WAIT_FOR_WELL(caller->objective) < *next)
+			*next = caller->received_at + WAIT_FOR_WELL(caller->objective);
 	}
 	return false;
 }
--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -30,6 +30,11 @@
 #define CALLS_MAX 2
 /* The first primary is installed without its term if it does not tell it by then. */
 #define FIRST_TERM_TIME (500 * USEC_PER_MSEC)
+/*
+ * After a primary was replaced since it failed statements, until another is for that reason. If the
+ * statements are at fault, callers are without writes for a second in thirty.
+ */
+#define FAILING_PAUSE (30 * USEC_PER_SEC)
 /* After a false alarm. */
 #define QUIET_AFTER_CANCEL (1 * USEC_PER_SEC)
 
@@ -159,11 +164,13 @@
 static void start_change(service_t *service, const char *reason, usec_t now)
 {
 	const member_t *primary = verdict_primary(service);
+	change_t *change = &service->change;
 
-	service->change.started = now;
-	service->change.planned = primary != NULL && !primary->down && !primary->gone;
+	change->started = now;
+	change->planned = primary != NULL && !primary->down && !primary->gone;
 	LOG_EVENT(LOG_WARN, "primary is to be replaced", LOG_STR("service", service->name),
 		  LOG_STR("reason", reason), LOG_STR("member", verdict_group(service)->primary));
+	change->failing = reason == verdict_failing;
 	set_step(service, CHANGE_MARKING, now);
 	store_group(service, verdict_group(service)->primary, true, verdict_group(service)->term);
 }
@@ -517,6 +524,8 @@
 		  LOG_STR("service", service->name), LOG_STR("member", group->primary),
 		  LOG_INT("took_ms", (int64_t)((now - change->started) / USEC_PER_MSEC)),
 		  LOG_INT("roster", service->pooler->sync.roster->revision));
+	if (change->failing && !change->kept)
+		service->failing_until = now + FAILING_PAUSE;
 	clear(service);
 	change->quiet_until = quiet;
 }
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -155,9 +155,10 @@
 	usec_t report_age;
 	const char *doubted; /* STATE: services whose primary does not answer the holder */
 	/* ASK: services by name, as lists joined by blanks. */
-	const char *down;   /* their primary does not answer the sender */
-	const char *alive;  /* their primary answered the sender of late */
-	const char *in_use; /* under change, and the sender still has work on the primary */
+	const char *down;    /* their primary does not answer the sender */
+	const char *alive;   /* their primary answered the sender of late */
+	const char *failing; /* their primary fails a good part of the sender's statements */
+	const char *in_use;  /* under change, and the sender still has work on the primary */
 	const forward_request_t *request;
 	const forward_result_t *result;
 	const store_request_t *store;
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -54,6 +54,7 @@
 {
 	char *down = talloc_strdup(parent, "");
 	char *alive = talloc_strdup(parent, "");
+	char *failing = talloc_strdup(parent, "");
 	char *in_use = talloc_strdup(parent, "");
 
 	list_for_each (it, &pooler->services) {
@@ -66,11 +67,14 @@
 			down = add_word(down, service->name);
 		else if (primary != NULL && primary->last_reply + ALIVE_WITHIN > now)
 			alive = add_word(alive, service->name);
+		if (primary != NULL && outlier_is_failing(&primary->outlier, now))
+			failing = add_word(failing, service->name);
 		if (group != NULL && group->changing && permit_in_use(service))
 			in_use = add_word(in_use, service->name);
 	}
 	message->down = down;
 	message->alive = alive;
+	message->failing = failing;
 	message->in_use = in_use;
 	message->fleet = (int64_t)permit_listed(pooler);
 	message->members_digest = refresh_members_digest(pooler);
@@ -347,6 +351,7 @@
 			.fleet = report->fleet,
 			.down = report->down,
 			.alive = report->alive,
+			.failing = report->failing,
 			.in_use = report->in_use,
 			.report_age = now - report->asked_us_at,
 		};
@@ -405,8 +410,8 @@
 
 	exchange_fill(pooler, &message);
 	describe(pooler, now, &message, parent);
-	told = talloc_asprintf(parent, "%s/%s/%" PRId64, message.down, message.in_use,
-			       message.revision);
+	told = talloc_asprintf(parent, "%s/%s/%s/%" PRId64, message.down, message.failing,
+			       message.in_use, message.revision);
 	if (now >= sync->ask_next || sync->told == NULL || strcmp(told, sync->told) != 0) {
 		talloc_free(sync->told);
 		sync->told = talloc_steal(pooler, told);
@@ -476,6 +481,7 @@
 	report->revision = message->revision;
 	report->fleet = message->fleet;
 	news |= replace(report, &report->down, message->down);
+	news |= replace(report, &report->failing, message->failing);
 	news |= replace(report, &report->in_use, message->in_use);
 	replace(report, &report->alive, message->alive);
 	return news;
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -68,6 +68,7 @@
 	member->full_until = 0;
 	member->open_after = 0;
 	member->response = FIRST_RESPONSE;
+	member->outlier = (outlier_t){0};
 	member->survey_done = false;
 	member->status = (member_status_t){0};
 	if (verdict_primary(member->service) == member)
@@ -253,6 +254,8 @@
 		usec_t usual = member->response * OVERDUE_FACTOR + OVERDUE_FLOOR;
 
 		if (conn->state == CONN_ORPHANED && now >= conn->since + ORPHAN_TIME) {
+			if (now >= conn->sent_at + usual + ORPHAN_TIME)
+				member_note(member, EVIDENCE_FAILED);
 			conn_close(conn, "no answer to what nobody waits for");
 			return;
 		}
@@ -270,8 +273,10 @@
 		return;
 	if (now >= oldest->sent_at + MEMBER_SILENCE && now >= member->last_reply + MEMBER_SILENCE)
 		member_suspect(member, "silent");
-	if (now >= oldest->sent_at + CONN_SILENCE)
+	if (now >= oldest->sent_at + CONN_SILENCE) {
+		member_note(member, EVIDENCE_FAILED);
 		conn_close(oldest, "no reply");
+	}
 }
 
 static void check_probe(member_t *member, usec_t now)
@@ -332,6 +337,77 @@
 	member->response = (member->response * (RESPONSE_WEIGHT - 1) + took) / RESPONSE_WEIGHT;
 }
 
+/* True if one member more may be without reads: half of them carry what is left. */
+static bool can_do_without(const service_t *service)
+{
+	size_t usable = 0;
+	size_t out = 1;
+
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		usable += member_is_usable(member);
+		out += member_is_usable(member) && member->outlier.out;
+	}
+	return out * 2 <= usable;
+}
+
+static void count_others(const member_t *self, usec_t now, tally_t *others)
+{
+	list_for_each (it, &self->service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (member != self)
+			outlier_count(&member->outlier, now, others);
+	}
+}
+
+/* No reads for a while, unless too few members would be left for them. */
+static void take_out(member_t *member, usec_t now)
+{
+	tally_t tally = {0};
+
+	if (member->outlier.out || !can_do_without(member->service))
+		return;
+	outlier_count(&member->outlier, now, &tally);
+	outlier_take_out(&member->outlier, now);
+	LOG_EVENT(LOG_WARN, "member gets no reads", LOG_STR("service", member->service->name),
+		  LOG_STR("member", member->id), LOG_INT("failed", (int64_t)tally.failed),
+		  LOG_INT("refused", (int64_t)tally.refused),
+		  LOG_INT("statements", (int64_t)tally.total),
+		  LOG_INT("for_ms", (int64_t)(member->outlier.out_for / USEC_PER_MSEC)));
+}
+
+void member_found_down(member_t *member, const char *reason)
+{
+	if (member->down)
+		return;
+	LOG_EVENT(LOG_WARN, "member is down", LOG_STR("service", member->service->name),
+		  LOG_STR("member", member->id), LOG_STR("reason", reason));
+	member->down = true;
+}
+
+void member_note(member_t *member, evidence_t evidence)
+{
+	usec_t now = now_of(member->pooler);
+	bool was_out = member->outlier.out;
+	tally_t others = {0};
+
+	outlier_note(&member->outlier, evidence, now);
+	if (was_out) {
+		if (!member->outlier.out)
+			LOG_EVENT(LOG_INFO, "member gets reads again",
+				  LOG_STR("service", member->service->name),
+				  LOG_STR("member", member->id));
+		return;
+	}
+	if (evidence == EVIDENCE_GOOD)
+		return;
+	count_others(member, now, &others);
+	if (outlier_is_worse(&member->outlier, &others, now))
+		take_out(member, now);
+}
+
 /*
  * What waits at a member is served in the order in which it came there, late or not, and is in
  * doubt if its time runs out; what waits here can be put behind others and be refused with a
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -34,6 +34,9 @@
 /* A reply came: the member lives. */
 void member_heard(member_t *member);
 
+/* It does not answer what it was asked. */
+void member_found_down(member_t *member, const char *reason);
+
 /* A connection failed or broke: ask again before believing it. */
 void member_suspect(member_t *member, const char *reason);
 
@@ -64,5 +67,8 @@
 /* Work in progress over all connections. */
 size_t member_load(const member_t *member);
 
+/* A statement sent to the member has ended so. */
+void member_note(member_t *member, evidence_t evidence);
+
 /* Usable for new work. */
 bool member_is_usable(const member_t *member);
--- /dev/null
+++ b/pooler/outlier.h
@@ -0,0 +1,67 @@
+/*
+ * Outlier detection: a member that answers its health check and fails part of its statements.
+ *
+ * Its last statements are the evidence. A member that fails a good part of them, and far more
+ * than the other members of its service, serves no reads for a while, then a few one by one, and
+ * all again once those go well. Statements that fail at every member alike prove nothing against
+ * one of them.
+ *
+ * A primary has no substitute: its writes go on, and whether it must be replaced is for verdict.h,
+ * by what several proxies see.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "clock.h"
+
+/*
+ * Statements that are remembered: enough to tell a quarter of failures from a single one, few
+ * enough that a proxy which sends a member eight a second has them within two seconds.
+ */
+#define OUTLIER_WINDOW 16
+
+typedef enum {
+	EVIDENCE_GOOD,
+	EVIDENCE_REFUSED, /* it did not run the statement, and may for a good reason */
+	EVIDENCE_FAILED,  /* ran badly, broken off or never answered */
+} evidence_t;
+
+typedef struct outlier {
+	struct {
+		usec_t at; /* 0: none */
+		evidence_t evidence;
+	} last[OUTLIER_WINDOW];
+	size_t next;
+	bool out;
+	usec_t out_until; /* then it is tried */
+	usec_t out_for;
+	unsigned trials;      /* that must still go well */
+	usec_t failing_until; /* it is believed to fail until then */
+} outlier_t;
+
+/* Outcomes of late, by kind. */
+typedef struct tally {
+	size_t total;
+	size_t refused;
+	size_t failed;
+} tally_t;
+
+/* A statement has ended so. */
+void outlier_note(outlier_t *outlier, evidence_t evidence, usec_t now);
+
+/* Add what is remembered of it. */
+void outlier_count(const outlier_t *outlier, usec_t now, tally_t *tally);
+
+/* True if it fails a good part of its statements, and far more than the others together. */
+bool outlier_is_worse(const outlier_t *outlier, const tally_t *others, usec_t now);
+
+/* No reads for a while; longer each time that follows soon after another. */
+void outlier_take_out(outlier_t *outlier, usec_t now);
+
+/* True if it may be given a read; load: statements that are at it now. */
+bool outlier_takes(const outlier_t *outlier, size_t load, usec_t now);
+
+/* True if it fails so much that a primary is better replaced. */
+bool outlier_is_failing(const outlier_t *outlier, usec_t now);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -4,6 +4,7 @@
 #include "follow.h"
 #include "freshness.h"
 #include "outbox.h"
+#include "outlier.h"
 #include "pooler.h"
 #include "prepared.h"
 #include "reason.h"
@@ -84,6 +85,8 @@
 	position_t applied; /* of its log, by its last reply */
 	usec_t applied_at;  /* when that came */
 	usec_t lagged_at;   /* when it last lacked a position */
+	outlier_t outlier;
+	usec_t lost_at; /* when a connection last broke under a statement */
 	/* Survey by the holder of the duty. */
 	bool survey_done;
 	usec_t checked_at; /* though nobody used it */
@@ -148,8 +151,9 @@
 	bool has_after;
 	position_t after;
 	unsigned attempts;
-	usec_t not_before; /* of the next attempt */
-	prepared_t *exec;  /* of an EXEC */
+	const struct member *failed_at; /* of the last attempt; for comparison only */
+	usec_t not_before;		/* of the next attempt */
+	prepared_t *exec;		/* of an EXEC */
 	/* While another proxy runs the statement. */
 	list_t forwarded;	 /* in pooler_t.forwarded */
 	uint64_t forward_number; /* 0: it is not */
@@ -192,6 +196,7 @@
 	unsigned calls;
 	usec_t quiet_until; /* after a change that came to nothing */
 	bool kept;	    /* the primary was kept */
+	bool failing;	    /* it began since the primary fails statements */
 } change_t;
 
 /* Candidates kept for each service: two in our zone, and the homes of two others. */
@@ -234,6 +239,7 @@
 	usec_t served_others; /* when a statement of another proxy last came; 0: never */
 	bool taken_up;	      /* the change under way was begun by another proxy */
 	usec_t last_call;     /* to promote, by this process; 0: none */
+	usec_t failing_until; /* a primary that fails statements is kept until then */
 } service_t;
 
 /* --- the fleet --- */
@@ -248,6 +254,7 @@
 	int64_t fleet;	  /* proxies on it for PERMIT_TOGETHER, as that proxy knows */
 	char *down;
 	char *alive;
+	char *failing;
 	char *in_use;
 	bool cut_off;		 /* the store does not serve it, as it said */
 	usec_t access_at;	 /* when it said so, or the contrary; 0: never */
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -31,9 +31,13 @@
 /* A doubt that the holder told counts for so long: two of the answers that bring it. */
 #define DOUBT_VALID (600 * USEC_PER_MSEC)
 
+const char *const verdict_failing = "primary fails statements";
+
 typedef struct votes {
 	size_t down;
 	size_t alive;
+	size_t failing; /* it answers, and fails a good part of the statements */
+	size_t well;	/* alive, and does not */
 } votes_t;
 
 /*
@@ -64,16 +68,23 @@
 		votes.down++;
 	else if (primary->last_reply + ALIVE_WITHIN > now)
 		votes.alive++;
+	votes.failing = outlier_is_failing(&primary->outlier, now);
+	votes.well = votes.alive > votes.failing;
 	list_for_each (it, &pooler->sync.reports) {
 		const peer_report_t *report = list_entry(it, peer_report_t, node);
+		bool failing = exchange_lists(report->failing, service->name);
+		bool alive = exchange_lists(report->alive, service->name);
 
 		/* A proxy that did not know this primary yet spoke of the one before. */
 		if (report->heard_at + REPORT_VALID < now ||
 		    report->revision < service->settled_revision)
 			continue;
 		votes.down += exchange_lists(report->down, service->name);
-		if (report->heard_at + ALIVE_VALID > now)
-			votes.alive += exchange_lists(report->alive, service->name);
+		votes.failing += failing;
+		if (report->heard_at + ALIVE_VALID > now) {
+			votes.alive += alive;
+			votes.well += alive && !failing;
+		}
 	}
 	return votes;
 }
@@ -119,6 +130,21 @@
 	return votes.down * 2 > proxies || (primary->down && votes.down > votes.alive);
 }
 
+/*
+ * Callers are told that their writes failed, while the health check is good: more than half of
+ * the proxies that use the primary see it. A change costs them a second without writes, in which
+ * most only wait. One that followed from failing statements is not made again soon, since the
+ * next primary that fails them too shows that the statements are at fault.
+ */
+static bool is_failing(const service_t *service, votes_t votes, usec_t now)
+{
+	if (service->change.step == CHANGE_NONE && now < service->failing_until)
+		return false;
+	if (votes.failing < WITNESSES_LEAST && others_live(service->pooler))
+		return false;
+	return votes.failing > votes.well;
+}
+
 /*
  * Nobody has used the primary of late, or some proxies can't: ask it, so that its failure is
  * known before it is needed.
@@ -196,6 +222,8 @@
 	votes = count_votes(service, primary, now);
 	if (is_lost(service, primary, votes))
 		return "primary does not answer";
+	if (is_failing(service, votes, now))
+		return verdict_failing;
 	if (votes.alive == 0 || votes.down != 0)
 		check_unused(primary, now, votes.down != 0 ? DOUBTED_CHECK : UNUSED_CHECK);
 	return NULL;
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -470,6 +470,15 @@
 	(void)len;
 }
 
+static bool fails_now(fake_member_t *member)
+{
+	member->fail_sum += member->fail_percent;
+	if (member->fail_sum < 100)
+		return false;
+	member->fail_sum -= 100;
+	return true;
+}
+
 static void run_line(fake_session_t *session, char *text)
 {
 	fake_member_t *member = session->member;
@@ -490,6 +499,11 @@
 		fail(session, "BUSY");
 		return;
 	}
+	if (counts && fails_now(member)) {
+		record(session, id, body);
+		fail(session, "FAILED");
+		return;
+	}
 	if (counts && member->reset_answers != 0) {
 		member->reset_answers--;
 		session->reply = ignore_reply;
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -55,7 +55,9 @@
 	unsigned lose_answers;	/* of the next statements that it runs */
 	unsigned reset_answers; /* the same, and the connection breaks */
 	unsigned refuse_begins; /* so many BEGIN are answered with BUSY */
-	usec_t slow;		/* more work for each statement */
+	unsigned fail_percent;	/* of statements that are answered with FAILED, spread evenly */
+	unsigned fail_sum;
+	usec_t slow; /* more work for each statement */
 	usec_t demote_at;
 } fake_member_t;
 
