--- a/pooler/outlier.c
+++ b/pooler/outlier.c
@@ -11,6 +11,13 @@
  * and replacing a primary (about a second without writes) costs more than four seconds of that.
  */
 #define BAD_PERCENT 25
+/*
+ * A refused statement is tried again at once, and most callers do not see it: together with
+ * failures, refusals need twice as many and four in ten. A member's load is no cause of them,
+ * since proxies give it no more statements than keep its slots busy.
+ */
+#define REFUSED_LEAST	6
+#define REFUSED_PERCENT 40
 /* As bad as the others together so many times: less is the statements' own doing, or the load's. */
 #define WORSE_THAN_OTHERS 2
 /*
@@ -37,6 +44,15 @@
 	return bad >= BAD_LEAST && bad * 100 >= total * BAD_PERCENT;
 }
 
+/* True if a primary with these outcomes is better replaced. */
+static bool is_costly(const tally_t *tally)
+{
+	size_t bad = tally->failed + tally->refused;
+
+	return is_bad(tally->failed, tally->total) ||
+	       (bad >= REFUSED_LEAST && bad * 100 >= tally->total * REFUSED_PERCENT);
+}
+
 void outlier_count(const outlier_t *outlier, usec_t now, tally_t *tally)
 {
 	for (size_t i = 0; i < OUTLIER_WINDOW; i++) {
@@ -68,6 +84,11 @@
 	forget(outlier);
 }
 
+void outlier_believe_failing(outlier_t *outlier, usec_t now)
+{
+	outlier->failing_until = now + FAILING_HELD;
+}
+
 void outlier_note(outlier_t *outlier, evidence_t evidence, usec_t now)
 {
 	tally_t tally = {0};
@@ -76,8 +97,8 @@
 	outlier->last[outlier->next].evidence = evidence;
 	outlier->next = (outlier->next + 1) % OUTLIER_WINDOW;
 	outlier_count(outlier, now, &tally);
-	if (evidence == EVIDENCE_FAILED && is_bad(tally.failed, tally.total))
-		outlier->failing_until = now + FAILING_HELD;
+	if (evidence != EVIDENCE_GOOD && is_costly(&tally))
+		outlier_believe_failing(outlier, now);
 	/* What was sent before it was taken out is no trial. */
 	if (outlier->out && now >= outlier->out_until)
 		on_trial(outlier, evidence, now);
--- a/pooler/outlier.h
+++ b/pooler/outlier.h
@@ -51,6 +51,9 @@
 /* A statement has ended so. */
 void outlier_note(outlier_t *outlier, evidence_t evidence, usec_t now);
 
+/* It costs callers more than a change of primary would, for another reason than its outcomes. */
+void outlier_believe_failing(outlier_t *outlier, usec_t now);
+
 /* Add what is remembered of it. */
 void outlier_count(const outlier_t *outlier, usec_t now, tally_t *tally);
 
