--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -21,6 +21,8 @@
 #define FULL_FOR (1 * USEC_PER_SEC)
 /* The same for a connection inside our share. */
 #define FULL_RETRY (60 * USEC_PER_MSEC)
+/* Connections that break within this time have one cause: the way of the resets differs by ms. */
+#define SAME_LOSS (50 * USEC_PER_MSEC)
 /* Names prepared on one connection before it is reset. */
 #define PREPARED_MAX 256
 
@@ -30,6 +32,8 @@
 	       "Connections that a member refused for its limit.");
 COUNTER_DEFINE(setups_total, "member_setups_total", COUNTER_SUM,
 	       "Statements that needed a round trip before they could be sent.");
+COUNTER_DEFINE(reclaimed_total, "transactions_reclaimed_total", COUNTER_SUM,
+	       "Transactions that were ended since others waited for their connection.");
 COUNTER_DEFINE(resets_total, "member_resets_total", COUNTER_SUM,
 	       "Connections reset to serve a caller with other values.");
 
@@ -47,6 +51,30 @@
 	env->ops->member_send(env, conn->link, requests, count);
 }
 
+/* The statement that is at the member did not go well there. */
+static void note_failure(conn_t *conn, evidence_t evidence)
+{
+	if (conn->caller != NULL)
+		conn->caller->failed_at = conn->member;
+	member_note(conn->member, evidence);
+}
+
+/*
+ * A link or a process that ends breaks many connections at once. Counted one by one they look like
+ * a member that fails whatever it is sent, and all homes would see a primary as failing.
+ */
+static void note_loss(conn_t *conn)
+{
+	member_t *member = conn->member;
+	usec_t now = now_of(member->pooler);
+
+	conn->caller->failed_at = member;
+	if (now < member->lost_at + SAME_LOSS)
+		return;
+	member->lost_at = now;
+	member_note(member, EVIDENCE_FAILED);
+}
+
 /* --- open and close --- */
 
 conn_t *conn_open(member_t *member, bool probe)
@@ -107,12 +135,7 @@
 	env->ops->member_close(env, conn->link);
 	if (failed_probe) {
 		member->open_after = now_of(member->pooler) + PROBE_INTERVAL;
-		if (!member->down) {
-			member->down = true;
-			LOG_EVENT(LOG_WARN, "member is down",
-				  LOG_STR("service", member->service->name),
-				  LOG_STR("member", member->id), LOG_STR("reason", reason));
-		}
+		member_found_down(member, reason);
 	}
 	end(conn, reason);
 }
@@ -169,14 +192,12 @@
 		on_refused(conn, code);
 	} else if (conn->probe) {
 		member->open_after = now_of(pooler) + PROBE_INTERVAL;
-		if (!member->down)
-			LOG_EVENT(LOG_WARN, "member is down",
-				  LOG_STR("service", member->service->name),
-				  LOG_STR("member", member->id), LOG_STR("reason", reason));
-		member->down = true;
+		member_found_down(member, reason);
 	} else {
 		member->open_after = now_of(pooler) + (opening ? REOPEN_AFTER : 0) +
 				     pooler_random(pooler, 20000);
+		if (conn->state == CONN_RUNNING)
+			note_loss(conn);
 		end(conn, reason);
 		member_suspect(member, reason);
 		return;
@@ -375,6 +396,8 @@
 		send_statement(conn);
 		return;
 	}
+	if (conn->setup_code == CODE_BUSY)
+		note_failure(conn, EVIDENCE_REFUSED);
 	/* Only BEGIN can be refused without leaving the connection in an unknown state. */
 	conn->caller = NULL;
 	code = conn->setup_code;
@@ -443,6 +466,43 @@
 	conn_release(conn);
 }
 
+/* What the reply to a statement tells of the member; a refusal by position or role is no fault. */
+static void note_outcome(conn_t *conn, const reply_t *reply)
+{
+	if (reply->ok && reply->is_signed)
+		member_note(conn->member, EVIDENCE_GOOD);
+	else if (reply->ok || reply->code == CODE_FAILED || reply->code == CODE_TIMEOUT)
+		note_failure(conn, EVIDENCE_FAILED);
+	else if (reply->code == CODE_BUSY)
+		note_failure(conn, EVIDENCE_REFUSED);
+}
+
+/*
+ * Callers see a read fail that any other member would serve. It changes nothing, so it is run
+ * once more, at most twice, elsewhere if it may; a failure that is its own repeats itself.
+ */
+static bool read_again(conn_t *conn, const reply_t *reply)
+{
+	if (reply->ok || reply->code != CODE_FAILED || !caller_try_elsewhere(conn->caller))
+		return false;
+	conn_release(conn);
+	return true;
+}
+
+/* The reply to the caller's statement itself. */
+static void on_statement_reply(conn_t *conn, const reply_t *reply, usec_t now)
+{
+	/* A refusal is quick and says nothing of how long work takes. */
+	if (reply->ok)
+		member_measure(conn->member, now - conn->sent_at);
+	else if (reply->code == CODE_LAGGING)
+		conn->member->lagged_at = now;
+	conn->in_tx = reply->tx != TX_NONE;
+	note_outcome(conn, reply);
+	if (!read_again(conn, reply))
+		caller_on_reply(conn->caller, conn, reply);
+}
+
 void conn_on_reply(conn_t *conn, const reply_t *reply, const member_status_t *status)
 {
 	usec_t now = now_of(conn->member->pooler);
@@ -468,13 +528,7 @@
 			on_name_reply(conn, reply);
 			return;
 		}
-		/* A refusal is quick and says nothing of how long work takes. */
-		if (reply->ok)
-			member_measure(conn->member, now - conn->sent_at);
-		else if (reply->code == CODE_LAGGING)
-			conn->member->lagged_at = now;
-		conn->in_tx = reply->tx != TX_NONE;
-		caller_on_reply(conn->caller, conn, reply);
+		on_statement_reply(conn, reply, now);
 		break;
 	case CONN_CLEANING:
 	case CONN_ORPHANED:
@@ -507,6 +561,20 @@
 		dispatch_run(conn->member->service);
 }
 
+void conn_reclaim(conn_t *conn, const char *reason)
+{
+	caller_t *caller = conn->caller;
+
+	LOG_EVENT(LOG_INFO, "transaction ended", LOG_STR("member", conn->member->id),
+		  LOG_STR("reason", reason), LOG_STR("database", caller->database),
+		  LOG_INT("idle_ms",
+			  (int64_t)((now_of(conn->member->pooler) - conn->since) / USEC_PER_MSEC)));
+	counter_add(&reclaimed_total, 1);
+	conn->caller = NULL;
+	caller_on_conn_lost(caller, false, reason);
+	conn_release(conn);
+}
+
 void conn_orphan(conn_t *conn)
 {
 	conn->caller->conn = NULL;
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -16,10 +16,24 @@
 #define OTHER_ZONE (3 * USEC_PER_MSEC)
 /* The primary has the writes to serve, which nobody else can. */
 #define IS_PRIMARY (8 * USEC_PER_MSEC)
+/* A member that failed this read a moment ago, or gets no reads, serves it if nobody else can. */
+#define LAST_CHOICE (1 * USEC_PER_SEC)
+/*
+ * Who has waited for this part of its objective for members that are well is given to one that
+ * fails statements: it may be served there, and nowhere else in time.
+ */
+#define WAIT_FOR_WELL(objective) ((objective) / 4)
 /* A connection that must first be made takes 12 ms of a slot. */
 #define NO_CONNECTION (15 * USEC_PER_MSEC)
 /* A wait that justifies a connection beyond our share: the time that one takes to make. */
 #define BORROW_AFTER (15 * USEC_PER_MSEC)
+/*
+ * A transaction without a statement for so long rests, and gives way to whoever waits for its
+ * connection. Ten times the pauses of the users' applications inside transactions (7 to 10 ms), and
+ * short enough that who waits is still served within the strictest objectives (100 to 150 ms), or
+ * soon after.
+ */
+#define RESTS_AFTER (100 * USEC_PER_MSEC)
 /* From a caller to us and back, on the users' sites, with some room. */
 #define CALLER_WAYS (10 * USEC_PER_MSEC)
 /* After a replica lacked a position, how long its lag is believed to be what it was. */
@@ -85,9 +99,23 @@
 		cost += IS_PRIMARY;
 	if (conn_idle(member, caller) == NULL)
 		cost += NO_CONNECTION;
+	if (!outlier_takes(&member->outlier, member_load(member), now_of(caller->pooler)) ||
+	    (caller->attempts != 0 && caller->failed_at == member))
+		cost += LAST_CHOICE;
 	return cost;
 }
 
+/* True if the caller may be served by members that fail part of their statements. */
+static bool takes_any(const caller_t *caller, usec_t now)
+{
+	return now >= caller->received_at + WAIT_FOR_WELL(caller->objective);
+}
+
+static bool may_read_at(const member_t *member, const caller_t *caller, usec_t now)
+{
+	return outlier_takes(&member->outlier, member_load(member), now) || takes_any(caller, now);
+}
+
 /* True if the caller has waited long enough for a connection beyond our share. */
 static bool may_borrow(const caller_t *caller, usec_t now)
 {
@@ -139,7 +167,7 @@
 		if (member != primary && (!fresh || !replica_fits(member, &wanted, now)))
 			continue;
 		*open = *open || member_is_usable(member);
-		if (!can_serve(member, caller, now))
+		if (!may_read_at(member, caller, now) || !can_serve(member, caller, now))
 			continue;
 		cost = cost_of(member, caller, member == primary);
 		if (cost < best_cost) {
@@ -315,6 +343,9 @@
 			*next = caller->not_before;
 		if (!may_borrow(caller, now) && caller->received_at + BORROW_AFTER < *next)
 			*next = caller->received_at + BORROW_AFTER;
+		if (caller->want == WANT_ANY && !takes_any(caller, now) &&
+		    caller->received_at + WAIT_FOR_WELL(caller->objective) < *next)
+			*next = caller->received_at + WAIT_FOR_WELL(caller->objective);
 	}
 	return false;
 }
@@ -388,8 +419,62 @@
 	caller_refuse(caller, CODE_BUSY, REASON_NO_MEMBER, back);
 }
 
+/* --- transactions that rest --- */
+
+/* True if nothing but a connection to the member is missing. */
+static bool lacks_connection(const member_t *member, const caller_t *caller, usec_t now)
+{
+	return member_has_room(member) && conn_idle(member, caller) == NULL &&
+	       !can_open(member, caller, now);
+}
+
+/* The connection that has rested longest where the waiting caller may be served, or NULL. */
+static conn_t *find_resting(const caller_t *caller, usec_t now)
+{
+	const member_t *primary = permit_primary(caller->service, now);
+	conn_t *longest = NULL;
+
+	list_for_each (it, &caller->service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+		conn_t *conn = member_longest_held(member);
+
+		if (conn == NULL || now < conn->since + RESTS_AFTER ||
+		    (caller->want == WANT_PRIMARY && member != primary) ||
+		    !lacks_connection(member, caller, now))
+			continue;
+		if (longest == NULL || conn->since < longest->since)
+			longest = conn;
+	}
+	return longest;
+}
+
+/*
+ * Clients that begin, write and rest hold all connections that this proxy has to the primary, and
+ * its other callers wait for the limit of idle transactions: of two connections, held for 3 s, 0 of
+ * 50 reads were served in time; with this all 50 (test_pooler_load). One at a time is enough, since
+ * it serves many statements, and who rests is told that nothing is kept.
+ */
+static void end_resting(service_t *service, usec_t now)
+{
+	list_for_each (it, &service->waiting) {
+		const caller_t *caller = list_entry(it, caller_t, waiting);
+		conn_t *conn;
+
+		if (!may_borrow(caller, now))
+			continue;
+		conn = find_resting(caller, now);
+		if (conn != NULL) {
+			conn_reclaim(conn, "transaction rests while others wait");
+			return;
+		}
+	}
+}
+
 void dispatch_check(service_t *service, usec_t now)
 {
+	/* A process that was paused has not read what its callers have sent since. */
+	if (now != service->pooler->awake_since)
+		end_resting(service, now);
 	list_for_each_safe (it, &service->waiting)
 		refuse_hopeless(list_entry(it, caller_t, waiting), now);
 }
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -66,7 +66,8 @@
 typedef struct sight {
 	bool down;
 	bool alive;
-	bool in_use; /* though it is about to change */
+	bool failing; /* it answers, and fails a good part of the statements */
+	bool in_use;  /* though it is about to change */
 } sight_t;
 
 static sight_t look_at(const service_t *service, usec_t now)
@@ -79,6 +80,7 @@
 		.down = primary != NULL && primary->down,
 		.alive = primary != NULL && !primary->down &&
 			 primary->last_reply + ALIVE_WITHIN > now,
+		.failing = primary != NULL && outlier_is_failing(&primary->outlier, now),
 		.in_use = group != NULL && group->changing && permit_in_use(service),
 	};
 }
@@ -96,9 +98,10 @@
 		const service_t *service = list_entry(it, service_t, node);
 		sight_t sight = look_at(service, now);
 
-		if (sight.down || sight.in_use)
+		if (sight.down || sight.failing || sight.in_use)
 			digest ^= XXH64(service->name, strlen(service->name),
-					(uint64_t)sight.down << 1 | sight.in_use);
+					(uint64_t)sight.down << 2 | (uint64_t)sight.failing << 1 |
+						sight.in_use);
 	}
 	return digest;
 }
@@ -108,6 +111,7 @@
 {
 	char *down = talloc_strdup(parent, "");
 	char *alive = talloc_strdup(parent, "");
+	char *failing = talloc_strdup(parent, "");
 	char *in_use = talloc_strdup(parent, "");
 
 	list_for_each (it, &pooler->services) {
@@ -118,11 +122,14 @@
 			down = add_word(down, service->name);
 		if (sight.alive)
 			alive = add_word(alive, service->name);
+		if (sight.failing)
+			failing = add_word(failing, service->name);
 		if (sight.in_use)
 			in_use = add_word(in_use, service->name);
 	}
 	message->down = down;
 	message->alive = alive;
+	message->failing = failing;
 	message->in_use = in_use;
 	message->fleet = (int64_t)permit_listed(pooler);
 	message->members_digest = refresh_members_digest(pooler);
@@ -400,6 +407,7 @@
 			.fleet = report->fleet,
 			.down = report->down,
 			.alive = report->alive,
+			.failing = report->failing,
 			.in_use = report->in_use,
 			.report_age = now - report->asked_us_at,
 		};
@@ -527,6 +535,7 @@
 	report->revision = message->revision;
 	report->fleet = message->fleet;
 	news |= replace(report, &report->down, message->down);
+	news |= replace(report, &report->failing, message->failing);
 	news |= replace(report, &report->in_use, message->in_use);
 	replace(report, &report->alive, message->alive);
 	return news;
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -17,6 +17,18 @@
 #define FIRST_RESPONSE (10 * USEC_PER_MSEC)
 /* Smoothing of response times: a fifth of each new one. */
 #define RESPONSE_WEIGHT 5
+/* Of the usual response: some minutes' statements of a small site. */
+#define USUAL_WEIGHT 256
+/*
+ * A primary that has turned slow: so many times as slow as the quickest of the others, and as
+ * itself before, and slower than callers bear (the strictest objectives are 100 to 150 ms, of
+ * several statements each). Four times and less a primary bears without a queue that grows, as its
+ * usual load on the users' sites is a quarter of what it can do; and where writes are always slower
+ * than reads, it is not slower than itself.
+ */
+#define SLOW_AS_OTHERS 6
+#define SLOW_AS_BEFORE 4
+#define SLOW_LEAST     (50 * USEC_PER_MSEC)
 /*
  * Statements at a member for each of its slots: one that runs, and one that is there when it ends.
  * While Welsh replicas stand still (./dev/measure pooler) in aim and in doubt: without a
@@ -68,6 +80,8 @@
 	member->full_until = 0;
 	member->open_after = 0;
 	member->response = FIRST_RESPONSE;
+	member->usual = FIRST_RESPONSE;
+	member->outlier = (outlier_t){0};
 	member->survey_done = false;
 	member->status = (member_status_t){0};
 	if (verdict_primary(member->service) == member)
@@ -133,6 +147,7 @@
 	member->address = talloc_strdup(member, entry->address);
 	member->zone = talloc_strdup(member, entry->zone);
 	member->response = FIRST_RESPONSE;
+	member->usual = FIRST_RESPONSE;
 	member->silent_since = USEC_NEVER;
 	member->leaving_since = NOT_LEAVING;
 	list_init(&member->conns);
@@ -228,6 +243,19 @@
 	return oldest;
 }
 
+conn_t *member_longest_held(const member_t *member)
+{
+	conn_t *longest = NULL;
+
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->state == CONN_HELD && (longest == NULL || conn->since < longest->since))
+			longest = conn;
+	}
+	return longest;
+}
+
 /*
  * Answers get lost: the member has run the statement, and nothing will come. A read is asked
  * once more elsewhere when it has taken far longer than usual. A connection that nobody waits
@@ -240,6 +268,8 @@
 		usec_t usual = member->response * OVERDUE_FACTOR + OVERDUE_FLOOR;
 
 		if (conn->state == CONN_ORPHANED && now >= conn->since + ORPHAN_TIME) {
+			if (now >= conn->sent_at + usual + ORPHAN_TIME)
+				member_note(member, EVIDENCE_FAILED);
 			conn_close(conn, "no answer to what nobody waits for");
 			return;
 		}
@@ -257,8 +287,10 @@
 		return;
 	if (now >= oldest->sent_at + MEMBER_SILENCE && now >= member->last_reply + MEMBER_SILENCE)
 		member_suspect(member, "silent");
-	if (now >= oldest->sent_at + CONN_SILENCE)
+	if (now >= oldest->sent_at + CONN_SILENCE) {
+		member_note(member, EVIDENCE_FAILED);
 		conn_close(oldest, "no reply");
+	}
 }
 
 static void check_probe(member_t *member, usec_t now)
@@ -314,9 +346,121 @@
 	return member->conn_count < most;
 }
 
+/* Response of the quickest of the other members measured since then, USEC_NEVER if none was. */
+static usec_t quickest_other(const member_t *self, usec_t since)
+{
+	usec_t quickest = USEC_NEVER;
+
+	list_for_each (it, &self->service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (member != self && member_is_usable(member) && member->measured_at > since &&
+		    member->response < quickest)
+			quickest = member->response;
+	}
+	return quickest;
+}
+
+/*
+ * Writes wait for a primary that has turned slow until they are late or refused, while its replicas
+ * would serve them: with one 21 times as slow a primary was kept for as long as that lasted
+ * (test_pooler_outlier).
+ */
+static bool has_turned_slow(member_t *member, usec_t now)
+{
+	usec_t quickest;
+
+	if (member->response < SLOW_LEAST || member->response < member->usual * SLOW_AS_BEFORE) {
+		member->slow_since = 0;
+		return false;
+	}
+	if (member->slow_since == 0)
+		member->slow_since = now;
+	/* Others may have turned slow as well, and not have answered since. */
+	quickest = quickest_other(member, member->slow_since);
+	return quickest != USEC_NEVER && member->response >= quickest * SLOW_AS_OTHERS;
+}
+
 void member_measure(member_t *member, usec_t took)
 {
+	usec_t now = now_of(member->pooler);
+
 	member->response = (member->response * (RESPONSE_WEIGHT - 1) + took) / RESPONSE_WEIGHT;
+	member->usual = (member->usual * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT;
+	member->measured_at = now;
+	if (has_turned_slow(member, now))
+		outlier_believe_failing(&member->outlier, now);
+}
+
+/* True if one member more may be without reads: half of them carry what is left. */
+static bool can_do_without(const service_t *service)
+{
+	size_t usable = 0;
+	size_t out = 1;
+
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		usable += member_is_usable(member);
+		out += member_is_usable(member) && member->outlier.out;
+	}
+	return out * 2 <= usable;
+}
+
+static void count_others(const member_t *self, usec_t now, tally_t *others)
+{
+	list_for_each (it, &self->service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (member != self)
+			outlier_count(&member->outlier, now, others);
+	}
+}
+
+/* No reads for a while, unless too few members would be left for them. */
+static void take_out(member_t *member, usec_t now)
+{
+	tally_t tally = {0};
+
+	if (member->outlier.out || !can_do_without(member->service))
+		return;
+	outlier_count(&member->outlier, now, &tally);
+	outlier_take_out(&member->outlier, now);
+	LOG_EVENT(LOG_WARN, "member gets no reads", LOG_STR("service", member->service->name),
+		  LOG_STR("member", member->id), LOG_INT("failed", (int64_t)tally.failed),
+		  LOG_INT("refused", (int64_t)tally.refused),
+		  LOG_INT("statements", (int64_t)tally.total),
+		  LOG_INT("for_ms", (int64_t)(member->outlier.out_for / USEC_PER_MSEC)));
+}
+
+void member_found_down(member_t *member, const char *reason)
+{
+	if (member->down)
+		return;
+	LOG_EVENT(LOG_WARN, "member is down", LOG_STR("service", member->service->name),
+		  LOG_STR("member", member->id), LOG_STR("reason", reason));
+	member->down = true;
+}
+
+void member_note(member_t *member, evidence_t evidence)
+{
+	usec_t now = now_of(member->pooler);
+	bool was_out = member->outlier.out;
+	tally_t others = {0};
+
+	outlier_note(&member->outlier, evidence, now);
+	if (was_out) {
+		if (!member->outlier.out)
+			LOG_EVENT(LOG_INFO, "member gets reads again",
+				  LOG_STR("service", member->service->name),
+				  LOG_STR("member", member->id));
+		return;
+	}
+	if (evidence == EVIDENCE_GOOD)
+		return;
+	count_others(member, now, &others);
+	if (outlier_is_worse(&member->outlier, &others, now))
+		take_out(member, now);
 }
 
 /*
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -34,6 +34,9 @@
 /* A reply came: the member lives. */
 void member_heard(member_t *member);
 
+/* It does not answer what it was asked. */
+void member_found_down(member_t *member, const char *reason);
+
 /* A connection failed or broke: ask again before believing it. */
 void member_suspect(member_t *member, const char *reason);
 
@@ -52,14 +55,20 @@
 /* The same over a connection at hand, if there is one: the member may be full. */
 void member_ask_status(member_t *member);
 
-/* Work in progress over all connections. */
+/* The connection that is in a transaction without a statement for longest, or NULL. */
+conn_t *member_longest_held(const member_t *member);
+
 /* A statement was answered after so long. */
 void member_measure(member_t *member, usec_t took);
 
 /* True if the member can be given one more statement now. */
 bool member_has_room(const member_t *member);
 
+/* Work in progress over all connections. */
 size_t member_load(const member_t *member);
 
+/* A statement sent to the member has ended so. */
+void member_note(member_t *member, evidence_t evidence);
+
 /* Usable for new work. */
 bool member_is_usable(const member_t *member);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -4,6 +4,7 @@
 #include "follow.h"
 #include "freshness.h"
 #include "outbox.h"
+#include "outlier.h"
 #include "pooler.h"
 #include "prepared.h"
 #include "reason.h"
@@ -82,9 +83,14 @@
 	conn_t *probe_conn;
 	/* Placement of reads. */
 	usec_t response;    /* smoothed time from sending a statement to its reply */
+	usec_t usual;	    /* the same over minutes */
+	usec_t measured_at; /* when that was last taken */
+	usec_t slow_since;  /* it has taken far longer than usual; 0: it does not */
 	position_t applied; /* of its log, by its last reply */
 	usec_t applied_at;  /* when that came */
 	usec_t lagged_at;   /* when it last lacked a position */
+	outlier_t outlier;
+	usec_t lost_at; /* when a connection last broke under a statement */
 	/* Survey by the holder of the duty. */
 	bool survey_done;
 	usec_t checked_at; /* though nobody used it */
@@ -149,8 +155,9 @@
 	bool has_after;
 	position_t after;
 	unsigned attempts;
-	usec_t not_before; /* of the next attempt */
-	prepared_t *exec;  /* of an EXEC */
+	const struct member *failed_at; /* of the last attempt; for comparison only */
+	usec_t not_before;		/* of the next attempt */
+	prepared_t *exec;		/* of an EXEC */
 	/* While another proxy runs the statement. */
 	list_t forwarded;	 /* in pooler_t.forwarded */
 	uint64_t forward_number; /* 0: it is not */
@@ -193,6 +200,7 @@
 	unsigned calls;
 	usec_t quiet_until; /* after a change that came to nothing */
 	bool kept;	    /* the primary was kept */
+	bool failing;	    /* it began since the primary fails statements */
 } change_t;
 
 /* Candidates kept for each service: two in our zone, and the homes of two others. */
@@ -211,6 +219,8 @@
 typedef struct votes {
 	size_t down;
 	size_t alive;
+	size_t failing; /* it answers, and fails a good part of the statements */
+	size_t well;	/* alive, and does not */
 } votes_t;
 
 typedef struct service {
@@ -243,6 +253,7 @@
 	usec_t served_others; /* when a statement of another proxy last came; 0: never */
 	bool taken_up;	      /* the change under way was begun by another proxy */
 	usec_t last_call;     /* to promote, by this process; 0: none */
+	usec_t failing_until; /* a primary that fails statements is kept until then */
 } service_t;
 
 /* --- the fleet --- */
@@ -257,6 +268,7 @@
 	int64_t fleet;	  /* proxies on it for PERMIT_TOGETHER, as that proxy knows */
 	char *down;
 	char *alive;
+	char *failing;
 	char *in_use;
 	uint64_t drained_as;	 /* its last process that said it shuts down; 0: none did */
 	bool cut_off;		 /* the store does not serve it, as it said */
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -38,6 +38,8 @@
 /* A doubt that the holder told counts for so long: two of the answers that bring it. */
 #define DOUBT_VALID (600 * USEC_PER_MSEC)
 
+const char *const verdict_failing = "primary fails statements";
+
 /*
  * From the begin of our hold, for a primary that this process has never heard of: members' entries
  * lapse while the store is away, and are back within 2 s of its return.
@@ -56,8 +58,31 @@
 	return group != NULL ? member_find(service->pooler, group->primary) : NULL;
 }
 
+typedef void (*add_vote_t)(votes_t *votes, const peer_report_t *report, const char *service);
+
+static void add_down(votes_t *votes, const peer_report_t *report, const char *service)
+{
+	(void)report;
+	(void)service;
+	votes->down++;
+}
+
+static void add_alive(votes_t *votes, const peer_report_t *report, const char *service)
+{
+	votes->alive++;
+	votes->well += !exchange_lists(report->failing, service);
+}
+
+static void add_failing(votes_t *votes, const peer_report_t *report, const char *service)
+{
+	(void)report;
+	(void)service;
+	votes->failing++;
+}
+
 /* Adds a vote to each service that the list names, if the report is not of an earlier primary. */
-static void add_votes(pooler_t *pooler, const peer_report_t *report, const char *list, bool down)
+static void add_votes(pooler_t *pooler, const peer_report_t *report, const char *list,
+		      add_vote_t add)
 {
 	const char *word;
 	size_t len;
@@ -69,8 +94,7 @@
 		/* A proxy that did not know this primary yet spoke of the one before. */
 		if (service == NULL || report->revision < service->settled_revision)
 			continue;
-		service->reported.down += down;
-		service->reported.alive += !down;
+		add(&service->reported, report, service->name);
 	}
 }
 
@@ -83,9 +107,10 @@
 
 		if (report->heard_at + REPORT_VALID < now)
 			continue;
-		add_votes(pooler, report, report->down, true);
+		add_votes(pooler, report, report->down, add_down);
+		add_votes(pooler, report, report->failing, add_failing);
 		if (report->heard_at + ALIVE_VALID > now)
-			add_votes(pooler, report, report->alive, false);
+			add_votes(pooler, report, report->alive, add_alive);
 	}
 }
 
@@ -93,11 +118,13 @@
 static votes_t all_votes(const service_t *service, const member_t *primary, usec_t now)
 {
 	votes_t votes = service->reported;
+	bool failing = outlier_is_failing(&primary->outlier, now);
+	bool alive = !primary->down && primary->last_reply + ALIVE_WITHIN > now;
 
-	if (primary->down)
-		votes.down++;
-	else if (primary->last_reply + ALIVE_WITHIN > now)
-		votes.alive++;
+	votes.down += primary->down;
+	votes.alive += alive;
+	votes.failing += failing;
+	votes.well += alive && !failing;
 	return votes;
 }
 
@@ -142,6 +169,21 @@
 	return votes.down * 2 > proxies || (primary->down && votes.down > votes.alive);
 }
 
+/*
+ * Callers are told that their writes failed, while the health check is good: more than half of
+ * the proxies that use the primary see it. A change costs them a second without writes, in which
+ * most only wait. One that followed from failing statements is not made again soon, since the
+ * next primary that fails them too shows that the statements are at fault.
+ */
+static bool is_failing(const service_t *service, votes_t votes, usec_t now)
+{
+	if (service->change.step == CHANGE_NONE && now < service->failing_until)
+		return false;
+	if (votes.failing < WITNESSES_LEAST && others_live(service->pooler))
+		return false;
+	return votes.failing > votes.well;
+}
+
 /*
  * Nobody has used the primary of late, or some proxies can't: ask it, so that its failure is
  * known before it is needed.
@@ -249,6 +291,8 @@
 	votes = all_votes(service, primary, now);
 	if (is_lost(service, primary, votes))
 		return "primary does not answer";
+	if (is_failing(service, votes, now))
+		return verdict_failing;
 	if (votes.down != 0)
 		check_unused(primary, now, DOUBTED_CHECK);
 	else if (votes.alive == 0)
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -59,6 +59,9 @@
 	unsigned refuse_runs; /* so many statements that would take a slot are answered with BUSY */
 	usec_t slow;	      /* more work for each statement */
 	usec_t lag;	      /* more time until it has applied a commit */
+	unsigned fail_percent; /* of statements that are answered with an error, spread evenly */
+	const char *fail_code; /* NULL: FAILED */
+	unsigned fail_sum;
 	usec_t demote_at;
 } fake_member_t;
 
