--- a/soak/inject.c
+++ b/soak/inject.c
@@ -513,6 +513,19 @@
 	}
 }
 
+void inject_end(inject_t *inject)
+{
+	fleet_t *fleet = inject->fleet;
+
+	fleet_command(fleet, "store lose 0");
+	fleet_command(fleet, "store lose-keeps 0");
+	for (unsigned i = 0; i < fleet->options.services * FLEET_MEMBERS; i++) {
+		fleet_command(fleet, "member %u lose 0", i);
+		fleet_command(fleet, "member %u reset 0", i);
+		fleet_command(fleet, "member %u grey 0", i);
+	}
+}
+
 bool inject_is_over(const inject_t *inject, usec_t now)
 {
 	return inject->started != 0 && now >= inject->started + inject->plan->length &&
--- a/soak/inject.h
+++ b/soak/inject.h
@@ -23,3 +23,6 @@
 
 /* All faults were played and undone. */
 bool inject_is_over(const inject_t *inject, usec_t now);
+
+/* Take back what waits for its occasion: answers to be lost, statements to be refused. */
+void inject_end(inject_t *inject);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -87,6 +87,7 @@
 		inject_start(soak->inject, now);
 		break;
 	case STAGE_RECOVER:
+		inject_end(soak->inject);
 		soak->stage_until = now + RECOVER;
 		break;
 	case STAGE_SERVED:
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -120,6 +120,7 @@
 		append(member, &leader->log[member->len]);
 }
 
+/* A replica that falls behind stays where it is; it never takes back what it has applied. */
 static size_t applied_len(fake_member_t *member)
 {
 	usec_t now = now_of(member->db);
@@ -127,8 +128,12 @@
 
 	if (member->primary)
 		return len;
-	while (len > 0 && member->log[len - 1].at + member->db->config.lag + member->lag > now)
+	if (member->applied > len)
+		member->applied = len;
+	while (len > member->applied &&
+	       member->log[len - 1].at + member->db->config.lag + member->lag > now)
 		len--;
+	member->applied = len;
 	return len;
 }
 
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -50,6 +50,7 @@
 	uint64_t term;
 	fake_entry_t *log; /* talloc array */
 	size_t len;
+	size_t applied;	    /* entries that reads have been shown, of a replica */
 	usec_t *busy_until; /* a slot each */
 	size_t sessions;
 	size_t opened;		/* sessions that it ever took */
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -31,11 +31,20 @@
 
 pid_t harness_spawn(char *const *argv, const int *fds)
 {
-	pid_t pid = fork();
+	sigset_t all;
+	sigset_t before;
+	pid_t pid;
 
+	/* A signal that comes before exec() is the program's, not our handlers'. */
+	sigfillset(&all);
+	sigprocmask(SIG_SETMASK, &all, &before);
+	pid = fork();
 	g_assert_cmpint(pid, >=, 0);
 	if (pid == 0) {
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		signal(SIGTERM, SIG_DFL);
+		signal(SIGINT, SIG_DFL);
+		sigprocmask(SIG_SETMASK, &before, NULL);
 		for (int i = 0; i < 3; i++) {
 			if (fds[i] >= 0)
 				dup2(fds[i], i);
@@ -43,6 +52,7 @@
 		execv(argv[0], argv);
 		_exit(127);
 	}
+	sigprocmask(SIG_SETMASK, &before, NULL);
 	return pid;
 }
 
