--- a/soak/link.c
+++ b/soak/link.c
@@ -208,6 +208,15 @@
 	snprintf(link->target, sizeof(link->target), "127.0.0.1:%d", port);
 }
 
+static int destructor(link_t *link)
+{
+	while (!list_empty(&link->pairs))
+		dispose(list_entry(link->pairs.next, pair_t, node));
+	h2o_socket_read_stop(link->listener);
+	h2o_socket_close(link->listener);
+	return 0;
+}
+
 link_t *link_create(void *parent, loop_t *loop, int port, int target_port)
 {
 	link_t *link = talloc_zero(parent, link_t);
@@ -227,6 +236,7 @@
 	link->listener = h2o_evloop_socket_create(loop->h2o, fd, H2O_SOCKET_FLAG_DONT_READ);
 	link->listener->data = link;
 	h2o_socket_read_start(link->listener, on_accept);
+	talloc_set_destructor(link, destructor);
 	return link;
 }
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -278,6 +278,9 @@
 	else
 		remove_dir(dir);
 	g_free(dir);
+	talloc_free(soak.fleet);
+	/* Frees the sockets that were closed. */
+	h2o_evloop_run(soak.loop.h2o, 0);
 	if (stop_asked)
 		return 2;
 	return finding_count() != 0 ? 1 : 0;
