Sessions are closed some at a time; a proxy that shuts down gives its connections back

Closing all sessions in one go leaves every other caller unread until the last one is closed (/end/some-at-a-time: 90 of 90 at once before). A home that shuts down kept its connections to members for 2.4 s though it is handed nothing, and the next home was refused for the member's limit: 294 of 300 refusals in three seconds of a rolling restart of 75 proxies came from one home, with 32 refused connections (/home/gives-back fails before).

--- a/pooler/hangup.c
+++ b/pooler/hangup.c
@@ -53,7 +53,7 @@
  * step as it looks; else the request is answered first, and the session ends behind that answer or
  * with a later tick.
  */
-static void hang_up(caller_t *caller, end_reason_t reason)
+static bool hang_up(caller_t *caller, end_reason_t reason)
 {
 	env_t *env = caller->pooler->env;
 	close_result_t result = CLOSE_DONE;
@@ -63,41 +63,43 @@
 		result = env->ops->caller_close(env, caller->link);
 		report(caller, reason, result);
 	}
-	if (result == CLOSE_DONE)
-		caller_on_gone(caller);
+	if (result != CLOSE_DONE)
+		return false;
+	caller_on_gone(caller);
+	return true;
 }
 
 /*
  * One that does not read its answer, or never sends the rest of a statement, would keep the process
  * from ending in good order, and all others from being told.
  */
-static void give_up(caller_t *caller)
+static bool give_up(caller_t *caller)
 {
 	env_t *env = caller->pooler->env;
 	close_result_t result = env->ops->caller_close(env, caller->link);
 
 	if (result == CLOSE_UNREAD ||
 	    (result == CLOSE_UNSENT && now_of(caller->pooler) < caller->idle_since + ANSWER_LEAVES))
-		return;
+		return false;
 	if (result != CLOSE_DONE)
 		env->ops->caller_abort(env, caller->link);
 	report(caller, result == CLOSE_UNSENT ? END_NOT_READING : END_SHUTDOWN, CLOSE_DONE);
 	caller_on_gone(caller);
+	return true;
 }
 
-void hangup_drain(caller_t *caller, drain_phase_t phase)
+bool hangup_drain(caller_t *caller, drain_phase_t phase)
 {
 	caller->leaving = true;
 	if (caller->busy)
-		return;
+		return false;
 	if (phase == DRAIN_ALL && caller->job == NULL)
-		give_up(caller);
-	else if (caller->tx != TX_NONE && phase != DRAIN_RESTING)
-		hang_up(caller, END_CUT);
-	else if (caller->tx != TX_NONE)
-		return;
-	else if (caller->served || now_of(caller->pooler) >= caller->idle_since + REST)
-		hang_up(caller, END_SHUTDOWN);
+		return give_up(caller);
+	if (caller->tx != TX_NONE)
+		return phase != DRAIN_RESTING && hang_up(caller, END_CUT);
+	if (caller->served || now_of(caller->pooler) >= caller->idle_since + REST)
+		return hang_up(caller, END_SHUTDOWN);
+	return false;
 }
 
 void hangup_if_done(caller_t *caller)
@@ -106,9 +108,8 @@
 		hangup_drain(caller, DRAIN_RESTING);
 }
 
-void hangup_let_go(caller_t *caller, usec_t now)
+bool hangup_let_go(caller_t *caller, usec_t now)
 {
-	if (caller->job == NULL && !caller->busy && caller->tx == TX_NONE &&
-	    now >= caller->idle_since + REST)
-		hang_up(caller, END_NO_PERMISSION);
+	return caller->job == NULL && !caller->busy && caller->tx == TX_NONE &&
+	       now >= caller->idle_since + REST && hang_up(caller, END_NO_PERMISSION);
 }
--- a/pooler/hangup.h
+++ b/pooler/hangup.h
@@ -13,11 +13,14 @@
 	DRAIN_ALL,	    /* and those that do not read their last answer */
 } drain_phase_t;
 
-/* For the shutdown: close the session unless it has a statement in progress. */
-void hangup_drain(caller_t *caller, drain_phase_t phase);
+/*
+ * For the shutdown: close the session unless it has a statement in progress. True if it is closed,
+ * and the caller freed.
+ */
+bool hangup_drain(caller_t *caller, drain_phase_t phase);
 
 /* While shutting down: close the session if its last statement has just been answered. */
 void hangup_if_done(caller_t *caller);
 
-/* Without permission: close the session if it rests, so that its client goes elsewhere. */
-void hangup_let_go(caller_t *caller, usec_t now);
+/* Without permission: the same if it rests, so that its client goes elsewhere. */
+bool hangup_let_go(caller_t *caller, usec_t now);
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -37,6 +37,11 @@
 #define STATEMENTS_PER_SLOT 2
 /* A connection unused for so long is closed if it is above our share. */
 #define IDLE_EXTRA (500 * USEC_PER_MSEC)
+/*
+ * The same for each one of a proxy that shuts down. It is handed no statements any more, and who
+ * takes its place needs the connections: one statement's pause, not the 2.4 s until it ends.
+ */
+#define IDLE_DRAINING (100 * USEC_PER_MSEC)
 /* So far ahead that nothing is added to it beyond the clock's range. */
 #define NOT_LEAVING (USEC_NEVER / 2)
 /* Our statements unanswered for so long on one connection: it has gone silent. */
@@ -213,13 +218,18 @@
 	member_probe(member);
 }
 
+/* Closing one can have another one opened, so each ends the walk. */
 static void close_idle(member_t *member, usec_t now)
 {
+	bool draining = member->pooler->draining;
+	usec_t rest = draining ? IDLE_DRAINING : IDLE_EXTRA;
+	size_t kept = draining ? 0 : member_share(member);
+
 	list_for_each_safe (it, &member->conns) {
 		conn_t *conn = list_entry(it, conn_t, node);
 
-		if (conn->state == CONN_IDLE && !conn->probe && now >= conn->since + IDLE_EXTRA &&
-		    member->conn_count > member_share(member)) {
+		if (conn->state == CONN_IDLE && !conn->probe && now >= conn->since + rest &&
+		    member->conn_count > kept) {
 			conn_close(conn, "idle");
 			return;
 		}
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -54,6 +54,11 @@
 #define START_PATIENCE (1500 * USEC_PER_MSEC)
 /* Without permission for so long sessions are let go; a new roster is agreed on in less. */
 #define LET_GO_AFTER (500 * USEC_PER_MSEC)
+/*
+ * Sessions closed before other sockets have their turn again. A proxy of the size built towards has
+ * 4,400; closed in one go, no other caller would be read until the last one was.
+ */
+#define HANGUPS_AT_ONCE 16
 /* Waiting callers are refused in good time before the process ends. */
 #define END_MARGIN (300 * USEC_PER_MSEC)
 
@@ -155,11 +160,19 @@
 	return now >= pooler->drain_started + grace / 2 ? DRAIN_TRANSACTIONS : DRAIN_RESTING;
 }
 
+static void tick_callers(pooler_t *pooler, usec_t now);
+
+static void on_more_hangups(run_timer_t *timer, usec_t now)
+{
+	tick_callers(list_entry(timer, pooler_t, more_hangups), now);
+}
+
 static void tick_callers(pooler_t *pooler, usec_t now)
 {
 	drain_phase_t phase = drain_phase(pooler, now);
 	bool end = pooler->draining && phase == DRAIN_ALL;
 	bool let_go = serves_nobody(pooler, now);
+	size_t closed = 0;
 
 	list_for_each_safe (it, &pooler->callers) {
 		caller_t *caller = list_entry(it, caller_t, node);
@@ -171,11 +184,17 @@
 		caller_tick(caller, now);
 		if (end && caller->busy)
 			caller_cut_short(caller);
+		if (closed == HANGUPS_AT_ONCE)
+			continue;
 		if (pooler->draining)
-			hangup_drain(caller, phase);
+			closed += hangup_drain(caller, phase);
 		else if (let_go)
-			hangup_let_go(caller, now);
+			closed += hangup_let_go(caller, now);
 	}
+	/* Not at once, or it would expire with the timers that are due now. */
+	if (closed == HANGUPS_AT_ONCE)
+		timers_arm(pooler->timers, &pooler->more_hangups, now_of(pooler) + 1,
+			   on_more_hangups);
 }
 
 /*
@@ -240,6 +259,7 @@
 static int pooler_destructor(pooler_t *pooler)
 {
 	timers_cancel(pooler->timers, &pooler->tick);
+	timers_cancel(pooler->timers, &pooler->more_hangups);
 	sync_destroy(pooler);
 	outbox_destroy(&pooler->outbox);
 	list_for_each (it, &pooler->services)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -377,6 +377,7 @@
 	struct relay *relay; /* to the store */
 	outbox_t outbox;
 	run_timer_t tick;
+	run_timer_t more_hangups; /* sessions that are still to be closed */
 	usec_t last_tick;
 	usec_t started;
 	usec_t last_permitted; /* 0: never */
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -698,6 +698,33 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see otherwise: a request that is cut off, or waits, while a proxy closes hundreds of
+ * sessions in one go. What happens: on a slow VM that takes longer than the way of a request, and
+ * nothing is read meanwhile. Why some at a time: sockets have their turn in between.
+ */
+static void test_sessions_close_some_at_a_time(void)
+{
+	enum { SESSIONS = 90, AT_ONCE_MOST = 20 };
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *callers[SESSIONS];
+	size_t open = 0;
+
+	world_settle(world);
+	for (size_t i = 0; i < SESSIONS; i++)
+		callers[i] = world_open(world, 0);
+	world_run(world, 500 * MSEC);
+	pooler_drain(world->nodes[0].pooler);
+	for (size_t i = 0; i < SESSIONS; i++)
+		open += callers[i]->caller != NULL;
+	g_assert_cmpuint(open, <, SESSIONS);
+	g_assert_cmpuint(open, >=, SESSIONS - AT_ONCE_MOST);
+	world_run(world, 20 * MSEC);
+	for (size_t i = 0; i < SESSIONS; i++)
+		g_assert_null(callers[i]->caller);
+	world_destroy(world);
+}
+
 /*
  * What the caller sees: instead of its refusal, or of the rest of a long answer, the end of its
  * connection; the log says that it does not read. What happens: at the end of the grace a statement
@@ -780,6 +807,7 @@
 	g_test_add_func("/end/served-at-the-cut", test_unread_request_at_the_cut_is_served);
 	g_test_add_func("/end/start-while-ending", test_start_while_ending);
 	g_test_add_func("/end/caller-does-not-read", test_caller_does_not_read);
+	g_test_add_func("/end/some-at-a-time", test_sessions_close_some_at_a_time);
 	g_test_add_func("/end/refusal-leaves", test_refusal_at_the_end_leaves);
 	g_test_add_func("/end/new-behind-the-cut", test_new_session_behind_the_cut);
 	return g_test_run();
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -442,6 +442,31 @@
 	world_destroy(world);
 }
 
+/*
+ * What callers see: while proxies are restarted one after the other, refusals that no connection
+ * came free in time. What happens: a home that shuts down keeps its connections for 2.4 s though
+ * it is handed nothing any more, and the member takes none of the next home. Why they can go after
+ * a short rest: only its own last callers still use them.
+ */
+static void test_leaving_home_gives_back_connections(void)
+{
+	pool_world_t *world = make_scarce();
+	size_t away = find_away(world);
+	world_caller_t *caller = world_open_database(world, away, "strict");
+	world_node_t *home;
+
+	assert_begins(world_ask(caller, "WRITE job-1 a"), "DONE core-0");
+	home = helper_of(world, caller);
+	pooler_drain(home->pooler);
+	world_ask(caller, "READ job-1");
+	world_run(world, 400 * MSEC);
+	g_assert_cmpuint(list_length(&home->links), ==, 0);
+	world_send(caller, "READ job-1");
+	world_run(world, 60 * MSEC);
+	assert_begins(caller->reply, "ROW a");
+	world_destroy(world);
+}
+
 /*
  * What the caller sees: its write is refused as aborted, a promise that nothing is kept, and yet it
  * is committed; sent again, it takes effect twice. What happens: the write is in progress at the
@@ -546,6 +571,7 @@
 	g_test_add_func("/home/caller-leaves", test_caller_leaves_its_home);
 	g_test_add_func("/home/proxy-dies", test_proxy_dies_away_from_home);
 	g_test_add_func("/home/shuts-down", test_home_shuts_down);
+	g_test_add_func("/home/gives-back", test_leaving_home_gives_back_connections);
 	g_test_add_func("/forward/first-result", test_first_result_waits_for_its_link);
 	g_test_add_func("/home/leaves", test_home_leaves);
 	g_test_add_func("/home/frozen", test_home_is_frozen);
