--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -64,7 +64,8 @@
 	int item;
 	bool is_read;
 	usec_t began;
-	ssize_t write; /* index of its write, -1: none */
+	ssize_t write;	/* index of its write, -1: none */
+	usec_t read_at; /* when the proxy reads what it has sent; 0: nothing is unread */
 } client_t;
 
 typedef struct play {
@@ -76,6 +77,7 @@
 	usec_t member_back[FAKE_MEMBERS_MAX];
 	size_t nodes;
 	usec_t node_back[LARGE_NODES];
+	bool shutting_down[LARGE_NODES]; /* as planned, in good order */
 	usec_t store_back;
 	size_t served;
 	uint32_t seed;
@@ -389,9 +391,34 @@
 	end_operation(play, client);
 }
 
+/* By the seed, so that the seeds that found faults play as they did. */
+static bool has_planned_work(const play_t *play)
+{
+	return play->seed % 4 == 3;
+}
+
+/*
+ * A proxy that shuts down in good order answers what was sent to it before it closes a session; an
+ * answer may have come in the same step.
+ */
+static void check_planned_end(play_t *play, client_t *client)
+{
+	bool answered = client->caller->replies != client->replies;
+
+	if (client->read_at != 0)
+		fail_play(play, "session closed with a statement unread", client->caller->id);
+	if (client->waiting && !answered)
+		fail_play(play, "session closed with a statement under way", client->caller->id);
+	if (client->waiting && (client->step == 0 || client->step == 3))
+		on_reply(play, client);
+}
+
 /* The session ended under the client: what it had sent is unsure. */
 static void on_session_lost(play_t *play, client_t *client)
 {
+	if (play->shutting_down[client->node])
+		check_planned_end(play, client);
+	client->read_at = 0;
 	if (client->waiting && client->write >= 0 && play->writes[client->write].fate == FATE_OPEN)
 		play->writes[client->write].fate = FATE_UNSURE;
 	client->waiting = false;
@@ -410,6 +437,27 @@
 		client->caller = NULL;
 }
 
+/* What it sends next lies unread for a while: the loop of its proxy is late. */
+static bool sends_late(play_t *play, client_t *client)
+{
+	if (!has_planned_work(play) || !chance(play, 6))
+		return false;
+	client->read_at = now_of_play(play) + some_time(play, STEP, 300 * MSEC);
+	client->caller->unread = true;
+	return true;
+}
+
+static void send_next(play_t *play, client_t *client)
+{
+	if (client->read_at == 0 && sends_late(play, client))
+		return;
+	if (now_of_play(play) < client->read_at)
+		return;
+	client->read_at = 0;
+	client->caller->unread = false;
+	begin_operation(play, client);
+}
+
 static void step_client(play_t *play, client_t *client)
 {
 	if (client->caller != NULL && client->caller->caller == NULL)
@@ -422,7 +470,7 @@
 		if (client->caller->replies != client->replies)
 			on_reply(play, client);
 	} else if (now_of_play(play) >= client->next && !play->world->nodes[client->node].frozen) {
-		begin_operation(play, client);
+		send_next(play, client);
 	}
 }
 
@@ -456,6 +504,20 @@
 	}
 }
 
+static void shut_down(play_t *play, size_t at)
+{
+	play->shutting_down[at] = true;
+	pooler_drain(play->world->nodes[at].pooler);
+}
+
+/* The process ends once it has said that it may, and comes back after a while. */
+static void end_process(play_t *play, size_t at)
+{
+	play->shutting_down[at] = false;
+	play->node_back[at] = now_of_play(play) + some_time(play, 100 * MSEC, 2 * SEC);
+	world_kill(play->world, at);
+}
+
 static void fault_node(play_t *play)
 {
 	size_t at = (size_t)g_rand_int_range(play->rand, 0, (gint32)play->nodes);
@@ -466,7 +528,10 @@
 	play->node_back[at] = now_of_play(play) + some_time(play, 300 * MSEC, 6 * SEC);
 	switch (g_rand_int_range(play->rand, 0, 5)) {
 	case 0:
-		world_kill(play->world, at);
+		if (has_planned_work(play))
+			shut_down(play, at);
+		else
+			world_kill(play->world, at);
 		break;
 	case 1:
 		world_freeze(play->world, at);
@@ -523,7 +588,10 @@
 			fake_start(&world->db->members[i]);
 	}
 	for (size_t i = 0; i < play->nodes; i++) {
-		if (play->node_back[i] == 0 || (!all && now < play->node_back[i]))
+		if (play->shutting_down[i] && world->nodes[i].drained)
+			end_process(play, i);
+		if (play->node_back[i] == 0 || play->shutting_down[i] ||
+		    (!all && now < play->node_back[i]))
 			continue;
 		play->node_back[i] = 0;
 		world->nodes[i].kv.cut = false;
@@ -594,6 +662,15 @@
 	return seed % 5 == 2 ? &two_homes : NULL;
 }
 
+static bool is_any_shutting_down(const play_t *play)
+{
+	for (size_t i = 0; i < play->nodes; i++) {
+		if (play->shutting_down[i])
+			return true;
+	}
+	return false;
+}
+
 static void play_seed(uint32_t seed)
 {
 	play_t *play = g_new0(play_t, 1);
@@ -614,6 +691,14 @@
 		maybe_fault(play);
 		world_run(play->world, STEP);
 	}
+	/* A shutdown takes its grace at most. */
+	while (is_any_shutting_down(play)) {
+		for (size_t i = 0; i < CALLERS; i++)
+			step_client(play, &play->clients[i]);
+		end_faults(play, false);
+		world_run(play->world, STEP);
+		g_assert_cmpuint(now_of_play(play), <, end + 8 * SEC);
+	}
 	end_faults(play, true);
 	world_run(play->world, 16 * SEC);
 	for (size_t i = 0; i < CALLERS; i++)
