--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -15,14 +15,14 @@
 
 #include "finding.h"
 #include "harness.h"
-#include "ports.h"
 
-/* Offsets from the first port: the stand-in's own, the links of its members, then proxies. */
-#define PORT_STORE	1
-#define PORT_MEMBERS	4
-#define MEMBER_LINKS	26
-#define PORT_PROXIES	64
+/* Offsets in the first block: the store, the members after its two doors, the members' links. */
+#define PORT_STORE   1
+#define PORT_MEMBERS 3
+#define MEMBER_LINKS 26
+/* Callers, probe, operators, peers, the link to the store. */
 #define PORTS_PER_PROXY 5
+#define PROXIES_A_BLOCK (PORTS_PER_BLOCK / PORTS_PER_PROXY)
 
 /* Until a process that did not end in time is started again. */
 #define RESTART_AFTER (300 * USEC_PER_MSEC)
@@ -55,7 +55,7 @@
 
 int fleet_store_port(const fleet_t *fleet)
 {
-	return fleet->port + PORT_STORE;
+	return fleet->blocks[0].first + PORT_STORE;
 }
 
 int fleet_closed_door(const fleet_t *fleet)
@@ -65,7 +65,8 @@
 
 int fleet_caller_port(const fleet_t *fleet, unsigned proxy)
 {
-	return fleet->port + PORT_PROXIES + PORTS_PER_PROXY * (int)proxy;
+	return fleet->blocks[1 + proxy / PROXIES_A_BLOCK].first +
+	       PORTS_PER_PROXY * (int)(proxy % PROXIES_A_BLOCK);
 }
 
 static char *path_of(const fleet_t *fleet, const proxy_t *proxy, const char *suffix)
@@ -440,7 +441,7 @@
 static int create_links(fleet_t *fleet)
 {
 	unsigned members = fleet->options.services * FLEET_MEMBERS;
-	int port = fleet_store_port(fleet) + PORT_MEMBERS - 1;
+	int port = fleet_store_port(fleet) + PORT_MEMBERS;
 
 	fleet->members = talloc_zero_array(fleet, link_t *, members);
 	for (unsigned i = 0; i < members; i++) {
@@ -476,6 +477,10 @@
 		snprintf(proxy->name, sizeof(proxy->name), "p%u", i);
 		proxy->disturbed = g_array_new(FALSE, FALSE, sizeof(span_t));
 	}
+	fleet->block_count = 1 + (fleet->options.proxies + PROXIES_A_BLOCK - 1) / PROXIES_A_BLOCK;
+	fleet->blocks = talloc_zero_array(fleet, ports_t, fleet->block_count);
+	for (unsigned i = 0; i < fleet->block_count; i++)
+		ports_take(&fleet->blocks[i]);
 	for (unsigned i = 0; i < SERVICES_MAX; i++)
 		fleet->member_trouble[i] = g_array_new(FALSE, FALSE, sizeof(span_t));
 	talloc_set_destructor(fleet, destructor);
@@ -490,9 +495,8 @@
 	fleet->ledger = ledger;
 	fleet->config_version = 3;
 	fleet->proxies = talloc_zero_array(fleet, proxy_t, options->proxies);
-	fleet->port = ports_reserve(PORT_PROXIES + PORTS_PER_PROXY * (int)options->proxies);
 	init(fleet);
-	if (fleet->port < 0 || create_links(fleet) < 0 || start_platform(fleet) < 0) {
+	if (create_links(fleet) < 0 || start_platform(fleet) < 0) {
 		talloc_free(fleet);
 		return NULL;
 	}
@@ -521,6 +525,8 @@
 			harness_kill(&fleet->proxies[i].pid);
 	}
 	harness_kill(&fleet->platform);
+	for (unsigned i = 0; i < fleet->block_count; i++)
+		ports_release(&fleet->blocks[i]);
 	close(fleet->control);
 	close(fleet->record);
 }
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -11,6 +11,7 @@
 #include "ledger.h"
 #include "link.h"
 #include "loop.h"
+#include "ports.h"
 
 #define FLEET_MEMBERS 3 /* of a service */
 /* As the settings of proxies say. */
@@ -56,7 +57,9 @@
 	fleet_options_t options;
 	loop_t *loop;
 	ledger_t *ledger;
-	int port;
+	ports_t *blocks; /* the platform's and the members' links, then those of a dozen proxies
+			    each */
+	unsigned block_count;
 	pid_t platform;
 	int control; /* commands to the stand-in */
 	int record;  /* its output */
