The soak's members drop a connection whose other end is out of reach

Cause, in the soak: connections that had gone silent stayed open at the members for ever and took up their limit, where members drop them after 3 s.

--- a/soak/inject.c
+++ b/soak/inject.c
@@ -122,13 +122,13 @@
 {
 	link_t *link = store_link(inject, fault);
 
-	link->cut[LINK_OUT] = true;
-	link->cut[LINK_BACK] = true;
+	link_cut(link, LINK_OUT);
+	link_cut(link, LINK_BACK);
 }
 
 static void play_store_link_one_way(inject_t *inject, const fault_t *fault)
 {
-	store_link(inject, fault)->cut[fault->amount % LINK_DIRECTIONS] = true;
+	link_cut(store_link(inject, fault), fault->amount % LINK_DIRECTIONS);
 }
 
 static void play_store_link_delay(inject_t *inject, const fault_t *fault)
@@ -381,13 +381,13 @@
 {
 	link_t *link = member_link(inject, fault);
 
-	link->cut[LINK_OUT] = true;
-	link->cut[LINK_BACK] = true;
+	link_cut(link, LINK_OUT);
+	link_cut(link, LINK_BACK);
 }
 
 static void play_member_link_one_way(inject_t *inject, const fault_t *fault)
 {
-	member_link(inject, fault)->cut[fault->amount % LINK_DIRECTIONS] = true;
+	link_cut(member_link(inject, fault), fault->amount % LINK_DIRECTIONS);
 }
 
 static void play_member_link_delay(inject_t *inject, const fault_t *fault)
--- a/soak/link.c
+++ b/soak/link.c
@@ -8,6 +8,8 @@
 
 /* Sent data unacknowledged for so long ends a connection; longer than any fault of a soak. */
 #define SILENCE_MS 60000
+/* A member drops a connection whose remote end has been out of reach for so long. */
+#define DROPPED_AFTER (3 * USEC_PER_SEC)
 
 typedef struct chunk {
 	list_t node;
@@ -32,6 +34,7 @@
 	stream_t target;
 	flow_t flows[LINK_DIRECTIONS];
 	bool silent;
+	run_timer_t drop;
 } pair_t;
 
 static usec_t now_of(const link_t *link)
@@ -43,6 +46,7 @@
 {
 	for (int i = 0; i < LINK_DIRECTIONS; i++)
 		timers_cancel(&pair->link->loop->timers, &pair->flows[i].timer);
+	timers_cancel(&pair->link->loop->timers, &pair->drop);
 	stream_close(&pair->caller);
 	stream_close(&pair->target);
 	list_del(&pair->node);
@@ -131,7 +135,7 @@
 static void end(flow_t *flow, const stream_t *other)
 {
 	flow->ended = true;
-	if (other->sock == NULL)
+	if (other->sock == NULL || flow->pair->silent)
 		dispose(flow->pair);
 	else
 		pump(flow);
@@ -242,11 +246,32 @@
 
 void link_reset(link_t *link)
 {
-	link->harmed_at = now_of(link);
 	while (!list_empty(&link->pairs))
 		reset_pair(list_entry(link->pairs.next, pair_t, node));
 }
 
+static void on_drop(run_timer_t *timer, usec_t now)
+{
+	pair_t *pair = list_entry(timer, pair_t, drop);
+
+	(void)now;
+	if (pair->silent || pair->link->cut[LINK_OUT] || pair->link->cut[LINK_BACK])
+		stream_close(&pair->target);
+}
+
+static void drop_later(link_t *link)
+{
+	list_for_each (it, &link->pairs)
+		timers_arm(&link->loop->timers, &list_entry(it, pair_t, node)->drop,
+			   now_of(link) + DROPPED_AFTER, on_drop);
+}
+
+void link_cut(link_t *link, link_direction_t direction)
+{
+	link->cut[direction] = true;
+	drop_later(link);
+}
+
 void link_redirect(link_t *link, int target_port)
 {
 	set_target(link, target_port);
@@ -255,25 +280,27 @@
 
 void link_silence(link_t *link)
 {
-	link->harmed_at = now_of(link);
 	list_for_each (it, &link->pairs)
 		list_entry(it, pair_t, node)->silent = true;
+	drop_later(link);
 }
 
 void link_heal(link_t *link)
 {
-	link->harmed_at = now_of(link);
 	link->delay = 0;
 	link->rate = 0;
-	for (int i = 0; i < LINK_DIRECTIONS; i++) {
+	for (int i = 0; i < LINK_DIRECTIONS; i++)
 		link->cut[i] = false;
+	list_for_each_safe (it, &link->pairs) {
+		pair_t *pair = list_entry(it, pair_t, node);
+
+		/* Its other end has given it up meanwhile. */
+		if (!pair->silent && pair->target.sock == NULL)
+			reset_pair(pair);
+	}
+	for (int i = 0; i < LINK_DIRECTIONS; i++) {
 		/* A pair may end while its bytes are passed on. */
 		list_for_each_safe (it, &link->pairs)
 			pump(&list_entry(it, pair_t, node)->flows[i]);
 	}
 }
-
-bool link_is_harmed(const link_t *link)
-{
-	return link->delay != 0 || link->rate != 0 || link->cut[LINK_OUT] || link->cut[LINK_BACK];
-}
--- a/soak/link.h
+++ b/soak/link.h
@@ -21,12 +21,14 @@
 	usec_t delay;		   /* of each direction */
 	size_t rate;		   /* bytes a second and direction, 0: any */
 	bool cut[LINK_DIRECTIONS]; /* bytes and ends wait until it is healed */
-	usec_t harmed_at;	   /* last moment at which it was not whole */
 } link_t;
 
 /* Returns a child of parent, or NULL. */
 link_t *link_create(void *parent, loop_t *loop, int port, int target_port);
 
+/* Bytes and ends in this direction wait until it is healed. */
+void link_cut(link_t *link, link_direction_t direction);
+
 /* Connections from now on go there; those that are open are reset. */
 void link_redirect(link_t *link, int target_port);
 
@@ -38,5 +40,3 @@
 
 /* Whole again; what was held back goes on. */
 void link_heal(link_t *link);
-
-bool link_is_harmed(const link_t *link);
