--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -376,7 +376,7 @@
 		*tab = '\0';
 		fields[count++] = tab + 1;
 	}
-	for (size_t i = 0; i < G_N_ELEMENTS(record_kinds); i++) {
+	for (size_t i = 0; count > 1 && i < G_N_ELEMENTS(record_kinds); i++) {
 		const record_kind_t *kind = &record_kinds[i];
 
 		if (line[0] != kind->letter || count < kind->fields)
