SIGHUP while a proxy starts no longer ends it

A SIGHUP that comes before the handlers are set ends the process; they were set after the settings had been read and the libraries initialised, which takes an eighth of a core tens of milliseconds.

/site/hangup-while-starting: before, harness_wait gives -1 (ended by the signal), expected 2; after, it passes with the other 20 tests of test_site. The handlers are set first now. The soak takes an end by SIGTERM or SIGHUP within 100 ms of fork() as allowed: no program handles signals while it is loaded.

--- a/proxy/main.c
+++ b/proxy/main.c
@@ -300,6 +300,8 @@
 
 	if (parse_options(argc, argv, &options, &status) != 0)
 		return status;
+	/* Before anything that takes time: SIGHUP ends a process that does not handle it yet. */
+	catch_signals();
 	process->mode = options.mode;
 	process->config_path = options.config;
 	config_has_changed(process);
@@ -315,7 +317,6 @@
 	}
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
 		return EXIT_FAILURE;
-	catch_signals();
 	status = run(process, settings, &err) < 0 || process->cut_short ? EXIT_FAILURE
 									: EXIT_SUCCESS;
 	if (err.code < 0)
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -26,8 +26,8 @@
 
 /* Until a process that did not end in time is started again. */
 #define RESTART_AFTER (300 * USEC_PER_MSEC)
-/* From fork() until a process handles signals, on a busy machine. */
-#define STARTUP (1 * USEC_PER_SEC)
+/* From fork() until the loader is done with a program, on a busy machine. */
+#define LOADING (100 * USEC_PER_MSEC)
 /* From the end of the grace to the end of the process: its last turn of the loop. */
 #define END_SLACK (1 * USEC_PER_SEC)
 
@@ -220,21 +220,25 @@
 	kill(proxy->pid, SIGHUP);
 }
 
+/* No program can handle a signal before its first instruction. */
+static bool came_too_early(const proxy_t *proxy, int status, usec_t now)
+{
+	int signo = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+
+	return (signo == SIGTERM || signo == SIGHUP) && now < proxy->started_at + LOADING;
+}
+
 /* After SIGTERM. 1: the grace was over while requests were in progress, after a pause for instance.
  */
 static bool is_orderly(const proxy_t *proxy, int status)
 {
-	if (proxy->term_at == 0)
-		return false;
-	/* Before it handles signals. */
-	if (WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM)
-		return proxy->term_at < proxy->started_at + STARTUP;
-	return WIFEXITED(status) && WEXITSTATUS(status) <= 1;
+	return proxy->term_at != 0 && WIFEXITED(status) && WEXITSTATUS(status) <= 1;
 }
 
 static void on_exit_of(fleet_t *fleet, proxy_t *proxy, int status, usec_t now)
 {
-	if (!proxy->killed && !is_orderly(proxy, status) && !fleet->stopping)
+	if (!proxy->killed && !fleet->stopping && !is_orderly(proxy, status) &&
+	    !came_too_early(proxy, status, now))
 		finding_add(PROMISE_PROCESS, proxy->name, "ended by itself, exit %d, signal %d",
 			    WIFEXITED(status) ? WEXITSTATUS(status) : -1,
 			    WIFSIGNALED(status) ? WTERMSIG(status) : 0);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -1,8 +1,10 @@
 /* Poolers as real processes: bad input, shutdown, logs, metrics, settings. */
+#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -539,11 +541,53 @@
 	g_free(program);
 }
 
+/* Wait until somebody reads from the pipe; the end to write to. */
+static int open_pipe(const char *path)
+{
+	for (int i = 0; i < 500; i++) {
+		int fd = open(path, O_WRONLY | O_NONBLOCK);
+
+		if (fd >= 0)
+			return fd;
+		g_usleep(10000);
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * What callers see: a proxy that has just been started is gone again, for the time of a restart.
+ * What happens: its settings change while it is about to read them, and SIGHUP, which tells it so,
+ * ends a process that does not handle it yet. Why handling it from the first step on suffices: the
+ * signal is noted, and the settings are read again once the process runs. Here the settings are a
+ * pipe, so that the signal comes while they are read, and they are bad, so that it ends at once.
+ */
+static void test_hangup_while_starting(void)
+{
+	char *path = g_build_filename(site->dir, "pipe.toml", NULL);
+	char *program = harness_program("proxy/cyclamenspan");
+	char *argv[] = {program, "--pooler", "--config", path, NULL};
+	pid_t pid;
+	int fd;
+
+	g_assert_cmpint(mkfifo(path, 0600), ==, 0);
+	pid = harness_spawn(argv, (const int[]){-1, -1, -1});
+	fd = open_pipe(path);
+	kill(pid, SIGHUP);
+	g_usleep(50000);
+	if (write(fd, "nonsense\n", 9) < 0)
+		g_test_message("the pipe is closed: %s", g_strerror(errno));
+	close(fd);
+	g_assert_cmpint(harness_wait(&pid, 5000), ==, 2);
+	g_free(path);
+	g_free(program);
+}
+
 int main(int argc, char **argv)
 {
 	int rc;
 
 	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
 	site = site_start(2);
 	g_test_add_func("/site/statements", test_statements);
 	g_test_add_func("/site/packets", test_packets);
@@ -558,6 +602,7 @@
 	g_test_add_func("/site/changes", test_changes);
 	g_test_add_func("/site/ctl-pooler", test_ctl_pooler);
 	g_test_add_func("/site/start-without-store", test_start_while_the_store_is_away);
+	g_test_add_func("/site/hangup-while-starting", test_hangup_while_starting);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
 	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
