--- a/soak/client.c
+++ b/soak/client.c
@@ -166,6 +166,15 @@
 			    session->proxy, session->asked->text);
 }
 
+/* The same of a session that was not opened. */
+static void check_opened(const session_t *session, const char *what)
+{
+	if (session->clients->counting &&
+	    (session->state == SESSION_CLOSED || session->state == SESSION_STARTS))
+		finding_add(PROMISE_RECOVERY, databases[session->reads], "p%u opens no session: %s",
+			    session->proxy, what);
+}
+
 /* A proxy that was asked to end, and nothing worse, has closed on a whole request. */
 static void check_shutdown(const session_t *session)
 {
@@ -210,7 +219,7 @@
 {
 	session_t *session = list_entry(stream, session_t, stream);
 
-	(void)reason;
+	check_opened(session, reason);
 	if (session->asked != NULL) {
 		check_shutdown(session);
 		check_served(session, "connection closed");
@@ -223,6 +232,7 @@
 	session_t *session = list_entry(timer, session_t, timer);
 
 	(void)now;
+	check_opened(session, "no answer");
 	if (session->asked != NULL)
 		check_served(session, "no answer");
 	go_elsewhere(session);
@@ -245,6 +255,7 @@
 	session->asked = statement;
 	session->state = SESSION_WAITS;
 	session->clients->statements++;
+	session->clients->fleet->proxies[session->proxy].asked++;
 	arm(session, ANSWER_TIMEOUT, on_no_answer);
 	stream_send(&session->stream, line, (size_t)len);
 }
@@ -511,6 +522,7 @@
 	err_t err = {0};
 
 	(void)now;
+	session->state = SESSION_CLOSED;
 	session->proxy = between(session, 0, fleet->options.proxies - 1);
 	session->service = between(session, 0, fleet->options.services - 1);
 	session->reads = (read_kind_t)between(session, 0, 2);
@@ -558,8 +570,12 @@
 
 void clients_mark(clients_t *clients)
 {
-	for (unsigned i = 0; i < clients->fleet->options.proxies; i++)
-		clients->fleet->proxies[i].served = 0;
+	for (unsigned i = 0; i < clients->fleet->options.proxies; i++) {
+		proxy_t *proxy = &clients->fleet->proxies[i];
+
+		proxy->asked = 0;
+		proxy->served = 0;
+	}
 }
 
 bool clients_all_served(const clients_t *clients)
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -50,7 +50,8 @@
 	off_t log_before; /* size of its log at its start */
 	long peak_kb;
 	long peak_fds;
-	size_t served; /* operations since the last fault was over for long enough */
+	size_t asked;  /* statements since the clients' last mark */
+	size_t served; /* operations, the same */
 } proxy_t;
 
 typedef struct fleet {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -120,7 +120,8 @@
 	if (now < soak->stage_until)
 		return;
 	for (unsigned i = 0; i < soak->fleet->options.proxies; i++) {
-		if (soak->fleet->proxies[i].served == 0)
+		/* With few callers a proxy may have none just then. */
+		if (soak->fleet->proxies[i].served == 0 && soak->fleet->proxies[i].asked != 0)
 			finding_add(PROMISE_RECOVERY, soak->fleet->proxies[i].name,
 				    "serves nobody after the last fault");
 	}
