--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -11,6 +11,7 @@
 #include "ledger.h"
 #include "link.h"
 #include "loop.h"
+#include "ports.h"
 
 #define FLEET_MEMBERS 3 /* of a service */
 /* As the settings of proxies say. */
@@ -49,14 +50,17 @@
 	off_t log_before; /* size of its log at its start */
 	long peak_kb;
 	long peak_fds;
-	size_t served; /* operations since the last fault was over for long enough */
+	size_t asked;  /* statements since the clients' last mark */
+	size_t served; /* operations, the same */
 } proxy_t;
 
 typedef struct fleet {
 	fleet_options_t options;
 	loop_t *loop;
 	ledger_t *ledger;
-	int port;
+	ports_t *blocks; /* the platform's and the members' links, then those of a dozen proxies
+			    each */
+	unsigned block_count;
 	pid_t platform;
 	int control; /* commands to the stand-in */
 	int record;  /* its output */
