Proxies join a large fleet without reports of everybody

Cause, from counts of messages logged in a scratch copy (100 proxies before 334 databases, after a loss of power): each roster made every proxy report at once that it held it, and each hub ask the holder anew; the holder had 140 to 180 questions a second at 4 to 7 ms each, all of its processor, while those that wanted to be added gave up after 150 ms and wrote the 50 KB themselves, against each other and the holder. Ruled out: whole rosters told (11 in a second), configurations and members told (none).

Revisions are only reported at once while a change of primary waits for it, or the roster is agreed on without the store; in a small fleet as before. A large one waits 5 ms a proxy for the holder. /upstream/join-quietly fails before.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -62,6 +62,20 @@
 	return talloc_asprintf_append(list, "%s%s", *list != '\0' ? " " : "", word);
 }
 
+/* The news is old: only together can the permission be prolonged. */
+static bool is_news_old(const pooler_t *pooler, usec_t now)
+{
+	const sync_t *sync = &pooler->sync;
+
+	return sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + ASK_ALL_AFTER;
+}
+
+bool exchange_tells_revision(const pooler_t *pooler)
+{
+	return !upstream_applies(pooler) || pooler->sync.changing ||
+	       is_news_old(pooler, now_of(pooler));
+}
+
 /* What this proxy sees of a service's primary. */
 typedef struct sight {
 	bool down;
@@ -92,7 +106,8 @@
  */
 static uint64_t news_digest(const pooler_t *pooler, usec_t now)
 {
-	uint64_t digest = (uint64_t)pooler->sync.roster->revision;
+	uint64_t digest =
+		exchange_tells_revision(pooler) ? (uint64_t)pooler->sync.roster->revision : 0;
 
 	list_for_each (it, &pooler->services) {
 		const service_t *service = list_entry(it, service_t, node);
@@ -206,14 +221,6 @@
 	return report != NULL ? report->revision : 0;
 }
 
-/* The news is old: only together can the permission be prolonged. */
-static bool is_news_old(const pooler_t *pooler, usec_t now)
-{
-	const sync_t *sync = &pooler->sync;
-
-	return sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + ASK_ALL_AFTER;
-}
-
 static usec_t holder_age(const pooler_t *pooler, usec_t now)
 {
 	const sync_t *sync = &pooler->sync;
@@ -531,7 +538,7 @@
 		return false;
 	report->incarnation = message->incarnation;
 	report->heard_at = heard_at;
-	news = report->revision != message->revision;
+	news = report->revision != message->revision && exchange_tells_revision(pooler);
 	report->revision = message->revision;
 	report->fleet = message->fleet;
 	news |= replace(report, &report->down, message->down);
--- a/pooler/exchange.h
+++ b/pooler/exchange.h
@@ -34,6 +34,13 @@
 /* Ask one proxy for its state; false if there is no link to it yet. */
 bool exchange_ask(const pooler_t *pooler, const char *name, const char *address);
 
+/*
+ * True if others must hear at once that this proxy holds a new roster: a change of primary waits
+ * for it, or the roster is agreed on without the store. Else it is heard with the next question, so
+ * that proxies that join a large fleet don't make everybody report each time.
+ */
+bool exchange_tells_revision(const pooler_t *pooler);
+
 /* The record of a proxy's reports, made if there is none. */
 peer_report_t *exchange_get_report(pooler_t *pooler, const char *name);
 
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -17,6 +17,12 @@
  * one, and the ways; more when the store is slow.
  */
 #define ADDED_WITHIN (150 * USEC_PER_MSEC)
+/*
+ * The same for each proxy of a larger fleet, which may start at the same time. After 150 ms 100
+ * that started together wrote themselves, each 50 KB that met another write, and so did the
+ * holder's.
+ */
+#define ADDED_WITHIN_EACH (5 * USEC_PER_MSEC)
 
 /* A link to a proxy that lives is there within this. */
 #define LINK_WITHIN (150 * USEC_PER_MSEC)
@@ -34,6 +40,13 @@
 	usec_t asked_at;
 } joiner_t;
 
+static usec_t added_within(const pooler_t *pooler)
+{
+	usec_t all = pooler->sync.proxies * ADDED_WITHIN_EACH;
+
+	return all > ADDED_WITHIN ? all : ADDED_WITHIN;
+}
+
 /* --- our own entry --- */
 
 static bool is_on(const roster_t *roster, const joiner_t *joiner)
@@ -178,7 +191,7 @@
 		return true;
 	sync->join_asked = true;
 	sync->join_failed = false;
-	sync->join_wait = now + ADDED_WITHIN;
+	sync->join_wait = now + added_within(pooler);
 	return true;
 }
 
@@ -241,7 +254,7 @@
 	list_for_each_safe (it, &pooler->sync.joiners) {
 		joiner_t *joiner = list_entry(it, joiner_t, node);
 
-		if (now >= joiner->asked_at + ADDED_WITHIN)
+		if (now >= joiner->asked_at + added_within(pooler))
 			forget(joiner);
 	}
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -304,6 +304,7 @@
 typedef struct sync {
 	roster_t *roster;    /* the newest known */
 	size_t proxies;	     /* on it */
+	bool changing;	     /* it has a primary that is about to change */
 	usec_t adopted_at;   /* when it came */
 	usec_t agreed_at;    /* enough proxies knew no newer roster then; see permit_on_agreed() */
 	usec_t agreed_told;  /* the same, as another proxy knows it */
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -154,16 +154,19 @@
 	pooler->sync.roster = roster;
 	pooler->sync.proxies = list_length(&roster->nodes);
 	pooler->sync.adopted_at = now_of(pooler);
+	pooler->sync.changing = false;
 	counter_set(&roster_revision, roster->revision);
 	list_for_each (it, &roster->groups) {
 		const roster_group_t *group = list_entry(it, roster_group_t, node);
 
 		on_group(pooler, roster_group(old, group->service), group);
+		pooler->sync.changing |= group->changing;
 	}
 	note_listed(pooler, old);
 	talloc_free(old);
 	/* Whoever waits for us to let go hears it at once. */
-	pooler->sync.ask_next = 0;
+	if (exchange_tells_revision(pooler))
+		pooler->sync.ask_next = 0;
 }
 
 void sync_run_services(pooler_t *pooler)
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -228,9 +228,10 @@
 
 static bool is_doubted(const service_t *service, usec_t now)
 {
-	const member_t *primary = verdict_primary(service);
+	const member_t *primary =
+		hold_is_ours(service->pooler, now) ? verdict_primary(service) : NULL;
 
-	if (primary != NULL && hold_is_ours(service->pooler, now))
+	if (primary != NULL)
 		return primary->down;
 	return service->doubted_at != 0 && now < service->doubted_at + DOUBT_VALID;
 }
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -10,6 +10,7 @@
 #include "exchange.h"
 #include "pool_check.h"
 #include "refresh.h"
+#include "sync.h"
 #include "upstream.h"
 
 #define FLEET 20
@@ -131,6 +132,47 @@
 	world_destroy(world);
 }
 
+/* The roster as it is, with one more change that is made by change(). */
+static void adopt_changed(pooler_t *pooler, void (*change)(roster_t *roster))
+{
+	roster_t *roster = roster_copy(NULL, pooler->sync.roster);
+
+	change(roster);
+	roster->revision++;
+	sync_adopt(pooler, roster);
+}
+
+static void add_proxy(roster_t *roster)
+{
+	roster_put_node(roster, "one-more", "10.9.9.9:2", "a", 1);
+}
+
+static void begin_change(roster_t *roster)
+{
+	roster_put_group(roster, WORLD_SERVICE, "core-0", true, 1, 1);
+}
+
+/*
+ * What callers saw: of 100 proxies that came back after a loss of power most were refused for five
+ * seconds. Each that joined made a new roster, at which everybody reported at once that it held it:
+ * the holder had 150 questions a second, each of a hub for 16 proxies, which took all of its
+ * processor, so that it could not add those that waited. Nobody waits for such a report but a
+ * change of primary.
+ */
+static void test_proxies_join_quietly(void)
+{
+	pool_world_t *world = make_fleet();
+	pooler_t *pooler = world->nodes[find_plain(world, FLEET)].pooler;
+	usec_t next = pooler->sync.ask_next;
+
+	g_assert_cmpuint(next, >, now_of(pooler));
+	adopt_changed(pooler, add_proxy);
+	g_assert_cmpuint(pooler->sync.ask_next, ==, next);
+	adopt_changed(pooler, begin_change);
+	g_assert_cmpuint(pooler->sync.ask_next, ==, 0);
+	world_destroy(world);
+}
+
 /*
  * The primary crashes. All proxies let go, though the holder hears of most of them through hubs:
  * the caller is served again within 2 s, of which the platform's promote takes one.
@@ -238,6 +280,7 @@
 	g_test_add_func("/upstream/hub-freezes", test_hub_freezes);
 	g_test_add_func("/upstream/store-down", test_store_down);
 	g_test_add_func("/upstream/primary-crashes", test_primary_crashes);
+	g_test_add_func("/upstream/join-quietly", test_proxies_join_quietly);
 	g_test_add_func("/upstream/cut-off", test_cut_off_proxy_stops);
 	g_test_add_func("/upstream/configurations-spaced", test_configurations_are_spaced);
 	return g_test_run();
