--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -126,6 +126,13 @@
 	}
 }
 
+static void forget_member(pooler_t *pooler, member_t *member)
+{
+	if (pooler->members_by_id != NULL)
+		HASH_DEL(pooler->members_by_id, member);
+	member_destroy(member);
+}
+
 static void tick_members(pooler_t *pooler, usec_t now)
 {
 	list_for_each_safe (it, &pooler->members) {
@@ -133,10 +140,8 @@
 
 		member_tick(member, now);
 		if (member->gone && list_empty(&member->conns) &&
-		    now >= member->gone_since + FORGET_MEMBER) {
-			HASH_DEL(pooler->members_by_id, member);
-			member_destroy(member);
-		}
+		    now >= member->gone_since + FORGET_MEMBER)
+			forget_member(pooler, member);
 	}
 }
 
