--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -114,8 +114,7 @@
 
 		if (sight.down || sight.failing || sight.in_use)
 			digest ^= XXH64(service->name, strlen(service->name),
-					(uint64_t)sight.down << 2 | (uint64_t)sight.failing << 1 |
-						sight.in_use);
+					sight.down * 4u + sight.failing * 2u + sight.in_use);
 	}
 	return digest;
 }
