--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -48,14 +48,12 @@
 
 roster_group_t *verdict_group(const service_t *service)
 {
-	return roster_group(service->pooler->sync.roster, service->name);
+	return service->group;
 }
 
 member_t *verdict_primary(const service_t *service)
 {
-	const roster_group_t *group = verdict_group(service);
-
-	return group != NULL ? member_find(service->pooler, group->primary) : NULL;
+	return service->primary;
 }
 
 typedef void (*add_vote_t)(votes_t *votes, const peer_report_t *report, const char *service);
@@ -228,9 +226,10 @@
 
 static bool is_doubted(const service_t *service, usec_t now)
 {
-	const member_t *primary = verdict_primary(service);
+	const member_t *primary =
+		hold_is_ours(service->pooler, now) ? verdict_primary(service) : NULL;
 
-	if (primary != NULL && hold_is_ours(service->pooler, now))
+	if (primary != NULL)
 		return primary->down;
 	return service->doubted_at != 0 && now < service->doubted_at + DOUBT_VALID;
 }
