A primary's failures are summed up, and its change goes on once begun

A change that had begun was given up when the proxies that had let go saw nothing any more (kept after 22 ms, begun again a second later): it goes on while one sees it.

--- a/pooler/member.c
+++ b/pooler/member.c
@@ -440,6 +440,7 @@
 	LOG_EVENT(LOG_WARN, "member is down", LOG_STR("service", member->service->name),
 		  LOG_STR("member", member->id), LOG_STR("reason", reason));
 	member->down = true;
+	outlier_on_down(&member->outlier, now_of(member->pooler));
 }
 
 void member_note(member_t *member, evidence_t evidence)
--- a/pooler/outlier.c
+++ b/pooler/outlier.c
@@ -6,18 +6,24 @@
 #define EVIDENCE_AGE (2 * USEC_PER_SEC)
 /* A single lost answer, or two, happen to every member. */
 #define BAD_LEAST 3
-/*
- * In percent of the statements. Under a quarter a caller's second attempt nearly always goes well,
- * and replacing a primary (about a second without writes) costs more than four seconds of that.
- */
+/* In percent. Under a quarter a caller's second attempt nearly always goes well. */
 #define BAD_PERCENT 25
+/* Statements at the others that show how well those do: eight that go well are no chance. */
+#define OTHERS_LEAST 8
 /*
- * A refused statement is tried again at once, and most callers do not see it: together with
- * failures, refusals need twice as many and four in ten. A member's load is no cause of them,
- * since proxies give it no more statements than keep its slots busy.
+ * For a primary a cumulative sum of what went wrong: up by five with each bad statement, down by
+ * two with each good one, so that it grows from three bad ones in ten on. Its change takes a second
+ * to one and a half without writes, troubles last some five: four in ten for the rest cost more, a
+ * fifth of the answers lost costs less. Three bad ones in a row are enough, since in a fleet that
+ * is large for its load a proxy sends a primary one a second; but not those of an
+ * instant: a proxy that sends thirty a second has three in a row among a fifth, too.
  */
-#define REFUSED_LEAST	6
-#define REFUSED_PERCENT 40
+#define FAILING_UP    5
+#define FAILING_DOWN  2
+#define FAILING_SUM   15
+#define FAILING_LASTS (500 * USEC_PER_MSEC)
+/* Nothing went wrong for so long: the sum starts anew. */
+#define FAILING_FORGET (3 * USEC_PER_SEC)
 /* As bad as the others together so many times: less is the statements' own doing, or the load's. */
 #define WORSE_THAN_OTHERS 2
 /*
@@ -36,23 +42,15 @@
  */
 #define FAILING_HELD (3 * USEC_PER_SEC)
 
+/*
+ * Found down twice within this time, whatever it answers in between: the change that follows the
+ * first time ends with an answer to one probe, after a second, and begins anew a second later.
+ */
+#define DOWN_AGAIN (5 * USEC_PER_SEC)
+
 COUNTER_DEFINE(out_total, "members_taken_out_total", COUNTER_SUM,
 	       "Times that a member got no reads for a while since it failed statements.");
 
-static bool is_bad(size_t bad, size_t total)
-{
-	return bad >= BAD_LEAST && bad * 100 >= total * BAD_PERCENT;
-}
-
-/* True if a primary with these outcomes is better replaced. */
-static bool is_costly(const tally_t *tally)
-{
-	size_t bad = tally->failed + tally->refused;
-
-	return is_bad(tally->failed, tally->total) ||
-	       (bad >= REFUSED_LEAST && bad * 100 >= tally->total * REFUSED_PERCENT);
-}
-
 void outlier_count(const outlier_t *outlier, usec_t now, tally_t *tally)
 {
 	for (size_t i = 0; i < OUTLIER_WINDOW; i++) {
@@ -64,6 +62,29 @@
 	}
 }
 
+void outlier_believe_failing(outlier_t *outlier, usec_t now)
+{
+	outlier->failing_until = now + FAILING_HELD;
+}
+
+static void sum_up(outlier_t *outlier, evidence_t evidence, usec_t now)
+{
+	if (evidence == EVIDENCE_GOOD) {
+		outlier->sum -= outlier->sum < FAILING_DOWN ? outlier->sum : FAILING_DOWN;
+		return;
+	}
+	if (outlier->sum == 0 || now >= outlier->bad_at + FAILING_FORGET) {
+		outlier->sum = 0;
+		outlier->bad_since = now;
+	}
+	outlier->bad_at = now;
+	outlier->sum += FAILING_UP;
+	if (outlier->sum > 2 * FAILING_SUM)
+		outlier->sum = 2 * FAILING_SUM;
+	if (outlier->sum >= FAILING_SUM && now >= outlier->bad_since + FAILING_LASTS)
+		outlier_believe_failing(outlier, now);
+}
+
 static void forget(outlier_t *outlier)
 {
 	for (size_t i = 0; i < OUTLIER_WINDOW; i++)
@@ -84,26 +105,24 @@
 	forget(outlier);
 }
 
-void outlier_believe_failing(outlier_t *outlier, usec_t now)
-{
-	outlier->failing_until = now + FAILING_HELD;
-}
-
 void outlier_note(outlier_t *outlier, evidence_t evidence, usec_t now)
 {
-	tally_t tally = {0};
-
 	outlier->last[outlier->next].at = now;
 	outlier->last[outlier->next].evidence = evidence;
 	outlier->next = (outlier->next + 1) % OUTLIER_WINDOW;
-	outlier_count(outlier, now, &tally);
-	if (evidence != EVIDENCE_GOOD && is_costly(&tally))
-		outlier_believe_failing(outlier, now);
+	sum_up(outlier, evidence, now);
 	/* What was sent before it was taken out is no trial. */
 	if (outlier->out && now >= outlier->out_until)
 		on_trial(outlier, evidence, now);
 }
 
+void outlier_on_down(outlier_t *outlier, usec_t now)
+{
+	if (outlier->down_at != 0 && now < outlier->down_at + DOWN_AGAIN)
+		outlier_believe_failing(outlier, now);
+	outlier->down_at = now;
+}
+
 bool outlier_is_worse(const outlier_t *outlier, const tally_t *others, usec_t now)
 {
 	tally_t own = {0};
@@ -111,7 +130,9 @@
 
 	outlier_count(outlier, now, &own);
 	bad = own.failed + own.refused;
-	return is_bad(bad, own.total) &&
+	/* Without a few at others nothing shows that those would do better. */
+	return others->total >= OTHERS_LEAST && bad >= BAD_LEAST &&
+	       bad * 100 >= own.total * BAD_PERCENT &&
 	       bad * others->total >=
 		       WORSE_THAN_OTHERS * (others->failed + others->refused) * own.total;
 }
--- a/pooler/outlier.h
+++ b/pooler/outlier.h
@@ -38,7 +38,11 @@
 	usec_t out_until; /* then it is tried */
 	usec_t out_for;
 	unsigned trials;      /* that must still go well */
+	unsigned sum;	      /* of what went wrong, as for a primary */
+	usec_t bad_since;     /* when the sum last left zero */
+	usec_t bad_at;	      /* when something last went wrong */
 	usec_t failing_until; /* it is believed to fail until then */
+	usec_t down_at;	      /* when it was last found down; 0: never */
 } outlier_t;
 
 /* Outcomes of late, by kind. */
@@ -54,6 +58,9 @@
 /* It costs callers more than a change of primary would, for another reason than its outcomes. */
 void outlier_believe_failing(outlier_t *outlier, usec_t now);
 
+/* It was found down: one that is so again soon after hangs in between, or goes up and down. */
+void outlier_on_down(outlier_t *outlier, usec_t now);
+
 /* Add what is remembered of it. */
 void outlier_count(const outlier_t *outlier, usec_t now, tally_t *tally);
 
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -179,6 +179,9 @@
 {
 	if (service->change.step == CHANGE_NONE && now < service->failing_until)
 		return false;
+	/* It gets no statements by then, so that fewer and fewer see it. */
+	if (service->change.step != CHANGE_NONE && service->change.failing)
+		return votes.failing != 0;
 	if (votes.failing < WITNESSES_LEAST && others_live(service->pooler))
 		return false;
 	return votes.failing > votes.well;
