--- a/pooler/member.c
+++ b/pooler/member.c
@@ -17,18 +17,6 @@
 #define FIRST_RESPONSE (10 * USEC_PER_MSEC)
 /* Smoothing of response times: a fifth of each new one. */
 #define RESPONSE_WEIGHT 5
-/* Of the usual response: some minutes' statements of a small site. */
-#define USUAL_WEIGHT 256
-/*
- * A primary that has turned slow: so many times as slow as the quickest of the others, and as
- * itself before, and slower than callers bear (the strictest objectives are 100 to 150 ms, of
- * several statements each). Four times and less a primary bears without a queue that grows, as its
- * usual load on the users' sites is a quarter of what it can do; and where writes are always slower
- * than reads, it is not slower than itself.
- */
-#define SLOW_AS_OTHERS 6
-#define SLOW_AS_BEFORE 4
-#define SLOW_LEAST     (50 * USEC_PER_MSEC)
 /*
  * Statements at a member for each of its slots: one that runs, and one that is there when it ends.
  * While Welsh replicas stand still (./dev/measure pooler) in aim and in doubt: without a
@@ -80,7 +68,6 @@
 	member->full_until = 0;
 	member->open_after = 0;
 	member->response = FIRST_RESPONSE;
-	member->usual = FIRST_RESPONSE;
 	member->outlier = (outlier_t){0};
 	member->survey_done = false;
 	member->status = (member_status_t){0};
@@ -147,7 +134,6 @@
 	member->address = talloc_strdup(member, entry->address);
 	member->zone = talloc_strdup(member, entry->zone);
 	member->response = FIRST_RESPONSE;
-	member->usual = FIRST_RESPONSE;
 	member->silent_since = USEC_NEVER;
 	member->leaving_since = NOT_LEAVING;
 	list_init(&member->conns);
@@ -346,50 +332,9 @@
 	return member->conn_count < most;
 }
 
-/* Response of the quickest of the other members measured since then, USEC_NEVER if none was. */
-static usec_t quickest_other(const member_t *self, usec_t since)
-{
-	usec_t quickest = USEC_NEVER;
-
-	list_for_each (it, &self->service->members) {
-		const member_t *member = list_entry(it, member_t, in_service);
-
-		if (member != self && member_is_usable(member) && member->measured_at > since &&
-		    member->response < quickest)
-			quickest = member->response;
-	}
-	return quickest;
-}
-
-/*
- * Writes wait for a primary that has turned slow until they are late or refused, while its replicas
- * would serve them: with one 21 times as slow a primary was kept for as long as that lasted
- * (test_pooler_outlier).
- */
-static bool has_turned_slow(member_t *member, usec_t now)
-{
-	usec_t quickest;
-
-	if (member->response < SLOW_LEAST || member->response < member->usual * SLOW_AS_BEFORE) {
-		member->slow_since = 0;
-		return false;
-	}
-	if (member->slow_since == 0)
-		member->slow_since = now;
-	/* Others may have turned slow as well, and not have answered since. */
-	quickest = quickest_other(member, member->slow_since);
-	return quickest != USEC_NEVER && member->response >= quickest * SLOW_AS_OTHERS;
-}
-
 void member_measure(member_t *member, usec_t took)
 {
-	usec_t now = now_of(member->pooler);
-
 	member->response = (member->response * (RESPONSE_WEIGHT - 1) + took) / RESPONSE_WEIGHT;
-	member->usual = (member->usual * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT;
-	member->measured_at = now;
-	if (has_turned_slow(member, now))
-		outlier_believe_failing(&member->outlier, now);
 }
 
 /* True if one member more may be without reads: half of them carry what is left. */
--- a/pooler/outlier.h
+++ b/pooler/outlier.h
@@ -55,7 +55,7 @@
 /* A statement has ended so. */
 void outlier_note(outlier_t *outlier, evidence_t evidence, usec_t now);
 
-/* It costs callers more than a change of primary would, for another reason than its outcomes. */
+/* From now on, for a while, it counts as failing. */
 void outlier_believe_failing(outlier_t *outlier, usec_t now);
 
 /* It was found down: one that is so again soon after hangs in between, or goes up and down. */
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -83,9 +83,6 @@
 	conn_t *probe_conn;
 	/* Placement of reads. */
 	usec_t response;    /* smoothed time from sending a statement to its reply */
-	usec_t usual;	    /* the same over minutes */
-	usec_t measured_at; /* when that was last taken */
-	usec_t slow_since;  /* it has taken far longer than usual; 0: it does not */
 	position_t applied; /* of its log, by its last reply */
 	usec_t applied_at;  /* when that came */
 	usec_t lagged_at;   /* when it last lacked a position */
--- a/pooler/survey.c
+++ b/pooler/survey.c
@@ -15,6 +15,8 @@
 #define SYNC_PATIENCE (30 * USEC_PER_SEC)
 /* With synchronous replicas any one of them may be the only one with the last commit. */
 #define SURVEY_TIME_SYNC (3 * USEC_PER_SEC)
+/* So many times as quick is no chance among members that share a service's reads. */
+#define FAR_QUICKER 4
 
 void survey_begin(service_t *service)
 {
@@ -108,13 +110,26 @@
 }
 
 /* Furthest in the newest term; a member that missed a change has an older term. */
+/*
+ * True if a serves callers far better than b, as seen from here. One that fails or is slow as well
+ * would be replaced in turn, and callers would wait twice.
+ */
+static bool is_healthier(const member_t *a, const member_t *b)
+{
+	if (a->outlier.out != b->outlier.out)
+		return b->outlier.out;
+	return a->response * FAR_QUICKER <= b->response;
+}
+
 static bool is_better(const member_t *a, const member_t *b)
 {
 	if (a->status.term != b->status.term)
 		return a->status.term > b->status.term;
 	if (survey_is_further(a->status.received, b->status.received))
 		return true;
-	return stays(a) && !stays(b) && !survey_is_further(b->status.received, a->status.received);
+	if (survey_is_further(b->status.received, a->status.received))
+		return false;
+	return stays(a) != stays(b) ? stays(a) : is_healthier(a, b);
 }
 
 /* A member that leaves may be the only one that has the last commits of a synchronous service. */
