--- a/tests/test_ports.c
+++ b/tests/test_ports.c
@@ -41,9 +41,11 @@
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int may_follow_closed = 1; /* as servers do; an earlier run has used the port */
 	ports_t one;
 	ports_t two;
 
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &may_follow_closed, sizeof(may_follow_closed));
 	ports_take(&one);
 	sin.sin_port = htons((uint16_t)(one.first + 5));
 	g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
