--- a/tests/site.c
+++ b/tests/site.c
@@ -59,25 +59,45 @@
 	return path;
 }
 
-void site_start_proxy(site_harness_t *site, int proxy, int stdout_fd)
+static char *settings_path(const site_harness_t *site, int proxy)
 {
 	char *name = g_strdup_printf("p%d.toml", proxy);
-	char *config = g_build_filename(site->dir, name, NULL);
+	char *path = g_build_filename(site->dir, name, NULL);
+
+	g_free(name);
+	return path;
+}
+
+static void launch(site_harness_t *site, int proxy, int stdout_fd)
+{
+	char *config = settings_path(site, proxy);
 	char *log = log_path(site, proxy);
 	char *program = harness_program("proxy/cyclamenspan");
 	char *argv[] = {program, "--pooler", "--config", config, NULL};
 	int fd = stdout_fd >= 0 ? stdout_fd : g_open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
-	write_settings(site, proxy, config);
 	site->proxies[proxy] = harness_spawn(argv, (const int[]){-1, fd, -1});
 	if (stdout_fd < 0)
 		close(fd);
-	g_free(name);
 	g_free(config);
 	g_free(log);
 	g_free(program);
 }
 
+void site_start_proxy(site_harness_t *site, int proxy, int stdout_fd)
+{
+	char *config = settings_path(site, proxy);
+
+	write_settings(site, proxy, config);
+	launch(site, proxy, stdout_fd);
+	g_free(config);
+}
+
+void site_restart_proxy(site_harness_t *site, int proxy)
+{
+	launch(site, proxy, -1);
+}
+
 site_harness_t *site_start(int proxies)
 {
 	site_harness_t *site = g_new0(site_harness_t, 1);
--- a/tests/site.h
+++ b/tests/site.h
@@ -33,6 +33,9 @@
 /* stdout NULL: into a file in dir, named after the proxy. */
 void site_start_proxy(site_harness_t *site, int proxy, int stdout_fd);
 
+/* The same with the settings as they are. */
+void site_restart_proxy(site_harness_t *site, int proxy);
+
 /* Wait until the proxy says that it is ready and a write goes through. */
 void site_wait_ready(const site_harness_t *site, int proxy);
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -368,7 +368,8 @@
 	site_disconnect(caller);
 }
 
-static void set_grace(int proxy, const char *value)
+/* In the settings of the proxy. */
+static void replace_setting(int proxy, const char *from, const char *to)
 {
 	char *name = g_strdup_printf("p%d.toml", proxy);
 	char *path = g_build_filename(site->dir, name, NULL);
@@ -376,10 +377,10 @@
 	char **parts;
 
 	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	parts = g_strsplit(text, "grace_s = 4", -1);
+	parts = g_strsplit(text, from, -1);
 	g_assert_cmpuint(g_strv_length(parts), ==, 2);
 	g_free(text);
-	text = g_strjoinv(value, parts);
+	text = g_strjoinv(to, parts);
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_strfreev(parts);
 	g_free(text);
@@ -398,7 +399,7 @@
 
 	site_start_proxy(site, 3, -1);
 	site_wait_ready(site, 3);
-	set_grace(3, "grace_s = 0.6");
+	replace_setting(3, "grace_s = 4", "grace_s = 0.6");
 	kill(site->proxies[3], SIGHUP);
 	g_usleep(300000);
 	caller = site_open(site, 3, "jobs");
@@ -416,6 +417,37 @@
 	site_disconnect(caller);
 }
 
+/* A caller beyond the limit is told so, and those that are there go on. */
+static void test_too_many_callers(void)
+{
+	enum { MOST = 3 };
+	site_caller_t *callers[MOST];
+	site_caller_t *late;
+	char *reply;
+
+	/* Written with the first start, read with the next. */
+	site_start_proxy(site, 3, -1);
+	site_wait_ready(site, 3);
+	kill(site->proxies[3], SIGTERM);
+	harness_wait(&site->proxies[3], 10000);
+	replace_setting(3, "[callers]\n", "[callers]\nmax = 3\n");
+	site_restart_proxy(site, 3);
+	site_wait_ready(site, 3);
+	for (int i = 0; i < MOST; i++)
+		callers[i] = site_open(site, 3, "jobs");
+	late = site_connect(site, 3);
+	reply = site_receive(late);
+	g_assert_true(g_str_has_prefix(reply, "ERR TOOMANY"));
+	g_free(reply);
+	site_disconnect(late);
+	for (int i = 0; i < MOST; i++) {
+		assert_reply(site_ask(callers[i], "READ nothing"), "ROW none");
+		site_disconnect(callers[i]);
+	}
+	kill(site->proxies[3], SIGTERM);
+	g_assert_cmpint(harness_wait(&site->proxies[3], 10000), ==, 0);
+}
+
 /*
  * What the caller sees: its connection is made, it sends START, and the connection is reset. What
  * happens: the proxy is stopped for a moment when it is to close its listener in a shutdown, and
@@ -606,6 +638,7 @@
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
 	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
+	g_test_add_func("/site/too-many-callers", test_too_many_callers);
 	g_test_add_func("/site/at-the-listeners-end", test_connection_at_the_listeners_end);
 	g_test_add_func("/site/answer-during-a-stop", test_answer_during_a_stop);
 	g_test_add_func("/site/settings-errors", test_settings_errors);
