Only a holder that has answered is waited for; after a conflict its writer is asked

Cause: the longer wait of a large fleet was for whatever holder the store named. And whoever met another write asked the silent holder again instead of the writer.

/upstream/holder-stays-away fails before: 1 of 63 on the roster after 0.5 s, 14 with the shorter wait alone.

--- a/pooler/join.c
+++ b/pooler/join.c
@@ -103,9 +103,10 @@
 	sync_t *sync = &pooler->sync;
 
 	sync->registering = false;
-	sync->join_asked = false;
 	sync->join_began = 0;
 	sync->join_failed = result->status == KV_CONFLICT;
+	/* Whoever made the other write lives, which the holder has not shown. */
+	sync->join_asked = sync->join_failed;
 	if (result->status == KV_OK) {
 		tell_added(pooler);
 		LOG_EVENT(LOG_INFO, "on the roster", LOG_INT("roster", sync->roster->revision));
@@ -191,17 +192,30 @@
 		return true;
 	sync->join_asked = true;
 	sync->join_failed = false;
-	sync->join_wait = now + added_within(pooler);
+	sync->join_asked_at = now;
 	return true;
 }
 
+/*
+ * Whoever was asked may still add us. In a large fleet that takes longer, but only one that has
+ * answered is waited for: after a loss of power it may be the holder of before, and not be back.
+ */
+static bool is_being_added(const pooler_t *pooler, usec_t now)
+{
+	const sync_t *sync = &pooler->sync;
+	bool answered = sync->holder_heard > sync->join_asked_at;
+
+	return sync->join_asked &&
+	       now < sync->join_asked_at + (answered ? added_within(pooler) : ADDED_WITHIN);
+}
+
 /* A proxy that is not on the roster uses no primary. */
 static void register_self(pooler_t *pooler, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
 
 	if (sync->registering || sync->reading || sync->confirmed_at == USEC_NEVER ||
-	    pooler->draining || permit_is_registered(pooler) || now < sync->join_wait)
+	    pooler->draining || permit_is_registered(pooler) || is_being_added(pooler, now))
 		return;
 	if (sync->join_began == 0)
 		sync->join_began = now;
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -322,10 +322,10 @@
 	bool join_asked; /* the holder was asked to add us, and our own write comes next */
 	usec_t join_began;
 	bool join_failed; /* our own write to get on the roster met another one */
-	usec_t join_wait; /* another proxy was asked to add us; not before this again */
-	bool storing;	  /* groups are being written */
-	bool adding;	  /* others to the roster */
-	list_t joiners;	  /* that have asked for it; see join.c */
+	usec_t join_asked_at;
+	bool storing;	/* groups are being written */
+	bool adding;	/* others to the roster */
+	list_t joiners; /* that have asked for it; see join.c */
 	usec_t ask_next;
 	uint64_t told; /* digest of what the last question reported, to report changes at once */
 	char *holder;  /* who holds the duty */
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -10,7 +10,7 @@
 #include "fake_kv.h"
 #include "pooler.h"
 
-#define WORLD_NODES_MAX 24
+#define WORLD_NODES_MAX 64
 #define WORLD_DATABASE	"jobs"
 #define WORLD_SERVICE	"core"
 #define WORLD_REPLY_MAX 512
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -13,6 +13,8 @@
 #include "sync.h"
 
 #define NODES 6
+/* A fleet whose members take connections of homes only. */
+#define FLEET 24
 
 /* One member that takes two connections, before six proxies. */
 static const fake_db_config_t scarce = {
@@ -341,7 +343,7 @@
  */
 static void test_home_is_frozen(void)
 {
-	pool_world_t *world = world_create(WORLD_NODES_MAX, NULL);
+	pool_world_t *world = world_create(FLEET, NULL);
 	size_t away = 0;
 	world_caller_t *caller;
 	size_t home = 0;
@@ -499,7 +501,7 @@
  */
 static void test_home_leaves(void)
 {
-	pool_world_t *world = world_create(WORLD_NODES_MAX, NULL);
+	pool_world_t *world = world_create(FLEET, NULL);
 	size_t away = 0;
 	size_t home = 0;
 	world_caller_t *caller;
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "exchange.h"
+#include "permit.h"
 #include "pool_check.h"
 #include "refresh.h"
 #include "sync.h"
@@ -173,6 +174,42 @@
 	world_destroy(world);
 }
 
+static size_t count_registered(const pool_world_t *world)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < world->node_count; i++)
+		count += world->nodes[i].pooler != NULL &&
+			 permit_is_registered(world->nodes[i].pooler);
+	return count;
+}
+
+/*
+ * What callers see: nothing, after the half second that a fleet takes to come back from a loss of
+ * power. What happens: the holder of before, which all others know from the store, does not come
+ * back. Why it suffices to wait only for a holder that has answered: whoever hears nothing within
+ * 150 ms writes itself.
+ */
+static void test_holder_stays_away(void)
+{
+	pool_world_t *world = world_create(WORLD_NODES_MAX, NULL);
+	size_t holder;
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	holder = find_holder(world);
+	for (size_t i = 0; i < WORLD_NODES_MAX; i++)
+		world_power_off(world, i);
+	world_run(world, 100 * MSEC);
+	for (size_t i = 0; i < WORLD_NODES_MAX; i++) {
+		if (i != holder)
+			world_start(world, i);
+	}
+	world_run(world, 500 * MSEC);
+	g_assert_cmpuint(count_registered(world), ==, WORLD_NODES_MAX - 1);
+	world_destroy(world);
+}
+
 /*
  * The primary crashes. All proxies let go, though the holder hears of most of them through hubs:
  * the caller is served again within 2 s, of which the platform's promote takes one.
@@ -281,6 +318,7 @@
 	g_test_add_func("/upstream/store-down", test_store_down);
 	g_test_add_func("/upstream/primary-crashes", test_primary_crashes);
 	g_test_add_func("/upstream/join-quietly", test_proxies_join_quietly);
+	g_test_add_func("/upstream/holder-stays-away", test_holder_stays_away);
 	g_test_add_func("/upstream/cut-off", test_cut_off_proxy_stops);
 	g_test_add_func("/upstream/configurations-spaced", test_configurations_are_spaced);
 	return g_test_run();
