A question that was not sent for want of a link follows soon; four links a tick

The question that makes a link is not sent; the next one came 400 ms later, and until it did results waited for their way back in the first second after a loss of power.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -328,12 +328,12 @@
 	}
 }
 
-void exchange_ping(const pooler_t *pooler, const roster_node_t *peer)
+bool exchange_ping(const pooler_t *pooler, const roster_node_t *peer)
 {
 	peer_message_t message = {.kind = PEER_PING};
 
 	exchange_fill(pooler, &message);
-	send_to(pooler, peer->name, peer->address, &message);
+	return send_to(pooler, peer->name, peer->address, &message);
 }
 
 static void on_ping(const pooler_t *pooler, const peer_message_t *message)
--- a/pooler/exchange.h
+++ b/pooler/exchange.h
@@ -28,8 +28,8 @@
 /* Tell one proxy the roster, though it has not asked; false if there is no link to it yet. */
 bool exchange_tell(pooler_t *pooler, const char *name, const char *address);
 
-/* Ask one proxy whether it lives. */
-void exchange_ping(const pooler_t *pooler, const roster_node_t *peer);
+/* Ask one proxy whether it lives; false if there is no link to it yet. */
+bool exchange_ping(const pooler_t *pooler, const roster_node_t *peer);
 
 /* Ask one proxy for its state; false if there is no link to it yet. */
 bool exchange_ask(const pooler_t *pooler, const char *name, const char *address);
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -34,7 +34,7 @@
  * with those to all homes of a zone at once a proxy's loop stood still for 100 to 260 ms, when
  * callers were waiting for it after a loss of power.
  */
-#define LINKS_AT_ONCE 2
+#define LINKS_AT_ONCE 4
 /* Between two looks for a home without a link, when all seem to have one. */
 #define WARM_INTERVAL (1 * USEC_PER_SEC)
 /* Nothing heard for so long since it was handed a statement: a question, its answer and a tick. */
@@ -218,8 +218,11 @@
 	report = exchange_get_report(pooler, name);
 	if (!report->ponged && *links > 0 && now >= report->pinged_at + PING_INTERVAL_MOST) {
 		(*links)--;
-		report->pinged_at = now;
-		exchange_ping(pooler, node);
+		/* The first only makes our link; the one that gets there makes theirs. */
+		if (exchange_ping(pooler, node))
+			report->pinged_at = now;
+		else
+			report->pinged_at = now + PING_INTERVAL - PING_INTERVAL_MOST;
 	}
 	return report->ponged;
 }
