--- a/soak/inject.c
+++ b/soak/inject.c
@@ -80,7 +80,9 @@
 
 	fleet_term(inject->fleet, proxy_of(inject, fault), fault->duration);
 	next.target++;
-	if (next.target < inject->fleet->options.proxies)
+	/* In a large fleet it would go on beyond the last fault. */
+	if (next.target < inject->fleet->options.proxies &&
+	    now_of(inject) + fault->amount * MSEC < inject->started + inject->plan->length)
 		later(inject, &next, fault->amount * MSEC, roll_on);
 }
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -271,7 +271,9 @@
 	}
 	loop_run(&soak.loop);
 	fleet_stop(soak.fleet);
-	check_end(soak.clients);
+	/* The record of a run that was broken off lacks its end. */
+	if (!stop_asked)
+		check_end(soak.clients);
 	report(&soak, options, clock_now(soak.loop.clock) - began);
 	keep = finding_count() != 0 || options->keep;
 	if (keep)
