The soak measures a process from its first second on

Ruled out by runs by hand: SIGTERM to all proxies, calm and under faults, and the platform killed (at most 30 MB).

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -28,6 +28,8 @@
 #define RESTART_AFTER (300 * USEC_PER_MSEC)
 /* From fork() until the loader is done with a program, on a busy machine. */
 #define LOADING (100 * USEC_PER_MSEC)
+/* By then it certainly is. */
+#define LOADED (1 * USEC_PER_SEC)
 /* From the end of the grace to the end of the process: its last turn of the loop. */
 #define END_SLACK (1 * USEC_PER_SEC)
 
@@ -320,7 +322,10 @@
 void fleet_check_bounds(fleet_t *fleet, usec_t now)
 {
 	for (unsigned i = 0; i < fleet->options.proxies; i++) {
-		if (fleet->proxies[i].state != PROXY_DOWN)
+		const proxy_t *proxy = &fleet->proxies[i];
+
+		/* Between fork() and exec() it has this process's memory and descriptors. */
+		if (proxy->state != PROXY_DOWN && now >= proxy->started_at + LOADED)
 			check_bounds(fleet, &fleet->proxies[i], now);
 	}
 }
