--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -44,7 +44,7 @@
  */
 #define LINGER_MSEC 500
 /*
- * Messages handled before timers and other sockets have their turn: 80 ms of the slowest machines.
+ * Messages handled before timers and other sockets have their turn: 80 ms of the slowest VMs.
  * With all that had come the holder of the duty was kept from renewing its lease for 4.3 s, by
  * 1,813 messages after a loss of power.
  */
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -30,7 +30,7 @@
 #define PING_INTERVAL	   (100 * USEC_PER_MSEC)
 #define PING_INTERVAL_MOST (400 * USEC_PER_MSEC)
 /*
- * Links that are made with one tick. Each takes some 10 ms of a machine with an eighth of a core:
+ * Links that are made with one tick. Each takes some 10 ms of a VM with an eighth of a core:
  * with those to all homes of a zone at once a proxy's loop stood still for 100 to 260 ms, when
  * callers were waiting for it after a loss of power.
  */
