Comments say why, and are right, where a newcomer stumbled

Only comments change; without them and blanks the code is the same, token by token.

- Wrong or at the wrong place: is_better()'s comment stood before is_healthier(); stream_leave() promised on_data after STREAM_UNUSED; variables are encoded as objects, not one after the other; ZeroMQ's linger spoke of keepers, which the glossary has for something else; a failed read "once more, at most twice"; DRAIN_ALL left out callers that stop within a statement; service_set_group() read as a getter.
- History and measured runs became the reason that they stand for.
- Public functions without a doc comment have one (service_get, member_find, caller_on_gone, pooler_dump, kernel_drain, kernel_destroy).
- Sentences that could not be understood: the thresholds of failing primaries, news_digest(), LOOKS_MAX, ADDED_WITHIN_EACH, LINK_WAIT, LATE_TIMER, fleet_majority_heard().
- VM, not machine.

--- a/core/core.c
+++ b/core/core.c
@@ -70,7 +70,7 @@
 	return ++core->next_id;
 }
 
-/* splitmix64: small, seeded, and the same on every machine, as golden files need. */
+/* splitmix64: small, seeded, and the same on every VM, as golden files need. */
 uint64_t core_random(core_t *core, uint64_t limit)
 {
 	uint64_t z = core->rng += 0x9e3779b97f4a7c15u;
--- a/core/core.h
+++ b/core/core.h
@@ -1,5 +1,5 @@
 /*
- * The decisions of one proxy, as a machine without I/O: events in, actions
+ * The decisions of one proxy, as a state machine without I/O: events in, actions
  * out. Any number of cores can live in one process; time comes with the event,
  * random numbers from the seed, every effect is an action.
  */
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -387,7 +387,8 @@
 
 	HASH_ITER (hh, fleet->proxies, proxy, next) {
 		all++;
-		/* What we take in now may have waited in a buffer while we were paused. */
+		/* Not proxy->heard: what comes in now may have waited in a buffer while we were
+		 * paused. */
 		if (proxy->self || (proxy->our_echo != 0 && proxy->our_echo >= since))
 			heard++;
 	}
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -98,6 +98,8 @@
 /* True if a proxy ranked before this one is suspect: we act in its place. */
 bool fleet_replaces_suspect(const ranks_t *ranks);
 
-/* True if more than half of the fleet, self included, has sent something since then that has come.
+/*
+ * True if more than half of the fleet, self included, is known to have been alive since then: its
+ * messages echo a time of our clock that is no earlier.
  */
 bool fleet_majority_heard(const fleet_t *fleet, usec_t since);
--- a/core/router.c
+++ b/core/router.c
@@ -25,11 +25,12 @@
 /* How often a request that waits after our own pause is tried again. */
 #define WAKE_RETRY (50 * USEC_PER_MSEC)
 /*
- * Proxies try a broken connection again every 250 ms at the latest, and an
- * attempt may take 300 ms. A caller whose transaction's home is gone hears of it
- * as much later.
+ * How long a statement of a transaction waits for a broken connection to its
+ * home: one is tried again after 250 ms at the latest, an attempt may take
+ * 300 ms. The price: if the home is gone, the caller learns it so much later.
  */
-#define LINK_WAIT  (600 * USEC_PER_MSEC)
+#define LINK_WAIT (600 * USEC_PER_MSEC)
+/* Between two attempts to send such a statement. */
 #define LINK_RETRY (50 * USEC_PER_MSEC)
 
 static void route(request_t *request);
--- a/kernel/clock.h
+++ b/kernel/clock.h
@@ -40,7 +40,7 @@
 	return value < most ? value : most;
 }
 
-/* The machine's clock. It counts suspended time too (CLOCK_BOOTTIME). */
+/* The VM's clock. It counts suspended time too (CLOCK_BOOTTIME). */
 const run_clock_t *clock_system(void);
 
 void paused_clock_init(paused_clock_t *clock, usec_t now);
--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -11,8 +11,8 @@
 /* Longest sleep in h2o's loop, milliseconds: bounds the wait for a signal flag. */
 #define MAX_WAIT_MSEC 100
 /*
- * A timer that is so late is run only after one more look at all sockets. On time they are late by
- * the rest of a millisecond; a busy VM's are by tens.
+ * A timer that is so late is run only after one more look at all sockets. Timers are usually late
+ * by less than a millisecond, since h2o waits in whole ones; on a busy VM by tens.
  */
 #define LATE_TIMER (10 * USEC_PER_MSEC)
 
@@ -71,9 +71,10 @@
 }
 
 /*
- * A signal, or a process that was stopped and goes on, ends the wait early, and such a turn reads
- * nothing. Timers that ran behind it would judge by what was known before: a statement whose answer
- * lies in the socket would be out of time, a listener closed with callers in its queue.
+ * Wait for sockets and read them. A signal, or a process that was stopped and goes on, ends the
+ * wait early, and such a turn reads nothing. Timers that ran behind it would judge by what was
+ * known before: a statement whose answer lies in the socket would be out of time, a listener closed
+ * with callers in its queue.
  */
 static void read_all(loop_t *loop, int32_t wait)
 {
--- a/kernel/plugin.h
+++ b/kernel/plugin.h
@@ -55,6 +55,8 @@
 
 /* Start every registered plug-in of the family; on an error those started are destroyed. */
 int kernel_start(kernel_t *kernel, err_t *err);
+
+/* Tell every plug-in that was started to begin its graceful shutdown. */
 void kernel_drain(kernel_t *kernel);
 
 /*
@@ -67,4 +69,6 @@
 
 /* One object, a key a plug-in. The caller owns it. */
 json_t *kernel_dump(const kernel_t *kernel);
+
+/* Destroy every plug-in that was started, the last one first. */
 void kernel_destroy(kernel_t *kernel);
--- a/kernel/stream.c
+++ b/kernel/stream.c
@@ -112,7 +112,7 @@
 
 /* --- input --- */
 
-/* True if the socket holds input; its end is none. */
+/* True if the socket holds input that was not read; the end of input does not count. */
 static bool has_unread(const stream_t *stream)
 {
 	char byte;
--- a/kernel/stream.h
+++ b/kernel/stream.h
@@ -71,10 +71,11 @@
 void stream_finish(stream_t *stream);
 
 /*
- * End the connection of a peer that is not in the middle of anything. The look and the close are
- * one step: if the close waited for a later turn of the loop, what comes in between would be thrown
- * away, and its sender get neither an answer nor a refusal. Only what is on its way right now can
- * still cross the close. Without a callback; if it stays open, on_data or on_sent follows.
+ * Close the connection unless there is input to handle or output to send. The look and the close
+ * are one step: if the close waited for a later turn of the loop, what comes in between would be
+ * thrown away, and its sender would get neither an answer nor a refusal. Only what is on its way
+ * right now can still cross the close. on_down is not called; if the connection stays open because
+ * of STREAM_UNREAD or STREAM_UNSENT, on_data or on_sent follows (after stream_finish() on_down).
  */
 stream_leave_t stream_leave(stream_t *stream);
 
--- a/links/bounds.c
+++ b/links/bounds.c
@@ -5,11 +5,11 @@
 /* What a header says of the object behind it. */
 typedef struct header {
 	size_t size;	   /* of the header with its numbers */
-	uint64_t bytes;	   /* behind it, that are no objects */
-	uint64_t elements; /* objects behind it */
+	uint64_t bytes;	   /* of plain data behind it */
+	uint64_t elements; /* objects inside it, behind the header */
 } header_t;
 
-/* Big end first. */
+/* Big-endian, as MessagePack has it. */
 static uint64_t read_number(const uint8_t *at, size_t size)
 {
 	uint64_t number = 0;
@@ -21,7 +21,7 @@
 
 typedef enum { NOTHING, BYTES, ARRAY, MAP } content_t;
 
-/* The formats of one byte from 0xc0 on, MessagePack's specification. */
+/* MessagePack's formats whose first byte is 0xc0 to 0xdf, by its lower five bits. */
 static const struct {
 	uint8_t numbers; /* bytes of the length, or of the plain value */
 	uint8_t extra;	 /* bytes behind the length, or the type of an extension */
@@ -79,7 +79,7 @@
 bool bounds_are_kept(const void *data, size_t len)
 {
 	const uint8_t *at = data;
-	uint64_t missing = 1; /* objects, of a byte or more each */
+	uint64_t missing = 1; /* objects still to come, of a byte or more each */
 
 	while (missing > 0) {
 		header_t header;
--- a/links/httpd.c
+++ b/links/httpd.c
@@ -12,13 +12,13 @@
 
 #define HTTP1_IDLE_MSEC 60000
 #define JSON_TYPE	"application/json"
-#define HTTP2		0x200 /* of h2o_req_t.version */
+#define HTTP2		0x200 /* h2o_req_t.version from HTTP/2 on */
 /*
- * Looks before the end at a connection that goes on having something to read or
- * write. Each look follows a turn of the loop, which serves 256 connections, so
- * it suffices for 25,000 of them; then it is a caller that doesn't take its
- * answer, and the process doesn't wait for it. Looks are counted, not time: a
- * process that is held up has served nobody meanwhile.
+ * How often httpd_settle() looks for connections with something to read or
+ * write before it closes all. Each look follows a turn of the loop, which serves
+ * 256 connections, so this suffices for 25,000 of them; who is left then doesn't
+ * take its answer, and the process doesn't wait for it. Looks are counted, not
+ * time: a process that is held up has served nobody meanwhile.
  */
 #define LOOKS_MAX 100
 
@@ -158,7 +158,7 @@
 	list_for_each (it, &httpd->conns) {
 		conn_t *conn = list_entry(it, conn_t, node);
 
-		/* Closed right after the look: what is sent later is told by the end of input. */
+		/* Right after the look: who sends later finds the connection closed. */
 		if (last_look || (!has_unread(conn) && !h2o_socket_is_writing(conn->sock)))
 			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
 		else
--- a/links/peerlink.c
+++ b/links/peerlink.c
@@ -91,6 +91,7 @@
 			 "authenticated", self->secret_key != NULL);
 }
 
+/* Messages that have come but were not read would be lost with the process. */
 static bool settle(plugin_t *plugin)
 {
 	zmqlink_receive(&((peerlink_t *)plugin)->zmq);
--- a/links/run.h
+++ b/links/run.h
@@ -54,11 +54,11 @@
 /* The part that a run of this kind begins with. */
 part_t run_first_part(run_kind_t kind);
 
-/* Send the steps of a part. */
+/* Send the steps of a part as one pipeline; its results go to run_take(). */
 void run_send(run_t *run, pgio_t *io, part_t part);
 
-/* The next result of the part. */
+/* Take up the next result of the part; further ones than steps are ignored. */
 void run_take(run_t *run, const PGresult *result);
 
-/* Why it failed; the first reason stays. */
+/* Note why the run failed; the first reason stays. */
 void run_set_detail(run_t *run, const char *detail);
--- a/links/wire.c
+++ b/links/wire.c
@@ -195,7 +195,7 @@
 	return talloc_strndup(parent, value->via.str.ptr, value->via.str.size);
 }
 
-/* Cut off at its upper bits, a number of no meaning would pass for one that has some. */
+/* A cast would drop the upper bits, and an invalid number could turn into a valid one. */
 static int int_of(uint64_t number)
 {
 	return number <= INT_MAX ? (int)number : INT_MAX;
--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -40,13 +40,14 @@
  * the last answers to other proxies, which would then not know whether the
  * request was run. A connection that is up takes them within milliseconds;
  * one whose peer is away holds nothing (ZMQ_IMMEDIATE); one whose peer has
- * stopped reading is given up after 500 ms, long before its keepers end us.
+ * stopped reading is given up after 500 ms, long before a supervisor that sent
+ * SIGTERM would kill the process.
  */
 #define LINGER_MSEC 500
 /*
- * Messages handled before timers and other sockets have their turn: 80 ms of the slowest VMs.
- * With all that had come the holder of the duty was kept from renewing its lease for 4.3 s, by
- * 1,813 messages after a loss of power.
+ * Messages handled before timers and other sockets have their turn: 80 ms on the slowest VMs. With
+ * no bound some 1,800 messages, as come after a loss of power, would keep the holder of the duty
+ * from renewing its lease for over 4 s.
  */
 #define RECEIVE_AT_ONCE 32
 #define ZAP_ENDPOINT	"inproc://zeromq.zap.01"
@@ -128,7 +129,7 @@
 
 static void on_recheck(run_timer_t *timer, usec_t now);
 
-/* True if there may be more. */
+/* Handle up to RECEIVE_AT_ONCE messages; true if there may be more. */
 static bool receive_some(zmqlink_t *self)
 {
 	for (int i = 0; i < RECEIVE_AT_ONCE; i++) {
--- a/links/zmqlink.h
+++ b/links/zmqlink.h
@@ -29,10 +29,11 @@
 
 /* The keys and on_frame are set by the caller. Listens on address, IP:PORT. */
 int zmqlink_start(zmqlink_t *link, loop_t *loop, const char *address, err_t *err);
+
 /* What was sent to peers that are connected still leaves, within half a second. */
 void zmqlink_stop(zmqlink_t *link);
 
-/* Take up every message that has come, without waiting for the loop to tell of it. */
+/* Handle every message that has come, without waiting for the loop to report it. */
 void zmqlink_receive(zmqlink_t *link);
 
 /* Returns 0, or -EHOSTUNREACH if it was certainly not sent. address may be NULL for a known peer.
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -21,7 +21,7 @@
 #define FULL_FOR (1 * USEC_PER_SEC)
 /* The same for a connection inside our share. */
 #define FULL_RETRY (60 * USEC_PER_MSEC)
-/* Connections that break within this time have one cause: the way of the resets differs by ms. */
+/* Connections that break within this time have one cause: resets arrive some ms apart. */
 #define SAME_LOSS (50 * USEC_PER_MSEC)
 /* Names prepared on one connection before it is reset. */
 #define PREPARED_MAX 256
@@ -478,8 +478,9 @@
 }
 
 /*
- * Callers see a read fail that any other member would serve. It changes nothing, so it is run
- * once more, at most twice, elsewhere if it may; a failure that is its own repeats itself.
+ * Callers would see a read fail that any other member would serve. It changes nothing, so it is run
+ * again, elsewhere if possible; not more than twice, since a read that is itself at fault fails
+ * everywhere.
  */
 static bool read_again(conn_t *conn, const reply_t *reply)
 {
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -449,10 +449,9 @@
 }
 
 /*
- * Clients that begin, write and rest hold all connections that this proxy has to the primary, and
- * its other callers wait for the limit of idle transactions: of two connections, held for 3 s, 0 of
- * 50 reads were served in time; with this all 50 (test_pooler_load). One at a time is enough, since
- * it serves many statements, and who rests is told that nothing is kept.
+ * Clients that begin, write and rest could hold all connections that this proxy has to the primary,
+ * and its other callers would not be served until the limit of idle transactions. One at a time is
+ * enough, since one connection serves many statements; who rested is told that nothing is kept.
  */
 static void end_resting(service_t *service, usec_t now)
 {
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -62,7 +62,7 @@
 	return talloc_asprintf_append(list, "%s%s", *list != '\0' ? " " : "", word);
 }
 
-/* The news is old: only together can the permission be prolonged. */
+/* With news so old the permission is prolonged only by agreement with the other proxies. */
 static bool is_news_old(const pooler_t *pooler, usec_t now)
 {
 	const sync_t *sync = &pooler->sync;
@@ -99,9 +99,9 @@
 }
 
 /*
- * Another one as soon as there is something that the holder must hear at once. Compared 20 times a
- * second, so it is made without the text: that took 14% of a proxy's processor time before 334
- * services.
+ * Changes as soon as there is something that the holder must hear at once. It is compared 20 times
+ * a second, so it is made without the lists of describe(): with 334 services those would take 14%
+ * of a proxy's processor time.
  */
 static uint64_t news_digest(const pooler_t *pooler, usec_t now)
 {
--- a/pooler/exchange.h
+++ b/pooler/exchange.h
@@ -50,7 +50,7 @@
 /* The next word of a list of words joined by blanks, not terminated; NULL: there is none. */
 const char *exchange_next_word(const char **list, size_t *len);
 
-/* True if word is in such a list. */
+/* True if word is in a list of words joined by blanks. */
 bool exchange_lists(const char *list, const char *word);
 
 void exchange_tick(pooler_t *pooler, usec_t now);
--- a/pooler/hangup.c
+++ b/pooler/hangup.c
@@ -11,7 +11,7 @@
  * about to send, and a statement that crosses our close looks lost to its sender.
  */
 #define REST (400 * USEC_PER_MSEC)
-/* An answer leaves within two ticks; one that has not is not being read. */
+/* An answer leaves within two ticks (50 ms each); one that has not is not being read. */
 #define ANSWER_LEAVES (100 * USEC_PER_MSEC)
 
 typedef enum { END_SHUTDOWN, END_CUT, END_NO_PERMISSION, END_NOT_READING } end_reason_t;
@@ -47,11 +47,11 @@
 }
 
 /*
- * What the caller sees otherwise: its whole request gets neither an answer nor a refusal. On a busy
- * VM the loop is 0.3 s late, and a session that looks idle here has a request in the socket's
- * buffer, sent long before the close. The link closes only if nothing is under way, in the same
- * step as it looks; else the request is answered first, and the session ends behind that answer or
- * with a later tick.
+ * What the caller would see otherwise: its whole request gets neither an answer nor a refusal. On a
+ * busy VM the loop may be 0.3 s late, and a session that looks idle here has a request in the
+ * socket's buffer, sent long before the close. The link closes only if nothing is under way, in the
+ * same step as it looks; else the request is answered first, and the session ends behind that
+ * answer or with a later tick.
  */
 static bool hang_up(caller_t *caller, end_reason_t reason)
 {
@@ -70,8 +70,9 @@
 }
 
 /*
- * One that does not read its answer, or never sends the rest of a statement, would keep the process
- * from ending in good order, and all others from being told.
+ * A caller that does not read its answer, or never sends the rest of a statement, would keep the
+ * shutdown from its end: the process would be killed, and the callers whose statements are still in
+ * progress would get no answer.
  */
 static bool give_up(caller_t *caller)
 {
--- a/pooler/hangup.h
+++ b/pooler/hangup.h
@@ -10,7 +10,7 @@
 typedef enum {
 	DRAIN_RESTING,	    /* sessions that rest outside a transaction */
 	DRAIN_TRANSACTIONS, /* and inside of one */
-	DRAIN_ALL,	    /* and those that do not read their last answer */
+	DRAIN_ALL, /* and whose caller does not read its answer or stops within a statement */
 } drain_phase_t;
 
 /*
@@ -19,8 +19,14 @@
  */
 bool hangup_drain(caller_t *caller, drain_phase_t phase);
 
-/* While shutting down: close the session if its last statement has just been answered. */
+/*
+ * While shutting down: close the session if its last statement has just been answered. The caller
+ * may be freed.
+ */
 void hangup_if_done(caller_t *caller);
 
-/* Without permission: the same if it rests, so that its client goes elsewhere. */
+/*
+ * While this proxy has no permission: close the session if it rests outside a transaction, so that
+ * its client goes elsewhere. True if it is closed, and the caller freed.
+ */
 bool hangup_let_go(caller_t *caller, usec_t now);
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -30,9 +30,9 @@
 #define PING_INTERVAL	   (100 * USEC_PER_MSEC)
 #define PING_INTERVAL_MOST (400 * USEC_PER_MSEC)
 /*
- * Links that are made with one tick. Each takes some 10 ms of a VM with an eighth of a core:
- * with those to all homes of a zone at once a proxy's loop stood still for 100 to 260 ms, when
- * callers were waiting for it after a loss of power.
+ * Links that are made with one tick. Each takes some 10 ms on a VM with an eighth of a core: those
+ * to all homes of a zone at once would hold up the loop for 100 to 260 ms, just when callers wait
+ * after a loss of power.
  */
 #define LINKS_AT_ONCE 4
 /* Between two looks for a home without a link, when all seem to have one. */
@@ -203,8 +203,9 @@
 
 /*
  * A link takes some ms to be made: so it is made before the first caller needs it, and the one back
- * too, which is why the home has to answer. In the first two seconds of a fleet of 75 without this
- * 298 of 2,647 were late. True if it has answered.
+ * too, which is why the home has to answer. Without this a tenth of the statements in the first two
+ * seconds of a large fleet would be late. True if it has answered. *links: how many may still be
+ * made with this tick.
  */
 static bool warm_up(service_t *service, usec_t now, int *links)
 {
@@ -229,8 +230,8 @@
 
 /*
  * Links to the homes of all services. Once all are there they are only looked for when the fleet
- * or the configuration has changed, and at times: a look at 334 services with each tick took 7% of
- * a proxy's processor time.
+ * or the configuration has changed, and each WARM_INTERVAL: a look at 334 services with each tick
+ * would take 7% of a proxy's processor time.
  */
 static void warm_up_all(pooler_t *pooler, usec_t now)
 {
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -18,9 +18,9 @@
  */
 #define ADDED_WITHIN (150 * USEC_PER_MSEC)
 /*
- * The same for each proxy of a larger fleet, which may start at the same time. After 150 ms 100
- * that started together wrote themselves, each 50 KB that met another write, and so did the
- * holder's.
+ * The same for each proxy of a larger fleet, since all may start together. If 100 of them gave up
+ * on the holder after 150 ms, each would write the whole roster (50 KB) by itself, and most of
+ * these writes, the holder's too, would conflict.
  */
 #define ADDED_WITHIN_EACH (5 * USEC_PER_MSEC)
 
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -26,8 +26,9 @@
 /* A connection unused for so long is closed if it is above our share. */
 #define IDLE_EXTRA (500 * USEC_PER_MSEC)
 /*
- * The same for each one of a proxy that shuts down. It is handed no statements any more, and who
- * takes its place needs the connections: one statement's pause, not the 2.4 s until it ends.
+ * The same while this proxy shuts down, and for those of our share too. It is handed no more
+ * statements, and who takes its place needs the connections before this process ends: so only as
+ * long as a client may pause between two statements.
  */
 #define IDLE_DRAINING (100 * USEC_PER_MSEC)
 /* So far ahead that nothing is added to it beyond the clock's range. */
@@ -204,7 +205,7 @@
 	member_probe(member);
 }
 
-/* Closing one can have another one opened, so each ends the walk. */
+/* One a call: closing it may have another one opened, which changes the list. */
 static void close_idle(member_t *member, usec_t now)
 {
 	bool draining = member->pooler->draining;
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -8,7 +8,7 @@
 
 /*
  * The part of a member's connections that is shared out evenly. The rest is for demand, and
- * for the fleet after a loss of power: a member keeps the connections of machines that are
+ * for the fleet after a loss of power: a member keeps the connections of VMs that are
  * gone for 3 s, and with all of them in use nobody can be served until then.
  */
 #define MEMBER_SHARED_PART 2
@@ -34,7 +34,7 @@
 /* A reply came: the member lives. */
 void member_heard(member_t *member);
 
-/* It does not answer what it was asked. */
+/* A probe found that it does not answer. */
 void member_found_down(member_t *member, const char *reason);
 
 /* A connection failed or broke: ask again before believing it. */
@@ -67,7 +67,7 @@
 /* Work in progress over all connections. */
 size_t member_load(const member_t *member);
 
-/* A statement sent to the member has ended so. */
+/* A statement sent to the member has ended so; may take it out of use for reads. */
 void member_note(member_t *member, evidence_t evidence);
 
 /* Usable for new work. */
--- a/pooler/outlier.c
+++ b/pooler/outlier.c
@@ -12,11 +12,12 @@
 #define OTHERS_LEAST 8
 /*
  * For a primary a cumulative sum of what went wrong: up by five with each bad statement, down by
- * two with each good one, so that it grows from three bad ones in ten on. Its change takes a second
- * to one and a half without writes, troubles last some five: four in ten for the rest cost more, a
- * fifth of the answers lost costs less. Three bad ones in a row are enough, since in a fleet that
- * is large for its load a proxy sends a primary one a second; but not those of an
- * instant: a proxy that sends thirty a second has three in a row among a fifth, too.
+ * two with each good one, so that it grows from three bad ones in ten on. A change of primary costs
+ * a second to one and a half without writes, and troubles last some five: a primary that fails four
+ * in ten for that long costs more than its change, one that fails a fifth costs less. From
+ * FAILING_SUM on, which three bad ones in a row reach, it counts as failing: in a fleet that is
+ * large for its load a proxy sends a primary only one a second. But not within FAILING_LASTS of the
+ * first: a proxy that sends thirty a second sees three in a row where a fifth fails, too.
  */
 #define FAILING_UP    5
 #define FAILING_DOWN  2
@@ -34,7 +35,8 @@
 #define OUT_MOST  (8 * USEC_PER_SEC)
 /* In use for so long, it starts with the shortest time again. */
 #define OUT_FORGET (10 * USEC_PER_SEC)
-/* Of a member that fails half of its statements one in eight gets through so many trials. */
+/* Good reads in a row before it is in use again: one that fails half of them passes once in eight.
+ */
 #define TRIALS 3
 /*
  * A primary that fails is believed to for so long: without statements, while it is being replaced,
@@ -91,7 +93,7 @@
 		outlier->last[i].at = 0;
 }
 
-/* A read that it was given to try it. */
+/* A statement while it is out and its time is over: a trial. */
 static void on_trial(outlier_t *outlier, evidence_t evidence, usec_t now)
 {
 	if (evidence != EVIDENCE_GOOD) {
--- a/pooler/outlier.h
+++ b/pooler/outlier.h
@@ -34,11 +34,11 @@
 		evidence_t evidence;
 	} last[OUTLIER_WINDOW];
 	size_t next;
-	bool out;
-	usec_t out_until; /* then it is tried */
-	usec_t out_for;
+	bool out;	      /* it gets no reads, or only trials */
+	usec_t out_until;     /* then it is tried */
+	usec_t out_for;	      /* how long it is out this time */
 	unsigned trials;      /* that must still go well */
-	unsigned sum;	      /* of what went wrong, as for a primary */
+	unsigned sum;	      /* of what went wrong; see FAILING_SUM */
 	usec_t bad_since;     /* when the sum last left zero */
 	usec_t bad_at;	      /* when something last went wrong */
 	usec_t failing_until; /* it is believed to fail until then */
@@ -52,16 +52,19 @@
 	size_t failed;
 } tally_t;
 
-/* A statement has ended so. */
+/* A statement at the member has ended so. */
 void outlier_note(outlier_t *outlier, evidence_t evidence, usec_t now);
 
-/* From now on, for a while, it counts as failing. */
+/* For FAILING_HELD from now on outlier_is_failing() is true. */
 void outlier_believe_failing(outlier_t *outlier, usec_t now);
 
-/* It was found down: one that is so again soon after hangs in between, or goes up and down. */
+/*
+ * It was found down. A second time within DOWN_AGAIN makes it count as failing, since it hangs in
+ * between, or goes up and down.
+ */
 void outlier_on_down(outlier_t *outlier, usec_t now);
 
-/* Add what is remembered of it. */
+/* Add the outcomes of late to tally. */
 void outlier_count(const outlier_t *outlier, usec_t now, tally_t *tally);
 
 /* True if it fails a good part of its statements, and far more than the others together. */
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -29,9 +29,9 @@
 #define TICK_INTERVAL (50 * USEC_PER_MSEC)
 /*
  * A tick that comes so late means that the process had no processor. Answers may lie unread in its
- * buffers, so nobody is held to be silent before they were looked at: on a machine with an eighth
- * of a core the holder of the duty called all primaries down, and replaced them, at the start of a
- * fleet of 75.
+ * buffers, so nobody is held to be silent before they were looked at: on a VM with an eighth of
+ * a core the holder of the duty would call all primaries down, and replace them, at the start of a
+ * large fleet.
  */
 #define STALL_NOTICED (60 * USEC_PER_MSEC)
 /* One that comes so late means that it was stopped. */
@@ -55,8 +55,8 @@
 /* Without permission for so long sessions are let go; a new roster is agreed on in less. */
 #define LET_GO_AFTER (500 * USEC_PER_MSEC)
 /*
- * Sessions closed before other sockets have their turn again. A proxy of the size built towards has
- * 4,400; closed in one go, no other caller would be read until the last one was.
+ * Sessions closed before other sockets have their turn again. A proxy may have 4,400; if all were
+ * closed in one go, no other caller would be read until the last one was.
  */
 #define HANGUPS_AT_ONCE 16
 /* Waiting callers are refused in good time before the process ends. */
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -69,8 +69,11 @@
 /* True while a statement is unanswered; the next one must wait. */
 bool caller_is_busy(const struct caller *caller);
 void caller_on_statement(struct caller *caller, const statement_t *statement);
+
 /* All answers to the caller have left. */
 void caller_on_sent(struct caller *caller);
+
+/* The session has ended; frees the caller. */
 void caller_on_gone(struct caller *caller);
 
 /* --- members --- */
@@ -100,6 +103,8 @@
 /* Finish what is open within the grace time, take nothing that can go elsewhere. */
 void pooler_drain(pooler_t *pooler);
 
-/* The operators have changed how long that may take. */
+/* The operators have changed how long that may take; ignored once a shutdown has begun. */
 void pooler_set_grace(pooler_t *pooler, usec_t grace);
+
+/* The state for operators. The caller owns it. */
 json_t *pooler_dump(const pooler_t *pooler);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -402,8 +402,11 @@
 /* Pseudo-random number below bound, from the pooler's seed. */
 uint64_t pooler_random(pooler_t *pooler, uint64_t bound);
 
+/* The service of this name, made if there is none. */
 service_t *service_get(pooler_t *pooler, const char *name);
 
-/* What the roster in use says of the service; NULL: nothing. */
+/* Note what the roster in use says of the service; NULL: nothing. */
 void service_set_group(service_t *service, roster_group_t *group);
+
+/* The member of this id, or NULL. */
 member_t *member_find(const pooler_t *pooler, const char *id);
--- a/pooler/survey.c
+++ b/pooler/survey.c
@@ -15,7 +15,7 @@
 #define SYNC_PATIENCE (30 * USEC_PER_SEC)
 /* With synchronous replicas any one of them may be the only one with the last commit. */
 #define SURVEY_TIME_SYNC (3 * USEC_PER_SEC)
-/* So many times as quick is no chance among members that share a service's reads. */
+/* A member so many times as quick as another is not so by chance: they share the reads. */
 #define FAR_QUICKER 4
 
 void survey_begin(service_t *service)
@@ -109,7 +109,6 @@
 	return !member->gone && !member->leaving;
 }
 
-/* Furthest in the newest term; a member that missed a change has an older term. */
 /*
  * True if a serves callers far better than b, as seen from here. One that fails or is slow as well
  * would be replaced in turn, and callers would wait twice.
@@ -121,6 +120,7 @@
 	return a->response * FAR_QUICKER <= b->response;
 }
 
+/* Furthest in the newest term; a member that missed a change has an older term. */
 static bool is_better(const member_t *a, const member_t *b)
 {
 	if (a->status.term != b->status.term)
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -17,9 +17,9 @@
 /* Between two questions to a primary that nobody uses. */
 #define UNUSED_CHECK (1 * USEC_PER_SEC)
 /*
- * Between two such questions to whichever primary, of which some may come at once. Each is a new
- * connection: 334 at once kept a holder with an eighth of a core from all else for 2 s, longer than
- * its lease.
+ * Between two such questions, whichever primaries they go to; after a rest UNUSED_BURST may come at
+ * once. Each is a new connection: 334 at once would keep a holder with an eighth of a core from all
+ * else for 2 s, longer than its lease.
  */
 #define UNUSED_SPACING (25 * USEC_PER_MSEC)
 #define UNUSED_BURST   8
@@ -168,16 +168,16 @@
 }
 
 /*
- * Callers are told that their writes failed, while the health check is good: more than half of
- * the proxies that use the primary see it. A change costs them a second without writes, in which
- * most only wait. One that followed from failing statements is not made again soon, since the
- * next primary that fails them too shows that the statements are at fault.
+ * Callers are told that their writes failed, while the health check is good. It is replaced when
+ * more than half of the proxies that use the primary see it: a change costs callers a second
+ * without writes, in which most only wait. It is not replaced for this reason again soon: if the
+ * next primary fails the statements too, they are at fault.
  */
 static bool is_failing(const service_t *service, votes_t votes, usec_t now)
 {
 	if (service->change.step == CHANGE_NONE && now < service->failing_until)
 		return false;
-	/* It gets no statements by then, so that fewer and fewer see it. */
+	/* Once its change has begun it gets no statements, so fewer and fewer see it fail. */
 	if (service->change.step != CHANGE_NONE && service->change.failing)
 		return votes.failing != 0;
 	if (votes.failing < WITNESSES_LEAST && others_live(service->pooler))
--- a/pooler/verdict.h
+++ b/pooler/verdict.h
@@ -12,7 +12,10 @@
 /* The primary that the roster names, permitted or not; NULL if it is unknown. */
 member_t *verdict_primary(const service_t *service);
 
-/* A reason: it answers, and fails a good part of the statements. */
+/*
+ * What verdict_reason() returns, this pointer itself, for a primary that answers and fails a good
+ * part of the statements.
+ */
 extern const char *const verdict_failing;
 
 /*
