Soak, tests and documents: units, reasons and words for a newcomer

Only comments and documents change; no assertion, bound or check.

- Constants of the soak and of test_shutdown and test_pooler_scale say their unit and reason; functions in the soak's headers say what they do; push_end()'s comment was that of another question; the offsets of ports say what they count from.
- test_pooler_hangup said that a caller can tell a crossed request from a lost one, hangup.c that it can't; the latter holds.
- The cost that services had once is no reason and is gone from test_pooler_scale's comment.
- VM, not machine.

--- a/soak/check.c
+++ b/soak/check.c
@@ -11,8 +11,10 @@
 #define RECORD_SLACK (300 * MSEC)
 /* Acknowledged commits before a read that are looked at; older ones are below these in the log. */
 #define ACKS_LOOKED_AT 300
-/* A proxy that stood still, or a message held up, until so long before a commit may be late with
- * it. */
+/*
+ * A commit may be that of a proxy that stood still, or of a message that was held up, if that ended
+ * no longer than this before it.
+ */
 #define THAW (300 * MSEC)
 
 static const run_t *find_run(const statement_t *statement)
--- a/soak/client.c
+++ b/soak/client.c
@@ -11,19 +11,27 @@
 /* As callers of the platform do. */
 #define START_TIMEOUT (2 * USEC_PER_SEC)
 /* Longer than any timeout of a route together with a pause of the proxy. */
-#define ANSWER_TIMEOUT	(9 * USEC_PER_SEC)
-#define SILENCE_MS	60000
+#define ANSWER_TIMEOUT (9 * USEC_PER_SEC)
+/* Sent data unacknowledged for so long ends a connection; longer than any fault. */
+#define SILENCE_MS 60000
+/* Before a session connects again, and between the statements of a transaction; milliseconds. */
 #define RECONNECT_LEAST 20
 #define RECONNECT_MOST	150
 #define TX_PAUSE_MOST	30
-#define TX_STEPS_MOST	5
+/* Statements of a transaction between BEGIN and its end. */
+#define TX_STEPS_MOST 5
+/* Operations of a connection before the session goes elsewhere. */
 #define OPERATIONS_MOST 60
-#define ITEMS		16
+/* Keys of each service: few, so that sessions meet at them. */
+#define ITEMS 16
 /* A whole request unanswered for so long is not one that crossed the close. */
 #define CROSSING (200 * MSEC)
 /* Nothing worse than the SIGTERM may have come so long before the request. */
 #define CONTACT (4 * USEC_PER_SEC)
-/* Later than that after SIGTERM a member's work may be broken off. */
+/*
+ * A statement sent within the first time after SIGTERM may still be at work in the last sixth of
+ * the grace if a member was harmed, and is broken off then. That is no finding.
+ */
 #define SENT_IN_TIME (3 * USEC_PER_SEC)
 #define LAST_SIXTH   (FLEET_GRACE * 5 / 6)
 
@@ -166,7 +174,7 @@
 			    session->proxy, session->asked->text);
 }
 
-/* The same of a session that was not opened. */
+/* The same for a session that was not opened. */
 static void check_opened(const session_t *session, const char *what)
 {
 	if (session->clients->counting &&
--- a/soak/client.h
+++ b/soak/client.h
@@ -28,11 +28,14 @@
 	GPtrArray *answered; /* statement_t that wait to be checked */
 } clients_t;
 
+/* A child of parent; its sessions start at once. */
 clients_t *clients_create(void *parent, fleet_t *fleet, ledger_t *ledger,
 			  const clients_options_t *options);
 
 /* Every database was written or read through every proxy since the last call of clients_mark(). */
 bool clients_all_served(const clients_t *clients);
+
+/* Start to count anew for clients_all_served(). */
 void clients_mark(clients_t *clients);
 
 /* Close all sessions. */
--- a/soak/finding.h
+++ b/soak/finding.h
@@ -21,12 +21,14 @@
 	PROMISE_COUNT,
 } promise_t;
 
+/* Begin a run; the seed is told with each finding. */
 void finding_start(unsigned seed);
 
-/* id: of the request or the process that it is about. */
+/* A promise was broken. id: of the request or the process that it is about. */
 void finding_add(promise_t promise, const char *id, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
+/* How many promises were found broken, each as often as it was. */
 size_t finding_count(void);
 
 /* The names of the promises that were broken, "none" for none. */
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -16,17 +16,20 @@
 #include "finding.h"
 #include "harness.h"
 
-/* Offsets in the first block: the store, the members after its two doors, the members' links. */
+/*
+ * Offset of the store's port in the first block; from there that of the first member, behind the
+ * promote call and the door that turns everyone away; from a member that of the link before it.
+ */
 #define PORT_STORE   1
 #define PORT_MEMBERS 3
 #define MEMBER_LINKS 26
-/* Callers, probe, operators, peers, the link to the store. */
+/* For callers, probe, operators and peers, and the link to the store. */
 #define PORTS_PER_PROXY 5
 #define PROXIES_A_BLOCK (PORTS_PER_BLOCK / PORTS_PER_PROXY)
 
 /* Until a process that did not end in time is started again. */
 #define RESTART_AFTER (300 * USEC_PER_MSEC)
-/* From fork() until the loader is done with a program, on a busy machine. */
+/* From fork() until the loader is done with a program, on a busy VM. */
 #define LOADING (100 * USEC_PER_MSEC)
 /* By then it certainly is. */
 #define LOADED (1 * USEC_PER_SEC)
@@ -151,7 +154,7 @@
 	g_free(program);
 }
 
-/* Was it paused, so that it could not end in time? */
+/* A pause puts off the time by which the process must have ended. */
 static void push_end(proxy_t *proxy, usec_t by)
 {
 	if (proxy->ends_by != 0)
@@ -176,7 +179,7 @@
 {
 	kill(proxy->pid, SIGCONT);
 	proxy->paused_until = 0;
-	/* It may have come later than it was to. */
+	/* SIGCONT may come late: the pause lasted until now. */
 	fleet_note_span(proxy->disturbed, now, 0);
 }
 
@@ -230,7 +233,8 @@
 	return (signo == SIGTERM || signo == SIGHUP) && now < proxy->started_at + LOADING;
 }
 
-/* After SIGTERM. 1: the grace was over while requests were in progress, after a pause for instance.
+/* It was asked to end and did. Status 1: the grace ended with requests in progress, as after a
+ * pause.
  */
 static bool is_orderly(const proxy_t *proxy, int status)
 {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -86,9 +86,13 @@
 /* Check what /proc says of each proxy. */
 void fleet_check_bounds(fleet_t *fleet, usec_t now);
 
+/* Port on which the proxy takes callers. */
 int fleet_caller_port(const fleet_t *fleet, unsigned proxy);
 
+/* Add a span_t to spans. */
 void fleet_note_span(GArray *spans, usec_t from, usec_t duration);
+
+/* True if any of the spans touches the time from the first to the second. */
 bool fleet_overlaps(const GArray *spans, usec_t from, usec_t to);
 
 /* One command to the stand-in. */
@@ -97,12 +101,21 @@
 /* A new configuration with this timeout of routes. */
 void fleet_configure(fleet_t *fleet, unsigned timeout_ms);
 
+/* SIGSTOP, and SIGCONT at the time given. */
 void fleet_pause(fleet_t *fleet, unsigned proxy, usec_t until);
+
+/* SIGKILL or SIGTERM; it is started again so long after its end. */
 void fleet_kill(fleet_t *fleet, unsigned proxy, usec_t down);
 void fleet_term(fleet_t *fleet, unsigned proxy, usec_t down);
+
+/* SIGHUP with settings that have changed. */
 void fleet_hangup(fleet_t *fleet, unsigned proxy);
+
+/* The stand-in stands still, with the store and all members. */
 void fleet_pause_platform(fleet_t *fleet, usec_t until);
 
-/* Where the door is that turns calls to the store away, and the store itself. */
+/* Port of the door that turns away calls to the store. */
 int fleet_closed_door(const fleet_t *fleet);
+
+/* Port of the store itself. */
 int fleet_store_port(const fleet_t *fleet);
--- a/soak/inject.c
+++ b/soak/inject.c
@@ -9,7 +9,7 @@
 #define COUNTED_SPAN (2 * USEC_PER_SEC)
 /* From a member's end to the start of the one that replaces it. */
 #define REPLACE_AFTER (1 * USEC_PER_SEC)
-/* A stand-in's member that is named by its service: whoever leads it then. */
+/* In a command this and the number of a service mean the service's leader at that time. */
 #define LEADER_OF 100
 
 typedef void (*undo_cb_t)(inject_t *inject, const fault_t *fault);
@@ -266,7 +266,10 @@
 	command_member(inject, fault, "start", 0);
 }
 
-/* Whoever leads is crashed; all of its service's members are started again. */
+/*
+ * Whoever leads is crashed. In the end all members of the service are started, since another one
+ * leads by then.
+ */
 static void play_leader_crash(inject_t *inject, const fault_t *fault)
 {
 	unsigned service = service_of(inject, fault);
--- a/soak/inject.h
+++ b/soak/inject.h
@@ -14,8 +14,10 @@
 	bool verbose;	   /* tell each fault as it comes */
 } inject_t;
 
+/* A child of parent. verbose: tell each fault as it comes. */
 inject_t *inject_create(void *parent, fleet_t *fleet, const plan_t *plan, bool verbose);
 
+/* The plan's times count from now. */
 void inject_start(inject_t *inject, usec_t now);
 
 /* Play what is due, and undo what has lasted long enough. */
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -111,6 +111,7 @@
 /* A child of parent, as are its records. */
 ledger_t *ledger_create(void *parent);
 
+/* A new attempt; max_age: how old its reads may be at most, 0 for those of the primary. */
 attempt_t *ledger_begin(ledger_t *ledger, unsigned service, read_kind_t reads, usec_t max_age);
 
 /* A statement of the attempt with a fresh id; its text is the caller's to fill in. */
@@ -139,4 +140,6 @@
 
 /* The number of a service by its name or by one of its members' ids. */
 unsigned ledger_service(const char *name);
+
+/* The name of the service of this number. */
 const char *ledger_service_name(unsigned service);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -8,10 +8,11 @@
 #define MSEC USEC_PER_MSEC
 /* Between two faults on average; a series has its own pace. */
 #define FAULT_INTERVAL (650 * MSEC)
-#define SERIES_MAX     5
-#define SERIES_LEAST   (60 * MSEC)
-#define SERIES_MOST    (700 * MSEC)
-/* A day leaves out some kinds, so that rarer mixtures come too. */
+/* Faults of a series, and the time between two of them. */
+#define SERIES_MAX   5
+#define SERIES_LEAST (60 * MSEC)
+#define SERIES_MOST  (700 * MSEC)
+/* Chance that a run has a kind of fault: others left out, rarer mixtures come too. */
 #define KIND_PERCENT 55
 
 typedef struct fault_shape {
@@ -79,7 +80,7 @@
 {
 	for (size_t i = 0; i < FAULT_COUNT; i++)
 		weights[i] = between(rand, 1, 100) <= KIND_PERCENT ? shapes[i].weight : 0;
-	/* Some restart is in each. */
+	/* Every run restarts some proxy. */
 	weights[FAULT_TERM] = shapes[FAULT_TERM].weight;
 }
 
@@ -152,8 +153,10 @@
 	plan->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
 	talloc_set_destructor(plan, destructor);
 	choose_kinds(rand, weights);
-	/* A large fleet has as many faults a proxy and second as half a dozen proxies, within
-	 * reason. */
+	/*
+	 * The faults of a small fleet would be spread thin over a large one; as many for each proxy
+	 * would leave it no time without a fault.
+	 */
 	if (proxies > 24)
 		interval /= 3;
 	while (at < length) {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -72,5 +72,8 @@
 /* A child of parent. */
 plan_t *plan_create(void *parent, unsigned seed, usec_t length, unsigned proxies);
 
+/* As the plan is printed and faults are told. */
 const char *plan_fault_name(fault_kind_t kind);
+
+/* To standard output, a line for each fault. */
 void plan_print(const plan_t *plan);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -22,11 +22,14 @@
 #include "plan.h"
 
 #define TICK (10 * USEC_PER_MSEC)
-/* This process was late when a tick comes so long after the one before. */
+/* This process was late if a tick comes so long after the one before. */
 #define LATE_TICK (60 * USEC_PER_MSEC)
-/* Times that it has taken within this are not to be used then. */
-#define LATE_SPAN     (300 * USEC_PER_MSEC)
+/* For so long after that its own time stamps are not used for findings. */
+#define LATE_SPAN (300 * USEC_PER_MSEC)
+/* Between two marks in the record of the stand-in; see ledger_t.horizon. */
 #define SYNC_INTERVAL (200 * USEC_PER_MSEC)
+/* Between two looks at memory, descriptors and logs, and at the answers that can be judged by then.
+ */
 #define LOOK_INTERVAL (1 * USEC_PER_SEC)
 /* A fleet that starts for the first time has to find its primaries. */
 #define START_TIMEOUT (25 * USEC_PER_SEC)
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -11,7 +11,7 @@
 #include "permit.h"
 #include "pool_parts.h"
 
-/* How long members keep the connections of machines without power. */
+/* How long members keep the connections of VMs without power. */
 #define DEAD_KEPT (3 * USEC_PER_SEC)
 
 /* --- the platform --- */
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -115,7 +115,7 @@
 /* The process ends at once; its connections with it. */
 void world_kill(pool_world_t *world, size_t node);
 
-/* Its machine loses power: the members keep its connections for 3 s. */
+/* Its VM loses power: the members keep its connections for 3 s. */
 void world_power_off(pool_world_t *world, size_t node);
 void world_start(pool_world_t *world, size_t node);
 void world_freeze(pool_world_t *world, size_t node);
--- a/tests/ports.h
+++ b/tests/ports.h
@@ -14,7 +14,7 @@
 	int claim_fd;
 } ports_t;
 
-/* Take a block that no other test run on this machine holds; aborts if there is none. */
+/* Take a block that no other test run on this VM holds; aborts if there is none. */
 void ports_take(ports_t *ports);
 
 /* Give the block back, once every process that was started on it has ended. */
--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -9,7 +9,7 @@
 
 #include "names.h"
 
-/* A configuration of a few routes. */
+/* Longest command: a configuration of a few routes. */
 #define LINE_MAX_BYTES 16384
 
 typedef struct command {
@@ -133,7 +133,7 @@
 	}
 }
 
-/* "member INDEX WORD [NUMBER]"; an index of 100 and more is the leader of the service. */
+/* "member INDEX WORD [NUMBER]"; an index of 100 and more: the leader of service INDEX - 100. */
 static void run_member(site_t *site, char *rest)
 {
 	char word[16] = "";
@@ -199,7 +199,7 @@
 	ssize_t n = read(STDIN_FILENO, input.line + input.len, sizeof(input.line) - input.len - 1);
 	char *lf;
 
-	/* Who gives the commands is gone, or sends what is no command. */
+	/* Who gives the commands is gone, or has sent a line longer than the buffer. */
 	if (n <= 0) {
 		loop_watch_stop(watch);
 		loop_stop(&controlled->loop);
--- a/tests/standin_members.c
+++ b/tests/standin_members.c
@@ -8,7 +8,7 @@
 #include "protocol.h"
 #include "stream.h"
 
-/* Of the entry of a member that has crashed, until it lapses. */
+/* How long the store still lists a member that has crashed. */
 #define ENTRY_LIFE (3600 * USEC_PER_MSEC)
 
 typedef struct link {
--- a/tests/standin_site.h
+++ b/tests/standin_site.h
@@ -62,7 +62,7 @@
 
 /*
  * Read commands from standard input, write the record of what members do to standard output:
- * fields separated by tabs, each line with its time on the machine's clock.
+ * fields separated by tabs, each line with its time on the VM's clock.
  */
 int control_start(site_t *site);
 void control_record_promote(const char *holder, const char *fence, const char *service,
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -361,7 +361,7 @@
 
 /*
  * What callers see: after a loss of power some proxies serve them and others refuse all for 2 s.
- * What happens: 12 of a member's 16 connections are those of the machines before, which it keeps
+ * What happens: 12 of a member's 16 connections are those of the VMs before, which it keeps
  * for 3 s, and the first four proxies take the rest. Why that is needless: a connection that is
  * used by turns serves all of them.
  */
@@ -417,7 +417,7 @@
 
 /*
  * What callers see: one proxy refuses them every 4 s, and each change of primary takes 12 s. What
- * happens: the time of day of its machine steps back, and the process starts again with a lower
+ * happens: the time of day of its VM steps back, and the process starts again with a lower
  * incarnation than its last; the others take its messages for late ones of a process before. Why a
  * number above that of the entry it finds is enough: all compare with that entry.
  */
--- a/tests/test_pooler_hangup.c
+++ b/tests/test_pooler_hangup.c
@@ -10,8 +10,8 @@
 /*
  * What the caller sees: its request, sent whole while the proxy still runs, gets neither an answer
  * nor a refusal. What happens: the proxy shuts down, its loop is late, and it closes a session that
- * looks idle with the request unread. Why it is enough to look for input: what comes after the
- * close crosses it, which the caller can tell from a lost one.
+ * looks idle with the request unread. Why it is enough to look for input: what comes later
+ * crosses the close on its way, which nothing on our side can prevent.
  */
 static void test_unread_request_is_answered(void)
 {
--- a/tests/test_pooler_outlier.c
+++ b/tests/test_pooler_outlier.c
@@ -15,6 +15,7 @@
 
 /* --- the evidence, without a network --- */
 
+/* Outcomes 50 ms apart: '+' good, 'r' refused, '-' failed. */
 static void note_all(outlier_t *outlier, const char *evidence, usec_t *now)
 {
 	static const evidence_t kinds[] = {
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -627,7 +627,7 @@
 
 /*
  * What callers see: writes wait 2.6 s for a planned change of primary, long after a proxy was
- * lost. What happens: its machine is replaced under another name, so it never answers, and each
+ * lost. What happens: its VM is replaced under another name, so it never answers, and each
  * change waits for what it may have been permitted. Why that is needless: once the rest of the
  * fleet knows it as gone, nobody renews that permission.
  */
--- a/tests/test_pooler_scale.c
+++ b/tests/test_pooler_scale.c
@@ -11,12 +11,13 @@
 #include "sync.h"
 #include "verdict.h"
 
+/* Services. */
 #define FEW	100
 #define MANY	800
-#define MEMBERS 3
-/* That a proxy has connections for. */
+#define MEMBERS 3 /* of a service */
+/* Services of which each proxy reports that it sees the primary. */
 #define SERVICES_EACH 4
-/* Unused ones, that are asked in the time that 40 a second take. */
+/* Services whose primaries nobody uses; 40 of them are asked a second (UNUSED_SPACING). */
 #define UNUSED 200
 /* Questions about a service, whatever the number of services. */
 #define LOOKS 400000
@@ -146,8 +147,7 @@
  * What callers saw: half of them were not served by 100 proxies before 100 databases. Each proxy
  * looked through all members and all primaries for each service, 20 times a second and with each
  * answer to a question: half of the processor time that it used went there. With eight times the
- * services, one may cost a little more for caches, not eight times as much. It was 947 and
- * 10,204 ns.
+ * services, one may cost a little more for caches, not eight times as much.
  */
 static void test_services_cost_the_same_each(void)
 {
--- a/tests/test_ports.c
+++ b/tests/test_ports.c
@@ -1,4 +1,4 @@
-/* Test runs on one machine don't get in each other's way. */
+/* Test runs on one VM don't get in each other's way. */
 #include <arpa/inet.h>
 #include <signal.h>
 #include <sys/socket.h>
--- a/tests/test_shutdown.c
+++ b/tests/test_shutdown.c
@@ -14,10 +14,13 @@
 #include "site.h"
 
 /* More than the events that one turn of the loop takes from the kernel. */
-#define OPEN_CONNS   300
-#define NEW_CONNS    40
-#define ANSWER_MSEC  5000
-#define SENT_BEFORE  250000
+#define OPEN_CONNS 300
+/* Fewer: they wait in a listener's queue. */
+#define NEW_CONNS   40
+#define ANSWER_MSEC 5000
+/* Requests are sent so long before the proxy goes on, microseconds: no close can cross them. */
+#define SENT_BEFORE 250000
+/* Longest wait for a proxy's end, or for a line of its log. */
 #define END_MSEC     10000
 #define ANSWER_BYTES 4096
 
