--- a/soak/check.c
+++ b/soak/check.c
@@ -15,7 +15,7 @@
  * A commit may be that of a proxy that stood still, or of a message that was held up, if that ended
  * no longer than this before it.
  */
-#define THAW (300 * MSEC)
+#define HELD_UP_SLACK (300 * MSEC)
 
 static const run_t *find_run(const statement_t *statement)
 {
@@ -92,7 +92,7 @@
 {
 	const proxy_t *proxy = &fleet->proxies[write->proxy];
 
-	return fleet_overlaps(proxy->disturbed, commit->at - THAW, commit->at) ||
+	return fleet_overlaps(proxy->disturbed, commit->at - HELD_UP_SLACK, commit->at) ||
 	       fleet_overlaps(fleet->member_trouble[write->attempt->service], write->sent_at,
 			      commit->at);
 }
--- a/soak/client.c
+++ b/soak/client.c
@@ -32,8 +32,8 @@
  * A statement sent within the first time after SIGTERM may still be at work in the last sixth of
  * the grace if a member was harmed, and is broken off then. That is no finding.
  */
-#define SENT_IN_TIME (3 * USEC_PER_SEC)
-#define LAST_SIXTH   (FLEET_GRACE * 5 / 6)
+#define SENT_IN_TIME	(3 * USEC_PER_SEC)
+#define LAST_SIXTH_FROM (FLEET_GRACE * 5 / 6)
 
 typedef enum { SESSION_CLOSED, SESSION_STARTS, SESSION_RESTS, SESSION_WAITS } session_state_t;
 
@@ -191,7 +191,7 @@
 	usec_t now = now_of(session);
 	usec_t sent = session->asked->sent_at;
 	bool member_works =
-		sent <= proxy->term_at + SENT_IN_TIME && now >= proxy->term_at + LAST_SIXTH &&
+		sent <= proxy->term_at + SENT_IN_TIME && now >= proxy->term_at + LAST_SIXTH_FROM &&
 		fleet_overlaps(fleet->member_trouble[session->service], sent - CONTACT, now);
 
 	if (proxy->term_at == 0 || proxy->killed || now - sent <= CROSSING || member_works)
--- a/soak/inject.c
+++ b/soak/inject.c
@@ -4,13 +4,13 @@
 
 #include <talloc.h>
 
+#include "standin_command.h"
+
 #define MSEC USEC_PER_MSEC
 /* Statements that a member is to lose, reset or refuse come within this time, as a rule. */
 #define COUNTED_SPAN (2 * USEC_PER_SEC)
 /* From a member's end to the start of the one that replaces it. */
 #define REPLACE_AFTER (1 * USEC_PER_SEC)
-/* In a command this and the number of a service mean the service's leader at that time. */
-#define LEADER_OF 100
 
 typedef void (*undo_cb_t)(inject_t *inject, const fault_t *fault);
 
@@ -275,7 +275,7 @@
 	unsigned service = service_of(inject, fault);
 
 	fleet_note_span(inject->fleet->member_trouble[service], now_of(inject), fault->duration);
-	fleet_command(inject->fleet, "member %u crash", LEADER_OF + service);
+	fleet_command(inject->fleet, "member %u crash", STANDIN_LEADER_OF + service);
 }
 
 static void service_starts(inject_t *inject, const fault_t *fault)
@@ -308,7 +308,8 @@
 /* The first member of a service leads at first, and later often does. */
 static void play_leader_replace(inject_t *inject, const fault_t *fault)
 {
-	fleet_command(inject->fleet, "member %u leave", LEADER_OF + service_of(inject, fault));
+	fleet_command(inject->fleet, "member %u leave",
+		      STANDIN_LEADER_OF + service_of(inject, fault));
 }
 
 /* Who was told to leave may lead no more, so it is found by that. */
--- /dev/null
+++ b/tests/standin_command.h
@@ -0,0 +1,5 @@
+/* What the stand-in's commands and those who send them share. */
+#pragma once
+
+/* In a command this and the number of a service mean the service's leader at that time. */
+#define STANDIN_LEADER_OF 100
--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "names.h"
+#include "standin_command.h"
 
 /* Longest command: a configuration of a few routes. */
 #define LINE_MAX_BYTES 16384
@@ -142,8 +143,9 @@
 	fake_member_t *member;
 
 	sscanf(rest, "%u %15s %u", &index, word, &number);
-	if (index >= 100)
-		member = fake_leader(site->services[(index - 100) % site->service_count]);
+	if (index >= STANDIN_LEADER_OF)
+		member = fake_leader(
+			site->services[(index - STANDIN_LEADER_OF) % site->service_count]);
 	else
 		member = site->listeners[index % (site->service_count * SITE_MEMBERS)].member;
 	if (member != NULL)
--- a/tests/test_shutdown.c
+++ b/tests/test_shutdown.c
@@ -19,7 +19,7 @@
 #define NEW_CONNS   40
 #define ANSWER_MSEC 5000
 /* Requests are sent so long before the proxy goes on, microseconds: no close can cross them. */
-#define SENT_BEFORE 250000
+#define SENT_BEFORE_USEC 250000
 /* Longest wait for a proxy's end, or for a line of its log. */
 #define END_MSEC     10000
 #define ANSWER_BYTES 4096
@@ -143,7 +143,7 @@
 	open_conns(fresh, NEW_CONNS, harness_caller_port(h, 0));
 	send_all(fresh, NEW_CONNS, request);
 	send_all(open, OPEN_CONNS, request);
-	g_usleep(SENT_BEFORE);
+	g_usleep(SENT_BEFORE_USEC);
 	kill(h->proxies[0], SIGTERM);
 	kill(h->proxies[0], SIGCONT);
 	g_assert_cmpint(count_unanswered(open, OPEN_CONNS), ==, 0);
@@ -175,7 +175,7 @@
 	wait_for_line(log, "all requests are finished");
 	kill(h->proxies[0], SIGSTOP);
 	send_all(open, OPEN_CONNS, request);
-	g_usleep(SENT_BEFORE);
+	g_usleep(SENT_BEFORE_USEC);
 	kill(h->proxies[0], SIGCONT);
 	g_assert_cmpint(count_unanswered(open, OPEN_CONNS), ==, 0);
 	g_assert_cmpint(harness_wait(&h->proxies[0], END_MSEC), ==, 0);
@@ -200,7 +200,7 @@
 	open_conns(fresh, NEW_CONNS, harness_operator_port(h, 0));
 	send_all(open, NEW_CONNS, request);
 	send_all(fresh, NEW_CONNS, request);
-	g_usleep(SENT_BEFORE);
+	g_usleep(SENT_BEFORE_USEC);
 	kill(h->proxies[0], SIGCONT);
 	g_assert_cmpint(count_unanswered(open, NEW_CONNS), ==, 0);
 	g_assert_cmpint(count_unanswered(fresh, NEW_CONNS), ==, 0);
@@ -226,7 +226,7 @@
 	open_conns(operators, NEW_CONNS, site_operators_port(site, 0));
 	send_all(probes, NEW_CONNS, ready);
 	send_all(operators, NEW_CONNS, state);
-	g_usleep(SENT_BEFORE);
+	g_usleep(SENT_BEFORE_USEC);
 	kill(site->proxies[0], SIGCONT);
 	g_assert_cmpint(count_unanswered(probes, NEW_CONNS), ==, 0);
 	g_assert_cmpint(count_unanswered(operators, NEW_CONNS), ==, 0);
@@ -264,11 +264,11 @@
 
 	for (int i = 0; i < OPEN_CONNS; i++)
 		callers[i] = site_open(site, 0, "jobs");
-	g_usleep(2 * SENT_BEFORE);
+	g_usleep(2 * SENT_BEFORE_USEC);
 	kill(site->proxies[0], SIGSTOP);
 	for (int i = 0; i < OPEN_CONNS; i++)
 		site_send(callers[i], statement, strlen(statement));
-	g_usleep(SENT_BEFORE);
+	g_usleep(SENT_BEFORE_USEC);
 	kill(site->proxies[0], SIGTERM);
 	kill(site->proxies[0], SIGCONT);
 	g_assert_cmpint(count_unanswered_sessions(callers, OPEN_CONNS), ==, 0);
