--- /dev/null
+++ b/access/keepers.c
@@ -0,0 +1,210 @@
+#include "keepers.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "list.h"
+
+/*
+ * Proxies of a zone that may be keepers: enough to share the work, and few enough that everybody
+ * has links to all of them also in a fleet of hundreds.
+ */
+#define ZONE_KEEPERS 8
+/* Fleets that are remembered: those of the last seconds, also while many proxies come and go. */
+#define FLEETS_MAX 16
+
+typedef struct place {
+	uint64_t hash; /* of the name */
+	const char *name;
+} place_t;
+
+typedef struct zone {
+	const char *name;
+	uint64_t hash;
+	place_t *places; /* who may be a keeper, by hash */
+	size_t count;
+} zone_t;
+
+typedef struct fleet {
+	list_t node; /* in keepers_t.fleets */
+	usec_t since;
+	zone_t *zones;
+	size_t zone_count;
+} fleet_t;
+
+struct keepers {
+	list_t fleets; /* oldest first */
+	bool complete; /* the oldest is the first that there was */
+};
+
+static uint64_t hash_text(const char *text, uint64_t seed)
+{
+	return XXH64(text, strlen(text), seed);
+}
+
+keepers_t *keepers_create(void *parent)
+{
+	keepers_t *keepers = talloc_zero(parent, keepers_t);
+
+	list_init(&keepers->fleets);
+	keepers->complete = true;
+	return keepers;
+}
+
+/* --- a fleet --- */
+
+static zone_t *zone_of(fleet_t *fleet, const char *name, size_t most)
+{
+	zone_t *zone;
+
+	for (size_t i = 0; i < fleet->zone_count; i++) {
+		if (strcmp(fleet->zones[i].name, name) == 0)
+			return &fleet->zones[i];
+	}
+	fleet->zones = talloc_realloc(fleet, fleet->zones, zone_t, fleet->zone_count + 1);
+	zone = &fleet->zones[fleet->zone_count++];
+	*zone = (zone_t){
+		.name = talloc_strdup(fleet, name),
+		.hash = hash_text(name, 0),
+		.places = talloc_array(fleet, place_t, most),
+	};
+	return zone;
+}
+
+static int by_hash(const void *a, const void *b)
+{
+	const place_t *x = a;
+	const place_t *y = b;
+
+	return (x->hash > y->hash) - (x->hash < y->hash);
+}
+
+void keepers_set_fleet(keepers_t *keepers, const fleet_member_t *members, size_t count, usec_t now)
+{
+	fleet_t *fleet = talloc_zero(keepers, fleet_t);
+
+	fleet->since = now;
+	for (size_t i = 0; i < count; i++) {
+		zone_t *zone = zone_of(fleet, members[i].zone, count);
+
+		zone->places[zone->count++] = (place_t){
+			.name = talloc_strdup(fleet, members[i].name),
+			.hash = hash_text(members[i].name, 0),
+		};
+	}
+	for (size_t i = 0; i < fleet->zone_count; i++) {
+		zone_t *zone = &fleet->zones[i];
+
+		qsort(zone->places, zone->count, sizeof(place_t), by_hash);
+		if (zone->count > ZONE_KEEPERS)
+			zone->count = ZONE_KEEPERS;
+	}
+	list_add_tail(&keepers->fleets, &fleet->node);
+	if (list_length(&keepers->fleets) <= FLEETS_MAX)
+		return;
+	fleet = list_entry(keepers->fleets.next, fleet_t, node);
+	list_del(&fleet->node);
+	talloc_free(fleet);
+	keepers->complete = false;
+}
+
+/* --- seats --- */
+
+/* The zone that comes at rank when all are ordered by a hash of their name and the customer's. */
+static const zone_t *ranked_zone(const fleet_t *fleet, uint64_t customer, size_t rank)
+{
+	for (size_t i = 0; i < fleet->zone_count; i++) {
+		uint64_t mine = fleet->zones[i].hash ^ customer;
+		size_t before = 0;
+
+		for (size_t j = 0; j < fleet->zone_count; j++)
+			before += (fleet->zones[j].hash ^ customer) < mine;
+		if (before == rank)
+			return &fleet->zones[i];
+	}
+	return &fleet->zones[0];
+}
+
+/*
+ * The proxy whose hash, combined with the customer's, is the greatest: when one goes only its own
+ * seats move. turn: with fewer zones than seats, the place's number within the zone.
+ */
+static const char *choose_place(const zone_t *zone, uint64_t customer, size_t turn)
+{
+	uint64_t below = UINT64_MAX;
+	const place_t *best = NULL;
+
+	for (size_t i = 0; i <= turn && i < zone->count; i++) {
+		uint64_t best_rank = 0;
+
+		best = NULL;
+		for (size_t j = 0; j < zone->count; j++) {
+			uint64_t rank = (zone->places[j].hash ^ customer) * 0x9E3779B97F4A7C15ull;
+
+			if (rank < below && (best == NULL || rank > best_rank)) {
+				best = &zone->places[j];
+				best_rank = rank;
+			}
+		}
+		below = best_rank;
+	}
+	return best->name;
+}
+
+static const zone_t *zone_of_seat(const fleet_t *fleet, const char *customer, unsigned seat)
+{
+	if (fleet->zone_count == 0)
+		return NULL;
+	return ranked_zone(fleet, hash_text(customer, 1), seat % fleet->zone_count);
+}
+
+static const char *keeper_in(const fleet_t *fleet, const char *customer, unsigned seat)
+{
+	const zone_t *zone = zone_of_seat(fleet, customer, seat);
+
+	if (zone == NULL)
+		return NULL;
+	return choose_place(zone, hash_text(customer, 2), seat / fleet->zone_count);
+}
+
+static const fleet_t *newest(const keepers_t *keepers)
+{
+	if (list_empty(&keepers->fleets))
+		return NULL;
+	return list_entry(keepers->fleets.prev, fleet_t, node);
+}
+
+const char *keepers_find(const keepers_t *keepers, const char *customer, unsigned seat)
+{
+	const fleet_t *fleet = newest(keepers);
+
+	return fleet != NULL ? keeper_in(fleet, customer, seat) : NULL;
+}
+
+const char *keepers_zone(const keepers_t *keepers, const char *customer, unsigned seat)
+{
+	const fleet_t *fleet = newest(keepers);
+	const zone_t *zone = fleet != NULL ? zone_of_seat(fleet, customer, seat) : NULL;
+
+	return zone != NULL ? zone->name : NULL;
+}
+
+usec_t keepers_since(const keepers_t *keepers, const char *self, const char *customer,
+		     unsigned seat)
+{
+	usec_t since = USEC_NEVER;
+
+	for (const list_t *it = keepers->fleets.prev; it != &keepers->fleets; it = it->prev) {
+		const fleet_t *fleet = list_entry(it, fleet_t, node);
+		const char *keeper = keeper_in(fleet, customer, seat);
+
+		if (keeper == NULL || strcmp(keeper, self) != 0)
+			return since;
+		since = fleet->since;
+	}
+	return keepers->complete && since != USEC_NEVER ? 0 : since;
+}
--- /dev/null
+++ b/pooler/admission.c
@@ -0,0 +1,164 @@
+#include "admission.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "conn.h"
+
+#define LOG_MODULE "admission"
+#include "counter.h"
+#include "log.h"
+
+/* As whom a member knows callers that need no key. */
+#define NO_CUSTOMER "public"
+
+COUNTER_DEFINE(unknown_total, "keys_unknown_total", COUNTER_SUM,
+	       "Sessions refused since no customer has their key.");
+COUNTER_DEFINE(barred_total, "sessions_barred_total", COUNTER_SUM,
+	       "Open sessions whose key was taken from their customer.");
+
+static const customer_t *customer_of(const pooler_t *pooler, const key_digest_t *key)
+{
+	return customers_by_key(pooler->routes->customers, key);
+}
+
+static int64_t keys_age_ms(const pooler_t *pooler)
+{
+	usec_t age = proof_age(&pooler->keys, now_of(pooler));
+
+	return age != USEC_NEVER ? (int64_t)(age / USEC_PER_MSEC) : -1;
+}
+
+static void log_refused(const pooler_t *pooler, const char *database, const key_digest_t *key,
+			reason_t reason)
+{
+	char label[KEY_LABEL_TEXT];
+
+	key_label(key, label);
+	LOG_EVENT(LOG_WARN, "session refused", LOG_STR("database", database), LOG_STR("key", label),
+		  LOG_STR("reason", reason_text(reason)),
+		  LOG_INT("config", pooler->routes->version),
+		  LOG_INT("keys_age_ms", keys_age_ms(pooler)));
+}
+
+bool admission_opens(const pooler_t *pooler, const char *database, const key_digest_t *key,
+		     code_t *code)
+{
+	const route_t *route = routes_find(pooler->routes, database);
+
+	if (route == NULL) {
+		*code = CODE_NO_DATABASE;
+		return false;
+	}
+	if (route->open)
+		return true;
+	/* What is too old does not show that a key is unknown either. */
+	if (!proof_holds(&pooler->keys, now_of(pooler))) {
+		*code = CODE_BUSY;
+		log_refused(pooler, database, key, REASON_KEYS_TOO_OLD);
+		return false;
+	}
+	if (customer_of(pooler, key) == NULL) {
+		*code = CODE_NO_AUTH;
+		counter_add(&unknown_total, 1);
+		log_refused(pooler, database, key, REASON_UNKNOWN_KEY);
+		return false;
+	}
+	return true;
+}
+
+void admission_set_customer(caller_t *caller, const char *customer)
+{
+	if (caller->customer == NULL || strcmp(caller->customer, customer) != 0) {
+		talloc_free(caller->customer);
+		caller->customer = talloc_strdup(caller, customer);
+	}
+	caller->line = service_line(caller->service, customer);
+}
+
+bool admission_begins(caller_t *caller, const route_t *route, reason_t *reason)
+{
+	const pooler_t *pooler = caller->pooler;
+	const customer_t *customer = customer_of(pooler, &caller->key);
+
+	caller->by_open_route = route->open;
+	if (route->open) {
+		admission_set_customer(caller, customer != NULL ? customer->name : NO_CUSTOMER);
+		return true;
+	}
+	if (!proof_holds(&pooler->keys, now_of(pooler))) {
+		*reason = REASON_KEYS_TOO_OLD;
+		return false;
+	}
+	if (customer == NULL) {
+		*reason = REASON_KEY_TAKEN;
+		return false;
+	}
+	admission_set_customer(caller, customer->name);
+	return true;
+}
+
+/* True if the session's operations would run by the same name as the last one. */
+static bool is_same(const caller_t *caller)
+{
+	const customer_t *customer = customer_of(caller->pooler, &caller->key);
+
+	return customer != NULL && caller->customer != NULL &&
+	       strcmp(customer->name, caller->customer) == 0;
+}
+
+bool admission_goes_on(const caller_t *caller, reason_t *reason)
+{
+	/* The proxy that it stands for has looked. */
+	if (caller->job != NULL || caller->by_open_route)
+		return true;
+	if (!proof_holds(&caller->pooler->keys, now_of(caller->pooler)))
+		*reason = REASON_KEYS_TOO_OLD;
+	else if (!is_same(caller))
+		*reason = REASON_KEY_TAKEN;
+	else
+		return true;
+	return false;
+}
+
+static bool is_barred(const caller_t *caller)
+{
+	const route_t *route = routes_find(caller->pooler->routes, caller->database);
+
+	if (caller->job != NULL || route == NULL || route->open)
+		return false;
+	return caller->customer != NULL ? !is_same(caller)
+					: customer_of(caller->pooler, &caller->key) == NULL;
+}
+
+/*
+ * A transaction of a key that was taken would hold its connection, and keep its locks, until its
+ * client sends the next statement. One that is under way is looked at when its client sends again.
+ */
+static void bar(caller_t *caller)
+{
+	char label[KEY_LABEL_TEXT];
+
+	caller->barred = true;
+	counter_add(&barred_total, 1);
+	key_label(&caller->key, label);
+	LOG_EVENT(LOG_INFO, "key was taken", LOG_STR("database", caller->database),
+		  LOG_STR("customer", caller->customer != NULL ? caller->customer : ""),
+		  LOG_STR("key", label), LOG_INT("config", caller->pooler->routes->version),
+		  LOG_INT("in_transaction", caller->tx == TX_OPEN), LOG_INT("busy", caller->busy));
+	if (caller->tx == TX_OPEN && !caller->busy && caller->conn != NULL)
+		conn_reclaim(caller->conn, "its key was taken");
+}
+
+void admission_on_keys(pooler_t *pooler)
+{
+	list_for_each (it, &pooler->callers) {
+		caller_t *caller = list_entry(it, caller_t, node);
+
+		if (!caller->barred && is_barred(caller))
+			bar(caller);
+		else if (caller->barred && !is_barred(caller))
+			caller->barred = false;
+	}
+}
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -6,6 +6,7 @@
 
 #include <talloc.h>
 
+#include "admission.h"
 #include "conn.h"
 #include "dispatch.h"
 #include "forward.h"
@@ -13,6 +14,7 @@
 #include "job.h"
 #include "member.h"
 #include "permit.h"
+#include "quota.h"
 #include "report.h"
 
 #define LOG_MODULE "caller"
@@ -26,6 +28,8 @@
 #define HEDGES_MAX 2
 /* Before the same member is tried again after a refusal, grows with the attempts. */
 #define RETRY_STEP (4 * USEC_PER_MSEC)
+/* When to come back if what is known of the keys is too old: questions to peers take half of it. */
+#define RETRY_KEYS (500 * USEC_PER_MSEC)
 /* Longest reason in an answer, bytes. */
 #define REASON_MAX 160
 
@@ -106,6 +110,7 @@
 /* The statement has failed, and the transaction that it belongs to. */
 static void end_statement(caller_t *caller)
 {
+	quota_leave(caller);
 	dispatch_leave(caller);
 	forward_forget(caller);
 	if (caller->tx == TX_OPEN)
@@ -403,6 +408,8 @@
 	if (route == NULL)
 		return false;
 	caller->service = service_get(caller->pooler, route->service);
+	if (caller->customer != NULL)
+		caller->line = service_line(caller->service, caller->customer);
 	caller->reads = route->reads;
 	caller->max_age = route->max_age;
 	caller->timeout = route->statement_timeout;
@@ -497,15 +504,16 @@
 	dispatch_join(caller);
 }
 
-static void on_exec(caller_t *caller)
+/* False if there is no such prepared statement; answered then. */
+static bool find_prepared(caller_t *caller)
 {
 	caller->exec = prepared_find(&caller->prepared, caller->statement.name);
 	if (caller->exec == NULL) {
 		answer_error(caller, CODE_NO_STATEMENT, REASON_UNKNOWN_NAME, NULL);
-		return;
+		return false;
 	}
 	caller->statement.writes = caller->exec->writes;
-	run_at_member(caller);
+	return true;
 }
 
 /* A statement in a transaction that is over: only its end is meaningful. */
@@ -547,38 +555,68 @@
 	}
 }
 
+void caller_on_admitted(caller_t *caller)
+{
+	if (caller->statement.kind == STATEMENT_BEGIN ||
+	    caller->statement.kind == STATEMENT_BEGIN_READ)
+		on_begin(caller);
+	else
+		run_at_member(caller);
+}
+
+static code_t code_of_refusal(reason_t reason)
+{
+	return reason == REASON_KEY_TAKEN ? CODE_NO_AUTH : CODE_BUSY;
+}
+
+/* An operation begins: its first statement is refused, or none of it for lack of a key or limit. */
+static void enter(caller_t *caller)
+{
+	reason_t reason;
+
+	if (!take_route(caller)) {
+		answer_error(caller, CODE_NO_DATABASE, REASON_UNKNOWN_DATABASE, NULL);
+		return;
+	}
+	if (caller->job != NULL) {
+		caller_on_admitted(caller);
+		return;
+	}
+	if (!admission_begins(caller, routes_find(caller->pooler->routes, caller->database),
+			      &reason)) {
+		caller_refuse(caller, code_of_refusal(reason), reason, RETRY_KEYS);
+		return;
+	}
+	if (quota_enter(caller))
+		caller_on_admitted(caller);
+}
+
 static void on_outside_tx(caller_t *caller)
 {
 	switch (caller->statement.kind) {
+	case STATEMENT_EXEC:
+		if (find_prepared(caller))
+			enter(caller);
+		break;
 	case STATEMENT_BEGIN:
 	case STATEMENT_BEGIN_READ:
 	case STATEMENT_READ:
 	case STATEMENT_WRITE:
-	case STATEMENT_EXEC:
-		if (!take_route(caller)) {
-			answer_error(caller, CODE_NO_DATABASE, REASON_UNKNOWN_DATABASE, NULL);
-			return;
-		}
+		enter(caller);
 		break;
 	case STATEMENT_COMMIT:
 	case STATEMENT_ROLLBACK:
 		answer_error(caller, CODE_MALFORMED, REASON_NO_TRANSACTION, NULL);
-		return;
+		break;
 	default:
 		on_local(caller);
-		return;
 	}
-	if (caller->statement.kind == STATEMENT_EXEC)
-		on_exec(caller);
-	else if (caller->statement.kind == STATEMENT_READ ||
-		 caller->statement.kind == STATEMENT_WRITE)
-		run_at_member(caller);
-	else
-		on_begin(caller);
 }
 
 static void on_inside_tx(caller_t *caller)
 {
+	reason_t reason;
+
 	if (caller->tx_lost)
 		caller->tx = TX_FAILED;
 	if (caller->statement.kind == STATEMENT_ROLLBACK) {
@@ -589,6 +627,10 @@
 		on_failed_tx(caller);
 		return;
 	}
+	if (!admission_goes_on(caller, &reason)) {
+		fail(caller, CODE_ABORTED, reason, NULL);
+		return;
+	}
 	switch (caller->statement.kind) {
 	case STATEMENT_READ:
 	case STATEMENT_WRITE:
@@ -596,7 +638,8 @@
 		run_at_member(caller);
 		break;
 	case STATEMENT_EXEC:
-		on_exec(caller);
+		if (find_prepared(caller))
+			run_at_member(caller);
 		break;
 	default:
 		on_local(caller);
@@ -647,20 +690,10 @@
 
 /* --- open and close --- */
 
-caller_t *pooler_caller_open(pooler_t *pooler, const char *database, void *link, code_t *code)
+caller_t *caller_create(pooler_t *pooler, const char *database, void *link)
 {
-	caller_t *caller;
+	caller_t *caller = talloc_zero(pooler, caller_t);
 
-	/* One whose START was read so late would be cut off by the end of the process. */
-	if (pooler->routes == NULL || pooler->drained_told) {
-		*code = CODE_BUSY;
-		return NULL;
-	}
-	if (routes_find(pooler->routes, database) == NULL) {
-		*code = CODE_NO_DATABASE;
-		return NULL;
-	}
-	caller = talloc_zero(pooler, caller_t);
 	caller->pooler = pooler;
 	caller->link = link;
 	caller->database = talloc_strdup(caller, database);
@@ -669,11 +702,30 @@
 	variables_init(&caller->variables);
 	list_init(&caller->prepared);
 	list_init(&caller->waiting);
+	list_init(&caller->admission);
 	list_add_tail(&pooler->callers, &caller->node);
 	counter_add(&open_callers, 1);
 	return caller;
 }
 
+caller_t *pooler_caller_open(pooler_t *pooler, const char *database, slice_t key, void *link,
+			     code_t *code)
+{
+	key_digest_t digest = key_digest(key.at, key.len);
+	caller_t *caller;
+
+	/* One whose START was read so late would be cut off by the end of the process. */
+	if (pooler->routes == NULL || pooler->drained_told) {
+		*code = CODE_BUSY;
+		return NULL;
+	}
+	if (!admission_opens(pooler, database, &digest, code))
+		return NULL;
+	caller = caller_create(pooler, database, link);
+	caller->key = digest;
+	return caller;
+}
+
 void caller_on_sent(caller_t *caller)
 {
 	hangup_if_done(caller);
@@ -683,6 +735,7 @@
 {
 	pooler_t *pooler = caller->pooler;
 
+	quota_leave(caller);
 	dispatch_leave(caller);
 	forward_forget(caller);
 	timers_cancel(pooler->timers, &caller->timer);
--- a/pooler/caller.h
+++ b/pooler/caller.h
@@ -8,6 +8,12 @@
 
 #include "state.h"
 
+/* A caller at link, which stands for another proxy's or is checked before. */
+caller_t *caller_create(pooler_t *pooler, const char *database, void *link);
+
+/* Its operation may begin. */
+void caller_on_admitted(caller_t *caller);
+
 /* The connection broke. sent: its statement was at the member, unanswered. */
 void caller_on_conn_lost(caller_t *caller, bool sent, const char *detail);
 
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -77,16 +77,22 @@
 
 /* --- open and close --- */
 
-conn_t *conn_open(member_t *member, bool probe)
+/* As whom a probe's connection introduces itself; it runs no statement of a customer. */
+#define PROBE_CUSTOMER "cyclamenspan"
+
+conn_t *conn_open(member_t *member, line_t *line)
 {
+	const char *customer = line != NULL ? line->customer : PROBE_CUSTOMER;
+	bool probe = line == NULL;
 	pooler_t *pooler = member->pooler;
 	conn_t *conn = talloc_zero(member, conn_t);
 
 	conn->member = member;
+	conn->line = line;
 	conn->probe = probe;
 	variables_init(&conn->variables);
-	conn->link = pooler->env->ops->member_connect(pooler->env, member->address,
-						      member->service->name, member->id, conn);
+	conn->link = pooler->env->ops->member_connect(
+		pooler->env, member->address, member->service->name, customer, member->id, conn);
 	if (conn->link == NULL) {
 		member->open_after = now_of(pooler) + REOPEN_AFTER;
 		talloc_free(conn);
@@ -352,6 +358,7 @@
 void conn_run(conn_t *conn, caller_t *caller)
 {
 	conn->caller = caller;
+	conn->used = true;
 	caller->conn = conn;
 	caller->placed_at = now_of(caller->pooler);
 	conn_run_held(conn);
@@ -593,7 +600,7 @@
 	list_for_each (it, &member->conns) {
 		conn_t *conn = list_entry(it, conn_t, node);
 
-		if (conn->state != CONN_IDLE || conn->probe)
+		if (conn->state != CONN_IDLE || conn->line != caller->line)
 			continue;
 		if (variables_equal(&conn->variables, &caller->variables))
 			return conn;
@@ -602,3 +609,28 @@
 	}
 	return best;
 }
+
+/* True if its own line's callers can do without it. */
+static bool is_spare(const conn_t *conn, bool waited)
+{
+	if (conn->line->waiting == 0)
+		return true;
+	/* Who has it made waits for it; taken now it would be made again, and taken again. */
+	return waited && conn->used;
+}
+
+conn_t *conn_spare(const member_t *member, const caller_t *caller, bool waited)
+{
+	conn_t *longest = NULL;
+
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->state != CONN_IDLE || conn->probe || conn->line == caller->line ||
+		    !is_spare(conn, waited))
+			continue;
+		if (longest == NULL || conn->since < longest->since)
+			longest = conn;
+	}
+	return longest;
+}
--- a/pooler/conn.h
+++ b/pooler/conn.h
@@ -7,8 +7,9 @@
 
 #include "state.h"
 
-/* NULL if the member can't be reached at once. probe: only asks for the status. */
-conn_t *conn_open(member_t *member, bool probe);
+/* For a customer's callers; line NULL: a probe, which only asks for the status. NULL if the member
+ * can't be reached at once. */
+conn_t *conn_open(member_t *member, line_t *line);
 
 /* Close it; a caller on it learns what became of its statement. */
 void conn_close(conn_t *conn, const char *reason);
@@ -31,5 +32,11 @@
 /* The caller no longer waits for the reply to what is running. */
 void conn_orphan(conn_t *conn);
 
-/* An idle connection of member, the one whose values fit the caller best; or NULL. */
+/*
+ * An idle connection of another customer that may be closed to make room for one of the caller's:
+ * the one unused for longest, or NULL. waited: the caller goes before those that would use it.
+ */
+conn_t *conn_spare(const member_t *member, const caller_t *caller, bool waited);
+
+/* An idle connection of member for the caller's customer, whose values fit best; or NULL. */
 conn_t *conn_idle(const member_t *member, const caller_t *caller);
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -27,6 +27,12 @@
 #define NO_CONNECTION (15 * USEC_PER_MSEC)
 /* A wait that justifies a connection beyond our share: the time that one takes to make. */
 #define BORROW_AFTER (15 * USEC_PER_MSEC)
+/*
+ * Who has waited for so long takes the connection of another customer though that one's callers
+ * would use it: or a large customer, whose callers always wait, would never leave one to the
+ * others. Twice the time in which a new one is made, so that it is made where it saves time.
+ */
+#define TAKE_AFTER (30 * USEC_PER_MSEC)
 /*
  * A transaction without a statement for so long rests, and gives way to whoever waits for its
  * connection. Ten times the pauses of the users' applications inside transactions (7 to 10 ms), and
@@ -122,9 +128,18 @@
 	return now >= caller->received_at + BORROW_AFTER;
 }
 
+/* An idle connection that may give way to one of the caller's customer, or NULL. */
+static conn_t *find_spare(const member_t *member, const caller_t *caller, usec_t now)
+{
+	if (now < member->open_after || member_share(member) == 0)
+		return NULL;
+	return conn_spare(member, caller, now >= caller->received_at + TAKE_AFTER);
+}
+
 static bool can_open(const member_t *member, const caller_t *caller, usec_t now)
 {
-	return member_can_open(member, now, may_borrow(caller, now));
+	return member_can_open(member, now, may_borrow(caller, now)) ||
+	       find_spare(member, caller, now) != NULL;
 }
 
 static bool can_serve(const member_t *member, const caller_t *caller, usec_t now)
@@ -194,14 +209,15 @@
 	return primary;
 }
 
-static size_t opening(const member_t *member)
+/* Connections that are being made there for the customer's callers. */
+static size_t opening(const member_t *member, const line_t *line)
 {
 	size_t count = 0;
 
 	list_for_each (it, &member->conns) {
 		const conn_t *conn = list_entry(it, conn_t, node);
 
-		count += conn->state == CONN_OPENING && !conn->probe;
+		count += conn->state == CONN_OPENING && conn->line == line;
 	}
 	return count;
 }
@@ -213,6 +229,19 @@
 	return choose_reader(caller, now, open);
 }
 
+/* A connection for the caller's customer; within our share rather in place of an unused one. */
+static void open_for(member_t *member, const caller_t *caller, usec_t now)
+{
+	conn_t *spare;
+
+	if (!member_can_open(member, now, false)) {
+		spare = find_spare(member, caller, now);
+		if (spare != NULL)
+			conn_close(spare, "another customer needs its place");
+	}
+	conn_open(member, caller->line);
+}
+
 /* Returns true if the caller is served, and waits no more. */
 static bool place(caller_t *caller, usec_t now)
 {
@@ -240,8 +269,8 @@
 		return true;
 	}
 	/* One new connection for each that waits is enough. */
-	if (opening(member) < list_length(&caller->service->waiting))
-		conn_open(member, false);
+	if (opening(member, caller->line) < caller->line->waiting)
+		open_for(member, caller, now);
 	return false;
 }
 
@@ -249,7 +278,10 @@
 
 void dispatch_leave(caller_t *caller)
 {
+	if (!caller->is_waiting)
+		return;
 	list_del(&caller->waiting);
+	caller->line->waiting--;
 	caller->is_waiting = false;
 }
 
@@ -264,6 +296,7 @@
 		}
 	}
 	list_add_before(pos, &caller->waiting);
+	caller->line->waiting++;
 	caller->is_waiting = true;
 }
 
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -57,6 +57,8 @@
 	PEER_PONG,
 	PEER_STORE,
 	PEER_STORED,
+	PEER_TAKE,
+	PEER_TAKEN,
 } peer_message_kind_t;
 
 /*
@@ -66,6 +68,7 @@
 typedef struct forward_request {
 	uint64_t number; /* the sender's, comes back with the result */
 	const char *database;
+	const char *customer;
 	usec_t left; /* until the sender gives up */
 	const statement_t *statement;
 	slice_t shape; /* EXEC: what its name stands for */
@@ -118,6 +121,23 @@
 	kv_result_t result;
 } store_answer_t;
 
+/* PEER_TAKE: operations of a customer that are about to begin; see quota.h. */
+typedef struct quota_request {
+	uint64_t number; /* the sender's, comes back with the answer */
+	const char *customer;
+	unsigned seat;
+	unsigned wanted;
+} quota_request_t;
+
+/* PEER_TAKEN: how many of them may. */
+typedef struct quota_answer {
+	uint64_t number;
+	const char *customer;
+	unsigned granted;
+	bool vacant; /* the sender is not the seat's keeper, or not yet */
+	usec_t wait; /* if there were too few: before that nobody needs to ask again */
+} quota_answer_t;
+
 /* Between proxies. Each is complete in itself; any may be lost or repeated. */
 typedef struct peer_message {
 	peer_message_kind_t kind;
@@ -163,8 +183,11 @@
 	const forward_result_t *result;
 	const store_request_t *store;
 	const store_answer_t *stored;
-	bool cut_off;  /* the store does not serve the sender */
-	bool draining; /* the sender shuts down and takes no statements of others */
+	const quota_request_t *take;
+	const quota_answer_t *taken;
+	usec_t keys_age; /* STATE: of the proof that the sender's keys are the newest */
+	bool cut_off;	 /* the store does not serve the sender */
+	bool draining;	 /* the sender shuts down and takes no statements of others */
 } peer_message_t;
 
 typedef enum { PROMOTE_OK, PROMOTE_REFUSED, PROMOTE_LOST } promote_status_t;
@@ -185,7 +208,7 @@
 	void (*caller_abort)(struct env *env, void *link);
 	/* NULL if it fails at once; else conn_on_ready or conn_on_down follows. */
 	void *(*member_connect)(struct env *env, const char *address, const char *service,
-				const char *member, struct conn *conn);
+				const char *customer, const char *member, struct conn *conn);
 	void (*member_send)(struct env *env, void *link, const member_request_t *requests,
 			    size_t count);
 	void (*member_close)(struct env *env, void *link);
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -14,6 +14,7 @@
 #include "join.h"
 #include "member.h"
 #include "permit.h"
+#include "quota.h"
 #include "refresh.h"
 #include "relay.h"
 #include "sync.h"
@@ -710,6 +711,12 @@
 	case PEER_STORED:
 		relay_on_answer(pooler->relay, message);
 		break;
+	case PEER_TAKE:
+		quota_on_request(pooler, message);
+		break;
+	case PEER_TAKEN:
+		quota_on_answer(pooler, message);
+		break;
 	}
 }
 
--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -247,6 +247,8 @@
 			talloc_strdup(follow->parent, result->items[result->count - 1].key);
 	else
 		end_reading(follow);
+	if (!follow->reading && follow->ops->read != NULL)
+		follow->ops->read(follow, follow->read_began);
 	go_on(follow);
 }
 
@@ -299,6 +301,8 @@
 		return;
 	if (follow->reading && !follow->page_asked) {
 		follow->page_asked = true;
+		if (follow->last_key == NULL)
+			follow->read_began = clock_now(follow->clock);
 		follow->kv->ops->range(follow->kv, follow->prefix,
 				       follow->last_key != NULL ? follow->last_key : "", on_page,
 				       follow);
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -30,6 +30,8 @@
 typedef struct follow_ops {
 	void (*changed)(struct follow *follow, const kv_item_t *item);
 	void (*gone)(struct follow *follow, const char *key);
+	/* The store was asked for all of it at that time, and everything of then was told. */
+	void (*read)(struct follow *follow, usec_t asked_at); /* may be NULL */
 } follow_ops_t;
 
 typedef struct follow {
@@ -51,7 +53,8 @@
 	/* A whole reading, which can go on beside a watch. */
 	bool reading;
 	bool page_asked;
-	bool paging; /* a page is being taken */
+	usec_t read_began; /* when the first page was asked for */
+	bool paging;	   /* a page is being taken */
 	uint64_t round;
 	int64_t round_revision; /* of its first page */
 	char *last_key;		/* of the page before */
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -43,6 +43,7 @@
 	forward_request_t request = {
 		.number = caller->forward_number,
 		.database = caller->database,
+		.customer = caller->customer,
 		/* So that a refusal, which promises something, comes before we give up. */
 		.left = left > RESULT_WAYS ? left - RESULT_WAYS : left,
 		.statement = statement,
--- a/pooler/hangup.c
+++ b/pooler/hangup.c
@@ -14,13 +14,18 @@
 /* An answer leaves within two ticks (50 ms each); one that has not is not being read. */
 #define ANSWER_LEAVES (100 * USEC_PER_MSEC)
 
-typedef enum { END_SHUTDOWN, END_CUT, END_NO_PERMISSION, END_NOT_READING } end_reason_t;
+typedef enum {
+	END_SHUTDOWN,
+	END_CUT,
+	END_NO_PERMISSION,
+	END_NOT_READING,
+	END_KEY_TAKEN
+} end_reason_t;
 
 static const char *const reasons[] = {
-	[END_SHUTDOWN] = "shutdown",
-	[END_CUT] = "transaction_cut",
-	[END_NO_PERMISSION] = "no_permission",
-	[END_NOT_READING] = "caller_does_not_read",
+	[END_SHUTDOWN] = "shutdown",	       [END_CUT] = "transaction_cut",
+	[END_NO_PERMISSION] = "no_permission", [END_NOT_READING] = "caller_does_not_read",
+	[END_KEY_TAKEN] = "key_taken",
 };
 
 static const char *const outcomes[] = {
@@ -114,3 +119,9 @@
 	return caller->job == NULL && !caller->busy && caller->tx == TX_NONE &&
 	       now >= caller->idle_since + REST && hang_up(caller, END_NO_PERMISSION);
 }
+
+bool hangup_bar(caller_t *caller)
+{
+	return caller->job == NULL && !caller->busy && caller->tx == TX_NONE &&
+	       hang_up(caller, END_KEY_TAKEN);
+}
--- a/pooler/hangup.h
+++ b/pooler/hangup.h
@@ -30,3 +30,6 @@
  * its client goes elsewhere. True if it is closed, and the caller freed.
  */
 bool hangup_let_go(caller_t *caller, usec_t now);
+
+/* Close the session of a caller whose key was taken, unless something of it is under way. */
+bool hangup_bar(caller_t *caller);
--- a/pooler/job.c
+++ b/pooler/job.c
@@ -84,20 +84,18 @@
 {
 	const forward_request_t *request = message->request;
 	caller_t *caller;
-	code_t code;
 	job_t *job;
 
 	/* By an older configuration the sender would fall back behind what it has shown. */
 	if (pooler->draining || pooler->routes == NULL ||
-	    pooler->routes->version != message->config_version)
+	    pooler->routes->version != message->config_version ||
+	    routes_find(pooler->routes, request->database) == NULL)
 		return NULL;
 	job = talloc_zero(pooler, job_t);
-	caller = pooler_caller_open(pooler, request->database, job, &code);
-	if (caller == NULL) {
-		talloc_free(job);
-		return NULL;
-	}
+	caller = caller_create(pooler, request->database, job);
 	caller->job = talloc_steal(caller, job);
+	/* Whoever took the statement has looked at its key. */
+	caller->customer = talloc_strdup(caller, request->customer);
 	job->from = talloc_strdup(job, message->from);
 	job->address = talloc_strdup(job, message->address);
 	job->incarnation = message->incarnation;
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -173,7 +173,7 @@
 {
 	if (member->probe_conn != NULL)
 		return;
-	member->probe_conn = conn_open(member, true);
+	member->probe_conn = conn_open(member, NULL);
 }
 
 void member_ask_status(member_t *member)
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -7,6 +7,7 @@
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
+#include "admission.h"
 #include "duty.h"
 #include "exchange.h"
 #include "forward.h"
@@ -16,6 +17,7 @@
 #include "job.h"
 #include "member.h"
 #include "permit.h"
+#include "quota.h"
 #include "refresh.h"
 #include "relay.h"
 #include "sync.h"
@@ -96,6 +98,19 @@
 	return service;
 }
 
+line_t *service_line(service_t *service, const char *customer)
+{
+	line_t *line;
+
+	HASH_FIND_STR(service->lines, customer, line);
+	if (line != NULL)
+		return line;
+	line = talloc_zero(service, line_t);
+	line->customer = talloc_strdup(line, customer);
+	HASH_ADD_KEYPTR(hh, service->lines, line->customer, strlen(customer), line);
+	return line;
+}
+
 member_t *member_find(const pooler_t *pooler, const char *id)
 {
 	member_t *member;
@@ -164,7 +179,9 @@
 {
 	if (now < permit_end(pooler))
 		pooler->last_permitted = now;
-	return pooler->last_permitted != 0 && now >= pooler->last_permitted + LET_GO_AFTER;
+	if (pooler->last_permitted != 0 && now >= pooler->last_permitted + LET_GO_AFTER)
+		return true;
+	return proof_is_old(&pooler->keys, now);
 }
 
 static drain_phase_t drain_phase(const pooler_t *pooler, usec_t now)
@@ -204,6 +221,8 @@
 			continue;
 		if (pooler->draining)
 			closed += hangup_drain(caller, phase);
+		else if (caller->barred)
+			closed += hangup_bar(caller);
 		else if (let_go)
 			closed += hangup_let_go(caller, now);
 	}
@@ -278,8 +297,13 @@
 	timers_cancel(pooler->timers, &pooler->more_hangups);
 	sync_destroy(pooler);
 	outbox_destroy(&pooler->outbox);
-	list_for_each (it, &pooler->services)
-		timers_cancel(pooler->timers, &list_entry(it, service_t, node)->retry);
+	list_for_each (it, &pooler->services) {
+		service_t *service = list_entry(it, service_t, node);
+
+		timers_cancel(pooler->timers, &service->retry);
+		HASH_CLEAR(hh, service->lines);
+	}
+	quota_destroy(pooler->quota);
 	list_for_each (it, &pooler->callers)
 		timers_cancel(pooler->timers, &list_entry(it, caller_t, node)->timer);
 	HASH_CLEAR(hh, pooler->services_by_name);
@@ -306,6 +330,9 @@
 	list_init(&pooler->callers);
 	list_init(&pooler->forwarded);
 	pooler->relay = relay_create(pooler, env->kv);
+	pooler->keys.lifetime = config->revoke_bound;
+	pooler->keepers = keepers_create(pooler);
+	pooler->quota = quota_create(pooler);
 	sync_init(pooler);
 	outbox_init(&pooler->outbox, pooler);
 	talloc_set_destructor(pooler, pooler_destructor);
@@ -341,7 +368,8 @@
 	usec_t now = now_of(pooler);
 
 	/* Getting on the roster takes some ms more; statements wait for it. */
-	if (pooler->routes == NULL || pooler->draining || now >= permit_end(pooler))
+	if (pooler->routes == NULL || pooler->draining || now >= permit_end(pooler) ||
+	    proof_is_old(&pooler->keys, now))
 		return false;
 	return knows_primaries(pooler) || now >= pooler->started + LISTED_TIME;
 }
@@ -405,6 +433,12 @@
 	}
 	/* Which services have homes depends on the limits. */
 	pooler->warm_up_next = 0;
+	admission_on_keys(pooler);
+}
+
+void pooler_on_keys_proved(pooler_t *pooler, usec_t asked_at)
+{
+	proof_extend(&pooler->keys, asked_at);
 }
 
 void pooler_on_member(pooler_t *pooler, const member_entry_t *entry)
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -10,6 +10,7 @@
 
 #include "env.h"
 #include "routes.h"
+#include "share.h"
 #include "timer.h"
 
 struct caller;
@@ -28,6 +29,8 @@
 	usec_t config_bound;  /* within which a configuration must be in force */
 	usec_t leaving_bound; /* within which a leaving member must be left alone */
 	usec_t lease_least;   /* shortest lease that the store grants */
+	usec_t revoke_bound;  /* within which a key that was taken must be refused; 0: at leisure */
+	limit_slack_t slack;  /* by which customers' limits may be exceeded */
 	/* Without the safeguards that are measured against this: ./dev/measure pooler. */
 	bool in_order; /* the queue serves in order of arrival, whoever is late */
 	bool alone;    /* no homes: every proxy has connections of its own */
@@ -63,8 +66,9 @@
  */
 bool pooler_expects_routes(const pooler_t *pooler);
 
-/* A session with database; NULL with *code set if it is refused. */
-struct caller *pooler_caller_open(pooler_t *pooler, const char *database, void *link, code_t *code);
+/* A session with database, by a customer's key; NULL with *code set if it is refused. */
+struct caller *pooler_caller_open(pooler_t *pooler, const char *database, slice_t key, void *link,
+				  code_t *code);
 
 /* True while a statement is unanswered; the next one must wait. */
 bool caller_is_busy(const struct caller *caller);
@@ -90,6 +94,9 @@
 
 /* A configuration, taken over if newer, else freed. */
 void pooler_on_routes(pooler_t *pooler, routes_t *routes);
+
+/* The store was asked then for the configuration, and held none newer than the one in force. */
+void pooler_on_keys_proved(pooler_t *pooler, usec_t asked_at);
 void pooler_on_member(pooler_t *pooler, const member_entry_t *entry);
 void pooler_on_member_gone(pooler_t *pooler, const char *id);
 void pooler_on_promoted(pooler_t *pooler, const char *service, promote_status_t status);
--- /dev/null
+++ b/pooler/quota.c
@@ -0,0 +1,365 @@
+#include "quota.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "bucket.h"
+#include "caller.h"
+#include "exchange.h"
+#include "permit.h"
+#include "seat.h"
+
+#define LOG_MODULE "quota"
+#include "counter.h"
+#include "log.h"
+
+/* A keeper that has not answered for so long is passed over: a question's way to a busy VM. */
+#define ANSWER_PATIENCE (60 * USEC_PER_MSEC)
+/* For so long; then it is asked again. */
+#define SILENT_FOR (1 * USEC_PER_SEC)
+/* A link that is being made is there after this. */
+#define LINK_RETRY (10 * USEC_PER_MSEC)
+/* Longest that an operation waits: all keepers in turn, with links that have to be made. */
+#define QUOTA_PATIENCE (300 * USEC_PER_MSEC)
+/* When to come back if no keeper answers. */
+#define RETRY_UNKNOWN (200 * USEC_PER_MSEC)
+
+COUNTER_DEFINE(asked_total, "limit_questions_total", COUNTER_SUM,
+	       "Questions for operations of customers, to keepers.");
+COUNTER_DEFINE(refused_total, "limit_refused_total", COUNTER_SUM,
+	       "Operations refused since the limit of their customer was reached.");
+COUNTER_DEFINE(silent_total, "limit_keepers_silent_total", COUNTER_SUM,
+	       "Questions that a keeper did not answer in time.");
+
+/* What this proxy knows of one customer's keepers. */
+typedef struct allowance {
+	UT_hash_handle hh; /* in quota_t.by_customer */
+	quota_t *quota;
+	char *customer;
+	list_t waiting;	   /* caller_t.admission, by arrival */
+	uint64_t question; /* under way; 0: none */
+	unsigned seat;	   /* that it went to */
+	unsigned tried;	   /* seats asked for those that wait now, as bits */
+	bool answered;	   /* one of them did */
+	usec_t empty_until[LIMIT_SEATS];
+	usec_t silent_until[LIMIT_SEATS];
+	run_timer_t timer; /* of the question, or until a link is there */
+} allowance_t;
+
+struct quota {
+	pooler_t *pooler;
+	uint64_t questions;
+	allowance_t *by_customer;
+	seats_t *seats;
+};
+
+static void ask_next(allowance_t *allowance, usec_t now);
+
+static int allowance_destructor(allowance_t *allowance)
+{
+	timers_cancel(allowance->quota->pooler->timers, &allowance->timer);
+	return 0;
+}
+
+quota_t *quota_create(pooler_t *pooler)
+{
+	quota_t *quota = talloc_zero(pooler, quota_t);
+
+	quota->pooler = pooler;
+	quota->seats = seats_create(quota, pooler);
+	return quota;
+}
+
+void quota_destroy(quota_t *quota)
+{
+	HASH_CLEAR(hh, quota->by_customer);
+	talloc_free(quota);
+}
+
+static allowance_t *find_allowance(quota_t *quota, const char *customer)
+{
+	allowance_t *allowance;
+
+	HASH_FIND_STR(quota->by_customer, customer, allowance);
+	return allowance;
+}
+
+static allowance_t *get_allowance(quota_t *quota, const char *customer)
+{
+	allowance_t *allowance = find_allowance(quota, customer);
+
+	if (allowance != NULL)
+		return allowance;
+	allowance = talloc_zero(quota, allowance_t);
+	allowance->quota = quota;
+	allowance->customer = talloc_strdup(allowance, customer);
+	list_init(&allowance->waiting);
+	talloc_set_destructor(allowance, allowance_destructor);
+	HASH_ADD_KEYPTR(hh, quota->by_customer, allowance->customer, strlen(customer), allowance);
+	return allowance;
+}
+
+/* --- those that wait --- */
+
+static caller_t *first_waiting(const allowance_t *allowance)
+{
+	return list_empty(&allowance->waiting)
+		       ? NULL
+		       : list_entry(allowance->waiting.next, caller_t, admission);
+}
+
+void quota_leave(caller_t *caller)
+{
+	list_del(&caller->admission);
+}
+
+static void admit(allowance_t *allowance, unsigned count)
+{
+	caller_t *caller;
+
+	while (count-- != 0 && (caller = first_waiting(allowance)) != NULL) {
+		quota_leave(caller);
+		caller_on_admitted(caller);
+	}
+}
+
+/* Until a keeper may have a token again, as far as they have told; 0: now. */
+static usec_t until_token(const allowance_t *allowance, usec_t now)
+{
+	usec_t least = USEC_NEVER;
+
+	for (unsigned seat = 0; seat < LIMIT_SEATS; seat++) {
+		if (allowance->empty_until[seat] < least)
+			least = allowance->empty_until[seat];
+	}
+	return least > now ? least - now : 0;
+}
+
+static void refuse_one(caller_t *caller, const allowance_t *allowance, reason_t reason, usec_t back)
+{
+	if (reason == REASON_LIMIT_REACHED)
+		counter_add(&refused_total, 1);
+	LOG_EVENT(LOG_DBG, "operation not admitted", LOG_STR("customer", allowance->customer),
+		  LOG_STR("reason", reason_text(reason)),
+		  LOG_INT("back_ms", (int64_t)(back / USEC_PER_MSEC)));
+	caller_refuse(caller, reason == REASON_LIMIT_REACHED ? CODE_TOO_MANY : CODE_BUSY, reason,
+		      back);
+}
+
+static void refuse_all(allowance_t *allowance, usec_t now)
+{
+	reason_t reason = allowance->answered ? REASON_LIMIT_REACHED : REASON_LIMIT_UNKNOWN;
+	usec_t back = allowance->answered ? until_token(allowance, now) : RETRY_UNKNOWN;
+	caller_t *caller;
+
+	while ((caller = first_waiting(allowance)) != NULL) {
+		quota_leave(caller);
+		refuse_one(caller, allowance, reason, back);
+	}
+}
+
+/* --- questions --- */
+
+static void on_timer(run_timer_t *timer, usec_t now)
+{
+	allowance_t *allowance = list_entry(timer, allowance_t, timer);
+
+	if (allowance->question != 0) {
+		counter_add(&silent_total, 1);
+		LOG_EVENT(LOG_INFO, "keeper does not answer",
+			  LOG_STR("customer", allowance->customer),
+			  LOG_INT("seat", allowance->seat));
+		allowance->silent_until[allowance->seat] = now + SILENT_FOR;
+		allowance->question = 0;
+	}
+	ask_next(allowance, now);
+}
+
+static void wait_for(allowance_t *allowance, usec_t until)
+{
+	timers_arm(allowance->quota->pooler->timers, &allowance->timer, until, on_timer);
+}
+
+typedef enum { ASK_SENT, ASK_TAKEN, ASK_NO_LINK, ASK_NOBODY } ask_t;
+
+/* Ask the keeper of a seat for all that wait; ASK_TAKEN: it is this proxy, and has answered. */
+static ask_t ask(allowance_t *allowance, unsigned seat, usec_t now)
+{
+	quota_t *quota = allowance->quota;
+	pooler_t *pooler = quota->pooler;
+	const char *name = keepers_find(pooler->keepers, allowance->customer, seat);
+	const roster_node_t *keeper = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
+	quota_request_t request = {
+		.number = ++quota->questions,
+		.customer = allowance->customer,
+		.seat = seat,
+		.wanted = (unsigned)list_length(&allowance->waiting),
+	};
+	peer_message_t message = {.kind = PEER_TAKE, .take = &request};
+	quota_answer_t answer;
+
+	if (keeper == NULL)
+		return ASK_NOBODY;
+	counter_add(&asked_total, 1);
+	allowance->seat = seat;
+	allowance->question = request.number;
+	if (strcmp(name, pooler->config.name) == 0) {
+		answer = seats_take(quota->seats, &request, now);
+		message.kind = PEER_TAKEN;
+		message.taken = &answer;
+		quota_on_answer(pooler, &message);
+		return ASK_TAKEN;
+	}
+	exchange_fill(pooler, &message);
+	if (!pooler->env->ops->peer_send(pooler->env, keeper->name, keeper->address, &message)) {
+		allowance->question = 0;
+		return ASK_NO_LINK;
+	}
+	wait_for(allowance, now + ANSWER_PATIENCE);
+	return ASK_SENT;
+}
+
+/* The seat to ask first: the one in our zone, whose keeper is nearest. */
+static unsigned first_seat(const allowance_t *allowance)
+{
+	const pooler_t *pooler = allowance->quota->pooler;
+
+	for (unsigned seat = 0; seat < LIMIT_SEATS; seat++) {
+		const char *zone = keepers_zone(pooler->keepers, allowance->customer, seat);
+
+		if (zone != NULL && strcmp(zone, pooler->config.zone) == 0)
+			return seat;
+	}
+	return 0;
+}
+
+static bool may_ask(const allowance_t *allowance, unsigned seat, usec_t now)
+{
+	return (allowance->tried & 1u << seat) == 0 && now >= allowance->empty_until[seat] &&
+	       now >= allowance->silent_until[seat];
+}
+
+static void start_round(allowance_t *allowance, usec_t now)
+{
+	allowance->tried = 0;
+	/* What a keeper has said of late counts as an answer. */
+	allowance->answered = until_token(allowance, now) != 0;
+}
+
+/* Ask one keeper after the other for those that wait; refuse them when none has a token. */
+static void ask_next(allowance_t *allowance, usec_t now)
+{
+	const caller_t *oldest = first_waiting(allowance);
+	unsigned first = first_seat(allowance);
+	bool linking = false;
+
+	if (oldest == NULL || allowance->question != 0)
+		return;
+	for (unsigned i = 0; i < LIMIT_SEATS; i++) {
+		unsigned seat = (first + i) % LIMIT_SEATS;
+
+		if (!may_ask(allowance, seat, now))
+			continue;
+		switch (ask(allowance, seat, now)) {
+		case ASK_SENT:
+		case ASK_TAKEN:
+			return;
+		case ASK_NO_LINK:
+			linking = true;
+			break;
+		case ASK_NOBODY:
+			break;
+		}
+	}
+	if (linking && now < oldest->received_at + QUOTA_PATIENCE)
+		wait_for(allowance, now + LINK_RETRY);
+	else
+		refuse_all(allowance, now);
+}
+
+bool quota_enter(caller_t *caller)
+{
+	pooler_t *pooler = caller->pooler;
+	const customer_t *customer = customers_by_name(pooler->routes->customers, caller->customer);
+	usec_t now = now_of(pooler);
+	allowance_t *allowance;
+	bool alone;
+
+	if (customer == NULL || customer->rate <= 0)
+		return true;
+	allowance = get_allowance(pooler->quota, caller->customer);
+	alone = list_empty(&allowance->waiting);
+	list_add_tail(&allowance->waiting, &caller->admission);
+	if (!alone)
+		return false;
+	start_round(allowance, now);
+	timers_cancel(pooler->timers, &allowance->timer);
+	allowance->question = 0;
+	ask_next(allowance, now);
+	return false;
+}
+
+static void take_answer(allowance_t *allowance, const quota_answer_t *answer, usec_t now)
+{
+	unsigned seat = allowance->seat;
+
+	allowance->question = 0;
+	allowance->silent_until[seat] = 0;
+	timers_cancel(allowance->quota->pooler->timers, &allowance->timer);
+	if (answer->granted == 0)
+		allowance->tried |= 1u << seat;
+	if (!answer->vacant) {
+		allowance->answered = true;
+		allowance->empty_until[seat] = answer->wait != 0 ? now + answer->wait : 0;
+	}
+	admit(allowance, answer->granted);
+	/* A round is over when somebody was admitted: the next ones may ask every keeper again. */
+	if (answer->granted != 0)
+		start_round(allowance, now);
+	ask_next(allowance, now);
+}
+
+void quota_on_answer(pooler_t *pooler, const peer_message_t *message)
+{
+	const quota_answer_t *answer = message->taken;
+	allowance_t *allowance = find_allowance(pooler->quota, answer->customer);
+
+	/* A token that comes too late is not used: another keeper was asked for its operation. */
+	if (allowance != NULL && allowance->question == answer->number)
+		take_answer(allowance, answer, now_of(pooler));
+}
+
+void quota_on_request(pooler_t *pooler, const peer_message_t *message)
+{
+	quota_answer_t answer = seats_take(pooler->quota->seats, message->take, now_of(pooler));
+	peer_message_t reply = {.kind = PEER_TAKEN, .taken = &answer};
+
+	exchange_fill(pooler, &reply);
+	pooler->env->ops->peer_send(pooler->env, message->from, message->address, &reply);
+}
+
+static void fill_fleet(pooler_t *pooler, usec_t now)
+{
+	const roster_t *roster = pooler->sync.roster;
+	fleet_member_t *members = talloc_array(NULL, fleet_member_t, list_length(&roster->nodes));
+	size_t count = 0;
+
+	list_for_each (it, &roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (!node->gone)
+			members[count++] = (fleet_member_t){.name = node->name, .zone = node->zone};
+	}
+	keepers_set_fleet(pooler->keepers, members, count, now);
+	talloc_free(members);
+}
+
+void quota_on_roster(pooler_t *pooler)
+{
+	if (pooler->keepers_from == pooler->sync.roster->nodes_revision)
+		return;
+	pooler->keepers_from = pooler->sync.roster->nodes_revision;
+	fill_fleet(pooler, now_of(pooler));
+}
--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -18,6 +18,8 @@
  */
 #define CONFIG_REFRESH_PERCENT	30
 #define MEMBERS_REFRESH_PERCENT 28
+/* The same, of the time within which a key that was taken must be refused. */
+#define KEYS_REFRESH_PERCENT 20
 /* Answers in a row that show another list of members: one may cross a change under way. */
 #define MEMBERS_DIFFER_MAX 2
 /* The same while a peer tells the changes: a member is told as gone 2.3 s after it went missing. */
@@ -35,6 +37,8 @@
  * replaced.
  */
 #define CONFIG_SPACING_PERCENT 15
+/* A reading of the configuration has ended within this. */
+#define KEYS_AHEAD (300 * USEC_PER_MSEC)
 /* A fleet that starts has a holder within this. */
 #define START_GRACE (1 * USEC_PER_SEC)
 
@@ -49,9 +53,13 @@
 	return pooler->members_digest >> 32;
 }
 
+/* Each reading by the holder also proves to the fleet that its keys are the newest. */
 static usec_t config_interval(const pooler_t *pooler)
 {
-	return pooler->config.config_bound * CONFIG_REFRESH_PERCENT / 100;
+	usec_t interval = pooler->config.config_bound * CONFIG_REFRESH_PERCENT / 100;
+	usec_t proving = pooler->keys.lifetime * KEYS_REFRESH_PERCENT / 100;
+
+	return proving != 0 && proving < interval ? proving : interval;
 }
 
 static usec_t members_interval(const pooler_t *pooler)
@@ -129,10 +137,10 @@
 	bool told = is_told(pooler, now);
 
 	set_fed(pooler, told, now);
+	if (now >= sync->config_due && (!told || proof_wants_news(&pooler->keys, now + KEYS_AHEAD)))
+		refresh_config(pooler, now);
 	if (told)
 		return;
-	if (now >= sync->config_due)
-		refresh_config(pooler, now);
 	if (now >= sync->members_due)
 		refresh_members(pooler, now);
 }
@@ -181,6 +189,7 @@
 	int64_t members_at = ask != NULL ? ask->members_at : report->members_at;
 
 	message->directory_age = directory_age(pooler, now_of(pooler));
+	message->keys_age = proof_age(&pooler->keys, now_of(pooler));
 	/* Who is told without having asked may have no need of all of it. */
 	if (ask != NULL || config_at != 0)
 		describe_config(pooler, report, config_at, message, parent);
@@ -210,6 +219,18 @@
 		refresh_members(pooler, now);
 }
 
+/*
+ * The sender held the newest keys when it answered, less the age of its own proof, and answered no
+ * earlier than our question was sent. We hold the same, or newer ones.
+ */
+static void take_proof(pooler_t *pooler, const peer_message_t *message)
+{
+	if (pooler->routes == NULL || message->echo == 0 || message->keys_age >= message->echo ||
+	    message->config_version > pooler->routes->version)
+		return;
+	proof_extend(&pooler->keys, message->echo - message->keys_age);
+}
+
 void refresh_on_state(pooler_t *pooler, const peer_message_t *message, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
@@ -220,6 +241,7 @@
 	if (pooler->members_follow != NULL && message->members_changes != NULL)
 		follow_take(pooler->members_follow, message->members_changes);
 	compare(pooler, message, now);
+	take_proof(pooler, message);
 	version = pooler->routes != NULL ? pooler->routes->version : 0;
 	/* Only an answer says how old it is: it was given after the question was sent. */
 	if (message->echo != 0 && message->directory_age < message->echo &&
--- a/pooler/routes.c
+++ b/pooler/routes.c
@@ -10,6 +10,7 @@
 
 	list_init(&routes->routes);
 	list_init(&routes->services);
+	routes->customers = customers_create(routes);
 	return routes;
 }
 
--- a/pooler/routes.h
+++ b/pooler/routes.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "customers.h"
 #include "list.h"
 
 typedef enum {
@@ -25,6 +26,7 @@
 	usec_t statement_timeout;
 	usec_t objective; /* for a whole operation */
 	int64_t priority; /* 0 is the highest */
+	bool open;	  /* callers need no key */
 } route_t;
 
 typedef struct service_limits {
@@ -40,6 +42,7 @@
 	usec_t tx_idle; /* a transaction that rests longer may be ended */
 	list_t routes;
 	list_t services;
+	customers_t *customers;
 } routes_t;
 
 routes_t *routes_create(void *parent);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -3,10 +3,12 @@
 
 #include "follow.h"
 #include "freshness.h"
+#include "keepers.h"
 #include "outbox.h"
 #include "outlier.h"
 #include "pooler.h"
 #include "prepared.h"
+#include "proof.h"
 #include "reason.h"
 #include "roster.h"
 #include "summary.h"
@@ -15,6 +17,18 @@
 struct member;
 struct service;
 
+/* --- customers --- */
+
+/*
+ * A customer at a service. A member is told for whom a connection is, so connections are of one
+ * line each and never serve another's statements.
+ */
+typedef struct line {
+	UT_hash_handle hh; /* in service_t.lines */
+	char *customer;
+	size_t waiting; /* callers in service_t.waiting */
+} line_t;
+
 /* --- connections to members --- */
 
 typedef enum {
@@ -36,9 +50,11 @@
 typedef struct conn {
 	list_t node; /* in member_t.conns */
 	struct member *member;
-	void *link; /* the environment's; NULL when gone */
+	line_t *line; /* NULL: a probe's, which runs no statement */
+	void *link;   /* the environment's; NULL when gone */
 	conn_state_t state;
 	bool probe;
+	bool used;	/* it has served a statement */
 	usec_t since;	/* of the state */
 	usec_t opened;	/* when it was first ready */
 	usec_t sent_at; /* of the last request */
@@ -114,6 +130,12 @@
 	struct pooler *pooler;
 	void *link; /* NULL: gone */
 	char *database;
+	key_digest_t key;   /* with which the session began */
+	char *customer;	    /* of the operation in progress; NULL: none was admitted yet */
+	line_t *line;	    /* of the same */
+	bool by_open_route; /* its operation needs no key */
+	bool barred;	    /* its key is no customer's any more, or another one's */
+	list_t admission;   /* in allowance_t.waiting */
 	variables_t variables;
 	list_t prepared;
 	bool has_commit;
@@ -230,6 +252,7 @@
 	/* What the roster in use says, kept since every tick and message looks at all services. */
 	roster_group_t *group;	/* NULL: nothing */
 	struct member *primary; /* that it names; NULL: none, or it is not listed */
+	line_t *lines;		/* by customer */
 	list_t waiting;		/* caller_t.waiting, by priority, then by arrival */
 	run_timer_t retry;	/* first attempt that is put off */
 	bool dispatching;
@@ -375,6 +398,10 @@
 	list_t forwarded; /* caller_t.forwarded */
 	uint64_t forward_count;
 	sync_t sync;
+	proof_t keys;	      /* until when the customers' keys of routes count */
+	keepers_t *keepers;   /* who counts customers' operations */
+	int64_t keepers_from; /* roster_t.nodes_revision that it follows */
+	struct quota *quota;
 	struct relay *relay; /* to the store */
 	outbox_t outbox;
 	run_timer_t tick;
@@ -408,5 +435,8 @@
 /* Note what the roster in use says of the service; NULL: nothing. */
 void service_set_group(service_t *service, roster_group_t *group);
 
+/* The customer's line at the service, made if there is none. */
+line_t *service_line(service_t *service, const char *customer);
+
 /* The member of this id, or NULL. */
 member_t *member_find(const pooler_t *pooler, const char *id);
--- a/pooler/statement.c
+++ b/pooler/statement.c
@@ -16,6 +16,7 @@
 	[CODE_NO_STATEMENT] = "no_statement",
 	[CODE_MALFORMED] = "malformed",
 	[CODE_NO_DATABASE] = "no_database",
+	[CODE_NO_AUTH] = "no_auth",
 	[CODE_OTHER] = "other",
 };
 
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -15,6 +15,7 @@
 #include "hold.h"
 #include "join.h"
 #include "permit.h"
+#include "quota.h"
 #include "upstream.h"
 
 #define LOG_MODULE "sync"
@@ -168,6 +169,7 @@
 	pooler->sync.changing = false;
 	counter_set(&roster_revision, roster->revision);
 	set_groups(pooler);
+	quota_on_roster(pooler);
 	list_for_each (it, &roster->groups) {
 		const roster_group_t *group = list_entry(it, roster_group_t, node);
 
--- a/tests/pool_callers.c
+++ b/tests/pool_callers.c
@@ -49,7 +49,8 @@
 
 	caller->at = node;
 	list_add_tail(&node->callers, &caller->node);
-	caller->caller = pooler_caller_open(node->pooler, database, caller, &caller->refused);
+	caller->caller = pooler_caller_open(node->pooler, database, slice_of("", 0), caller,
+					    &caller->refused);
 	return caller;
 }
 
--- a/tests/pool_links.c
+++ b/tests/pool_links.c
@@ -159,8 +159,8 @@
 	}
 }
 
-void *links_connect(env_t *env, const char *address, const char *service, const char *member,
-		    struct conn *conn)
+void *links_connect(env_t *env, const char *address, const char *service, const char *customer,
+		    const char *member, struct conn *conn)
 {
 	world_node_t *node = (world_node_t *)env;
 	world_link_t *link = talloc_zero(node->world, world_link_t);
@@ -172,7 +172,7 @@
 	link->member = fake_find(node->world->db, member);
 	list_init(&link->posts);
 	list_add_tail(&node->links, &link->node);
-	protocol_encode_start(&buffer, service, "world", member);
+	protocol_encode_start(&buffer, service, customer, member);
 	send_lines(link, buffer.data, buffer.len);
 	protocol_buffer_free(&buffer);
 	return link;
--- a/tests/pool_parts.h
+++ b/tests/pool_parts.h
@@ -13,8 +13,8 @@
 
 /* --- to members: env_ops_t --- */
 
-void *links_connect(env_t *env, const char *address, const char *service, const char *member,
-		    struct conn *conn);
+void *links_connect(env_t *env, const char *address, const char *service, const char *customer,
+		    const char *member, struct conn *conn);
 void links_send(env_t *env, void *data, const member_request_t *requests, size_t count);
 void links_close(env_t *env, void *data);
 
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -99,6 +99,7 @@
 	route->max_age = world->max_age;
 	route->statement_timeout = 800 * USEC_PER_MSEC;
 	route->objective = WORLD_OBJECTIVE;
+	route->open = true;
 	list_add_tail(&routes->routes, &route->node);
 }
 
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -180,7 +180,8 @@
 	code_t code = CODE_NONE;
 
 	world_settle(world);
-	g_assert_null(pooler_caller_open(world->nodes[0].pooler, "nowhere", NULL, &code));
+	g_assert_null(pooler_caller_open(world->nodes[0].pooler, "nowhere", slice_of("", 0), NULL,
+					 &code));
 	g_assert_cmpint(code, ==, CODE_NO_DATABASE);
 	world_destroy(world);
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -548,6 +548,15 @@
 		{"{{#bounds.drainMs}}", ""},
 		{"{{bounds.drainMs|json}}", "7000"},
 		{"{{/bounds.drainMs}}", ""},
+		{"{{#bounds.revokeStrict}}", ""},
+		{"{{bounds.revokeMs|json}}", "5000"},
+		{"{{/bounds.revokeStrict}}", ""},
+		{"{{#bounds.quotaExcess}}", ""},
+		{"{{bounds.quotaExcess|json}}", "0.1"},
+		{"{{/bounds.quotaExcess}}", ""},
+		{"{{#bounds.quotaSlack}}", ""},
+		{"{{bounds.quotaSlack|json}}", "20"},
+		{"{{/bounds.quotaSlack}}", ""},
 	};
 	char *text = NULL;
 	char *path = g_build_filename(site->dir, "rendered.toml", NULL);
