Answers of keepers wait for their link; digests as short as keys

Cause: a link between proxies is one way, and the first message over a new one is not sent. Answers to questions for operations now wait in the outbox, as results do. With digests of 64 characters the configuration was larger than what proxies tell each other (24 KB), so all read it from the store.

--- a/access/key.c
+++ b/access/key.c
@@ -4,6 +4,11 @@
 
 #include <sodium.h>
 
+#define VARIANT sodium_base64_VARIANT_URLSAFE_NO_PADDING
+
+_Static_assert(KEY_DIGEST_TEXT == sodium_base64_ENCODED_LEN(KEY_DIGEST_SIZE, VARIANT),
+	       "room for the text");
+
 key_digest_t key_digest(const char *key, size_t len)
 {
 	key_digest_t digest;
@@ -15,19 +20,23 @@
 
 void key_digest_text(const key_digest_t *digest, char text[KEY_DIGEST_TEXT])
 {
-	sodium_bin2hex(text, KEY_DIGEST_TEXT, digest->bytes, sizeof(digest->bytes));
+	sodium_bin2base64(text, KEY_DIGEST_TEXT, digest->bytes, sizeof(digest->bytes), VARIANT);
 }
 
 bool key_digest_parse(const char *text, key_digest_t *digest)
 {
 	size_t len;
 
-	return sodium_hex2bin(digest->bytes, sizeof(digest->bytes), text, strlen(text), NULL, &len,
-			      NULL) == 0 &&
+	return sodium_base642bin(digest->bytes, sizeof(digest->bytes), text, strlen(text), NULL,
+				 &len, NULL, VARIANT) == 0 &&
 	       len == sizeof(digest->bytes);
 }
 
 void key_label(const key_digest_t *digest, char text[KEY_LABEL_TEXT])
 {
-	sodium_bin2hex(text, KEY_LABEL_TEXT, digest->bytes, KEY_LABEL_TEXT / 2);
+	char whole[KEY_DIGEST_TEXT];
+
+	key_digest_text(digest, whole);
+	memcpy(text, whole, KEY_LABEL_TEXT - 1);
+	text[KEY_LABEL_TEXT - 1] = '\0';
 }
--- a/access/key.h
+++ b/access/key.h
@@ -7,10 +7,10 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-/* Bytes: nobody finds two keys with one digest. */
-#define KEY_DIGEST_SIZE 32
-/* A digest as hexadecimal text, with its end. */
-#define KEY_DIGEST_TEXT (KEY_DIGEST_SIZE * 2 + 1)
+/* Bytes: nobody finds another key with a given one's digest. */
+#define KEY_DIGEST_SIZE 16
+/* A digest as text, with its end: about as long as a key, since proxies tell each other all. */
+#define KEY_DIGEST_TEXT 23
 /* What tells keys apart in a log, with its end. */
 #define KEY_LABEL_TEXT 9
 
--- a/pooler/outbox.c
+++ b/pooler/outbox.c
@@ -24,7 +24,9 @@
 	list_t node; /* in outbox_t.results */
 	char *to;
 	char *address;
+	bool is_answer;
 	forward_result_t result;
+	quota_answer_t answer; /* if is_answer */
 	usec_t since;
 } unsent_t;
 
@@ -40,13 +42,35 @@
 }
 
 static bool send_now(const outbox_t *outbox, const char *to, const char *address,
-		     const forward_result_t *result)
+		     peer_message_t *message)
 {
 	const pooler_t *pooler = outbox->pooler;
+
+	exchange_fill(pooler, message);
+	return pooler->env->ops->peer_send(pooler->env, to, address, message);
+}
+
+static bool send_result(const outbox_t *outbox, const char *to, const char *address,
+			const forward_result_t *result)
+{
 	peer_message_t message = {.kind = PEER_RESULT, .result = result};
 
-	exchange_fill(pooler, &message);
-	return pooler->env->ops->peer_send(pooler->env, to, address, &message);
+	return send_now(outbox, to, address, &message);
+}
+
+static bool send_answer(const outbox_t *outbox, const char *to, const char *address,
+			const quota_answer_t *answer)
+{
+	peer_message_t message = {.kind = PEER_TAKEN, .taken = answer};
+
+	return send_now(outbox, to, address, &message);
+}
+
+static bool send_again(const outbox_t *outbox, const unsent_t *unsent)
+{
+	if (unsent->is_answer)
+		return send_answer(outbox, unsent->to, unsent->address, &unsent->answer);
+	return send_result(outbox, unsent->to, unsent->address, &unsent->result);
 }
 
 static void forget(unsent_t *unsent)
@@ -62,7 +86,7 @@
 	list_for_each_safe (it, &outbox->results) {
 		unsent_t *unsent = list_entry(it, unsent_t, node);
 
-		if (send_now(outbox, unsent->to, unsent->address, &unsent->result)) {
+		if (send_again(outbox, unsent)) {
 			counter_add(&late_total, 1);
 			forget(unsent);
 		} else if (now >= unsent->since + KEPT_FOR) {
@@ -78,28 +102,44 @@
 		timers_arm(outbox->pooler->timers, timer, now + RETRY_INTERVAL, on_retry);
 }
 
-static void keep(outbox_t *outbox, const char *to, const char *address,
-		 const forward_result_t *result)
+static unsent_t *keep(outbox_t *outbox, const char *to, const char *address)
 {
 	unsent_t *unsent = talloc_zero(outbox->pooler, unsent_t);
 
 	unsent->to = talloc_strdup(unsent, to);
 	unsent->address = talloc_strdup(unsent, address);
-	unsent->result = *result;
-	unsent->result.raw =
-		slice_of(talloc_strndup(unsent, result->raw.at, result->raw.len), result->raw.len);
-	unsent->result.member = talloc_strdup(unsent, result->member);
-	unsent->result.text = talloc_strdup(unsent, result->text);
 	unsent->since = now_of(outbox->pooler);
 	list_add_tail(&outbox->results, &unsent->node);
 	if (!timer_is_armed(&outbox->timer))
 		timers_arm(outbox->pooler->timers, &outbox->timer, unsent->since + RETRY_INTERVAL,
 			   on_retry);
+	return unsent;
 }
 
 void outbox_send(outbox_t *outbox, const char *to, const char *address,
 		 const forward_result_t *result)
 {
-	if (!send_now(outbox, to, address, result))
-		keep(outbox, to, address, result);
+	unsent_t *unsent;
+
+	if (send_result(outbox, to, address, result))
+		return;
+	unsent = keep(outbox, to, address);
+	unsent->result = *result;
+	unsent->result.raw =
+		slice_of(talloc_strndup(unsent, result->raw.at, result->raw.len), result->raw.len);
+	unsent->result.member = talloc_strdup(unsent, result->member);
+	unsent->result.text = talloc_strdup(unsent, result->text);
+}
+
+void outbox_answer(outbox_t *outbox, const char *to, const char *address,
+		   const quota_answer_t *answer)
+{
+	unsent_t *unsent;
+
+	if (send_answer(outbox, to, address, answer))
+		return;
+	unsent = keep(outbox, to, address);
+	unsent->is_answer = true;
+	unsent->answer = *answer;
+	unsent->answer.customer = talloc_strdup(unsent, answer->customer);
 }
--- a/pooler/outbox.h
+++ b/pooler/outbox.h
@@ -24,3 +24,7 @@
 /* Send it now, or as soon as there is a link. */
 void outbox_send(outbox_t *outbox, const char *to, const char *address,
 		 const forward_result_t *result);
+
+/* The same for the answer to a question for operations of a customer. */
+void outbox_answer(outbox_t *outbox, const char *to, const char *address,
+		   const quota_answer_t *answer);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -419,7 +419,9 @@
 		talloc_free(routes);
 		return;
 	}
-	LOG_EVENT(LOG_INFO, "configuration in force", LOG_INT("version", routes->version),
+	LOG_EVENT(LOG_INFO, "configuration in force",
+		  LOG_INT("customers", (int64_t)customers_count(routes->customers)),
+		  LOG_INT("version", routes->version),
 		  LOG_INT("before", pooler->routes != NULL ? pooler->routes->version : 0),
 		  LOG_INT("routes", (int64_t)list_length(&routes->routes)));
 	talloc_free(pooler->routes);
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -334,10 +334,8 @@
 void quota_on_request(pooler_t *pooler, const peer_message_t *message)
 {
 	quota_answer_t answer = seats_take(pooler->quota->seats, message->take, now_of(pooler));
-	peer_message_t reply = {.kind = PEER_TAKEN, .taken = &answer};
 
-	exchange_fill(pooler, &reply);
-	pooler->env->ops->peer_send(pooler->env, message->from, message->address, &reply);
+	outbox_answer(&pooler->outbox, message->from, message->address, &answer);
 }
 
 static void fill_fleet(pooler_t *pooler, usec_t now)
