Keepers hand seats over; a silent one is known to all customers' questions

Each customer found out by itself that a keeper is silent, 60 ms each; after a restart a keeper gave nothing until it was on the roster anew; when 20 proxies were taken off the roster, and when they came back, their seats were vacant for 4 s.

Now: silence is noted with the proxy; while nobody answers the round is asked again for 0.4 s; a keeper counts by the roster that names it, whichever process of that name wrote itself there; one that takes over asks its predecessor, which gives nothing more from then on.

--- a/access/keepers.c
+++ b/access/keepers.c
@@ -83,11 +83,15 @@
 	return (x->hash > y->hash) - (x->hash < y->hash);
 }
 
-void keepers_set_fleet(keepers_t *keepers, const fleet_member_t *members, size_t count, usec_t now)
+static int by_name(const void *a, const void *b)
+{
+	return strcmp(((const zone_t *)a)->name, ((const zone_t *)b)->name);
+}
+
+static fleet_t *make_fleet(keepers_t *keepers, const fleet_member_t *members, size_t count)
 {
 	fleet_t *fleet = talloc_zero(keepers, fleet_t);
 
-	fleet->since = now;
 	for (size_t i = 0; i < count; i++) {
 		zone_t *zone = zone_of(fleet, members[i].zone, count);
 
@@ -103,15 +107,65 @@
 		if (zone->count > ZONE_KEEPERS)
 			zone->count = ZONE_KEEPERS;
 	}
-	list_add_tail(&keepers->fleets, &fleet->node);
-	if (list_length(&keepers->fleets) <= FLEETS_MAX)
-		return;
-	fleet = list_entry(keepers->fleets.next, fleet_t, node);
+	if (fleet->zone_count != 0)
+		qsort(fleet->zones, fleet->zone_count, sizeof(zone_t), by_name);
+	return fleet;
+}
+
+static bool same_zone(const zone_t *a, const zone_t *b)
+{
+	if (strcmp(a->name, b->name) != 0 || a->count != b->count)
+		return false;
+	for (size_t i = 0; i < a->count; i++) {
+		if (strcmp(a->places[i].name, b->places[i].name) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* True if the same proxies may be keepers. */
+static bool same_fleet(const fleet_t *a, const fleet_t *b)
+{
+	if (a->zone_count != b->zone_count)
+		return false;
+	for (size_t i = 0; i < a->zone_count; i++) {
+		if (!same_zone(&a->zones[i], &b->zones[i]))
+			return false;
+	}
+	return true;
+}
+
+static const fleet_t *newest(const keepers_t *keepers)
+{
+	if (list_empty(&keepers->fleets))
+		return NULL;
+	return list_entry(keepers->fleets.prev, fleet_t, node);
+}
+
+static void forget_oldest(keepers_t *keepers)
+{
+	fleet_t *fleet = list_entry(keepers->fleets.next, fleet_t, node);
+
 	list_del(&fleet->node);
 	talloc_free(fleet);
 	keepers->complete = false;
 }
 
+void keepers_set_fleet(keepers_t *keepers, const fleet_member_t *members, size_t count, usec_t now)
+{
+	fleet_t *fleet = make_fleet(keepers, members, count);
+	const fleet_t *before = newest(keepers);
+
+	if (before != NULL && same_fleet(fleet, before)) {
+		talloc_free(fleet);
+		return;
+	}
+	fleet->since = now;
+	list_add_tail(&keepers->fleets, &fleet->node);
+	if (list_length(&keepers->fleets) > FLEETS_MAX)
+		forget_oldest(keepers);
+}
+
 /* --- seats --- */
 
 /* The zone that comes at rank when all are ordered by a hash of their name and the customer's. */
@@ -171,13 +225,6 @@
 	return choose_place(zone, hash_text(customer, 2), seat / fleet->zone_count);
 }
 
-static const fleet_t *newest(const keepers_t *keepers)
-{
-	if (list_empty(&keepers->fleets))
-		return NULL;
-	return list_entry(keepers->fleets.prev, fleet_t, node);
-}
-
 const char *keepers_find(const keepers_t *keepers, const char *customer, unsigned seat)
 {
 	const fleet_t *fleet = newest(keepers);
@@ -208,3 +255,15 @@
 	}
 	return keepers->complete && since != USEC_NEVER ? 0 : since;
 }
+
+const char *keepers_before(const keepers_t *keepers, const char *self, const char *customer,
+			   unsigned seat)
+{
+	for (const list_t *it = keepers->fleets.prev; it != &keepers->fleets; it = it->prev) {
+		const char *keeper = keeper_in(list_entry(it, fleet_t, node), customer, seat);
+
+		if (keeper != NULL && strcmp(keeper, self) != 0)
+			return keeper;
+	}
+	return NULL;
+}
--- a/access/keepers.h
+++ b/access/keepers.h
@@ -37,3 +37,7 @@
  */
 usec_t keepers_since(const keepers_t *keepers, const char *self, const char *customer,
 		     unsigned seat);
+
+/* Who was the keeper before self became it; NULL if that is not remembered. */
+const char *keepers_before(const keepers_t *keepers, const char *self, const char *customer,
+			   unsigned seat);
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -127,6 +127,7 @@
 	const char *customer;
 	unsigned seat;
 	unsigned wanted;
+	bool release; /* the sender is the seat's keeper now: give nothing more for it */
 } quota_request_t;
 
 /* PEER_TAKEN: how many of them may. */
@@ -134,8 +135,9 @@
 	uint64_t number;
 	const char *customer;
 	unsigned granted;
-	bool vacant; /* the sender is not the seat's keeper, or not yet */
-	usec_t wait; /* if there were too few: before that nobody needs to ask again */
+	bool vacant;   /* the sender is not the seat's keeper, or not yet */
+	bool released; /* to a request for it: the sender was the keeper, and gives nothing more */
+	usec_t wait;   /* if there were too few: before that nobody needs to ask again */
 } quota_answer_t;
 
 /* Between proxies. Each is complete in itself; any may be lost or repeated. */
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -8,7 +8,7 @@
 #include "bucket.h"
 #include "caller.h"
 #include "exchange.h"
-#include "permit.h"
+#include "home.h"
 #include "seat.h"
 
 #define LOG_MODULE "quota"
@@ -17,14 +17,16 @@
 
 /* A keeper that has not answered for so long is passed over: a question's way to a busy VM. */
 #define ANSWER_PATIENCE (60 * USEC_PER_MSEC)
-/* For so long; then it is asked again. */
-#define SILENT_FOR (1 * USEC_PER_SEC)
-/* A link that is being made is there after this. */
-#define LINK_RETRY (10 * USEC_PER_MSEC)
-/* Longest that an operation waits: all keepers in turn, with links that have to be made. */
-#define QUOTA_PATIENCE (300 * USEC_PER_MSEC)
+/* For so long by all; by then it has answered something else, or is taken for silent. */
+#define PASSED_OVER_FOR (300 * USEC_PER_MSEC)
+/* Between two rounds of questions while links are made, and keepers have not started. */
+#define ROUND_RETRY (15 * USEC_PER_MSEC)
+/* Longest that an operation waits for a keeper that answers. */
+#define QUOTA_PATIENCE (400 * USEC_PER_MSEC)
 /* When to come back if no keeper answers. */
 #define RETRY_UNKNOWN (200 * USEC_PER_MSEC)
+/* At the soonest, if a limit is reached. */
+#define RETRY_LEAST (10 * USEC_PER_MSEC)
 
 COUNTER_DEFINE(asked_total, "limit_questions_total", COUNTER_SUM,
 	       "Questions for operations of customers, to keepers.");
@@ -42,10 +44,8 @@
 	uint64_t question; /* under way; 0: none */
 	unsigned seat;	   /* that it went to */
 	unsigned tried;	   /* seats asked for those that wait now, as bits */
-	bool answered;	   /* one of them did */
 	usec_t empty_until[LIMIT_SEATS];
-	usec_t silent_until[LIMIT_SEATS];
-	run_timer_t timer; /* of the question, or until a link is there */
+	run_timer_t timer; /* of the question, or until the next round */
 } allowance_t;
 
 struct quota {
@@ -134,7 +134,17 @@
 		if (allowance->empty_until[seat] < least)
 			least = allowance->empty_until[seat];
 	}
-	return least > now ? least - now : 0;
+	return least > now + RETRY_LEAST ? least - now : RETRY_LEAST;
+}
+
+/* True if no keeper that was heard of has a token now. */
+static bool is_used_up(const allowance_t *allowance, usec_t now)
+{
+	for (unsigned seat = 0; seat < LIMIT_SEATS; seat++) {
+		if (now < allowance->empty_until[seat])
+			return true;
+	}
+	return false;
 }
 
 static void refuse_one(caller_t *caller, const allowance_t *allowance, reason_t reason, usec_t back)
@@ -148,10 +158,8 @@
 		      back);
 }
 
-static void refuse_all(allowance_t *allowance, usec_t now)
+static void refuse_all(allowance_t *allowance, reason_t reason, usec_t back)
 {
-	reason_t reason = allowance->answered ? REASON_LIMIT_REACHED : REASON_LIMIT_UNKNOWN;
-	usec_t back = allowance->answered ? until_token(allowance, now) : RETRY_UNKNOWN;
 	caller_t *caller;
 
 	while ((caller = first_waiting(allowance)) != NULL) {
@@ -162,16 +170,25 @@
 
 /* --- questions --- */
 
+static const char *keeper_of(const allowance_t *allowance, unsigned seat)
+{
+	return keepers_find(allowance->quota->pooler->keepers, allowance->customer, seat);
+}
+
 static void on_timer(run_timer_t *timer, usec_t now)
 {
 	allowance_t *allowance = list_entry(timer, allowance_t, timer);
+	const char *name = keeper_of(allowance, allowance->seat);
 
 	if (allowance->question != 0) {
 		counter_add(&silent_total, 1);
 		LOG_EVENT(LOG_INFO, "keeper does not answer",
 			  LOG_STR("customer", allowance->customer),
+			  LOG_STR("proxy", name != NULL ? name : ""),
 			  LOG_INT("seat", allowance->seat));
-		allowance->silent_until[allowance->seat] = now + SILENT_FOR;
+		if (name != NULL)
+			exchange_get_report(allowance->quota->pooler, name)->passed_over_until =
+				now + PASSED_OVER_FOR;
 		allowance->question = 0;
 	}
 	ask_next(allowance, now);
@@ -182,6 +199,13 @@
 	timers_arm(allowance->quota->pooler->timers, &allowance->timer, until, on_timer);
 }
 
+/* Odd numbers; those of questions to predecessors are even. */
+static uint64_t next_number(quota_t *quota)
+{
+	quota->questions += 2;
+	return quota->questions + 1;
+}
+
 typedef enum { ASK_SENT, ASK_TAKEN, ASK_NO_LINK, ASK_NOBODY } ask_t;
 
 /* Ask the keeper of a seat for all that wait; ASK_TAKEN: it is this proxy, and has answered. */
@@ -189,10 +213,10 @@
 {
 	quota_t *quota = allowance->quota;
 	pooler_t *pooler = quota->pooler;
-	const char *name = keepers_find(pooler->keepers, allowance->customer, seat);
+	const char *name = keeper_of(allowance, seat);
 	const roster_node_t *keeper = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
 	quota_request_t request = {
-		.number = ++quota->questions,
+		.number = next_number(quota),
 		.customer = allowance->customer,
 		.seat = seat,
 		.wanted = (unsigned)list_length(&allowance->waiting),
@@ -213,6 +237,8 @@
 		return ASK_TAKEN;
 	}
 	exchange_fill(pooler, &message);
+	/* Found to be silent by all customers' questions together, and asked whether it lives. */
+	home_on_sent(pooler, keeper->name, now);
 	if (!pooler->env->ops->peer_send(pooler->env, keeper->name, keeper->address, &message)) {
 		allowance->question = 0;
 		return ASK_NO_LINK;
@@ -235,48 +261,57 @@
 	return 0;
 }
 
+static bool is_passed_over(const allowance_t *allowance, unsigned seat, usec_t now)
+{
+	const pooler_t *pooler = allowance->quota->pooler;
+	const char *name = keeper_of(allowance, seat);
+	const peer_report_t *report = name != NULL ? exchange_report(pooler, name) : NULL;
+
+	return report != NULL &&
+	       (now < report->passed_over_until || home_is_suspect(pooler, report->name, now));
+}
+
 static bool may_ask(const allowance_t *allowance, unsigned seat, usec_t now)
 {
 	return (allowance->tried & 1u << seat) == 0 && now >= allowance->empty_until[seat] &&
-	       now >= allowance->silent_until[seat];
+	       !is_passed_over(allowance, seat, now);
 }
 
-static void start_round(allowance_t *allowance, usec_t now)
+/*
+ * No keeper has a token. If one has said so the limit is reached, and those that wait are refused;
+ * else nobody has answered, as when all proxies have just started, and all are asked again.
+ */
+static void end_round(allowance_t *allowance, const caller_t *oldest, usec_t now)
 {
-	allowance->tried = 0;
-	/* What a keeper has said of late counts as an answer. */
-	allowance->answered = until_token(allowance, now) != 0;
+	if (is_used_up(allowance, now)) {
+		refuse_all(allowance, REASON_LIMIT_REACHED, until_token(allowance, now));
+	} else if (now >= oldest->received_at + QUOTA_PATIENCE) {
+		refuse_all(allowance, REASON_LIMIT_UNKNOWN, RETRY_UNKNOWN);
+	} else {
+		allowance->tried = 0;
+		wait_for(allowance, now + ROUND_RETRY);
+	}
 }
 
-/* Ask one keeper after the other for those that wait; refuse them when none has a token. */
+/* Ask one keeper after the other for those that wait. */
 static void ask_next(allowance_t *allowance, usec_t now)
 {
 	const caller_t *oldest = first_waiting(allowance);
 	unsigned first = first_seat(allowance);
-	bool linking = false;
 
 	if (oldest == NULL || allowance->question != 0)
 		return;
 	for (unsigned i = 0; i < LIMIT_SEATS; i++) {
 		unsigned seat = (first + i) % LIMIT_SEATS;
+		ask_t asked;
 
 		if (!may_ask(allowance, seat, now))
 			continue;
-		switch (ask(allowance, seat, now)) {
-		case ASK_SENT:
-		case ASK_TAKEN:
+		asked = ask(allowance, seat, now);
+		if (asked == ASK_SENT || asked == ASK_TAKEN)
 			return;
-		case ASK_NO_LINK:
-			linking = true;
-			break;
-		case ASK_NOBODY:
-			break;
-		}
 	}
-	if (linking && now < oldest->received_at + QUOTA_PATIENCE)
-		wait_for(allowance, now + LINK_RETRY);
-	else
-		refuse_all(allowance, now);
+	end_round(allowance, oldest, now);
 }
 
 bool quota_enter(caller_t *caller)
@@ -294,7 +329,7 @@
 	list_add_tail(&allowance->waiting, &caller->admission);
 	if (!alone)
 		return false;
-	start_round(allowance, now);
+	allowance->tried = 0;
 	timers_cancel(pooler->timers, &allowance->timer);
 	allowance->question = 0;
 	ask_next(allowance, now);
@@ -306,18 +341,15 @@
 	unsigned seat = allowance->seat;
 
 	allowance->question = 0;
-	allowance->silent_until[seat] = 0;
 	timers_cancel(allowance->quota->pooler->timers, &allowance->timer);
 	if (answer->granted == 0)
 		allowance->tried |= 1u << seat;
-	if (!answer->vacant) {
-		allowance->answered = true;
+	if (!answer->vacant)
 		allowance->empty_until[seat] = answer->wait != 0 ? now + answer->wait : 0;
-	}
 	admit(allowance, answer->granted);
 	/* A round is over when somebody was admitted: the next ones may ask every keeper again. */
 	if (answer->granted != 0)
-		start_round(allowance, now);
+		allowance->tried = 0;
 	ask_next(allowance, now);
 }
 
@@ -326,6 +358,8 @@
 	const quota_answer_t *answer = message->taken;
 	allowance_t *allowance = find_allowance(pooler->quota, answer->customer);
 
+	if (seats_on_released(pooler->quota->seats, answer, now_of(pooler)))
+		return;
 	/* A token that comes too late is not used: another keeper was asked for its operation. */
 	if (allowance != NULL && allowance->question == answer->number)
 		take_answer(allowance, answer, now_of(pooler));
--- a/pooler/seat.c
+++ b/pooler/seat.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "bucket.h"
+#include "exchange.h"
 #include "permit.h"
 
 #define LOG_MODULE "seat"
@@ -13,11 +14,13 @@
 #include "log.h"
 
 /*
- * So long after a proxy became the keeper of a seat it gives nothing: who was it before may not
- * have heard, and goes on until its permission for the older roster has ended, or a majority knows
- * the newer one and prolongs it no more.
+ * So long after a proxy became the keeper of a seat, and its predecessor did not answer, it gives
+ * nothing: the predecessor may not have heard, and goes on until its permission by the older roster
+ * has ended. More than half of the fleet have heard by then and prolong it no more.
  */
-#define VACANT_FOR (PERMIT_ALONE + 2200 * USEC_PER_MSEC)
+#define VACANT_FOR (PERMIT_ALONE + 700 * USEC_PER_MSEC)
+/* Between two questions to a predecessor. */
+#define RELEASE_INTERVAL (100 * USEC_PER_MSEC)
 /*
  * Questions in vain a second that a seat's keeper has to answer for a customer that sends far
  * beyond its limit, whose proxies would else ask for every operation.
@@ -34,6 +37,12 @@
 	char *name;	   /* "NUMBER CUSTOMER" */
 	usec_t since;	   /* keepers_since() when it was last looked at */
 	bucket_t bucket;
+	usec_t kept_at;	   /* when it was last seen to be ours */
+	bool in_force;	   /* tokens were given, since then */
+	bool released;	   /* to a successor, since then */
+	bool taken_over;   /* the predecessor has released it, since then */
+	uint64_t question; /* to the predecessor; 0: none */
+	usec_t asked_at;
 	unsigned denied;    /* questions in vain */
 	usec_t denied_from; /* in the second that began then */
 } seat_t;
@@ -41,6 +50,7 @@
 struct seats {
 	pooler_t *pooler;
 	seat_t *by_name;
+	uint64_t questions;
 };
 
 static int seats_destructor(seats_t *seats)
@@ -58,47 +68,119 @@
 	return seats;
 }
 
-/* What a seat has, counted from when this process began to count. */
-static void start_counting(const seats_t *seats, seat_t *seat, const limit_share_t *share,
-			   usec_t since, usec_t now)
+/* The seat was ours all the time, or is from now on, or after others have had it. */
+static void start_counting(seat_t *seat, usec_t since)
 {
-	usec_t from = since + VACANT_FOR;
-
-	if (since == 0)
-		from = seats->pooler->started;
 	seat->since = since;
-	bucket_init(&seat->bucket, share->rate, share->burst, share->initial,
-		    from < now ? from : now);
+	seat->in_force = false;
+	seat->released = false;
+	seat->taken_over = false;
+	seat->question = 0;
 }
 
-static seat_t *get_seat(seats_t *seats, const quota_request_t *request, const limit_share_t *share,
-			usec_t since, usec_t now)
+static seat_t *get_seat(seats_t *seats, const quota_request_t *request, usec_t since, usec_t now)
 {
 	char *name = talloc_asprintf(seats, "%u %s", request->seat, request->customer);
 	seat_t *seat;
 
 	HASH_FIND_STR(seats->by_name, name, seat);
-	if (seat == NULL) {
-		seat = talloc_zero(seats, seat_t);
-		seat->name = talloc_steal(seat, name);
-		HASH_ADD_KEYPTR(hh, seats->by_name, seat->name, strlen(seat->name), seat);
-		start_counting(seats, seat, share, since, now);
+	if (seat != NULL) {
+		talloc_free(name);
+		/* Of old fleets only the last are remembered: since may move, for one kept all
+		 * along.
+		 */
+		if (since != USEC_NEVER && since > seat->kept_at)
+			start_counting(seat, since);
+		if (since != USEC_NEVER)
+			seat->kept_at = now;
 		return seat;
 	}
-	talloc_free(name);
-	if (seat->since != since)
-		start_counting(seats, seat, share, since, now);
-	else
-		bucket_set(&seat->bucket, share->rate, share->burst, now);
+	seat = talloc_zero(seats, seat_t);
+	seat->name = talloc_steal(seat, name);
+	seat->since = since;
+	seat->kept_at = since != USEC_NEVER ? now : 0;
+	HASH_ADD_KEYPTR(hh, seats->by_name, seat->name, strlen(seat->name), seat);
 	return seat;
 }
 
-/* True if this proxy may use the seat's share now. */
-static bool is_kept(const pooler_t *pooler, usec_t since, usec_t now)
+/*
+ * True if this proxy may use the seat's share now. By its roster it is the keeper, and the roster
+ * is known to be in force; whether this process or an earlier one of the same name is on it makes
+ * no difference, since the earlier one is gone.
+ */
+static bool is_kept(const pooler_t *pooler, const seat_t *seat, usec_t now)
 {
-	if (since == USEC_NEVER || now >= permit_end(pooler) || !permit_is_registered(pooler))
+	if (now >= permit_end(pooler) || seat->released)
 		return false;
-	return since == 0 || now >= since + VACANT_FOR;
+	return seat->since == 0 || seat->taken_over || now >= seat->since + VACANT_FOR;
+}
+
+/* Tokens are given from now on: by a share that a process which knows nothing of before may use. */
+static void enter_into_force(const pooler_t *pooler, seat_t *seat, const limit_share_t *share,
+			     usec_t now)
+{
+	usec_t from = seat->since == 0 ? pooler->started : seat->since + VACANT_FOR;
+
+	if (seat->in_force) {
+		bucket_set(&seat->bucket, share->rate, share->burst, now);
+		return;
+	}
+	seat->in_force = true;
+	bucket_init(&seat->bucket, share->rate, share->burst, share->initial,
+		    from < now ? from : now);
+}
+
+static void ask_predecessor(seats_t *seats, seat_t *seat, const quota_request_t *from, usec_t now)
+{
+	pooler_t *pooler = seats->pooler;
+	const char *name =
+		keepers_before(pooler->keepers, pooler->config.name, from->customer, from->seat);
+	const roster_node_t *node = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
+	quota_request_t request = {
+		.customer = from->customer,
+		.seat = from->seat,
+		.release = true,
+	};
+	peer_message_t message = {.kind = PEER_TAKE, .take = &request};
+
+	if (node == NULL || node->gone || now < seat->asked_at + RELEASE_INTERVAL)
+		return;
+	/* Even numbers; those of questions for tokens are odd. */
+	seats->questions += 2;
+	request.number = seats->questions;
+	exchange_fill(pooler, &message);
+	if (!pooler->env->ops->peer_send(pooler->env, node->name, node->address, &message))
+		return;
+	seat->question = request.number;
+	seat->asked_at = now;
+}
+
+/* Only who gave tokens knows that nobody else still does. */
+static bool release(seats_t *seats, const quota_request_t *request)
+{
+	seat_t *seat = get_seat(seats, request, USEC_NEVER, 0);
+
+	if (!seat->in_force)
+		return false;
+	seat->released = true;
+	return true;
+}
+
+bool seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now)
+{
+	if (answer->number % 2 != 0)
+		return false;
+	for (seat_t *seat = seats->by_name; seat != NULL; seat = seat->hh.next) {
+		if (seat->question == 0 || seat->question != answer->number)
+			continue;
+		seat->question = 0;
+		seat->taken_over = answer->released;
+		LOG_EVENT(LOG_INFO, "seat taken over", LOG_STR("customer", answer->customer),
+			  LOG_STR("seat", seat->name), LOG_INT("released", answer->released),
+			  LOG_INT("after_ms", (int64_t)((now - seat->since) / USEC_PER_MSEC)));
+		return true;
+	}
+	return false;
 }
 
 /* When a proxy that found no token is to ask again. */
@@ -117,6 +199,15 @@
 	return wait > spread ? wait : spread;
 }
 
+/* Since when this proxy keeps the seat that is asked for; USEC_NEVER: it does not. */
+static usec_t kept_since(const pooler_t *pooler, const quota_request_t *request)
+{
+	if (request->seat >= LIMIT_SEATS)
+		return USEC_NEVER;
+	return keepers_since(pooler->keepers, pooler->config.name, request->customer,
+			     request->seat);
+}
+
 quota_answer_t seats_take(seats_t *seats, const quota_request_t *request, usec_t now)
 {
 	const pooler_t *pooler = seats->pooler;
@@ -125,18 +216,26 @@
 			? customers_by_name(pooler->routes->customers, request->customer)
 			: NULL;
 	quota_answer_t answer = {.number = request->number, .customer = request->customer};
-	usec_t since;
+	usec_t since = kept_since(pooler, request);
 	limit_share_t share;
 	seat_t *seat;
 
-	since = request->seat < LIMIT_SEATS ? keepers_since(pooler->keepers, pooler->config.name,
-							    request->customer, request->seat)
-					    : USEC_NEVER;
-	answer.vacant = customer == NULL || !is_kept(pooler, since, now);
-	if (answer.vacant)
+	answer.vacant = true;
+	if (request->release) {
+		answer.released = release(seats, request);
 		return answer;
+	}
+	if (customer == NULL || since == USEC_NEVER)
+		return answer;
+	seat = get_seat(seats, request, since, now);
+	if (!is_kept(pooler, seat, now)) {
+		if (!seat->released && since != 0)
+			ask_predecessor(seats, seat, request, now);
+		return answer;
+	}
+	answer.vacant = false;
 	share = limit_share(customer, &pooler->config.slack);
-	seat = get_seat(seats, request, &share, since, now);
+	enter_into_force(pooler, seat, &share, now);
 	answer.granted = bucket_take(&seat->bucket, request->wanted, now);
 	counter_add(&granted_total, answer.granted);
 	if (answer.granted < request->wanted)
--- a/pooler/seat.h
+++ b/pooler/seat.h
@@ -1,6 +1,10 @@
 /*
  * What a keeper has let through of customers' limits: a token bucket for each seat that this proxy
  * keeps; see keepers.h and quota.h.
+ *
+ * A proxy that takes a seat over asks its predecessor to give nothing more for it, and begins with
+ * the answer. Without one it leaves the seat vacant until the predecessor can't hold the right any
+ * more.
  */
 #pragma once
 
@@ -10,5 +14,8 @@
 
 seats_t *seats_create(void *parent, pooler_t *pooler);
 
-/* Tokens for another proxy, or for this one. */
+/* Tokens for another proxy, or for this one; or the release of a seat. */
 quota_answer_t seats_take(seats_t *seats, const quota_request_t *request, usec_t now);
+
+/* The predecessor's answer. False if none was asked for by that number. */
+bool seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -309,10 +309,11 @@
 	usec_t asked_us_at;    /* its last question to this proxy; see upstream.h */
 	int64_t config_at;     /* what it has been told of the directory, as it said then */
 	int64_t members_at;
-	usec_t config_told_at; /* when it was last told a configuration */
-	usec_t asked_since;    /* the first question to it that it has not answered; 0: none */
-	usec_t avoided_until;  /* as a hub */
-	usec_t gone_known;     /* when enough proxies knew that roster; 0: not yet */
+	usec_t config_told_at;	  /* when it was last told a configuration */
+	usec_t asked_since;	  /* the first question to it that it has not answered; 0: none */
+	usec_t avoided_until;	  /* as a hub */
+	usec_t passed_over_until; /* as a keeper; see quota.h */
+	usec_t gone_known;	  /* when enough proxies knew that roster; 0: not yet */
 } peer_report_t;
 
 /* The hubs of the fleet; see upstream.h. */
