Tests of customers, keys and limits; after a start two fifths of a limit's burst are there

It may now use two fifths of all that may come at once, the other keepers' lives the rest; and an operation waits up to 50 ms for a token instead of being refused.

--- a/access/share.c
+++ b/access/share.c
@@ -6,21 +6,20 @@
  */
 #define SLACK_USED 0.8
 /*
- * Part of the slack in operations that a process that has just started may hand out, so that
- * callers need not wait for the first tokens; its earlier life may just have used up everything
- * else.
+ * Part of what may be let through at once that a process which has just started may hand out. Its
+ * earlier life may just have used up the rest; without any, callers that come back after a restart
+ * of the fleet would be refused until the first tokens are there.
  */
-#define SLACK_AT_START 0.4
+#define AT_START 0.4
 
 limit_share_t limit_share(const customer_t *customer, const limit_slack_t *slack)
 {
 	double more = 1 + slack->part * SLACK_USED;
-	double operations = slack->operations * SLACK_USED;
-	double initial = operations * SLACK_AT_START;
+	double at_once = customer->burst * more + slack->operations * SLACK_USED;
 
 	return (limit_share_t){
 		.rate = customer->rate * more / LIMIT_SEATS,
-		.burst = (customer->burst * more + operations - initial) / LIMIT_SEATS,
-		.initial = initial / LIMIT_SEATS,
+		.burst = at_once * (1 - AT_START) / LIMIT_SEATS,
+		.initial = at_once * AT_START / LIMIT_SEATS,
 	};
 }
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <talloc.h>
+#include <xxhash.h>
 
 #include "bucket.h"
 #include "caller.h"
@@ -21,6 +22,8 @@
 #define PASSED_OVER_FOR (300 * USEC_PER_MSEC)
 /* Between two rounds of questions while links are made, and keepers have not started. */
 #define ROUND_RETRY (15 * USEC_PER_MSEC)
+/* Longest that an operation waits for a token: its client would come again after as long. */
+#define TOKEN_PATIENCE (50 * USEC_PER_MSEC)
 /* Longest that an operation waits for a keeper that answers. */
 #define QUOTA_PATIENCE (400 * USEC_PER_MSEC)
 /* When to come back if no keeper answers. */
@@ -43,6 +46,7 @@
 	list_t waiting;	   /* caller_t.admission, by arrival */
 	uint64_t question; /* under way; 0: none */
 	unsigned seat;	   /* that it went to */
+	unsigned first;	   /* seat to begin with, another one for each proxy */
 	unsigned tried;	   /* seats asked for those that wait now, as bits */
 	usec_t empty_until[LIMIT_SEATS];
 	run_timer_t timer; /* of the question, or until the next round */
@@ -86,6 +90,13 @@
 	return allowance;
 }
 
+static uint64_t hash_self(const quota_t *quota, const char *customer)
+{
+	const char *name = quota->pooler->config.name;
+
+	return XXH64(name, strlen(name), XXH64(customer, strlen(customer), 0));
+}
+
 static allowance_t *get_allowance(quota_t *quota, const char *customer)
 {
 	allowance_t *allowance = find_allowance(quota, customer);
@@ -96,6 +107,7 @@
 	allowance->quota = quota;
 	allowance->customer = talloc_strdup(allowance, customer);
 	list_init(&allowance->waiting);
+	allowance->first = (unsigned)(hash_self(quota, customer) % LIMIT_SEATS);
 	talloc_set_destructor(allowance, allowance_destructor);
 	HASH_ADD_KEYPTR(hh, quota->by_customer, allowance->customer, strlen(customer), allowance);
 	return allowance;
@@ -247,18 +259,12 @@
 	return ASK_SENT;
 }
 
-/* The seat to ask first: the one in our zone, whose keeper is nearest. */
-static unsigned first_seat(const allowance_t *allowance)
+static bool is_near(const allowance_t *allowance, unsigned seat)
 {
 	const pooler_t *pooler = allowance->quota->pooler;
+	const char *zone = keepers_zone(pooler->keepers, allowance->customer, seat);
 
-	for (unsigned seat = 0; seat < LIMIT_SEATS; seat++) {
-		const char *zone = keepers_zone(pooler->keepers, allowance->customer, seat);
-
-		if (zone != NULL && strcmp(zone, pooler->config.zone) == 0)
-			return seat;
-	}
-	return 0;
+	return zone != NULL && strcmp(zone, pooler->config.zone) == 0;
 }
 
 static bool is_passed_over(const allowance_t *allowance, unsigned seat, usec_t now)
@@ -278,13 +284,21 @@
 }
 
 /*
- * No keeper has a token. If one has said so the limit is reached, and those that wait are refused;
- * else nobody has answered, as when all proxies have just started, and all are asked again.
+ * No keeper has a token. If one has said so the limit is reached, and those that wait are refused
+ * unless the next token comes soon: shares are small, and one that has none just now may have one
+ * in some ms. Else nobody has answered, as when all proxies have just started, and all are asked
+ * again.
  */
 static void end_round(allowance_t *allowance, const caller_t *oldest, usec_t now)
 {
+	usec_t wait = until_token(allowance, now);
+
 	if (is_used_up(allowance, now)) {
-		refuse_all(allowance, REASON_LIMIT_REACHED, until_token(allowance, now));
+		allowance->tried = 0;
+		if (now + wait <= oldest->received_at + TOKEN_PATIENCE)
+			wait_for(allowance, now + wait);
+		else
+			refuse_all(allowance, REASON_LIMIT_REACHED, wait);
 	} else if (now >= oldest->received_at + QUOTA_PATIENCE) {
 		refuse_all(allowance, REASON_LIMIT_UNKNOWN, RETRY_UNKNOWN);
 	} else {
@@ -293,25 +307,31 @@
 	}
 }
 
-/* Ask one keeper after the other for those that wait. */
-static void ask_next(allowance_t *allowance, usec_t now)
+/* Ask a keeper of our zone, or of another one; false if there is none to ask. */
+static bool ask_one_of(allowance_t *allowance, bool near, usec_t now)
 {
-	const caller_t *oldest = first_waiting(allowance);
-	unsigned first = first_seat(allowance);
-
-	if (oldest == NULL || allowance->question != 0)
-		return;
 	for (unsigned i = 0; i < LIMIT_SEATS; i++) {
-		unsigned seat = (first + i) % LIMIT_SEATS;
+		unsigned seat = (allowance->first + i) % LIMIT_SEATS;
 		ask_t asked;
 
-		if (!may_ask(allowance, seat, now))
+		if (is_near(allowance, seat) != near || !may_ask(allowance, seat, now))
 			continue;
 		asked = ask(allowance, seat, now);
 		if (asked == ASK_SENT || asked == ASK_TAKEN)
-			return;
+			return true;
 	}
-	end_round(allowance, oldest, now);
+	return false;
+}
+
+/* Ask one keeper after the other for those that wait, the nearest first. */
+static void ask_next(allowance_t *allowance, usec_t now)
+{
+	const caller_t *oldest = first_waiting(allowance);
+
+	if (oldest == NULL || allowance->question != 0)
+		return;
+	if (!ask_one_of(allowance, true, now) && !ask_one_of(allowance, false, now))
+		end_round(allowance, oldest, now);
 }
 
 bool quota_enter(caller_t *caller)
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -36,6 +36,7 @@
 	fake_reply_t reply;
 	void *data;
 	session_state_t state;
+	char who[40]; /* the customer that it is for */
 	bool tx_read_only;
 	uint64_t tx;
 	write_t *writes;
@@ -243,6 +244,7 @@
 	snprintf(run.id, sizeof(run.id), "%s", id);
 	snprintf(run.text, sizeof(run.text), "%s", text);
 	snprintf(run.member, sizeof(run.member), "%s", member->id);
+	snprintf(run.who, sizeof(run.who), "%s", session->who);
 	snprintf(run.values, sizeof(run.values), "%.95s", session->values);
 	snprintf(run.after, sizeof(run.after), "%s", session->after);
 	snprintf(run.shape, sizeof(run.shape), "%s", session->shape);
@@ -685,6 +687,7 @@
 		return;
 	}
 	session->state = SESSION_IDLE;
+	snprintf(session->who, sizeof(session->who), "%s", who);
 	catch_up(member);
 	member->opened++;
 	enqueue(session, OPENED, strlen(OPENED));
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -72,6 +72,7 @@
 	char id[40];
 	char text[96];
 	char member[48];
+	char who[40];	   /* the customer that the connection is for */
 	char values[96];   /* the session's, "name value;" in order of setting */
 	char after[24];	   /* position that the log had to hold, "" for none */
 	uint64_t tx;	   /* which transaction, 0: none */
--- a/tests/pool_callers.c
+++ b/tests/pool_callers.c
@@ -42,18 +42,24 @@
 	return world_open_database(world, at, WORLD_DATABASE);
 }
 
-world_caller_t *world_open_database(pool_world_t *world, size_t at, const char *database)
+world_caller_t *world_open_key(pool_world_t *world, size_t at, const char *database,
+			       const char *key)
 {
 	world_node_t *node = &world->nodes[at];
 	world_caller_t *caller = talloc_zero(world, world_caller_t);
 
 	caller->at = node;
 	list_add_tail(&node->callers, &caller->node);
-	caller->caller = pooler_caller_open(node->pooler, database, slice_of("", 0), caller,
-					    &caller->refused);
+	caller->caller = pooler_caller_open(node->pooler, database, slice_of(key, strlen(key)),
+					    caller, &caller->refused);
 	return caller;
 }
 
+world_caller_t *world_open_database(pool_world_t *world, size_t at, const char *database)
+{
+	return world_open_key(world, at, database, "");
+}
+
 void world_send(world_caller_t *caller, const char *text)
 {
 	char line[256];
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -99,10 +99,23 @@
 	route->max_age = world->max_age;
 	route->statement_timeout = 800 * USEC_PER_MSEC;
 	route->objective = WORLD_OBJECTIVE;
-	route->open = true;
+	route->open = world->customer_count == 0 || strcmp(database, "open") == 0;
 	list_add_tail(&routes->routes, &route->node);
 }
 
+static void add_customers(routes_t *routes, const pool_world_t *world)
+{
+	for (size_t i = 0; i < world->customer_count; i++) {
+		const world_customer_t *from = &world->customers[i];
+		const customer_t *customer =
+			customers_add(routes->customers, from->name, from->rate, from->burst);
+		key_digest_t digest = key_digest(from->key, strlen(from->key));
+
+		if (from->key[0] != '\0')
+			customers_add_key(routes->customers, customer, &digest);
+	}
+}
+
 static routes_t *make_routes(const pool_world_t *world)
 {
 	routes_t *routes = routes_create(NULL);
@@ -114,6 +127,8 @@
 	add_route(routes, world, "strict", READS_PRIMARY);
 	add_route(routes, world, "bounded", READS_BOUNDED);
 	add_route(routes, world, "session", READS_SESSION);
+	add_route(routes, world, "open", READS_BOUNDED);
+	add_customers(routes, world);
 	limits->name = WORLD_SERVICE;
 	limits->max_connections = (int64_t)world->db->config.max_connections;
 	limits->sync_replicas = world->sync_replicas;
@@ -152,6 +167,7 @@
 		if (node->pooler == NULL || node->kv.cut || node->frozen)
 			continue;
 		pooler_on_routes(node->pooler, make_routes(world));
+		pooler_on_keys_proved(node->pooler, world_now(world));
 		publish_members(world, node);
 	}
 }
@@ -256,6 +272,8 @@
 		.config_bound = 3 * USEC_PER_SEC,
 		.leaving_bound = 7 * USEC_PER_SEC,
 		.lease_least = 1 * USEC_PER_SEC,
+		.revoke_bound = world->revoke_bound,
+		.slack = world->slack,
 		.in_order = node->world->plain,
 		.alone = node->world->plain,
 	};
@@ -302,7 +320,7 @@
 
 /* --- start and end --- */
 
-pool_world_t *world_create(size_t nodes, const fake_db_config_t *config)
+static pool_world_t *make_world(size_t nodes, const fake_db_config_t *config)
 {
 	static const fake_db_config_t usual = {
 		.service = WORLD_SERVICE,
@@ -314,7 +332,6 @@
 		.lag = 60 * USEC_PER_MSEC,
 		.promote = 1000 * USEC_PER_MSEC,
 	};
-	static const char *const zones[] = {"a", "b", "c"};
 	pool_world_t *world = talloc_zero(NULL, pool_world_t);
 
 	paused_clock_init(&world->clock, 100 * USEC_PER_SEC);
@@ -325,7 +342,14 @@
 	world->node_count = nodes;
 	world->config_version = 1;
 	world->max_age = 1500 * USEC_PER_MSEC;
-	for (size_t i = 0; i < nodes; i++) {
+	return world;
+}
+
+static pool_world_t *start_nodes(pool_world_t *world)
+{
+	static const char *const zones[] = {"a", "b", "c"};
+
+	for (size_t i = 0; i < world->node_count; i++) {
 		world_node_t *node = &world->nodes[i];
 
 		node->env.ops = &ops;
@@ -343,6 +367,26 @@
 	return world;
 }
 
+pool_world_t *world_create(size_t nodes, const fake_db_config_t *config)
+{
+	return start_nodes(make_world(nodes, config));
+}
+
+pool_world_t *world_create_keyed(size_t nodes, const fake_db_config_t *config,
+				 const world_customer_t *customers, size_t count)
+{
+	pool_world_t *world = make_world(nodes, config);
+
+	g_assert_cmpuint(count, <=, WORLD_CUSTOMERS_MAX);
+	memcpy(world->customers, customers, count * sizeof(*customers));
+	world->customer_count = count;
+	world->revoke_bound = WORLD_REVOKE;
+	world->slack = (limit_slack_t){.part = 0.1, .operations = 20};
+	for (size_t i = 0; i < count; i++)
+		snprintf(world->customers[i].key, WORLD_KEY_MAX, "key-%s", customers[i].name);
+	return start_nodes(world);
+}
+
 void world_destroy(pool_world_t *world)
 {
 	for (size_t i = 0; i < world->node_count; i++) {
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -52,6 +52,17 @@
 	bool unsent;	/* it does not read its answers */
 } world_caller_t;
 
+/* What the operators' configuration says of a customer. */
+#define WORLD_KEY_MAX 24
+typedef struct world_customer {
+	char name[16];
+	char key[WORLD_KEY_MAX]; /* "": it has none */
+	double rate;
+	double burst;
+} world_customer_t;
+
+#define WORLD_CUSTOMERS_MAX 16
+
 typedef struct promote_call {
 	usec_t at;
 	char member[48];
@@ -75,15 +86,27 @@
 	bool new_links;	    /* a message to a proxy that none was sent to before is not sent */
 	bool plain;	    /* of proxies that start: no order by lateness, no help of others */
 	bool sync_replicas; /* as the configuration says */
+	/* With any, routes but "open" ask for a key. */
+	world_customer_t customers[WORLD_CUSTOMERS_MAX];
+	size_t customer_count;
+	usec_t revoke_bound; /* of proxies that start */
+	limit_slack_t slack;
 	promote_call_t *promotes; /* talloc array */
 	size_t promote_count;
 	unsigned lose_promotes; /* of the next calls: done, not answered */
 } pool_world_t;
 
+/* Until when a key that was taken may be served, in worlds with customers. */
+#define WORLD_REVOKE (5 * USEC_PER_SEC)
+
 /* config NULL: three members, 2 slots, 16 connections, 4 ms of work, 60 ms behind. */
 pool_world_t *world_create(size_t nodes, const fake_db_config_t *config);
 void world_destroy(pool_world_t *world);
 
+/* The same with customers, each "NAME" with the key "key-NAME". */
+pool_world_t *world_create_keyed(size_t nodes, const fake_db_config_t *config,
+				 const world_customer_t *customers, size_t count);
+
 /* Let time pass. */
 void world_run(pool_world_t *world, usec_t by);
 
@@ -100,6 +123,10 @@
 /* The same with one of the databases "strict", "bounded" and "session", by their kind of reads. */
 world_caller_t *world_open_database(pool_world_t *world, size_t node, const char *database);
 
+/* The same by a customer's key. */
+world_caller_t *world_open_key(pool_world_t *world, size_t node, const char *database,
+			       const char *key);
+
 /* Send a statement; the id is made up. */
 void world_send(world_caller_t *caller, const char *text);
 
