--- a/tests/pool_callers.c
+++ b/tests/pool_callers.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -7,6 +8,9 @@
 #include "pool_parts.h"
 #include "protocol.h"
 
+/* Ids for which there is room at a time. */
+#define SENDERS_STEP 4096
+
 void callers_reply(env_t *env, void *data, const caller_reply_t *reply)
 {
 	world_caller_t *caller = data;
@@ -49,6 +53,8 @@
 	world_caller_t *caller = talloc_zero(world, world_caller_t);
 
 	caller->at = node;
+	if (g_str_has_prefix(key, "key-"))
+		snprintf(caller->customer, sizeof(caller->customer), "%s", key + strlen("key-"));
 	list_add_tail(&node->callers, &caller->node);
 	caller->caller = pooler_caller_open(node->pooler, database, slice_of(key, strlen(key)),
 					    caller, &caller->refused);
@@ -60,6 +66,16 @@
 	return world_open_key(world, at, database, "");
 }
 
+static void note_sender(const world_caller_t *caller)
+{
+	pool_world_t *world = caller->at->world;
+
+	if (world->next_id % SENDERS_STEP == 0)
+		world->senders = talloc_realloc(world, world->senders, const char *,
+						world->next_id + SENDERS_STEP);
+	world->senders[world->next_id] = talloc_strdup(world->senders, caller->customer);
+}
+
 void world_send(world_caller_t *caller, const char *text)
 {
 	char line[256];
@@ -67,6 +83,7 @@
 
 	g_assert_nonnull(caller->caller);
 	g_assert_false(caller_is_busy(caller->caller));
+	note_sender(caller);
 	snprintf(caller->id, sizeof(caller->id), "q%zu", caller->at->world->next_id++);
 	snprintf(line, sizeof(line), "QUERY %s %s", caller->id, text);
 	protocol_decode_caller(line, strlen(line), &message);
@@ -99,3 +116,18 @@
 
 	return last != NULL && strncmp(last, ready, strlen(ready)) == 0;
 }
+
+void world_check_customers(const pool_world_t *world)
+{
+	for (size_t i = 0; i < world->db->run_count; i++) {
+		const fake_run_t *run = &world->db->runs[i];
+		const char *sender;
+
+		if (run->id[0] != 'q')
+			continue;
+		sender = world->senders[strtoul(run->id + 1, NULL, 10)];
+		if (strcmp(run->who, sender) != 0)
+			g_error("%s of %s was run for %s: %s", run->id, sender, run->who,
+				run->text);
+	}
+}
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -47,9 +47,10 @@
 	char id[40];	       /* of the last statement */
 	char reply[WORLD_REPLY_MAX];
 	size_t replies;
-	code_t refused; /* of the session itself */
-	bool unread;	/* it has sent something that the proxy has not looked at */
-	bool unsent;	/* it does not read its answers */
+	code_t refused;	   /* of the session itself */
+	char customer[16]; /* whose key it began with; "": none */
+	bool unread;	   /* it has sent something that the proxy has not looked at */
+	bool unsent;	   /* it does not read its answers */
 } world_caller_t;
 
 /* What the operators' configuration says of a customer. */
@@ -80,7 +81,8 @@
 	usec_t published;
 	bool stale_directory; /* the list of members is not renewed by itself */
 	size_t next_id;
-	reads_t reads; /* of the route */
+	const char **senders; /* talloc array: the customer that sent the statement of each id */
+	reads_t reads;	      /* of the route */
 	usec_t max_age;
 	int64_t config_version;
 	bool new_links;	    /* a message to a proxy that none was sent to before is not sent */
@@ -159,5 +161,8 @@
 /* True if some connection to a member is in a transaction. */
 bool world_in_transaction(const pool_world_t *world);
 
+/* Fails the test if a member has run a statement for another customer than its sender's. */
+void world_check_customers(const pool_world_t *world);
+
 /* How many proxies may use the primary of that id now. */
 size_t world_permitted(pool_world_t *world, const char *member);
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -16,6 +16,7 @@
 #include <talloc.h>
 
 #include "config_decode.h"
+#include "config_seal.h"
 #include "entry.h"
 #include "fleet_codec.h"
 #include "framing.h"
@@ -143,10 +144,13 @@
 	g_assert_cmpuint(time, <, USEC_NEVER / 2);
 }
 
+/* What the store holds is sealed before it is read. */
 static void check_config(const char *data, size_t len)
 {
-	routes_t *routes = config_decode(NULL, data, len);
+	char *sealed = config_seal(NULL, data, len);
+	routes_t *routes = config_decode(NULL, sealed, strlen(sealed));
 
+	talloc_free(sealed);
 	if (routes == NULL)
 		return;
 	assert_time(routes->tx_idle);
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -5,7 +5,8 @@
  * - no statement's write is committed twice, and none that was refused with a
  *   promise is committed at all;
  * - nothing is acknowledged that the leading member lacks at that moment;
- * - no read misses a commit that its route promises to show.
+ * - no read misses a commit that its route promises to show;
+ * - no member runs a statement for another customer than the one whose key sent it.
  *
  * FAULT_SEEDS=N plays N seeds from FAULT_FIRST (1), FAULT_SEED=S plays S alone.
  */
@@ -55,6 +56,7 @@
 typedef struct client {
 	world_caller_t *caller;
 	route_kind_t route;
+	char key[WORLD_KEY_MAX];
 	size_t node;
 	usec_t next; /* operation */
 	bool waiting;
@@ -432,7 +434,7 @@
 	client->node = (size_t)g_rand_int_range(play->rand, 0, (gint32)play->nodes);
 	if (world->nodes[client->node].pooler == NULL || world->nodes[client->node].frozen)
 		return;
-	client->caller = world_open_database(world, client->node, databases[client->route]);
+	client->caller = world_open_key(world, client->node, databases[client->route], client->key);
 	if (client->caller->caller == NULL)
 		client->caller = NULL;
 }
@@ -662,6 +664,10 @@
 	return seed % 5 == 2 ? &two_homes : NULL;
 }
 
+/* The largest has a limit that it nearly reaches. */
+static const world_customer_t customers[] = {
+	{.name = "ada", .rate = 200, .burst = 200}, {.name = "ben"}, {.name = "cy"}};
+
 static bool is_any_shutting_down(const play_t *play)
 {
 	for (size_t i = 0; i < play->nodes; i++) {
@@ -679,10 +685,14 @@
 	play->seed = seed;
 	play->nodes = seed >= LARGE_FIRST ? LARGE_NODES : NODES;
 	play->rand = g_rand_new_with_seed(seed);
-	play->world = world_create(play->nodes, config_of(seed));
+	play->world = world_create_keyed(play->nodes, config_of(seed), customers,
+					 G_N_ELEMENTS(customers));
 	play->writes = g_new0(write_record_t, WRITES_MAX);
-	for (size_t i = 0; i < CALLERS; i++)
+	for (size_t i = 0; i < CALLERS; i++) {
 		play->clients[i].route = (route_kind_t)(i % 3);
+		snprintf(play->clients[i].key, WORLD_KEY_MAX, "key-%s",
+			 customers[i / 3 % G_N_ELEMENTS(customers)].name);
+	}
 	world_settle(play->world);
 	end = now_of_play(play) + PLAY_TIME;
 	while (now_of_play(play) < end) {
@@ -704,6 +714,7 @@
 	for (size_t i = 0; i < CALLERS; i++)
 		step_client(play, &play->clients[i]);
 	check_end(play);
+	world_check_customers(play->world);
 	if (world_permitted(play->world, fake_leader(play->world->db)->id) != play->nodes)
 		describe_nodes(play);
 	/* It serves again, and did all along. */
