--- a/pooler/report.c
+++ b/pooler/report.c
@@ -55,6 +55,14 @@
 	return then <= now ? (int64_t)((now - then) / USEC_PER_MSEC) : -1;
 }
 
+/* -1: nothing has proved them yet. */
+static int64_t keys_age(const caller_t *caller, usec_t now)
+{
+	usec_t age = proof_age(&caller->pooler->keys, now);
+
+	return age != USEC_NEVER ? (int64_t)(age / USEC_PER_MSEC) : -1;
+}
+
 /* -1: the store was never heard. */
 static int64_t roster_age(const caller_t *caller, usec_t now)
 {
@@ -134,5 +142,6 @@
 		  LOG_STR("for", caller->job != NULL ? caller->job->from : ""),
 		  LOG_INT("config", caller->pooler->routes->version),
 		  LOG_INT("roster", caller->pooler->sync.roster->revision),
-		  LOG_INT("roster_age_ms", roster_age(caller, now)));
+		  LOG_INT("roster_age_ms", roster_age(caller, now)),
+		  LOG_INT("keys_age_ms", keys_age(caller, now)));
 }
