A seat that was given up for a moment is taken back

Cause, found by reading: a predecessor that released a seat, and saw only the rosters before and after the one that named its successor, kept it released for ever, a third of the customer's limit. The release now names the roster that asked for it; with one no older the seat is taken over anew, with the wait for whoever had it. /access/successor-for-a-moment fails without.

--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -387,7 +387,10 @@
 
 void quota_on_request(pooler_t *pooler, const peer_message_t *message)
 {
-	quota_answer_t answer = seats_take(pooler->quota->seats, message->take, now_of(pooler));
+	seats_t *seats = pooler->quota->seats;
+	quota_answer_t answer = message->take->release
+					? seats_release(seats, message->take, message->revision)
+					: seats_take(seats, message->take, now_of(pooler));
 
 	outbox_answer(&pooler->outbox, message->from, message->address, &answer);
 }
--- a/pooler/seat.c
+++ b/pooler/seat.c
@@ -37,11 +37,12 @@
 	char *name;	   /* "NUMBER CUSTOMER" */
 	usec_t since;	   /* keepers_since() when it was last looked at */
 	bucket_t bucket;
-	usec_t kept_at;	   /* when it was last seen to be ours */
-	bool in_force;	   /* tokens were given, since then */
-	bool released;	   /* to a successor, since then */
-	bool taken_over;   /* the predecessor has released it, since then */
-	uint64_t question; /* to the predecessor; 0: none */
+	usec_t kept_at;	     /* when it was last seen to be ours */
+	bool in_force;	     /* tokens were given, since then */
+	bool released;	     /* to a successor, since then */
+	int64_t released_by; /* revision of the roster that made it the keeper */
+	bool taken_over;     /* the predecessor has released it, since then */
+	uint64_t question;   /* to the predecessor; 0: none */
 	usec_t asked_at;
 	unsigned denied;    /* questions in vain */
 	usec_t denied_from; /* in the second that began then */
@@ -86,9 +87,7 @@
 	HASH_FIND_STR(seats->by_name, name, seat);
 	if (seat != NULL) {
 		talloc_free(name);
-		/* Of old fleets only the last are remembered: since may move, for one kept all
-		 * along.
-		 */
+		/* Old fleets are forgotten: since may grow for a seat that was ours all along. */
 		if (since != USEC_NEVER && since > seat->kept_at)
 			start_counting(seat, since);
 		if (since != USEC_NEVER)
@@ -155,15 +154,33 @@
 	seat->asked_at = now;
 }
 
-/* Only who gave tokens knows that nobody else still does. */
-static bool release(seats_t *seats, const quota_request_t *request)
+quota_answer_t seats_release(seats_t *seats, const quota_request_t *request, int64_t revision)
 {
 	seat_t *seat = get_seat(seats, request, USEC_NEVER, 0);
+	quota_answer_t answer = {
+		.number = request->number,
+		.customer = request->customer,
+		.vacant = true,
+		/* Only who gave tokens knows that nobody else still does. */
+		.released = seat->in_force,
+	};
 
-	if (!seat->in_force)
-		return false;
-	seat->released = true;
-	return true;
+	if (answer.released) {
+		seat->released = true;
+		seat->released_by = revision;
+	}
+	return answer;
+}
+
+/*
+ * The successor was one for a short time, and this proxy has seen only the rosters before and
+ * after: the seat is ours still, and would stay vacant for ever. Somebody else may have given
+ * tokens meanwhile, so it is taken over anew.
+ */
+static void take_back(const pooler_t *pooler, seat_t *seat, usec_t now)
+{
+	if (seat->released && pooler->sync.roster->revision >= seat->released_by)
+		start_counting(seat, now);
 }
 
 bool seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now)
@@ -221,15 +238,12 @@
 	seat_t *seat;
 
 	answer.vacant = true;
-	if (request->release) {
-		answer.released = release(seats, request);
-		return answer;
-	}
 	if (customer == NULL || since == USEC_NEVER)
 		return answer;
 	seat = get_seat(seats, request, since, now);
+	take_back(pooler, seat, now);
 	if (!is_kept(pooler, seat, now)) {
-		if (!seat->released && since != 0)
+		if (!seat->released && seat->since != 0)
 			ask_predecessor(seats, seat, request, now);
 		return answer;
 	}
--- a/pooler/seat.h
+++ b/pooler/seat.h
@@ -14,8 +14,11 @@
 
 seats_t *seats_create(void *parent, pooler_t *pooler);
 
-/* Tokens for another proxy, or for this one; or the release of a seat. */
+/* Tokens for another proxy, or for this one. */
 quota_answer_t seats_take(seats_t *seats, const quota_request_t *request, usec_t now);
 
+/* A seat's keeper by the roster of that revision asks this proxy to give nothing more for it. */
+quota_answer_t seats_release(seats_t *seats, const quota_request_t *request, int64_t revision);
+
 /* The predecessor's answer. False if none was asked for by that number. */
 bool seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now);
--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -3,10 +3,12 @@
 #include <string.h>
 
 #include <glib.h>
+#include <talloc.h>
 
 #include "caller.h"
 #include "conn.h"
 #include "pool_world.h"
+#include "seat.h"
 
 #define MSEC USEC_PER_MSEC
 #define SEC  USEC_PER_SEC
@@ -528,6 +530,46 @@
 	g_rand_free(rand);
 }
 
+/* A seat of ada's that proxy 0 keeps. */
+static unsigned seat_of_first(const pool_world_t *world)
+{
+	for (unsigned seat = 0; seat < LIMIT_SEATS; seat++) {
+		if (strcmp(keepers_find(world->nodes[0].pooler->keepers, "ada", seat), "p0") == 0)
+			return seat;
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * What callers would see: a third of a customer's limit is gone for good. What happens: a proxy
+ * becomes the keeper of a seat and is gone again, and its predecessor, which gave the seat up, sees
+ * only the rosters before and after. Why it is not: with a roster no older than the successor's the
+ * seat is taken over anew.
+ */
+static void test_successor_for_a_moment(void)
+{
+	pool_world_t *world = start_limited(3);
+	pooler_t *pooler = world->nodes[0].pooler;
+	seats_t *seats = seats_create(NULL, pooler);
+	quota_request_t request = {.number = 1, .customer = "ada", .wanted = 1};
+	int64_t successor = pooler->sync.roster->revision + 5;
+
+	request.seat = seat_of_first(world);
+	g_assert_cmpuint(seats_take(seats, &request, now_in(world)).granted, ==, 1);
+	g_assert_true(seats_release(seats, &request, successor).released);
+	g_assert_true(seats_take(seats, &request, now_in(world)).vacant);
+	world_run(world, 5 * SEC);
+	g_assert_true(seats_take(seats, &request, now_in(world)).vacant);
+	pooler->sync.roster->revision = successor + 1;
+	g_assert_true(seats_take(seats, &request, now_in(world)).vacant);
+	world_run(world, 100 * MSEC);
+	pooler->sync.roster->revision = successor + 1;
+	pooler->sync.confirmed_at = now_in(world) + 3 * SEC;
+	g_assert_cmpuint(seats_take(seats, &request, now_in(world) + 3 * SEC).granted, ==, 1);
+	talloc_free(seats);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -546,5 +588,6 @@
 	g_test_add_func("/access/flood-of-two-islands", test_flood_of_two_islands);
 	g_test_add_func("/access/flood-of-restarts", test_flood_of_restarts);
 	g_test_add_func("/access/lower-limit", test_lower_limit);
+	g_test_add_func("/access/successor-for-a-moment", test_successor_for_a_moment);
 	return g_test_run();
 }
