--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -329,6 +329,29 @@
 	world_destroy(world);
 }
 
+/*
+ * What the operators would see: a key is served for as long as the store is away, though all proxies
+ * hear each other. What happens: each tells the others how old its proof is, and nobody has a newer
+ * one. Why it ends: an answer proves what its sender has proved, not the time at which it comes.
+ */
+static void test_nobody_proves(void)
+{
+	pool_world_t *world = start(3, NULL);
+	world_caller_t *caller = world_open_key(world, 2, "bounded", "key-ada");
+	usec_t cut_at = now_in(world);
+
+	for (size_t i = 0; i < world->node_count; i++)
+		world->nodes[i].kv.cut = true;
+	while (now_in(world) < cut_at + 8 * SEC) {
+		bool served = !g_str_has_prefix(world_ask(caller, "READ a"), "ERR");
+
+		g_assert_false(served && now_in(world) > cut_at + WORLD_REVOKE);
+		g_assert_true(served || now_in(world) > cut_at + 4 * SEC);
+		world_run(world, 100 * MSEC);
+	}
+	world_destroy(world);
+}
+
 /* --- limits --- */
 
 #define LIMIT_RATE  20
@@ -583,6 +606,7 @@
 	g_test_add_func("/access/cut-off", test_cut_off);
 	g_test_add_func("/access/frozen", test_frozen);
 	g_test_add_func("/access/proved-by-peers", test_proved_by_peers);
+	g_test_add_func("/access/nobody-proves", test_nobody_proves);
 	g_test_add_func("/access/below-limit", test_below_limit);
 	g_test_add_func("/access/flood", test_flood);
 	g_test_add_func("/access/flood-of-two-islands", test_flood_of_two_islands);
