--- a/links/callers.c
+++ b/links/callers.c
@@ -12,6 +12,7 @@
 #include "adapter.h"
 #include "counter.h"
 #include "httpd.h"
+#include "run.h"
 
 #define LOG_MODULE "callers"
 #include "log.h"
@@ -69,11 +70,13 @@
 	{"session", BODY_SESSION, offsetof(query_t, continued)},
 };
 
+_Static_assert(RUN_PARAMS_MAX == 64, "as the error for params says");
+
 static const char *const expected[] = {
 	[BODY_TEXT] = "a string that is not empty",
 	[BODY_BOOL] = "true or false",
 	[BODY_DEADLINE] = "milliseconds from 1 to 3600000",
-	[BODY_PARAMS] = "a list of strings, numbers, booleans and nulls",
+	[BODY_PARAMS] = "a list of at most 64 strings, numbers, booleans and nulls",
 	[BODY_SESSION] = "\"new\" or \"continued\"",
 };
 
@@ -85,7 +88,7 @@
 
 static bool are_params(const json_t *value)
 {
-	if (!json_is_array(value))
+	if (!json_is_array(value) || json_array_size(value) > RUN_PARAMS_MAX)
 		return false;
 	for (size_t i = 0; i < json_array_size(value); i++) {
 		const json_t *item = json_array_get(value, i);
--- a/links/run.c
+++ b/links/run.c
@@ -9,8 +9,6 @@
 
 #include "sql.h"
 
-#define MAX_PARAMS 64
-
 static const step_t part_steps[][RUN_STEPS_MAX] = {
 	[PART_READ] = {STEP_BEGIN_READ, STEP_REPORT_BEFORE, STEP_STATEMENT, STEP_REPORT_AFTER,
 		       STEP_COMMIT},
@@ -42,7 +40,7 @@
 	json_t *list = text != NULL ? json_loads(text, 0, NULL) : NULL;
 	int count = (int)json_array_size(list);
 
-	for (int i = 0; i < count && i < MAX_PARAMS; i++) {
+	for (int i = 0; i < count && i < RUN_PARAMS_MAX; i++) {
 		const json_t *item = json_array_get(list, (size_t)i);
 		char *shown;
 
@@ -57,13 +55,13 @@
 		}
 	}
 	json_decref(list);
-	return count < MAX_PARAMS ? count : MAX_PARAMS;
+	return count < RUN_PARAMS_MAX ? count : RUN_PARAMS_MAX;
 }
 
 static void send_statement(pgio_t *io, const run_t *run)
 {
 	const query_t *query = run->query;
-	const char *params[MAX_PARAMS];
+	const char *params[RUN_PARAMS_MAX];
 	void *scratch = talloc_new(NULL);
 	int count = read_params(scratch, query->params, params);
 
--- a/links/run.h
+++ b/links/run.h
@@ -8,6 +8,8 @@
 #include "pgio.h"
 
 #define RUN_STEPS_MAX 6
+/* Parameters of a statement; callers with more are refused. */
+#define RUN_PARAMS_MAX 64
 
 typedef enum {
 	STEP_END,
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -569,7 +569,7 @@
 	return reason == REASON_KEY_TAKEN ? CODE_NO_AUTH : CODE_BUSY;
 }
 
-/* An operation begins: its first statement is refused, or none of it for lack of a key or limit. */
+/* An operation begins. What may not run is refused here, before any of it has. */
 static void enter(caller_t *caller)
 {
 	reason_t reason;
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -610,13 +610,14 @@
 	return best;
 }
 
-/* True if its own line's callers can do without it. */
+/*
+ * True if its own customer's callers can do without it, or have to. One that has served nobody yet
+ * was made for a caller that waits for it: taken now it would be made again, and taken again, and
+ * under load nobody would be served.
+ */
 static bool is_spare(const conn_t *conn, bool waited)
 {
-	if (conn->line->waiting == 0)
-		return true;
-	/* Who has it made waits for it; taken now it would be made again, and taken again. */
-	return waited && conn->used;
+	return conn->line->waiting == 0 || (waited && conn->used);
 }
 
 conn_t *conn_spare(const member_t *member, const caller_t *caller, bool waited)
--- a/pooler/conn.h
+++ b/pooler/conn.h
@@ -7,8 +7,10 @@
 
 #include "state.h"
 
-/* For a customer's callers; line NULL: a probe, which only asks for the status. NULL if the member
- * can't be reached at once. */
+/*
+ * For a customer's callers; line NULL: a probe, which only asks for the status. NULL if the member
+ * can't be reached at once.
+ */
 conn_t *conn_open(member_t *member, line_t *line);
 
 /* Close it; a caller on it learns what became of its statement. */
--- a/pooler/hangup.c
+++ b/pooler/hangup.c
@@ -19,7 +19,7 @@
 	END_CUT,
 	END_NO_PERMISSION,
 	END_NOT_READING,
-	END_KEY_TAKEN
+	END_KEY_TAKEN,
 } end_reason_t;
 
 static const char *const reasons[] = {
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -30,6 +30,10 @@
 
 #define ROW "\"service\": \"dispatch\", \"class\": \"assign\""
 
+#define FIVE	   "1,2,3,4,5"
+#define TWENTY	   FIVE "," FIVE "," FIVE "," FIVE
+#define SIXTY_FIVE TWENTY "," TWENTY "," TWENTY "," FIVE
+
 static const bad_body_t bad_bodies[] = {
 	{"/v1/statement", "{", 400, "no JSON object"},
 	{"/v1/statement", "[1]", 400, "no JSON object"},
@@ -42,6 +46,9 @@
 	 "deadline_ms: expected milliseconds"},
 	{"/v1/statement", "{" ROW ", \"statement\": \"SELECT 1\", \"params\": [[1]]}", 400,
 	 "params: expected a list"},
+	/* Cut off, the rest would be another statement than the caller meant. */
+	{"/v1/statement", "{" ROW ", \"statement\": \"SELECT 1\", \"params\": [" SIXTY_FIVE "]}",
+	 400, "params: expected a list of at most 64"},
 	{"/v1/statement", "{" ROW ", \"statement\": \"COMMIT\"}", 400, "no transaction"},
 	{"/v1/statement", "{" ROW ", \"statement\": \"/* x */ COMMIT\"}", 400, "its keyword"},
 	{"/v1/statement", "{" ROW ", \"statement\": \"SELECT 1\", \"token\": \"forged\"}", 401,
