--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -330,9 +330,10 @@
 }
 
 /*
- * What the operators would see: a key is served for as long as the store is away, though all proxies
- * hear each other. What happens: each tells the others how old its proof is, and nobody has a newer
- * one. Why it ends: an answer proves what its sender has proved, not the time at which it comes.
+ * What the operators would see: a key is served for as long as the store is away, though all
+ * proxies hear each other. What happens: each tells the others how old its proof is, and nobody has
+ * a newer one. Why it ends: an answer proves what its sender has proved, not the time at which it
+ * comes.
  */
 static void test_nobody_proves(void)
 {
