Limits: a released seat's answer says that it is one; a route is looked up once

Read again as a newcomer; behaviour stays as it is. - Answers to questions for tokens and to releases were told apart by odd and even numbers, from two counters; the answer now says which it is. - ask() had four outcomes of which its caller tells two apart; it returns whether somebody was asked. - An operation's route was searched twice in a list of all routes. - The comment at LIMIT_SEATS spoke for nine seats, which were not kept; that of until_token() was wrong.

--- a/access/share.h
+++ b/access/share.h
@@ -9,11 +9,7 @@
 
 #include "customers.h"
 
-/*
- * Shares of each limit. Those who are cut off from a part of the fleet reach about the same part of
- * the seats, which is what their callers need: with three seats a third of the customers had none
- * among 20 proxies that were cut off from 48.
- */
+/* Shares of each limit: two thirds of it are left while one of those who count is gone. */
 #define LIMIT_SEATS 3
 
 /* How far the operators let a limit be exceeded, since nobody can count exactly at once. */
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -401,12 +401,13 @@
 	answer_done(caller);
 }
 
-static bool take_route(caller_t *caller)
+/* The route by which the next operation goes, copied; NULL: there is none. */
+static const route_t *take_route(caller_t *caller)
 {
 	const route_t *route = routes_find(caller->pooler->routes, caller->database);
 
 	if (route == NULL)
-		return false;
+		return NULL;
 	caller->service = service_get(caller->pooler, route->service);
 	if (caller->customer != NULL)
 		caller->line = service_line(caller->service, caller->customer);
@@ -415,7 +416,7 @@
 	caller->timeout = route->statement_timeout;
 	caller->objective = route->objective;
 	caller->priority = route->priority;
-	return true;
+	return route;
 }
 
 void caller_begin(caller_t *caller, bool read_only)
@@ -572,9 +573,10 @@
 /* An operation begins. What may not run is refused here, before any of it has. */
 static void enter(caller_t *caller)
 {
+	const route_t *route = take_route(caller);
 	reason_t reason;
 
-	if (!take_route(caller)) {
+	if (route == NULL) {
 		answer_error(caller, CODE_NO_DATABASE, REASON_UNKNOWN_DATABASE, NULL);
 		return;
 	}
@@ -582,8 +584,7 @@
 		caller_on_admitted(caller);
 		return;
 	}
-	if (!admission_begins(caller, routes_find(caller->pooler->routes, caller->database),
-			      &reason)) {
+	if (!admission_begins(caller, route, &reason)) {
 		caller_refuse(caller, code_of_refusal(reason), reason, RETRY_KEYS);
 		return;
 	}
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -136,6 +136,7 @@
 	const char *customer;
 	unsigned granted;
 	bool vacant;   /* the sender is not the seat's keeper, or not yet */
+	bool release;  /* it answers a request to release the seat */
 	bool released; /* to a request for it: the sender was the keeper, and gives nothing more */
 	usec_t wait;   /* if there were too few: before that nobody needs to ask again */
 } quota_answer_t;
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -1,6 +1,5 @@
 #include "quota.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <talloc.h>
@@ -137,7 +136,7 @@
 	}
 }
 
-/* Until a keeper may have a token again, as far as they have told; 0: now. */
+/* Until a keeper may have a token again, as far as they have told; RETRY_LEAST at least. */
 static usec_t until_token(const allowance_t *allowance, usec_t now)
 {
 	usec_t least = USEC_NEVER;
@@ -211,24 +210,18 @@
 	timers_arm(allowance->quota->pooler->timers, &allowance->timer, until, on_timer);
 }
 
-/* Odd numbers; those of questions to predecessors are even. */
-static uint64_t next_number(quota_t *quota)
-{
-	quota->questions += 2;
-	return quota->questions + 1;
-}
-
-typedef enum { ASK_SENT, ASK_TAKEN, ASK_NO_LINK, ASK_NOBODY } ask_t;
-
-/* Ask the keeper of a seat for all that wait; ASK_TAKEN: it is this proxy, and has answered. */
-static ask_t ask(allowance_t *allowance, unsigned seat, usec_t now)
+/*
+ * Ask the keeper of a seat for all that wait; if it is this proxy it has answered. False if there
+ * is none, or no link to it yet.
+ */
+static bool ask(allowance_t *allowance, unsigned seat, usec_t now)
 {
 	quota_t *quota = allowance->quota;
 	pooler_t *pooler = quota->pooler;
 	const char *name = keeper_of(allowance, seat);
 	const roster_node_t *keeper = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
 	quota_request_t request = {
-		.number = next_number(quota),
+		.number = ++quota->questions,
 		.customer = allowance->customer,
 		.seat = seat,
 		.wanted = (unsigned)list_length(&allowance->waiting),
@@ -237,7 +230,7 @@
 	quota_answer_t answer;
 
 	if (keeper == NULL)
-		return ASK_NOBODY;
+		return false;
 	counter_add(&asked_total, 1);
 	allowance->seat = seat;
 	allowance->question = request.number;
@@ -246,17 +239,17 @@
 		message.kind = PEER_TAKEN;
 		message.taken = &answer;
 		quota_on_answer(pooler, &message);
-		return ASK_TAKEN;
+		return true;
 	}
 	exchange_fill(pooler, &message);
 	/* Found to be silent by all customers' questions together, and asked whether it lives. */
 	home_on_sent(pooler, keeper->name, now);
 	if (!pooler->env->ops->peer_send(pooler->env, keeper->name, keeper->address, &message)) {
 		allowance->question = 0;
-		return ASK_NO_LINK;
+		return false;
 	}
 	wait_for(allowance, now + ANSWER_PATIENCE);
-	return ASK_SENT;
+	return true;
 }
 
 static bool is_near(const allowance_t *allowance, unsigned seat)
@@ -312,12 +305,9 @@
 {
 	for (unsigned i = 0; i < LIMIT_SEATS; i++) {
 		unsigned seat = (allowance->first + i) % LIMIT_SEATS;
-		ask_t asked;
 
-		if (is_near(allowance, seat) != near || !may_ask(allowance, seat, now))
-			continue;
-		asked = ask(allowance, seat, now);
-		if (asked == ASK_SENT || asked == ASK_TAKEN)
+		if (is_near(allowance, seat) == near && may_ask(allowance, seat, now) &&
+		    ask(allowance, seat, now))
 			return true;
 	}
 	return false;
@@ -378,8 +368,10 @@
 	const quota_answer_t *answer = message->taken;
 	allowance_t *allowance = find_allowance(pooler->quota, answer->customer);
 
-	if (seats_on_released(pooler->quota->seats, answer, now_of(pooler)))
+	if (answer->release) {
+		seats_on_released(pooler->quota->seats, answer, now_of(pooler));
 		return;
+	}
 	/* A token that comes too late is not used: another keeper was asked for its operation. */
 	if (allowance != NULL && allowance->question == answer->number)
 		take_answer(allowance, answer, now_of(pooler));
--- a/pooler/seat.c
+++ b/pooler/seat.c
@@ -1,6 +1,5 @@
 #include "seat.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <talloc.h>
@@ -144,9 +143,7 @@
 
 	if (node == NULL || node->gone || now < seat->asked_at + RELEASE_INTERVAL)
 		return;
-	/* Even numbers; those of questions for tokens are odd. */
-	seats->questions += 2;
-	request.number = seats->questions;
+	request.number = ++seats->questions;
 	exchange_fill(pooler, &message);
 	if (!pooler->env->ops->peer_send(pooler->env, node->name, node->address, &message))
 		return;
@@ -160,6 +157,7 @@
 	quota_answer_t answer = {
 		.number = request->number,
 		.customer = request->customer,
+		.release = true,
 		.vacant = true,
 		/* Only who gave tokens knows that nobody else still does. */
 		.released = seat->in_force,
@@ -183,10 +181,8 @@
 		start_counting(seat, now);
 }
 
-bool seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now)
+void seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now)
 {
-	if (answer->number % 2 != 0)
-		return false;
 	for (seat_t *seat = seats->by_name; seat != NULL; seat = seat->hh.next) {
 		if (seat->question == 0 || seat->question != answer->number)
 			continue;
@@ -195,9 +191,8 @@
 		LOG_EVENT(LOG_INFO, "seat taken over", LOG_STR("customer", answer->customer),
 			  LOG_STR("seat", seat->name), LOG_INT("released", answer->released),
 			  LOG_INT("after_ms", (int64_t)((now - seat->since) / USEC_PER_MSEC)));
-		return true;
+		return;
 	}
-	return false;
 }
 
 /* When a proxy that found no token is to ask again. */
--- a/pooler/seat.h
+++ b/pooler/seat.h
@@ -20,5 +20,5 @@
 /* A seat's keeper by the roster of that revision asks this proxy to give nothing more for it. */
 quota_answer_t seats_release(seats_t *seats, const quota_request_t *request, int64_t revision);
 
-/* The predecessor's answer. False if none was asked for by that number. */
-bool seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now);
+/* The predecessor's answer; of one that is not waited for any more nothing follows. */
+void seats_on_released(seats_t *seats, const quota_answer_t *answer, usec_t now);
