--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <talloc.h>
+#include <uthash.h>
 #include <zmq.h>
 
 #define LOG_MODULE "zmq"
@@ -35,6 +36,8 @@
 #define KEEPALIVE_PROBES       3
 #define CURVE_KEY_CHARS	       40
 #define RECHECK_INTERVAL       (50 * USEC_PER_MSEC)
+/* A link that was not used for so long is closed: each costs memory and heartbeats at both ends. */
+#define IDLE_MOST (20 * USEC_PER_SEC)
 /*
  * What ZeroMQ's thread has not written yet when we stop would be thrown away:
  * the last answers to other proxies, which would then not know whether the
@@ -59,14 +62,18 @@
 	       "Messages received from peers.");
 COUNTER_DEFINE(unsent_total, "peer_messages_unsent_total", COUNTER_SUM,
 	       "Messages given up because the peer can't be reached.");
+COUNTER_DEFINE(links, "peer_links_open", COUNTER_GAUGE,
+	       "Links to peers that this process has made.");
 COUNTER_DEFINE(denied_total, "peer_denied_total", COUNTER_SUM,
 	       "Connections refused for a wrong key.");
 
 typedef struct peer {
-	list_t node; /* in zmqlink_t.peers */
+	list_t node;	   /* in zmqlink_t.peers, the least recently used first */
+	UT_hash_handle hh; /* in zmqlink_t.by_name */
 	char *name;
 	char *address;
 	void *socket;
+	usec_t used_at;
 } peer_t;
 
 static void set_int(void *socket, int option, int value)
@@ -218,8 +225,10 @@
 
 /* --- sending --- */
 
-static void close_peer(peer_t *peer)
+static void close_peer(zmqlink_t *self, peer_t *peer)
 {
+	HASH_DEL(self->by_name, peer);
+	counter_add(&links, -1);
 	list_del(&peer->node);
 	zmq_close(peer->socket);
 	talloc_free(peer);
@@ -247,18 +256,17 @@
 			    zmq_strerror(errno));
 	talloc_free(endpoint);
 	list_add_tail(&self->peers, &peer->node);
+	HASH_ADD_KEYPTR(hh, self->by_name, peer->name, strlen(peer->name), peer);
+	counter_add(&links, 1);
 	return peer;
 }
 
 static peer_t *find_peer(const zmqlink_t *self, const char *name)
 {
-	list_for_each (it, &self->peers) {
-		peer_t *peer = list_entry(it, peer_t, node);
+	peer_t *peer;
 
-		if (strcmp(peer->name, name) == 0)
-			return peer;
-	}
-	return NULL;
+	HASH_FIND_STR(self->by_name, name, peer);
+	return peer;
 }
 
 static peer_t *get_peer(zmqlink_t *self, const char *name, const char *address)
@@ -266,7 +274,7 @@
 	peer_t *peer = find_peer(self, name);
 
 	if (peer != NULL && address != NULL && strcmp(peer->address, address) != 0) {
-		close_peer(peer); /* a replaced VM with the same name */
+		close_peer(self, peer); /* a replaced VM with the same name */
 		peer = NULL;
 	}
 	if (peer == NULL && address != NULL)
@@ -274,11 +282,34 @@
 	return peer;
 }
 
+/* A link with every message, so that there is no more work to do at once than was made. */
+static void close_idle(zmqlink_t *self, usec_t now)
+{
+	peer_t *oldest;
+
+	if (list_empty(&self->peers))
+		return;
+	oldest = list_entry(self->peers.next, peer_t, node);
+	if (now >= oldest->used_at + IDLE_MOST)
+		close_peer(self, oldest);
+}
+
+static void mark_used(zmqlink_t *self, peer_t *peer, usec_t now)
+{
+	peer->used_at = now;
+	list_del(&peer->node);
+	list_add_tail(&self->peers, &peer->node);
+}
+
 int zmqlink_send(zmqlink_t *self, const char *name, const char *address, const void *data,
 		 size_t len)
 {
 	peer_t *peer = get_peer(self, name, address);
+	usec_t now = clock_now(self->loop->clock);
 
+	if (peer != NULL)
+		mark_used(self, peer, now);
+	close_idle(self, now);
 	if (peer == NULL || zmq_send(peer->socket, data, len, ZMQ_DONTWAIT) < 0) {
 		counter_add(&unsent_total, 1);
 		return -EHOSTUNREACH;
@@ -356,7 +387,7 @@
 		peer_t *peer = list_entry(it, peer_t, node);
 
 		set_int(peer->socket, ZMQ_LINGER, LINGER_MSEC);
-		close_peer(peer);
+		close_peer(self, peer);
 	}
 	zmq_close(self->router);
 	if (self->zap != NULL)
--- a/links/zmqlink.h
+++ b/links/zmqlink.h
@@ -25,6 +25,7 @@
 	loop_watch_t zap_watch;
 	run_timer_t recheck;
 	list_t peers;
+	struct peer *by_name; /* each message looks its receiver up */
 } zmqlink_t;
 
 /* The keys and on_frame are set by the caller. Listens on address, IP:PORT. */
