--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "active.h"
 #include "caller.h"
 #include "dispatch.h"
 #include "duty.h"
@@ -99,6 +100,7 @@
 		return NULL;
 	}
 	list_add_tail(&member->conns, &conn->node);
+	active_add_member(member);
 	counter_add(&opened_total, 1);
 	set_state(conn, CONN_OPENING);
 	if (!probe)
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "active.h"
 #include "caller.h"
 #include "conn.h"
 #include "duty.h"
@@ -517,6 +518,7 @@
 	service_t *service = caller->service;
 
 	insert(service, caller);
+	active_add_service(service);
 	dispatch_run(service);
 	if (caller->is_waiting)
 		refuse_hopeless(caller, now);
--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "active.h"
 #include "conn.h"
 #include "exchange.h"
 #include "hold.h"
@@ -35,6 +36,11 @@
  * statements are at fault, callers are without writes for a second in thirty.
  */
 #define FAILING_PAUSE (30 * USEC_PER_SEC)
+/*
+ * Services without anything under way that the holder looks at with a tick: all of a small
+ * deployment. What makes a change necessary comes as an event, and is looked at with the next tick.
+ */
+#define WATCHED_AT_ONCE 64
 /* After a false alarm. */
 #define QUIET_AFTER_CANCEL (1 * USEC_PER_SEC)
 
@@ -96,8 +102,8 @@
 
 	(void)result; /* the roster, read again, shows what holds */
 	pooler->sync.storing = false;
-	list_for_each (it, &pooler->services) {
-		service_t *service = list_entry(it, service_t, node);
+	list_for_each (it, &pooler->active_services) {
+		service_t *service = list_entry(it, service_t, active);
 
 		if (service->storing) {
 			service->storing = false;
@@ -119,8 +125,8 @@
 
 	if (pooler->sync.storing)
 		return;
-	list_for_each (it, &pooler->services) {
-		service_t *service = list_entry(it, service_t, node);
+	list_for_each (it, &pooler->active_services) {
+		service_t *service = list_entry(it, service_t, active);
 
 		if (service->wanted.primary == NULL)
 			continue;
@@ -143,6 +149,7 @@
 static void store_group(service_t *service, const char *primary, bool changing, uint64_t term)
 {
 	service->change.busy = true;
+	active_add_service(service);
 	talloc_free(service->wanted.primary);
 	service->wanted.primary = talloc_strdup(service, primary);
 	service->wanted.changing = changing;
@@ -556,14 +563,35 @@
 	}
 }
 
+/* The next of those that are not active, in turn. */
+static void watch_others(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+	size_t count = HASH_COUNT(pooler->services_by_name);
+
+	if (sync->watched_last == NULL)
+		sync->watched_last = &pooler->services;
+	for (size_t i = 0; i < count && i < WATCHED_AT_ONCE; i++) {
+		service_t *service;
+
+		sync->watched_last = sync->watched_last->next;
+		if (sync->watched_last == &pooler->services)
+			sync->watched_last = sync->watched_last->next;
+		service = list_entry(sync->watched_last, service_t, node);
+		if (list_empty(&service->active))
+			step(service, now);
+	}
+}
+
 void duty_tick(pooler_t *pooler, usec_t now)
 {
 	if (!hold_is_ours(pooler, now))
 		return;
 	sweep_tick(pooler, now);
 	verdict_count(pooler, now);
-	list_for_each (it, &pooler->services)
-		step(list_entry(it, service_t, node), now);
+	list_for_each (it, &pooler->active_services)
+		step(list_entry(it, service_t, active), now);
+	watch_others(pooler, now);
 	flush(pooler);
 }
 
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -109,8 +109,8 @@
 	uint64_t digest =
 		exchange_tells_revision(pooler) ? (uint64_t)pooler->sync.roster->revision : 0;
 
-	list_for_each (it, &pooler->services) {
-		const service_t *service = list_entry(it, service_t, node);
+	list_for_each (it, &pooler->active_services) {
+		const service_t *service = list_entry(it, service_t, active);
 		sight_t sight = look_at(service, now);
 
 		if (sight.down || sight.failing || sight.in_use)
@@ -128,8 +128,8 @@
 	char *failing = talloc_strdup(parent, "");
 	char *in_use = talloc_strdup(parent, "");
 
-	list_for_each (it, &pooler->services) {
-		const service_t *service = list_entry(it, service_t, node);
+	list_for_each (it, &pooler->active_services) {
+		const service_t *service = list_entry(it, service_t, active);
 		sight_t sight = look_at(service, now);
 
 		if (sight.down)
@@ -175,8 +175,8 @@
 {
 	char *ends = talloc_strdup(parent, "");
 
-	list_for_each (it, &pooler->services) {
-		const service_t *service = list_entry(it, service_t, node);
+	list_for_each (it, &pooler->active_services) {
+		const service_t *service = list_entry(it, service_t, active);
 
 		if (service->change.step != CHANGE_NONE)
 			ends = talloc_asprintf_append(ends, "%s:%" PRIu64 " ", service->name,
@@ -491,6 +491,7 @@
 		return report;
 	report = talloc_zero(pooler, peer_report_t);
 	report->name = talloc_strdup(report, name);
+	list_init(&report->awaited);
 	list_add_tail(&sync->reports, &report->node);
 	HASH_ADD_KEYPTR(hh, sync->by_name, report->name, strlen(name), report);
 	return report;
@@ -542,6 +543,7 @@
 	report->fleet = message->fleet;
 	news |= replace(report, &report->down, message->down);
 	news |= replace(report, &report->failing, message->failing);
+	pooler->sync.votes_differ |= news;
 	news |= replace(report, &report->in_use, message->in_use);
 	replace(report, &report->alive, message->alive);
 	return news;
@@ -625,16 +627,9 @@
 
 static void take_roster(pooler_t *pooler, const peer_message_t *message, usec_t now)
 {
-	sync_t *sync = &pooler->sync;
-	roster_t *roster;
-
-	if (message->roster == NULL || message->revision <= sync->roster->revision)
-		return;
-	roster = roster_apply(pooler, sync->roster, message->roster, strlen(message->roster),
-			      message->revision);
-	if (roster == NULL)
+	if (message->roster == NULL || message->revision <= pooler->sync.roster->revision ||
+	    !sync_take(pooler, message->roster, strlen(message->roster), message->revision))
 		return;
-	sync_adopt(pooler, roster);
 	if (upstream_is_hub(pooler))
 		exchange_push_listeners(pooler);
 	/* At once: while the store is away it is agreed on anew. */
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -37,6 +37,11 @@
 #define LINKS_AT_ONCE 4
 /* Between two looks for a home without a link, when all seem to have one. */
 #define WARM_INTERVAL (1 * USEC_PER_SEC)
+/*
+ * Up to so many services have links to their homes before a caller needs them. With more, most
+ * would never be used by this proxy's callers, and a link costs memory at both ends.
+ */
+#define WARM_SERVICES 32
 /* Nothing heard for so long since it was handed a statement: a question, its answer and a tick. */
 #define SUSPECT_AFTER (250 * USEC_PER_MSEC)
 /* Homes of our own zone among the candidates; see work_out(). */
@@ -76,9 +81,16 @@
 	return (x->first_hash > y->first_hash) - (x->first_hash < y->first_hash);
 }
 
-static uint64_t hash_of(const char *name, const char *service)
+/* The finalizer of a 64-bit hash, over both: one look at each proxy for each service in use. */
+static uint64_t mix(uint64_t node, uint64_t service)
 {
-	return XXH64(name, strlen(name), XXH64(service, strlen(service), 0));
+	uint64_t hash = node ^ service;
+
+	hash ^= hash >> 33;
+	hash *= 0xff51afd7ed558ccdull;
+	hash ^= hash >> 33;
+	hash *= 0xc4ceb9fe1a85ec53ull;
+	return hash ^ (hash >> 33);
 }
 
 static zone_pick_t *pick_of(zone_pick_t *picks, size_t *count, const char *zone)
@@ -106,21 +118,20 @@
 
 /*
  * The zones of the roster and who comes first there, sorted by hash, as a child of parent. One
- * look at each proxy: every proxy of the fleet does this for every service after each change of
- * the fleet.
+ * look at each proxy, for a service in use after each change of the fleet.
  */
 static zone_pick_t *pick_zones(const service_t *service, void *parent, size_t *count)
 {
 	const pooler_t *pooler = service->pooler;
 	zone_pick_t *picks = talloc_array(parent, zone_pick_t, pooler->sync.proxies);
+	uint64_t hash = XXH64(service->name, strlen(service->name), 0);
 
 	*count = 0;
 	list_for_each (it, &pooler->sync.roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
 
 		if (!node->gone)
-			offer(pick_of(picks, count, node->zone), node,
-			      hash_of(node->name, service->name));
+			offer(pick_of(picks, count, node->zone), node, mix(node->hash, hash));
 	}
 	qsort(picks, *count, sizeof(*picks), by_hash);
 	return picks;
@@ -210,10 +221,16 @@
 static bool warm_up(service_t *service, usec_t now, int *links)
 {
 	pooler_t *pooler = service->pooler;
-	const char *name = homes_of(service)->len != 0 ? service->homes.names[0] : NULL;
-	const roster_node_t *node = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
+	const homes_t *homes;
+	const char *name;
+	const roster_node_t *node;
 	peer_report_t *report;
 
+	if (!home_applies(service))
+		return true;
+	homes = homes_of(service);
+	name = homes->len != 0 ? homes->names[0] : NULL;
+	node = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
 	if (node == NULL || strcmp(name, pooler->config.name) == 0)
 		return true;
 	report = exchange_get_report(pooler, name);
@@ -229,9 +246,8 @@
 }
 
 /*
- * Links to the homes of all services. Once all are there they are only looked for when the fleet
- * or the configuration has changed, and each WARM_INTERVAL: a look at 334 services with each tick
- * would take 7% of a proxy's processor time.
+ * Links to the homes of the services, or of those in use. Once all are there they are only looked
+ * for when the fleet or the configuration has changed, and each WARM_INTERVAL.
  */
 static void warm_up_all(pooler_t *pooler, usec_t now)
 {
@@ -242,11 +258,12 @@
 	if (!permit_is_registered(pooler) ||
 	    (fleet == pooler->warm_for && now < pooler->warm_up_next))
 		return;
-	list_for_each (it, &pooler->services) {
-		service_t *service = list_entry(it, service_t, node);
-
-		if (home_applies(service))
-			done &= warm_up(service, now, &links);
+	if (HASH_COUNT(pooler->services_by_name) <= WARM_SERVICES) {
+		list_for_each (it, &pooler->services)
+			done &= warm_up(list_entry(it, service_t, node), now, &links);
+	} else {
+		list_for_each (it, &pooler->active_services)
+			done &= warm_up(list_entry(it, service_t, active), now, &links);
 	}
 	pooler->warm_for = fleet;
 	pooler->warm_up_next = done ? now + WARM_INTERVAL : now;
@@ -266,9 +283,9 @@
 	return names(homes_of(service), service->pooler->config.name);
 }
 
-size_t home_count(const service_t *service)
+size_t home_count(service_t *service)
 {
-	return service->homes.count != 0 ? service->homes.count : 1;
+	return homes_of(service)->count;
 }
 
 /* --- who serves --- */
@@ -324,6 +341,8 @@
 
 	if (report->unanswered_since == 0)
 		report->unanswered_since = now;
+	if (list_empty(&report->awaited))
+		list_add_tail(&pooler->sync.awaited, &report->awaited);
 }
 
 void home_on_heard(pooler_t *pooler, const char *name, size_t outstanding, usec_t now)
@@ -368,8 +387,8 @@
  */
 static void ping_next(pooler_t *pooler, const char *suspected, usec_t now)
 {
-	list_for_each (it, &pooler->services) {
-		const homes_t *homes = &list_entry(it, service_t, node)->homes;
+	list_for_each (it, &pooler->active_services) {
+		const homes_t *homes = &list_entry(it, service_t, active)->homes;
 		size_t next;
 		size_t end;
 
@@ -403,11 +422,15 @@
 void home_tick(pooler_t *pooler, usec_t now)
 {
 	warm_up_all(pooler, now);
-	list_for_each (it, &pooler->sync.reports) {
-		peer_report_t *report = list_entry(it, peer_report_t, node);
+	list_for_each_safe (it, &pooler->sync.awaited) {
+		peer_report_t *report = list_entry(it, peer_report_t, awaited);
 		const roster_node_t *node;
 
-		if (report->unanswered_since == 0 || now < report->unanswered_since + PING_AFTER)
+		if (report->unanswered_since == 0) {
+			list_del(&report->awaited);
+			continue;
+		}
+		if (now < report->unanswered_since + PING_AFTER)
 			continue;
 		suspect(pooler, report, now);
 		node = roster_node(pooler->sync.roster, report->name);
--- a/pooler/home.h
+++ b/pooler/home.h
@@ -21,7 +21,7 @@
 bool home_is_candidate(service_t *service);
 
 /* The homes of the service in the fleet. */
-size_t home_count(const service_t *service);
+size_t home_count(service_t *service);
 
 /* The home for our callers, which may be this proxy itself; NULL: none answers. */
 const roster_node_t *home_find(service_t *service, usec_t now);
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "active.h"
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
@@ -107,6 +108,10 @@
 		LOG_EVENT(LOG_INFO, "member listed", LOG_STR("service", member->service->name),
 			  LOG_STR("member", member->id), LOG_INT("leaving", entry->leaving),
 			  LOG_INT("primary", entry->primary));
+	/* Whoever holds the duty looks at its service now, not when the next round comes to it. */
+	if (member->slots != 0 &&
+	    (member->leaving != entry->leaving || member->says_primary != entry->primary))
+		active_add_service(member->service);
 	if (!entry->leaving)
 		member->leaving_since = NOT_LEAVING;
 	else if (!member->leaving)
@@ -124,6 +129,7 @@
 void member_set_gone(member_t *member)
 {
 	member->gone = true;
+	active_add_member(member);
 	member->gone_since = now_of(member->pooler);
 	LOG_EVENT(LOG_INFO, "member no longer listed", LOG_STR("service", member->service->name),
 		  LOG_STR("member", member->id));
@@ -143,6 +149,7 @@
 	member->silent_since = USEC_NEVER;
 	member->leaving_since = NOT_LEAVING;
 	list_init(&member->conns);
+	list_init(&member->active);
 	list_add_tail(&pooler->members, &member->node);
 	list_add_tail(&member->service->members, &member->in_service);
 	return member;
@@ -153,6 +160,7 @@
 	while (!list_empty(&member->conns))
 		conn_close(list_entry(member->conns.next, conn_t, node), "member removed");
 	list_del(&member->node);
+	list_del(&member->active);
 	list_del(&member->in_service);
 	talloc_free(member);
 }
@@ -311,7 +319,7 @@
 }
 
 /* Proxies that have connections to the service's members in normal times. */
-static size_t sharers(const service_t *service)
+static size_t sharers(service_t *service)
 {
 	return home_applies(service) ? home_count(service) : service->pooler->sync.proxies;
 }
@@ -396,6 +404,7 @@
 	LOG_EVENT(LOG_WARN, "member is down", LOG_STR("service", member->service->name),
 		  LOG_STR("member", member->id), LOG_STR("reason", reason));
 	member->down = true;
+	active_add_member(member);
 	outlier_on_down(&member->outlier, now_of(member->pooler));
 }
 
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -4,10 +4,11 @@
 
 #include <talloc.h>
 
+#include "active.h"
+#include "admission.h"
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
-#include "admission.h"
 #include "duty.h"
 #include "exchange.h"
 #include "forward.h"
@@ -93,6 +94,7 @@
 	service->changing_since = USEC_NEVER;
 	list_init(&service->members);
 	list_init(&service->waiting);
+	list_init(&service->active);
 	list_add_tail(&pooler->services, &service->node);
 	HASH_ADD_KEYPTR(hh, pooler->services_by_name, service->name, strlen(name), service);
 	return service;
@@ -161,8 +163,8 @@
 
 static void tick_members(pooler_t *pooler, usec_t now)
 {
-	list_for_each_safe (it, &pooler->members) {
-		member_t *member = list_entry(it, member_t, node);
+	list_for_each_safe (it, &pooler->active_members) {
+		member_t *member = list_entry(it, member_t, active);
 
 		member_tick(member, now);
 		if (member->gone && list_empty(&member->conns) &&
@@ -268,6 +270,7 @@
 	pooler->last_tick = now;
 	timers_arm(pooler->timers, timer, now + TICK_INTERVAL, on_tick);
 	summary_tick(&pooler->summary, now);
+	active_tick(pooler, now);
 	tick_members(pooler, now);
 	hold_tick(pooler, now);
 	refresh_tick(pooler, now);
@@ -277,8 +280,8 @@
 	home_tick(pooler, now);
 	forward_tick(pooler, now);
 	duty_tick(pooler, now);
-	list_for_each (it, &pooler->services) {
-		service_t *service = list_entry(it, service_t, node);
+	list_for_each (it, &pooler->active_services) {
+		service_t *service = list_entry(it, service_t, active);
 
 		end_commits(service, now);
 		dispatch_run(service);
@@ -327,6 +330,7 @@
 	pooler->random = config->seed | 1;
 	list_init(&pooler->services);
 	list_init(&pooler->members);
+	active_init(pooler);
 	list_init(&pooler->callers);
 	list_init(&pooler->forwarded);
 	pooler->relay = relay_create(pooler, env->kv);
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -4,6 +4,10 @@
 
 #include <jansson.h>
 #include <talloc.h>
+#include <xxhash.h>
+
+#define LOG_MODULE "roster"
+#include "log.h"
 
 static int roster_destructor(roster_t *roster)
 {
@@ -47,6 +51,7 @@
 		return;
 	list_del(&node->node);
 	HASH_DEL(roster->by_name, node);
+	roster->node_count--;
 	talloc_free(node);
 }
 
@@ -55,13 +60,15 @@
 {
 	roster_node_t *node = talloc_zero(roster, roster_node_t);
 
-	roster_remove_node(roster, name);
 	node->name = talloc_strdup(node, name);
+	node->hash = XXH64(name, strlen(name), 0);
 	node->address = talloc_strdup(node, address);
 	node->zone = talloc_strdup(node, zone);
 	node->incarnation = incarnation;
+	roster_remove_node(roster, name);
 	list_add_tail(&roster->nodes, &node->node);
 	HASH_ADD_KEYPTR(hh, roster->by_name, node->name, strlen(node->name), node);
+	roster->node_count++;
 	return node;
 }
 
@@ -81,6 +88,7 @@
 	copy = talloc_strdup(group, primary);
 	talloc_free(group->primary);
 	group->primary = copy;
+	roster->changing_count += (size_t)changing - (size_t)group->changing;
 	group->changing = changing;
 	group->term = term;
 	group->fence = fence;
@@ -229,19 +237,6 @@
 	return 0;
 }
 
-static void remove_nodes(roster_t *roster, json_t *names)
-{
-	size_t index;
-	json_t *value;
-
-	json_array_foreach (names, index, value) {
-		const char *name = json_string_value(value);
-
-		if (name != NULL)
-			roster_remove_node(roster, name);
-	}
-}
-
 /* What the document says replaces what the roster has. */
 static int decode_into(roster_t *roster, json_t *root)
 {
@@ -258,18 +253,13 @@
 	return decode_nodes(roster, nodes) < 0 || decode_groups(roster, groups) < 0 ? -1 : 0;
 }
 
-roster_t *roster_apply(void *parent, const roster_t *base, const char *text, size_t len,
-		       int64_t revision)
+roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision)
 {
 	json_t *root = json_loadb(text, len, 0, NULL);
-	json_t *since = json_object_get(root, "since");
-	roster_t *roster = since != NULL ? roster_copy(parent, base) : roster_create(parent);
+	roster_t *roster = roster_create(parent);
 
 	roster->revision = revision;
-	if (since != NULL)
-		remove_nodes(roster, json_object_get(root, "removed"));
-	if ((since != NULL && base->revision < json_integer_value(since)) ||
-	    decode_into(roster, root) < 0) {
+	if (decode_into(roster, root) < 0) {
 		talloc_free(roster);
 		roster = NULL;
 	}
@@ -277,16 +267,7 @@
 	return roster;
 }
 
-roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision)
-{
-	roster_t *none = roster_create(NULL);
-	roster_t *roster = roster_apply(parent, none, text, len, revision);
-
-	talloc_free(none);
-	return roster;
-}
-
-/* --- what has changed --- */
+/* --- taking over what is newer --- */
 
 /*
  * Removals that are kept; whoever knows only an older roster than the last one forgotten is told
@@ -306,58 +287,177 @@
 	       a->term == b->term && a->fence == b->fence;
 }
 
-static void add_removal(roster_t *roster, const char *name, int64_t changed)
+static void forget_removal(roster_removal_t *removal)
+{
+	list_del(&removal->node);
+	talloc_free(removal);
+}
+
+static void add_removal(roster_t *roster, const char *name)
 {
 	roster_removal_t *removal = talloc_zero(roster, roster_removal_t);
 
 	removal->name = talloc_strdup(removal, name);
-	removal->changed = changed;
+	removal->changed = roster->revision;
 	list_add_tail(&roster->removals, &removal->node);
 	if (list_length(&roster->removals) <= REMOVALS_MAX)
 		return;
 	removal = list_entry(roster->removals.next, roster_removal_t, node);
 	roster->whole_from = removal->changed;
-	list_del(&removal->node);
-	talloc_free(removal);
+	forget_removal(removal);
 }
 
-static void mark_nodes(roster_t *roster, const roster_t *old)
+/* It is on the roster again. */
+static void end_removal(roster_t *roster, const char *name)
 {
-	roster->nodes_revision = old->nodes_revision;
-	list_for_each (it, &roster->nodes) {
-		roster_node_t *node = list_entry(it, roster_node_t, node);
-		const roster_node_t *was = roster_node(old, node->name);
-		bool same = was != NULL && same_node(was, node);
+	list_for_each_safe (it, &roster->removals) {
+		roster_removal_t *removal = list_entry(it, roster_removal_t, node);
 
-		node->changed = same ? was->changed : roster->revision;
-		if (!same)
-			roster->nodes_revision = roster->revision;
+		if (strcmp(removal->name, name) == 0)
+			forget_removal(removal);
 	}
-	list_for_each (it, &old->removals) {
-		const roster_removal_t *removal = list_entry(it, roster_removal_t, node);
+}
 
-		if (roster_node(roster, removal->name) == NULL)
-			add_removal(roster, removal->name, removal->changed);
-	}
-	list_for_each (it, &old->nodes) {
-		const roster_node_t *was = list_entry(it, roster_node_t, node);
+static void merge_node(roster_diff_t *diff, roster_t *roster, const roster_node_t *newer)
+{
+	const roster_node_t *was = roster_node(roster, newer->name);
+	bool same_place =
+		was != NULL && was->gone == newer->gone && strcmp(was->zone, newer->zone) == 0;
+	bool entered = !newer->gone &&
+		       (was == NULL || was->gone || was->incarnation != newer->incarnation);
+	roster_node_t *node;
 
-		if (roster_node(roster, was->name) != NULL)
-			continue;
-		add_removal(roster, was->name, roster->revision);
+	if (was != NULL && same_node(was, newer))
+		return;
+	node = roster_put_node(roster, newer->name, newer->address, newer->zone,
+			       newer->incarnation);
+	node->gone = newer->gone;
+	node->changed = roster->revision;
+	if (!same_place)
 		roster->nodes_revision = roster->revision;
+	end_removal(roster, node->name);
+	diff->nodes[diff->node_count++] = (roster_node_change_t){node, entered};
+}
+
+static void merge_group(roster_diff_t *diff, roster_t *roster, const roster_group_t *newer)
+{
+	const roster_group_t *was = roster_group(roster, newer->service);
+	roster_group_change_t change = {0};
+
+	if (was != NULL && same_group(was, newer))
+		return;
+	if (was != NULL) {
+		change.was_primary = talloc_strdup(diff, was->primary);
+		change.was_changing = was->changing;
 	}
+	roster_put_group(roster, newer->service, newer->primary, newer->changing, newer->term,
+			 newer->fence);
+	change.group = roster_group(roster, newer->service);
+	change.group->changed = roster->revision;
+	diff->groups[diff->group_count++] = change;
 }
 
-void roster_mark_changes(roster_t *roster, const roster_t *old)
+static void merge_removed_node(roster_diff_t *diff, roster_t *roster, const char *name)
 {
-	roster->whole_from = old->revision != 0 ? old->whole_from : roster->revision;
-	mark_nodes(roster, old);
-	list_for_each (it, &roster->groups) {
+	if (roster_node(roster, name) == NULL)
+		return;
+	diff->removed_nodes[diff->removed_node_count++] = talloc_strdup(diff, name);
+	roster->nodes_revision = roster->revision;
+	add_removal(roster, name);
+	roster_remove_node(roster, name);
+}
+
+static void merge_removed_group(roster_diff_t *diff, roster_t *roster, roster_group_t *group)
+{
+	diff->removed_groups[diff->removed_group_count++] = talloc_strdup(diff, group->service);
+	roster->changing_count -= group->changing;
+	list_del(&group->node);
+	HASH_DEL(roster->by_service, group);
+	talloc_free(group);
+}
+
+/* What newer lacks is gone. */
+static void merge_ends(roster_diff_t *diff, roster_t *roster, const roster_t *newer)
+{
+	list_for_each_safe (it, &roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (roster_node(newer, node->name) == NULL)
+			merge_removed_node(diff, roster, node->name);
+	}
+	list_for_each_safe (it, &roster->groups) {
 		roster_group_t *group = list_entry(it, roster_group_t, node);
-		const roster_group_t *was = roster_group(old, group->service);
 
-		group->changed =
-			was != NULL && same_group(was, group) ? was->changed : roster->revision;
+		if (roster_group(newer, group->service) == NULL)
+			merge_removed_group(diff, roster, group);
 	}
 }
+
+static roster_diff_t *begin_merge(void *parent, roster_t *roster, const roster_t *newer,
+				  size_t removals, size_t removed_groups)
+{
+	roster_diff_t *diff = talloc_zero(parent, roster_diff_t);
+
+	diff->nodes = talloc_array(diff, roster_node_change_t, newer->node_count);
+	diff->groups = talloc_array(diff, roster_group_change_t, HASH_COUNT(newer->by_service));
+	diff->removed_nodes = talloc_array(diff, char *, removals);
+	diff->removed_groups = talloc_array(diff, char *, removed_groups);
+	if (roster->revision == 0)
+		roster->whole_from = newer->revision;
+	roster->revision = newer->revision;
+	if (newer->writer != NULL)
+		roster_set_writer(roster, newer->writer);
+	TALLOC_FREE(roster->text);
+	TALLOC_FREE(roster->changes);
+	list_for_each (it, &newer->nodes)
+		merge_node(diff, roster, list_entry(it, roster_node_t, node));
+	list_for_each (it, &newer->groups)
+		merge_group(diff, roster, list_entry(it, roster_group_t, node));
+	return diff;
+}
+
+roster_diff_t *roster_merge(void *parent, roster_t *roster, const roster_t *newer)
+{
+	roster_diff_t *diff = begin_merge(parent, roster, newer, roster->node_count,
+					  HASH_COUNT(roster->by_service));
+
+	merge_ends(diff, roster, newer);
+	return diff;
+}
+
+/* The entries of changes, and the names of those that were taken off. */
+static roster_diff_t *merge_changes(void *parent, roster_t *roster, const roster_t *changes,
+				    json_t *removed)
+{
+	roster_diff_t *diff = begin_merge(parent, roster, changes, json_array_size(removed), 0);
+	size_t index;
+	json_t *value;
+
+	json_array_foreach (removed, index, value) {
+		const char *name = json_string_value(value);
+
+		if (name != NULL)
+			merge_removed_node(diff, roster, name);
+	}
+	return diff;
+}
+
+roster_diff_t *roster_take(void *parent, roster_t *roster, const char *text, size_t len,
+			   int64_t revision)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	json_t *since = json_object_get(root, "since");
+	roster_t *newer = roster_create(NULL);
+	roster_diff_t *diff = NULL;
+
+	newer->revision = revision;
+	if (decode_into(newer, root) < 0)
+		LOG_EVENT(LOG_ERR, "roster can't be read", LOG_INT("revision", revision));
+	else if (since == NULL)
+		diff = roster_merge(parent, roster, newer);
+	else if (json_integer_value(since) <= roster->revision)
+		diff = merge_changes(parent, roster, newer, json_object_get(root, "removed"));
+	talloc_free(newer);
+	json_decref(root);
+	return diff;
+}
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -21,6 +21,7 @@
 	list_t node;
 	UT_hash_handle hh; /* in roster_t.by_name: every message looks its sender up */
 	char *name;
+	uint64_t hash; /* of the name */
 	char *address; /* for messages between proxies */
 	char *zone;
 	uint64_t incarnation; /* of its process */
@@ -54,9 +55,11 @@
 	roster_group_t *by_service;
 	char *writer; /* the proxy that wrote this; NULL: unknown */
 	char *text;   /* encoded; NULL until it is asked for */
+	size_t node_count;
+	size_t changing_count; /* groups with a change under way */
 	/* What this process knows of how it came about; not part of the document. */
 	int64_t whole_from;	/* every change since that revision is marked; 0: none is */
-	int64_t nodes_revision; /* the proxies have been these since */
+	int64_t nodes_revision; /* the proxies that live, and their zones, are these since */
 	list_t removals;	/* roster_removal_t */
 	char *changes;		/* encoded as roster_changes() last was */
 	int64_t changes_since;
@@ -83,16 +86,45 @@
 /* NULL if text is no roster. */
 roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision);
 
-/* Mark what is other than in old, the roster in use until now. */
-void roster_mark_changes(roster_t *roster, const roster_t *old);
-
 /*
- * What has changed since that revision, as JSON text that roster_apply() takes; all of it if that
- * is not known. It is kept, since a whole fleet asks for the same; no change may follow. A roster
- * of 295 proxies has 32 KB, a change of primary 150 bytes.
+ * What has changed since that revision, as JSON text that roster_take() takes; all of it if that
+ * is not known. It is kept, since a whole fleet asks for the same. A roster of 295 proxies has 32
+ * KB, a change of primary 150 bytes.
  */
 const char *roster_changes(roster_t *roster, int64_t since);
 
-/* The roster that base becomes by text; NULL if text is none or starts later than base. */
-roster_t *roster_apply(void *parent, const roster_t *base, const char *text, size_t len,
-		       int64_t revision);
+typedef struct roster_node_change {
+	const roster_node_t *node;
+	bool entered; /* it lives, and is of another process than the entry before */
+} roster_node_change_t;
+
+typedef struct roster_group_change {
+	roster_group_t *group;
+	char *was_primary; /* NULL: the group is new */
+	bool was_changing;
+} roster_group_change_t;
+
+/* What an update has changed; talloc arrays. */
+typedef struct roster_diff {
+	roster_node_change_t *nodes;
+	size_t node_count;
+	char **removed_nodes; /* names */
+	size_t removed_node_count;
+	roster_group_change_t *groups;
+	size_t group_count;
+	char **removed_groups; /* services */
+	size_t removed_group_count;
+} roster_diff_t;
+
+/*
+ * Make roster what newer is, with newer's revision. Entries that stay the same are not touched.
+ * Returns the difference, as a child of parent.
+ */
+roster_diff_t *roster_merge(void *parent, roster_t *roster, const roster_t *newer);
+
+/*
+ * The same from the text of a whole roster, or of changes. NULL, and roster stays as it was, if
+ * text is none or starts later than roster.
+ */
+roster_diff_t *roster_take(void *parent, roster_t *roster, const char *text, size_t len,
+			   int64_t revision);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -74,6 +74,7 @@
 typedef struct member {
 	list_t node;	   /* in pooler_t.members */
 	list_t in_service; /* in service_t.members */
+	list_t active;	   /* in pooler_t.active_members; see active.h */
 	UT_hash_handle hh; /* in pooler_t.members_by_id */
 	struct pooler *pooler;
 	struct service *service;
@@ -243,8 +244,10 @@
 } votes_t;
 
 typedef struct service {
-	list_t node;	   /* in pooler_t.services */
-	UT_hash_handle hh; /* in pooler_t.services_by_name */
+	list_t node;	     /* in pooler_t.services */
+	list_t active;	     /* in pooler_t.active_services; see active.h */
+	usec_t active_until; /* at least */
+	UT_hash_handle hh;   /* in pooler_t.services_by_name */
 	struct pooler *pooler;
 	char *name;
 	int64_t max_connections;
@@ -269,9 +272,10 @@
 		char *primary; /* NULL: nothing */
 		bool changing;
 		uint64_t term;
-	} wanted;	      /* to be written to the roster */
-	bool storing;	      /* a write with it is under way */
-	votes_t reported;     /* by other proxies, at the holder's last look */
+	} wanted;	  /* to be written to the roster */
+	bool storing;	  /* a write with it is under way */
+	votes_t reported; /* by other proxies, in the count of that number */
+	uint64_t reported_in;
 	usec_t doubted_at;    /* when the holder last said that its primary does not answer */
 	usec_t served_others; /* when a statement of another proxy last came; 0: never */
 	bool taken_up;	      /* the change under way was begun by another proxy */
@@ -297,6 +301,7 @@
 	bool cut_off;		 /* the store does not serve it, as it said */
 	usec_t access_at;	 /* when it said so, or the contrary; 0: never */
 	usec_t unanswered_since; /* it was handed a statement, and not heard since; 0: none */
+	list_t awaited;		 /* in sync_t.awaited, since then */
 	usec_t pinged_at;
 	bool ponged; /* it has answered, so there are links both ways */
 	usec_t declined_until;
@@ -370,10 +375,15 @@
 	usec_t hold_until;     /* by our clock, from the sending of the last renewal */
 	usec_t held_since;
 	usec_t unused_next; /* when one more primary that nobody uses may be asked; see verdict.c */
+	uint64_t votes_count; /* counts of votes so far */
+	usec_t votes_due;     /* the next one */
+	bool votes_differ;    /* it is due now, since somebody reports trouble */
+	list_t *watched_last; /* of the services, by the holder; see duty.c */
 	bool renewing;
 	usec_t renew_next;
 	usec_t acquire_after;
 	list_t reports; /* peer_report_t */
+	list_t awaited; /* of these, those with unanswered statements */
 	peer_report_t *by_name;
 	/* Reading the directory again, since a watch can miss changes without a sign. */
 	usec_t config_due;
@@ -391,6 +401,8 @@
 	routes_t *routes; /* in force; NULL before the first */
 	list_t services;
 	list_t members;
+	list_t active_services;
+	list_t active_members;
 	/* Each tick and each answer to a question looks up the primary of every service. */
 	service_t *services_by_name;
 	member_t *members_by_id;
--- a/pooler/survey.c
+++ b/pooler/survey.c
@@ -64,11 +64,10 @@
 /* A member that starts again has another id, the same address and its log. */
 static bool is_back(const member_t *member)
 {
-	list_for_each (it, &member->pooler->members) {
-		const member_t *other = list_entry(it, member_t, node);
+	list_for_each (it, &member->service->members) {
+		const member_t *other = list_entry(it, member_t, in_service);
 
-		if (other->service == member->service && other != member && !other->gone &&
-		    strcmp(other->address, member->address) == 0)
+		if (other != member && !other->gone && strcmp(other->address, member->address) == 0)
 			return true;
 	}
 	return false;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 #include <talloc.h>
 
+#include "active.h"
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
@@ -66,6 +67,7 @@
 	sync->confirmed_at = USEC_NEVER;
 	sync->roster = roster_create(pooler);
 	list_init(&sync->reports);
+	list_init(&sync->awaited);
 	list_init(&sync->joiners);
 }
 
@@ -95,12 +97,13 @@
 	}
 }
 
-static void on_group(pooler_t *pooler, const roster_group_t *was, const roster_group_t *is)
+static void on_group(pooler_t *pooler, const roster_group_change_t *change)
 {
+	roster_group_t *is = change->group;
 	service_t *service = service_get(pooler, is->service);
-	bool moved = was == NULL || strcmp(was->primary, is->primary) != 0;
+	bool moved = change->was_primary == NULL || strcmp(change->was_primary, is->primary) != 0;
 
-	if (was != NULL && !moved && was->changing == is->changing)
+	if (!moved && change->was_changing == is->changing)
 		return;
 	LOG_EVENT(LOG_INFO, is->changing ? "primary is about to change" : "primary in use",
 		  LOG_STR("service", is->service), LOG_STR("member", is->primary),
@@ -113,80 +116,88 @@
 		service->settled_revision = pooler->sync.roster->revision;
 	}
 	service->changing_since = is->changing ? now_of(pooler) : USEC_NEVER;
+	if (is->changing)
+		active_add_service(service);
 	service->change_end = now_of(pooler) + CHANGE_USUAL;
 	if (moved || is->changing)
 		revoke(service);
 }
 
-/* True if the proxy itself has written is, and not only somebody about it. */
-static bool is_new_entry(const roster_node_t *was, const roster_node_t *is)
+/* Who agreed with the roster before says nothing of this one. */
+static void forget_agreement(sync_t *sync)
 {
-	return !is->gone && (was == NULL || was->gone || was->incarnation != is->incarnation);
+	sync->agreed_at = 0;
+	sync->agreed_told = 0;
+	list_for_each (it, &sync->reports)
+		list_entry(it, peer_report_t, node)->agreed_at = 0;
 }
 
-static void note_listed(pooler_t *pooler, const roster_t *old)
+static void note_listed(pooler_t *pooler, const roster_diff_t *diff)
 {
-	pooler->sync.agreed_at = 0;
-	pooler->sync.agreed_told = 0;
-	list_for_each (it, &pooler->sync.reports) {
-		peer_report_t *report = list_entry(it, peer_report_t, node);
-
-		report->agreed_at = 0;
-		if (roster_node(pooler->sync.roster, report->name) == NULL)
-			report->listed_since = 0;
-	}
-	list_for_each (it, &pooler->sync.roster->nodes) {
-		const roster_node_t *node = list_entry(it, roster_node_t, node);
-		peer_report_t *report = exchange_get_report(pooler, node->name);
+	for (size_t i = 0; i < diff->removed_node_count; i++)
+		exchange_get_report(pooler, diff->removed_nodes[i])->listed_since = 0;
+	for (size_t i = 0; i < diff->node_count; i++) {
+		const roster_node_change_t *change = &diff->nodes[i];
+		peer_report_t *report = exchange_get_report(pooler, change->node->name);
 
 		if (report->listed_since == 0)
 			report->listed_since = now_of(pooler);
-		if (is_new_entry(roster_node(old, node->name), node))
+		if (change->entered)
 			report->entered_at = now_of(pooler);
 	}
 }
 
-static void set_groups(pooler_t *pooler)
+static void note_groups(pooler_t *pooler, const roster_diff_t *diff)
 {
-	list_for_each (it, &pooler->services)
-		service_set_group(list_entry(it, service_t, node), NULL);
-	list_for_each (it, &pooler->sync.roster->groups) {
-		roster_group_t *group = list_entry(it, roster_group_t, node);
-
-		service_set_group(service_get(pooler, group->service), group);
-	}
+	for (size_t i = 0; i < diff->removed_group_count; i++)
+		service_set_group(service_get(pooler, diff->removed_groups[i]), NULL);
+	/* All of them first: a connection that is closed may have another caller placed. */
+	for (size_t i = 0; i < diff->group_count; i++)
+		service_set_group(service_get(pooler, diff->groups[i].group->service),
+				  diff->groups[i].group);
+	for (size_t i = 0; i < diff->group_count; i++)
+		on_group(pooler, &diff->groups[i]);
 }
 
-void sync_adopt(pooler_t *pooler, roster_t *roster)
+/* Takes the difference over, and frees it. */
+static void on_adopted(pooler_t *pooler, roster_diff_t *diff)
 {
-	roster_t *old = pooler->sync.roster;
-
-	talloc_steal(pooler, roster);
-	roster_mark_changes(roster, old);
-	pooler->sync.roster = roster;
-	pooler->sync.proxies = list_length(&roster->nodes);
-	pooler->sync.adopted_at = now_of(pooler);
-	pooler->sync.changing = false;
-	counter_set(&roster_revision, roster->revision);
-	set_groups(pooler);
-	quota_on_roster(pooler);
-	list_for_each (it, &roster->groups) {
-		const roster_group_t *group = list_entry(it, roster_group_t, node);
+	sync_t *sync = &pooler->sync;
 
-		on_group(pooler, roster_group(old, group->service), group);
-		pooler->sync.changing |= group->changing;
-	}
-	note_listed(pooler, old);
-	talloc_free(old);
+	sync->proxies = sync->roster->node_count;
+	sync->adopted_at = now_of(pooler);
+	sync->changing = sync->roster->changing_count != 0;
+	counter_set(&roster_revision, sync->roster->revision);
+	forget_agreement(sync);
+	note_listed(pooler, diff);
+	quota_on_roster(pooler);
+	note_groups(pooler, diff);
+	talloc_free(diff);
 	/* Whoever waits for us to let go hears it at once. */
 	if (exchange_tells_revision(pooler))
-		pooler->sync.ask_next = 0;
+		sync->ask_next = 0;
+}
+
+void sync_adopt(pooler_t *pooler, roster_t *newer)
+{
+	on_adopted(pooler, roster_merge(pooler, pooler->sync.roster, newer));
+	talloc_free(newer);
+}
+
+bool sync_take(pooler_t *pooler, const char *text, size_t len, int64_t revision)
+{
+	roster_diff_t *diff = roster_take(pooler, pooler->sync.roster, text, len, revision);
+
+	if (diff == NULL)
+		return false;
+	on_adopted(pooler, diff);
+	return true;
 }
 
 void sync_run_services(pooler_t *pooler)
 {
-	list_for_each (it, &pooler->services)
-		dispatch_run(list_entry(it, service_t, node));
+	list_for_each (it, &pooler->active_services)
+		dispatch_run(list_entry(it, service_t, active));
 }
 
 /* The store held the revision of our roster when asked at this time, or later. */
@@ -264,18 +275,8 @@
 
 static void on_roster_item(pooler_t *pooler, const kv_item_t *item)
 {
-	sync_t *sync = &pooler->sync;
-	roster_t *roster;
-
-	if (item->revision <= sync->roster->revision)
-		return;
-	roster = roster_decode(pooler, item->value, item->len, item->revision);
-	if (roster == NULL) {
-		LOG_EVENT(LOG_ERR, "roster can't be read", LOG_STR("key", item->key),
-			  LOG_INT("revision", item->revision));
-		return;
-	}
-	sync_adopt(pooler, roster);
+	if (item->revision > pooler->sync.roster->revision)
+		sync_take(pooler, item->value, item->len, item->revision);
 }
 
 static const kv_item_t *item_named(const kv_result_t *result, const char *key)
--- a/pooler/sync.h
+++ b/pooler/sync.h
@@ -14,7 +14,10 @@
 char *sync_key(void *parent, const pooler_t *pooler, const char *name);
 
 /* Take over a newer roster; it becomes the pooler's. */
-void sync_adopt(pooler_t *pooler, roster_t *roster);
+void sync_adopt(pooler_t *pooler, roster_t *newer);
+
+/* The same from its text, whole or changes; false if it can't be taken. */
+bool sync_take(pooler_t *pooler, const char *text, size_t len, int64_t revision);
 
 /* The store held the revision of our roster when asked at this time, or later. */
 void sync_confirm(pooler_t *pooler, usec_t asked_at);
--- a/pooler/verdict.c
+++ b/pooler/verdict.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "active.h"
 #include "exchange.h"
 #include "hold.h"
 #include "home.h"
@@ -37,6 +38,8 @@
 #define WITNESSES_LEAST 2
 /* A doubt that the holder told counts for so long: two of the answers that bring it. */
 #define DOUBT_VALID (600 * USEC_PER_MSEC)
+/* Between two counts of the votes while nobody reports trouble. */
+#define COUNT_INTERVAL (200 * USEC_PER_MSEC)
 
 const char *const verdict_failing = "primary fails statements";
 
@@ -56,26 +59,26 @@
 	return service->primary;
 }
 
-typedef void (*add_vote_t)(votes_t *votes, const peer_report_t *report, const char *service);
+typedef void (*add_vote_t)(service_t *service, const peer_report_t *report);
 
-static void add_down(votes_t *votes, const peer_report_t *report, const char *service)
+static void add_down(service_t *service, const peer_report_t *report)
 {
 	(void)report;
-	(void)service;
-	votes->down++;
+	active_add_service(service);
+	service->reported.down++;
 }
 
-static void add_alive(votes_t *votes, const peer_report_t *report, const char *service)
+static void add_alive(service_t *service, const peer_report_t *report)
 {
-	votes->alive++;
-	votes->well += !exchange_lists(report->failing, service);
+	service->reported.alive++;
+	service->reported.well += !exchange_lists(report->failing, service->name);
 }
 
-static void add_failing(votes_t *votes, const peer_report_t *report, const char *service)
+static void add_failing(service_t *service, const peer_report_t *report)
 {
 	(void)report;
-	(void)service;
-	votes->failing++;
+	active_add_service(service);
+	service->reported.failing++;
 }
 
 /* Adds a vote to each service that the list names, if the report is not of an earlier primary. */
@@ -92,19 +95,35 @@
 		/* A proxy that did not know this primary yet spoke of the one before. */
 		if (service == NULL || report->revision < service->settled_revision)
 			continue;
-		add(&service->reported, report, service->name);
+		if (service->reported_in != pooler->sync.votes_count) {
+			service->reported_in = pooler->sync.votes_count;
+			service->reported = (votes_t){0};
+		}
+		add(service, report);
 	}
 }
 
+static bool report_has_trouble(const peer_report_t *report)
+{
+	return (report->down != NULL && *report->down != '\0') ||
+	       (report->failing != NULL && *report->failing != '\0');
+}
+
 void verdict_count(pooler_t *pooler, usec_t now)
 {
-	list_for_each (it, &pooler->services)
-		list_entry(it, service_t, node)->reported = (votes_t){0};
-	list_for_each (it, &pooler->sync.reports) {
+	sync_t *sync = &pooler->sync;
+
+	if (!sync->votes_differ && now < sync->votes_due)
+		return;
+	sync->votes_count++;
+	sync->votes_due = now + COUNT_INTERVAL;
+	sync->votes_differ = false;
+	list_for_each (it, &sync->reports) {
 		const peer_report_t *report = list_entry(it, peer_report_t, node);
 
 		if (report->heard_at + REPORT_VALID < now)
 			continue;
+		sync->votes_differ |= report_has_trouble(report);
 		add_votes(pooler, report, report->down, add_down);
 		add_votes(pooler, report, report->failing, add_failing);
 		if (report->heard_at + ALIVE_VALID > now)
@@ -115,10 +134,12 @@
 /* What the proxies, this one included, see of the primary. */
 static votes_t all_votes(const service_t *service, const member_t *primary, usec_t now)
 {
-	votes_t votes = service->reported;
+	votes_t votes = {0};
 	bool failing = outlier_is_failing(&primary->outlier, now);
 	bool alive = !primary->down && primary->last_reply + ALIVE_WITHIN > now;
 
+	if (service->reported_in == service->pooler->sync.votes_count)
+		votes = service->reported;
 	votes.down += primary->down;
 	votes.alive += alive;
 	votes.failing += failing;
@@ -241,8 +262,8 @@
 {
 	char *doubts = talloc_strdup(parent, "");
 
-	list_for_each (it, &pooler->services) {
-		const service_t *service = list_entry(it, service_t, node);
+	list_for_each (it, &pooler->active_services) {
+		const service_t *service = list_entry(it, service_t, active);
 
 		if (is_doubted(service, now))
 			doubts = talloc_asprintf_append(doubts, "%s ", service->name);
@@ -261,13 +282,18 @@
 
 void verdict_on_doubts(pooler_t *pooler, const char *doubts, usec_t now)
 {
-	list_for_each (it, &pooler->services) {
-		service_t *service = list_entry(it, service_t, node);
+	const char *word;
+	size_t len;
+
+	while ((word = exchange_next_word(&doubts, &len)) != NULL) {
+		service_t *service;
 		member_t *primary;
 
-		if (!exchange_lists(doubts, service->name))
+		HASH_FIND(hh, pooler->services_by_name, word, len, service);
+		if (service == NULL)
 			continue;
 		service->doubted_at = now;
+		active_add_service(service);
 		primary = verdict_primary(service);
 		if (primary != NULL && !primary->down && is_witness(service, now) &&
 		    now >= primary->last_reply + ALIVE_WITHIN)
--- a/tests/test_pooler_outlier.c
+++ b/tests/test_pooler_outlier.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "active.h"
 #include "member.h"
 #include "pool_check.h"
 #include "state.h"
@@ -446,6 +447,15 @@
 	world_destroy(world);
 }
 
+/* The proxy has seen the primary fail statements. */
+static void find_failing(pooler_t *pooler, usec_t now)
+{
+	member_t *primary = member_find(pooler, "core-0");
+
+	active_add_service(primary->service);
+	outlier_believe_failing(&primary->outlier, now);
+}
+
 /*
  * What callers see: nobody is served for a moment, the primary is kept, and a second later the same
  * again. What happens: the proxies stop sending to it, and some that saw it fail forget halfway.
@@ -459,8 +469,7 @@
 	world_settle(world);
 	ask_often(world, "strict", "WRITE job-1 a", 12);
 	for (size_t i = 0; i < 3; i++)
-		outlier_believe_failing(&member_find(world->nodes[i].pooler, "core-0")->outlier,
-					now_in(world));
+		find_failing(world->nodes[i].pooler, now_in(world));
 	end = now_in(world) + 2 * SEC;
 	while (world_permitted(world, "core-0") == 3 && now_in(world) < end)
 		world_run(world, MSEC);
@@ -487,8 +496,7 @@
 		for (size_t i = 0; i < 3; i++) {
 			pooler_t *pooler = world->nodes[i].pooler;
 
-			outlier_believe_failing(&member_find(pooler, "core-0")->outlier,
-						now_in(world));
+			find_failing(pooler, now_in(world));
 			outlier_take_out(&member_find(pooler, id)->outlier, now_in(world));
 		}
 		world_run(world, 3 * SEC);
@@ -510,8 +518,7 @@
 		for (size_t i = 0; i < 3; i++) {
 			pooler_t *pooler = world->nodes[i].pooler;
 
-			outlier_believe_failing(&member_find(pooler, "core-0")->outlier,
-						now_in(world));
+			find_failing(pooler, now_in(world));
 			member_find(pooler, id)->response = 100 * MSEC;
 		}
 		world_run(world, 3 * SEC);
--- a/tests/test_pooler_roster.c
+++ b/tests/test_pooler_roster.c
@@ -14,8 +14,8 @@
 {
 	static const char *const zones[] = {"plateau", "almadies", "pikine", "rufisque",
 					    "guediawaye"};
-	roster_t *none = roster_create(NULL);
 	roster_t *roster = roster_create(NULL);
+	roster_t *adopted = roster_create(NULL);
 
 	for (int i = 0; i < FLEET; i++) {
 		char name[32];
@@ -32,20 +32,35 @@
 		roster_put_group(roster, service, "i-1", false, 3, 9);
 	}
 	roster->revision = revision;
-	roster_mark_changes(roster, none);
-	talloc_free(none);
-	return roster;
+	talloc_free(roster_merge(NULL, adopted, roster));
+	talloc_free(roster);
+	return adopted;
 }
 
-/* The next roster: as the base but for what the caller changes before roster_mark_changes(). */
-static roster_t *next_of(const roster_t *base)
+/* The next roster: as this one but for what the caller changes before adopt(). */
+static roster_t *next_of(const roster_t *roster)
 {
-	roster_t *next = roster_copy(NULL, base);
+	roster_t *next = roster_copy(NULL, roster);
 
-	next->revision = base->revision + 1;
+	next->revision = roster->revision + 1;
 	return next;
 }
 
+static void adopt(roster_t *roster, roster_t *next)
+{
+	talloc_free(roster_merge(NULL, roster, next));
+	talloc_free(next);
+}
+
+static bool take(roster_t *roster, const char *text, int64_t revision)
+{
+	roster_diff_t *diff = roster_take(NULL, roster, text, strlen(text), revision);
+	bool taken = diff != NULL;
+
+	talloc_free(diff);
+	return taken;
+}
+
 /*
  * What callers saw before: at the start of a quiet day nobody was served for six seconds. Each
  * mark of a change was told to all proxies as a whole roster; on a link of 2 Mbit/s that took the
@@ -54,21 +69,53 @@
  */
 static void test_change_is_small(void)
 {
-	roster_t *base = make_fleet(10);
-	roster_t *next = next_of(base);
+	roster_t *teller = make_fleet(10);
+	roster_t *listener = make_fleet(10);
+	roster_t *next = next_of(teller);
 	const char *changes;
-	roster_t *applied;
 
 	roster_put_group(next, "callout-7", "i-2", true, 3, 9);
-	roster_mark_changes(next, base);
-	changes = roster_changes(next, 10);
-	g_assert_cmpuint(strlen(changes) * 100, <, strlen(roster_text(next)));
-	g_test_message("changes %zu B, whole %zu B", strlen(changes), strlen(roster_text(next)));
-	applied = roster_apply(NULL, base, changes, strlen(changes), 11);
-	g_assert_cmpstr(roster_text(applied), ==, roster_text(next));
-	talloc_free(applied);
-	talloc_free(next);
-	talloc_free(base);
+	adopt(teller, next);
+	changes = roster_changes(teller, 10);
+	g_assert_cmpuint(strlen(changes) * 100, <, strlen(roster_text(teller)));
+	g_test_message("changes %zu B, whole %zu B", strlen(changes), strlen(roster_text(teller)));
+	g_assert_true(take(listener, changes, 11));
+	g_assert_cmpstr(roster_text(listener), ==, roster_text(teller));
+	talloc_free(listener);
+	talloc_free(teller);
+}
+
+/*
+ * Every proxy takes each change over: what stays the same is not looked at, so that a change costs
+ * the same in a fleet of any size.
+ */
+static void test_change_touches_little(void)
+{
+	roster_t *teller = make_fleet(10);
+	roster_t *listener = make_fleet(10);
+	roster_t *next = next_of(teller);
+	const roster_node_t *other = roster_node(listener, "front-pikine-2");
+	int64_t nodes_revision = listener->nodes_revision;
+	const char *changes;
+	roster_diff_t *diff;
+
+	roster_put_group(next, "callout-7", "i-2", true, 3, 9);
+	roster_put_node(next, "front-pikine-3", "10.2.0.3:7440", "pikine", 77);
+	adopt(teller, next);
+	changes = roster_changes(teller, 10);
+	diff = roster_take(NULL, listener, changes, strlen(changes), 11);
+	g_assert_cmpuint(diff->node_count, ==, 1);
+	g_assert_true(diff->nodes[0].entered);
+	g_assert_cmpuint(diff->group_count, ==, 1);
+	g_assert_cmpstr(diff->groups[0].was_primary, ==, "i-1");
+	g_assert_cmpuint(listener->changing_count, ==, 1);
+	g_assert_cmpuint(listener->node_count, ==, FLEET);
+	g_assert_true(roster_node(listener, "front-pikine-2") == other);
+	/* A process that started again is no other place: homes and hubs stay. */
+	g_assert_cmpint(listener->nodes_revision, ==, nodes_revision);
+	talloc_free(diff);
+	talloc_free(listener);
+	talloc_free(teller);
 }
 
 /*
@@ -77,31 +124,31 @@
  */
 static void test_removal_and_return(void)
 {
-	roster_t *base = make_fleet(10);
-	roster_t *second = next_of(base);
+	roster_t *teller = make_fleet(10);
+	roster_t *second = next_of(teller);
 	roster_t *third;
-	roster_t *applied;
-	const char *changes;
 
 	roster_remove_node(second, "front-pikine-3");
 	roster_node(second, "front-plateau-0")->gone = true;
-	roster_mark_changes(second, base);
 	third = next_of(second);
 	roster_put_node(third, "front-plateau-0", "10.0.0.99:7440", "plateau", 5000);
-	roster_mark_changes(third, second);
+	adopt(teller, roster_copy(NULL, second));
+	adopt(teller, third);
 	for (int64_t since = 10; since <= 11; since++) {
-		changes = roster_changes(third, since);
-		applied = roster_apply(NULL, since == 10 ? base : second, changes, strlen(changes),
-				       12);
-		g_assert_null(roster_node(applied, "front-pikine-3"));
-		g_assert_false(roster_node(applied, "front-plateau-0")->gone);
-		g_assert_cmpstr(roster_node(applied, "front-plateau-0")->address, ==,
+		roster_t *listener = make_fleet(10);
+
+		if (since == 11)
+			adopt(listener, roster_copy(NULL, second));
+		g_assert_true(take(listener, roster_changes(teller, since), 12));
+		g_assert_null(roster_node(listener, "front-pikine-3"));
+		g_assert_false(roster_node(listener, "front-plateau-0")->gone);
+		g_assert_cmpstr(roster_node(listener, "front-plateau-0")->address, ==,
 				"10.0.0.99:7440");
-		talloc_free(applied);
+		g_assert_cmpuint(listener->node_count, ==, FLEET - 1);
+		talloc_free(listener);
 	}
-	talloc_free(third);
 	talloc_free(second);
-	talloc_free(base);
+	talloc_free(teller);
 }
 
 /*
@@ -111,27 +158,25 @@
  */
 static void test_unknown_past(void)
 {
-	roster_t *base = make_fleet(10);
-	roster_t *next = next_of(base);
-	const char *changes;
-	roster_t *older;
+	roster_t *teller = make_fleet(10);
+	roster_t *older = make_fleet(9);
+	roster_t *next = next_of(teller);
 
 	roster_put_group(next, "callout-7", "i-2", false, 4, 9);
-	roster_mark_changes(next, base);
-	g_assert_cmpstr(roster_changes(next, 9), ==, roster_text(next));
-	changes = roster_changes(next, 10);
-	older = make_fleet(9);
-	g_assert_null(roster_apply(NULL, older, changes, strlen(changes), 11));
+	adopt(teller, next);
+	g_assert_cmpstr(roster_changes(teller, 9), ==, roster_text(teller));
+	g_assert_false(take(older, roster_changes(teller, 10), 11));
+	g_assert_cmpint(older->revision, ==, 9);
 	talloc_free(older);
-	talloc_free(next);
-	talloc_free(base);
+	talloc_free(teller);
 }
 
 /* More proxies go than removals are kept: those that are far behind are told all of it. */
 static void test_many_removals(void)
 {
-	roster_t *base = make_fleet(10);
-	roster_t *next = next_of(base);
+	roster_t *teller = make_fleet(10);
+	roster_t *listener = make_fleet(10);
+	roster_t *next = next_of(teller);
 
 	for (int i = 0; i < 59; i++) {
 		char name[32];
@@ -141,10 +186,12 @@
 		g_snprintf(name, sizeof(name), "front-plateau-%d", i);
 		roster_remove_node(next, name);
 	}
-	roster_mark_changes(next, base);
-	g_assert_cmpstr(roster_changes(next, 10), ==, roster_text(next));
-	talloc_free(next);
-	talloc_free(base);
+	adopt(teller, next);
+	g_assert_cmpstr(roster_changes(teller, 10), ==, roster_text(teller));
+	g_assert_true(take(listener, roster_text(teller), 11));
+	g_assert_cmpuint(listener->node_count, ==, FLEET - 2 * 59);
+	talloc_free(listener);
+	talloc_free(teller);
 }
 
 /* What is not a roster is refused whole. */
@@ -153,14 +200,21 @@
 	static const char *const texts[] = {"", "[]", "{\"nodes\":{\"a\":1}}",
 					    "{\"groups\":{\"s\":{\"primary\":7}}}"};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		roster_t *roster = make_fleet(10);
+
 		g_assert_null(roster_decode(NULL, texts[i], strlen(texts[i]), 1));
+		g_assert_false(take(roster, texts[i], 11));
+		g_assert_cmpuint(roster->node_count, ==, FLEET);
+		talloc_free(roster);
+	}
 }
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/roster/change-is-small", test_change_is_small);
+	g_test_add_func("/roster/change-touches-little", test_change_touches_little);
 	g_test_add_func("/roster/removal-and-return", test_removal_and_return);
 	g_test_add_func("/roster/unknown-past", test_unknown_past);
 	g_test_add_func("/roster/many-removals", test_many_removals);
--- a/tests/test_pooler_scale.c
+++ b/tests/test_pooler_scale.c
@@ -158,11 +158,77 @@
 	g_assert_cmpfloat(many, <, 4 * few);
 }
 
+/* Proxies that the roster names beside the one that is played. */
+#define PEERS 300
+
+static void add_peers(pooler_t *pooler)
+{
+	roster_t *roster = roster_copy(NULL, pooler->sync.roster);
+
+	for (int i = 0; i < PEERS; i++) {
+		g_autofree char *name = g_strdup_printf("elsewhere-%d", i);
+
+		roster_put_node(roster, name, "10.9.9.8:1", i % 3 == 0 ? "a" : "b", 1);
+	}
+	roster->revision++;
+	sync_adopt(pooler, roster);
+}
+
+/* What a proxy without callers looks at with each tick, and what it works out and keeps for it. */
+typedef struct looks {
+	size_t members;
+	size_t services;
+	size_t homes; /* services whose homes it has worked out */
+	size_t pings; /* peers to which it has made a link */
+} looks_t;
+
+static looks_t count_looks(int services)
+{
+	pool_world_t *world = world_create(2, NULL);
+	pooler_t *pooler;
+	looks_t looks = {0};
+
+	world_settle(world);
+	pooler = world->nodes[find_other(world)].pooler;
+	add_services(pooler, services);
+	add_peers(pooler);
+	world_run(world, 10 * SEC);
+	looks.members = list_length(&pooler->active_members);
+	looks.services = list_length(&pooler->active_services);
+	list_for_each (it, &pooler->services)
+		looks.homes += list_entry(it, service_t, node)->homes.parent != NULL;
+	list_for_each (it, &pooler->sync.reports)
+		looks.pings += list_entry(it, peer_report_t, node)->pinged_at != 0;
+	world_destroy(world);
+	return looks;
+}
+
+/*
+ * Guards against a start that never ends: each of 985 proxies looked at all 3,000 members with each
+ * tick, worked out the homes of all 1,000 services with each that joined, and linked to them all.
+ */
+static void test_tick_looks_at_what_is_used(void)
+{
+	static const int sizes[] = {100, 1000, 2000};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		looks_t looks = count_looks(sizes[i]);
+
+		g_test_message("%d services: %zu members, %zu services, %zu homes, %zu pings",
+			       sizes[i], looks.members, looks.services, looks.homes, looks.pings);
+		g_assert_cmpuint(looks.members, <=, 8);
+		g_assert_cmpuint(looks.services, <=, 8);
+		g_assert_cmpuint(looks.homes, <=, 8);
+		g_assert_cmpuint(looks.pings, <=, 8);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/scale/services", test_services_cost_the_same_each);
 	g_test_add_func("/scale/watching", test_watching_costs_the_same_each);
 	g_test_add_func("/scale/checks-are-spread", test_checks_are_spread);
+	g_test_add_func("/scale/tick-looks-at-what-is-used", test_tick_looks_at_what_is_used);
 	return g_test_run();
 }
