Joining a large fleet goes by hubs; a roster is not told twice

Cause, by reading the start of 985 proxies: each asks the proxy that wrote the roster, or the holder of the duty, to be added. That one made a link to each of them to answer (70 KB each at its end, and as much for theirs: over 130 MB on a VM of 160 MB), and answered each question, four a second and proxy, with the changes since that proxy's roster: 103 bytes for each proxy that has joined, so bytes grow with the square of the fleet (985 x 100 KB through a link of 20 Mbit/s).

Changed: from 129 proxies on a proxy asks a hub of its zone, which passes the request on with its next question; the holder tells the hubs, they tell those that asked. Whoever was asked and is silent is passed over for another one before a proxy writes the whole roster by itself. A roster that was told 0.5 s ago is not told again: it may be on its way. A question that could not be sent for want of a link is repeated with the next tick.

--- a/pooler/env.h
+++ b/pooler/env.h
@@ -172,7 +172,10 @@
 	const follow_changes_t *members_changes;
 	bool read_config; /* STATE: the configuration that the receiver lacks is too large to tell
 			   */
-	/* ASK of a hub: the questions of those that ask it, with their age. */
+	/*
+	 * ASK of a hub: the questions of those that ask it, with their age; with address and zone
+	 * if they want to be added to the roster.
+	 */
 	const struct peer_message *reports;
 	size_t report_count;
 	usec_t report_age;
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -33,6 +33,10 @@
 #define ASK_LEAST 12
 /* Between two questions to the holder. */
 #define ASK_INTERVAL (250 * USEC_PER_MSEC)
+/* Ticks within which a link to a proxy that lives is made. */
+#define LINK_TRIES 3
+/* A roster that was told is believed to be on its way for so long. */
+#define ROSTER_ON_ITS_WAY (2 * ASK_INTERVAL)
 
 const char *exchange_next_word(const char **list, size_t *len)
 {
@@ -185,39 +189,22 @@
 	return ends;
 }
 
-/* The milliseconds that a list of "SERVICE:MS" names for the service; false if it names none. */
-static bool find_end(const char *ends, const char *service, usec_t *left)
-{
-	size_t len = strlen(service);
-
-	while (*ends != '\0') {
-		if (strncmp(ends, service, len) == 0 && ends[len] == ':') {
-			*left = strtoull(ends + len + 1, NULL, 10) * USEC_PER_MSEC;
-			return true;
-		}
-		ends += strcspn(ends, " ");
-		ends += strspn(ends, " ");
-	}
-	return false;
-}
-
+/* The ends that a list of "SERVICE:MS" names; see describe_ends(). */
 static void take_ends(pooler_t *pooler, const char *ends, usec_t now)
 {
-	list_for_each (it, &pooler->services) {
-		service_t *service = list_entry(it, service_t, node);
-		usec_t left;
+	const char *word;
+	size_t len;
 
-		if (service->changing_since != USEC_NEVER && find_end(ends, service->name, &left))
-			service->change_end = now + left;
-	}
-}
+	while ((word = exchange_next_word(&ends, &len)) != NULL) {
+		const char *colon = memrchr(word, ':', len);
+		service_t *service;
 
-/* The roster that a proxy holds, as far as it has told. */
-static int64_t known_revision(const pooler_t *pooler, const char *name)
-{
-	const peer_report_t *report = exchange_report(pooler, name);
-
-	return report != NULL ? report->revision : 0;
+		if (colon == NULL)
+			continue;
+		HASH_FIND(hh, pooler->services_by_name, word, (size_t)(colon - word), service);
+		if (service != NULL && service->changing_since != USEC_NEVER)
+			service->change_end = now + strtoull(colon + 1, NULL, 10) * USEC_PER_MSEC;
+	}
 }
 
 static usec_t holder_age(const pooler_t *pooler, usec_t now)
@@ -254,11 +241,28 @@
 	message->agreed = agreed;
 }
 
+/*
+ * What the proxy lacks of the roster; NULL: nothing. While what it was told last may be on its way,
+ * its questions do not know of that yet: after all have started again the changes are 100 KB for a
+ * fleet of 985, and each question that is answered with them makes the next answer later.
+ */
+static const char *news_of_roster(const pooler_t *pooler, const peer_report_t *report,
+				  const peer_message_t *ask, usec_t now)
+{
+	int64_t known = ask != NULL ? ask->revision : report->revision;
+
+	if (report->roster_told > known && now < report->roster_told_at + ROSTER_ON_ITS_WAY)
+		known = report->roster_told;
+	if (known >= pooler->sync.roster->revision)
+		return NULL;
+	return roster_changes(pooler->sync.roster, known);
+}
+
 /* ask: what is answered; NULL: nobody has asked. */
 static bool send_state(pooler_t *pooler, const char *name, const char *address,
 		       const peer_message_t *ask)
 {
-	int64_t known = ask != NULL ? ask->revision : known_revision(pooler, name);
+	peer_report_t *report = exchange_get_report(pooler, name);
 	const sync_t *sync = &pooler->sync;
 	peer_message_t message = {.kind = PEER_STATE, .echo = ask != NULL ? ask->echo : 0};
 	void *parent = talloc_new(NULL);
@@ -268,8 +272,7 @@
 	exchange_fill(pooler, &message);
 	message.members_digest = refresh_members_digest(pooler);
 	message.age = sync->confirmed_at != USEC_NEVER ? now - sync->confirmed_at : USEC_NEVER;
-	if (known < sync->roster->revision)
-		message.roster = roster_changes(sync->roster, known);
+	message.roster = news_of_roster(pooler, report, ask, now);
 	if (hold_is_ours(pooler, now))
 		message.ends = describe_ends(pooler, now, parent);
 	message.doubted = verdict_doubts(pooler, now, parent);
@@ -280,6 +283,10 @@
 	describe_agreement(pooler, now, &message, parent);
 	refresh_describe(pooler, name, ask, &message, parent);
 	sent = send_to(pooler, name, address, &message);
+	if (sent && message.roster != NULL) {
+		report->roster_told = sync->roster->revision;
+		report->roster_told_at = now;
+	}
 	talloc_free(parent);
 	return sent;
 }
@@ -397,10 +404,11 @@
 /* What those that ask this hub have reported, for whom it asks itself. */
 static void add_reports(const pooler_t *pooler, usec_t now, peer_message_t *message, void *parent)
 {
-	peer_message_t *reports =
-		talloc_zero_array(parent, peer_message_t, list_length(&pooler->sync.reports));
+	peer_message_t *reports = talloc_zero_array(
+		parent, peer_message_t, list_length(&pooler->sync.reports) + join_count(pooler));
 
 	message->reports = reports;
+	message->report_count = join_describe(pooler, reports);
 	list_for_each (it, &pooler->sync.reports) {
 		const peer_report_t *report = list_entry(it, peer_report_t, node);
 
@@ -440,6 +448,18 @@
 	}
 }
 
+/* The first message only makes the link, so it is repeated with the next tick; not for long. */
+static void put_first_question(pooler_t *pooler, usec_t now, const char *name, const char *address,
+			       const peer_message_t *message)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (send_to(pooler, name, address, message))
+		sync->ask_unsent = 0;
+	else if (sync->ask_unsent++ < LINK_TRIES && !is_news_old(pooler, now))
+		sync->ask_next = now;
+}
+
 /* Ask those that are to be asked now. */
 static void ask_now(pooler_t *pooler, usec_t now, peer_message_t *message, void *parent)
 {
@@ -460,7 +480,7 @@
 	if (upstream_is_hub(pooler))
 		add_reports(pooler, now, message, parent);
 	upstream_on_asked(pooler, name, now);
-	send_to(pooler, name, address, message);
+	put_first_question(pooler, now, name, address, message);
 }
 
 static void ask(pooler_t *pooler, usec_t now)
@@ -536,6 +556,8 @@
 	if (message->incarnation < report->incarnation ||
 	    (message->incarnation == report->incarnation && heard_at < report->heard_at))
 		return false;
+	if (message->incarnation != report->incarnation)
+		report->roster_told = 0;
 	report->incarnation = message->incarnation;
 	report->heard_at = heard_at;
 	news = report->revision != message->revision && exchange_tells_revision(pooler);
@@ -570,6 +592,7 @@
 	for (size_t i = 0; i < message->report_count; i++) {
 		const peer_message_t *report = &message->reports[i];
 
+		join_on_report(pooler, report);
 		news |= take_report(pooler, report,
 				    now > report->report_age ? now - report->report_age : 0);
 	}
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -5,8 +5,10 @@
 #include <talloc.h>
 
 #include "exchange.h"
+#include "hold.h"
 #include "permit.h"
 #include "sync.h"
+#include "upstream.h"
 
 #define LOG_MODULE "join"
 #include "counter.h"
@@ -24,6 +26,13 @@
  */
 #define ADDED_WITHIN_EACH (5 * USEC_PER_MSEC)
 
+/*
+ * Up to so many proxies ask the holder themselves, which is quicker by two links that must be made.
+ * With more its links to them would take more memory than a small VM has.
+ */
+#define DIRECT_FLEET 128
+/* Proxies of a large fleet that are asked, one after the other, before the own write. */
+#define ADDERS_ASKED 3
 /* A link to a proxy that lives is there within this. */
 #define LINK_WITHIN (150 * USEC_PER_MSEC)
 
@@ -37,9 +46,16 @@
 	char *address;
 	char *zone;
 	uint64_t incarnation;
+	int64_t revision; /* of the roster that it held */
 	usec_t asked_at;
+	bool by_hub; /* which tells it */
 } joiner_t;
 
+static bool goes_by_hubs(const pooler_t *pooler)
+{
+	return pooler->sync.proxies > DIRECT_FLEET;
+}
+
 static usec_t added_within(const pooler_t *pooler)
 {
 	usec_t all = pooler->sync.proxies * ADDED_WITHIN_EACH;
@@ -90,7 +106,7 @@
 		if (!is_on(roster, joiner))
 			continue;
 		/* Without a link to it yet, once more with the next tick. */
-		if (!exchange_tell(pooler, joiner->name, joiner->address))
+		if (!joiner->by_hub && !exchange_tell(pooler, joiner->name, joiner->address))
 			continue;
 		counter_add(&added_total, 1);
 		forget(joiner);
@@ -104,6 +120,7 @@
 
 	sync->registering = false;
 	sync->join_began = 0;
+	sync->join_tries = 0;
 	sync->join_failed = result->status == KV_CONFLICT;
 	/* Whoever made the other write lives, which the holder has not shown. */
 	sync->join_asked = sync->join_failed;
@@ -150,24 +167,34 @@
 	return name != NULL && strcmp(name, pooler->config.name) != 0;
 }
 
+/* Who wrote the roster when our own write met another one; NULL: nobody else did. */
+static const roster_node_t *find_writer(const pooler_t *pooler)
+{
+	const sync_t *sync = &pooler->sync;
+	const roster_node_t *writer;
+
+	if (!sync->join_failed || !is_other(pooler, sync->roster->writer))
+		return NULL;
+	writer = roster_node(sync->roster, sync->roster->writer);
+	return writer != NULL && !writer->gone ? writer : NULL;
+}
+
 /*
- * Who can add us: the holder of the duty, or, when our own write met another one, whoever made
- * that. False if there is nobody.
+ * Who can add us: the holder of the duty, a hub that passes it on, or, when our own write met
+ * another one, whoever made that. False if there is nobody.
  */
-static bool find_adder(const pooler_t *pooler, const char **name, const char **address)
+static bool find_adder(pooler_t *pooler, usec_t now, const char **name, const char **address)
 {
 	const sync_t *sync = &pooler->sync;
 	const roster_node_t *writer;
 
-	if (!sync->join_asked && is_other(pooler, sync->holder)) {
-		*name = sync->holder;
-		*address = sync->holder_address;
+	*name = sync->holder;
+	*address = sync->holder_address;
+	if (!sync->join_asked && (goes_by_hubs(pooler) ? upstream_find(pooler, now, name, address)
+						       : is_other(pooler, sync->holder)))
 		return true;
-	}
-	writer = sync->join_failed && is_other(pooler, sync->roster->writer)
-			 ? roster_node(sync->roster, sync->roster->writer)
-			 : NULL;
-	if (writer == NULL || writer->gone)
+	writer = find_writer(pooler);
+	if (writer == NULL)
 		return false;
 	*name = writer->name;
 	*address = writer->address;
@@ -184,7 +211,7 @@
 	const char *name;
 	const char *address;
 
-	if (!find_adder(pooler, &name, &address))
+	if (!find_adder(pooler, now, &name, &address))
 		return false;
 	outgrow_last_life(pooler);
 	/* The first message makes the link; it is tried again with the next tick. */
@@ -193,6 +220,9 @@
 	sync->join_asked = true;
 	sync->join_failed = false;
 	sync->join_asked_at = now;
+	sync->join_tries++;
+	talloc_free(sync->join_asked_of);
+	sync->join_asked_of = talloc_strdup(pooler, name);
 	return true;
 }
 
@@ -209,6 +239,21 @@
 	       now < sync->join_asked_at + (answered ? added_within(pooler) : ADDED_WITHIN);
 }
 
+/*
+ * Whoever was asked is silent. In a large fleet another one is: after a loss of power the first
+ * may not be back yet, and each own write is one of the whole roster.
+ */
+static void ask_another(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (!sync->join_asked || !goes_by_hubs(pooler) || sync->join_tries >= ADDERS_ASKED)
+		return;
+	upstream_avoid(pooler, sync->join_asked_of, now);
+	sync->join_asked = false;
+	sync->join_began = now;
+}
+
 /* A proxy that is not on the roster uses no primary. */
 static void register_self(pooler_t *pooler, usec_t now)
 {
@@ -219,28 +264,97 @@
 		return;
 	if (sync->join_began == 0)
 		sync->join_began = now;
+	ask_another(pooler, now);
 	if (!ask_adder(pooler, now))
 		write_own_entry(pooler);
 }
 
 /* --- those that ask us --- */
 
-void join_on_ask(pooler_t *pooler, const peer_message_t *message)
+static joiner_t *find_joiner(const sync_t *sync, const char *name)
+{
+	list_for_each (it, &sync->joiners) {
+		joiner_t *joiner = list_entry(it, joiner_t, node);
+
+		if (strcmp(joiner->name, name) == 0)
+			return joiner;
+	}
+	return NULL;
+}
+
+/* False if it is on the roster already. */
+static bool put_joiner(pooler_t *pooler, const peer_message_t *message, bool by_hub)
 {
 	const roster_node_t *node = roster_node(pooler->sync.roster, message->from);
 	joiner_t *joiner;
 
 	if (pooler->draining || message->zone == NULL ||
 	    (node != NULL && !node->gone && node->incarnation >= message->incarnation))
-		return;
+		return false;
+	joiner = find_joiner(&pooler->sync, message->from);
+	if (joiner != NULL)
+		forget(joiner);
 	joiner = talloc_zero(pooler, joiner_t);
 	joiner->name = talloc_strdup(joiner, message->from);
 	joiner->address = talloc_strdup(joiner, message->address);
 	joiner->zone = talloc_strdup(joiner, message->zone);
 	joiner->incarnation = message->incarnation;
+	joiner->revision = message->revision;
 	joiner->asked_at = now_of(pooler);
+	joiner->by_hub = by_hub;
 	list_add_tail(&pooler->sync.joiners, &joiner->node);
-	join_run(pooler, now_of(pooler));
+	return true;
+}
+
+/* True if the holder adds those that ask us. */
+static bool passes_on(const pooler_t *pooler, usec_t now)
+{
+	const sync_t *sync = &pooler->sync;
+
+	return goes_by_hubs(pooler) && !hold_is_ours(pooler, now) &&
+	       is_other(pooler, sync->holder) && now < sync->holder_heard + HOLDER_SILENT;
+}
+
+void join_on_ask(pooler_t *pooler, const peer_message_t *message)
+{
+	usec_t now = now_of(pooler);
+
+	if (!put_joiner(pooler, message, false))
+		return;
+	if (passes_on(pooler, now))
+		pooler->sync.ask_next = 0;
+	join_run(pooler, now);
+}
+
+void join_on_report(pooler_t *pooler, const peer_message_t *report)
+{
+	if (report->address != NULL && hold_is_ours(pooler, now_of(pooler)) &&
+	    put_joiner(pooler, report, true))
+		join_run(pooler, now_of(pooler));
+}
+
+size_t join_count(const pooler_t *pooler)
+{
+	return list_length(&pooler->sync.joiners);
+}
+
+size_t join_describe(const pooler_t *pooler, peer_message_t *reports)
+{
+	size_t count = 0;
+
+	list_for_each (it, &pooler->sync.joiners) {
+		const joiner_t *joiner = list_entry(it, joiner_t, node);
+
+		reports[count++] = (peer_message_t){
+			.from = joiner->name,
+			.address = joiner->address,
+			.zone = joiner->zone,
+			.incarnation = joiner->incarnation,
+			.revision = joiner->revision,
+			.report_age = now_of(pooler) - joiner->asked_at,
+		};
+	}
+	return count;
 }
 
 static void on_added(void *data, const kv_result_t *result)
@@ -273,13 +387,17 @@
 	}
 }
 
-static void add_others(pooler_t *pooler)
+static void add_others(pooler_t *pooler, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
 	roster_t *roster;
 
 	if (sync->adding || list_empty(&sync->joiners) || !permit_is_registered(pooler))
 		return;
+	if (passes_on(pooler, now)) {
+		tell_added(pooler);
+		return;
+	}
 	roster = roster_copy(NULL, sync->roster);
 	if (!put_joiners(pooler, roster)) {
 		talloc_free(roster);
@@ -295,5 +413,5 @@
 {
 	register_self(pooler, now);
 	forget_old(pooler, now);
-	add_others(pooler);
+	add_others(pooler, now);
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -315,6 +315,8 @@
 	int64_t config_at;     /* what it has been told of the directory, as it said then */
 	int64_t members_at;
 	usec_t config_told_at;	  /* when it was last told a configuration */
+	int64_t roster_told;	  /* the revision of the roster that it was last told */
+	usec_t roster_told_at;	  /* when */
 	usec_t asked_since;	  /* the first question to it that it has not answered; 0: none */
 	usec_t avoided_until;	  /* as a hub */
 	usec_t passed_over_until; /* as a keeper; see quota.h */
@@ -349,10 +351,13 @@
 	usec_t join_began;
 	bool join_failed; /* our own write to get on the roster met another one */
 	usec_t join_asked_at;
-	bool storing;	/* groups are being written */
-	bool adding;	/* others to the roster */
-	list_t joiners; /* that have asked for it; see join.c */
+	char *join_asked_of;
+	unsigned join_tries; /* proxies asked since our last own write */
+	bool storing;	     /* groups are being written */
+	bool adding;	     /* others to the roster */
+	list_t joiners;	     /* that have asked for it; see join.c */
 	usec_t ask_next;
+	unsigned ask_unsent; /* questions in a row that were not sent, for want of a link */
 	uint64_t told; /* digest of what the last question reported, to report changes at once */
 	char *holder;  /* who holds the duty */
 	char *holder_address;
--- a/pooler/upstream.c
+++ b/pooler/upstream.c
@@ -164,6 +164,14 @@
 	return *name != NULL && strcmp(*name, pooler->config.name) != 0;
 }
 
+void upstream_avoid(pooler_t *pooler, const char *name, usec_t now)
+{
+	exchange_get_report(pooler, name)->avoided_until = now + HUB_AVOIDED;
+	counter_add(&avoided_total, 1);
+	LOG_EVENT(LOG_WARN, "hub does not answer", LOG_STR("proxy", name),
+		  LOG_INT("avoided_ms", (int64_t)(HUB_AVOIDED / USEC_PER_MSEC)));
+}
+
 void upstream_on_asked(pooler_t *pooler, const char *name, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
@@ -182,10 +190,7 @@
 	/* The holder's silence is noticed by the age of its news. */
 	if (sync->holder != NULL && strcmp(sync->holder, name) == 0)
 		return;
-	report->avoided_until = now + HUB_AVOIDED;
-	counter_add(&avoided_total, 1);
-	LOG_EVENT(LOG_WARN, "hub does not answer", LOG_STR("proxy", name),
-		  LOG_INT("silent_ms", (int64_t)(HUB_SILENT / USEC_PER_MSEC)));
+	upstream_avoid(pooler, name, now);
 }
 
 bool upstream_is(const pooler_t *pooler, const char *name)
--- a/pooler/upstream.h
+++ b/pooler/upstream.h
@@ -34,6 +34,9 @@
 void upstream_on_asked(pooler_t *pooler, const char *name, usec_t now);
 
 /* True if news of the holder, its doubts for example, may be taken from that proxy. */
+/* It does not answer: another hub is asked for a while. */
+void upstream_avoid(pooler_t *pooler, const char *name, usec_t now);
+
 bool upstream_is(const pooler_t *pooler, const char *name);
 
 /* True if that proxy has asked us of late. */
