Proxies with more processor do more of the fleet's common work

Cause: duty, hubs and homes went by a hash of the name, so most of them sat on VMs of an eighth of a core, where 62 hubs with four questions a second each would be a third of the holder's processor (worked out: 248 questions of 2.4 KB, some 150 us each on a whole core), though 50 VMs have a core.

Changed: a proxy tells its share of the processor (node.processor), the roster keeps it. A hub with a whole core takes 64 proxies instead of 16, hubs are the strongest of a zone, homes are chosen as often as their weight says, and a vacant duty is taken 300 ms later by a proxy that sees a stronger one on the roster.

At the first start of a large fleet, whoever is asked by more than 128 proxies at once answers no more of them: they read the roster again. Whoever was asked and has answered is waited for.

--- a/pooler/env.h
+++ b/pooler/env.h
@@ -147,6 +147,7 @@
 	const char *from;
 	const char *address; /* of the sender */
 	const char *zone;    /* of the sender */
+	int64_t capacity;    /* of the sender; see roster_node_t */
 	uint64_t incarnation;
 	uint64_t echo;	  /* ASK: when it was sent, by its sender's clock; STATE: the same back */
 	int64_t revision; /* of the roster that the sender holds */
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -160,6 +160,7 @@
 	message->from = pooler->config.name;
 	message->address = pooler->config.address;
 	message->zone = pooler->config.zone;
+	message->capacity = pooler->config.capacity;
 	message->incarnation = pooler->config.incarnation;
 	message->revision = pooler->sync.roster->revision;
 	message->config_version = pooler->routes != NULL ? pooler->routes->version : 0;
@@ -599,7 +600,8 @@
 	note_listener(pooler, message, now);
 	if (message->revision > pooler->sync.roster->revision)
 		pooler->sync.behind = true;
-	send_state(pooler, message->from, message->address, message);
+	if (join_answers(pooler, message->from))
+		send_state(pooler, message->from, message->address, message);
 	join_on_ask(pooler, message);
 	/* Only what a change may wait for: with 75 proxies four questions a second each come in. */
 	if (news && hold_is_ours(pooler, now))
@@ -668,6 +670,7 @@
 
 	note_access(report, message, now);
 	report->asked_since = 0;
+	join_on_state(pooler, message->from);
 	take_holder(pooler, message, now);
 	take_roster(pooler, message, now);
 	agrees = message->echo != 0 && message->echo <= now &&
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -8,6 +8,7 @@
 #include "exchange.h"
 #include "permit.h"
 #include "sync.h"
+#include "upstream.h"
 
 #define LOG_MODULE "hold"
 #include "counter.h"
@@ -26,6 +27,11 @@
 #define RENEW_RETRY (200 * USEC_PER_MSEC)
 /* Wait before taking the duty; jittered, so that one of many gets it. */
 #define ACQUIRE_JITTER (200 * USEC_PER_MSEC)
+/*
+ * And so much more if the roster has a proxy that can do more: in a large fleet the holder answers
+ * all hubs. If none of those takes it, any other does.
+ */
+#define WEAKER_WAITS (300 * USEC_PER_MSEC)
 /* After a failed attempt. */
 #define ACQUIRE_BACKOFF (400 * USEC_PER_MSEC)
 /* A read that showed no holder is believed for so long. */
@@ -172,6 +178,19 @@
 	kv->ops->lease_create(kv, (int64_t)(duty_ttl(pooler) / USEC_PER_MSEC), on_lease, pooler);
 }
 
+static bool is_stronger_listed(const pooler_t *pooler)
+{
+	const roster_node_t *self = roster_node(pooler->sync.roster, pooler->config.name);
+
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (!node->gone && upstream_weight(node) > upstream_weight(self))
+			return true;
+	}
+	return false;
+}
+
 /* A vacant duty is taken after a short random wait. */
 static void consider_acquiring(pooler_t *pooler, usec_t now)
 {
@@ -184,6 +203,8 @@
 		return;
 	if (sync->acquire_after < sync->last_read_ok) {
 		sync->acquire_after = now + pooler_random(pooler, ACQUIRE_JITTER);
+		if (is_stronger_listed(pooler))
+			sync->acquire_after += WEAKER_WAITS;
 		return;
 	}
 	if (now >= sync->acquire_after)
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -9,6 +9,7 @@
 #include "exchange.h"
 #include "member.h"
 #include "permit.h"
+#include "upstream.h"
 
 #define LOG_MODULE "home"
 #include "counter.h"
@@ -81,18 +82,6 @@
 	return (x->first_hash > y->first_hash) - (x->first_hash < y->first_hash);
 }
 
-/* The finalizer of a 64-bit hash, over both: one look at each proxy for each service in use. */
-static uint64_t mix(uint64_t node, uint64_t service)
-{
-	uint64_t hash = node ^ service;
-
-	hash ^= hash >> 33;
-	hash *= 0xff51afd7ed558ccdull;
-	hash ^= hash >> 33;
-	hash *= 0xc4ceb9fe1a85ec53ull;
-	return hash ^ (hash >> 33);
-}
-
 static zone_pick_t *pick_of(zone_pick_t *picks, size_t *count, const char *zone)
 {
 	for (size_t i = 0; i < *count; i++) {
@@ -131,7 +120,7 @@
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
 
 		if (!node->gone)
-			offer(pick_of(picks, count, node->zone), node, mix(node->hash, hash));
+			offer(pick_of(picks, count, node->zone), node, upstream_hash(node, hash));
 	}
 	qsort(picks, *count, sizeof(*picks), by_hash);
 	return picks;
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -31,6 +31,8 @@
  * With more its links to them would take more memory than a small VM has.
  */
 #define DIRECT_FLEET 128
+/* A hub that has just started itself answers within this. */
+#define HUB_ANSWERS (500 * USEC_PER_MSEC)
 /* Proxies of a large fleet that are asked, one after the other, before the own write. */
 #define ADDERS_ASKED 3
 /* A link to a proxy that lives is there within this. */
@@ -45,10 +47,11 @@
 	char *name;
 	char *address;
 	char *zone;
+	int64_t capacity;
 	uint64_t incarnation;
 	int64_t revision; /* of the roster that it held */
 	usec_t asked_at;
-	bool by_hub; /* which tells it */
+	bool told; /* by us, else by its hub, or it reads the store again */
 } joiner_t;
 
 static bool goes_by_hubs(const pooler_t *pooler)
@@ -83,14 +86,16 @@
 		if (is_on(roster, joiner))
 			continue;
 		roster_put_node(roster, joiner->name, joiner->address, joiner->zone,
-				joiner->incarnation);
+				joiner->incarnation)
+			->capacity = joiner->capacity;
 		any = true;
 	}
 	return any;
 }
 
-static void forget(joiner_t *joiner)
+static void forget(sync_t *sync, joiner_t *joiner)
 {
+	sync->joiner_count--;
 	list_del(&joiner->node);
 	talloc_free(joiner);
 }
@@ -98,18 +103,19 @@
 /* Tell those that are on the roster now. */
 static void tell_added(pooler_t *pooler)
 {
-	const roster_t *roster = pooler->sync.roster;
+	sync_t *sync = &pooler->sync;
+	const roster_t *roster = sync->roster;
 
-	list_for_each_safe (it, &pooler->sync.joiners) {
+	list_for_each_safe (it, &sync->joiners) {
 		joiner_t *joiner = list_entry(it, joiner_t, node);
 
 		if (!is_on(roster, joiner))
 			continue;
 		/* Without a link to it yet, once more with the next tick. */
-		if (!joiner->by_hub && !exchange_tell(pooler, joiner->name, joiner->address))
+		if (joiner->told && !exchange_tell(pooler, joiner->name, joiner->address))
 			continue;
 		counter_add(&added_total, 1);
-		forget(joiner);
+		forget(sync, joiner);
 	}
 }
 
@@ -156,7 +162,8 @@
 	outgrow_last_life(pooler);
 	roster = roster_copy(NULL, pooler->sync.roster);
 	roster_put_node(roster, pooler->config.name, pooler->config.address, pooler->config.zone,
-			pooler->config.incarnation);
+			pooler->config.incarnation)
+		->capacity = pooler->config.capacity;
 	put_joiners(pooler, roster);
 	sync_commit(pooler, roster, on_registered, pooler);
 	talloc_free(roster);
@@ -219,6 +226,7 @@
 		return true;
 	sync->join_asked = true;
 	sync->join_failed = false;
+	sync->join_answered = false;
 	sync->join_asked_at = now;
 	sync->join_tries++;
 	talloc_free(sync->join_asked_of);
@@ -233,10 +241,10 @@
 static bool is_being_added(const pooler_t *pooler, usec_t now)
 {
 	const sync_t *sync = &pooler->sync;
-	bool answered = sync->holder_heard > sync->join_asked_at;
+	usec_t silence = goes_by_hubs(pooler) ? HUB_ANSWERS : ADDED_WITHIN;
 
 	return sync->join_asked &&
-	       now < sync->join_asked_at + (answered ? added_within(pooler) : ADDED_WITHIN);
+	       now < sync->join_asked_at + (sync->join_answered ? added_within(pooler) : silence);
 }
 
 /*
@@ -283,26 +291,29 @@
 }
 
 /* False if it is on the roster already. */
-static bool put_joiner(pooler_t *pooler, const peer_message_t *message, bool by_hub)
+static bool put_joiner(pooler_t *pooler, const peer_message_t *message, bool told)
 {
+	sync_t *sync = &pooler->sync;
 	const roster_node_t *node = roster_node(pooler->sync.roster, message->from);
 	joiner_t *joiner;
 
 	if (pooler->draining || message->zone == NULL ||
 	    (node != NULL && !node->gone && node->incarnation >= message->incarnation))
 		return false;
-	joiner = find_joiner(&pooler->sync, message->from);
+	joiner = find_joiner(sync, message->from);
 	if (joiner != NULL)
-		forget(joiner);
+		forget(sync, joiner);
 	joiner = talloc_zero(pooler, joiner_t);
 	joiner->name = talloc_strdup(joiner, message->from);
 	joiner->address = talloc_strdup(joiner, message->address);
 	joiner->zone = talloc_strdup(joiner, message->zone);
+	joiner->capacity = message->capacity;
 	joiner->incarnation = message->incarnation;
 	joiner->revision = message->revision;
 	joiner->asked_at = now_of(pooler);
-	joiner->by_hub = by_hub;
-	list_add_tail(&pooler->sync.joiners, &joiner->node);
+	joiner->told = told;
+	list_add_tail(&sync->joiners, &joiner->node);
+	sync->joiner_count++;
 	return true;
 }
 
@@ -315,27 +326,50 @@
 	       is_other(pooler, sync->holder) && now < sync->holder_heard + HOLDER_SILENT;
 }
 
+/*
+ * With so many at once, as when a large fleet starts for the first time, a link back to each of
+ * them would take more memory than a small VM has. They see the roster when they read the store
+ * again.
+ */
+static bool is_crowded(const pooler_t *pooler)
+{
+	return pooler->sync.joiner_count >= DIRECT_FLEET;
+}
+
+bool join_answers(const pooler_t *pooler, const char *name)
+{
+	return !is_crowded(pooler) || roster_node(pooler->sync.roster, name) != NULL;
+}
+
 void join_on_ask(pooler_t *pooler, const peer_message_t *message)
 {
 	usec_t now = now_of(pooler);
 
-	if (!put_joiner(pooler, message, false))
+	if (!put_joiner(pooler, message, !is_crowded(pooler)))
 		return;
 	if (passes_on(pooler, now))
 		pooler->sync.ask_next = 0;
 	join_run(pooler, now);
 }
 
+void join_on_state(pooler_t *pooler, const char *from)
+{
+	sync_t *sync = &pooler->sync;
+
+	sync->join_answered |=
+		sync->join_asked_of != NULL && strcmp(sync->join_asked_of, from) == 0;
+}
+
 void join_on_report(pooler_t *pooler, const peer_message_t *report)
 {
 	if (report->address != NULL && hold_is_ours(pooler, now_of(pooler)) &&
-	    put_joiner(pooler, report, true))
+	    put_joiner(pooler, report, false))
 		join_run(pooler, now_of(pooler));
 }
 
 size_t join_count(const pooler_t *pooler)
 {
-	return list_length(&pooler->sync.joiners);
+	return pooler->sync.joiner_count;
 }
 
 size_t join_describe(const pooler_t *pooler, peer_message_t *reports)
@@ -349,6 +383,7 @@
 			.from = joiner->name,
 			.address = joiner->address,
 			.zone = joiner->zone,
+			.capacity = joiner->capacity,
 			.incarnation = joiner->incarnation,
 			.revision = joiner->revision,
 			.report_age = now_of(pooler) - joiner->asked_at,
@@ -370,7 +405,7 @@
 	if (result->status == KV_OK || result->status == KV_CONFLICT)
 		return;
 	list_for_each_safe (it, &pooler->sync.joiners)
-		forget(list_entry(it, joiner_t, node));
+		forget(&pooler->sync, list_entry(it, joiner_t, node));
 }
 
 /*
@@ -379,11 +414,13 @@
  */
 static void forget_old(pooler_t *pooler, usec_t now)
 {
-	list_for_each_safe (it, &pooler->sync.joiners) {
+	sync_t *sync = &pooler->sync;
+
+	list_for_each_safe (it, &sync->joiners) {
 		joiner_t *joiner = list_entry(it, joiner_t, node);
 
 		if (now >= joiner->asked_at + added_within(pooler))
-			forget(joiner);
+			forget(sync, joiner);
 	}
 }
 
--- a/pooler/join.h
+++ b/pooler/join.h
@@ -14,6 +14,12 @@
  */
 void join_on_ask(pooler_t *pooler, const peer_message_t *message);
 
+/* False if the question of this proxy is not answered: it reads the store again. */
+bool join_answers(const pooler_t *pooler, const char *name);
+
+/* Whoever answers is alive, and may add us still. */
+void join_on_state(pooler_t *pooler, const char *from);
+
 /* A hub has passed on that the proxy of this report wants to be added. */
 void join_on_report(pooler_t *pooler, const peer_message_t *report);
 
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -104,6 +104,7 @@
 
 		roster_put_node(copy, node->name, node->address, node->zone, node->incarnation)
 			->gone = node->gone;
+		roster_node(copy, node->name)->capacity = node->capacity;
 	}
 	list_for_each (it, &roster->groups) {
 		const roster_group_t *group = list_entry(it, roster_group_t, node);
@@ -122,8 +123,13 @@
 
 static json_t *encode_node(const roster_node_t *node)
 {
-	return json_pack("{s:s, s:s, s:I, s:b}", "address", node->address, "zone", node->zone,
-			 "incarnation", (json_int_t)node->incarnation, "gone", node->gone);
+	json_t *out =
+		json_pack("{s:s, s:s, s:I, s:b}", "address", node->address, "zone", node->zone,
+			  "incarnation", (json_int_t)node->incarnation, "gone", node->gone);
+
+	if (node->capacity != 0)
+		json_object_set_new(out, "capacity", json_integer(node->capacity));
+	return out;
 }
 
 static json_t *encode_group(const roster_group_t *group)
@@ -206,13 +212,15 @@
 		const char *address;
 		const char *zone;
 		json_int_t incarnation;
+		roster_node_t *node;
 		int gone;
 
 		if (json_unpack(value, "{s:s, s:s, s:I, s:b}", "address", &address, "zone", &zone,
 				"incarnation", &incarnation, "gone", &gone) != 0)
 			return -1;
-		roster_put_node(roster, name, address, zone, (uint64_t)incarnation)->gone =
-			gone != 0;
+		node = roster_put_node(roster, name, address, zone, (uint64_t)incarnation);
+		node->gone = gone != 0;
+		node->capacity = json_integer_value(json_object_get(value, "capacity"));
 	}
 	return 0;
 }
@@ -278,7 +286,7 @@
 static bool same_node(const roster_node_t *a, const roster_node_t *b)
 {
 	return strcmp(a->address, b->address) == 0 && strcmp(a->zone, b->zone) == 0 &&
-	       a->incarnation == b->incarnation && a->gone == b->gone;
+	       a->incarnation == b->incarnation && a->gone == b->gone && a->capacity == b->capacity;
 }
 
 static bool same_group(const roster_group_t *a, const roster_group_t *b)
@@ -321,8 +329,8 @@
 static void merge_node(roster_diff_t *diff, roster_t *roster, const roster_node_t *newer)
 {
 	const roster_node_t *was = roster_node(roster, newer->name);
-	bool same_place =
-		was != NULL && was->gone == newer->gone && strcmp(was->zone, newer->zone) == 0;
+	bool same_place = was != NULL && was->gone == newer->gone &&
+			  was->capacity == newer->capacity && strcmp(was->zone, newer->zone) == 0;
 	bool entered = !newer->gone &&
 		       (was == NULL || was->gone || was->incarnation != newer->incarnation);
 	roster_node_t *node;
@@ -332,6 +340,7 @@
 	node = roster_put_node(roster, newer->name, newer->address, newer->zone,
 			       newer->incarnation);
 	node->gone = newer->gone;
+	node->capacity = newer->capacity;
 	node->changed = roster->revision;
 	if (!same_place)
 		roster->nodes_revision = roster->revision;
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -26,6 +26,7 @@
 	char *zone;
 	uint64_t incarnation; /* of its process */
 	bool gone;	      /* not heard of: it may use no primary, and is removed later */
+	int64_t capacity;     /* its processor share in percent of a core; 0: not told */
 	int64_t changed;      /* revision of a roster no older than its last change */
 } roster_node_t;
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -352,10 +352,12 @@
 	bool join_failed; /* our own write to get on the roster met another one */
 	usec_t join_asked_at;
 	char *join_asked_of;
+	bool join_answered;  /* by that proxy, since then */
 	unsigned join_tries; /* proxies asked since our last own write */
 	bool storing;	     /* groups are being written */
 	bool adding;	     /* others to the roster */
 	list_t joiners;	     /* that have asked for it; see join.c */
+	size_t joiner_count;
 	usec_t ask_next;
 	unsigned ask_unsent; /* questions in a row that were not sent, for want of a link */
 	uint64_t told; /* digest of what the last question reported, to report changes at once */
--- a/pooler/upstream.c
+++ b/pooler/upstream.c
@@ -17,6 +17,9 @@
 #define HUB_SILENT (500 * USEC_PER_MSEC)
 /* For so long; then it is tried again. */
 #define HUB_AVOIDED (2 * USEC_PER_SEC)
+/* Percent of a core for each part of the work, and the most parts that one proxy takes. */
+#define WEIGHT_UNIT 25
+#define WEIGHT_MOST 4
 /* Any number: hubs are to differ from the homes of a service. */
 #define HUB_SEED 7
 
@@ -30,19 +33,57 @@
 
 /* --- who is a hub --- */
 
+size_t upstream_weight(const roster_node_t *node)
+{
+	int64_t weight = node->capacity / WEIGHT_UNIT;
+
+	if (weight < 1)
+		return 1;
+	return weight < WEIGHT_MOST ? (size_t)weight : WEIGHT_MOST;
+}
+
+/* The finalizer of a 64-bit hash. */
+static uint64_t mix(uint64_t hash)
+{
+	hash ^= hash >> 33;
+	hash *= 0xff51afd7ed558ccdull;
+	hash ^= hash >> 33;
+	hash *= 0xc4ceb9fe1a85ec53ull;
+	return hash ^ (hash >> 33);
+}
+
+uint64_t upstream_hash(const roster_node_t *node, uint64_t seed)
+{
+	size_t weight = upstream_weight(node);
+	uint64_t least = UINT64_MAX;
+
+	for (size_t i = 0; i < weight; i++) {
+		uint64_t hash = mix(node->hash ^ mix(seed + i));
+
+		least = hash < least ? hash : least;
+	}
+	return least;
+}
+
 typedef struct ranked {
 	const roster_node_t *node;
 	uint64_t hash;
 } ranked_t;
 
-/* By zone, and within a zone by hash. */
+/* By zone, within a zone those that can do more first, then by hash. */
 static int by_zone(const void *a, const void *b)
 {
 	const ranked_t *x = a;
 	const ranked_t *y = b;
 	int zones = strcmp(x->node->zone, y->node->zone);
-
-	return zones != 0 ? zones : (x->hash > y->hash) - (x->hash < y->hash);
+	size_t weight_x = upstream_weight(x->node);
+	size_t weight_y = upstream_weight(y->node);
+
+	if (zones != 0)
+		return zones;
+	if (weight_x != weight_y)
+		return weight_x > weight_y ? -1 : 1;
+	return (x->hash > y->hash) - (x->hash < y->hash);
 }
 
 static ranked_t *rank_all(const pooler_t *pooler, size_t *count)
@@ -80,12 +121,12 @@
 			 .nodes_revision = pooler->sync.roster->nodes_revision};
 	while (first < count) {
 		size_t end = first;
-		size_t wanted;
+		size_t served = 0;
 
 		while (end < count && strcmp(ranked[end].node->zone, ranked[first].node->zone) == 0)
 			end++;
-		wanted = (end - first + UPSTREAM_SPAN - 1) / UPSTREAM_SPAN;
-		for (size_t i = first; i < first + wanted; i++) {
+		for (size_t i = first; i < end && served < end - first; i++) {
+			served += UPSTREAM_SPAN * upstream_weight(ranked[i].node);
 			add_hub(hubs, ranked[i].node);
 			hubs->is_hub |= strcmp(ranked[i].node->name, pooler->config.name) == 0;
 		}
@@ -141,10 +182,13 @@
 
 	for (size_t i = 0; i < hubs->len; i++) {
 		const roster_node_t *hub = roster_node(pooler->sync.roster, hubs->names[i]);
-		uint64_t hash = XXH64(hubs->names[i], strlen(hubs->names[i]), seed);
+		uint64_t hash;
 
 		if (hub == NULL || strcmp(hub->zone, pooler->config.zone) != 0 ||
-		    is_avoided(pooler, hub->name, now) || hash >= best_hash)
+		    is_avoided(pooler, hub->name, now))
+			continue;
+		hash = upstream_hash(hub, seed);
+		if (hash >= best_hash)
 			continue;
 		best = hub;
 		best_hash = hash;
--- a/pooler/upstream.h
+++ b/pooler/upstream.h
@@ -2,8 +2,8 @@
  * Whom a proxy asks for news of the roster, the operators' configuration and the members, and who
  * asks it. In a small fleet all ask the holder of the duty. In a larger one each zone has some
  * hubs: these ask the holder, and the others of the zone ask one of them, which passes on what they
- * report. So the holder hears from one proxy in sixteen: with 295 it answered 1,180 questions a
- * second, more than an eighth of a core can.
+ * report. So the holder hears from one proxy in sixteen, or in 64 where hubs have a core: with 295
+ * it answered 1,180 questions a second, more than an eighth of a core can.
  *
  * Everybody works out the hubs from the roster. A hub that does not answer is passed over; without
  * one the holder is asked.
@@ -16,7 +16,10 @@
  * From so many proxies on there are hubs. Below that the holder has at most 64 questions a second.
  */
 #define UPSTREAM_FLEET 17
-/* Proxies of a zone for each of its hubs: as many questions as the holder of a small fleet has. */
+/*
+ * Proxies of a zone for each part of a hub's weight: as many questions as the holder of a small
+ * fleet has.
+ */
 #define UPSTREAM_SPAN 16
 /* Who has asked within this is told news at once: four questions' intervals. */
 #define UPSTREAM_LISTENS (1 * USEC_PER_SEC)
@@ -34,6 +37,15 @@
 void upstream_on_asked(pooler_t *pooler, const char *name, usec_t now);
 
 /* True if news of the holder, its doubts for example, may be taken from that proxy. */
+/* Parts of the fleet's common work that the proxy takes, by what its VM can do. */
+size_t upstream_weight(const roster_node_t *node);
+
+/*
+ * For rendezvous hashing: whoever of some proxies has the least is chosen for what seed stands for,
+ * as often as its weight says.
+ */
+uint64_t upstream_hash(const roster_node_t *node, uint64_t seed);
+
 /* It does not answer: another hub is asked for a while. */
 void upstream_avoid(pooler_t *pooler, const char *name, usec_t now);
 
