Hubs tell members and configuration as one packed text; rosters are packed

Cause, seen in a trial at full size: five seconds after the start no proxy had read the members. Each reads 3,000 entries (1.3 MB) and the configuration (0.5 MB) from the store: 1.8 GB through its 1 Gbit/s, and reads of the roster time out behind them.

Changed: large texts are compressed (pack.c, zlib's fastest level, base64). A process that starts waits until it is on the roster for its hub to tell it configuration and members, 4 s at most, then it reads. A hub tells so much only if its link takes it for all that ask within 0.25 s (node.link_mbps).

--- a/pooler/env.h
+++ b/pooler/env.h
@@ -171,8 +171,10 @@
 	/* STATE: what it lacks; NULL: nothing. */
 	const follow_changes_t *config_changes;
 	const follow_changes_t *members_changes;
-	bool read_config; /* STATE: the configuration that the receiver lacks is too large to tell
-			   */
+	/* STATE: the same where it is much, by follow_pack(); NULL: it is not. */
+	const char *config_packed;
+	const char *members_packed;
+	bool read_directory; /* STATE: what the receiver lacks is too much to be told */
 	/*
 	 * ASK of a hub: the questions of those that ask it, with their age; with address and zone
 	 * if they want to be added to the roster.
--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -1,10 +1,14 @@
 #include "follow.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
 #include <talloc.h>
 #include <uthash.h>
 
+#include "pack.h"
+
 #define LOG_MODULE "follow"
 #include "counter.h"
 #include "log.h"
@@ -316,6 +320,7 @@
 
 void follow_refresh(follow_t *follow)
 {
+	follow->held = false;
 	if (follow->reading)
 		return;
 	start_reading(follow);
@@ -375,9 +380,89 @@
 	return FOLLOW_CHANGED;
 }
 
+/* --- as one text --- */
+
+/* Values that are no UTF-8 can't be JSON strings; nobody but their writer has a use for them. */
+static json_t *encode_item(const known_t *known)
+{
+	json_t *value = json_stringn(known->value, known->len);
+
+	if (value == NULL)
+		return NULL;
+	return json_pack("[s, I, o]", known->key, (json_int_t)known->revision, value);
+}
+
+const char *follow_pack(follow_t *follow)
+{
+	json_t *items;
+	char *text;
+
+	if (follow->revision == 0)
+		return NULL;
+	if (follow->packed != NULL && follow->packed_at == follow->told)
+		return follow->packed;
+	items = json_array();
+	list_for_each (it, &follow->keys) {
+		const known_t *known = list_entry(it, known_t, node);
+		json_t *item = known->missing_since == USEC_NEVER ? encode_item(known) : NULL;
+
+		if (item != NULL)
+			json_array_append_new(items, item);
+	}
+	items = json_pack("{s:I, s:o}", "as_of", (json_int_t)follow->told, "items", items);
+	text = json_dumps(items, JSON_COMPACT);
+	json_decref(items);
+	talloc_free(follow->packed);
+	follow->packed = pack_text(follow->parent, text, strlen(text));
+	follow->packed_at = follow->told;
+	free(text);
+	return follow->packed;
+}
+
+static bool decode_item(json_t *root, kv_item_t *item)
+{
+	json_int_t revision;
+	size_t len;
+
+	*item = (kv_item_t){0};
+	if (json_unpack(root, "[s, I, s%]", &item->key, &revision, &item->value, &len) != 0)
+		return false;
+	item->len = len;
+	item->revision = revision;
+	return true;
+}
+
+bool follow_open(follow_t *follow, const char *text)
+{
+	void *parent = talloc_new(NULL);
+	size_t len;
+	const char *plain = pack_open(parent, text, strlen(text), &len);
+	json_t *root = plain != NULL ? json_loadb(plain, len, JSON_ALLOW_NUL, NULL) : NULL;
+	json_t *list = json_object_get(root, "items");
+	kv_item_t *items = talloc_array(parent, kv_item_t, json_array_size(list));
+	follow_changes_t changes = {
+		.whole = true,
+		.as_of = json_integer_value(json_object_get(root, "as_of")),
+		.items = items,
+	};
+	bool ok = json_is_array(list) && changes.as_of > 0;
+
+	for (size_t i = 0; ok && i < json_array_size(list); i++)
+		ok = decode_item(json_array_get(list, i), &items[changes.count++]);
+	if (ok)
+		follow_take(follow, &changes);
+	else
+		LOG_EVENT(LOG_ERR, "directory told by a peer can't be read",
+			  LOG_STR("prefix", follow->prefix), LOG_INT("bytes", (int64_t)len));
+	json_decref(root);
+	talloc_free(parent);
+	return ok;
+}
+
 /* All of it, whatever this follower was reading itself. */
 static void take_whole(follow_t *follow, const follow_changes_t *changes)
 {
+	follow->held = false;
 	follow->round++;
 	follow->round_revision = changes->as_of;
 	take_events(follow, changes->items, changes->count);
@@ -405,13 +490,28 @@
 
 /* --- start and end --- */
 
+static void read_first(follow_t *follow)
+{
+	start_reading(follow);
+	go_on(follow);
+}
+
+void follow_release(follow_t *follow)
+{
+	if (!follow->held)
+		return;
+	follow->held = false;
+	if (follow->revision == 0)
+		read_first(follow);
+}
+
 void follow_start(follow_t *follow, void *parent)
 {
 	follow->parent = parent;
 	list_init(&follow->keys);
 	list_init(&follow->gone);
-	start_reading(follow);
-	go_on(follow);
+	if (!follow->held)
+		read_first(follow);
 }
 
 void follow_stop(follow_t *follow)
@@ -425,6 +525,7 @@
 		talloc_free(list_entry(it, known_t, node));
 	list_init(&follow->keys);
 	list_init(&follow->gone);
+	TALLOC_FREE(follow->packed);
 	talloc_free(follow->last_key);
 	follow->last_key = NULL;
 }
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -19,9 +19,7 @@
  */
 #define FOLLOW_GATHER (250 * USEC_PER_MSEC)
 
-/*
- * Values told to a peer at a time. A larger configuration is read from the store by everybody: told
- * to 16 peers it would fill a link of 20 Mbit/s for most of a second.
+/* Values told to a peer at a time; what is more is told as one packed text, or read by everybody.
  */
 #define FOLLOW_CHANGES_MOST (24 * 1024)
 
@@ -40,6 +38,7 @@
 	const run_clock_t *clock;
 	timer_set_t *timers;
 	const char *prefix;
+	bool held;     /* the first reading waits for follow_release(), or for a peer */
 	usec_t gather; /* 0, or FOLLOW_GATHER */
 	void *parent;  /* of what it keeps */
 	uint64_t random;
@@ -49,6 +48,8 @@
 	list_t gone;	    /* keys that were told as gone of late, for follow_changes() */
 	int64_t told;	    /* the newest revision of which a peer can be told */
 	int64_t whole_from; /* everything since that revision is known */
+	char *packed;	    /* by follow_pack() */
+	int64_t packed_at;  /* told, as it was then */
 	bool fed;	    /* a peer tells what changes; the store is not watched */
 	/* A whole reading, which can go on beside a watch. */
 	bool reading;
@@ -93,6 +94,18 @@
 follow_news_t follow_changes(const follow_t *follow, int64_t since, void *parent,
 			     follow_changes_t *changes);
 
+/*
+ * All that is known, packed as one text, of which a fleet is told the same; it is kept. NULL if
+ * nothing is.
+ */
+const char *follow_pack(follow_t *follow);
+
+/* The same from a peer. False if the text is none. */
+bool follow_open(follow_t *follow, const char *text);
+
+/* The first reading, if it was held and nobody has told anything yet. */
+void follow_release(follow_t *follow);
+
 /* From a peer. */
 void follow_take(follow_t *follow, const follow_changes_t *changes);
 
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -23,6 +23,7 @@
 	const char *address; /* for messages of other proxies */
 	const char *prefix;  /* of our keys in the store */
 	int64_t capacity;    /* processor share in percent of a core; 0: unknown */
+	int64_t link;	     /* bytes a second that the VM can send */
 	uint64_t incarnation;
 	uint64_t seed;
 	usec_t grace; /* from the request to stop to the end */
--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "exchange.h"
+#include "permit.h"
 #include "upstream.h"
 
 #define LOG_MODULE "refresh"
@@ -41,6 +42,17 @@
 #define KEYS_AHEAD (300 * USEC_PER_MSEC)
 /* A fleet that starts has a holder within this. */
 #define START_GRACE (1 * USEC_PER_SEC)
+/*
+ * A process of a fleet larger than this waits so long for its hub to tell it configuration and
+ * members, before it reads them: 985 proxies that start together would read 1.8 MB each from the
+ * store, which takes it 14 s.
+ */
+#define TOLD_FLEET  128
+#define TOLD_WITHIN (4 * USEC_PER_SEC)
+/* Large lists may fill our link for this part of a second, if all that ask us are told. */
+#define PACKED_PART 4
+/* A list of members that was told is believed to be on its way for so long. */
+#define PACKED_ON_ITS_WAY (1 * USEC_PER_SEC)
 
 uint64_t refresh_member_digest(const member_t *member)
 {
@@ -109,7 +121,7 @@
 		return false;
 	if (pooler->config_follow == NULL)
 		return sync->holder != NULL && now < sync->holder_heard + HOLDER_SILENT;
-	return now < pooler->started + START_GRACE ||
+	return pooler->members_follow->held || now < pooler->started + START_GRACE ||
 	       directory_age(pooler, now) < stale_after(pooler);
 }
 
@@ -131,11 +143,43 @@
 	sync->members_due = now + members_interval(pooler);
 }
 
+/* True if a process that has just started may still be told what it would read. */
+static bool waits_to_be_told(pooler_t *pooler, usec_t now)
+{
+	const sync_t *sync = &pooler->sync;
+	bool large = sync->proxies > TOLD_FLEET;
+
+	if (sync->last_read_ok == 0)
+		return now < pooler->started + START_GRACE;
+	/* Of an earlier life: the size of the fleet is known. */
+	if (!large && roster_node(sync->roster, pooler->config.name) != NULL)
+		return false;
+	if (now >= pooler->started + TOLD_WITHIN)
+		return false;
+	return !permit_is_registered(pooler) ||
+	       (large && !sync->holding && !upstream_is_hub(pooler));
+}
+
+static void release(pooler_t *pooler)
+{
+	follow_release(pooler->config_follow);
+	follow_release(pooler->members_follow);
+}
+
+void refresh_begin(pooler_t *pooler, usec_t now)
+{
+	if (pooler->config_follow != NULL && pooler->members_follow->held &&
+	    !waits_to_be_told(pooler, now))
+		release(pooler);
+}
+
 void refresh_tick(pooler_t *pooler, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
-	bool told = is_told(pooler, now);
+	bool told;
 
+	refresh_begin(pooler, now);
+	told = is_told(pooler, now);
 	set_fed(pooler, told, now);
 	if (now >= sync->config_due && (!told || proof_wants_news(&pooler->keys, now + KEYS_AHEAD)))
 		refresh_config(pooler, now);
@@ -163,11 +207,27 @@
 	return pooler->config.config_bound * CONFIG_SPACING_PERCENT / 100;
 }
 
+/*
+ * All of it in one text, or NULL if all that ask this proxy can't be told so much: then they read
+ * the store, each by its own link.
+ */
+static const char *pack(const pooler_t *pooler, follow_t *follow)
+{
+	const roster_node_t *self = roster_node(pooler->sync.roster, pooler->config.name);
+	size_t listeners = UPSTREAM_SPAN * (self != NULL ? upstream_weight(self) : 1);
+	const char *packed = follow_pack(follow);
+
+	if (packed == NULL ||
+	    strlen(packed) * listeners > (size_t)pooler->config.link / PACKED_PART)
+		return NULL;
+	return packed;
+}
+
 /* The configuration, if it is time; else the receiver is told with a later answer. */
 static void describe_config(pooler_t *pooler, peer_report_t *report, int64_t since,
 			    peer_message_t *message, void *parent)
 {
-	const follow_t *follow = pooler->config_follow;
+	follow_t *follow = pooler->config_follow;
 	usec_t spacing = refresh_config_spacing(pooler);
 	usec_t now = now_of(pooler);
 	follow_news_t news;
@@ -176,11 +236,28 @@
 	    (report->config_told_at != 0 && now < report->config_told_at + spacing))
 		return;
 	news = changes_since(follow, since, parent, &message->config_changes);
-	message->read_config = news == FOLLOW_TOO_MUCH;
+	if (news == FOLLOW_TOO_MUCH) {
+		message->config_packed = pack(pooler, follow);
+		message->read_directory = message->config_packed == NULL;
+	}
 	if (news != FOLLOW_NOTHING)
 		report->config_told_at = now;
 }
 
+static void describe_members(pooler_t *pooler, peer_report_t *report, int64_t since,
+			     peer_message_t *message, void *parent)
+{
+	follow_t *follow = pooler->members_follow;
+	usec_t now = now_of(pooler);
+
+	if (changes_since(follow, since, parent, &message->members_changes) != FOLLOW_TOO_MUCH ||
+	    (report->members_packed_at != 0 && now < report->members_packed_at + PACKED_ON_ITS_WAY))
+		return;
+	message->members_packed = pack(pooler, follow);
+	message->read_directory |= message->members_packed == NULL;
+	report->members_packed_at = now;
+}
+
 void refresh_describe(pooler_t *pooler, const char *name, const peer_message_t *ask,
 		      peer_message_t *message, void *parent)
 {
@@ -194,8 +271,7 @@
 	if (ask != NULL || config_at != 0)
 		describe_config(pooler, report, config_at, message, parent);
 	if (pooler->members_follow != NULL && (ask != NULL || members_at != 0))
-		changes_since(pooler->members_follow, members_at, parent,
-			      &message->members_changes);
+		describe_members(pooler, report, members_at, message, parent);
 }
 
 /*
@@ -210,7 +286,7 @@
 	bool fed = pooler->config_follow != NULL && pooler->config_follow->fed;
 	unsigned most = fed ? FED_DIFFER_MAX : MEMBERS_DIFFER_MAX;
 
-	if (message->config_version > version && (!fed || message->read_config) &&
+	if (message->config_version > version && (!fed || message->read_directory) &&
 	    now + config_interval(pooler) / 2 >= sync->config_due)
 		refresh_config(pooler, now);
 	if (message->members_digest == refresh_members_digest(pooler))
@@ -240,6 +316,12 @@
 		follow_take(pooler->config_follow, message->config_changes);
 	if (pooler->members_follow != NULL && message->members_changes != NULL)
 		follow_take(pooler->members_follow, message->members_changes);
+	if (pooler->config_follow != NULL && message->config_packed != NULL)
+		follow_open(pooler->config_follow, message->config_packed);
+	if (pooler->members_follow != NULL && message->members_packed != NULL)
+		follow_open(pooler->members_follow, message->members_packed);
+	if (pooler->config_follow != NULL && message->read_directory)
+		release(pooler);
 	compare(pooler, message, now);
 	take_proof(pooler, message);
 	version = pooler->routes != NULL ? pooler->routes->version : 0;
--- a/pooler/refresh.h
+++ b/pooler/refresh.h
@@ -28,3 +28,6 @@
 void refresh_on_state(pooler_t *pooler, const peer_message_t *message, usec_t now);
 
 void refresh_tick(pooler_t *pooler, usec_t now);
+
+/* Begin to read the directory, unless a process that has just started may still be told it. */
+void refresh_begin(pooler_t *pooler, usec_t now);
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -6,6 +6,8 @@
 #include <talloc.h>
 #include <xxhash.h>
 
+#include "pack.h"
+
 #define LOG_MODULE "roster"
 #include "log.h"
 
@@ -164,7 +166,7 @@
 static char *dump_text(void *parent, json_t *root)
 {
 	char *text = json_dumps(root, JSON_COMPACT);
-	char *copy = talloc_strdup(parent, text);
+	char *copy = pack_text(parent, text, strlen(text));
 
 	free(text);
 	json_decref(root);
@@ -261,9 +263,20 @@
 	return decode_nodes(roster, nodes) < 0 || decode_groups(roster, groups) < 0 ? -1 : 0;
 }
 
+static json_t *load_text(const char *text, size_t len)
+{
+	void *parent = talloc_new(NULL);
+	size_t plain_len;
+	const char *plain = pack_open(parent, text, len, &plain_len);
+	json_t *root = plain != NULL ? json_loadb(plain, plain_len, 0, NULL) : NULL;
+
+	talloc_free(parent);
+	return root;
+}
+
 roster_t *roster_decode(void *parent, const char *text, size_t len, int64_t revision)
 {
-	json_t *root = json_loadb(text, len, 0, NULL);
+	json_t *root = load_text(text, len);
 	roster_t *roster = roster_create(parent);
 
 	roster->revision = revision;
@@ -454,7 +467,7 @@
 roster_diff_t *roster_take(void *parent, roster_t *roster, const char *text, size_t len,
 			   int64_t revision)
 {
-	json_t *root = json_loadb(text, len, 0, NULL);
+	json_t *root = load_text(text, len);
 	json_t *since = json_object_get(root, "since");
 	roster_t *newer = roster_create(NULL);
 	roster_diff_t *diff = NULL;
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -81,7 +81,10 @@
 
 void roster_set_writer(roster_t *roster, const char *name);
 
-/* As JSON text. It is kept, since a whole fleet is told the same; no change may follow. */
+/*
+ * As JSON text, packed if it is large (see pack.h). It is kept, since a whole fleet is told the
+ * same; no change may follow.
+ */
 const char *roster_text(roster_t *roster);
 
 /* NULL if text is no roster. */
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -17,6 +17,7 @@
 #include "join.h"
 #include "permit.h"
 #include "quota.h"
+#include "refresh.h"
 #include "upstream.h"
 
 #define LOG_MODULE "sync"
@@ -334,6 +335,7 @@
 		sync_confirm(pooler, sync->read_sent);
 	on_holder_item(pooler, item_named(result, holder_key), sync->read_sent);
 	talloc_free(roster_key);
+	refresh_begin(pooler, now);
 	/* At once: a fleet that starts together takes turns at this, one write after another. */
 	join_run(pooler, now);
 	sync_run_services(pooler);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -531,6 +531,12 @@
 	static const char *const fields[][2] = {
 		{"{{nodeName|json}}", "\"front-plateau-1\""},
 		{"{{zone|json}}", "\"plateau\""},
+		{"{{#limits.cpuShare}}", ""},
+		{"{{limits.cpuShare|json}}", "0.12"},
+		{"{{/limits.cpuShare}}", ""},
+		{"{{#limits.linkMbps}}", ""},
+		{"{{limits.linkMbps|json}}", "20.0"},
+		{"{{/limits.linkMbps}}", ""},
 		{"{{listen.front|json}}", "\"10.1.0.8:8784\""},
 		{"{{listen.ready|json}}", "\"10.1.0.8:8785\""},
 		{"{{ip}}", "10.1.0.8"},
