Tests of joining a large fleet; the holder of before writes itself first

Found by the test: after a loss of power nobody of 150 proxies joined. All hubs asked the holder that the store named, which had just started, asked a hub in turn, and could add nobody before it was on the roster itself. Whoever the store names as holder now writes its own entry at once, with all that have asked.

--- a/pooler/join.c
+++ b/pooler/join.c
@@ -186,6 +186,14 @@
 	return writer != NULL && !writer->gone ? writer : NULL;
 }
 
+/* Everybody asks us, by what the store said before; so our own entry comes first. */
+static bool was_holder(const pooler_t *pooler)
+{
+	const sync_t *sync = &pooler->sync;
+
+	return sync->former_lease != 0 || (sync->holder != NULL && !is_other(pooler, sync->holder));
+}
+
 /*
  * Who can add us: the holder of the duty, a hub that passes it on, or, when our own write met
  * another one, whoever made that. False if there is nobody.
@@ -197,8 +205,9 @@
 
 	*name = sync->holder;
 	*address = sync->holder_address;
-	if (!sync->join_asked && (goes_by_hubs(pooler) ? upstream_find(pooler, now, name, address)
-						       : is_other(pooler, sync->holder)))
+	if (!sync->join_asked && !was_holder(pooler) &&
+	    (goes_by_hubs(pooler) ? upstream_find(pooler, now, name, address)
+				  : is_other(pooler, sync->holder)))
 		return true;
 	writer = find_writer(pooler);
 	if (writer == NULL)
--- a/tests/pool_peers.c
+++ b/tests/pool_peers.c
@@ -68,6 +68,8 @@
 	text = fleet_encode(message);
 	mail->message = fleet_decode(mail, text, strlen(text));
 	g_assert_nonnull(mail->message);
+	from->messages++;
+	from->bytes += strlen(text);
 	free(text);
 	timers_arm(&to->timers, &mail->timer, world_now(from->world) + LINK_DELAY, on_mail);
 	return true;
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -10,7 +10,9 @@
 #include "fake_kv.h"
 #include "pooler.h"
 
-#define WORLD_NODES_MAX 64
+#define WORLD_NODES_MAX 160
+/* A fleet whose proxies ask the holder of the duty themselves to be added. */
+#define WORLD_FLEET	64
 #define WORLD_DATABASE	"jobs"
 #define WORLD_SERVICE	"core"
 #define WORLD_REPLY_MAX 512
@@ -38,6 +40,8 @@
 	list_t callers;			 /* world_caller_t */
 	bool drained;
 	size_t refreshes; /* of the directory that the pooler asked for */
+	size_t messages;  /* sent to other proxies */
+	size_t bytes;	  /* of these */
 } world_node_t;
 
 typedef struct world_caller {
--- a/tests/test_pooler_fleet.c
+++ b/tests/test_pooler_fleet.c
@@ -492,7 +492,7 @@
  */
 static void test_start_together(void)
 {
-	pool_world_t *world = world_create(WORLD_NODES_MAX, NULL);
+	pool_world_t *world = world_create(WORLD_FLEET, NULL);
 	usec_t start;
 	size_t calls;
 
--- /dev/null
+++ b/tests/test_pooler_join.c
@@ -0,0 +1,94 @@
+/* Getting on the roster, in a fleet in which not everybody can ask the holder of the duty. */
+#include <glib.h>
+
+#include "permit.h"
+#include "pool_check.h"
+#include "state.h"
+
+/* Proxies; the roster that they make has some 16 KB. */
+#define LARGE 150
+/* Hubs that they have: one for 16 of a zone, and one more a zone for what is left. */
+#define HUBS_MOST (LARGE / 16 + 3)
+
+static size_t count_registered(const pool_world_t *world)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < world->node_count; i++)
+		count += world->nodes[i].pooler != NULL &&
+			 permit_is_registered(world->nodes[i].pooler);
+	return count;
+}
+
+/* Proxies that have made a link to this one. */
+static size_t count_links_to(const pool_world_t *world, size_t node)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < world->node_count; i++)
+		count += world->nodes[i].link_at[node] != 0;
+	return count;
+}
+
+static void lose_power(pool_world_t *world)
+{
+	for (size_t i = 0; i < world->node_count; i++)
+		world_power_off(world, i);
+	world_run(world, 500 * MSEC);
+	world->new_links = true;
+	for (size_t i = 0; i < world->node_count; i++) {
+		world->nodes[i].messages = 0;
+		world->nodes[i].bytes = 0;
+	}
+}
+
+/*
+ * Guards against a holder that runs out of memory and bandwidth after a loss of power: each proxy
+ * asked it to be added, was answered over a link of its own, and was told of all the others.
+ */
+static void test_large_fleet_joins_by_hubs(void)
+{
+	pool_world_t *world = world_create(LARGE, NULL);
+	size_t holder;
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	holder = find_holder(world);
+	lose_power(world);
+	for (size_t i = 0; i < LARGE; i++)
+		world_start(world, i);
+	world_run(world, 1500 * MSEC);
+	g_test_message("links to the holder %zu, bytes that it sent %zu",
+		       count_links_to(world, holder), world->nodes[holder].bytes);
+	g_assert_cmpuint(count_registered(world), ==, LARGE);
+	g_assert_cmpuint(count_links_to(world, holder), <=, 2 * HUBS_MOST);
+	g_assert_cmpuint(world->nodes[holder].bytes, <=, 400 * 1000);
+	world_destroy(world);
+}
+
+/* Guards against proxies that never join, since the holder that the roster names is gone. */
+static void test_large_fleet_without_its_holder(void)
+{
+	pool_world_t *world = world_create(LARGE, NULL);
+	size_t holder;
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	holder = find_holder(world);
+	lose_power(world);
+	for (size_t i = 0; i < LARGE; i++) {
+		if (i != holder)
+			world_start(world, i);
+	}
+	world_run(world, 4 * SEC);
+	g_assert_cmpuint(count_registered(world), ==, LARGE - 1);
+	world_destroy(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/join/by-hubs", test_large_fleet_joins_by_hubs);
+	g_test_add_func("/join/without-the-holder", test_large_fleet_without_its_holder);
+	return g_test_run();
+}
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -6,6 +6,7 @@
 
 #include "fake_kv.h"
 #include "follow.h"
+#include "pack.h"
 #include "freshness.h"
 #include "roster.h"
 #include "variables.h"
@@ -301,7 +302,7 @@
 }
 
 /* One that the store does not answer; a peer tells it what changes. */
-static followed_t *followed_create_fed(void)
+static followed_t *followed_create_fed(bool held)
 {
 	followed_t *self = followed_create();
 
@@ -312,7 +313,8 @@
 				  .clock = &self->clock.base,
 				  .timers = &self->timers,
 				  .prefix = "servers/",
-				  .fed = true};
+				  .fed = true,
+				  .held = held};
 	self->store->down = true;
 	follow_start(&self->follow, NULL);
 	return self;
@@ -332,6 +334,82 @@
 	return told;
 }
 
+/* Members of a large deployment, as their entries are. */
+#define MEMBERS 3000
+
+static void put_members(fake_kv_t *store)
+{
+	for (int i = 0; i < MEMBERS; i++) {
+		g_autofree char *key = g_strdup_printf("servers/i-%08x", (unsigned)i * 2654435761u);
+		g_autofree char *value = g_strdup_printf(
+			"{\"service\":\"jobs%d\",\"addr\":\"10.9.%d.%d:9000\",\"zone\":\"plateau\","
+			"\"version\":\"1.0\",\"slots\":2,\"state\":\"ready\",\"coldLeftMs\":0,"
+			"\"seq\":%d,\"dbRole\":\"%s\",\"born\":1780000000000}",
+			i / 3, i / 250, i % 250, i * 7 % 1000, i % 3 == 0 ? "primary" : "replica");
+
+		fake_kv_put(store, key, value);
+	}
+}
+
+/*
+ * Guards against a start in which every proxy of a large fleet reads all members from the store:
+ * 985 times 1.3 MB through its one link. A peer tells them as one text, and changes after it.
+ */
+static void test_follow_packed(void)
+{
+	followed_t *peer = followed_create();
+	followed_t *fed = followed_create_fed(true);
+	const char *packed;
+	size_t calls;
+
+	put_members(peer->store);
+	pass(peer, SEC);
+	calls = fed->store->call_count;
+	g_assert_false(tell(peer, fed));
+	packed = follow_pack(&peer->follow);
+	g_test_message("%d members, %zu bytes", MEMBERS, strlen(packed));
+	g_assert_cmpuint(strlen(packed), <, 60 * MEMBERS);
+	g_assert_true(follow_pack(&peer->follow) == packed);
+	g_assert_false(follow_open(&fed->follow, "zlib:9999 AAAA"));
+	g_assert_false(follow_open(&fed->follow, "{\"as_of\":7}"));
+	g_assert_cmpuint(g_hash_table_size(fed->seen), ==, 0);
+	g_assert_true(follow_open(&fed->follow, packed));
+	g_assert_cmpuint(g_hash_table_size(fed->seen), ==, MEMBERS + 1);
+	follow_release(&fed->follow);
+	pass(fed, SEC);
+	g_assert_cmpuint(fed->store->call_count, ==, calls);
+	fake_kv_put(peer->store, "servers/b", "1");
+	pass(peer, 100 * MSEC);
+	g_assert_true(tell(peer, fed));
+	g_assert_cmpstr(seen(fed, "servers/b"), ==, "1");
+	followed_destroy(fed);
+	followed_destroy(peer);
+}
+
+static void test_pack_round_trip(void)
+{
+	GString *text = g_string_new("");
+	void *parent = talloc_new(NULL);
+	const char *packed;
+	const char *opened;
+	size_t len;
+
+	g_assert_cmpstr(pack_text(parent, "short", 5), ==, "short");
+	g_assert_cmpstr(pack_open(parent, "short", 5, &len), ==, "short");
+	while (text->len < 2 * PACK_LEAST)
+		g_string_append_printf(text, "{\"entry\":%zu},", text->len);
+	packed = pack_text(parent, text->str, text->len);
+	g_assert_cmpuint(strlen(packed), <, text->len / 2);
+	opened = pack_open(parent, packed, strlen(packed), &len);
+	g_assert_cmpuint(len, ==, text->len);
+	g_assert_cmpstr(opened, ==, text->str);
+	/* Cut off, and with a length that is not the text's. */
+	g_assert_null(pack_open(parent, packed, strlen(packed) / 2, &len));
+	g_assert_null(pack_open(parent, "zlib:99999999999999 eA==", 24, &len));
+	talloc_free(parent);
+	g_string_free(text, TRUE);
+}
+
 /*
  * What the store saw before: one change of a member cost a call of each proxy, 295 in the largest
  * fleet. One that is told by a peer makes none, learns the same, and is told nothing twice.
@@ -339,7 +417,7 @@
 static void test_follow_by_a_peer(void)
 {
 	followed_t *peer = followed_create();
-	followed_t *fed = followed_create_fed();
+	followed_t *fed = followed_create_fed(false);
 	size_t calls;
 
 	g_assert_true(tell(peer, fed));
@@ -371,7 +449,7 @@
 static void test_follow_late_discovery(void)
 {
 	followed_t *peer = followed_create();
-	followed_t *fed = followed_create_fed();
+	followed_t *fed = followed_create_fed(false);
 
 	tell(peer, fed);
 	peer->store->deaf_watches = true;
@@ -399,7 +477,7 @@
 {
 	followed_t *first = followed_create();
 	followed_t *second = followed_create();
-	followed_t *fed = followed_create_fed();
+	followed_t *fed = followed_create_fed(false);
 
 	fake_kv_put(first->store, "servers/old", "1");
 	pass(first, 50 * MSEC);
@@ -431,6 +509,8 @@
 	g_test_add_func("/freshness/too-close", test_samples_too_close);
 	g_test_add_func("/roster/round-trip", test_roster_round_trip);
 	g_test_add_func("/variables/sets", test_variables);
+	g_test_add_func("/follow/packed", test_follow_packed);
+	g_test_add_func("/pack/round-trip", test_pack_round_trip);
 	g_test_add_func("/follow/changes", test_follow_changes);
 	g_test_add_func("/follow/gathers", test_follow_gathers);
 	g_test_add_func("/follow/compaction", test_follow_compaction);
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -192,21 +192,21 @@
  */
 static void test_holder_stays_away(void)
 {
-	pool_world_t *world = world_create(WORLD_NODES_MAX, NULL);
+	pool_world_t *world = world_create(WORLD_FLEET, NULL);
 	size_t holder;
 
 	world_settle(world);
 	world_run(world, 2 * SEC);
 	holder = find_holder(world);
-	for (size_t i = 0; i < WORLD_NODES_MAX; i++)
+	for (size_t i = 0; i < WORLD_FLEET; i++)
 		world_power_off(world, i);
 	world_run(world, 100 * MSEC);
-	for (size_t i = 0; i < WORLD_NODES_MAX; i++) {
+	for (size_t i = 0; i < WORLD_FLEET; i++) {
 		if (i != holder)
 			world_start(world, i);
 	}
 	world_run(world, 500 * MSEC);
-	g_assert_cmpuint(count_registered(world), ==, WORLD_NODES_MAX - 1);
+	g_assert_cmpuint(count_registered(world), ==, WORLD_FLEET - 1);
 	world_destroy(world);
 }
 
