Routes are found by hash; samples of a primary are kept for services in use

Cause: 3,252 routes were searched by name for each statement, and took three allocations each; each of 1,000 services kept room for 128 samples, 3 MB in each proxy, of which callers use a dozen.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -437,11 +437,13 @@
 	if (!permit_covers(member, now))
 		return;
 	if (service->fresh_primary == NULL || strcmp(service->fresh_primary, member->id) != 0) {
-		freshness_reset(&service->freshness);
+		freshness_reset(service->freshness);
 		talloc_free(service->fresh_primary);
 		service->fresh_primary = talloc_strdup(service, member->id);
 	}
-	freshness_add(&service->freshness, conn->sent_at, reply->position);
+	if (service->freshness == NULL)
+		service->freshness = talloc_zero(service, freshness_t);
+	freshness_add(service->freshness, conn->sent_at, reply->position);
 }
 
 static void on_status(conn_t *conn, const reply_t *reply, const member_status_t *status)
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -82,7 +82,7 @@
 /* Returns false if no position is known to be fresh enough for the caller's read. */
 static bool position_for(const caller_t *caller, sample_t *wanted)
 {
-	const freshness_t *freshness = &caller->service->freshness;
+	const freshness_t *freshness = caller->service->freshness;
 
 	if (!freshness_position(freshness, caller->received_at, caller->max_age, wanted))
 		return false;
@@ -161,7 +161,7 @@
 	if (position_covers(replica->applied, wanted->position) ||
 	    now >= replica->lagged_at + LAG_BELIEVED)
 		return true;
-	caught_up_to = freshness_time_of(&replica->service->freshness, replica->applied);
+	caught_up_to = freshness_time_of(replica->service->freshness, replica->applied);
 	return caught_up_to != 0 &&
 	       wanted->sent_at + (replica->applied_at - caught_up_to) + LAG_MARGIN <= now;
 }
--- a/pooler/freshness.c
+++ b/pooler/freshness.c
@@ -2,6 +2,8 @@
 
 void freshness_reset(freshness_t *freshness)
 {
+	if (freshness == NULL)
+		return;
 	freshness->next = 0;
 	freshness->len = 0;
 }
@@ -30,7 +32,7 @@
 
 bool freshness_position(const freshness_t *freshness, usec_t now, usec_t max_age, sample_t *sample)
 {
-	for (size_t i = freshness->len; i > 0; i--) {
+	for (size_t i = freshness != NULL ? freshness->len : 0; i > 0; i--) {
 		*sample = *sample_at(freshness, i);
 		if (sample->sent_at + max_age >= now)
 			return true;
@@ -40,7 +42,7 @@
 
 usec_t freshness_time_of(const freshness_t *freshness, position_t position)
 {
-	for (size_t i = 1; i <= freshness->len; i++) {
+	for (size_t i = 1; freshness != NULL && i <= freshness->len; i++) {
 		const sample_t *sample = sample_at(freshness, i);
 
 		if (position_covers(position, sample->position))
--- a/pooler/freshness.h
+++ b/pooler/freshness.h
@@ -28,6 +28,8 @@
 	size_t len;
 } freshness_t;
 
+/* NULL stands for no samples wherever they are read or forgotten. */
+
 /* Forget everything: the samples' primary is no longer the primary. */
 void freshness_reset(freshness_t *freshness);
 
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -79,7 +79,7 @@
 	member->survey_done = false;
 	member->status = (member_status_t){0};
 	if (verdict_primary(member->service) == member)
-		freshness_reset(&member->service->freshness);
+		freshness_reset(member->service->freshness);
 }
 
 /* False if the entry is of an earlier life. */
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -507,7 +507,7 @@
 	return json_pack("{s:s, s:s, s:i, s:i, s:i, s:o}", "name", service->name, "primary",
 			 primary != NULL ? primary->id : "", "waiting",
 			 (int)list_length(&service->waiting), "samples",
-			 (int)service->freshness.len, "change_step", (int)service->change.step,
+			 service->freshness != NULL ? (int)service->freshness->len : 0, "change_step", (int)service->change.step,
 			 "members", members);
 }
 
--- a/pooler/routes.h
+++ b/pooler/routes.h
@@ -7,6 +7,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <uthash.h>
+
 #include "clock.h"
 #include "customers.h"
 #include "list.h"
@@ -18,9 +20,10 @@
 } reads_t;
 
 typedef struct route {
-	list_t node;
-	char *database;
-	char *service;
+	list_t node;	   /* in routes_t.routes */
+	UT_hash_handle hh; /* in routes_t.by_database: looked up for each operation */
+	const char *database;
+	const char *service;
 	reads_t reads;
 	usec_t max_age;
 	usec_t statement_timeout;
@@ -30,8 +33,9 @@
 } route_t;
 
 typedef struct service_limits {
-	list_t node;
-	char *name;
+	list_t node;	   /* in routes_t.services */
+	UT_hash_handle hh; /* in routes_t.services_by_name */
+	const char *name;
 	int64_t max_connections; /* at each member, over all proxies */
 	bool sync_replicas;	 /* a commit waits for one replica to receive it */
 } service_limits_t;
@@ -41,12 +45,18 @@
 	int64_t version;
 	usec_t tx_idle; /* a transaction that rests longer may be ended */
 	list_t routes;
+	route_t *by_database;
 	list_t services;
+	service_limits_t *services_by_name;
 	customers_t *customers;
 } routes_t;
 
 routes_t *routes_create(void *parent);
 
+/* To be filled in by the caller. The first route of a database name is the one that counts. */
+route_t *routes_add(routes_t *routes, const char *database, const char *service);
+service_limits_t *routes_add_service(routes_t *routes, const char *name);
+
 /* The route of a database name, or NULL. */
 const route_t *routes_find(const routes_t *routes, const char *database);
 const service_limits_t *routes_service(const routes_t *routes, const char *name);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -260,7 +260,7 @@
 	run_timer_t retry;	/* first attempt that is put off */
 	bool dispatching;
 	bool dispatch_again;
-	freshness_t freshness;
+	freshness_t *freshness; /* NULL: no sample was taken yet */
 	char *fresh_primary;	  /* the samples were taken there */
 	usec_t changing_since;	  /* as the roster told; USEC_NEVER: not changing */
 	usec_t change_end;	  /* when the change is expected to be over */
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -91,16 +91,13 @@
 static void add_route(routes_t *routes, const pool_world_t *world, const char *database,
 		      reads_t reads)
 {
-	route_t *route = talloc_zero(routes, route_t);
+	route_t *route = routes_add(routes, database, WORLD_SERVICE);
 
-	route->database = talloc_strdup(route, database);
-	route->service = WORLD_SERVICE;
 	route->reads = reads;
 	route->max_age = world->max_age;
 	route->statement_timeout = 800 * USEC_PER_MSEC;
 	route->objective = WORLD_OBJECTIVE;
 	route->open = world->customer_count == 0 || strcmp(database, "open") == 0;
-	list_add_tail(&routes->routes, &route->node);
 }
 
 static void add_customers(routes_t *routes, const pool_world_t *world)
@@ -119,7 +116,7 @@
 static routes_t *make_routes(const pool_world_t *world)
 {
 	routes_t *routes = routes_create(NULL);
-	service_limits_t *limits = talloc_zero(routes, service_limits_t);
+	service_limits_t *limits = routes_add_service(routes, WORLD_SERVICE);
 
 	routes->version = world->config_version;
 	routes->tx_idle = 3 * USEC_PER_SEC;
@@ -129,10 +126,8 @@
 	add_route(routes, world, "session", READS_SESSION);
 	add_route(routes, world, "open", READS_BOUNDED);
 	add_customers(routes, world);
-	limits->name = WORLD_SERVICE;
 	limits->max_connections = (int64_t)world->db->config.max_connections;
 	limits->sync_replicas = world->sync_replicas;
-	list_add_tail(&routes->services, &limits->node);
 	return routes;
 }
 
--- a/tests/test_pooler_verdict.c
+++ b/tests/test_pooler_verdict.c
@@ -98,12 +98,11 @@
 
 	routes->version = 1000;
 	for (int i = 0; i < MANY; i++) {
-		service_limits_t *limits = talloc_zero(routes, service_limits_t);
+		g_autofree char *name = g_strdup_printf("more-%d", i);
 		g_autofree char *id = g_strdup_printf("more-%d-0", i);
+		service_limits_t *limits = routes_add_service(routes, name);
 
-		limits->name = talloc_asprintf(limits, "more-%d", i);
 		limits->max_connections = 4;
-		list_add_tail(&routes->services, &limits->node);
 		pooler_on_member(pooler, &(member_entry_t){.id = id,
 							   .service = limits->name,
 							   .address = "10.9.9.9:1",
