Pushes to a large fleet are spaced; changes of the directory are packed, not all of it again

And each write of first primaries was told to all of them at once.

Changed: what has changed is packed like the whole; between two pushes 100 us a proxy pass, where that is a tick or more (500 proxies). The router's socket is looked at four times a second where no edge told of anything, instead of 20.

--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -35,7 +35,7 @@
 #define KEEPALIVE_INTERVAL_SEC 2
 #define KEEPALIVE_PROBES       3
 #define CURVE_KEY_CHARS	       40
-#define RECHECK_INTERVAL       (50 * USEC_PER_MSEC)
+#define RECHECK_INTERVAL       (250 * USEC_PER_MSEC)
 /* A link that was not used for so long is closed: each costs memory and heartbeats at both ends. */
 #define IDLE_MOST (20 * USEC_PER_SEC)
 /*
--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -119,11 +119,11 @@
  * first primaries took 465 writes of the whole roster, and a fleet before 100 databases never came
  * to serve.
  */
-static void flush(pooler_t *pooler)
+static void flush(pooler_t *pooler, usec_t now)
 {
 	roster_t *roster = NULL;
 
-	if (pooler->sync.storing)
+	if (pooler->sync.storing || now < pooler->sync.store_next)
 		return;
 	list_for_each (it, &pooler->active_services) {
 		service_t *service = list_entry(it, service_t, active);
@@ -142,6 +142,8 @@
 	if (roster == NULL)
 		return;
 	pooler->sync.storing = true;
+	/* Each is told to the whole fleet. */
+	pooler->sync.store_next = now + exchange_spacing(pooler);
 	sync_commit(pooler, roster, on_stored, pooler);
 	talloc_free(roster);
 }
@@ -592,7 +594,7 @@
 	list_for_each (it, &pooler->active_services)
 		step(list_entry(it, service_t, active), now);
 	watch_others(pooler, now);
-	flush(pooler);
+	flush(pooler, now);
 }
 
 usec_t duty_remaining(const service_t *service, usec_t now)
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -33,6 +33,14 @@
 #define ASK_LEAST 12
 /* Between two questions to the holder. */
 #define ASK_INTERVAL (250 * USEC_PER_MSEC)
+/*
+ * Between two pushes of news, for each proxy of the fleet: all of them are told with each. The
+ * first primaries of 1,000 services come in a hundred writes, and are told to 985 proxies in ten a
+ * second.
+ */
+#define PUSH_SPACING_EACH 100 /* us */
+/* A tick: what would wait for less is pushed at once. */
+#define PUSH_SPACING_LEAST (50 * USEC_PER_MSEC)
 /* Ticks within which a link to a proxy that lives is made. */
 #define LINK_TRIES 3
 /* A roster that was told is believed to be on its way for so long. */
@@ -317,16 +325,16 @@
 	send_state(pooler, peer->name, peer->address, NULL);
 }
 
-void exchange_push_listeners(pooler_t *pooler)
+static void push_listeners(pooler_t *pooler)
 {
 	each_listener(pooler, now_of(pooler), push_to, NULL);
 }
 
-void exchange_push(pooler_t *pooler)
+static void push_all(pooler_t *pooler)
 {
 	if (upstream_applies(pooler)) {
 		upstream_each_hub(pooler, push_to, NULL);
-		exchange_push_listeners(pooler);
+		push_listeners(pooler);
 		return;
 	}
 	list_for_each (it, &pooler->sync.roster->nodes) {
@@ -337,6 +345,42 @@
 	}
 }
 
+static void push_wanted(pooler_t *pooler)
+{
+	sync_t *sync = &pooler->sync;
+	usec_t now = now_of(pooler);
+	push_t wanted = sync->push_wanted;
+
+	if (wanted == PUSH_NONE || now < sync->push_next)
+		return;
+	sync->push_wanted = PUSH_NONE;
+	sync->push_next = now + exchange_spacing(pooler);
+	if (wanted == PUSH_ALL)
+		push_all(pooler);
+	else
+		push_listeners(pooler);
+}
+
+usec_t exchange_spacing(const pooler_t *pooler)
+{
+	usec_t spacing = pooler->sync.proxies * PUSH_SPACING_EACH;
+
+	return spacing >= PUSH_SPACING_LEAST ? spacing : 0;
+}
+
+void exchange_push(pooler_t *pooler)
+{
+	pooler->sync.push_wanted = PUSH_ALL;
+	push_wanted(pooler);
+}
+
+void exchange_push_listeners(pooler_t *pooler)
+{
+	if (pooler->sync.push_wanted == PUSH_NONE)
+		pooler->sync.push_wanted = PUSH_LISTENERS;
+	push_wanted(pooler);
+}
+
 bool exchange_ping(const pooler_t *pooler, const roster_node_t *peer)
 {
 	peer_message_t message = {.kind = PEER_PING};
@@ -760,6 +804,7 @@
 void exchange_tick(pooler_t *pooler, usec_t now)
 {
 	push_config(pooler, now);
+	push_wanted(pooler);
 	/* The holder knows what the others ask it for. */
 	if (!hold_is_ours(pooler, now) || is_news_old(pooler, now))
 		ask(pooler, now);
--- a/pooler/exchange.h
+++ b/pooler/exchange.h
@@ -22,6 +22,9 @@
  */
 void exchange_push(pooler_t *pooler);
 
+/* Between two pushes to a large fleet; 0: none. */
+usec_t exchange_spacing(const pooler_t *pooler);
+
 /* Tell those only that ask this proxy. */
 void exchange_push_listeners(pooler_t *pooler);
 
--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -382,54 +382,69 @@
 
 /* --- as one text --- */
 
-/* Values that are no UTF-8 can't be JSON strings; nobody but their writer has a use for them. */
+/* NULL if it can't be told: values that are no UTF-8 are of use to their writer only. */
 static json_t *encode_item(const known_t *known)
 {
-	json_t *value = json_stringn(known->value, known->len);
+	bool there = known->missing_since == USEC_NEVER;
+	json_t *value = there ? json_stringn(known->value, known->len) : json_null();
 
 	if (value == NULL)
 		return NULL;
 	return json_pack("[s, I, o]", known->key, (json_int_t)known->revision, value);
 }
 
-const char *follow_pack(follow_t *follow)
+static void encode_list(json_t *items, const list_t *list, int64_t since)
 {
+	list_for_each (it, list) {
+		const known_t *known = list_entry(it, known_t, node);
+		json_t *item = known->told > since ? encode_item(known) : NULL;
+
+		if (item != NULL)
+			json_array_append_new(items, item);
+	}
+}
+
+const char *follow_pack(follow_t *follow, int64_t since)
+{
+	bool whole = since < follow->whole_from;
 	json_t *items;
+	json_t *root;
 	char *text;
 
 	if (follow->revision == 0)
 		return NULL;
-	if (follow->packed != NULL && follow->packed_at == follow->told)
+	if (whole)
+		since = 0;
+	if (follow->packed != NULL && follow->packed_at == follow->told &&
+	    follow->packed_since == since)
 		return follow->packed;
 	items = json_array();
-	list_for_each (it, &follow->keys) {
-		const known_t *known = list_entry(it, known_t, node);
-		json_t *item = known->missing_since == USEC_NEVER ? encode_item(known) : NULL;
-
-		if (item != NULL)
-			json_array_append_new(items, item);
-	}
-	items = json_pack("{s:I, s:o}", "as_of", (json_int_t)follow->told, "items", items);
-	text = json_dumps(items, JSON_COMPACT);
-	json_decref(items);
+	encode_list(items, &follow->keys, since);
+	encode_list(items, &follow->gone, since);
+	root = json_pack("{s:I, s:b, s:o}", "as_of", (json_int_t)follow->told, "whole", whole,
+			 "items", items);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
 	talloc_free(follow->packed);
 	follow->packed = pack_text(follow->parent, text, strlen(text));
 	follow->packed_at = follow->told;
+	follow->packed_since = since;
 	free(text);
 	return follow->packed;
 }
 
 static bool decode_item(json_t *root, kv_item_t *item)
 {
+	json_t *value;
 	json_int_t revision;
-	size_t len;
 
 	*item = (kv_item_t){0};
-	if (json_unpack(root, "[s, I, s%]", &item->key, &revision, &item->value, &len) != 0)
+	if (json_unpack(root, "[s, I, o]", &item->key, &revision, &value) != 0)
 		return false;
-	item->len = len;
 	item->revision = revision;
-	return true;
+	item->value = json_string_value(value);
+	item->len = json_string_length(value);
+	return item->value != NULL || json_is_null(value);
 }
 
 bool follow_open(follow_t *follow, const char *text)
@@ -441,7 +456,7 @@
 	json_t *list = json_object_get(root, "items");
 	kv_item_t *items = talloc_array(parent, kv_item_t, json_array_size(list));
 	follow_changes_t changes = {
-		.whole = true,
+		.whole = json_is_true(json_object_get(root, "whole")),
 		.as_of = json_integer_value(json_object_get(root, "as_of")),
 		.items = items,
 	};
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -50,7 +50,8 @@
 	int64_t whole_from; /* everything since that revision is known */
 	char *packed;	    /* by follow_pack() */
 	int64_t packed_at;  /* told, as it was then */
-	bool fed;	    /* a peer tells what changes; the store is not watched */
+	int64_t packed_since;
+	bool fed; /* a peer tells what changes; the store is not watched */
 	/* A whole reading, which can go on beside a watch. */
 	bool reading;
 	bool page_asked;
@@ -95,10 +96,10 @@
 			     follow_changes_t *changes);
 
 /*
- * All that is known, packed as one text, of which a fleet is told the same; it is kept. NULL if
- * nothing is.
+ * What a follower that was told everything up to since lacks, packed as one text, of which a fleet
+ * is told the same; it is kept. NULL if nothing is known.
  */
-const char *follow_pack(follow_t *follow);
+const char *follow_pack(follow_t *follow, int64_t since);
 
 /* The same from a peer. False if the text is none. */
 bool follow_open(follow_t *follow, const char *text);
--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -208,14 +208,14 @@
 }
 
 /*
- * All of it in one text, or NULL if all that ask this proxy can't be told so much: then they read
- * the store, each by its own link.
+ * What is lacking in one text, or NULL if all that ask this proxy can't be told so much: then they
+ * read the store, each by its own link.
  */
-static const char *pack(const pooler_t *pooler, follow_t *follow)
+static const char *pack(const pooler_t *pooler, follow_t *follow, int64_t since)
 {
 	const roster_node_t *self = roster_node(pooler->sync.roster, pooler->config.name);
 	size_t listeners = UPSTREAM_SPAN * (self != NULL ? upstream_weight(self) : 1);
-	const char *packed = follow_pack(follow);
+	const char *packed = follow_pack(follow, since);
 
 	if (packed == NULL ||
 	    strlen(packed) * listeners > (size_t)pooler->config.link / PACKED_PART)
@@ -237,7 +237,7 @@
 		return;
 	news = changes_since(follow, since, parent, &message->config_changes);
 	if (news == FOLLOW_TOO_MUCH) {
-		message->config_packed = pack(pooler, follow);
+		message->config_packed = pack(pooler, follow, since);
 		message->read_directory = message->config_packed == NULL;
 	}
 	if (news != FOLLOW_NOTHING)
@@ -253,7 +253,7 @@
 	if (changes_since(follow, since, parent, &message->members_changes) != FOLLOW_TOO_MUCH ||
 	    (report->members_packed_at != 0 && now < report->members_packed_at + PACKED_ON_ITS_WAY))
 		return;
-	message->members_packed = pack(pooler, follow);
+	message->members_packed = pack(pooler, follow, since);
 	message->read_directory |= message->members_packed == NULL;
 	report->members_packed_at = now;
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -260,7 +260,7 @@
 	run_timer_t retry;	/* first attempt that is put off */
 	bool dispatching;
 	bool dispatch_again;
-	freshness_t *freshness; /* NULL: no sample was taken yet */
+	freshness_t *freshness;	  /* NULL: no sample was taken yet */
 	char *fresh_primary;	  /* the samples were taken there */
 	usec_t changing_since;	  /* as the roster told; USEC_NEVER: not changing */
 	usec_t change_end;	  /* when the change is expected to be over */
@@ -333,6 +333,9 @@
 	bool is_hub; /* this proxy is one */
 } hubs_t;
 
+/* Who is to be told news at once. */
+typedef enum { PUSH_NONE, PUSH_LISTENERS, PUSH_ALL } push_t;
+
 typedef struct sync {
 	roster_t *roster;    /* the newest known */
 	size_t proxies;	     /* on it */
@@ -356,6 +359,7 @@
 	bool join_answered;  /* by that proxy, since then */
 	unsigned join_tries; /* proxies asked since our last own write */
 	bool storing;	     /* groups are being written */
+	usec_t store_next;   /* the next such write */
 	bool adding;	     /* others to the roster */
 	list_t joiners;	     /* that have asked for it; see join.c */
 	size_t joiner_count;
@@ -369,6 +373,8 @@
 	unsigned next_peer;
 	hubs_t hubs;
 	usec_t config_pushed_at;
+	push_t push_wanted;
+	usec_t push_next;
 	bool config_news;    /* those that ask this proxy are to be told at once */
 	char *upstream;	     /* who was asked last */
 	usec_t directory_at; /* configuration and members were known to be current then */
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -366,10 +366,10 @@
 	pass(peer, SEC);
 	calls = fed->store->call_count;
 	g_assert_false(tell(peer, fed));
-	packed = follow_pack(&peer->follow);
+	packed = follow_pack(&peer->follow, 0);
 	g_test_message("%d members, %zu bytes", MEMBERS, strlen(packed));
 	g_assert_cmpuint(strlen(packed), <, 60 * MEMBERS);
-	g_assert_true(follow_pack(&peer->follow) == packed);
+	g_assert_true(follow_pack(&peer->follow, 0) == packed);
 	g_assert_false(follow_open(&fed->follow, "zlib:9999 AAAA"));
 	g_assert_false(follow_open(&fed->follow, "{\"as_of\":7}"));
 	g_assert_cmpuint(g_hash_table_size(fed->seen), ==, 0);
@@ -380,8 +380,16 @@
 	g_assert_cmpuint(fed->store->call_count, ==, calls);
 	fake_kv_put(peer->store, "servers/b", "1");
 	pass(peer, 100 * MSEC);
-	g_assert_true(tell(peer, fed));
+	/* Changes, with what is missing, and not all of it again. */
+	fake_kv_put(peer->store, "servers/a", NULL);
+	pass(peer, 100 * MSEC);
+	packed = follow_pack(&peer->follow, fed->follow.told);
+	g_assert_cmpuint(strlen(packed), <, 200);
+	g_assert_true(follow_open(&fed->follow, packed));
 	g_assert_cmpstr(seen(fed, "servers/b"), ==, "1");
+	pass(fed, 3 * SEC);
+	g_assert_null(seen(fed, "servers/a"));
+	g_assert_cmpint(fed->follow.told, ==, peer->follow.told);
 	followed_destroy(fed);
 	followed_destroy(peer);
 }
