A proxy of a large fleet with nothing under way ticks four times a second; eras of the store

Cause: 985 processes woke 20 times a second to look at nothing. What begins (a statement, a connection, a change of primary) brings the next tick forward to 50 ms.

--- a/links/httpc.c
+++ b/links/httpc.c
@@ -248,3 +248,12 @@
 	timers_cancel(&httpc->loop->timers, &httpc->timer);
 	curl_multi_cleanup(httpc->multi);
 }
+
+const char *httpc_header(const httpc_call_t *call, const char *name)
+{
+	struct curl_header *header;
+
+	return curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) == CURLHE_OK
+		       ? header->value
+		       : NULL;
+}
--- a/links/httpc.h
+++ b/links/httpc.h
@@ -60,5 +60,8 @@
 /* The call is freed after on_done. */
 httpc_call_t *httpc_start(httpc_t *httpc, const httpc_request_t *request);
 
+/* A header of the answer, during on_done; NULL if it has none of that name. */
+const char *httpc_header(const httpc_call_t *call, const char *name);
+
 /* End a call without its callback. */
 void httpc_cancel(httpc_call_t *call);
--- a/pooler/active.c
+++ b/pooler/active.c
@@ -1,10 +1,17 @@
 #include "active.h"
 
+#include "hold.h"
+#include "permit.h"
+#include "relay.h"
+#include "upstream.h"
+
 /*
  * A service stays active for so long after its last use: longer than a reply proves its member
  * alive, and than a member is believed to fail statements.
  */
 #define ACTIVE_FOR (4 * USEC_PER_SEC)
+/* News of the roster is usually no older than this, by way of a hub. */
+#define NEWS_USUAL (900 * USEC_PER_MSEC)
 
 void active_init(pooler_t *pooler)
 {
@@ -17,6 +24,7 @@
 	service->active_until = now_of(service->pooler) + ACTIVE_FOR;
 	if (list_empty(&service->active))
 		list_add_tail(&service->pooler->active_services, &service->active);
+	pooler_hasten(service->pooler);
 }
 
 void active_add_member(member_t *member)
@@ -38,6 +46,49 @@
 	       service->change.busy || service->storing;
 }
 
+static bool member_is_busy(const member_t *member)
+{
+	if (member->down || member->probe_conn != NULL)
+		return true;
+	list_for_each (it, &member->conns) {
+		if (list_entry(it, conn_t, node)->state != CONN_IDLE)
+			return true;
+	}
+	return false;
+}
+
+static bool any_is_busy(const pooler_t *pooler)
+{
+	list_for_each (it, &pooler->active_services) {
+		const service_t *service = list_entry(it, service_t, active);
+
+		if (!list_empty(&service->waiting) || service->changing_since != USEC_NEVER)
+			return true;
+	}
+	list_for_each (it, &pooler->active_members) {
+		if (member_is_busy(list_entry(it, member_t, active)))
+			return true;
+	}
+	return false;
+}
+
+/* Work for the fleet, or not in order with it. */
+static bool is_fleet_busy(pooler_t *pooler, usec_t now)
+{
+	const sync_t *sync = &pooler->sync;
+
+	return sync->holding || upstream_is_hub(pooler) || !upstream_applies(pooler) ||
+	       !permit_is_registered(pooler) || sync->joiner_count != 0 ||
+	       relay_is_cut_off(pooler->relay) || now >= sync->confirmed_at + NEWS_USUAL;
+}
+
+bool active_is_busy(pooler_t *pooler, usec_t now)
+{
+	return pooler->draining || pooler->routes == NULL || !list_empty(&pooler->forwarded) ||
+	       !list_empty(&pooler->sync.awaited) || is_fleet_busy(pooler, now) ||
+	       any_is_busy(pooler);
+}
+
 void active_tick(pooler_t *pooler, usec_t now)
 {
 	list_for_each_safe (it, &pooler->active_members) {
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -332,6 +332,7 @@
 		report->unanswered_since = now;
 	if (list_empty(&report->awaited))
 		list_add_tail(&pooler->sync.awaited, &report->awaited);
+	pooler_hasten(pooler);
 }
 
 void home_on_heard(pooler_t *pooler, const char *name, size_t outstanding, usec_t now)
--- a/pooler/kv.h
+++ b/pooler/kv.h
@@ -9,6 +9,32 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/*
+ * A store that comes back from a copy gives its revisions out again. It counts these times, and the
+ * count, its era, stands above the revision in each number here, so that numbers only rise: of
+ * revisions, of leases, and of fencing tokens made of them. Whoever implements a store sees to it
+ * that a call that rests on an earlier era ends as if its keys had changed (KV_CONFLICT), its lease
+ * had ended (KV_NOT_FOUND) or its history was gone (KV_COMPACTED). Era 0: the store has none.
+ */
+#define KV_ERA_SHIFT 40
+
+static inline int64_t kv_era(int64_t revision)
+{
+	return revision >> KV_ERA_SHIFT;
+}
+
+/* The store's own number of a revision or lease. */
+static inline int64_t kv_number(int64_t revision)
+{
+	return revision & (((int64_t)1 << KV_ERA_SHIFT) - 1);
+}
+
+/* 0, which stands for none, is 0 in every era. */
+static inline int64_t kv_in_era(int64_t era, int64_t number)
+{
+	return number != 0 ? (era << KV_ERA_SHIFT) | number : 0;
+}
+
 typedef struct kv_item {
 	const char *key;
 	const char *value; /* NULL in an event that tells of a deletion */
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -30,6 +30,8 @@
 
 /* How often time-outs that need no precision are looked at. */
 #define TICK_INTERVAL (50 * USEC_PER_MSEC)
+/* The same while nothing is under way: as often as the fleet is asked for news. */
+#define TICK_IDLE (250 * USEC_PER_MSEC)
 /*
  * A tick that comes so late means that the process had no processor. Answers may lie unread in its
  * buffers, so nobody is held to be silent before they were looked at: on a VM with an eighth of
@@ -254,21 +256,38 @@
 	pooler->env->ops->drained(pooler->env);
 }
 
+static void on_tick(run_timer_t *timer, usec_t now);
+
+static void arm_tick(pooler_t *pooler, usec_t at)
+{
+	pooler->tick_due = at;
+	timers_arm(pooler->timers, &pooler->tick, at, on_tick);
+}
+
+void pooler_hasten(pooler_t *pooler)
+{
+	usec_t soon = now_of(pooler) + TICK_INTERVAL;
+
+	/* Not armed: before the start, or in the middle of a tick. */
+	if (timer_is_armed(&pooler->tick) && pooler->tick_due > soon)
+		arm_tick(pooler, soon);
+}
+
 static void on_tick(run_timer_t *timer, usec_t now)
 {
 	pooler_t *pooler = list_entry(timer, pooler_t, tick);
 
-	if (now > pooler->last_tick + TICK_INTERVAL + PAUSE_NOTICED) {
+	if (now > pooler->tick_due + PAUSE_NOTICED) {
 		counter_add(&pauses_total, 1);
 		LOG_EVENT(LOG_WARN, "process was stopped",
 			  LOG_INT("ms", (int64_t)((now - pooler->last_tick) / USEC_PER_MSEC)));
 	}
-	if (now > pooler->last_tick + TICK_INTERVAL + STALL_NOTICED)
+	if (now > pooler->tick_due + STALL_NOTICED)
 		pooler->awake_since = now;
-	if (now > pooler->last_tick + TICK_INTERVAL)
-		histogram_add(&late_seconds, now - pooler->last_tick - TICK_INTERVAL);
+	if (now > pooler->tick_due)
+		histogram_add(&late_seconds, now - pooler->tick_due);
 	pooler->last_tick = now;
-	timers_arm(pooler->timers, timer, now + TICK_INTERVAL, on_tick);
+	arm_tick(pooler, now + TICK_INTERVAL);
 	summary_tick(&pooler->summary, now);
 	active_tick(pooler, now);
 	tick_members(pooler, now);
@@ -290,6 +309,8 @@
 	tick_callers(pooler, now);
 	stop_accepting(pooler, now);
 	tell_drained(pooler);
+	if (!active_is_busy(pooler, now))
+		arm_tick(pooler, now + TICK_IDLE);
 }
 
 /* --- start and end --- */
@@ -348,6 +369,7 @@
 	usec_t now = now_of(pooler);
 
 	pooler->last_tick = now;
+	pooler->tick_due = now;
 	pooler->started = now;
 	on_tick(&pooler->tick, now);
 }
@@ -507,8 +529,8 @@
 	return json_pack("{s:s, s:s, s:i, s:i, s:i, s:o}", "name", service->name, "primary",
 			 primary != NULL ? primary->id : "", "waiting",
 			 (int)list_length(&service->waiting), "samples",
-			 service->freshness != NULL ? (int)service->freshness->len : 0, "change_step", (int)service->change.step,
-			 "members", members);
+			 service->freshness != NULL ? (int)service->freshness->len : 0,
+			 "change_step", (int)service->change.step, "members", members);
 }
 
 json_t *pooler_dump(const pooler_t *pooler)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -434,6 +434,7 @@
 	run_timer_t tick;
 	run_timer_t more_hangups; /* sessions that are still to be closed */
 	usec_t last_tick;
+	usec_t tick_due; /* the next */
 	usec_t started;
 	usec_t last_permitted; /* 0: never */
 	usec_t awake_since;    /* this process was found late at its timers; see on_tick() */
@@ -453,6 +454,9 @@
 	return clock_now(pooler->clock);
 }
 
+/* What has begun needs a look soon; see active_is_busy(). */
+void pooler_hasten(pooler_t *pooler);
+
 /* Pseudo-random number below bound, from the pooler's seed. */
 uint64_t pooler_random(pooler_t *pooler, uint64_t bound);
 
