A store that comes back older brings no replaced primary back

The roster says in which era it was written; the store's in a later one is a copy, by which nobody uses a primary (restore.c). The holder of before writes it again from what it knows, if its lease had not run out. Anybody else marks all groups as being changed by an earlier holder, so that members are asked first.

Weighed: to ask all proxies for the newest roster first; that waits for the slowest of 985 and proves nothing about one that died.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -10,6 +10,7 @@
 #include "hold.h"
 #include "member.h"
 #include "permit.h"
+#include "restore.h"
 #include "survey.h"
 #include "sweep.h"
 #include "sync.h"
@@ -587,7 +588,7 @@
 
 void duty_tick(pooler_t *pooler, usec_t now)
 {
-	if (!hold_is_ours(pooler, now))
+	if (!hold_is_ours(pooler, now) || restore_is_due(pooler))
 		return;
 	sweep_tick(pooler, now);
 	verdict_count(pooler, now);
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -749,6 +749,8 @@
 {
 	if (message->draining)
 		note_draining(pooler, message);
+	if (message->config_version > pooler->config_heard)
+		pooler->config_heard = message->config_version;
 	if (message->kind != PEER_RESULT)
 		forward_on_heard(pooler, message->from);
 	switch (message->kind) {
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -7,6 +7,7 @@
 #include "duty.h"
 #include "exchange.h"
 #include "permit.h"
+#include "restore.h"
 #include "sync.h"
 #include "upstream.h"
 
@@ -199,11 +200,11 @@
 		      now < sync->last_read_ok + VACANT_BELIEVED;
 
 	if (!vacant || sync->acquiring || sync->holding || pooler->draining ||
-	    !permit_is_registered(pooler))
+	    (!permit_is_registered(pooler) && !restore_is_due(pooler)))
 		return;
 	if (sync->acquire_after < sync->last_read_ok) {
 		sync->acquire_after = now + pooler_random(pooler, ACQUIRE_JITTER);
-		if (is_stronger_listed(pooler))
+		if (is_stronger_listed(pooler) || restore_yields(pooler, now))
 			sync->acquire_after += WEAKER_WAITS;
 		return;
 	}
@@ -232,6 +233,9 @@
 			sync->hold_until = renewal->sent_at + duty_ttl(pooler) - DUTY_MARGIN;
 			sync->renew_next = now + RENEW_INTERVAL;
 		} else if (result->status == KV_NOT_FOUND) {
+			if (result->era > kv_era((int64_t)renewal->lease))
+				restore_on_lease_ended(pooler);
+			sync->behind = true;
 			hold_lose(pooler, "the lease ended");
 		} else {
 			sync->renew_next = result->status == KV_LOST ? now : now + RENEW_RETRY;
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -7,6 +7,7 @@
 #include "exchange.h"
 #include "hold.h"
 #include "permit.h"
+#include "restore.h"
 #include "sync.h"
 #include "upstream.h"
 
@@ -277,7 +278,8 @@
 	sync_t *sync = &pooler->sync;
 
 	if (sync->registering || sync->reading || sync->confirmed_at == USEC_NEVER ||
-	    pooler->draining || permit_is_registered(pooler) || is_being_added(pooler, now))
+	    restore_is_due(pooler) || pooler->draining || permit_is_registered(pooler) ||
+	    is_being_added(pooler, now))
 		return;
 	if (sync->join_began == 0)
 		sync->join_began = now;
@@ -438,7 +440,8 @@
 	sync_t *sync = &pooler->sync;
 	roster_t *roster;
 
-	if (sync->adding || list_empty(&sync->joiners) || !permit_is_registered(pooler))
+	if (sync->adding || list_empty(&sync->joiners) || !permit_is_registered(pooler) ||
+	    restore_is_due(pooler))
 		return;
 	if (passes_on(pooler, now)) {
 		tell_added(pooler);
--- a/pooler/kv.h
+++ b/pooler/kv.h
@@ -62,6 +62,7 @@
 	bool truncated; /* more items follow after the last one's key */
 	uint64_t lease;
 	int64_t ttl_ms;
+	int64_t era; /* the newest that was known when the call ended; 0: not told */
 } kv_result_t;
 
 /* What result points to is valid during the call only. */
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -466,7 +466,9 @@
 
 void pooler_on_keys_proved(pooler_t *pooler, usec_t asked_at)
 {
-	proof_extend(&pooler->keys, asked_at);
+	/* A store that came back from a copy may hold an older one than the fleet knows. */
+	if (pooler->routes != NULL && pooler->routes->version >= pooler->config_heard)
+		proof_extend(&pooler->keys, asked_at);
 }
 
 void pooler_on_member(pooler_t *pooler, const member_entry_t *entry)
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -101,6 +101,7 @@
 	roster_t *copy = roster_create(parent);
 
 	copy->revision = roster->revision;
+	copy->era = roster->era;
 	list_for_each (it, &roster->nodes) {
 		const roster_node_t *node = list_entry(it, roster_node_t, node);
 
@@ -159,8 +160,9 @@
 		if (group->changed > since)
 			json_object_set_new(groups, group->service, encode_group(group));
 	}
-	return json_pack("{s:o, s:o, s:s}", "nodes", nodes, "groups", groups, "writer",
-			 roster->writer != NULL ? roster->writer : "");
+	return json_pack("{s:o, s:o, s:s, s:I}", "nodes", nodes, "groups", groups, "writer",
+			 roster->writer != NULL ? roster->writer : "", "era",
+			 (json_int_t)roster->era);
 }
 
 static char *dump_text(void *parent, json_t *root)
@@ -260,6 +262,7 @@
 
 	if (writer != NULL)
 		roster_set_writer(roster, writer);
+	roster->era = json_integer_value(json_object_get(root, "era"));
 	return decode_nodes(roster, nodes) < 0 || decode_groups(roster, groups) < 0 ? -1 : 0;
 }
 
@@ -427,6 +430,7 @@
 	if (roster->revision == 0)
 		roster->whole_from = newer->revision;
 	roster->revision = newer->revision;
+	roster->era = newer->era;
 	if (newer->writer != NULL)
 		roster_set_writer(roster, newer->writer);
 	TALLOC_FREE(roster->text);
--- a/pooler/roster.h
+++ b/pooler/roster.h
@@ -54,6 +54,7 @@
 	roster_node_t *by_name;
 	list_t groups;
 	roster_group_t *by_service;
+	int64_t era;  /* of the store, in which it was written */
 	char *writer; /* the proxy that wrote this; NULL: unknown */
 	char *text;   /* encoded; NULL until it is asked for */
 	size_t node_count;
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -348,6 +348,11 @@
 	usec_t read_sent;
 	usec_t read_after; /* back-off */
 	bool behind;	   /* the store may hold a newer roster than ours */
+	int64_t era;	   /* newest of the store that is known */
+	int64_t restored;  /* revision of the copy that the store holds; 0: none; see restore.h */
+	bool restoring;	   /* the roster is being written in the new era */
+	bool groups_known; /* no other proxy can know newer ones */
+	usec_t led_until;  /* when our lease would have ended that went with its era */
 	usec_t last_read_ok;
 	usec_t read_jitter;
 	bool registering;
@@ -408,6 +413,7 @@
 struct pooler {
 	follow_t *config_follow; /* NULL: the directory is kept elsewhere */
 	follow_t *members_follow;
+	int64_t config_heard; /* newest version that another proxy has in force */
 	const run_clock_t *clock;
 	timer_set_t *timers;
 	env_t *env;
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -18,6 +18,7 @@
 #include "permit.h"
 #include "quota.h"
 #include "refresh.h"
+#include "restore.h"
 #include "upstream.h"
 
 #define LOG_MODULE "sync"
@@ -160,6 +161,12 @@
 		on_group(pooler, &diff->groups[i]);
 }
 
+static void note_era(sync_t *sync, int64_t revision)
+{
+	if (kv_era(revision) > sync->era)
+		sync->era = kv_era(revision);
+}
+
 /* Takes the difference over, and frees it. */
 static void on_adopted(pooler_t *pooler, roster_diff_t *diff)
 {
@@ -169,6 +176,9 @@
 	sync->adopted_at = now_of(pooler);
 	sync->changing = sync->roster->changing_count != 0;
 	counter_set(&roster_revision, sync->roster->revision);
+	if (sync->roster->revision > sync->restored)
+		sync->restored = 0;
+	note_era(sync, sync->roster->revision);
 	forget_agreement(sync);
 	note_listed(pooler, diff);
 	quota_on_roster(pooler);
@@ -276,8 +286,18 @@
 
 static void on_roster_item(pooler_t *pooler, const kv_item_t *item)
 {
-	if (item->revision > pooler->sync.roster->revision)
-		sync_take(pooler, item->value, item->len, item->revision);
+	roster_t *roster;
+
+	if (item->revision <= pooler->sync.roster->revision)
+		return;
+	roster = roster_decode(NULL, item->value, item->len, item->revision);
+	if (roster == NULL)
+		LOG_EVENT(LOG_ERR, "roster can't be read", LOG_STR("key", item->key),
+			  LOG_INT("revision", item->revision));
+	else if (roster->era < kv_era(item->revision))
+		restore_on_copy(pooler, roster, item->revision);
+	else
+		sync_adopt(pooler, roster);
 }
 
 static const kv_item_t *item_named(const kv_result_t *result, const char *key)
@@ -327,6 +347,7 @@
 		return;
 	}
 	log_store_back(pooler, now);
+	note_era(sync, result->as_of);
 	sync->last_read_ok = now;
 	item = item_named(result, roster_key);
 	if (item != NULL)
@@ -379,6 +400,7 @@
 	pooler_t *pooler;
 	usec_t sent_at;
 	roster_t *roster;
+	int64_t expected;
 	kv_done_t done;
 	void *data;
 } commit_t;
@@ -396,7 +418,7 @@
 		return;
 	}
 	/* Nobody has written the roster, so it is the hold that has ended. */
-	if (item->revision == commit->roster->revision)
+	if (item->revision == commit->expected)
 		pooler->sync.behind = true;
 	on_roster_item(pooler, item);
 	if (item->revision == pooler->sync.roster->revision)
@@ -445,12 +467,15 @@
 	kv_t *kv = pooler_store(pooler);
 	commit_t *commit = talloc_zero(pooler, commit_t);
 	char *key = sync_key(commit, pooler, "roster");
-	kv_write_t writes[2] = {{.key = key, .expected = roster->revision}};
+	int64_t expected = restore_is_due(pooler) ? pooler->sync.restored : roster->revision;
+	kv_write_t writes[2] = {{.key = key, .expected = expected}};
 	size_t count = 1;
 
 	commit->pooler = pooler;
 	commit->sent_at = now_of(pooler);
+	commit->expected = expected;
 	commit->roster = roster_copy(commit, roster);
+	commit->roster->era = expected != 0 ? kv_era(expected) : pooler->sync.era;
 	roster_set_writer(commit->roster, pooler->config.name);
 	writes[0].value = roster_text(commit->roster);
 	/*
@@ -473,5 +498,6 @@
 {
 	if (must_read(pooler, now))
 		read_store(pooler, now);
+	restore_run(pooler, now);
 	join_run(pooler, now);
 }
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -161,6 +161,58 @@
 	fake_kv_put(store, key, NULL);
 }
 
+static void drop_items(list_t *items)
+{
+	list_for_each_safe (it, items) {
+		item_t *item = list_entry(it, item_t, node);
+
+		list_del(&item->node);
+		talloc_free(item);
+	}
+}
+
+static void add_copy(fake_kv_t *store, list_t *to, const item_t *from, int64_t era)
+{
+	item_t *item = talloc_zero(store, item_t);
+
+	item->key = talloc_strdup(item, from->key);
+	item->value = talloc_strdup(item, from->value);
+	item->revision = kv_in_era(era, kv_number(from->revision));
+	item->created = kv_in_era(era, kv_number(from->created));
+	item->lease = from->lease;
+	list_add_tail(to, &item->node);
+}
+
+void fake_kv_copy(fake_kv_t *store)
+{
+	drop_items(&store->copy);
+	list_for_each (it, &store->items)
+		add_copy(store, &store->copy, list_entry(it, item_t, node), 0);
+	store->copy_revision = kv_number(store->revision);
+}
+
+void fake_kv_restore(fake_kv_t *store)
+{
+	int64_t era = kv_era(store->revision) + 1;
+
+	drop_items(&store->items);
+	list_for_each (it, &store->copy) {
+		const item_t *item = list_entry(it, item_t, node);
+
+		if (item->lease == 0)
+			add_copy(store, &store->items, item, era);
+	}
+	list_for_each_safe (it, &store->leases) {
+		lease_t *lease = list_entry(it, lease_t, node);
+
+		list_del(&lease->node);
+		talloc_free(lease);
+	}
+	store->next_lease = (uint64_t)kv_in_era(era, 1) - 1;
+	store->revision = kv_in_era(era, store->copy_revision);
+	fake_kv_compact(store);
+}
+
 void fake_kv_compact(fake_kv_t *store)
 {
 	store->compacted = store->revision;
@@ -377,6 +429,7 @@
 static void finish(call_t *call)
 {
 	list_del(&call->node);
+	call->result.era = kv_era(call->client->store->revision);
 	call->done(call->data, &call->result);
 	talloc_free(call);
 }
@@ -558,6 +611,7 @@
 	list_init(&store->leases);
 	list_init(&store->events);
 	list_init(&store->calls);
+	list_init(&store->copy);
 	talloc_set_destructor(store, destructor);
 	return store;
 }
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -28,6 +28,8 @@
 	unsigned lose_answers; /* of the next writes, which are done */
 	unsigned lose_keeps;   /* the same of the next renewals of leases */
 	size_t call_count;
+	list_t copy; /* of the items, for fake_kv_restore() */
+	int64_t copy_revision;
 } fake_kv_t;
 
 /* One caller's access to it. */
@@ -47,6 +49,15 @@
 void fake_kv_put(fake_kv_t *store, const char *key, const char *value);
 const char *fake_kv_get(const fake_kv_t *store, const char *key);
 
+/* Take a copy of what it holds. */
+void fake_kv_copy(fake_kv_t *store);
+
+/*
+ * It comes back from its copy, in the next era: what was written since is gone, leases and their
+ * keys are, and its numbers are given out again.
+ */
+void fake_kv_restore(fake_kv_t *store);
+
 /* Drop the history up to now. */
 void fake_kv_compact(fake_kv_t *store);
 
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -27,11 +27,14 @@
 /* Seeds from here on play a fleet that is large enough to have hubs. */
 #define LARGE_FIRST 1000000
 #define LARGE_SEEDS 6
-#define LARGE_NODES 20
-#define CALLERS	    12
-#define ITEMS	    6
-#define PLAY_TIME   (20 * SEC)
-#define STEP	    (2 * MSEC)
+/* Seeds from here on play a store that comes back from a copy some seconds old. */
+#define RESTORED_FIRST 2000000
+#define RESTORED_SEEDS 10
+#define LARGE_NODES    20
+#define CALLERS	       12
+#define ITEMS	       6
+#define PLAY_TIME      (20 * SEC)
+#define STEP	       (2 * MSEC)
 /* Between two faults on average. */
 #define FAULT_EVERY 600
 #define WRITES_MAX  20000
@@ -73,6 +76,10 @@
 typedef struct play {
 	pool_world_t *world;
 	GRand *rand;
+	GRand *store_rand; /* of the store's copies; NULL: it does not come back from one */
+	usec_t next_copy;
+	usec_t next_restore;
+	usec_t restore_at; /* 0: it is not away for one */
 	client_t clients[CALLERS];
 	write_record_t *writes;
 	size_t write_count;
@@ -575,6 +582,39 @@
 	}
 }
 
+static usec_t store_time(play_t *play, usec_t least, usec_t most)
+{
+	return now_of_play(play) +
+	       (usec_t)g_rand_double_range(play->store_rand, (double)least, (double)most);
+}
+
+/*
+ * The store is copied now and then; it goes away for a moment, and comes back from the last copy.
+ * At the end of the play it does not.
+ */
+static void step_store(play_t *play, bool restores)
+{
+	fake_kv_t *store = play->world->kv;
+	usec_t now = now_of_play(play);
+
+	if (play->store_rand == NULL)
+		return;
+	if (now >= play->next_copy && play->restore_at == 0) {
+		play->next_copy = store_time(play, 300 * MSEC, 4 * SEC);
+		fake_kv_copy(store);
+	}
+	if (restores && now >= play->next_restore && play->restore_at == 0) {
+		play->restore_at = store_time(play, 50 * MSEC, 1500 * MSEC);
+		play->next_restore = play->restore_at + store_time(play, 2 * SEC, 10 * SEC) - now;
+		store->down = true;
+	}
+	if (play->restore_at != 0 && now >= play->restore_at) {
+		play->restore_at = 0;
+		store->down = play->store_back != 0;
+		fake_kv_restore(store);
+	}
+}
+
 static void end_faults(play_t *play, bool all)
 {
 	pool_world_t *world = play->world;
@@ -683,8 +723,9 @@
 	usec_t end;
 
 	play->seed = seed;
-	play->nodes = seed >= LARGE_FIRST ? LARGE_NODES : NODES;
+	play->nodes = seed >= LARGE_FIRST && seed < RESTORED_FIRST ? LARGE_NODES : NODES;
 	play->rand = g_rand_new_with_seed(seed);
+	play->store_rand = seed >= RESTORED_FIRST ? g_rand_new_with_seed(~seed) : NULL;
 	play->world = world_create_keyed(play->nodes, config_of(seed), customers,
 					 G_N_ELEMENTS(customers));
 	play->writes = g_new0(write_record_t, WRITES_MAX);
@@ -699,6 +740,7 @@
 		for (size_t i = 0; i < CALLERS; i++)
 			step_client(play, &play->clients[i]);
 		maybe_fault(play);
+		step_store(play, true);
 		world_run(play->world, STEP);
 	}
 	/* A shutdown takes its grace at most. */
@@ -706,9 +748,14 @@
 		for (size_t i = 0; i < CALLERS; i++)
 			step_client(play, &play->clients[i]);
 		end_faults(play, false);
+		step_store(play, false);
 		world_run(play->world, STEP);
 		g_assert_cmpuint(now_of_play(play), <, end + 8 * SEC);
 	}
+	while (play->restore_at != 0) {
+		step_store(play, false);
+		world_run(play->world, STEP);
+	}
 	end_faults(play, true);
 	world_run(play->world, 16 * SEC);
 	for (size_t i = 0; i < CALLERS; i++)
@@ -725,6 +772,8 @@
 		       play->write_count, play->world->promote_count);
 	world_destroy(play->world);
 	g_rand_free(play->rand);
+	if (play->store_rand != NULL)
+		g_rand_free(play->store_rand);
 	g_free(play->writes);
 	g_free(play);
 }
@@ -773,6 +822,15 @@
 		play_seed(seed);
 }
 
+/* The same faults before a store that comes back older. */
+static void test_restored_seeds(void)
+{
+	uint32_t count = number_of("FAULT_RESTORED_SEEDS", RESTORED_SEEDS);
+
+	for (uint32_t seed = RESTORED_FIRST; seed < RESTORED_FIRST + count; seed++)
+		play_seed(seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -780,5 +838,7 @@
 	g_test_add_func("/faults/seeds", test_seeds);
 	if (number_of("FAULT_SEED", 0) == 0)
 		g_test_add_func("/faults/large-seeds", test_large_seeds);
+	if (number_of("FAULT_SEED", 0) == 0)
+		g_test_add_func("/faults/restored-seeds", test_restored_seeds);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/test_pooler_restore.c
@@ -0,0 +1,210 @@
+/* A store that comes back from a copy some seconds old, in its next era. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "permit.h"
+#include "pool_check.h"
+#include "state.h"
+
+/* Time in which a fleet has the roster of the new era, and its primaries. */
+#define SETTLED (8 * SEC)
+
+static void run_until_promoted(pool_world_t *world, size_t count)
+{
+	for (int i = 0; i < 6000 && world->promote_count < count; i++)
+		world_run(world, MSEC);
+	g_assert_cmpuint(world->promote_count, ==, count);
+	world_run(world, 2 * SEC);
+}
+
+/* A copy is taken; then member 0 dies, and another one leads. */
+static pool_world_t *make_replaced(size_t nodes)
+{
+	pool_world_t *world = world_create(nodes, NULL);
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	fake_kv_copy(world->kv);
+	world_crash_member(world, 0);
+	run_until_promoted(world, 1);
+	return world;
+}
+
+/* The write's answer, after some tries within that time. */
+static bool is_served_by(pool_world_t *world, size_t node, const char *member, usec_t within)
+{
+	g_autofree char *done = g_strdup_printf("DONE %s", member);
+	usec_t end = clock_now(&world->clock.base) + within;
+	bool served = false;
+
+	while (!served && clock_now(&world->clock.base) < end) {
+		world_caller_t *caller = world_open(world, node);
+
+		served = g_str_has_prefix(world_ask(caller, "WRITE job-1 a"), done);
+		world_leave(caller);
+		world_run(world, 20 * MSEC);
+	}
+	return served;
+}
+
+static const char *leader_of(const pool_world_t *world)
+{
+	return world->promotes[world->promote_count - 1].member;
+}
+
+/*
+ * Guards against a primary that was replaced in the lost seconds, and is used again since the store
+ * says so; and against a second without writes where the holder of the duty knows better.
+ */
+static void test_primary_stays_replaced(void)
+{
+	pool_world_t *world = make_replaced(5);
+	g_autofree char *leader = g_strdup(leader_of(world));
+
+	fake_kv_restore(world->kv);
+	for (int i = 0; i < 40; i++) {
+		g_assert_true(is_served_by(world, find_other(world), leader, 10 * MSEC));
+		world_run(world, 50 * MSEC);
+	}
+	world_run(world, SETTLED);
+	g_assert_cmpuint(world->promote_count, ==, 1);
+	for (size_t i = 0; i < world->node_count; i++) {
+		const roster_t *roster = world->nodes[i].pooler->sync.roster;
+
+		g_assert_cmpint(kv_era(roster->revision), ==, 1);
+		g_assert_cmpint(roster->era, ==, 1);
+		g_assert_cmpstr(roster_group(roster, WORLD_SERVICE)->primary, ==, leader);
+	}
+	g_assert_cmpuint(world_permitted(world, leader), ==, world->node_count);
+	world_destroy(world);
+}
+
+/* Guards against the same if the only proxy that wrote it down dies at that moment. */
+static void test_holder_dies_with_the_store(void)
+{
+	pool_world_t *world = make_replaced(5);
+	g_autofree char *leader = g_strdup(leader_of(world));
+	size_t holder = find_holder(world);
+
+	world_kill(world, holder);
+	fake_kv_restore(world->kv);
+	g_assert_true(is_served_by(world, (holder + 1) % world->node_count, leader,
+				   PERMIT_TOGETHER + SETTLED));
+	world_run(world, SETTLED);
+	g_assert_cmpuint(world_permitted(world, leader), ==, world->node_count - 1);
+	world_destroy(world);
+}
+
+/* The old primary is cut off from the new one, and still calls itself primary. */
+static pool_world_t *make_split(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	fake_kv_copy(world->kv);
+	world->db->members[0].deaf = true;
+	world->db->members[0].leaving = true;
+	run_until_promoted(world, 1);
+	world->db->members[0].leaving = false;
+	return world;
+}
+
+/*
+ * Guards against a write that is lost: a process that starts with the store's copy has nobody to
+ * ask but the members, and the primary of the copy still answers as one.
+ */
+static void test_fresh_process_asks_the_members(void)
+{
+	pool_world_t *world = make_split();
+	g_autofree char *leader = g_strdup(leader_of(world));
+
+	for (size_t i = 0; i < world->node_count; i++)
+		world_kill(world, i);
+	world_run(world, SEC);
+	fake_kv_restore(world->kv);
+	world_start(world, 1);
+	for (int i = 0; i < 60; i++) {
+		world_caller_t *caller = world_open(world, 1);
+
+		if (caller->caller != NULL) {
+			const char *reply = world_ask(caller, "WRITE job-1 a");
+
+			g_assert_false(g_str_has_prefix(reply, "DONE core-0"));
+		}
+		world_leave(caller);
+		world_run(world, 100 * MSEC);
+	}
+	/* The others, which don't come back, may have used it for this long. */
+	g_assert_true(is_served_by(world, 1, leader, PERMIT_TOGETHER + SETTLED));
+	world_destroy(world);
+}
+
+/*
+ * Guards against calls to promote that pass for older ones: the store's own numbers start again
+ * below those that were given out.
+ */
+static void test_fences_rise(void)
+{
+	pool_world_t *world = make_replaced(5);
+
+	world_run(world, 3 * SEC);
+	fake_kv_restore(world->kv);
+	world_run(world, SETTLED);
+	world_crash_member(world, leader_of(world)[strlen("core-")] - '0');
+	run_until_promoted(world, 2);
+	g_assert_cmpuint(world->promotes[1].fence, >, world->promotes[0].fence);
+	world_destroy(world);
+}
+
+/* Guards against rosters that are held for the newest for ever: the store comes back twice. */
+static void test_twice(void)
+{
+	pool_world_t *world = make_replaced(5);
+	g_autofree char *leader = g_strdup(leader_of(world));
+
+	fake_kv_restore(world->kv);
+	world_run(world, SEC / 2);
+	fake_kv_restore(world->kv);
+	world_run(world, SETTLED);
+	g_assert_cmpuint(world_permitted(world, leader), ==, world->node_count);
+	g_assert_cmpint(kv_era(world->nodes[0].pooler->sync.roster->revision), ==, 2);
+	world_destroy(world);
+}
+
+/*
+ * Guards against a key that was taken in the lost seconds, and opens again: the copy's
+ * configuration proves nothing while another proxy has a newer one in force.
+ */
+static void test_old_configuration_proves_no_keys(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	pooler_t *pooler;
+	usec_t proved;
+	peer_message_t message = {.kind = PEER_PING, .from = "p9", .address = "10.0.0.9:1"};
+
+	world_settle(world);
+	pooler = world->nodes[0].pooler;
+	pooler_on_keys_proved(pooler, now_of(pooler));
+	proved = proof_age(&pooler->keys, now_of(pooler));
+	message.config_version = pooler->routes->version + 1;
+	pooler_on_message(pooler, &message);
+	world_run(world, SEC);
+	pooler_on_keys_proved(pooler, now_of(pooler));
+	g_assert_cmpuint(proof_age(&pooler->keys, now_of(pooler)), >=, proved + SEC);
+	world_destroy(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/restore/primary-stays-replaced", test_primary_stays_replaced);
+	g_test_add_func("/restore/holder-dies", test_holder_dies_with_the_store);
+	g_test_add_func("/restore/fresh-process", test_fresh_process_asks_the_members);
+	g_test_add_func("/restore/fences-rise", test_fences_rise);
+	g_test_add_func("/restore/twice", test_twice);
+	g_test_add_func("/restore/old-configuration", test_old_configuration_proves_no_keys);
+	return g_test_run();
+}
