A write that its home refused is not told as in doubt when the refusal is read late

Cause, by reading: a home refuses what did not run 20 ms before its caller's proxy gives up, and a busy VM takes longer to read that. The write then ended in doubt, and its client could not try it again.

Changed: 60 ms, and after its deadline a write that is at a home which is not silent waits 150 ms more for the refusal. /forward/refusal-is-read-late ("in doubt" before).

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -11,6 +11,7 @@
 #include "dispatch.h"
 #include "forward.h"
 #include "hangup.h"
+#include "home.h"
 #include "job.h"
 #include "member.h"
 #include "permit.h"
@@ -30,6 +31,8 @@
 #define RETRY_STEP (4 * USEC_PER_MSEC)
 /* When to come back if what is known of the keys is too old: questions to peers take half of it. */
 #define RETRY_KEYS (500 * USEC_PER_MSEC)
+/* After its deadline a write that is at another proxy waits so long for its refusal. */
+#define REFUSAL_PATIENCE (150 * USEC_PER_MSEC)
 /* Longest reason in an answer, bytes. */
 #define REASON_MAX 160
 
@@ -449,12 +452,30 @@
 
 /* --- statements that a member runs --- */
 
+static void on_deadline(run_timer_t *timer, usec_t now);
+
+/*
+ * The home has refused what did not run by now, and its refusal may be late by what a busy VM takes
+ * to read it. Without it a write that reached no member ends in doubt, and is not tried again.
+ */
+static bool waits_for_refusal(caller_t *caller, usec_t now)
+{
+	if (caller->forward_number == 0 || !caller_may_keep(caller) ||
+	    now >= caller->deadline + REFUSAL_PATIENCE ||
+	    home_is_suspect(caller->pooler, caller->helper, now))
+		return false;
+	timers_arm(caller->pooler->timers, &caller->timer, caller->deadline + REFUSAL_PATIENCE,
+		   on_deadline);
+	return true;
+}
+
 static void on_deadline(run_timer_t *timer, usec_t now)
 {
 	caller_t *caller = list_entry(timer, caller_t, timer);
 	conn_t *conn = caller->conn;
 
-	(void)now;
+	if (waits_for_refusal(caller, now))
+		return;
 	if (caller->forward_number == 0 && (conn == NULL || conn->state != CONN_RUNNING)) {
 		caller_refuse(caller,
 			      caller->tx == TX_OPEN && caller->tx_ran ? CODE_ABORTED : CODE_BUSY,
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -16,7 +16,7 @@
 #include "log.h"
 
 /* Of a result from its proxy to us, with what both need to get to it under load. */
-#define RESULT_WAYS (20 * USEC_PER_MSEC)
+#define RESULT_WAYS (60 * USEC_PER_MSEC)
 
 COUNTER_DEFINE(forwarded_total, "statements_forwarded_total", COUNTER_SUM,
 	       "Statements handed to another proxy.");
--- a/tests/pool_peers.c
+++ b/tests/pool_peers.c
@@ -71,6 +71,7 @@
 	from->messages++;
 	from->bytes += strlen(text);
 	free(text);
-	timers_arm(&to->timers, &mail->timer, world_now(from->world) + LINK_DELAY, on_mail);
+	timers_arm(&to->timers, &mail->timer, world_now(from->world) + LINK_DELAY + to->peer_delay,
+		   on_mail);
 	return true;
 }
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -39,9 +39,10 @@
 	list_t links;			 /* to members */
 	list_t callers;			 /* world_caller_t */
 	bool drained;
-	size_t refreshes; /* of the directory that the pooler asked for */
-	size_t messages;  /* sent to other proxies */
-	size_t bytes;	  /* of these */
+	size_t refreshes;  /* of the directory that the pooler asked for */
+	usec_t peer_delay; /* of messages to it, beyond the usual */
+	size_t messages;   /* sent to other proxies */
+	size_t bytes;	   /* of these */
 } world_node_t;
 
 typedef struct world_caller {
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -556,6 +556,36 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against a write in doubt, which its caller can't try again, though no member has seen it:
+ * the home refused it in time, and our proxy was late to read that.
+ */
+static void test_refusal_is_read_late(void)
+{
+	pool_world_t *world = make_scarce();
+	size_t away = find_away(world);
+	world_caller_t *writer = world_open_database(world, away, "strict");
+	const world_node_t *home;
+
+	assert_begins(world_ask(writer, "WRITE job-1 a"), "DONE");
+	home = helper_of(world, writer);
+	world->db->members[0].slow = 2 * SEC;
+	for (int i = 0; i < 4; i++) {
+		world_caller_t *other =
+			world_open_database(world, (size_t)(home - world->nodes), "strict");
+
+		world_send(other, "WRITE job-2 b");
+	}
+	world_run(world, 10 * MSEC);
+	world_send(writer, "WRITE job-1 c");
+	world_run(world, 700 * MSEC);
+	world->nodes[away].peer_delay = 100 * MSEC;
+	world_run(world, 200 * MSEC);
+	assert_begins(writer->reply, "ERR BUSY");
+	g_assert_cmpuint(run_count(world, writer->id), ==, 0);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -574,6 +604,7 @@
 	g_test_add_func("/home/proxy-dies", test_proxy_dies_away_from_home);
 	g_test_add_func("/home/shuts-down", test_home_shuts_down);
 	g_test_add_func("/home/gives-back", test_leaving_home_gives_back_connections);
+	g_test_add_func("/forward/refusal-is-read-late", test_refusal_is_read_late);
 	g_test_add_func("/forward/first-result", test_first_result_waits_for_its_link);
 	g_test_add_func("/home/leaves", test_home_leaves);
 	g_test_add_func("/home/frozen", test_home_is_frozen);
