--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -699,7 +699,9 @@
 	if (message->roster == NULL || message->revision <= pooler->sync.roster->revision ||
 	    !sync_take(pooler, message->roster, strlen(message->roster), message->revision))
 		return;
-	if (upstream_is_hub(pooler))
+	/* In a large fleet a changed proxy is heard of with the next answer, a primary at once. */
+	if (upstream_is_hub(pooler) &&
+	    (pooler->sync.groups_changed || exchange_spacing(pooler) == 0))
 		exchange_push_listeners(pooler);
 	/* At once: while the store is away it is agreed on anew. */
 	exchange_tick(pooler, now);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -341,6 +341,7 @@
 	size_t proxies;	     /* on it */
 	bool changing;	     /* it has a primary that is about to change */
 	usec_t adopted_at;   /* when it came */
+	bool groups_changed; /* by it */
 	usec_t agreed_at;    /* enough proxies knew no newer roster then; see permit_on_agreed() */
 	usec_t agreed_told;  /* the same, as another proxy knows it */
 	usec_t confirmed_at; /* the store held it when asked at this time; USEC_NEVER: never */
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -175,6 +175,7 @@
 	sync->proxies = sync->roster->node_count;
 	sync->adopted_at = now_of(pooler);
 	sync->changing = sync->roster->changing_count != 0;
+	sync->groups_changed = diff->group_count != 0;
 	counter_set(&roster_revision, sync->roster->revision);
 	if (sync->roster->revision > sync->restored)
 		sync->restored = 0;
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -309,6 +309,73 @@
 	world_destroy(world);
 }
 
+/* A fleet as large as this pushes ten times a second. */
+#define LARGE_FLEET 1000
+
+/*
+ * Guards against a fleet that only tells itself of first primaries: each write of a group was told
+ * to every proxy at once, a hundred times a second.
+ */
+static void test_pushes_are_spaced(void)
+{
+	pool_world_t *world = make_fleet();
+	world_node_t *holder = &world->nodes[find_holder(world)];
+	size_t before;
+	size_t each;
+
+	holder->pooler->sync.proxies = LARGE_FLEET;
+	before = holder->messages;
+	exchange_push(holder->pooler);
+	each = holder->messages - before;
+	g_assert_cmpuint(each, >, 0);
+	exchange_push(holder->pooler);
+	exchange_push(holder->pooler);
+	g_assert_cmpuint(holder->messages - before, ==, each);
+	g_assert_cmpuint(exchange_spacing(holder->pooler), ==, 100 * MSEC);
+	world_run(world, 160 * MSEC);
+	g_assert_cmpint(holder->pooler->sync.push_wanted, ==, PUSH_NONE);
+	g_assert_cmpuint(holder->messages - before, >=, 2 * each);
+	world_destroy(world);
+}
+
+/* Guards against 985 processes that wake 20 times a second with nothing to do. */
+static void test_idle_proxy_looks_less_often(void)
+{
+	pool_world_t *world = make_fleet();
+	size_t plain = find_plain(world, FLEET);
+	const pooler_t *pooler = world->nodes[plain].pooler;
+	world_caller_t *caller;
+
+	world_run(world, 5 * SEC);
+	g_assert_cmpuint(pooler->tick_due - pooler->last_tick, ==, 250 * MSEC);
+	g_assert_cmpuint(world->nodes[find_holder(world)].pooler->tick_due -
+				 world->nodes[find_holder(world)].pooler->last_tick,
+			 ==, 50 * MSEC);
+	caller = world_open(world, plain);
+	world_send(caller, "WRITE job-1 a");
+	g_assert_cmpuint(pooler->tick_due, <=, now_of(pooler) + 50 * MSEC);
+	world_run(world, SEC);
+	assert_begins(caller->reply, "DONE core-0");
+	world_destroy(world);
+}
+
+/* A proxy that has several cores is a hub of its zone, for as many as it can serve. */
+static void test_strong_proxies_are_hubs(void)
+{
+	pool_world_t *world = make_fleet();
+	pooler_t *pooler = world->nodes[find_plain(world, FLEET)].pooler;
+	roster_t *roster = roster_copy(NULL, pooler->sync.roster);
+	const char *strong = pooler->config.name;
+
+	g_assert_false(upstream_is_hub(pooler));
+	roster_node(roster, strong)->capacity = 100;
+	roster->revision++;
+	sync_adopt(pooler, roster);
+	g_assert_true(upstream_is_hub(pooler));
+	g_assert_cmpuint(upstream_weight(roster_node(pooler->sync.roster, strong)), ==, 4);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -320,6 +387,9 @@
 	g_test_add_func("/upstream/join-quietly", test_proxies_join_quietly);
 	g_test_add_func("/upstream/holder-stays-away", test_holder_stays_away);
 	g_test_add_func("/upstream/cut-off", test_cut_off_proxy_stops);
+	g_test_add_func("/upstream/pushes-spaced", test_pushes_are_spaced);
+	g_test_add_func("/upstream/idle-ticks", test_idle_proxy_looks_less_often);
+	g_test_add_func("/upstream/strong-hubs", test_strong_proxies_are_hubs);
 	g_test_add_func("/upstream/configurations-spaced", test_configurations_are_spaced);
 	return g_test_run();
 }
--- a/tests/test_zmqlink.c
+++ b/tests/test_zmqlink.c
@@ -137,6 +137,26 @@
 	ports_release(&pair.ports);
 }
 
+/* Guards against links that pile up: each costs memory at both ends, and heartbeats. */
+static void test_unused_link_is_closed(void)
+{
+	const run_clock_t *clock = loop.clock;
+	paused_clock_t later;
+	pair_t pair = {0};
+
+	pair_start(&pair);
+	g_assert_cmpuint(list_length(&pair.sender.peers), ==, 1);
+	paused_clock_init(&later, clock_now(clock) + 60 * USEC_PER_SEC);
+	loop.clock = &later.base;
+	zmqlink_send(&pair.sender, "c", "127.0.0.1:9", pair.message, MESSAGE_BYTES);
+	loop.clock = clock;
+	g_assert_cmpuint(list_length(&pair.sender.peers), ==, 1);
+	g_assert_cmpint(zmqlink_send(&pair.sender, "b", NULL, pair.message, MESSAGE_BYTES), <, 0);
+	zmqlink_stop(&pair.sender);
+	zmqlink_stop(&pair.receiver.link);
+	ports_release(&pair.ports);
+}
+
 /* A message that came before the end is taken up although the loop has not told of it. */
 static void test_receive_before_the_end(void)
 {
@@ -185,6 +205,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(loop_init(&loop, clock_system()), ==, 0);
+	g_test_add_func("/zmqlink/unused-link", test_unused_link_is_closed);
 	g_test_add_func("/zmqlink/last-messages-arrive", test_last_messages_arrive);
 	g_test_add_func("/zmqlink/peer-is-gone", test_peer_is_gone);
 	g_test_add_func("/zmqlink/receive-before-the-end", test_receive_before_the_end);
