The soak's store comes back older; its stand-in tells eras

In every second run, drawn by a generator of its own, so that the other faults of a seed stay what they were.

--- a/soak/inject.c
+++ b/soak/inject.c
@@ -196,6 +196,18 @@
 	fleet_command(inject->fleet, "store compact");
 }
 
+static void play_store_restored(inject_t *inject, const fault_t *fault)
+{
+	(void)fault;
+	fleet_command(inject->fleet, "store copy");
+}
+
+static void store_restored(inject_t *inject, const fault_t *fault)
+{
+	(void)fault;
+	fleet_command(inject->fleet, "store restore");
+}
+
 static void play_store_deaf(inject_t *inject, const fault_t *fault)
 {
 	(void)fault;
@@ -437,6 +449,7 @@
 	[FAULT_STORE_LOSES] = {play_store_loses, NULL},
 	[FAULT_STORE_FORGETS] = {play_store_forgets, NULL},
 	[FAULT_STORE_DEAF] = {play_store_deaf, store_hears},
+	[FAULT_STORE_RESTORED] = {play_store_restored, store_restored},
 	[FAULT_PLATFORM_PAUSE] = {play_platform_pause, NULL},
 	[FAULT_PROMOTE_LOSES] = {play_promote_loses, promote_again},
 	[FAULT_PROMOTE_REFUSES] = {play_promote_refuses, promote_again},
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -15,6 +15,10 @@
 /* Chance that a run has a kind of fault: others left out, rarer mixtures come too. */
 #define KIND_PERCENT 55
 
+/* Between two restores of the store, microseconds. */
+#define RESTORED_LEAST (5 * USEC_PER_SEC)
+#define RESTORED_MOST  (15 * USEC_PER_SEC)
+
 typedef struct fault_shape {
 	const char *name;
 	unsigned weight;
@@ -63,6 +67,8 @@
 	[FAULT_MEMBER_LINK_LIMIT] = {"member-link-limit", 2, 300, 4000, 2000, 30000, 0},
 	[FAULT_MEMBER_LINK_RESET] = {"member-link-reset", 4, 0, 0, 0, 0, 40},
 	[FAULT_MEMBER_LINK_SILENCE] = {"member-link-silence", 4, 0, 0, 0, 0, 20},
+	/* By a generator of its own: the others' draws are those that a seed always had. */
+	[FAULT_STORE_RESTORED] = {"store-restored", 0, 300, 5000, 0, 0, 0},
 };
 
 const char *plan_fault_name(fault_kind_t kind)
@@ -78,7 +84,8 @@
 
 static void choose_kinds(GRand *rand, unsigned *weights)
 {
-	for (size_t i = 0; i < FAULT_COUNT; i++)
+	weights[FAULT_STORE_RESTORED] = 0;
+	for (size_t i = 0; i < FAULT_STORE_RESTORED; i++)
 		weights[i] = between(rand, 1, 100) <= KIND_PERCENT ? shapes[i].weight : 0;
 	/* Every run restarts some proxy. */
 	weights[FAULT_TERM] = shapes[FAULT_TERM].weight;
@@ -141,6 +148,19 @@
 	return 0;
 }
 
+/* In one run of two. */
+static void add_restores(plan_t *plan, unsigned seed)
+{
+	GRand *rand = g_rand_new_with_seed(~seed);
+	usec_t at = between(rand, RESTORED_LEAST, RESTORED_MOST);
+
+	while (seed % 2 == 0 && at < plan->length) {
+		add_series(plan, rand, FAULT_STORE_RESTORED, at);
+		at += between(rand, RESTORED_LEAST, RESTORED_MOST);
+	}
+	g_rand_free(rand);
+}
+
 plan_t *plan_create(void *parent, unsigned seed, usec_t length, unsigned proxies)
 {
 	plan_t *plan = talloc_zero(parent, plan_t);
@@ -163,6 +183,7 @@
 		at += between(rand, 1, (unsigned)(2 * interval));
 		add_series(plan, rand, choose_kind(rand, weights), at);
 	}
+	add_restores(plan, seed);
 	g_array_sort(plan->faults, by_time);
 	g_rand_free(rand);
 	return plan;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -53,6 +53,8 @@
 	FAULT_MEMBER_LINK_LIMIT,
 	FAULT_MEMBER_LINK_RESET,
 	FAULT_MEMBER_LINK_SILENCE,
+	/* The store comes back from a copy that was taken when the fault began. */
+	FAULT_STORE_RESTORED,
 	FAULT_COUNT,
 } fault_kind_t;
 
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -213,6 +213,16 @@
 	fake_kv_compact(store);
 }
 
+void fake_kv_delete(fake_kv_t *store, const char *prefix)
+{
+	list_for_each_safe (it, &store->items) {
+		const char *key = list_entry(it, item_t, node)->key;
+
+		if (strncmp(key, prefix, strlen(prefix)) == 0)
+			fake_kv_put(store, key, NULL);
+	}
+}
+
 void fake_kv_compact(fake_kv_t *store)
 {
 	store->compacted = store->revision;
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -58,6 +58,9 @@
  */
 void fake_kv_restore(fake_kv_t *store);
 
+/* Delete all keys that begin so. */
+void fake_kv_delete(fake_kv_t *store, const char *prefix);
+
 /* Drop the history up to now. */
 void fake_kv_compact(fake_kv_t *store);
 
--- a/tests/standin_control.c
+++ b/tests/standin_control.c
@@ -93,6 +93,10 @@
 		site->kv->deaf_watches = number != 0;
 	else if (strcmp(word, "compact") == 0)
 		fake_kv_compact(site->kv);
+	else if (strcmp(word, "copy") == 0)
+		fake_kv_copy(site->kv);
+	else if (strcmp(word, "restore") == 0)
+		site_restore(site);
 }
 
 static void run_cloud(site_t *site, char *rest)
--- a/tests/standin_site.c
+++ b/tests/standin_site.c
@@ -29,7 +29,8 @@
 #define BODY_MAX      (2 * 1024 * 1024)
 #define LIST_INTERVAL (50 * USEC_PER_MSEC)
 /* Changes that the store remembers: a minute of a busy fleet. */
-#define HISTORY 2000
+#define HISTORY	 2000
+#define ERA_TEXT 24
 
 static volatile sig_atomic_t crash_asked;
 static volatile sig_atomic_t return_asked;
@@ -86,6 +87,17 @@
 	return pending;
 }
 
+/* On the wire the store's numbers are without their era, and the same may come twice. */
+static json_int_t to_wire(int64_t number)
+{
+	return kv_number(number);
+}
+
+static int64_t from_wire(const site_t *site, int64_t number)
+{
+	return kv_in_era(kv_era(site->kv->revision), number);
+}
+
 static json_t *encode_item(const kv_item_t *item)
 {
 	size_t size = sodium_base64_encoded_len(item->len, sodium_base64_VARIANT_ORIGINAL);
@@ -94,13 +106,13 @@
 
 	if (item->value == NULL)
 		return json_pack("{s:s, s:I, s:b}", "key", item->key, "rev",
-				 (json_int_t)item->revision, "tombstone", 1);
+				 to_wire(item->revision), "tombstone", 1);
 	text = talloc_size(NULL, size);
 	sodium_bin2base64(text, size, (const unsigned char *)item->value, item->len,
 			  sodium_base64_VARIANT_ORIGINAL);
 	object = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value", text, "rev",
-			   (json_int_t)item->revision, "createdRev", (json_int_t)item->created,
-			   "lease", (json_int_t)item->lease);
+			   to_wire(item->revision), "createdRev", to_wire(item->created), "lease",
+			   to_wire((int64_t)item->lease));
 	talloc_free(text);
 	return object;
 }
@@ -115,6 +127,16 @@
 	return codes[status];
 }
 
+/* Eras are counted from 1. */
+static void tell_era(const site_t *site, h2o_req_t *req)
+{
+	char *text = h2o_mem_alloc_pool(&req->pool, ERA_TEXT);
+	int len = snprintf(text, ERA_TEXT, "%" PRId64, kv_era(site->kv->revision) + 1);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, H2O_STRLIT("store-era"), 0, NULL, text,
+			      (size_t)len);
+}
+
 static void on_result(void *data, const kv_result_t *result)
 {
 	pending_t *pending = data;
@@ -124,9 +146,10 @@
 	for (size_t i = 0; i < result->count; i++)
 		json_array_append_new(items, encode_item(&result->items[i]));
 	body = json_pack("{s:o, s:b, s:I, s:I, s:I}", pending->is_watch ? "events" : "items", items,
-			 "truncated", result->truncated, "asOf", (json_int_t)result->as_of, "lease",
-			 (json_int_t)result->lease, "ttlMs", (json_int_t)result->ttl_ms);
+			 "truncated", result->truncated, "asOf", to_wire(result->as_of), "lease",
+			 to_wire((int64_t)result->lease), "ttlMs", (json_int_t)result->ttl_ms);
 	if (pending->req != NULL) {
+		tell_era(pending->site, pending->req);
 		httpd_send_json(pending->req, http_status(result->status), body, 0);
 		body = NULL;
 	}
@@ -196,7 +219,8 @@
 		json_t *write;
 
 		writes[i].key = json_string_value(json_object_get(row, "key"));
-		writes[i].expected = json_integer_value(json_object_get(row, "rev"));
+		writes[i].expected =
+			from_wire(site, json_integer_value(json_object_get(row, "rev")));
 		writes[i].only_check = !lists_key(json_object_get(body, "deletes"), writes[i].key);
 		json_array_foreach (json_object_get(body, "writes"), index, write) {
 			if (strcmp(json_string_value(json_object_get(write, "key")),
@@ -205,8 +229,8 @@
 			writes[i].only_check = false;
 			writes[i].value = decode_value(
 				writes, json_string_value(json_object_get(write, "value")));
-			writes[i].lease =
-				(uint64_t)json_integer_value(json_object_get(write, "lease"));
+			writes[i].lease = (uint64_t)from_wire(
+				site, json_integer_value(json_object_get(write, "lease")));
 		}
 	}
 	site->client.kv.ops->commit(&site->client.kv, writes, count, on_result, pending);
@@ -222,9 +246,9 @@
 static void call_lease(site_t *site, h2o_req_t *req, const char *path,
 		       void (*call)(kv_t *kv, uint64_t lease, kv_done_t done, void *data))
 {
-	uint64_t id = strtoull(req->path_normalized.base + strlen(path), NULL, 10);
+	int64_t id = strtoll(req->path_normalized.base + strlen(path), NULL, 10);
 
-	call(&site->client.kv, id, on_result, pending_create(site, req));
+	call(&site->client.kv, (uint64_t)from_wire(site, id), on_result, pending_create(site, req));
 }
 
 static int handle_store(httpd_t *httpd, h2o_req_t *req)
@@ -244,7 +268,7 @@
 		pending = pending_create(site, req);
 		pending->is_watch = true;
 		kv->ops->watch(kv, parameter(scratch, req, "prefix"),
-			       strtoll(parameter(scratch, req, "after"), NULL, 10),
+			       from_wire(site, strtoll(parameter(scratch, req, "after"), NULL, 10)),
 			       strtoll(parameter(scratch, req, "waitMs"), NULL, 10), on_result,
 			       pending);
 	} else if (path_begins(req, "/kv-txn")) {
@@ -272,6 +296,18 @@
 	return 0;
 }
 
+void site_restore(site_t *site)
+{
+	char *newest = talloc_strdup(NULL, fake_kv_get(site->kv, KEY_CONFIG));
+
+	fake_kv_restore(site->kv);
+	fake_kv_put(site->kv, KEY_CONFIG, newest);
+	fake_kv_delete(site->kv, PREFIX_MEMBERS);
+	for (size_t i = 0; i < G_N_ELEMENTS(site->listeners); i++)
+		site->listeners[i].listed[0] = '\0';
+	talloc_free(newest);
+}
+
 /* --- the call to promote --- */
 
 static fake_member_t *find_member(site_t *site, const char *id)
--- a/tests/standin_site.h
+++ b/tests/standin_site.h
@@ -47,6 +47,9 @@
 	int link_offset; /* added to the ports that members are listed with */
 } site_t;
 
+/* The store comes back from its copy; the operator and the members write again what they wrote. */
+void site_restore(site_t *site);
+
 /* --- members --- */
 
 /* Listen on the ports from base on. Returns 0 or a negative errno. */
