Questions and pushes leave exchange.c for modules of their own

exchange.c had grown to 815 lines: what is asked and reported (ask.c), what is told before anybody asks (push.c), and what is made of messages (exchange.c, 459 lines). Moves and renames only.

--- a/pooler/duty.c
+++ b/pooler/duty.c
@@ -10,6 +10,7 @@
 #include "hold.h"
 #include "member.h"
 #include "permit.h"
+#include "push.h"
 #include "restore.h"
 #include "survey.h"
 #include "sweep.h"
@@ -144,7 +145,7 @@
 		return;
 	pooler->sync.storing = true;
 	/* Each is told to the whole fleet. */
-	pooler->sync.store_next = now + exchange_spacing(pooler);
+	pooler->sync.store_next = now + push_spacing(pooler);
 	sync_commit(pooler, roster, on_stored, pooler);
 	talloc_free(roster);
 }
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -5,15 +5,15 @@
 #include <string.h>
 
 #include <talloc.h>
-#include <xxhash.h>
 
+#include "ask.h"
 #include "duty.h"
 #include "forward.h"
 #include "hold.h"
 #include "job.h"
 #include "join.h"
-#include "member.h"
 #include "permit.h"
+#include "push.h"
 #include "quota.h"
 #include "refresh.h"
 #include "relay.h"
@@ -24,25 +24,6 @@
 #define LOG_MODULE "exchange"
 #include "log.h"
 
-/* With news this old peers are asked, so that the permission lasts while the store is away. */
-#define ASK_ALL_AFTER (1000 * USEC_PER_MSEC)
-/* In so many times everybody is asked, and more than half in two: 0.5 s of the 0.8 s that are left.
- */
-#define ASK_ROUNDS 3
-/* So many are asked each time in any case: all of a small fleet. */
-#define ASK_LEAST 12
-/* Between two questions to the holder. */
-#define ASK_INTERVAL (250 * USEC_PER_MSEC)
-/*
- * Between two pushes of news, for each proxy of the fleet: all of them are told with each. The
- * first primaries of 1,000 services come in a hundred writes, and are told to 985 proxies in ten a
- * second.
- */
-#define PUSH_SPACING_EACH 100 /* us */
-/* A tick: what would wait for less is pushed at once. */
-#define PUSH_SPACING_LEAST (50 * USEC_PER_MSEC)
-/* Ticks within which a link to a proxy that lives is made. */
-#define LINK_TRIES 3
 /* A roster that was told is believed to be on its way for so long. */
 #define ROSTER_ON_ITS_WAY (2 * ASK_INTERVAL)
 
@@ -70,99 +51,6 @@
 	return false;
 }
 
-static char *add_word(char *list, const char *word)
-{
-	return talloc_asprintf_append(list, "%s%s", *list != '\0' ? " " : "", word);
-}
-
-/* With news so old the permission is prolonged only by agreement with the other proxies. */
-static bool is_news_old(const pooler_t *pooler, usec_t now)
-{
-	const sync_t *sync = &pooler->sync;
-
-	return sync->confirmed_at == USEC_NEVER || now >= sync->confirmed_at + ASK_ALL_AFTER;
-}
-
-bool exchange_tells_revision(const pooler_t *pooler)
-{
-	return !upstream_applies(pooler) || pooler->sync.changing ||
-	       is_news_old(pooler, now_of(pooler));
-}
-
-/* What this proxy sees of a service's primary. */
-typedef struct sight {
-	bool down;
-	bool alive;
-	bool failing; /* it answers, and fails a good part of the statements */
-	bool in_use;  /* though it is about to change */
-} sight_t;
-
-static sight_t look_at(const service_t *service, usec_t now)
-{
-	const roster_group_t *group = service->group;
-	const member_t *primary = service->primary;
-
-	return (sight_t){
-		.down = primary != NULL && primary->down,
-		.alive = primary != NULL && !primary->down &&
-			 primary->last_reply + ALIVE_WITHIN > now,
-		.failing = primary != NULL && outlier_is_failing(&primary->outlier, now),
-		.in_use = group != NULL && group->changing && permit_in_use(service),
-	};
-}
-
-/*
- * Changes as soon as there is something that the holder must hear at once. It is compared 20 times
- * a second, so it is made without the lists of describe(): with 334 services those would take 14%
- * of a proxy's processor time.
- */
-static uint64_t news_digest(const pooler_t *pooler, usec_t now)
-{
-	uint64_t digest =
-		exchange_tells_revision(pooler) ? (uint64_t)pooler->sync.roster->revision : 0;
-
-	list_for_each (it, &pooler->active_services) {
-		const service_t *service = list_entry(it, service_t, active);
-		sight_t sight = look_at(service, now);
-
-		if (sight.down || sight.failing || sight.in_use)
-			digest ^= XXH64(service->name, strlen(service->name),
-					sight.down * 4u + sight.failing * 2u + sight.in_use);
-	}
-	return digest;
-}
-
-/* What this proxy knows of the primaries, for the holder. */
-static void describe(const pooler_t *pooler, usec_t now, peer_message_t *message, void *parent)
-{
-	char *down = talloc_strdup(parent, "");
-	char *alive = talloc_strdup(parent, "");
-	char *failing = talloc_strdup(parent, "");
-	char *in_use = talloc_strdup(parent, "");
-
-	list_for_each (it, &pooler->active_services) {
-		const service_t *service = list_entry(it, service_t, active);
-		sight_t sight = look_at(service, now);
-
-		if (sight.down)
-			down = add_word(down, service->name);
-		if (sight.alive)
-			alive = add_word(alive, service->name);
-		if (sight.failing)
-			failing = add_word(failing, service->name);
-		if (sight.in_use)
-			in_use = add_word(in_use, service->name);
-	}
-	message->down = down;
-	message->alive = alive;
-	message->failing = failing;
-	message->in_use = in_use;
-	message->fleet = (int64_t)permit_listed(pooler);
-	message->members_digest = refresh_members_digest(pooler);
-	message->config_at = pooler->config_follow != NULL ? pooler->config_follow->told : 0;
-	message->members_at = pooler->members_follow != NULL ? pooler->members_follow->told : 0;
-}
-
 void exchange_fill(const pooler_t *pooler, peer_message_t *message)
 {
 	message->from = pooler->config.name;
@@ -176,9 +64,8 @@
 	message->draining = pooler->draining;
 }
 
-/* False if it was certainly not sent: there is no link to that proxy yet. */
-static bool send_to(const pooler_t *pooler, const char *name, const char *address,
-		    const peer_message_t *message)
+bool exchange_send(const pooler_t *pooler, const char *name, const char *address,
+		   const peer_message_t *message)
 {
 	return pooler->env->ops->peer_send(pooler->env, name, address, message);
 }
@@ -237,7 +124,7 @@
 	char *agreed;
 
 	message->quorum_age = at != 0 ? now - at : USEC_NEVER;
-	if (!upstream_applies(pooler) || !is_news_old(pooler, now))
+	if (!upstream_applies(pooler) || !ask_news_is_old(pooler, now))
 		return;
 	agreed = talloc_strdup(parent, "");
 	list_for_each (it, &sync->reports) {
@@ -291,7 +178,7 @@
 	message.holder_age = holder_age(pooler, now);
 	describe_agreement(pooler, now, &message, parent);
 	refresh_describe(pooler, name, ask, &message, parent);
-	sent = send_to(pooler, name, address, &message);
+	sent = exchange_send(pooler, name, address, &message);
 	if (sent && message.roster != NULL) {
 		report->roster_told = sync->roster->revision;
 		report->roster_told_at = now;
@@ -305,88 +192,12 @@
 	return send_state(pooler, name, address, NULL);
 }
 
-/* Calls each with all proxies of the roster that ask this one for news. */
-static void each_listener(pooler_t *pooler, usec_t now,
-			  void (*each)(pooler_t *pooler, const roster_node_t *peer, void *data),
-			  void *data)
-{
-	list_for_each (it, &pooler->sync.reports) {
-		const peer_report_t *report = list_entry(it, peer_report_t, node);
-		const roster_node_t *node = roster_node(pooler->sync.roster, report->name);
-
-		if (node != NULL && upstream_listens(report, now))
-			each(pooler, node, data);
-	}
-}
-
-static void push_to(pooler_t *pooler, const roster_node_t *peer, void *data)
-{
-	(void)data;
-	send_state(pooler, peer->name, peer->address, NULL);
-}
-
-static void push_listeners(pooler_t *pooler)
-{
-	each_listener(pooler, now_of(pooler), push_to, NULL);
-}
-
-static void push_all(pooler_t *pooler)
-{
-	if (upstream_applies(pooler)) {
-		upstream_each_hub(pooler, push_to, NULL);
-		push_listeners(pooler);
-		return;
-	}
-	list_for_each (it, &pooler->sync.roster->nodes) {
-		const roster_node_t *node = list_entry(it, roster_node_t, node);
-
-		if (strcmp(node->name, pooler->config.name) != 0)
-			send_state(pooler, node->name, node->address, NULL);
-	}
-}
-
-static void push_wanted(pooler_t *pooler)
-{
-	sync_t *sync = &pooler->sync;
-	usec_t now = now_of(pooler);
-	push_t wanted = sync->push_wanted;
-
-	if (wanted == PUSH_NONE || now < sync->push_next)
-		return;
-	sync->push_wanted = PUSH_NONE;
-	sync->push_next = now + exchange_spacing(pooler);
-	if (wanted == PUSH_ALL)
-		push_all(pooler);
-	else
-		push_listeners(pooler);
-}
-
-usec_t exchange_spacing(const pooler_t *pooler)
-{
-	usec_t spacing = pooler->sync.proxies * PUSH_SPACING_EACH;
-
-	return spacing >= PUSH_SPACING_LEAST ? spacing : 0;
-}
-
-void exchange_push(pooler_t *pooler)
-{
-	pooler->sync.push_wanted = PUSH_ALL;
-	push_wanted(pooler);
-}
-
-void exchange_push_listeners(pooler_t *pooler)
-{
-	if (pooler->sync.push_wanted == PUSH_NONE)
-		pooler->sync.push_wanted = PUSH_LISTENERS;
-	push_wanted(pooler);
-}
-
 bool exchange_ping(const pooler_t *pooler, const roster_node_t *peer)
 {
 	peer_message_t message = {.kind = PEER_PING};
 
 	exchange_fill(pooler, &message);
-	return send_to(pooler, peer->name, peer->address, &message);
+	return exchange_send(pooler, peer->name, peer->address, &message);
 }
 
 static void on_ping(const pooler_t *pooler, const peer_message_t *message)
@@ -394,156 +205,7 @@
 	peer_message_t pong = {.kind = PEER_PONG};
 
 	exchange_fill(pooler, &pong);
-	send_to(pooler, message->from, message->address, &pong);
-}
-
-bool exchange_ask(const pooler_t *pooler, const char *name, const char *address)
-{
-	peer_message_t message = {.kind = PEER_ASK, .echo = now_of(pooler)};
-	void *parent = talloc_new(NULL);
-	bool sent;
-
-	exchange_fill(pooler, &message);
-	describe(pooler, message.echo, &message, parent);
-	sent = send_to(pooler, name, address, &message);
-	talloc_free(parent);
-	return sent;
-}
-
-static const roster_node_t *other_peer(pooler_t *pooler)
-{
-	const roster_t *roster = pooler->sync.roster;
-	size_t count = pooler->sync.proxies;
-	size_t index = count != 0 ? pooler->sync.next_peer++ % count : 0;
-
-	list_for_each (it, &roster->nodes) {
-		const roster_node_t *node = list_entry(it, roster_node_t, node);
-
-		if (index-- == 0)
-			return strcmp(node->name, pooler->config.name) != 0 ? node : NULL;
-	}
-	return NULL;
-}
-
-/*
- * The news is old: the store seems to be away, and the permission can only be prolonged together.
- * Everybody has to be heard within PERMIT_ALONE, so a part is asked each time: a fleet of 75 in
- * which all asked all four times a second had no processor left for anything else, and its holder
- * lost its lease, which made the news older still.
- */
-static void ask_part(pooler_t *pooler, const peer_message_t *message)
-{
-	size_t proxies = pooler->sync.proxies;
-	size_t part = (proxies + ASK_ROUNDS - 1) / ASK_ROUNDS;
-
-	if (part < ASK_LEAST)
-		part = ASK_LEAST;
-	for (size_t i = 0; i < part && i < proxies; i++) {
-		const roster_node_t *other = other_peer(pooler);
-
-		if (other != NULL)
-			send_to(pooler, other->name, other->address, message);
-	}
-}
-
-/* What those that ask this hub have reported, for whom it asks itself. */
-static void add_reports(const pooler_t *pooler, usec_t now, peer_message_t *message, void *parent)
-{
-	peer_message_t *reports = talloc_zero_array(
-		parent, peer_message_t, list_length(&pooler->sync.reports) + join_count(pooler));
-
-	message->reports = reports;
-	message->report_count = join_describe(pooler, reports);
-	list_for_each (it, &pooler->sync.reports) {
-		const peer_report_t *report = list_entry(it, peer_report_t, node);
-
-		if (!upstream_listens(report, now))
-			continue;
-		reports[message->report_count++] = (peer_message_t){
-			.from = report->name,
-			.incarnation = report->incarnation,
-			.revision = report->revision,
-			.fleet = report->fleet,
-			.down = report->down,
-			.alive = report->alive,
-			.failing = report->failing,
-			.in_use = report->in_use,
-			.report_age = now - report->asked_us_at,
-		};
-	}
-}
-
-static void put_question(pooler_t *pooler, const roster_node_t *peer, void *data)
-{
-	send_to(pooler, peer->name, peer->address, data);
-}
-
-/*
- * Without the store. In a large fleet hubs ask those that ask them, and each other for what they
- * have heard: 295 proxies ask 76 questions a second at most, against 400 if all asked all.
- */
-static void ask_together(pooler_t *pooler, usec_t now, peer_message_t *message)
-{
-	if (!upstream_applies(pooler)) {
-		ask_part(pooler, message);
-	} else if (upstream_is_hub(pooler) || hold_is_ours(pooler, now)) {
-		/* A question that they asked proves nothing of now. */
-		each_listener(pooler, now, put_question, message);
-		upstream_each_hub(pooler, put_question, message);
-	}
-}
-
-/* The first message only makes the link, so it is repeated with the next tick; not for long. */
-static void put_first_question(pooler_t *pooler, usec_t now, const char *name, const char *address,
-			       const peer_message_t *message)
-{
-	sync_t *sync = &pooler->sync;
-
-	if (send_to(pooler, name, address, message))
-		sync->ask_unsent = 0;
-	else if (sync->ask_unsent++ < LINK_TRIES && !is_news_old(pooler, now))
-		sync->ask_next = now;
-}
-
-/* Ask those that are to be asked now. */
-static void ask_now(pooler_t *pooler, usec_t now, peer_message_t *message, void *parent)
-{
-	const sync_t *sync = &pooler->sync;
-	const roster_node_t *other;
-	const char *name;
-	const char *address;
-
-	if (is_news_old(pooler, now))
-		ask_together(pooler, now, message);
-	else if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT) {
-		other = other_peer(pooler);
-		if (other != NULL)
-			send_to(pooler, other->name, other->address, message);
-	}
-	if (!upstream_find(pooler, now, &name, &address))
-		return;
-	if (upstream_is_hub(pooler))
-		add_reports(pooler, now, message, parent);
-	upstream_on_asked(pooler, name, now);
-	put_first_question(pooler, now, name, address, message);
-}
-
-static void ask(pooler_t *pooler, usec_t now)
-{
-	sync_t *sync = &pooler->sync;
-	peer_message_t message = {.kind = PEER_ASK, .echo = now};
-	uint64_t news = news_digest(pooler, now);
-	void *parent;
-
-	if (now < sync->ask_next && news == sync->told)
-		return;
-	sync->told = news;
-	sync->ask_next = now + ASK_INTERVAL;
-	parent = talloc_new(NULL);
-	exchange_fill(pooler, &message);
-	describe(pooler, now, &message, parent);
-	ask_now(pooler, now, &message, parent);
-	talloc_free(parent);
+	exchange_send(pooler, message->from, message->address, &pong);
 }
 
 peer_report_t *exchange_get_report(pooler_t *pooler, const char *name)
@@ -605,7 +267,7 @@
 		report->roster_told = 0;
 	report->incarnation = message->incarnation;
 	report->heard_at = heard_at;
-	news = report->revision != message->revision && exchange_tells_revision(pooler);
+	news = report->revision != message->revision && ask_tells_revision(pooler);
 	report->revision = message->revision;
 	report->fleet = message->fleet;
 	news |= replace(report, &report->down, message->down);
@@ -700,9 +362,8 @@
 	    !sync_take(pooler, message->roster, strlen(message->roster), message->revision))
 		return;
 	/* In a large fleet a changed proxy is heard of with the next answer, a primary at once. */
-	if (upstream_is_hub(pooler) &&
-	    (pooler->sync.groups_changed || exchange_spacing(pooler) == 0))
-		exchange_push_listeners(pooler);
+	if (upstream_is_hub(pooler) && (pooler->sync.groups_changed || push_spacing(pooler) == 0))
+		push_listeners(pooler);
 	/* At once: while the store is away it is agreed on anew. */
 	exchange_tick(pooler, now);
 }
@@ -789,27 +450,8 @@
 	}
 }
 
-/* A new configuration, once all of the reading that brought it was taken. */
-static void push_config(pooler_t *pooler, usec_t now)
-{
-	sync_t *sync = &pooler->sync;
-
-	if (!sync->config_news || (sync->config_pushed_at != 0 &&
-				   now < sync->config_pushed_at + refresh_config_spacing(pooler)))
-		return;
-	sync->config_news = false;
-	sync->config_pushed_at = now;
-	if (hold_is_ours(pooler, now))
-		exchange_push(pooler);
-	else if (upstream_is_hub(pooler))
-		exchange_push_listeners(pooler);
-}
-
 void exchange_tick(pooler_t *pooler, usec_t now)
 {
-	push_config(pooler, now);
-	push_wanted(pooler);
-	/* The holder knows what the others ask it for. */
-	if (!hold_is_ours(pooler, now) || is_news_old(pooler, now))
-		ask(pooler, now);
+	push_tick(pooler, now);
+	ask_tick(pooler, now);
 }
--- a/pooler/exchange.h
+++ b/pooler/exchange.h
@@ -1,6 +1,6 @@
 /*
- * What proxies tell each other: questions that report what the sender sees, and
- * states that bring the roster and how old the news of it is.
+ * What proxies tell each other: states that bring the roster and how old the news of it is, and
+ * what is made of them and of questions (ask.h).
  */
 #pragma once
 
@@ -16,17 +16,9 @@
 /* What every message says of its sender. */
 void exchange_fill(const pooler_t *pooler, peer_message_t *message);
 
-/*
- * Tell the fleet what is new at once: all of a small one, the hubs of a large one and those that
- * ask this proxy. Who misses it hears it with the next answer.
- */
-void exchange_push(pooler_t *pooler);
-
-/* Between two pushes to a large fleet; 0: none. */
-usec_t exchange_spacing(const pooler_t *pooler);
-
-/* Tell those only that ask this proxy. */
-void exchange_push_listeners(pooler_t *pooler);
+/* False if it was certainly not sent: there is no link to that proxy yet. */
+bool exchange_send(const pooler_t *pooler, const char *name, const char *address,
+		   const peer_message_t *message);
 
 /* Tell one proxy the roster, though it has not asked; false if there is no link to it yet. */
 bool exchange_tell(pooler_t *pooler, const char *name, const char *address);
@@ -34,16 +26,6 @@
 /* Ask one proxy whether it lives; false if there is no link to it yet. */
 bool exchange_ping(const pooler_t *pooler, const roster_node_t *peer);
 
-/* Ask one proxy for its state; false if there is no link to it yet. */
-bool exchange_ask(const pooler_t *pooler, const char *name, const char *address);
-
-/*
- * True if others must hear at once that this proxy holds a new roster: a change of primary waits
- * for it, or the roster is agreed on without the store. Else it is heard with the next question, so
- * that proxies that join a large fleet don't make everybody report each time.
- */
-bool exchange_tells_revision(const pooler_t *pooler);
-
 /* The record of a proxy's reports, made if there is none. */
 peer_report_t *exchange_get_report(pooler_t *pooler, const char *name);
 
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -7,6 +7,7 @@
 #include "duty.h"
 #include "exchange.h"
 #include "permit.h"
+#include "push.h"
 #include "restore.h"
 #include "sync.h"
 #include "upstream.h"
@@ -104,7 +105,7 @@
 	sync->renew_next = now;
 	counter_set(&duty_held, 1);
 	sync_set_holder(pooler, pooler->config.name, pooler->config.address, fence);
-	exchange_push(pooler);
+	push_fleet(pooler);
 }
 
 static void on_acquired(void *data, const kv_result_t *result)
--- a/pooler/join.c
+++ b/pooler/join.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "ask.h"
 #include "exchange.h"
 #include "hold.h"
 #include "permit.h"
@@ -232,7 +233,7 @@
 		return false;
 	outgrow_last_life(pooler);
 	/* The first message makes the link; it is tried again with the next tick. */
-	if (!exchange_ask(pooler, name, address) && now < sync->join_began + LINK_WITHIN)
+	if (!ask_peer(pooler, name, address) && now < sync->join_began + LINK_WITHIN)
 		return true;
 	sync->join_asked = true;
 	sync->join_failed = false;
--- a/pooler/routes.c
+++ b/pooler/routes.c
@@ -27,8 +27,7 @@
 {
 	size_t database_size = strlen(database) + 1;
 	size_t service_size = strlen(service) + 1;
-	route_t *route =
-		talloc_zero_size(routes, sizeof(*route) + database_size + service_size);
+	route_t *route = talloc_zero_size(routes, sizeof(*route) + database_size + service_size);
 	char *names = (char *)(route + 1);
 
 	talloc_set_name_const(route, "route_t");
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "active.h"
+#include "ask.h"
 #include "caller.h"
 #include "conn.h"
 #include "dispatch.h"
@@ -16,6 +17,7 @@
 #include "hold.h"
 #include "join.h"
 #include "permit.h"
+#include "push.h"
 #include "quota.h"
 #include "refresh.h"
 #include "restore.h"
@@ -186,7 +188,7 @@
 	note_groups(pooler, diff);
 	talloc_free(diff);
 	/* Whoever waits for us to let go hears it at once. */
-	if (exchange_tells_revision(pooler))
+	if (ask_tells_revision(pooler))
 		sync->ask_next = 0;
 }
 
@@ -452,7 +454,7 @@
 		commit->roster->revision = result->as_of;
 		sync_adopt(pooler, commit->roster);
 		if (push)
-			exchange_push(pooler);
+			push_fleet(pooler);
 		sync_run_services(pooler);
 	} else if (result->status == KV_CONFLICT) {
 		on_conflict(commit, result);
--- a/pooler/upstream.c
+++ b/pooler/upstream.c
@@ -249,3 +249,16 @@
 {
 	return report->asked_us_at != 0 && now < report->asked_us_at + UPSTREAM_LISTENS;
 }
+
+void upstream_each_listener(pooler_t *pooler, usec_t now,
+			    void (*each)(pooler_t *pooler, const roster_node_t *peer, void *data),
+			    void *data)
+{
+	list_for_each (it, &pooler->sync.reports) {
+		const peer_report_t *report = list_entry(it, peer_report_t, node);
+		const roster_node_t *node = roster_node(pooler->sync.roster, report->name);
+
+		if (node != NULL && upstream_listens(report, now))
+			each(pooler, node, data);
+	}
+}
--- a/pooler/upstream.h
+++ b/pooler/upstream.h
@@ -58,3 +58,8 @@
 void upstream_each_hub(pooler_t *pooler,
 		       void (*each)(pooler_t *pooler, const roster_node_t *hub, void *data),
 		       void *data);
+
+/* Calls each with all proxies of the roster that ask this one for news. */
+void upstream_each_listener(pooler_t *pooler, usec_t now,
+			    void (*each)(pooler_t *pooler, const roster_node_t *peer, void *data),
+			    void *data);
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -10,6 +10,7 @@
 #include "exchange.h"
 #include "permit.h"
 #include "pool_check.h"
+#include "push.h"
 #include "refresh.h"
 #include "sync.h"
 #include "upstream.h"
@@ -325,13 +326,13 @@
 
 	holder->pooler->sync.proxies = LARGE_FLEET;
 	before = holder->messages;
-	exchange_push(holder->pooler);
+	push_fleet(holder->pooler);
 	each = holder->messages - before;
 	g_assert_cmpuint(each, >, 0);
-	exchange_push(holder->pooler);
-	exchange_push(holder->pooler);
+	push_fleet(holder->pooler);
+	push_fleet(holder->pooler);
 	g_assert_cmpuint(holder->messages - before, ==, each);
-	g_assert_cmpuint(exchange_spacing(holder->pooler), ==, 100 * MSEC);
+	g_assert_cmpuint(push_spacing(holder->pooler), ==, 100 * MSEC);
 	world_run(world, 160 * MSEC);
 	g_assert_cmpint(holder->pooler->sync.push_wanted, ==, PUSH_NONE);
 	g_assert_cmpuint(holder->messages - before, >=, 2 * each);
