Leases are plain numbers, not numbers of an era

The platform's leases are large random numbers, of which the era's place above 40 bits cut off the top. My stand-ins counted leases from 1.

Changed: leases stay as they are; a hold remembers in which era its lease was granted. The stand-in's leases have 50 bits now; with the former code no proxy gets the duty on it.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -6,6 +6,7 @@
 
 #include <talloc.h>
 
+#include "adopt.h"
 #include "ask.h"
 #include "duty.h"
 #include "forward.h"
@@ -359,7 +360,7 @@
 static void take_roster(pooler_t *pooler, const peer_message_t *message, usec_t now)
 {
 	if (message->roster == NULL || message->revision <= pooler->sync.roster->revision ||
-	    !sync_take(pooler, message->roster, strlen(message->roster), message->revision))
+	    !adopt_text(pooler, message->roster, strlen(message->roster), message->revision))
 		return;
 	/* In a large fleet a changed proxy is heard of with the next answer, a primary at once. */
 	if (upstream_is_hub(pooler) && (pooler->sync.groups_changed || push_spacing(pooler) == 0))
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -153,6 +153,7 @@
 		return;
 	}
 	sync->lease = result->lease;
+	sync->lease_era = result->era;
 	key = sync_key(NULL, pooler, "holder");
 	value = talloc_asprintf(
 		key, "{\"name\":\"%s\",\"address\":\"%s\",\"incarnation\":%" PRIu64 "}",
@@ -234,7 +235,7 @@
 			sync->hold_until = renewal->sent_at + duty_ttl(pooler) - DUTY_MARGIN;
 			sync->renew_next = now + RENEW_INTERVAL;
 		} else if (result->status == KV_NOT_FOUND) {
-			if (result->era > kv_era((int64_t)renewal->lease))
+			if (result->era > sync->lease_era)
 				restore_on_lease_ended(pooler);
 			sync->behind = true;
 			hold_lose(pooler, "the lease ended");
--- a/pooler/kv.h
+++ b/pooler/kv.h
@@ -11,10 +11,10 @@
 
 /*
  * A store that comes back from a copy gives its revisions out again. It counts these times, and the
- * count, its era, stands above the revision in each number here, so that numbers only rise: of
- * revisions, of leases, and of fencing tokens made of them. Whoever implements a store sees to it
- * that a call that rests on an earlier era ends as if its keys had changed (KV_CONFLICT), its lease
- * had ended (KV_NOT_FOUND) or its history was gone (KV_COMPACTED). Era 0: the store has none.
+ * count, its era, stands above the revision in each number here, so that revisions only rise, and
+ * fencing tokens made of them. Whoever implements a store sees to it that a call that rests on an
+ * earlier era ends as if its keys had changed (KV_CONFLICT) or its history was gone (KV_COMPACTED).
+ * Leases of before are gone. Era 0: the store has none.
  */
 #define KV_ERA_SHIFT 40
 
@@ -23,7 +23,7 @@
 	return revision >> KV_ERA_SHIFT;
 }
 
-/* The store's own number of a revision or lease. */
+/* The store's own number of a revision. */
 static inline int64_t kv_number(int64_t revision)
 {
 	return revision & (((int64_t)1 << KV_ERA_SHIFT) - 1);
--- a/pooler/restore.c
+++ b/pooler/restore.c
@@ -2,6 +2,7 @@
 
 #include <talloc.h>
 
+#include "adopt.h"
 #include "hold.h"
 #include "permit.h"
 #include "sync.h"
@@ -56,7 +57,7 @@
 	/* A process that has just started learns who the others are, in the order of that era. */
 	if (sync->roster->revision == 0) {
 		copy->revision = kv_in_era(copy->era, kv_number(revision));
-		sync_adopt(pooler, copy);
+		adopt_roster(pooler, copy);
 	} else {
 		talloc_free(copy);
 	}
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -387,6 +387,7 @@
 	/* Our own hold on the duty. */
 	bool acquiring;
 	uint64_t lease;
+	int64_t lease_era;     /* of the store that granted it */
 	uint64_t former_lease; /* of an earlier life of this process, that was ended; 0: none */
 	bool holding;
 	uint64_t own_fence;    /* of our hold */
--- a/pooler/sync.h
+++ b/pooler/sync.h
@@ -1,6 +1,5 @@
 /*
- * Keeping the roster: reading it from the store, writing it, being on it, and
- * what a new one means for the work under way.
+ * Keeping the roster: reading it from the store and writing it; adopt.h takes over what is newer.
  */
 #pragma once
 
@@ -13,12 +12,6 @@
 /* A key of ours in the store, as a child of parent. */
 char *sync_key(void *parent, const pooler_t *pooler, const char *name);
 
-/* Take over a newer roster; it becomes the pooler's. */
-void sync_adopt(pooler_t *pooler, roster_t *newer);
-
-/* The same from its text, whole or changes; false if it can't be taken. */
-bool sync_take(pooler_t *pooler, const char *text, size_t len, int64_t revision);
-
 /* The store held the revision of our roster when asked at this time, or later. */
 void sync_confirm(pooler_t *pooler, usec_t asked_at);
 
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -208,7 +208,6 @@
 		list_del(&lease->node);
 		talloc_free(lease);
 	}
-	store->next_lease = (uint64_t)kv_in_era(era, 1) - 1;
 	store->revision = kv_in_era(era, store->copy_revision);
 	fake_kv_compact(store);
 }
@@ -616,6 +615,8 @@
 	store->timers = timers;
 	store->delay = DEFAULT_DELAY;
 	store->revision = 1;
+	/* Leases are any numbers; the platform's have some 50 bits. */
+	store->next_lease = (uint64_t)1 << 50;
 	store->timer.cb = on_timer;
 	list_init(&store->items);
 	list_init(&store->leases);
--- a/tests/standin_site.c
+++ b/tests/standin_site.c
@@ -112,7 +112,7 @@
 			  sodium_base64_VARIANT_ORIGINAL);
 	object = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value", text, "rev",
 			   to_wire(item->revision), "createdRev", to_wire(item->created), "lease",
-			   to_wire((int64_t)item->lease));
+			   (json_int_t)item->lease);
 	talloc_free(text);
 	return object;
 }
@@ -147,7 +147,7 @@
 		json_array_append_new(items, encode_item(&result->items[i]));
 	body = json_pack("{s:o, s:b, s:I, s:I, s:I}", pending->is_watch ? "events" : "items", items,
 			 "truncated", result->truncated, "asOf", to_wire(result->as_of), "lease",
-			 to_wire((int64_t)result->lease), "ttlMs", (json_int_t)result->ttl_ms);
+			 (json_int_t)result->lease, "ttlMs", (json_int_t)result->ttl_ms);
 	if (pending->req != NULL) {
 		tell_era(pending->site, pending->req);
 		httpd_send_json(pending->req, http_status(result->status), body, 0);
@@ -229,8 +229,8 @@
 			writes[i].only_check = false;
 			writes[i].value = decode_value(
 				writes, json_string_value(json_object_get(write, "value")));
-			writes[i].lease = (uint64_t)from_wire(
-				site, json_integer_value(json_object_get(write, "lease")));
+			writes[i].lease =
+				(uint64_t)json_integer_value(json_object_get(write, "lease"));
 		}
 	}
 	site->client.kv.ops->commit(&site->client.kv, writes, count, on_result, pending);
@@ -246,9 +246,9 @@
 static void call_lease(site_t *site, h2o_req_t *req, const char *path,
 		       void (*call)(kv_t *kv, uint64_t lease, kv_done_t done, void *data))
 {
-	int64_t id = strtoll(req->path_normalized.base + strlen(path), NULL, 10);
+	uint64_t id = strtoull(req->path_normalized.base + strlen(path), NULL, 10);
 
-	call(&site->client.kv, (uint64_t)from_wire(site, id), on_result, pending_create(site, req));
+	call(&site->client.kv, id, on_result, pending_create(site, req));
 }
 
 static int handle_store(httpd_t *httpd, h2o_req_t *req)
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "adopt.h"
 #include "forward.h"
 #include "home.h"
 #include "pool_check.h"
@@ -185,7 +186,7 @@
 	roster = roster_copy(NULL, pooler->sync.roster);
 	roster->revision++;
 	roster_put_group(roster, WORLD_SERVICE, "core-0", true, 1, 1);
-	sync_adopt(pooler, roster);
+	adopt_roster(pooler, roster);
 	world_run(world, 400 * MSEC);
 	assert_begins(writer->reply, "ERR INDOUBT permission");
 	world_destroy(world);
--- a/tests/test_pooler_scale.c
+++ b/tests/test_pooler_scale.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "adopt.h"
 #include "duty.h"
 #include "exchange.h"
 #include "pool_check.h"
@@ -44,7 +45,7 @@
 		}
 	}
 	roster->revision++;
-	sync_adopt(pooler, roster);
+	adopt_roster(pooler, roster);
 }
 
 /* Processor time of telling which primaries are doubted, for each service. */
@@ -171,7 +172,7 @@
 		roster_put_node(roster, name, "10.9.9.8:1", i % 3 == 0 ? "a" : "b", 1);
 	}
 	roster->revision++;
-	sync_adopt(pooler, roster);
+	adopt_roster(pooler, roster);
 }
 
 /* What a proxy without callers looks at with each tick, and what it works out and keeps for it. */
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "adopt.h"
 #include "exchange.h"
 #include "permit.h"
 #include "pool_check.h"
@@ -141,7 +142,7 @@
 
 	change(roster);
 	roster->revision++;
-	sync_adopt(pooler, roster);
+	adopt_roster(pooler, roster);
 }
 
 static void add_proxy(roster_t *roster)
@@ -371,7 +372,7 @@
 	g_assert_false(upstream_is_hub(pooler));
 	roster_node(roster, strong)->capacity = 100;
 	roster->revision++;
-	sync_adopt(pooler, roster);
+	adopt_roster(pooler, roster);
 	g_assert_true(upstream_is_hub(pooler));
 	g_assert_cmpuint(upstream_weight(roster_node(pooler->sync.roster, strong)), ==, 4);
 	world_destroy(world);
