--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -227,7 +227,8 @@
 
 static void close_peer(zmqlink_t *self, peer_t *peer)
 {
-	HASH_DEL(self->by_name, peer);
+	if (self->by_name != NULL)
+		HASH_DEL(self->by_name, peer);
 	counter_add(&links, -1);
 	list_del(&peer->node);
 	zmq_close(peer->socket);
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -397,7 +397,8 @@
 	diff->removed_groups[diff->removed_group_count++] = talloc_strdup(diff, group->service);
 	roster->changing_count -= group->changing;
 	list_del(&group->node);
-	HASH_DEL(roster->by_service, group);
+	if (roster->by_service != NULL)
+		HASH_DEL(roster->by_service, group);
 	talloc_free(group);
 }
 
