--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -140,8 +140,8 @@
 
 /*
  * What the proxy lacks of the roster; NULL: nothing. While what it was told last may be on its way,
- * its questions do not know of that yet: after all have started again the changes are 100 KB for a
- * fleet of 985, and each question that is answered with them makes the next answer later.
+ * its questions do not know of that yet. To answer each with all of it again would fill our link
+ * after a restart of the fleet, when every entry has changed.
  */
 static const char *news_of_roster(const pooler_t *pooler, const peer_report_t *report,
 				  const peer_message_t *ask, usec_t now)
--- a/pooler/hold.c
+++ b/pooler/hold.c
@@ -206,7 +206,7 @@
 		return;
 	if (sync->acquire_after < sync->last_read_ok) {
 		sync->acquire_after = now + pooler_random(pooler, ACQUIRE_JITTER);
-		if (is_stronger_listed(pooler) || restore_yields(pooler, now))
+		if (is_stronger_listed(pooler) || restore_yields(pooler))
 			sync->acquire_after += WEAKER_WAITS;
 		return;
 	}
--- a/pooler/pack.h
+++ b/pooler/pack.h
@@ -1,6 +1,6 @@
 /*
- * Large texts for the store and other proxies, compressed. Rosters and lists of members say nearly
- * the same of each entry, so a seventh of them is left, and every proxy of the fleet reads them.
+ * Large texts for the store and other proxies, compressed: rosters and lists of members say nearly
+ * the same of each entry, and every proxy of the fleet reads them.
  */
 #pragma once
 
--- a/pooler/push.c
+++ b/pooler/push.c
@@ -8,8 +8,8 @@
 #include "upstream.h"
 
 /*
- * Between two pushes of news, for each proxy of the fleet, since all of them are told with each:
- * 1,000 first primaries come in a hundred writes within seconds.
+ * Between two pushes of news, for each proxy of the fleet, since all of them are told with each.
+ * The first primaries of many services come in as many writes within seconds.
  */
 #define SPACING_EACH 100 /* us */
 /* A tick: what would wait for less is pushed at once. */
--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -44,8 +44,7 @@
 #define START_GRACE (1 * USEC_PER_SEC)
 /*
  * A process of a fleet larger than this waits so long for its hub to tell it configuration and
- * members, before it reads them: 985 proxies that start together would read 1.8 MB each from the
- * store, which takes it 14 s.
+ * members, before it reads them: all that start together would have to share the store's link.
  */
 #define TOLD_FLEET  128
 #define TOLD_WITHIN (4 * USEC_PER_SEC)
--- a/pooler/restore.c
+++ b/pooler/restore.c
@@ -63,9 +63,8 @@
 	}
 }
 
-bool restore_yields(const pooler_t *pooler, usec_t now)
+bool restore_yields(const pooler_t *pooler)
 {
-	(void)now;
 	return restore_is_due(pooler) && !pooler->sync.groups_known;
 }
 
--- a/pooler/restore.h
+++ b/pooler/restore.h
@@ -22,7 +22,7 @@
 bool restore_is_due(const pooler_t *pooler);
 
 /* True if this proxy should leave it to another one to take the duty first. */
-bool restore_yields(const pooler_t *pooler, usec_t now);
+bool restore_yields(const pooler_t *pooler);
 
 /* Write the roster, if this proxy holds the duty. */
 void restore_run(pooler_t *pooler, usec_t now);
--- a/tests/pool_check.c
+++ b/tests/pool_check.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "hold.h"
+#include "permit.h"
 
 void assert_begins(const char *text, const char *with)
 {
@@ -53,3 +54,13 @@
 		count += strcmp(world->db->runs[i].id, id) == 0;
 	return count;
 }
+
+size_t count_registered(const pool_world_t *world)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < world->node_count; i++)
+		count += world->nodes[i].pooler != NULL &&
+			 permit_is_registered(world->nodes[i].pooler);
+	return count;
+}
--- a/tests/pool_check.h
+++ b/tests/pool_check.h
@@ -19,5 +19,8 @@
 size_t find_holder(const pool_world_t *world);
 size_t find_other(const pool_world_t *world);
 
+/* Proxies that are on the roster that they know. */
+size_t count_registered(const pool_world_t *world);
+
 /* How often the statement of that id ran, at all members. */
 size_t run_count(const pool_world_t *world, const char *id);
--- a/tests/test_pooler_join.c
+++ b/tests/test_pooler_join.c
@@ -10,16 +10,6 @@
 /* Hubs that they have: one for 16 of a zone, and one more a zone for what is left. */
 #define HUBS_MOST (LARGE / 16 + 3)
 
-static size_t count_registered(const pool_world_t *world)
-{
-	size_t count = 0;
-
-	for (size_t i = 0; i < world->node_count; i++)
-		count += world->nodes[i].pooler != NULL &&
-			 permit_is_registered(world->nodes[i].pooler);
-	return count;
-}
-
 /* Proxies that have made a link to this one. */
 static size_t count_links_to(const pool_world_t *world, size_t node)
 {
@@ -30,8 +20,14 @@
 	return count;
 }
 
-static void lose_power(pool_world_t *world)
+/* A fleet that has just lost power; *holder: who held the duty. */
+static pool_world_t *make_dark(size_t *holder)
 {
+	pool_world_t *world = world_create(LARGE, NULL);
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	*holder = find_holder(world);
 	for (size_t i = 0; i < world->node_count; i++)
 		world_power_off(world, i);
 	world_run(world, 500 * MSEC);
@@ -40,6 +36,7 @@
 		world->nodes[i].messages = 0;
 		world->nodes[i].bytes = 0;
 	}
+	return world;
 }
 
 /*
@@ -48,13 +45,9 @@
  */
 static void test_large_fleet_joins_by_hubs(void)
 {
-	pool_world_t *world = world_create(LARGE, NULL);
 	size_t holder;
+	pool_world_t *world = make_dark(&holder);
 
-	world_settle(world);
-	world_run(world, 2 * SEC);
-	holder = find_holder(world);
-	lose_power(world);
 	for (size_t i = 0; i < LARGE; i++)
 		world_start(world, i);
 	world_run(world, 1500 * MSEC);
@@ -69,13 +62,9 @@
 /* Guards against proxies that never join, since the holder that the roster names is gone. */
 static void test_large_fleet_without_its_holder(void)
 {
-	pool_world_t *world = world_create(LARGE, NULL);
 	size_t holder;
+	pool_world_t *world = make_dark(&holder);
 
-	world_settle(world);
-	world_run(world, 2 * SEC);
-	holder = find_holder(world);
-	lose_power(world);
 	for (size_t i = 0; i < LARGE; i++) {
 		if (i != holder)
 			world_start(world, i);
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -176,16 +176,6 @@
 	world_destroy(world);
 }
 
-static size_t count_registered(const pool_world_t *world)
-{
-	size_t count = 0;
-
-	for (size_t i = 0; i < world->node_count; i++)
-		count += world->nodes[i].pooler != NULL &&
-			 permit_is_registered(world->nodes[i].pooler);
-	return count;
-}
-
 /*
  * What callers see: nothing, after the half second that a fleet takes to come back from a loss of
  * power. What happens: the holder of before, which all others know from the store, does not come
