--- a/tests/test_pooler_restore.c
+++ b/tests/test_pooler_restore.c
@@ -112,6 +112,22 @@
 	return world;
 }
 
+/* No write is acknowledged by the primary that the copy names. */
+static void check_copy_unused(pool_world_t *world, size_t node)
+{
+	for (int i = 0; i < 60; i++) {
+		world_caller_t *caller = world_open(world, node);
+
+		if (caller->caller != NULL) {
+			const char *reply = world_ask(caller, "WRITE job-1 a");
+
+			g_assert_false(g_str_has_prefix(reply, "DONE core-0"));
+		}
+		world_leave(caller);
+		world_run(world, 100 * MSEC);
+	}
+}
+
 /*
  * Guards against a write that is lost: a process that starts with the store's copy has nobody to
  * ask but the members, and the primary of the copy still answers as one.
@@ -126,19 +142,39 @@
 	world_run(world, SEC);
 	fake_kv_restore(world->kv);
 	world_start(world, 1);
-	for (int i = 0; i < 60; i++) {
-		world_caller_t *caller = world_open(world, 1);
+	check_copy_unused(world, 1);
+	/* The others, which don't come back, may have used it for this long. */
+	g_assert_true(is_served_by(world, 1, leader, PERMIT_TOGETHER + SETTLED));
+	world_destroy(world);
+}
 
-		if (caller->caller != NULL) {
-			const char *reply = world_ask(caller, "WRITE job-1 a");
+/*
+ * Guards against the same by a proxy that has run all along, and was cut off while the primary was
+ * replaced: it knows no more than the copy.
+ */
+static void test_proxy_that_is_behind_asks_too(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	size_t behind;
 
-			g_assert_false(g_str_has_prefix(reply, "DONE core-0"));
-		}
-		world_leave(caller);
-		world_run(world, 100 * MSEC);
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	fake_kv_copy(world->kv);
+	behind = find_other(world);
+	world->nodes[behind].kv.cut = true;
+	world->nodes[behind].cut_from_peers = true;
+	world->db->members[0].deaf = true;
+	world->db->members[0].leaving = true;
+	run_until_promoted(world, 1);
+	world->db->members[0].leaving = false;
+	for (size_t i = 0; i < world->node_count; i++) {
+		if (i != behind)
+			world_kill(world, i);
 	}
-	/* The others, which don't come back, may have used it for this long. */
-	g_assert_true(is_served_by(world, 1, leader, PERMIT_TOGETHER + SETTLED));
+	fake_kv_restore(world->kv);
+	world->nodes[behind].kv.cut = false;
+	world->nodes[behind].cut_from_peers = false;
+	check_copy_unused(world, behind);
 	world_destroy(world);
 }
 
@@ -203,6 +239,7 @@
 	g_test_add_func("/restore/primary-stays-replaced", test_primary_stays_replaced);
 	g_test_add_func("/restore/holder-dies", test_holder_dies_with_the_store);
 	g_test_add_func("/restore/fresh-process", test_fresh_process_asks_the_members);
+	g_test_add_func("/restore/proxy-is-behind", test_proxy_that_is_behind_asks_too);
 	g_test_add_func("/restore/fences-rise", test_fences_rise);
 	g_test_add_func("/restore/twice", test_twice);
 	g_test_add_func("/restore/old-configuration", test_old_configuration_proves_no_keys);
