--- a/kernel/clock.h
+++ b/kernel/clock.h
@@ -40,6 +40,12 @@
 	return value < most ? value : most;
 }
 
+/* An age for logs, in milliseconds; -1: unknown (USEC_NEVER). */
+static inline int64_t usec_age_ms(usec_t age)
+{
+	return age != USEC_NEVER ? (int64_t)(age / USEC_PER_MSEC) : -1;
+}
+
 /* The VM's clock. It counts suspended time too (CLOCK_BOOTTIME). */
 const run_clock_t *clock_system(void);
 
--- a/pooler/admission.c
+++ b/pooler/admission.c
@@ -15,6 +15,8 @@
 
 COUNTER_DEFINE(unknown_total, "keys_unknown_total", COUNTER_SUM,
 	       "Sessions refused since no customer has their key.");
+COUNTER_DEFINE(no_database_total, "databases_unknown_total", COUNTER_SUM,
+	       "Sessions refused since the configuration names no such database.");
 COUNTER_DEFINE(barred_total, "sessions_barred_total", COUNTER_SUM,
 	       "Open sessions whose key was taken from their customer.");
 
@@ -23,13 +25,6 @@
 	return customers_by_key(pooler->routes->customers, key);
 }
 
-static int64_t keys_age_ms(const pooler_t *pooler)
-{
-	usec_t age = proof_age(&pooler->keys, now_of(pooler));
-
-	return age != USEC_NEVER ? (int64_t)(age / USEC_PER_MSEC) : -1;
-}
-
 static void log_refused(const pooler_t *pooler, const char *database, const key_digest_t *key,
 			reason_t reason)
 {
@@ -39,7 +34,8 @@
 	LOG_EVENT(LOG_WARN, "session refused", LOG_STR("database", database), LOG_STR("key", label),
 		  LOG_STR("reason", reason_text(reason)),
 		  LOG_INT("config", pooler->routes->version),
-		  LOG_INT("keys_age_ms", keys_age_ms(pooler)));
+		  LOG_INT("heard", pooler->config_heard),
+		  LOG_INT("keys_age_ms", usec_age_ms(proof_age(&pooler->keys, now_of(pooler)))));
 }
 
 bool admission_opens(const pooler_t *pooler, const char *database, const key_digest_t *key,
@@ -49,6 +45,8 @@
 
 	if (route == NULL) {
 		*code = CODE_NO_DATABASE;
+		counter_add(&no_database_total, 1);
+		log_refused(pooler, database, key, REASON_UNKNOWN_DATABASE);
 		return false;
 	}
 	if (route->open)
--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -43,6 +43,17 @@
 
 static void go_on(follow_t *follow);
 
+const char *follow_way_text(follow_way_t way)
+{
+	static const char *const texts[] = {
+		[FOLLOW_BY_READING] = "reading",
+		[FOLLOW_BY_WATCH] = "watch",
+		[FOLLOW_BY_PEER] = "peer",
+	};
+
+	return texts[way];
+}
+
 static known_t *find(const follow_t *follow, const char *key)
 {
 	known_t *known;
@@ -168,14 +179,21 @@
 	return base + (follow->random >> 33) % base;
 }
 
-static void on_failure(follow_t *follow, kv_status_t status)
+static void on_failure(follow_t *follow, follow_way_t way, kv_status_t status)
 {
+	usec_t wait = backoff(follow);
+
 	counter_add(&failures_total, 1);
 	if (follow->failures == 0)
 		LOG_EVENT(LOG_WARN, "store lost", LOG_STR("prefix", follow->prefix),
-			  LOG_INT("status", status));
-	timers_arm(follow->timers, &follow->retry, clock_now(follow->clock) + backoff(follow),
-		   on_retry);
+			  LOG_STR("call", follow_way_text(way)), LOG_INT("status", status),
+			  LOG_INT("retry_ms", (int64_t)(wait / USEC_PER_MSEC)));
+	else
+		LOG_EVENT(LOG_INFO, "store lost still", LOG_STR("prefix", follow->prefix),
+			  LOG_STR("call", follow_way_text(way)), LOG_INT("status", status),
+			  LOG_INT("failures", follow->failures),
+			  LOG_INT("retry_ms", (int64_t)(wait / USEC_PER_MSEC)));
+	timers_arm(follow->timers, &follow->retry, clock_now(follow->clock) + wait, on_retry);
 	follow->failures++;
 }
 
@@ -228,7 +246,7 @@
 
 	follow->page_asked = false;
 	if (result->status != KV_OK) {
-		on_failure(follow, result->status);
+		on_failure(follow, FOLLOW_BY_READING, result->status);
 		return;
 	}
 	on_success(follow);
@@ -241,6 +259,7 @@
 	if (follow->round_revision == 0)
 		follow->round_revision = result->as_of;
 	follow->paging = true;
+	follow->way = FOLLOW_BY_READING;
 	for (size_t i = 0; i < result->count; i++)
 		take_item(follow, &result->items[i]);
 	follow->paging = false;
@@ -285,10 +304,11 @@
 		return;
 	}
 	if (result->status != KV_OK) {
-		on_failure(follow, result->status);
+		on_failure(follow, FOLLOW_BY_WATCH, result->status);
 		return;
 	}
 	on_success(follow);
+	follow->way = FOLLOW_BY_WATCH;
 	take_events(follow, result->items, result->count);
 	follow->revision = result->as_of;
 	advance(follow, result->as_of);
@@ -321,6 +341,10 @@
 void follow_refresh(follow_t *follow)
 {
 	follow->held = false;
+	if (timer_is_armed(&follow->retry))
+		LOG_EVENT(LOG_INFO, "reading waits for the back-off",
+			  LOG_STR("prefix", follow->prefix), LOG_INT("failures", follow->failures),
+			  LOG_INT("revision", follow->told));
 	if (follow->reading)
 		return;
 	start_reading(follow);
@@ -494,6 +518,7 @@
 {
 	if (changes->as_of <= follow->told)
 		return;
+	follow->way = FOLLOW_BY_PEER;
 	if (changes->whole)
 		take_whole(follow, changes);
 	else
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -23,6 +23,12 @@
  */
 #define FOLLOW_CHANGES_MOST (24 * 1024)
 
+/* How a follower learnt of a change. */
+typedef enum { FOLLOW_BY_READING, FOLLOW_BY_WATCH, FOLLOW_BY_PEER } follow_way_t;
+
+/* For logs: "reading". */
+const char *follow_way_text(follow_way_t way);
+
 struct follow;
 
 typedef struct follow_ops {
@@ -52,6 +58,7 @@
 	int64_t packed_at;  /* told, as it was then */
 	int64_t packed_since;
 	bool fed; /* a peer tells what changes; the store is not watched */
+	follow_way_t way; /* of the change that is being told */
 	/* A whole reading, which can go on beside a watch. */
 	bool reading;
 	bool page_asked;
--- a/pooler/metrics.c
+++ b/pooler/metrics.c
@@ -26,10 +26,17 @@
 	head(out, "permission_seconds", "Time for which primaries may still be used.");
 	fprintf(out, "cyclamenspan_permission_seconds %g\n", now < end ? seconds(end - now) : 0.0);
 	/* Without a first confirmation there is no age. */
-	if (sync->confirmed_at == USEC_NEVER)
-		return;
-	head(out, "roster_age_seconds", "Since the store was known to hold this roster.");
-	fprintf(out, "cyclamenspan_roster_age_seconds %g\n", seconds(now - sync->confirmed_at));
+	if (sync->confirmed_at != USEC_NEVER) {
+		head(out, "roster_age_seconds", "Since the store was known to hold this roster.");
+		fprintf(out, "cyclamenspan_roster_age_seconds %g\n",
+			seconds(now - sync->confirmed_at));
+	}
+	if (proof_age(&pooler->keys, now) != USEC_NEVER) {
+		head(out, "config_age_seconds",
+		     "Since the configuration in force was known to be the newest.");
+		fprintf(out, "cyclamenspan_config_age_seconds %g\n",
+			seconds(proof_age(&pooler->keys, now)));
+	}
 }
 
 static void write_services(const pooler_t *pooler, FILE *out)
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -449,6 +449,8 @@
 		  LOG_INT("customers", (int64_t)customers_count(routes->customers)),
 		  LOG_INT("version", routes->version),
 		  LOG_INT("before", pooler->routes != NULL ? pooler->routes->version : 0),
+		  LOG_INT("heard", pooler->config_heard),
+		  LOG_INT("proved_age_ms", usec_age_ms(proof_age(&pooler->keys, now_of(pooler)))),
 		  LOG_INT("routes", (int64_t)list_length(&routes->routes)));
 	talloc_free(pooler->routes);
 	pooler->routes = talloc_steal(pooler, routes);
@@ -543,10 +545,11 @@
 
 	list_for_each (it, &pooler->services)
 		json_array_append_new(services, dump_service(list_entry(it, service_t, node), now));
-	return json_pack("{s:s, s:b, s:I, s:I, s:I, s:s, s:I, s:b, s:i, s:o}", "name",
+	return json_pack("{s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:s, s:I, s:b, s:i, s:o}", "name",
 			 pooler->config.name, "ready", pooler_is_ready(pooler), "config_version",
 			 (json_int_t)(pooler->routes != NULL ? pooler->routes->version : 0),
-			 "roster", (json_int_t)sync->roster->revision, "roster_age_ms",
+			 "config_heard", (json_int_t)pooler->config_heard, "config_age_ms",
+			 (json_int_t)usec_age_ms(proof_age(&pooler->keys, now)), "roster", (json_int_t)sync->roster->revision, "roster_age_ms",
 			 (json_int_t)(sync->confirmed_at != USEC_NEVER
 					      ? (now - sync->confirmed_at) / USEC_PER_MSEC
 					      : 0),
--- a/pooler/report.c
+++ b/pooler/report.c
@@ -58,9 +58,7 @@
 /* -1: nothing has proved them yet. */
 static int64_t keys_age(const caller_t *caller, usec_t now)
 {
-	usec_t age = proof_age(&caller->pooler->keys, now);
-
-	return age != USEC_NEVER ? (int64_t)(age / USEC_PER_MSEC) : -1;
+	return usec_age_ms(proof_age(&caller->pooler->keys, now));
 }
 
 /* -1: the store was never heard. */
