Failing tests: a configuration that proxies turned away by the store never learn

In paused time proxies were handed the configuration, so no test played its way. Now they can read it from the store and tell each other (world_create_following).

--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -57,7 +57,7 @@
 	char *packed;	    /* by follow_pack() */
 	int64_t packed_at;  /* told, as it was then */
 	int64_t packed_since;
-	bool fed; /* a peer tells what changes; the store is not watched */
+	bool fed;	  /* a peer tells what changes; the store is not watched */
 	follow_way_t way; /* of the change that is being told */
 	/* A whole reading, which can go on beside a watch. */
 	bool reading;
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -549,7 +549,8 @@
 			 pooler->config.name, "ready", pooler_is_ready(pooler), "config_version",
 			 (json_int_t)(pooler->routes != NULL ? pooler->routes->version : 0),
 			 "config_heard", (json_int_t)pooler->config_heard, "config_age_ms",
-			 (json_int_t)usec_age_ms(proof_age(&pooler->keys, now)), "roster", (json_int_t)sync->roster->revision, "roster_age_ms",
+			 (json_int_t)usec_age_ms(proof_age(&pooler->keys, now)), "roster",
+			 (json_int_t)sync->roster->revision, "roster_age_ms",
 			 (json_int_t)(sync->confirmed_at != USEC_NEVER
 					      ? (now - sync->confirmed_at) / USEC_PER_MSEC
 					      : 0),
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -449,6 +449,11 @@
 	usec_t now = now_of(store);
 	bool reachable = !store->down && !call->client->cut;
 
+	if (reachable && call->client->refused && now >= call->arrives) {
+		call->result.status = KV_REFUSED;
+		finish(call);
+		return true;
+	}
 	if (now >= call->ends) {
 		if (call->kind == CALL_WATCH && reachable)
 			call->result.as_of = store->revision;
--- a/tests/pool_parts.h
+++ b/tests/pool_parts.h
@@ -11,6 +11,15 @@
 	return clock_now(&world->clock.base);
 }
 
+/* What the configuration says in that version; the caller frees it. */
+routes_t *world_routes(const pool_world_t *world, int64_t version);
+
+/* --- the directory, in a world that follows the store --- */
+
+void directory_start(world_node_t *node);
+void directory_stop(world_node_t *node);
+void directory_refresh(world_node_t *node, follow_t *follow);
+
 /* --- to members: env_ops_t --- */
 
 void *links_connect(env_t *env, const char *address, const char *service, const char *customer,
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -58,9 +58,20 @@
 	timers_arm(&node->timers, &answer->timer, world_now(world) + 2 * LINK_DELAY, on_answer);
 }
 
-static void count_refresh(env_t *env)
+static void refresh_config(env_t *env)
 {
-	((world_node_t *)env)->refreshes++;
+	world_node_t *node = (world_node_t *)env;
+
+	node->refreshes++;
+	directory_refresh(node, &node->config);
+}
+
+static void refresh_members(env_t *env)
+{
+	world_node_t *node = (world_node_t *)env;
+
+	node->refreshes++;
+	directory_refresh(node, &node->members);
 }
 
 static void stop_accepting(env_t *env)
@@ -82,8 +93,8 @@
 	.member_close = links_close,
 	.peer_send = peers_send,
 	.promote = promote,
-	.refresh_config = count_refresh,
-	.refresh_members = count_refresh,
+	.refresh_config = refresh_config,
+	.refresh_members = refresh_members,
 	.stop_accepting = stop_accepting,
 	.drained = drained,
 };
@@ -97,7 +108,8 @@
 	route->max_age = world->max_age;
 	route->statement_timeout = 800 * USEC_PER_MSEC;
 	route->objective = WORLD_OBJECTIVE;
-	route->open = world->customer_count == 0 || strcmp(database, "open") == 0;
+	route->open = world->customer_count == 0 || strcmp(database, "open") == 0 ||
+		      strcmp(database, WORLD_ADDED) == 0 || strcmp(database, WORLD_DROPPED) == 0;
 }
 
 static void add_customers(routes_t *routes, const pool_world_t *world)
@@ -113,18 +125,22 @@
 	}
 }
 
-static routes_t *make_routes(const pool_world_t *world)
+routes_t *world_routes(const pool_world_t *world, int64_t version)
 {
 	routes_t *routes = routes_create(NULL);
 	service_limits_t *limits = routes_add_service(routes, WORLD_SERVICE);
 
-	routes->version = world->config_version;
+	routes->version = version;
 	routes->tx_idle = 3 * USEC_PER_SEC;
 	add_route(routes, world, WORLD_DATABASE, world->reads);
 	add_route(routes, world, "strict", READS_PRIMARY);
 	add_route(routes, world, "bounded", READS_BOUNDED);
 	add_route(routes, world, "session", READS_SESSION);
 	add_route(routes, world, "open", READS_BOUNDED);
+	if (world->added_by != 0 && version >= world->added_by)
+		add_route(routes, world, WORLD_ADDED, READS_BOUNDED);
+	if (world->dropped_by != 0 && version < world->dropped_by)
+		add_route(routes, world, WORLD_DROPPED, READS_BOUNDED);
 	add_customers(routes, world);
 	limits->max_connections = (int64_t)world->db->config.max_connections;
 	limits->sync_replicas = world->sync_replicas;
@@ -161,8 +177,10 @@
 
 		if (node->pooler == NULL || node->kv.cut || node->frozen)
 			continue;
-		pooler_on_routes(node->pooler, make_routes(world));
-		pooler_on_keys_proved(node->pooler, world_now(world));
+		if (world->config_bytes == 0) {
+			pooler_on_routes(node->pooler, world_routes(world, world->config_version));
+			pooler_on_keys_proved(node->pooler, world_now(world));
+		}
 		publish_members(world, node);
 	}
 }
@@ -275,7 +293,10 @@
 
 	node->drained = false;
 	node->pooler = pooler_create(NULL, &config, &node->env, &world->clock.base, &node->timers);
-	pooler_on_routes(node->pooler, make_routes(world));
+	if (world->config_bytes != 0)
+		directory_start(node);
+	else
+		pooler_on_routes(node->pooler, world_routes(world, world->config_version));
 	publish_members(world, node);
 	pooler_start(node->pooler);
 }
@@ -288,6 +309,7 @@
 	list_for_each (it, &node->callers)
 		list_entry(it, world_caller_t, node)->caller = NULL;
 	fake_kv_client_gone(&node->kv);
+	directory_stop(node);
 	talloc_free(node->pooler);
 	node->pooler = NULL;
 }
@@ -367,11 +389,8 @@
 	return start_nodes(make_world(nodes, config));
 }
 
-pool_world_t *world_create_keyed(size_t nodes, const fake_db_config_t *config,
-				 const world_customer_t *customers, size_t count)
+static void add_customers_to(pool_world_t *world, const world_customer_t *customers, size_t count)
 {
-	pool_world_t *world = make_world(nodes, config);
-
 	g_assert_cmpuint(count, <=, WORLD_CUSTOMERS_MAX);
 	memcpy(world->customers, customers, count * sizeof(*customers));
 	world->customer_count = count;
@@ -379,6 +398,27 @@
 	world->slack = (limit_slack_t){.part = 0.1, .operations = 20};
 	for (size_t i = 0; i < count; i++)
 		snprintf(world->customers[i].key, WORLD_KEY_MAX, "key-%s", customers[i].name);
+}
+
+pool_world_t *world_create_keyed(size_t nodes, const fake_db_config_t *config,
+				 const world_customer_t *customers, size_t count)
+{
+	pool_world_t *world = make_world(nodes, config);
+
+	add_customers_to(world, customers, count);
+	return start_nodes(world);
+}
+
+pool_world_t *world_create_following(size_t nodes, const world_customer_t *customers, size_t count,
+				     size_t bytes)
+{
+	pool_world_t *world = make_world(nodes, NULL);
+
+	if (count != 0)
+		add_customers_to(world, customers, count);
+	world->config_bytes = bytes;
+	world->config_version = 0;
+	world_write_config(world);
 	return start_nodes(world);
 }
 
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -8,6 +8,7 @@
 #include "env.h"
 #include "fake_db.h"
 #include "fake_kv.h"
+#include "follow.h"
 #include "pooler.h"
 
 #define WORLD_NODES_MAX 160
@@ -16,6 +17,9 @@
 #define WORLD_DATABASE	"jobs"
 #define WORLD_SERVICE	"core"
 #define WORLD_REPLY_MAX 512
+/* Databases that come and go with a version; without a key. */
+#define WORLD_ADDED   "added"
+#define WORLD_DROPPED "dropped"
 /* Of every route, for an operation. */
 #define WORLD_OBJECTIVE (200 * USEC_PER_MSEC)
 
@@ -39,7 +43,9 @@
 	list_t links;			 /* to members */
 	list_t callers;			 /* world_caller_t */
 	bool drained;
-	size_t refreshes;  /* of the directory that the pooler asked for */
+	size_t refreshes; /* of the directory that the pooler asked for */
+	follow_t config;  /* the directory, in a world that follows the store */
+	follow_t members;
 	usec_t peer_delay; /* of messages to it, beyond the usual */
 	size_t messages;   /* sent to other proxies */
 	size_t bytes;	   /* of these */
@@ -90,9 +96,13 @@
 	reads_t reads;	      /* of the route */
 	usec_t max_age;
 	int64_t config_version;
-	bool new_links;	    /* a message to a proxy that none was sent to before is not sent */
-	bool plain;	    /* of proxies that start: no order by lateness, no help of others */
-	bool sync_replicas; /* as the configuration says */
+	int64_t added_by;    /* the version from which on there is WORLD_ADDED; 0: none */
+	int64_t dropped_by;  /* the version from which on there is no WORLD_DROPPED; 0: none */
+	size_t config_bytes; /* in a world that follows the store: of a configuration; 0: handed
+				over */
+	bool new_links;	     /* a message to a proxy that none was sent to before is not sent */
+	bool plain;	     /* of proxies that start: no order by lateness, no help of others */
+	bool sync_replicas;  /* as the configuration says */
 	/* With any, routes but "open" ask for a key. */
 	world_customer_t customers[WORLD_CUSTOMERS_MAX];
 	size_t customer_count;
@@ -114,6 +124,19 @@
 pool_world_t *world_create_keyed(size_t nodes, const fake_db_config_t *config,
 				 const world_customer_t *customers, size_t count);
 
+/*
+ * The same of proxies that read the configuration from the store and tell each other, instead of
+ * being handed it. bytes: of the configuration.
+ */
+pool_world_t *world_create_following(size_t nodes, const world_customer_t *customers, size_t count,
+				     size_t bytes);
+
+/* The operators write a new version to the store. */
+void world_write_config(pool_world_t *world);
+
+/* The version in force at the proxy; 0: none. */
+int64_t world_version_at(const pool_world_t *world, size_t node);
+
 /* Let time pass. */
 void world_run(pool_world_t *world, usec_t by);
 
