A proxy that the store turns away is told a configuration of any size

The hub answered "read the store", which was the one thing that the proxy could not do, and a peer with access was not known to it when its hub was turned away, too.

Now who says that the store does not serve it is told the packed text whatever its size; and the spacing between two configurations counts only from one that was told, not from a hint to read the store.

Ruled out: failing calls alone (a configuration of 100 B was in force after 0.1 s with the same zone turned away).

--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -206,20 +206,24 @@
 	return pooler->config.config_bound * CONFIG_SPACING_PERCENT / 100;
 }
 
-/*
- * What is lacking in one text, or NULL if all that ask this proxy can't be told so much: then they
- * read the store, each by its own link.
- */
-static const char *pack(const pooler_t *pooler, follow_t *follow, int64_t since)
+/* True if all that ask this proxy can be told so much. */
+static bool fits_link(const pooler_t *pooler, size_t len)
 {
 	const roster_node_t *self = roster_node(pooler->sync.roster, pooler->config.name);
 	size_t listeners = UPSTREAM_SPAN * (self != NULL ? upstream_weight(self) : 1);
+
+	return len * listeners <= (size_t)pooler->config.link / PACKED_PART;
+}
+
+/*
+ * What is lacking in one text, or NULL if the receiver is to read the store, by its own link. One
+ * that the store does not serve has no other way to learn it.
+ */
+static const char *pack(const pooler_t *pooler, follow_t *follow, int64_t since, bool cut_off)
+{
 	const char *packed = follow_pack(follow, since);
 
-	if (packed == NULL ||
-	    strlen(packed) * listeners > (size_t)pooler->config.link / PACKED_PART)
-		return NULL;
-	return packed;
+	return packed != NULL && (cut_off || fits_link(pooler, strlen(packed))) ? packed : NULL;
 }
 
 /* The configuration, if it is time; else the receiver is told with a later answer. */
@@ -236,10 +240,10 @@
 		return;
 	news = changes_since(follow, since, parent, &message->config_changes);
 	if (news == FOLLOW_TOO_MUCH) {
-		message->config_packed = pack(pooler, follow, since);
+		message->config_packed = pack(pooler, follow, since, report->cut_off);
 		message->read_directory = message->config_packed == NULL;
 	}
-	if (news != FOLLOW_NOTHING)
+	if (message->config_changes != NULL || message->config_packed != NULL)
 		report->config_told_at = now;
 }
 
@@ -252,7 +256,7 @@
 	if (changes_since(follow, since, parent, &message->members_changes) != FOLLOW_TOO_MUCH ||
 	    (report->members_packed_at != 0 && now < report->members_packed_at + PACKED_ON_ITS_WAY))
 		return;
-	message->members_packed = pack(pooler, follow, since);
+	message->members_packed = pack(pooler, follow, since, report->cut_off);
 	message->read_directory |= message->members_packed == NULL;
 	report->members_packed_at = now;
 }
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -90,6 +90,23 @@
 	world_destroy(world);
 }
 
+/* In a fleet that falls into two parts those that the store turns away hear too few others. */
+static void test_parts_turned_away(void)
+{
+	for (usec_t before = 0; before <= 2 * SEC; before += 400 * MSEC) {
+		pool_world_t *world = start(LARGE);
+
+		for (size_t i = 0; i < FLEET; i++) {
+			world->nodes[i].island = i % 2;
+			world->nodes[i].kv.refused = i % 6 < 2;
+		}
+		world_run(world, before);
+		world_write_config(world);
+		expect_in_force(world, CONFIG_BOUND);
+		world_destroy(world);
+	}
+}
+
 /* After a long outage of the store the back-off of all proxies together takes up the bound. */
 static void test_store_returns(void)
 {
@@ -135,6 +152,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config/told-to-all", test_told_to_all);
 	g_test_add_func("/config/large-while-turned-away", test_large_while_turned_away);
+	g_test_add_func("/config/parts-turned-away", test_parts_turned_away);
 	g_test_add_func("/config/store-returns", test_store_returns);
 	g_test_add_func("/config/unknown-while-behind", test_unknown_while_behind);
 	return g_test_run();
