Reads of a proxy that knows no peer with access go to the next on the roster

Callers saw: the old configuration for 5.6 to 8.8 s (bound 3 s) from proxies that the store turns away and whose hubs are gone. They read it through a peer that was heard to reach the store, and had heard only their own hubs, so none.

Reads now go to the proxies that follow on the roster, eight at most, one after another, if no peer is known to reach the store; one that can't help is left alone for 2 s. A call whose link is still being made is sent with the next tick instead of being lost.

/config/hubs-vanish failed before and passes with this change alone. Ruled out: the hubs' own delay; the part of the fleet that the store serves had the configuration after 1.5 s.

--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -24,6 +24,13 @@
 #define ACCESS_VALID (700 * USEC_PER_MSEC)
 /* Peers asked for one call. */
 #define HELPERS_MAX 2
+/*
+ * Peers of which nothing is known are tried among so many that follow on the roster: links to few,
+ * whatever the size of the fleet.
+ */
+#define STRANGERS_SPAN 8
+/* One that could not help is not tried again for so long. */
+#define STRANGER_AVOIDED (2 * USEC_PER_SEC)
 /* Calls made for others at a time: a holder and those that start have one or two each. */
 #define JOBS_MAX 16
 /* The ways between proxies, on top of the time that the peer gives its own call. */
@@ -50,6 +57,7 @@
 	list_t calls; /* call_t */
 	uint64_t numbers;
 	size_t jobs;
+	size_t next_stranger;
 	bool cut_off;
 	bool probing; /* whether our own calls are answered again */
 	usec_t probe_at;
@@ -65,6 +73,7 @@
 	void *data;
 	char *helper;
 	unsigned helpers; /* asked so far */
+	bool sent;	  /* to the helper; its link may have to be made first */
 	usec_t began_at;  /* our own try */
 	usec_t asked_at;  /* the helper */
 } call_t;
@@ -159,6 +168,42 @@
 	       now < report->access_at + ACCESS_VALID;
 }
 
+static bool is_avoided(const peer_report_t *report, usec_t now)
+{
+	return report != NULL && report->cut_off && now < report->access_at + STRANGER_AVOIDED;
+}
+
+/* The nodes of the roster in a circle. */
+static const roster_node_t *node_after(const roster_t *roster, const roster_node_t *node)
+{
+	const list_t *next =
+		node->node.next != &roster->nodes ? node->node.next : roster->nodes.next;
+
+	return list_entry(next, roster_node_t, node);
+}
+
+/*
+ * A peer that may reach the store, or NULL. Who has lost its hubs hears nobody that does: with a
+ * zone turned away, its hubs too, no proxy of that zone knew whom to ask.
+ */
+static const roster_node_t *find_stranger(relay_t *relay, usec_t now)
+{
+	const pooler_t *pooler = relay->pooler;
+	const roster_t *roster = pooler->sync.roster;
+	const roster_node_t *node = roster_node(roster, pooler->config.name);
+	size_t skipped = relay->next_stranger++ % STRANGERS_SPAN;
+
+	for (size_t i = 0; node != NULL && i < STRANGERS_SPAN; i++) {
+		node = node_after(roster, node);
+		if (node->gone || strcmp(node->name, pooler->config.name) == 0 ||
+		    is_avoided(exchange_report(pooler, node->name), now))
+			continue;
+		if (i >= skipped)
+			return node;
+	}
+	return NULL;
+}
+
 /* The peer that was heard last to reach the store, or NULL. */
 static const roster_node_t *find_helper(const relay_t *relay, usec_t now)
 {
@@ -179,13 +224,20 @@
 	return best;
 }
 
-static void send_to(const relay_t *relay, const char *name, const char *address,
+static bool send_to(const relay_t *relay, const char *name, const char *address,
 		    peer_message_t *message)
 {
 	env_t *env = relay->pooler->env;
 
 	exchange_fill(relay->pooler, message);
-	env->ops->peer_send(env, name, address, message);
+	return env->ops->peer_send(env, name, address, message);
+}
+
+static void send_call(call_t *call, const roster_node_t *helper)
+{
+	peer_message_t message = {.kind = PEER_STORE, .store = &call->request};
+
+	call->sent = send_to(call->relay, helper->name, helper->address, &message);
 }
 
 /* False if there is nobody to ask. */
@@ -194,9 +246,12 @@
 	relay_t *relay = call->relay;
 	usec_t now = now_of(relay->pooler);
 	const roster_node_t *helper = find_helper(relay, now);
-	peer_message_t message = {.kind = PEER_STORE, .store = &call->request};
 
-	if (helper == NULL || call->helpers >= HELPERS_MAX)
+	if (call->helpers >= HELPERS_MAX)
+		return false;
+	if (helper == NULL && call->request.op == STORE_RANGE)
+		helper = find_stranger(relay, now);
+	if (helper == NULL)
 		return false;
 	call->helpers++;
 	call->asked_at = now;
@@ -205,7 +260,7 @@
 	call->helper = talloc_strdup(call, helper->name);
 	list_add_tail(&relay->calls, &call->node);
 	counter_add(&relayed_total, 1);
-	send_to(relay, helper->name, helper->address, &message);
+	send_call(call, helper);
 	return true;
 }
 
@@ -245,6 +300,7 @@
 	peer_report_t *report = exchange_get_report(call->relay->pooler, call->helper);
 
 	report->cut_off = true;
+	report->access_at = now_of(call->relay->pooler);
 	if ((status == KV_LOST && !is_repeatable(call)) || !ask_peer(call))
 		finish(call, &result);
 }
@@ -286,6 +342,14 @@
 				  relay);
 }
 
+static void send_again(call_t *call)
+{
+	const roster_node_t *helper = roster_node(call->relay->pooler->sync.roster, call->helper);
+
+	if (helper != NULL)
+		send_call(call, helper);
+}
+
 void relay_tick(relay_t *relay, usec_t now)
 {
 	usec_t patience = (usec_t)relay->direct->patience_ms * USEC_PER_MSEC + WAYS;
@@ -293,6 +357,8 @@
 	list_for_each_safe (it, &relay->calls) {
 		call_t *call = list_entry(it, call_t, node);
 
+		if (!call->sent)
+			send_again(call);
 		if (now < call->asked_at + patience)
 			continue;
 		list_del(&call->node);
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -25,6 +25,11 @@
 	return world;
 }
 
+static bool is_hub(const pool_world_t *world, size_t node)
+{
+	return world->nodes[node].pooler->sync.hubs.is_hub;
+}
+
 /* All of one zone, with its hubs: what one of them knows of the store, all do. */
 static void turn_zone_away(pool_world_t *world, bool away)
 {
@@ -90,6 +95,23 @@
 	world_destroy(world);
 }
 
+/* A proxy whose hubs vanish, and that the store turns away, is told by nobody for over the bound.
+ */
+static void test_hubs_vanish(void)
+{
+	for (usec_t before = 0; before <= 2 * SEC; before += 400 * MSEC) {
+		pool_world_t *world = start(SMALL);
+
+		turn_zone_away(world, true);
+		for (size_t i = 0; i < FLEET; i++)
+			world->nodes[i].cut_from_peers = is_hub(world, i);
+		world_run(world, before);
+		world_write_config(world);
+		expect_in_force(world, CONFIG_BOUND);
+		world_destroy(world);
+	}
+}
+
 /* In a fleet that falls into two parts those that the store turns away hear too few others. */
 static void test_parts_turned_away(void)
 {
@@ -152,6 +174,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config/told-to-all", test_told_to_all);
 	g_test_add_func("/config/large-while-turned-away", test_large_while_turned_away);
+	g_test_add_func("/config/hubs-vanish", test_hubs_vanish);
 	g_test_add_func("/config/parts-turned-away", test_parts_turned_away);
 	g_test_add_func("/config/store-returns", test_store_returns);
 	g_test_add_func("/config/unknown-while-behind", test_unknown_while_behind);
