A follower whose watch fails reads instead; each kind of call has a back-off of its own

A watch can't go through a peer. One that the store turned away armed the back-off (up to 3.2 s) that readings waited for, too, and readings began only when they were due, an interval after the proxy had found out that nobody tells it anything. So the time from there on added up: half of the bound, a third of it, and the back-off.

/follow/watches-turned-away failed before: the change was never learnt.

--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -163,46 +163,54 @@
 
 /* --- failures --- */
 
-static void on_retry(run_timer_t *timer, usec_t now)
+static void on_page_retry(run_timer_t *timer, usec_t now)
 {
 	(void)now;
-	go_on(list_entry(timer, follow_t, retry));
+	go_on(list_entry(timer, follow_t, page_retry.timer));
 }
 
-static usec_t backoff(follow_t *follow)
+static void on_watch_retry(run_timer_t *timer, usec_t now)
 {
-	unsigned doublings =
-		follow->failures < BACKOFF_DOUBLINGS ? follow->failures : BACKOFF_DOUBLINGS;
+	(void)now;
+	go_on(list_entry(timer, follow_t, watch_retry.timer));
+}
+
+static usec_t backoff(follow_t *follow, unsigned failures)
+{
+	unsigned doublings = failures < BACKOFF_DOUBLINGS ? failures : BACKOFF_DOUBLINGS;
 	usec_t base = BACKOFF_FIRST << doublings;
 
 	follow->random = follow->random * 6364136223846793005ull + 1442695040888963407ull;
 	return base + (follow->random >> 33) % base;
 }
 
-static void on_failure(follow_t *follow, follow_way_t way, kv_status_t status)
+/* Returns how long to wait. */
+static usec_t note_failure(follow_t *follow, follow_retry_t *retry, follow_way_t way,
+			   kv_status_t status)
 {
-	usec_t wait = backoff(follow);
+	usec_t wait = backoff(follow, retry->failures);
 
 	counter_add(&failures_total, 1);
-	if (follow->failures == 0)
+	if (retry->failures == 0)
 		LOG_EVENT(LOG_WARN, "store lost", LOG_STR("prefix", follow->prefix),
 			  LOG_STR("call", follow_way_text(way)), LOG_INT("status", status),
 			  LOG_INT("retry_ms", (int64_t)(wait / USEC_PER_MSEC)));
 	else
 		LOG_EVENT(LOG_INFO, "store lost still", LOG_STR("prefix", follow->prefix),
 			  LOG_STR("call", follow_way_text(way)), LOG_INT("status", status),
-			  LOG_INT("failures", follow->failures),
+			  LOG_INT("failures", retry->failures),
 			  LOG_INT("retry_ms", (int64_t)(wait / USEC_PER_MSEC)));
-	timers_arm(follow->timers, &follow->retry, clock_now(follow->clock) + wait, on_retry);
-	follow->failures++;
+	retry->failures++;
+	return wait;
 }
 
-static void on_success(follow_t *follow)
+static void note_success(const follow_t *follow, follow_retry_t *retry, follow_way_t way)
 {
-	if (follow->failures != 0)
+	if (retry->failures != 0)
 		LOG_EVENT(LOG_INFO, "store back", LOG_STR("prefix", follow->prefix),
-			  LOG_INT("failures", follow->failures));
-	follow->failures = 0;
+			  LOG_STR("call", follow_way_text(way)),
+			  LOG_INT("failures", retry->failures));
+	retry->failures = 0;
 }
 
 /* --- reading all --- */
@@ -240,16 +248,24 @@
 	follow->reading = false;
 }
 
+static void on_page_failure(follow_t *follow, kv_status_t status)
+{
+	usec_t wait = note_failure(follow, &follow->page_retry, FOLLOW_BY_READING, status);
+
+	timers_arm(follow->timers, &follow->page_retry.timer, clock_now(follow->clock) + wait,
+		   on_page_retry);
+}
+
 static void on_page(void *data, const kv_result_t *result)
 {
 	follow_t *follow = data;
 
 	follow->page_asked = false;
 	if (result->status != KV_OK) {
-		on_failure(follow, FOLLOW_BY_READING, result->status);
+		on_page_failure(follow, result->status);
 		return;
 	}
-	on_success(follow);
+	note_success(follow, &follow->page_retry, FOLLOW_BY_READING);
 	if (!follow->reading) {
 		/* A peer has told all of it meanwhile. */
 		go_on(follow);
@@ -290,6 +306,18 @@
 	}
 }
 
+/* A peer may still read for us what the watch would have told. */
+static void on_watch_failure(follow_t *follow, kv_status_t status)
+{
+	usec_t wait = note_failure(follow, &follow->watch_retry, FOLLOW_BY_WATCH, status);
+
+	timers_arm(follow->timers, &follow->watch_retry.timer, clock_now(follow->clock) + wait,
+		   on_watch_retry);
+	if (!follow->fed && !follow->reading)
+		start_reading(follow);
+	go_on(follow);
+}
+
 static void on_events(void *data, const kv_result_t *result)
 {
 	follow_t *follow = data;
@@ -304,26 +332,24 @@
 		return;
 	}
 	if (result->status != KV_OK) {
-		on_failure(follow, FOLLOW_BY_WATCH, result->status);
+		on_watch_failure(follow, result->status);
 		return;
 	}
-	on_success(follow);
+	note_success(follow, &follow->watch_retry, FOLLOW_BY_WATCH);
 	follow->way = FOLLOW_BY_WATCH;
 	take_events(follow, result->items, result->count);
 	follow->revision = result->as_of;
 	advance(follow, result->as_of);
 	if (follow->gather != 0 && result->count != 0)
-		timers_arm(follow->timers, &follow->retry,
-			   clock_now(follow->clock) + follow->gather, on_retry);
+		timers_arm(follow->timers, &follow->watch_retry.timer,
+			   clock_now(follow->clock) + follow->gather, on_watch_retry);
 	go_on(follow);
 }
 
 /* Make the calls that are due: the next page, the next watch, or both. */
 static void go_on(follow_t *follow)
 {
-	if (timer_is_armed(&follow->retry))
-		return;
-	if (follow->reading && !follow->page_asked) {
+	if (follow->reading && !follow->page_asked && !timer_is_armed(&follow->page_retry.timer)) {
 		follow->page_asked = true;
 		if (follow->last_key == NULL)
 			follow->read_began = clock_now(follow->clock);
@@ -331,7 +357,8 @@
 				       follow->last_key != NULL ? follow->last_key : "", on_page,
 				       follow);
 	}
-	if (follow->revision != 0 && !follow->watching && !follow->fed) {
+	if (follow->revision != 0 && !follow->watching && !follow->fed &&
+	    !timer_is_armed(&follow->watch_retry.timer)) {
 		follow->watching = true;
 		follow->kv->ops->watch(follow->kv, follow->prefix, follow->revision,
 				       WATCH_WAIT_MSEC, on_events, follow);
@@ -341,9 +368,10 @@
 void follow_refresh(follow_t *follow)
 {
 	follow->held = false;
-	if (timer_is_armed(&follow->retry))
+	if (timer_is_armed(&follow->page_retry.timer))
 		LOG_EVENT(LOG_INFO, "reading waits for the back-off",
-			  LOG_STR("prefix", follow->prefix), LOG_INT("failures", follow->failures),
+			  LOG_STR("prefix", follow->prefix),
+			  LOG_INT("failures", follow->page_retry.failures),
 			  LOG_INT("revision", follow->told));
 	if (follow->reading)
 		return;
@@ -556,7 +584,8 @@
 
 void follow_stop(follow_t *follow)
 {
-	timers_cancel(follow->timers, &follow->retry);
+	timers_cancel(follow->timers, &follow->page_retry.timer);
+	timers_cancel(follow->timers, &follow->watch_retry.timer);
 	timers_cancel(follow->timers, &follow->sweep);
 	HASH_CLEAR(hh, follow->by_key);
 	list_for_each_safe (it, &follow->keys)
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -29,6 +29,12 @@
 /* For logs: "reading". */
 const char *follow_way_text(follow_way_t way);
 
+/* Failed calls of one kind in a row, and the next try. */
+typedef struct follow_retry {
+	run_timer_t timer;
+	unsigned failures;
+} follow_retry_t;
+
 struct follow;
 
 typedef struct follow_ops {
@@ -68,8 +74,9 @@
 	int64_t round_revision; /* of its first page */
 	char *last_key;		/* of the page before */
 	bool watching;
-	unsigned failures;
-	run_timer_t retry;
+	/* Apart: a watch can't go through a peer, a reading can. */
+	follow_retry_t page_retry;
+	follow_retry_t watch_retry; /* its timer also waits for more changes, see gather */
 	run_timer_t sweep;
 } follow_t;
 
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -443,13 +443,20 @@
 	talloc_free(call);
 }
 
+static bool is_turned_away(const call_t *call)
+{
+	const fake_kv_client_t *client = call->client;
+
+	return client->refused || (client->unwatched && call->kind == CALL_WATCH);
+}
+
 /* Returns true if the call was answered. */
 static bool step(fake_kv_t *store, call_t *call)
 {
 	usec_t now = now_of(store);
 	bool reachable = !store->down && !call->client->cut;
 
-	if (reachable && call->client->refused && now >= call->arrives) {
+	if (reachable && is_turned_away(call) && now >= call->arrives) {
 		call->result.status = KV_REFUSED;
 		finish(call);
 		return true;
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -36,8 +36,9 @@
 typedef struct fake_kv_client {
 	kv_t kv;
 	fake_kv_t *store;
-	bool cut;     /* calls get no answer */
-	bool refused; /* calls are turned away */
+	bool cut;	/* calls get no answer */
+	bool refused;	/* calls are turned away */
+	bool unwatched; /* watches are */
 } fake_kv_client_t;
 
 fake_kv_t *fake_kv_create(void *parent, const run_clock_t *clock, timer_set_t *timers);
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -284,6 +284,28 @@
 	followed_destroy(self);
 }
 
+/* Changes are never learnt while the store turns watches away and nobody tells. */
+static void test_follow_watches_turned_away(void)
+{
+	followed_t *self = followed_create();
+
+	pass(self, 100 * USEC_PER_MSEC);
+	self->client.unwatched = true;
+	/* The watch that waits is answered once more. */
+	fake_kv_put(self->store, "servers/a", "1");
+	pass(self, 500 * USEC_PER_MSEC);
+	for (int i = 2; i < 6; i++) {
+		char value[8];
+
+		g_snprintf(value, sizeof(value), "%d", i);
+		fake_kv_put(self->store, "servers/a", value);
+		/* The longest back-off of a watch. */
+		pass(self, 3300 * USEC_PER_MSEC);
+		g_assert_cmpstr(seen(self, "servers/a"), ==, value);
+	}
+	followed_destroy(self);
+}
+
 /* Many pages: more items than one answer holds. */
 static void test_follow_pages(void)
 {
@@ -524,6 +546,7 @@
 	g_test_add_func("/follow/compaction", test_follow_compaction);
 	g_test_add_func("/follow/lapsed-entry", test_follow_lapsed_entry);
 	g_test_add_func("/follow/refresh", test_follow_refresh);
+	g_test_add_func("/follow/watches-turned-away", test_follow_watches_turned_away);
 	g_test_add_func("/follow/pages", test_follow_pages);
 	g_test_add_func("/follow/by-a-peer", test_follow_by_a_peer);
 	g_test_add_func("/follow/late-discovery", test_follow_late_discovery);
