Who may lack the newest configuration does not call a database or a key unknown

Callers saw: NODB, on which a client gives up, for a database that was added more than the bound before, from a proxy that was cut off from store and peers, or that had heard of the newer configuration and not got it yet; NOAUTH likewise for a key that was added. Keys that are known were refused by age already; what is not known was taken for not existing, whatever the age of the configuration.

Now BUSY, which promises that nothing ran and has the client come back: while the configuration was not proved to be the newest within its bound, and as soon as a newer version is heard of.

--- a/pooler/admission.c
+++ b/pooler/admission.c
@@ -38,21 +38,41 @@
 		  LOG_INT("keys_age_ms", usec_age_ms(proof_age(&pooler->keys, now_of(pooler)))));
 }
 
+/*
+ * True if what the configuration lacks is unknown: no newer one is heard of, and none can have been
+ * in force for its bound.
+ */
+static bool is_current(const pooler_t *pooler)
+{
+	return pooler->routes->version >= pooler->config_heard &&
+	       proof_age(&pooler->keys, now_of(pooler)) < pooler->config.config_bound;
+}
+
+code_t admission_unknown(const pooler_t *pooler, reason_t *reason)
+{
+	bool current = is_current(pooler);
+
+	*reason = current ? REASON_UNKNOWN_DATABASE : REASON_CONFIG_TOO_OLD;
+	return current ? CODE_NO_DATABASE : CODE_BUSY;
+}
+
 bool admission_opens(const pooler_t *pooler, const char *database, const key_digest_t *key,
 		     code_t *code)
 {
 	const route_t *route = routes_find(pooler->routes, database);
+	reason_t reason;
 
 	if (route == NULL) {
-		*code = CODE_NO_DATABASE;
+		*code = admission_unknown(pooler, &reason);
 		counter_add(&no_database_total, 1);
-		log_refused(pooler, database, key, REASON_UNKNOWN_DATABASE);
+		log_refused(pooler, database, key, reason);
 		return false;
 	}
 	if (route->open)
 		return true;
 	/* What is too old does not show that a key is unknown either. */
-	if (!proof_holds(&pooler->keys, now_of(pooler))) {
+	if (!proof_holds(&pooler->keys, now_of(pooler)) ||
+	    (customer_of(pooler, key) == NULL && !is_current(pooler))) {
 		*code = CODE_BUSY;
 		log_refused(pooler, database, key, REASON_KEYS_TOO_OLD);
 		return false;
--- a/pooler/admission.h
+++ b/pooler/admission.h
@@ -18,6 +18,12 @@
 bool admission_opens(const pooler_t *pooler, const char *database, const key_digest_t *key,
 		     code_t *code);
 
+/*
+ * What a caller is told whose database the configuration in force does not name: that there is
+ * none, or to come back if a newer configuration may have it.
+ */
+code_t admission_unknown(const pooler_t *pooler, reason_t *reason);
+
 /* True if an operation on the caller's route may begin; sets its customer. Else *reason tells why.
  */
 bool admission_begins(caller_t *caller, const route_t *route, reason_t *reason);
--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -596,9 +596,14 @@
 {
 	const route_t *route = take_route(caller);
 	reason_t reason;
+	code_t code;
 
 	if (route == NULL) {
-		answer_error(caller, CODE_NO_DATABASE, REASON_UNKNOWN_DATABASE, NULL);
+		code = admission_unknown(caller->pooler, &reason);
+		if (code == CODE_BUSY)
+			caller_refuse(caller, code, reason, RETRY_KEYS);
+		else
+			answer_error(caller, code, reason, NULL);
 		return;
 	}
 	if (caller->job != NULL) {
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -169,6 +169,25 @@
 	world_destroy(world);
 }
 
+/* A key that was added is refused as unknown by a proxy that has heard of the newer configuration.
+ */
+static void test_unknown_key_while_behind(void)
+{
+	static const world_customer_t one[] = {{.name = "ada"}};
+	pool_world_t *world = world_create_following(FLEET, one, G_N_ELEMENTS(one), SMALL);
+	pooler_t *pooler;
+
+	world_settle(world);
+	pooler = world->nodes[3].pooler;
+	g_assert_cmpint(world_open_key(world, 3, "strict", "key-ben")->refused, ==, CODE_NO_AUTH);
+	/* As any message of a proxy that has it tells. */
+	pooler->config_heard = world->config_version + 1;
+	g_assert_cmpint(world_open_key(world, 3, "strict", "key-ben")->refused, ==, CODE_BUSY);
+	g_assert_cmpint(world_open_key(world, 3, "nowhere", "key-ada")->refused, ==, CODE_BUSY);
+	g_assert_nonnull(world_open_key(world, 3, "strict", "key-ada")->caller);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -178,5 +197,6 @@
 	g_test_add_func("/config/parts-turned-away", test_parts_turned_away);
 	g_test_add_func("/config/store-returns", test_store_returns);
 	g_test_add_func("/config/unknown-while-behind", test_unknown_while_behind);
+	g_test_add_func("/config/unknown-key-while-behind", test_unknown_key_while_behind);
 	return g_test_run();
 }
