A silent hub is passed over also if it is taken for the holder of the duty

Callers saw: an old configuration for as long as the store turned a proxy away, if the hub that it asked had held the duty and died: the proxy went on asking that one only. A silent holder is not passed over, since its silence is noticed by the age of its news and nobody else has them; but as a hub it has successors. If no hub of the zone answers and the holder neither, a hub of another zone is asked.

--- a/pooler/upstream.c
+++ b/pooler/upstream.c
@@ -172,8 +172,11 @@
 	return report != NULL && now < report->avoided_until;
 }
 
-/* The hub of our zone that comes first for this proxy, by hash, and answers; NULL: none does. */
-static const roster_node_t *find_hub(pooler_t *pooler, usec_t now)
+/*
+ * The hub of the zone (NULL: of any) that comes first for this proxy, by hash, and answers; NULL:
+ * none does.
+ */
+static const roster_node_t *find_hub(pooler_t *pooler, const char *zone, usec_t now)
 {
 	const hubs_t *hubs = hubs_of(pooler);
 	uint64_t seed = XXH64(pooler->config.name, strlen(pooler->config.name), HUB_SEED);
@@ -184,7 +187,7 @@
 		const roster_node_t *hub = roster_node(pooler->sync.roster, hubs->names[i]);
 		uint64_t hash;
 
-		if (hub == NULL || strcmp(hub->zone, pooler->config.zone) != 0 ||
+		if (hub == NULL || (zone != NULL && strcmp(hub->zone, zone) != 0) ||
 		    is_avoided(pooler, hub->name, now))
 			continue;
 		hash = upstream_hash(hub, seed);
@@ -201,8 +204,11 @@
 	const sync_t *sync = &pooler->sync;
 	const roster_node_t *hub = NULL;
 
-	if (upstream_applies(pooler) && !upstream_is_hub(pooler))
-		hub = find_hub(pooler, now);
+	if (upstream_applies(pooler) && !upstream_is_hub(pooler)) {
+		hub = find_hub(pooler, pooler->config.zone, now);
+		if (hub == NULL && sync->holder != NULL && is_avoided(pooler, sync->holder, now))
+			hub = find_hub(pooler, NULL, now);
+	}
 	*name = hub != NULL ? hub->name : sync->holder;
 	*address = hub != NULL ? hub->address : sync->holder_address;
 	return *name != NULL && strcmp(*name, pooler->config.name) != 0;
@@ -216,6 +222,11 @@
 		  LOG_INT("avoided_ms", (int64_t)(HUB_AVOIDED / USEC_PER_MSEC)));
 }
 
+static bool is_holder(const sync_t *sync, const char *name)
+{
+	return sync->holder != NULL && strcmp(sync->holder, name) == 0;
+}
+
 void upstream_on_asked(pooler_t *pooler, const char *name, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
@@ -231,8 +242,8 @@
 	if (now < report->asked_since + HUB_SILENT || now == pooler->awake_since)
 		return;
 	report->asked_since = 0;
-	/* The holder's silence is noticed by the age of its news. */
-	if (sync->holder != NULL && strcmp(sync->holder, name) == 0)
+	/* The holder's silence is noticed by the age of its news; as a hub it has a successor. */
+	if (is_holder(sync, name) && (!upstream_applies(pooler) || upstream_is_hub(pooler)))
 		return;
 	upstream_avoid(pooler, name, now);
 }
@@ -241,7 +252,7 @@
 {
 	const sync_t *sync = &pooler->sync;
 
-	return (sync->holder != NULL && strcmp(sync->holder, name) == 0) ||
+	return is_holder(sync, name) ||
 	       (sync->upstream != NULL && strcmp(sync->upstream, name) == 0);
 }
 
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -113,6 +113,24 @@
 	world_destroy(world);
 }
 
+/* A proxy whose silent hub is the holder, as far as it knows, asks nobody else for ever. */
+static void test_holder_is_hub(void)
+{
+	pool_world_t *world = make_fleet();
+	size_t hub = find_hub(world);
+	size_t plain = find_plain(world, hub);
+	pooler_t *pooler = world->nodes[plain].pooler;
+
+	g_assert_cmpstr(pooler->sync.upstream, ==, world->nodes[hub].name);
+	world->nodes[plain].kv.cut = true;
+	sync_set_holder(pooler, world->nodes[hub].name, world->nodes[hub].address,
+			pooler->sync.fence + 1);
+	world_freeze(world, hub);
+	world_run(world, 1 * SEC);
+	g_assert_cmpstr(pooler->sync.upstream, !=, world->nodes[hub].name);
+	world_destroy(world);
+}
+
 /*
  * What the caller sees: nothing, for 9 s without the store. Hubs ask those that ask them, add up
  * who agrees with the roster, and tell each other.
@@ -374,6 +392,7 @@
 	g_test_add_func("/upstream/holder-hears-hubs", test_holder_hears_hubs_only);
 	g_test_add_func("/upstream/hub-dies", test_hub_dies);
 	g_test_add_func("/upstream/hub-freezes", test_hub_freezes);
+	g_test_add_func("/upstream/holder-is-hub", test_holder_is_hub);
 	g_test_add_func("/upstream/store-down", test_store_down);
 	g_test_add_func("/upstream/primary-crashes", test_primary_crashes);
 	g_test_add_func("/upstream/join-quietly", test_proxies_join_quietly);
