A follower whose history was dropped goes on telling what it is told

Callers saw: an old configuration from proxies that the store turns away, behind a hub that had the new one. After 410 a follower has to read all again before it watches; until then it told its listeners nothing at all, also of what it was told itself, and when the store does not serve it that lasts as long. What it knows up to its cursor is as true as before; only a watch has to wait.

/follow/tells-before-reading failed before.

--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -427,7 +427,7 @@
 	size_t bytes = 0;
 
 	/* Every question asks, and nearly none lacks anything. */
-	if (follow->revision == 0 || follow->told <= since)
+	if (follow->whole_from == 0 || follow->told <= since)
 		return FOLLOW_NOTHING;
 	items = talloc_array(parent, kv_item_t,
 			     list_length(&follow->keys) + list_length(&follow->gone));
@@ -473,7 +473,7 @@
 	json_t *root;
 	char *text;
 
-	if (follow->revision == 0)
+	if (follow->whole_from == 0)
 		return NULL;
 	if (whole)
 		since = 0;
@@ -563,7 +563,10 @@
 		take_events(follow, changes->items, changes->count);
 	if (follow->revision != 0 && changes->as_of > follow->revision)
 		follow->revision = changes->as_of;
-	advance(follow, changes->as_of);
+	/* Changes alone, of a peer that takes us for our process of before, are not all up to
+	 * there. */
+	if (follow->whole_from != 0)
+		advance(follow, changes->as_of);
 }
 
 /* --- start and end --- */
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -56,10 +56,10 @@
 	uint64_t random;
 	list_t keys; /* of those told as there */
 	struct known *by_key;
-	int64_t revision;   /* events up to here were told; 0: never read */
+	int64_t revision;   /* watched from here on; 0: has to be read first */
 	list_t gone;	    /* keys that were told as gone of late, for follow_changes() */
 	int64_t told;	    /* the newest revision of which a peer can be told */
-	int64_t whole_from; /* everything since that revision is known */
+	int64_t whole_from; /* everything since that revision is known; 0: nothing is */
 	char *packed;	    /* by follow_pack() */
 	int64_t packed_at;  /* told, as it was then */
 	int64_t packed_since;
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -284,6 +284,53 @@
 	followed_destroy(self);
 }
 
+static followed_t *followed_create_fed(bool held)
+{
+	followed_t *self = followed_create();
+
+	follow_stop(&self->follow);
+	g_hash_table_remove_all(self->seen);
+	self->follow = (follow_t){.ops = &follow_ops,
+				  .kv = &self->client.kv,
+				  .clock = &self->clock.base,
+				  .timers = &self->timers,
+				  .prefix = "servers/",
+				  .fed = true,
+				  .held = held};
+	self->store->down = true;
+	follow_start(&self->follow, NULL);
+	return self;
+}
+
+/* A follower that is told of changes keeps them to itself until it has read again what history
+ * lost. */
+static void test_follow_tells_before_reading(void)
+{
+	followed_t *self = followed_create();
+	const kv_item_t item = {.key = "servers/b", .value = "2", .len = 1, .revision = 50};
+	follow_changes_t told = {.as_of = 50, .items = &item, .count = 1};
+	void *parent = talloc_new(NULL);
+	follow_changes_t changes;
+	int64_t known;
+
+	pass(self, 100 * USEC_PER_MSEC);
+	known = self->follow.told;
+	fake_kv_put(self->store, "servers/a", "2");
+	fake_kv_compact(self->store);
+	/* The watch has ended, the reading that follows is on its way. */
+	pass(self, 2 * USEC_PER_MSEC);
+	g_assert_cmpint(self->follow.revision, ==, 0);
+	self->client.refused = true;
+	follow_set_fed(&self->follow, true);
+	pass(self, 1 * SEC);
+	follow_take(&self->follow, &told);
+	g_assert_cmpint(follow_changes(&self->follow, known, parent, &changes), ==, FOLLOW_CHANGED);
+	g_assert_cmpint(changes.as_of, ==, 50);
+	g_assert_nonnull(follow_pack(&self->follow, known));
+	talloc_free(parent);
+	followed_destroy(self);
+}
+
 /* Changes are never learnt while the store turns watches away and nobody tells. */
 static void test_follow_watches_turned_away(void)
 {
@@ -324,23 +371,6 @@
 }
 
 /* One that the store does not answer; a peer tells it what changes. */
-static followed_t *followed_create_fed(bool held)
-{
-	followed_t *self = followed_create();
-
-	follow_stop(&self->follow);
-	g_hash_table_remove_all(self->seen);
-	self->follow = (follow_t){.ops = &follow_ops,
-				  .kv = &self->client.kv,
-				  .clock = &self->clock.base,
-				  .timers = &self->timers,
-				  .prefix = "servers/",
-				  .fed = true,
-				  .held = held};
-	self->store->down = true;
-	follow_start(&self->follow, NULL);
-	return self;
-}
 
 /* What the peer has that the other lacks; false if nothing was to be told. */
 static bool tell(const followed_t *peer, followed_t *to)
@@ -546,6 +576,7 @@
 	g_test_add_func("/follow/compaction", test_follow_compaction);
 	g_test_add_func("/follow/lapsed-entry", test_follow_lapsed_entry);
 	g_test_add_func("/follow/refresh", test_follow_refresh);
+	g_test_add_func("/follow/tells-before-reading", test_follow_tells_before_reading);
 	g_test_add_func("/follow/watches-turned-away", test_follow_watches_turned_away);
 	g_test_add_func("/follow/pages", test_follow_pages);
 	g_test_add_func("/follow/by-a-peer", test_follow_by_a_peer);
