A new process does not take changes alone for all of the directory

Callers saw: an old configuration from the listeners of a hub that had restarted. Its holder still knew what the process before had been told, and pushed what had changed since. The new process then called itself current up to there, so it was told no more, knew no whole, and told its own listeners nothing until it could read the store itself.

Changes are still taken, so the newest configuration is in force at once, but the cursor stays until all of it is known.

--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -331,6 +331,23 @@
 	followed_destroy(self);
 }
 
+/* A process that is told what changed since its earlier life claims to know all, and is told no
+ * more. */
+static void test_follow_changes_before_all(void)
+{
+	followed_t *self = followed_create_fed(true);
+	const kv_item_t item = {.key = "servers/b", .value = "2", .len = 1, .revision = 50};
+	follow_changes_t told = {.as_of = 50, .items = &item, .count = 1};
+
+	follow_take(&self->follow, &told);
+	g_assert_cmpstr(seen(self, "servers/b"), ==, "2");
+	g_assert_cmpint(self->follow.told, ==, 0);
+	told.whole = true;
+	follow_take(&self->follow, &told);
+	g_assert_cmpint(self->follow.told, ==, 50);
+	followed_destroy(self);
+}
+
 /* Changes are never learnt while the store turns watches away and nobody tells. */
 static void test_follow_watches_turned_away(void)
 {
@@ -577,6 +594,7 @@
 	g_test_add_func("/follow/lapsed-entry", test_follow_lapsed_entry);
 	g_test_add_func("/follow/refresh", test_follow_refresh);
 	g_test_add_func("/follow/tells-before-reading", test_follow_tells_before_reading);
+	g_test_add_func("/follow/changes-before-all", test_follow_changes_before_all);
 	g_test_add_func("/follow/watches-turned-away", test_follow_watches_turned_away);
 	g_test_add_func("/follow/pages", test_follow_pages);
 	g_test_add_func("/follow/by-a-peer", test_follow_by_a_peer);
