--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -28,7 +28,7 @@
  * Peers of which nothing is known are tried among so many that follow on the roster: links to few,
  * whatever the size of the fleet.
  */
-#define STRANGERS_SPAN 8
+#define STRANGERS_SPAN 16
 /* One that could not help is not tried again for so long. */
 #define STRANGER_AVOIDED (2 * USEC_PER_SEC)
 /* Calls made for others at a time: a holder and those that start have one or two each. */
@@ -189,19 +189,17 @@
 static const roster_node_t *find_stranger(relay_t *relay, usec_t now)
 {
 	const pooler_t *pooler = relay->pooler;
-	const roster_t *roster = pooler->sync.roster;
-	const roster_node_t *node = roster_node(roster, pooler->config.name);
-	size_t skipped = relay->next_stranger++ % STRANGERS_SPAN;
+	const roster_node_t *node = roster_node(pooler->sync.roster, pooler->config.name);
+	const roster_node_t *strangers[STRANGERS_SPAN];
+	size_t count = 0;
 
 	for (size_t i = 0; node != NULL && i < STRANGERS_SPAN; i++) {
-		node = node_after(roster, node);
-		if (node->gone || strcmp(node->name, pooler->config.name) == 0 ||
-		    is_avoided(exchange_report(pooler, node->name), now))
-			continue;
-		if (i >= skipped)
-			return node;
+		node = node_after(pooler->sync.roster, node);
+		if (!node->gone && strcmp(node->name, pooler->config.name) != 0 &&
+		    !is_avoided(exchange_report(pooler, node->name), now))
+			strangers[count++] = node;
 	}
-	return NULL;
+	return count != 0 ? strangers[relay->next_stranger++ % count] : NULL;
 }
 
 /* The peer that was heard last to reach the store, or NULL. */
