--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -100,6 +100,8 @@
 	return usec_clamp(interval, PROBE_INTERVAL, PROBE_INTERVAL_MOST);
 }
 
+static void take_back(relay_t *relay);
+
 static void note_access(relay_t *relay, kv_status_t status)
 {
 	bool failed = status == KV_REFUSED || status == KV_LOST;
@@ -111,6 +113,8 @@
 	LOG_EVENT(failed ? LOG_WARN : LOG_INFO,
 		  failed ? "store can't be reached" : "store is reached again",
 		  LOG_INT("status", status));
+	if (!failed)
+		take_back(relay);
 }
 
 /*
@@ -291,6 +295,20 @@
 	make_call(call->relay->direct, &call->request, on_direct, call);
 }
 
+/* Our own access is back: peers that may not answer are not waited for. */
+static void take_back(relay_t *relay)
+{
+	list_for_each_safe (it, &relay->calls) {
+		call_t *call = list_entry(it, call_t, node);
+
+		if (!is_repeatable(call))
+			continue;
+		list_del(&call->node);
+		call->began_at = now_of(relay->pooler);
+		make_call(relay->direct, &call->request, on_direct, call);
+	}
+}
+
 /* The peer can't help: another one may. */
 static void on_no_help(call_t *call, kv_status_t status)
 {
--- a/tests/test_pooler_relay.c
+++ b/tests/test_pooler_relay.c
@@ -148,6 +148,36 @@
 	world_destroy(world);
 }
 
+static void on_range(void *data, const kv_result_t *result)
+{
+	*(kv_status_t *)data = result->status;
+}
+
+/* A reading waits for a peer that is silent though the store answers again. */
+static void test_taken_back(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	kv_status_t status = KV_CONFLICT;
+	size_t node;
+	kv_t *kv;
+
+	world_settle(world);
+	node = find_other(world);
+	kv = pooler_store(world->nodes[node].pooler);
+	world->nodes[node].kv.cut = true;
+	g_assert_cmpint(commit(world, node).status, ==, KV_LOST);
+	for (size_t i = 0; i < 3; i++)
+		world->nodes[i].cut_from_peers = true;
+	/* Its own access is tried again a second after it was lost. */
+	world_run(world, 700 * MSEC);
+	kv->ops->range(kv, "fleet/", "", on_range, &status);
+	world->nodes[node].kv.cut = false;
+	world_run(world, 400 * MSEC);
+	g_assert_false(relay_is_cut_off(world->nodes[node].pooler->relay));
+	g_assert_cmpint(status, ==, KV_OK);
+	world_destroy(world);
+}
+
 /* With the store away for all, nobody asks a peer in vain, and every call ends. */
 static void test_store_away_for_all(void)
 {
@@ -268,6 +298,7 @@
 	g_test_add_func("/relay/helper-dies", test_helper_dies);
 	g_test_add_func("/relay/commit-once", test_commit_is_made_once);
 	g_test_add_func("/relay/commit", test_commit_through_a_peer);
+	g_test_add_func("/relay/taken-back", test_taken_back);
 	g_test_add_func("/relay/store-away", test_store_away_for_all);
 	g_test_add_func("/relay/messages", test_messages);
 	g_test_add_func("/permission/half-goes-on", test_half_of_the_fleet_goes_on);
