--- a/pooler/admission.c
+++ b/pooler/admission.c
@@ -35,7 +35,8 @@
 		  LOG_STR("reason", reason_text(reason)),
 		  LOG_INT("config", pooler->routes->version),
 		  LOG_INT("heard", pooler->config_heard),
-		  LOG_INT("keys_age_ms", usec_age_ms(proof_age(&pooler->keys, now_of(pooler)))));
+		  LOG_INT("keys_age_ms",
+			  usec_age_ms(proof_age(&pooler->config_proof, now_of(pooler)))));
 }
 
 /*
@@ -45,7 +46,7 @@
 static bool is_current(const pooler_t *pooler)
 {
 	return pooler->routes->version >= pooler->config_heard &&
-	       proof_age(&pooler->keys, now_of(pooler)) < pooler->config.config_bound;
+	       proof_age(&pooler->config_proof, now_of(pooler)) < pooler->config.config_bound;
 }
 
 code_t admission_unknown(const pooler_t *pooler, reason_t *reason)
@@ -71,7 +72,7 @@
 	if (route->open)
 		return true;
 	/* What is too old does not show that a key is unknown either. */
-	if (!proof_holds(&pooler->keys, now_of(pooler)) ||
+	if (!proof_holds(&pooler->config_proof, now_of(pooler)) ||
 	    (customer_of(pooler, key) == NULL && !is_current(pooler))) {
 		*code = CODE_BUSY;
 		log_refused(pooler, database, key, REASON_KEYS_TOO_OLD);
@@ -105,7 +106,7 @@
 		admission_set_customer(caller, customer != NULL ? customer->name : NO_CUSTOMER);
 		return true;
 	}
-	if (!proof_holds(&pooler->keys, now_of(pooler))) {
+	if (!proof_holds(&pooler->config_proof, now_of(pooler))) {
 		*reason = REASON_KEYS_TOO_OLD;
 		return false;
 	}
@@ -131,7 +132,7 @@
 	/* The proxy that it stands for has looked. */
 	if (caller->job != NULL || caller->by_open_route)
 		return true;
-	if (!proof_holds(&caller->pooler->keys, now_of(caller->pooler)))
+	if (!proof_holds(&caller->pooler->config_proof, now_of(caller->pooler)))
 		*reason = REASON_KEYS_TOO_OLD;
 	else if (!is_same(caller))
 		*reason = REASON_KEY_TAKEN;
--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -72,7 +72,7 @@
 static usec_t config_interval(const pooler_t *pooler)
 {
 	usec_t interval = pooler->config.config_bound * CONFIG_REFRESH_PERCENT / 100;
-	usec_t proving = pooler->keys.lifetime * KEYS_REFRESH_PERCENT / 100;
+	usec_t proving = pooler->config_proof.lifetime * KEYS_REFRESH_PERCENT / 100;
 
 	return proving != 0 && proving < interval ? proving : interval;
 }
@@ -195,7 +195,8 @@
 	refresh_begin(pooler, now);
 	told = is_told(pooler, now);
 	set_fed(pooler, told, now);
-	if (now >= sync->config_due && (!told || proof_wants_news(&pooler->keys, now + KEYS_AHEAD)))
+	if (now >= sync->config_due &&
+	    (!told || proof_wants_news(&pooler->config_proof, now + KEYS_AHEAD)))
 		refresh_config(pooler, now);
 	if (told)
 		return;
@@ -241,14 +242,19 @@
 	return packed != NULL && (cannot || fits_link(pooler, strlen(packed))) ? packed : NULL;
 }
 
-/* True if it was told to read the configuration, and has not within the time for it. */
-static bool has_not_read(peer_report_t *report, int64_t since, usec_t now)
+/* True if it was told to read what it lacks since then, and should have by now. */
+static bool reading_is_overdue(const peer_report_t *report, int64_t since, usec_t now)
+{
+	return report->config_hinted_at != 0 && report->config_hinted == since &&
+	       now >= report->config_hinted_at + READING_PATIENCE;
+}
+
+static void note_hint(peer_report_t *report, int64_t since, usec_t now)
 {
 	if (report->config_hinted_at != 0 && report->config_hinted == since)
-		return now >= report->config_hinted_at + READING_PATIENCE;
+		return;
 	report->config_hinted_at = now;
 	report->config_hinted = since;
-	return false;
 }
 
 /* The configuration, if it is time; else the receiver is told with a later answer. */
@@ -265,10 +271,13 @@
 		return;
 	news = changes_since(follow, since, parent, &message->config_changes);
 	if (news == FOLLOW_TOO_MUCH) {
-		message->config_packed = pack(pooler, follow, since,
-					      report->cut_off || has_not_read(report, since, now));
+		message->config_packed =
+			pack(pooler, follow, since,
+			     report->cut_off || reading_is_overdue(report, since, now));
 		message->read_directory = message->config_packed == NULL;
 	}
+	if (message->read_directory)
+		note_hint(report, since, now);
 	if (message->config_changes != NULL || message->config_packed != NULL)
 		report->config_told_at = now;
 }
@@ -295,7 +304,7 @@
 	int64_t members_at = ask != NULL ? ask->members_at : report->members_at;
 
 	message->directory_age = directory_age(pooler, now_of(pooler));
-	message->keys_age = proof_age(&pooler->keys, now_of(pooler));
+	message->keys_age = proof_age(&pooler->config_proof, now_of(pooler));
 	/* Who is told without having asked may have no need of all of it. */
 	if (ask != NULL || config_at != 0)
 		describe_config(pooler, report, config_at, message, parent);
@@ -333,7 +342,7 @@
 	if (pooler->routes == NULL || message->echo == 0 || message->keys_age >= message->echo ||
 	    message->config_version > pooler->routes->version)
 		return;
-	proof_extend(&pooler->keys, message->echo - message->keys_age);
+	proof_extend(&pooler->config_proof, message->echo - message->keys_age);
 }
 
 void refresh_on_state(pooler_t *pooler, const peer_message_t *message, usec_t now)
--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -28,9 +28,9 @@
  * Peers of which nothing is known are tried among so many that follow on the roster: links to few,
  * whatever the size of the fleet.
  */
-#define STRANGERS_SPAN 16
+#define CANDIDATES_MAX 16
 /* One that could not help is not tried again for so long. */
-#define STRANGER_AVOIDED (2 * USEC_PER_SEC)
+#define CANDIDATE_AVOIDED (2 * USEC_PER_SEC)
 /* Calls made for others at a time: a holder and those that start have one or two each. */
 #define JOBS_MAX 16
 /* The ways between proxies, on top of the time that the peer gives its own call. */
@@ -57,7 +57,7 @@
 	list_t calls; /* call_t */
 	uint64_t numbers;
 	size_t jobs;
-	size_t next_stranger;
+	size_t next_candidate;
 	bool cut_off;
 	bool probing; /* whether our own calls are answered again */
 	usec_t probe_at;
@@ -174,7 +174,7 @@
 
 static bool is_avoided(const peer_report_t *report, usec_t now)
 {
-	return report != NULL && report->cut_off && now < report->access_at + STRANGER_AVOIDED;
+	return report != NULL && report->cut_off && now < report->access_at + CANDIDATE_AVOIDED;
 }
 
 /* The nodes of the roster in a circle. */
@@ -190,20 +190,20 @@
  * A peer that may reach the store, or NULL. Who has lost its hubs hears nobody that does: with a
  * zone turned away, its hubs too, no proxy of that zone knew whom to ask.
  */
-static const roster_node_t *find_stranger(relay_t *relay, usec_t now)
+static const roster_node_t *find_candidate(relay_t *relay, usec_t now)
 {
 	const pooler_t *pooler = relay->pooler;
 	const roster_node_t *node = roster_node(pooler->sync.roster, pooler->config.name);
-	const roster_node_t *strangers[STRANGERS_SPAN];
+	const roster_node_t *candidates[CANDIDATES_MAX];
 	size_t count = 0;
 
-	for (size_t i = 0; node != NULL && i < STRANGERS_SPAN; i++) {
+	for (size_t i = 0; node != NULL && i < CANDIDATES_MAX; i++) {
 		node = node_after(pooler->sync.roster, node);
 		if (!node->gone && strcmp(node->name, pooler->config.name) != 0 &&
 		    !is_avoided(exchange_report(pooler, node->name), now))
-			strangers[count++] = node;
+			candidates[count++] = node;
 	}
-	return count != 0 ? strangers[relay->next_stranger++ % count] : NULL;
+	return count != 0 ? candidates[relay->next_candidate++ % count] : NULL;
 }
 
 /* The peer that was heard last to reach the store, or NULL. */
@@ -252,7 +252,7 @@
 	if (call->helpers >= HELPERS_MAX)
 		return false;
 	if (helper == NULL && call->request.op == STORE_RANGE)
-		helper = find_stranger(relay, now);
+		helper = find_candidate(relay, now);
 	if (helper == NULL)
 		return false;
 	call->helpers++;
--- a/pooler/report.c
+++ b/pooler/report.c
@@ -58,7 +58,7 @@
 /* -1: nothing has proved them yet. */
 static int64_t keys_age(const caller_t *caller, usec_t now)
 {
-	return usec_age_ms(proof_age(&caller->pooler->keys, now));
+	return usec_age_ms(proof_age(&caller->pooler->config_proof, now));
 }
 
 /* -1: the store was never heard. */
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -435,7 +435,8 @@
 	list_t forwarded; /* caller_t.forwarded */
 	uint64_t forward_count;
 	sync_t sync;
-	proof_t keys;	      /* until when the customers' keys of routes count */
+	proof_t config_proof; /* when routes was last known to be the newest; its keys count for a
+				 time */
 	keepers_t *keepers;   /* who counts customers' operations */
 	int64_t keepers_from; /* roster_t.nodes_revision that it follows */
 	struct quota *quota;
