--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -246,6 +246,7 @@
 			set_missing(follow, known, follow->round_revision);
 	}
 	follow->reading = false;
+	follow->unanswered_at = 0;
 }
 
 static void on_page_failure(follow_t *follow, kv_status_t status)
@@ -286,11 +287,8 @@
 			talloc_strdup(follow->parent, result->items[result->count - 1].key);
 	else
 		end_reading(follow);
-	if (!follow->reading) {
-		follow->unanswered_at = 0;
-		if (follow->ops->read != NULL)
-			follow->ops->read(follow, follow->read_began);
-	}
+	if (!follow->reading && follow->ops->read != NULL)
+		follow->ops->read(follow, follow->read_began);
 	go_on(follow);
 }
 
@@ -563,10 +561,11 @@
 		take_events(follow, changes->items, changes->count);
 	if (follow->revision != 0 && changes->as_of > follow->revision)
 		follow->revision = changes->as_of;
-	/* Changes alone, of a peer that takes us for our process of before, are not all up to
-	 * there. */
+	/* Changes alone may be meant for our process of before. */
 	if (follow->whole_from != 0)
 		advance(follow, changes->as_of);
+	if (follow->unanswered_at != 0)
+		follow->unanswered_at = clock_now(follow->clock);
 }
 
 /* --- start and end --- */
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -69,7 +69,7 @@
 	bool reading;
 	bool page_asked;
 	usec_t read_began;    /* when the first page was asked for */
-	usec_t unanswered_at; /* when the first reading began since the last whole one; 0: none */
+	usec_t unanswered_at; /* readings are not answered since then; 0: they are */
 	bool paging;	      /* a page is being taken */
 	uint64_t round;
 	int64_t round_revision; /* of its first page */
@@ -116,7 +116,7 @@
  */
 const char *follow_pack(follow_t *follow, int64_t since);
 
-/* For how long readings have been under way without a whole one; 0: none is. */
+/* For how long a reading has been under way without an answer or news of a peer; 0: none is. */
 usec_t follow_unanswered(const follow_t *follow);
 
 /* The same from a peer. False if the text is none. */
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -348,6 +348,25 @@
 	followed_destroy(self);
 }
 
+/* A holder tells an age of minutes since a reading of its own failed long before it held the duty.
+ */
+static void test_follow_unanswered(void)
+{
+	followed_t *self = followed_create();
+	const kv_item_t item = {.key = "servers/b", .value = "2", .len = 1, .revision = 50};
+	follow_changes_t told = {.whole = true, .as_of = 50, .items = &item, .count = 1};
+
+	pass(self, 100 * USEC_PER_MSEC);
+	g_assert_cmpuint(follow_unanswered(&self->follow), ==, 0);
+	self->client.refused = true;
+	follow_refresh(&self->follow);
+	pass(self, 1 * SEC);
+	g_assert_cmpuint(follow_unanswered(&self->follow), >=, 900 * USEC_PER_MSEC);
+	follow_take(&self->follow, &told);
+	g_assert_cmpuint(follow_unanswered(&self->follow), ==, 0);
+	followed_destroy(self);
+}
+
 /* Changes are never learnt while the store turns watches away and nobody tells. */
 static void test_follow_watches_turned_away(void)
 {
@@ -595,6 +614,7 @@
 	g_test_add_func("/follow/refresh", test_follow_refresh);
 	g_test_add_func("/follow/tells-before-reading", test_follow_tells_before_reading);
 	g_test_add_func("/follow/changes-before-all", test_follow_changes_before_all);
+	g_test_add_func("/follow/unanswered", test_follow_unanswered);
 	g_test_add_func("/follow/watches-turned-away", test_follow_watches_turned_away);
 	g_test_add_func("/follow/pages", test_follow_pages);
 	g_test_add_func("/follow/by-a-peer", test_follow_by_a_peer);
