--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -186,10 +186,7 @@
 	return list_entry(next, roster_node_t, node);
 }
 
-/*
- * A peer that may reach the store, or NULL. Who has lost its hubs hears nobody that does: with a
- * zone turned away, its hubs too, no proxy of that zone knew whom to ask.
- */
+/* A peer that may reach the store, or NULL. Who has lost its hubs hears nobody that does. */
 static const roster_node_t *find_candidate(relay_t *relay, usec_t now)
 {
 	const pooler_t *pooler = relay->pooler;
