ask: a proxy that hears neither its hubs nor the holder asks another proxy in turn

While its news of the roster is old (ASK_ALL_AFTER) a proxy of a large fleet leaves the agreement to the hubs, and with that asked nobody but hubs and holder, though twenty others had the configuration.

Now such a proxy asks one of the roster with each question, as it already did with news that is not old. Costs nothing while the holder is heard of through a hub, so not in a plain outage of the store.

--- a/pooler/ask.c
+++ b/pooler/ask.c
@@ -207,11 +207,25 @@
 {
 	if (!upstream_applies(pooler)) {
 		ask_part(pooler, message);
-	} else if (upstream_is_hub(pooler) || hold_is_ours(pooler, now)) {
-		/* A question that they asked proves nothing of now. */
-		upstream_each_listener(pooler, now, put_question, message);
-		upstream_each_hub(pooler, put_question, message);
+		return;
 	}
+	/* A question that they asked proves nothing of now. */
+	upstream_each_listener(pooler, now, put_question, message);
+	upstream_each_hub(pooler, put_question, message);
+}
+
+/* False if it leaves the agreement without the store to the hubs of a large fleet. */
+static bool agrees_by_itself(pooler_t *pooler, usec_t now)
+{
+	return !upstream_applies(pooler) || upstream_is_hub(pooler) || hold_is_ours(pooler, now);
+}
+
+static void ask_other(pooler_t *pooler, const peer_message_t *message)
+{
+	const roster_node_t *other = other_peer(pooler);
+
+	if (other != NULL)
+		exchange_send(pooler, other->name, other->address, message);
 }
 
 /* The first message only makes the link, so it is repeated with the next tick; not for long. */
@@ -230,17 +244,13 @@
 static void ask_now(pooler_t *pooler, usec_t now, peer_message_t *message, void *parent)
 {
 	const sync_t *sync = &pooler->sync;
-	const roster_node_t *other;
 	const char *name;
 	const char *address;
 
-	if (ask_news_is_old(pooler, now))
+	if (ask_news_is_old(pooler, now) && agrees_by_itself(pooler, now))
 		ask_together(pooler, now, message);
-	else if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT) {
-		other = other_peer(pooler);
-		if (other != NULL)
-			exchange_send(pooler, other->name, other->address, message);
-	}
+	else if (sync->holder == NULL || now >= sync->holder_heard + HOLDER_SILENT)
+		ask_other(pooler, message);
 	if (!upstream_find(pooler, now, &name, &address))
 		return;
 	if (upstream_is_hub(pooler))
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -11,6 +11,7 @@
 #include "pool_check.h"
 #include "refresh.h"
 #include "state.h"
+#include "upstream.h"
 
 /* As world_start() sets it. */
 #define CONFIG_BOUND (3 * SEC)
@@ -115,6 +116,37 @@
 	}
 }
 
+/* Some proxy that is neither a hub nor the holder of the duty. */
+static size_t find_plain(const pool_world_t *world)
+{
+	for (size_t i = 0; i < world->node_count; i++) {
+		if (!is_hub(world, i) && !holds_duty(world, i))
+			return i;
+	}
+	g_assert_not_reached();
+}
+
+/* A proxy that hears neither hubs nor holder while the store is away asks nobody else. */
+static void test_silent_hubs_without_store(void)
+{
+	pool_world_t *world = start(SMALL);
+	size_t plain = find_plain(world);
+
+	world_freeze(world, plain);
+	/* Until its hub no longer tells it what changes. */
+	world_run(world, 2 * UPSTREAM_LISTENS);
+	world_write_config(world);
+	world_run(world, CONFIG_BOUND / 2);
+	world->kv->down = true;
+	for (size_t i = 0; i < FLEET; i++) {
+		if (is_hub(world, i) || holds_duty(world, i))
+			world_freeze(world, i);
+	}
+	world_thaw(world, plain);
+	expect_in_force(world, CONFIG_BOUND);
+	world_destroy(world);
+}
+
 /* In a fleet that falls into two parts those that the store turns away hear too few others. */
 static void test_parts_turned_away(void)
 {
@@ -502,6 +534,7 @@
 	g_test_add_func("/config/told-to-all", test_told_to_all);
 	g_test_add_func("/config/large-while-turned-away", test_large_while_turned_away);
 	g_test_add_func("/config/hubs-vanish", test_hubs_vanish);
+	g_test_add_func("/config/silent-hubs-without-store", test_silent_hubs_without_store);
 	g_test_add_func("/config/parts-turned-away", test_parts_turned_away);
 	g_test_add_func("/config/store-returns", test_store_returns);
 	g_test_add_func("/config/unknown-while-behind", test_unknown_while_behind);
