relay: readings that wait for a back-off go on when the store serves us again

The back-off goes up to 3.2 s, beyond the bound itself.

The relay knows the moment at which the store serves this proxy again, and now has both followers and the reading of the roster try at once. What was looked at elsewhere: the same holds for the list of members and the roster, which go through the same call; leases are renewed by their own clock, not by a back-off.

Before: /config/served-again-after-refusals is at the old version after the bound. After: passes.

--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -387,6 +387,15 @@
 	go_on(follow);
 }
 
+void follow_retry_now(follow_t *follow)
+{
+	if (follow->page_retry.failures != 0)
+		timers_cancel(follow->timers, &follow->page_retry.timer);
+	if (follow->watch_retry.failures != 0)
+		timers_cancel(follow->timers, &follow->watch_retry.timer);
+	go_on(follow);
+}
+
 /* --- peers --- */
 
 void follow_set_fed(follow_t *follow, bool fed)
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -86,6 +86,9 @@
 /* Read all of it again: events may have been missed without a sign. */
 void follow_refresh(follow_t *follow);
 
+/* Try again at once what failed: the store answers again. */
+void follow_retry_now(follow_t *follow);
+
 /*
  * Whether a peer tells what changes, by follow_take(). A watch that is waiting goes on until it
  * ends. Without this each proxy watches: 295 calls for one change of a member.
--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -102,6 +102,19 @@
 
 static void take_back(relay_t *relay);
 
+/* What waits for a back-off failed while the store did not serve us. */
+static void retry_readings(pooler_t *pooler)
+{
+	usec_t now = now_of(pooler);
+
+	if (pooler->config_follow != NULL) {
+		follow_retry_now(pooler->config_follow);
+		follow_retry_now(pooler->members_follow);
+	}
+	if (pooler->sync.read_after > now)
+		pooler->sync.read_after = now;
+}
+
 static void note_access(relay_t *relay, kv_status_t status)
 {
 	bool failed = status == KV_REFUSED || status == KV_LOST;
@@ -113,8 +126,10 @@
 	LOG_EVENT(failed ? LOG_WARN : LOG_INFO,
 		  failed ? "store can't be reached" : "store is reached again",
 		  LOG_INT("status", status));
-	if (!failed)
-		take_back(relay);
+	if (failed)
+		return;
+	take_back(relay);
+	retry_readings(relay->pooler);
 }
 
 /*
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -147,6 +147,26 @@
 	world_destroy(world);
 }
 
+/* What was to be read waits for the back-off of before, though the store serves the proxy again. */
+static void test_served_again_after_refusals(void)
+{
+	for (usec_t refused = 6 * SEC; refused <= 10 * SEC; refused += 500 * MSEC) {
+		pool_world_t *world = start(SMALL);
+		size_t plain = find_plain(world);
+
+		world->nodes[plain].cut_from_peers = true;
+		world->nodes[plain].kv.refused = true;
+		world_run(world, refused);
+		world_write_config(world);
+		/* So that the watch does not bring it. */
+		fake_kv_compact(world->kv);
+		world->nodes[plain].kv.refused = false;
+		world_run(world, CONFIG_BOUND);
+		g_assert_cmpint(world_version_at(world, plain), ==, world->config_version);
+		world_destroy(world);
+	}
+}
+
 /* In a fleet that falls into two parts those that the store turns away hear too few others. */
 static void test_parts_turned_away(void)
 {
@@ -535,6 +555,7 @@
 	g_test_add_func("/config/large-while-turned-away", test_large_while_turned_away);
 	g_test_add_func("/config/hubs-vanish", test_hubs_vanish);
 	g_test_add_func("/config/silent-hubs-without-store", test_silent_hubs_without_store);
+	g_test_add_func("/config/served-again-after-refusals", test_served_again_after_refusals);
 	g_test_add_func("/config/parts-turned-away", test_parts_turned_away);
 	g_test_add_func("/config/store-returns", test_store_returns);
 	g_test_add_func("/config/unknown-while-behind", test_unknown_while_behind);
