exchange: an answer to an earlier process of the name is not taken for one to us

A proxy that had been frozen answered a question of the process before. By its echo the new process took knowledge as proved at a time at which it did not live; after a restart of the VM, whose clock begins anew, at a time to come, and then keys that nobody proves count until that time is over.

An echo counts only if it lies between the start of this process and now. The test plays both; it fails on the code before. What else comes back to a process by number is looked at next.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -369,7 +369,13 @@
 	exchange_tick(pooler, now);
 }
 
-static void on_state(pooler_t *pooler, const peer_message_t *message)
+/* True if it answers this process, and not an earlier one of the same name, by whatever clock. */
+static bool answers_us(const pooler_t *pooler, const peer_message_t *message)
+{
+	return message->echo >= pooler->started && message->echo <= now_of(pooler);
+}
+
+static void take_state(pooler_t *pooler, const peer_message_t *message)
 {
 	sync_t *sync = &pooler->sync;
 	usec_t now = now_of(pooler);
@@ -381,8 +387,7 @@
 	join_on_state(pooler, message->from);
 	take_holder(pooler, message, now);
 	take_roster(pooler, message, now);
-	agrees = message->echo != 0 && message->echo <= now &&
-		 message->revision == sync->roster->revision;
+	agrees = message->echo != 0 && message->revision == sync->roster->revision;
 	/*
 	 * The answer was given no earlier than our question was sent, so the peer's read of the
 	 * store was sent no earlier than that less its age. Nobody's clock is compared.
@@ -399,6 +404,15 @@
 	sync_run_services(pooler);
 }
 
+static void on_state(pooler_t *pooler, const peer_message_t *message)
+{
+	peer_message_t told = *message;
+
+	if (!answers_us(pooler, message))
+		told.echo = 0;
+	take_state(pooler, &told);
+}
+
 static void note_draining(pooler_t *pooler, const peer_message_t *message)
 {
 	peer_report_t *report = exchange_get_report(pooler, message->from);
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "exchange.h"
 #include "pool_check.h"
 #include "refresh.h"
 #include "state.h"
@@ -167,6 +168,44 @@
 	}
 }
 
+/* An answer to the process of before is taken for one to our question, and what it says as new. */
+static void test_answer_to_the_process_before(void)
+{
+	pool_world_t *world = start(SMALL);
+	size_t plain = find_plain(world);
+	size_t holder = find_holder(world);
+	const pooler_t *pooler;
+	const kv_item_t item = {.key = "op/config", .value = "1 ", .len = 2, .revision = 1};
+	const follow_changes_t changes = {.as_of = 1, .items = &item, .count = 1};
+	peer_message_t state = {
+		.kind = PEER_STATE,
+		.config_changes = &changes,
+		.from = world->nodes[holder].name,
+		.address = world->nodes[holder].address,
+		.zone = world->nodes[holder].zone,
+		.incarnation = world->nodes[holder].incarnation,
+		.config_version = world->config_version,
+		.echo = clock_now(&world->clock.base),
+		.age = USEC_NEVER,
+		.quorum_age = USEC_NEVER,
+		.holder_age = USEC_NEVER,
+	};
+
+	world_kill(world, plain);
+	world_run(world, 1 * SEC);
+	world->nodes[plain].kv.cut = true;
+	world->nodes[plain].cut_from_peers = true;
+	world_start(world, plain);
+	pooler = world->nodes[plain].pooler;
+	exchange_on_message(world->nodes[plain].pooler, &state);
+	g_assert_cmpuint(pooler->sync.directory_at, ==, 0);
+	/* Of a VM that has started anew since, with a clock that was ahead. */
+	state.echo = clock_now(&world->clock.base) + 60 * SEC;
+	exchange_on_message(world->nodes[plain].pooler, &state);
+	g_assert_cmpuint(pooler->sync.directory_at, ==, 0);
+	world_destroy(world);
+}
+
 /* In a fleet that falls into two parts those that the store turns away hear too few others. */
 static void test_parts_turned_away(void)
 {
@@ -556,6 +595,7 @@
 	g_test_add_func("/config/hubs-vanish", test_hubs_vanish);
 	g_test_add_func("/config/silent-hubs-without-store", test_silent_hubs_without_store);
 	g_test_add_func("/config/served-again-after-refusals", test_served_again_after_refusals);
+	g_test_add_func("/config/answer-to-the-process-before", test_answer_to_the_process_before);
 	g_test_add_func("/config/parts-turned-away", test_parts_turned_away);
 	g_test_add_func("/config/store-returns", test_store_returns);
 	g_test_add_func("/config/unknown-while-behind", test_unknown_while_behind);
