upstream: a process that knows no proxy asks who speaks to it; silent listeners are called

A process learns whom to ask from the roster, which it reads from the store; without it it asked nobody for 6 s and more, though a proxy had even sent it a message meanwhile. It had no permission, so its callers were refused for as long as the store did not serve it.

Two halves: a process without a roster remembers who spoke to it last and asks that one; and a proxy pings those that asked it regularly until they fell silent, once a second, 30 s at most or until they answer. So a process that comes back at its address is found by its hub. Those that only tried a proxy in turn are not called: in a fleet of hundreds in trouble that would be everybody.

Not covered: a process at a new address, or one that was away for over 30 s, while the store does not serve it. Nobody knows it then.

Before: /config/started-while-turned-away never has the configuration. After: in force within the bound, with permission, for a small and a large one.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -209,6 +209,14 @@
 	exchange_send(pooler, message->from, message->address, &pong);
 }
 
+static void on_pong(pooler_t *pooler, const peer_message_t *message)
+{
+	peer_report_t *report = exchange_get_report(pooler, message->from);
+
+	report->ponged = true;
+	upstream_on_pong(report, now_of(pooler));
+}
+
 peer_report_t *exchange_get_report(pooler_t *pooler, const char *name)
 {
 	sync_t *sync = &pooler->sync;
@@ -283,7 +291,7 @@
 {
 	peer_report_t *report = exchange_get_report(pooler, message->from);
 
-	report->asked_us_at = now;
+	upstream_on_question(report, now);
 	report->config_at = message->config_at;
 	report->members_at = message->members_at;
 	note_access(report, message, now);
@@ -425,6 +433,7 @@
 
 void exchange_on_message(pooler_t *pooler, const peer_message_t *message)
 {
+	upstream_note_contact(pooler, message->from, message->address);
 	if (message->draining)
 		note_draining(pooler, message);
 	if (message->config_version > pooler->config_heard)
@@ -448,7 +457,7 @@
 		on_ping(pooler, message);
 		break;
 	case PEER_PONG:
-		exchange_get_report(pooler, message->from)->ponged = true;
+		on_pong(pooler, message);
 		break;
 	case PEER_STORE:
 		relay_on_request(pooler->relay, message);
@@ -469,4 +478,5 @@
 {
 	push_tick(pooler, now);
 	ask_tick(pooler, now);
+	upstream_tick(pooler, now);
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -312,6 +312,7 @@
 	usec_t gone_seen;      /* when the roster was first seen to call it gone; 0: it does not */
 	int64_t gone_revision; /* of the roster seen then */
 	usec_t asked_us_at;    /* its last question to this proxy; see upstream.h */
+	usec_t asked_us_from;  /* the first of a row of them; 0: it need not be called */
 	int64_t config_at;     /* what it has been told of the directory, as it said then */
 	int64_t members_at;
 	usec_t config_told_at;	  /* when it was last told a configuration */
@@ -379,6 +380,9 @@
 	uint64_t fence;
 	usec_t holder_heard; /* its last answer */
 	unsigned next_peer;
+	char *contact; /* who was heard last while no roster is known; NULL: nobody */
+	char *contact_address;
+	usec_t call_next; /* to listeners that have fallen silent; see upstream.h */
 	hubs_t hubs;
 	usec_t config_pushed_at;
 	push_t push_wanted;
--- a/pooler/upstream.c
+++ b/pooler/upstream.c
@@ -17,6 +17,10 @@
 #define HUB_SILENT (500 * USEC_PER_MSEC)
 /* For so long; then it is tried again. */
 #define HUB_AVOIDED (2 * USEC_PER_SEC)
+/* A listener that has fallen silent is called so often, */
+#define CALL_INTERVAL (1 * USEC_PER_SEC)
+/* for so long after its last question: a restart takes seconds. */
+#define CALLED_FOR (30 * USEC_PER_SEC)
 /* Percent of a core for each part of the work, and the most parts that one proxy takes. */
 #define WEIGHT_UNIT 25
 #define WEIGHT_MOST 4
@@ -209,11 +213,71 @@
 		if (hub == NULL && sync->holder != NULL && is_avoided(pooler, sync->holder, now))
 			hub = find_hub(pooler, NULL, now);
 	}
-	*name = hub != NULL ? hub->name : sync->holder;
-	*address = hub != NULL ? hub->address : sync->holder_address;
+	if (hub != NULL) {
+		*name = hub->name;
+		*address = hub->address;
+	} else if (sync->holder != NULL) {
+		*name = sync->holder;
+		*address = sync->holder_address;
+	} else {
+		*name = sync->contact;
+		*address = sync->contact_address;
+	}
 	return *name != NULL && strcmp(*name, pooler->config.name) != 0;
 }
 
+void upstream_note_contact(pooler_t *pooler, const char *name, const char *address)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (sync->roster->revision != 0 || name == NULL || address == NULL)
+		return;
+	if (sync->contact == NULL)
+		LOG_EVENT(LOG_INFO, "first proxy heard of", LOG_STR("proxy", name),
+			  LOG_STR("address", address));
+	talloc_free(sync->contact);
+	talloc_free(sync->contact_address);
+	sync->contact = talloc_strdup(pooler, name);
+	sync->contact_address = talloc_strdup(pooler, address);
+}
+
+void upstream_on_question(peer_report_t *report, usec_t now)
+{
+	if (!upstream_listens(report, now))
+		report->asked_us_from = now;
+	report->asked_us_at = now;
+}
+
+void upstream_on_pong(peer_report_t *report, usec_t now)
+{
+	if (!upstream_listens(report, now))
+		report->asked_us_from = 0;
+}
+
+/* Not who has only tried us in turn, while it had nobody else to ask. */
+static bool is_called(const peer_report_t *report, usec_t now)
+{
+	return report->asked_us_from != 0 && !upstream_listens(report, now) &&
+	       report->asked_us_at >= report->asked_us_from + UPSTREAM_LISTENS &&
+	       now < report->asked_us_at + CALLED_FOR;
+}
+
+void upstream_tick(pooler_t *pooler, usec_t now)
+{
+	sync_t *sync = &pooler->sync;
+
+	if (now < sync->call_next)
+		return;
+	sync->call_next = now + CALL_INTERVAL;
+	list_for_each (it, &sync->reports) {
+		const peer_report_t *report = list_entry(it, peer_report_t, node);
+		const roster_node_t *node = roster_node(sync->roster, report->name);
+
+		if (node != NULL && is_called(report, now))
+			exchange_ping(pooler, node);
+	}
+}
+
 void upstream_avoid(pooler_t *pooler, const char *name, usec_t now)
 {
 	exchange_get_report(pooler, name)->avoided_until = now + HUB_AVOIDED;
--- a/pooler/upstream.h
+++ b/pooler/upstream.h
@@ -33,10 +33,24 @@
 /* Whom to ask now; false if nobody is known, or it is this proxy itself. */
 bool upstream_find(pooler_t *pooler, usec_t now, const char **name, const char **address);
 
+/* Remember who speaks to a process that knows no roster, and has nobody else to ask. */
+void upstream_note_contact(pooler_t *pooler, const char *name, const char *address);
+
+/*
+ * Call those that asked this proxy regularly and have fallen silent, until they answer. Their
+ * process may have started anew and know nobody, if the store does not serve it.
+ */
+void upstream_tick(pooler_t *pooler, usec_t now);
+
+/* That proxy has asked us for news. */
+void upstream_on_question(peer_report_t *report, usec_t now);
+
+/* It has answered a call. */
+void upstream_on_pong(peer_report_t *report, usec_t now);
+
 /* It was asked. */
 void upstream_on_asked(pooler_t *pooler, const char *name, usec_t now);
 
-/* True if news of the holder, its doubts for example, may be taken from that proxy. */
 /* Parts of the fleet's common work that the proxy takes, by what its VM can do. */
 size_t upstream_weight(const roster_node_t *node);
 
@@ -49,6 +63,7 @@
 /* It does not answer: another hub is asked for a while. */
 void upstream_avoid(pooler_t *pooler, const char *name, usec_t now);
 
+/* True if news of the holder, its doubts for example, may be taken from that proxy. */
 bool upstream_is(const pooler_t *pooler, const char *name);
 
 /* True if that proxy has asked us of late. */
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -168,6 +168,28 @@
 	}
 }
 
+/* A process that starts while the store turns it away knows no proxy to ask. */
+static void test_started_while_turned_away(void)
+{
+	static const size_t sizes[] = {SMALL, LARGE};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		pool_world_t *world = start(sizes[i]);
+		size_t plain = find_plain(world);
+
+		world_kill(world, plain);
+		world->nodes[plain].kv.refused = true;
+		/* Until its hub no longer tells the process of before what changes. */
+		world_run(world, 2 * UPSTREAM_LISTENS);
+		world_start(world, plain);
+		world_write_config(world);
+		expect_in_force(world, CONFIG_BOUND);
+		world_run(world, CONFIG_BOUND);
+		g_assert_cmpuint(world_permitted(world, "core-0"), ==, FLEET);
+		world_destroy(world);
+	}
+}
+
 /* An answer to the process of before is taken for one to our question, and what it says as new. */
 static void test_answer_to_the_process_before(void)
 {
@@ -595,6 +617,7 @@
 	g_test_add_func("/config/hubs-vanish", test_hubs_vanish);
 	g_test_add_func("/config/silent-hubs-without-store", test_silent_hubs_without_store);
 	g_test_add_func("/config/served-again-after-refusals", test_served_again_after_refusals);
+	g_test_add_func("/config/started-while-turned-away", test_started_while_turned_away);
 	g_test_add_func("/config/answer-to-the-process-before", test_answer_to_the_process_before);
 	g_test_add_func("/config/parts-turned-away", test_parts_turned_away);
 	g_test_add_func("/config/store-returns", test_store_returns);
