pooler: numbers of questions to other proxies are not given out again by the next process

What callers can see: another caller's rows as the answer to their statement. A home that runs a statement for a proxy answers by number. The proxy is killed and starts again; its numbers began at 1 again, so a late result for the process before answers whichever statement has that number now, if it is at the same home. The same holds for calls to the store by a peer (a commit or a lease that another call made), for tokens of keepers and for releases of seats.

All four take their numbers from one counter that begins with the incarnation. A pooler that gave out 2^20 numbers for each millisecond of its life would reach the next one's.

Before: /forward/result-for-the-process-before gets the answer. After: passes.

--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -67,7 +67,7 @@
 {
 	pooler_t *pooler = caller->pooler;
 
-	caller->forward_number = ++pooler->forward_count;
+	caller->forward_number = pooler_next_number(pooler);
 	if (!send_request(caller, helper, &caller->statement, now)) {
 		caller->forward_number = 0;
 		return false;
@@ -100,7 +100,7 @@
 	if (home == NULL || strcmp(home->name, pooler->config.name) == 0)
 		return FORWARD_NOT;
 	if (caller->tx == TX_OPEN)
-		caller->remote = ++pooler->forward_count;
+		caller->remote = pooler_next_number(pooler);
 	set_helper(caller, home->name);
 	if (hand_over(caller, home, now))
 		return FORWARD_DONE;
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -41,6 +41,9 @@
 #define STALL_NOTICED (60 * USEC_PER_MSEC)
 /* One that comes so late means that it was stopped. */
 #define PAUSE_NOTICED (500 * USEC_PER_MSEC)
+/* Numbers of questions that a process may use for each millisecond between its start and the next.
+ */
+#define INCARNATION_SHIFT 20
 /* Commits under way at a primary that is about to change may still be answered for so long. */
 #define COMMIT_GRACE (200 * USEC_PER_MSEC)
 /* A member without an entry is forgotten after this. */
@@ -82,6 +85,11 @@
 	return bound != 0 ? (pooler->random * 2685821657736338717ull >> 16) % bound : 0;
 }
 
+uint64_t pooler_next_number(pooler_t *pooler)
+{
+	return ++pooler->numbers;
+}
+
 service_t *service_get(pooler_t *pooler, const char *name)
 {
 	service_t *service;
@@ -349,6 +357,8 @@
 	pooler->config.address = talloc_strdup(pooler, config->address);
 	pooler->config.prefix = talloc_strdup(pooler, config->prefix);
 	pooler->random = config->seed | 1;
+	/* Positive: messages carry numbers with a sign. */
+	pooler->numbers = (config->incarnation << INCARNATION_SHIFT) & INT64_MAX;
 	list_init(&pooler->services);
 	list_init(&pooler->members);
 	active_init(pooler);
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -53,7 +53,6 @@
 
 struct quota {
 	pooler_t *pooler;
-	uint64_t questions;
 	allowance_t *by_customer;
 	seats_t *seats;
 };
@@ -221,7 +220,7 @@
 	const char *name = keeper_of(allowance, seat);
 	const roster_node_t *keeper = name != NULL ? roster_node(pooler->sync.roster, name) : NULL;
 	quota_request_t request = {
-		.number = ++quota->questions,
+		.number = pooler_next_number(quota->pooler),
 		.customer = allowance->customer,
 		.seat = seat,
 		.wanted = (unsigned)list_length(&allowance->waiting),
--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -55,7 +55,6 @@
 	pooler_t *pooler;
 	kv_t *direct;
 	list_t calls; /* call_t */
-	uint64_t numbers;
 	size_t jobs;
 	size_t next_candidate;
 	bool cut_off;
@@ -269,7 +268,7 @@
 		return false;
 	call->helpers++;
 	call->asked_at = now;
-	call->request.number = ++relay->numbers;
+	call->request.number = pooler_next_number(relay->pooler);
 	talloc_free(call->helper);
 	call->helper = talloc_strdup(call, helper->name);
 	list_add_tail(&relay->calls, &call->node);
--- a/pooler/seat.c
+++ b/pooler/seat.c
@@ -50,7 +50,6 @@
 struct seats {
 	pooler_t *pooler;
 	seat_t *by_name;
-	uint64_t questions;
 };
 
 static int seats_destructor(seats_t *seats)
@@ -143,7 +142,7 @@
 
 	if (node == NULL || node->gone || now < seat->asked_at + RELEASE_INTERVAL)
 		return;
-	request.number = ++seats->questions;
+	request.number = pooler_next_number(pooler);
 	exchange_fill(pooler, &message);
 	if (!pooler->env->ops->peer_send(pooler->env, node->name, node->address, &message))
 		return;
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -437,7 +437,7 @@
 	uint64_t members_digest; /* of those that are listed, see refresh_members_digest() */
 	list_t callers;
 	list_t forwarded; /* caller_t.forwarded */
-	uint64_t forward_count;
+	uint64_t numbers; /* the last of pooler_next_number() */
 	sync_t sync;
 	proof_t config_proof; /* when routes was last known to be the newest; its keys count for a
 				 time */
@@ -475,6 +475,12 @@
 /* Pseudo-random number below bound, from the pooler's seed. */
 uint64_t pooler_random(pooler_t *pooler, uint64_t bound);
 
+/*
+ * Number of a question to another proxy, by which its answer is known. Never one of an earlier
+ * process of this name, whose answers may still come.
+ */
+uint64_t pooler_next_number(pooler_t *pooler);
+
 /* The service of this name, made if there is none. */
 service_t *service_get(pooler_t *pooler, const char *name);
 
--- a/tests/test_pooler_forward.c
+++ b/tests/test_pooler_forward.c
@@ -587,6 +587,41 @@
 	world_destroy(world);
 }
 
+/* A late result for the process of before answers another statement of the one that follows it. */
+static void test_result_for_the_process_before(void)
+{
+	pool_world_t *world = make_scarce();
+	size_t away = find_away(world);
+	world_caller_t *caller = world_open_database(world, away, "strict");
+	forward_result_t late = {
+		.raw = {.at = "DONE core-0", .len = 11},
+		.is_raw = true,
+		.ok = true,
+		.member = "core-0",
+	};
+	peer_message_t message = {.kind = PEER_RESULT, .result = &late};
+	const world_node_t *home;
+
+	world->db->members[0].slow = 1 * SEC;
+	world_send(caller, "WRITE job-1 a");
+	world_run(world, 10 * MSEC);
+	late.number = caller->caller->forward_number;
+	g_assert_cmpuint(late.number, !=, 0);
+	world_kill(world, away);
+	world_start(world, away);
+	world_run(world, 2 * SEC);
+	caller = world_open_database(world, away, "strict");
+	world_send(caller, "WRITE job-2 b");
+	world_run(world, 10 * MSEC);
+	home = helper_of(world, caller);
+	message.from = home->name;
+	message.address = home->address;
+	message.incarnation = home->incarnation;
+	pooler_on_message(world->nodes[away].pooler, &message);
+	g_assert_cmpuint(caller->replies, ==, 0);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -606,6 +641,8 @@
 	g_test_add_func("/home/shuts-down", test_home_shuts_down);
 	g_test_add_func("/home/gives-back", test_leaving_home_gives_back_connections);
 	g_test_add_func("/forward/refusal-is-read-late", test_refusal_is_read_late);
+	g_test_add_func("/forward/result-for-the-process-before",
+			test_result_for_the_process_before);
 	g_test_add_func("/forward/first-result", test_first_result_waits_for_its_link);
 	g_test_add_func("/home/leaves", test_home_leaves);
 	g_test_add_func("/home/frozen", test_home_is_frozen);
