refresh: who was told to read the members and does not is told all of them

The list of members lacked a mend of the configuration's: a proxy to which more is to be told than fits the link of whoever it asks is told to read the store, and again with every later answer, though it can't read and does not know it yet. Now both go through one function: told to read once, and all of it half a second later.

Before: /members/told-if-not-read finds no packed list after 2 s. After: passes.

--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -52,7 +52,7 @@
 #define TOLD_WITHIN (4 * USEC_PER_SEC)
 /* Large lists may fill our link for this part of a second, if all that ask us are told. */
 #define PACKED_PART 4
-/* Who was told to read the configuration, and asks so long after without it, is told all of it. */
+/* Who was told to read from the store, and asks so long after without it, is told all of it. */
 #define READING_PATIENCE (500 * USEC_PER_MSEC)
 /* A list of members that was told is believed to be on its way for so long. */
 #define PACKED_ON_ITS_WAY (1 * USEC_PER_SEC)
@@ -243,18 +243,28 @@
 }
 
 /* True if it was told to read what it lacks since then, and should have by now. */
-static bool reading_is_overdue(const peer_report_t *report, int64_t since, usec_t now)
+static bool reading_is_overdue(const reading_hint_t *hint, int64_t since, usec_t now)
 {
-	return report->config_hinted_at != 0 && report->config_hinted == since &&
-	       now >= report->config_hinted_at + READING_PATIENCE;
+	return hint->at != 0 && hint->since == since && now >= hint->at + READING_PATIENCE;
 }
 
-static void note_hint(peer_report_t *report, int64_t since, usec_t now)
+static void note_hint(reading_hint_t *hint, int64_t since, usec_t now)
 {
-	if (report->config_hinted_at != 0 && report->config_hinted == since)
-		return;
-	report->config_hinted_at = now;
-	report->config_hinted = since;
+	if (hint->at == 0 || hint->since != since)
+		*hint = (reading_hint_t){.at = now, .since = since};
+}
+
+/* All that the proxy lacks as one text; NULL: it is to read that, and is expected to. */
+static const char *pack_or_hint(pooler_t *pooler, follow_t *follow, const peer_report_t *report,
+				reading_hint_t *hint, int64_t since)
+{
+	usec_t now = now_of(pooler);
+	const char *packed = pack(pooler, follow, since,
+				  report->cut_off || reading_is_overdue(hint, since, now));
+
+	if (packed == NULL)
+		note_hint(hint, since, now);
+	return packed;
 }
 
 /* The configuration, if it is time; else the receiver is told with a later answer. */
@@ -272,12 +282,9 @@
 	news = changes_since(follow, since, parent, &message->config_changes);
 	if (news == FOLLOW_TOO_MUCH) {
 		message->config_packed =
-			pack(pooler, follow, since,
-			     report->cut_off || reading_is_overdue(report, since, now));
+			pack_or_hint(pooler, follow, report, &report->config_hint, since);
 		message->read_directory = message->config_packed == NULL;
 	}
-	if (message->read_directory)
-		note_hint(report, since, now);
 	if (message->config_changes != NULL || message->config_packed != NULL)
 		report->config_told_at = now;
 }
@@ -291,7 +298,8 @@
 	if (changes_since(follow, since, parent, &message->members_changes) != FOLLOW_TOO_MUCH ||
 	    (report->members_packed_at != 0 && now < report->members_packed_at + PACKED_ON_ITS_WAY))
 		return;
-	message->members_packed = pack(pooler, follow, since, report->cut_off);
+	message->members_packed =
+		pack_or_hint(pooler, follow, report, &report->members_hint, since);
 	message->read_directory |= message->members_packed == NULL;
 	report->members_packed_at = now;
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -285,6 +285,12 @@
 
 /* --- the fleet --- */
 
+/* A proxy was told to read from the store what it lacks. */
+typedef struct reading_hint {
+	usec_t at;     /* the first time; 0: it was not */
+	int64_t since; /* what it knew then, see peer_report_t.config_at */
+} reading_hint_t;
+
 typedef struct peer_report {
 	list_t node;
 	UT_hash_handle hh; /* in sync_t.by_name */
@@ -316,8 +322,8 @@
 	int64_t config_at;     /* what it has been told of the directory, as it said then */
 	int64_t members_at;
 	usec_t config_told_at;	  /* when it was last told a configuration */
-	usec_t config_hinted_at;  /* when it was first told to read the one it lacks; 0: not */
-	int64_t config_hinted;	  /* what it knew then, as config_at */
+	reading_hint_t config_hint;
+	reading_hint_t members_hint;
 	usec_t members_packed_at; /* when it was last told all members as one text; 0: never */
 	int64_t roster_told;	  /* the revision of the roster that it was last told */
 	usec_t roster_told_at;	  /* when */
--- a/tests/pool_directory.c
+++ b/tests/pool_directory.c
@@ -27,8 +27,9 @@
 
 static void on_member(follow_t *follow, const kv_item_t *item)
 {
-	(void)follow;
-	(void)item;
+	world_node_t *node = list_entry(follow, world_node_t, members);
+
+	node->members_version = strtoll(item->value, NULL, 10);
 }
 
 static void on_gone(follow_t *follow, const char *key)
@@ -58,6 +59,7 @@
 
 void directory_start(world_node_t *node)
 {
+	node->members_version = 0;
 	start(node, &node->config, CONFIG_PREFIX, &config_ops);
 	start(node, &node->members, MEMBERS_PREFIX, &member_ops);
 	pooler_set_directory(node->pooler, &node->config, &node->members);
@@ -77,22 +79,32 @@
 		follow_refresh(follow);
 }
 
-void world_write_config(pool_world_t *world)
+static void put_version(const pool_world_t *world, const char *key, int64_t version, size_t bytes)
 {
-	char *text = talloc_asprintf(NULL, "%lld ", (long long)++world->config_version);
+	char *text = talloc_asprintf(NULL, "%lld ", (long long)version);
 	size_t len = strlen(text);
-	GRand *rand = g_rand_new_with_seed((guint32)world->config_version);
+	GRand *rand = g_rand_new_with_seed((guint32)version);
 
-	text = talloc_realloc_size(NULL, text, len + world->config_bytes + 1);
+	text = talloc_realloc_size(NULL, text, len + bytes + 1);
 	/* Random letters, which can't be compressed much. */
-	for (size_t i = 0; i < world->config_bytes; i++)
+	for (size_t i = 0; i < bytes; i++)
 		text[len + i] = (char)g_rand_int_range(rand, 'a', 'z' + 1);
 	g_rand_free(rand);
-	text[len + world->config_bytes] = '\0';
-	fake_kv_put(world->kv, CONFIG_KEY, text);
+	text[len + bytes] = '\0';
+	fake_kv_put(world->kv, key, text);
 	talloc_free(text);
 }
 
+void world_write_config(pool_world_t *world)
+{
+	put_version(world, CONFIG_KEY, ++world->config_version, world->config_bytes);
+}
+
+void world_write_members(pool_world_t *world, size_t bytes)
+{
+	put_version(world, MEMBERS_PREFIX "versioned", ++world->members_version, bytes);
+}
+
 int64_t world_version_at(const pool_world_t *world, size_t node)
 {
 	const pooler_t *pooler = world->nodes[node].pooler;
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -45,9 +45,10 @@
 	size_t refreshes; /* of the directory that the pooler asked for */
 	follow_t config;  /* the directory, in a world that follows the store */
 	follow_t members;
-	usec_t peer_delay; /* of messages to it, beyond the usual */
-	size_t messages;   /* sent to other proxies */
-	size_t bytes;	   /* of these */
+	int64_t members_version; /* of the list of members that it knows; 0: none */
+	usec_t peer_delay;	 /* of messages to it, beyond the usual */
+	size_t messages;	 /* sent to other proxies */
+	size_t bytes;		 /* of these */
 } world_node_t;
 
 typedef struct world_caller {
@@ -95,11 +96,12 @@
 	reads_t reads;	      /* of the route */
 	usec_t max_age;
 	int64_t config_version;
-	int64_t added_by;    /* the version from which on there is WORLD_ADDED; 0: none */
-	size_t config_bytes; /* of a configuration in the store; 0: proxies are handed it */
-	bool new_links;	     /* a message to a proxy that none was sent to before is not sent */
-	bool plain;	     /* of proxies that start: no order by lateness, no help of others */
-	bool sync_replicas;  /* as the configuration says */
+	int64_t members_version; /* of world_write_members() */
+	int64_t added_by;	 /* the version from which on there is WORLD_ADDED; 0: none */
+	size_t config_bytes;	 /* of a configuration in the store; 0: proxies are handed it */
+	bool new_links;		 /* a message to a proxy that none was sent to before is not sent */
+	bool plain;	    /* of proxies that start: no order by lateness, no help of others */
+	bool sync_replicas; /* as the configuration says */
 	/* With any, routes but "open" ask for a key. */
 	world_customer_t customers[WORLD_CUSTOMERS_MAX];
 	size_t customer_count;
@@ -131,6 +133,9 @@
 /* The operators write a new version to the store. */
 void world_write_config(pool_world_t *world);
 
+/* A new version of the list of members, of so many bytes. */
+void world_write_members(pool_world_t *world, size_t bytes);
+
 /* The version in force at the proxy; 0: none. */
 int64_t world_version_at(const pool_world_t *world, size_t node);
 
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -333,6 +333,30 @@
 	world_destroy(world);
 }
 
+/* A proxy whose reading of the members takes too long is told to read them for ever. */
+static void test_members_told_if_not_read(void)
+{
+	pool_world_t *world = start(SMALL);
+	size_t holder = find_holder(world);
+	int64_t known = world->nodes[holder].members.told;
+	void *parent = talloc_new(NULL);
+	peer_message_t state;
+
+	/* Slow, so that so many do not fit. */
+	world->nodes[holder].pooler->config.link = LARGE;
+	world_write_members(world, LARGE);
+	world_run(world, 2 * FOLLOW_GATHER);
+	describe(world, holder, "new", known, &state, parent);
+	g_assert_true(state.read_directory);
+	g_assert_null(state.members_packed);
+	world_run(world, 2 * SEC);
+	describe(world, holder, "new", known, &state, parent);
+	g_assert_nonnull(state.members_packed);
+	g_assert_false(state.read_directory);
+	talloc_free(parent);
+	world_destroy(world);
+}
+
 /* A holder that the store does not answer calls what it knows current; nobody else reads then. */
 static void test_age_of_a_silent_holder(void)
 {
@@ -625,6 +649,7 @@
 	g_test_add_func("/config/unknown-key-while-behind", test_unknown_key_while_behind);
 	g_test_add_func("/config/told-if-not-read", test_told_if_not_read);
 	g_test_add_func("/config/age-of-a-silent-holder", test_age_of_a_silent_holder);
+	g_test_add_func("/members/told-if-not-read", test_members_told_if_not_read);
 	g_test_add_func("/config/random-faults", test_random_faults);
 	return g_test_run();
 }
