refresh: the holder's age counts its unanswered readings of the members too

A holder whose readings of the members alone are not answered, nor by peers, told an age of 0 for all of the directory, so nobody else read the store, and the whole fleet kept the old list.

Before: /members/age-of-a-silent-holder is told 0. After: the age of the reading.

--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -100,11 +100,15 @@
 /* The holder knows what it watches and reads; if its readings fail, what it knew before them. */
 static usec_t holder_age(const pooler_t *pooler)
 {
+	usec_t config;
+	usec_t members;
 	usec_t age;
 
 	if (pooler->config_follow == NULL)
 		return 0;
-	age = follow_unanswered(pooler->config_follow);
+	config = follow_unanswered(pooler->config_follow);
+	members = follow_unanswered(pooler->members_follow);
+	age = config > members ? config : members;
 	return age > READING_USUAL ? age : 0;
 }
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -321,7 +321,7 @@
 	usec_t asked_us_from;  /* the first of a row of them; 0: it need not be called */
 	int64_t config_at;     /* what it has been told of the directory, as it said then */
 	int64_t members_at;
-	usec_t config_told_at;	  /* when it was last told a configuration */
+	usec_t config_told_at; /* when it was last told a configuration */
 	reading_hint_t config_hint;
 	reading_hint_t members_hint;
 	usec_t members_packed_at; /* when it was last told all members as one text; 0: never */
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -450,11 +450,20 @@
 	return client->refused || (client->unwatched && call->kind == CALL_WATCH);
 }
 
+/* True if a link of its own loses the call, or its answer. */
+static bool is_cut(const call_t *call)
+{
+	const fake_kv_client_t *client = call->client;
+
+	return client->cut || (client->cut_prefix != NULL && call->prefix != NULL &&
+			       strcmp(call->prefix, client->cut_prefix) == 0);
+}
+
 /* Returns true if the call was answered. */
 static bool step(fake_kv_t *store, call_t *call)
 {
 	usec_t now = now_of(store);
-	bool reachable = !store->down && !call->client->cut;
+	bool reachable = !store->down && !is_cut(call);
 
 	if (reachable && is_turned_away(call) && now >= call->arrives) {
 		call->result.status = KV_REFUSED;
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -36,9 +36,10 @@
 typedef struct fake_kv_client {
 	kv_t kv;
 	fake_kv_t *store;
-	bool cut;	/* calls get no answer */
-	bool refused;	/* calls are turned away */
-	bool unwatched; /* watches are */
+	bool cut;		/* calls get no answer */
+	bool refused;		/* calls are turned away */
+	bool unwatched;		/* watches are */
+	const char *cut_prefix; /* readings of these keys get no answer; NULL: of none */
 } fake_kv_client_t;
 
 fake_kv_t *fake_kv_create(void *parent, const run_clock_t *clock, timer_set_t *timers);
--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -357,6 +357,25 @@
 	world_destroy(world);
 }
 
+/* The same of a holder whose readings of the members alone are not answered. */
+static void test_age_of_unread_members(void)
+{
+	pool_world_t *world = start(SMALL);
+	size_t holder = find_holder(world);
+	void *parent = talloc_new(NULL);
+	peer_message_t state;
+
+	for (size_t i = 0; i < FLEET; i++)
+		world->nodes[i].kv.cut_prefix = world->nodes[i].members.prefix;
+	follow_refresh(&world->nodes[holder].members);
+	world_run(world, 600 * MSEC);
+	g_assert_true(world->nodes[holder].pooler->sync.holding);
+	describe(world, holder, "new", 1, &state, parent);
+	g_assert_cmpuint(state.directory_age, >=, 500 * MSEC);
+	talloc_free(parent);
+	world_destroy(world);
+}
+
 /* A holder that the store does not answer calls what it knows current; nobody else reads then. */
 static void test_age_of_a_silent_holder(void)
 {
@@ -650,6 +669,7 @@
 	g_test_add_func("/config/told-if-not-read", test_told_if_not_read);
 	g_test_add_func("/config/age-of-a-silent-holder", test_age_of_a_silent_holder);
 	g_test_add_func("/members/told-if-not-read", test_members_told_if_not_read);
+	g_test_add_func("/members/age-of-a-silent-holder", test_age_of_unread_members);
 	g_test_add_func("/config/random-faults", test_random_faults);
 	return g_test_run();
 }
