--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -245,9 +245,12 @@
 {
 	if (!proxy->killed && !fleet->stopping && !is_orderly(proxy, status) &&
 	    !came_too_early(proxy, status, now))
-		finding_add(PROMISE_PROCESS, proxy->name, "ended by itself, exit %d, signal %d",
+		finding_add(PROMISE_PROCESS, proxy->name,
+			    "ended by itself, exit %d, signal %d, %.1f ms after its start, %s",
 			    WIFEXITED(status) ? WEXITSTATUS(status) : -1,
-			    WIFSIGNALED(status) ? WTERMSIG(status) : 0);
+			    WIFSIGNALED(status) ? WTERMSIG(status) : 0,
+			    (double)(now - proxy->started_at) / USEC_PER_MSEC,
+			    proxy->term_at != 0 ? "after SIGTERM" : "without SIGTERM");
 	proxy->state = PROXY_DOWN;
 	proxy->restart_at = now + proxy->down;
 }
