proxy: signals are handled before the libraries are loaded

What callers would see of it: nothing that was promised; but a process that is stopped, restarted or paused in series dies instead of shutting down in order, and its starter sees a crash.

Cause: the program was linked with 52 shared libraries, which the loader maps and relocates before main() can set a handler. Until then SIGTERM and SIGHUP end the process.

Ruled out: a signal of nobody (the finding says that it was told to end); a handler that is lost later (nothing sets one but main()).

The program is now main.c with the C library alone: it catches signals, then loads the proxy itself as a module beside it and hands over. A signal that comes while the libraries load is acted on once the loop runs. Weighed: linking statically (Debian has no static libh2o, and none of Kerberos, which libcurl wants); fewer libraries (32 of them are libcurl's, 24 libpq's); neither gets below some milliseconds.

The other half is when a starter may send a signal: the harness returned from fork(), and a signal between fork() and exec() ended a copy of the soak. It now uses vfork(), which returns when the program is there. The soak's check and its excuse of 100 ms stay as they are.

/site/term-while-loading stops the loader in the middle of the libraries (it tells of each in a pipe that is not read) and sends SIGTERM: before, the process is ended by it; after, it starts and shuts down in order.

--- a/proxy/serve.c
+++ b/proxy/serve.c
@@ -1,7 +1,7 @@
-/* cyclamenspan: the proxy's process. */
+#include "serve.h"
+
 #include <errno.h>
 #include <getopt.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -39,6 +39,7 @@
 typedef struct process {
 	kernel_t kernel;
 	const run_mode_t *mode;
+	signals_t *signals;
 	const char *config_path;
 	struct timespec config_changed;
 	off_t config_size;
@@ -54,20 +55,6 @@
 /* on_drained() finds it here; a process has one. */
 static process_t process_state;
 
-static volatile sig_atomic_t stop_asked;
-static volatile sig_atomic_t dump_asked;
-static volatile sig_atomic_t reload_asked;
-
-static void on_signal(int signo)
-{
-	if (signo == SIGUSR1)
-		dump_asked = 1;
-	else if (signo == SIGHUP)
-		reload_asked = 1;
-	else
-		stop_asked = 1;
-}
-
 static void print_help(FILE *out)
 {
 	fprintf(out,
@@ -244,31 +231,20 @@
 	process_t *process = list_entry(timer, process_t, signal_timer);
 
 	timers_arm(&process->kernel.loop.timers, timer, now + SIGNAL_CHECK, on_signal_check);
-	if (stop_asked)
+	if (process->signals->stop)
 		start_drain(process);
-	if (dump_asked) {
-		dump_asked = 0;
+	if (process->signals->dump) {
+		process->signals->dump = 0;
 		dump_state(process);
 	}
-	if (reload_asked) {
-		reload_asked = 0;
+	if (process->signals->reload) {
+		process->signals->reload = 0;
 		config_has_changed(process);
 		reload(process, "asked by a signal");
 	}
 	check_config(process, now);
 }
 
-static void catch_signals(void)
-{
-	struct sigaction action = {.sa_handler = on_signal, .sa_flags = SA_RESTART};
-
-	sigaction(SIGTERM, &action, NULL);
-	sigaction(SIGINT, &action, NULL);
-	sigaction(SIGUSR1, &action, NULL);
-	sigaction(SIGHUP, &action, NULL);
-	signal(SIGPIPE, SIG_IGN);
-}
-
 static int run(process_t *process, const void *settings, err_t *err)
 {
 	const run_mode_t *mode = process->mode;
@@ -290,7 +266,7 @@
 	return rc;
 }
 
-int main(int argc, char **argv)
+int cyclamenspan_serve(int argc, char **argv, signals_t *signals)
 {
 	options_t options = {.config = getenv(CONFIG_VARIABLE), .mode = &mode_requests};
 	process_t *process = &process_state;
@@ -300,8 +276,7 @@
 
 	if (parse_options(argc, argv, &options, &status) != 0)
 		return status;
-	/* Before anything that takes time: SIGHUP ends a process that does not handle it yet. */
-	catch_signals();
+	process->signals = signals;
 	process->mode = options.mode;
 	process->config_path = options.config;
 	config_has_changed(process);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -38,7 +38,8 @@
 	/* A signal that comes before exec() is the program's, not our handlers'. */
 	sigfillset(&all);
 	sigprocmask(SIG_SETMASK, &all, &before);
-	pid = fork();
+	/* Returns once the program is there: no signal is sent to a copy of this process. */
+	pid = vfork();
 	g_assert_cmpint(pid, >=, 0);
 	if (pid == 0) {
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -629,6 +630,56 @@
 	g_free(program);
 }
 
+/* Bytes that lie in a pipe, once that does not change any more. */
+static int wait_until_full(int fd)
+{
+	int before = 0;
+	int now = 0;
+
+	do {
+		before = now;
+		g_usleep(100000);
+		g_assert_cmpint(ioctl(fd, FIONREAD, &now), ==, 0);
+	} while (now == 0 || now != before);
+	return now;
+}
+
+static void *drain_pipe(void *fd)
+{
+	char buffer[4096];
+
+	while (read(GPOINTER_TO_INT(fd), buffer, sizeof(buffer)) > 0)
+		continue;
+	return NULL;
+}
+
+/*
+ * SIGTERM ends a process that loads its libraries. The loader tells of each here, in a pipe that
+ * nobody reads until the signal was sent, so that it is stopped in the middle of them.
+ */
+static void test_term_while_loading(void)
+{
+	int out = dup(STDERR_FILENO);
+	int fds[2];
+	GThread *reader;
+
+	g_assert_cmpint(pipe2(fds, O_CLOEXEC), ==, 0);
+	fcntl(fds[1], F_SETPIPE_SZ, 4 * 4096);
+	g_setenv("LD_DEBUG", "files", TRUE);
+	dup2(fds[1], STDERR_FILENO);
+	site_start_proxy(site, 3, -1);
+	dup2(out, STDERR_FILENO);
+	g_unsetenv("LD_DEBUG");
+	close(fds[1]);
+	close(out);
+	g_assert_cmpint(wait_until_full(fds[0]), >, 3 * 4096);
+	kill(site->proxies[3], SIGTERM);
+	reader = g_thread_new("reader", drain_pipe, GINT_TO_POINTER(fds[0]));
+	g_assert_cmpint(harness_wait(&site->proxies[3], 20000), ==, 0);
+	g_thread_join(reader);
+	close(fds[0]);
+}
+
 int main(int argc, char **argv)
 {
 	int rc;
@@ -650,6 +701,7 @@
 	g_test_add_func("/site/ctl-pooler", test_ctl_pooler);
 	g_test_add_func("/site/start-without-store", test_start_while_the_store_is_away);
 	g_test_add_func("/site/hangup-while-starting", test_hangup_while_starting);
+	g_test_add_func("/site/term-while-loading", test_term_while_loading);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
 	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
