--- a/access/keepers.c
+++ b/access/keepers.c
@@ -154,9 +154,8 @@
 void keepers_set_fleet(keepers_t *keepers, const fleet_member_t *members, size_t count, usec_t now)
 {
 	fleet_t *fleet = make_fleet(keepers, members, count);
-	const fleet_t *before = newest(keepers);
 
-	if (before != NULL && same_fleet(fleet, before)) {
+	if (!list_empty(&keepers->fleets) && same_fleet(fleet, newest(keepers))) {
 		talloc_free(fleet);
 		return;
 	}
@@ -183,30 +182,42 @@
 	return &fleet->zones[0];
 }
 
+/* The place that ranks highest among those below a rank, which is set to its own; NULL: none is. */
+static const place_t *next_place(const zone_t *zone, uint64_t customer, uint64_t *below)
+{
+	const place_t *best = NULL;
+	uint64_t best_rank = 0;
+
+	for (size_t i = 0; i < zone->count; i++) {
+		uint64_t rank = (zone->places[i].hash ^ customer) * 0x9E3779B97F4A7C15ull;
+
+		if (rank >= *below || (best != NULL && rank <= best_rank))
+			continue;
+		best = &zone->places[i];
+		best_rank = rank;
+	}
+	*below = best_rank;
+	return best;
+}
+
 /*
  * The proxy whose hash, combined with the customer's, is the greatest: when one goes only its own
- * seats move. turn: with fewer zones than seats, the place's number within the zone.
+ * seats move. turn: with fewer zones than seats, the place's number within the zone. NULL if the
+ * zone has no places.
  */
 static const char *choose_place(const zone_t *zone, uint64_t customer, size_t turn)
 {
 	uint64_t below = UINT64_MAX;
-	const place_t *best = NULL;
-
-	for (size_t i = 0; i <= turn && i < zone->count; i++) {
-		uint64_t best_rank = 0;
+	const place_t *chosen = NULL;
 
-		best = NULL;
-		for (size_t j = 0; j < zone->count; j++) {
-			uint64_t rank = (zone->places[j].hash ^ customer) * 0x9E3779B97F4A7C15ull;
+	for (size_t i = 0; i <= turn; i++) {
+		const place_t *next = next_place(zone, customer, &below);
 
-			if (rank < below && (best == NULL || rank > best_rank)) {
-				best = &zone->places[j];
-				best_rank = rank;
-			}
-		}
-		below = best_rank;
+		if (next == NULL)
+			break;
+		chosen = next;
 	}
-	return best->name;
+	return chosen != NULL ? chosen->name : NULL;
 }
 
 static const zone_t *zone_of_seat(const fleet_t *fleet, const char *customer, unsigned seat)
--- a/measure/pooler.c
+++ b/measure/pooler.c
@@ -278,8 +278,11 @@
 			strike(run->world, fault);
 		if (at == FAULT_AT + DOWN_TIME)
 			restart(run->world, fault);
-		for (due += deployment->rate / 1000; due >= 1; due--)
+		due += deployment->rate / 1000;
+		while (due >= 1) {
 			begin(run, deployment);
+			due--;
+		}
 		world_run(run->world, start + at + MSEC - now_in(run));
 		go_on_all(run);
 	}
