test_pooler_config: random faults for the list of members, as for the configuration

The same play, faults and checks, by the bound within which a leaving member is left alone; CONFIG_FIRST and CONFIG_SEEDS choose its seeds too. The play of the configuration draws and checks as before: seeds give the same faults.

--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -15,7 +15,8 @@
 #include "upstream.h"
 
 /* As world_start() sets it. */
-#define CONFIG_BOUND (3 * SEC)
+#define CONFIG_BOUND  (3 * SEC)
+#define LEAVING_BOUND (7 * SEC)
 /* With two hubs in each of three zones. */
 #define FLEET 24
 #define SMALL 100
@@ -411,7 +412,17 @@
 
 typedef enum { FREEZE, KILL, ISOLATE } disturbance_t;
 
+/* What the operators and the members write to the store, and every proxy must know in time. */
+typedef struct followed {
+	const char *what;
+	usec_t bound;
+	void (*write)(pool_world_t *world);
+	int64_t (*newest)(const pool_world_t *world);
+	int64_t (*known)(const pool_world_t *world, size_t node);
+} followed_t;
+
 typedef struct play {
+	const followed_t *followed;
 	pool_world_t *world;
 	GRand *rand;
 	usec_t disturbed[FLEET]; /* until when that proxy is not held to the bound */
@@ -479,7 +490,7 @@
 	if (play->back[i] != 0)
 		return;
 	play->back[i] = until;
-	play->disturbed[i] = until + CONFIG_BOUND;
+	play->disturbed[i] = until + play->followed->bound;
 	switch (how) {
 	case FREEZE:
 		world_freeze(play->world, i);
@@ -519,7 +530,7 @@
 		return;
 	play->store_back = now + some_time(play, deaf ? 1 * SEC : FAULT_MOST);
 	if (!deaf)
-		play->store_disturbed = play->store_back + CONFIG_BOUND;
+		play->store_disturbed = play->store_back + play->followed->bound;
 	play->world->kv->deaf_watches = deaf;
 	play->world->kv->down = !deaf;
 }
@@ -570,20 +581,22 @@
 	faults[g_rand_int_range(play->rand, 0, G_N_ELEMENTS(faults))](play, now);
 }
 
-/* How long a configuration may take now: longer while the store does not serve everybody. */
+/* How long a version may take now: longer while the store does not serve everybody. */
 static usec_t bound_at(const play_t *play, usec_t now)
 {
+	usec_t bound = play->followed->bound;
+
 	for (size_t i = 0; i < play->world->node_count; i++) {
-		if (now < play->served[i] + CONFIG_BOUND)
-			return CONFIG_BOUND + UNSTABLE_EXTRA;
+		if (now < play->served[i] + bound)
+			return bound + UNSTABLE_EXTRA;
 	}
-	return CONFIG_BOUND;
+	return bound;
 }
 
 /* The newest version that must be in force everywhere. */
 static int64_t version_due(const play_t *play, usec_t now)
 {
-	int64_t due = play->world->config_version;
+	int64_t due = play->followed->newest(play->world);
 
 	while (due > 1 && now < play->written[due] + bound_at(play, now))
 		due--;
@@ -598,20 +611,20 @@
 	if (now < play->store_disturbed)
 		return;
 	for (size_t i = 0; i < world->node_count; i++) {
-		int64_t version = world_version_at(world, i);
+		int64_t version = play->followed->known(world, i);
 
 		/* Without any it serves nobody. */
 		if (now < play->disturbed[i] || version == 0 || version >= due)
 			continue;
-		g_error("seed %u at %.2f s: p%zu has version %d, %d was written %.2f s before",
-			seed, (double)now / SEC, i, (int)version, (int)due,
+		g_error("seed %u at %.2f s: p%zu has version %d%s, %d was written %.2f s before",
+			seed, (double)now / SEC, i, (int)version, play->followed->what, (int)due,
 			(double)(now - play->written[due]) / SEC);
 	}
 }
 
-static void play_seed(guint32 seed)
+static void play_seed(const followed_t *followed, guint32 seed)
 {
-	play_t play = {.rand = g_rand_new_with_seed(seed)};
+	play_t play = {.followed = followed, .rand = g_rand_new_with_seed(seed)};
 	usec_t end;
 
 	play.world = world_create_following(seed % 4 == 0 ? 6 : FLEET, NULL, 0,
@@ -629,8 +642,8 @@
 			play.next_fault = now + some_time(&play, 3 * SEC);
 		}
 		if (now >= play.next_config && !play.world->kv->down) {
-			world_write_config(play.world);
-			play.written[play.world->config_version] = now;
+			followed->write(play.world);
+			play.written[followed->newest(play.world)] = now;
 			play.next_config = now + some_time(&play, 4 * SEC);
 		}
 		check(&play, now, seed);
@@ -640,8 +653,7 @@
 	g_rand_free(play.rand);
 }
 
-/* Some proxy is behind for longer than the bound, with nothing wrong at it but the store's word. */
-static void test_random_faults(void)
+static void play_seeds(const followed_t *followed)
 {
 	const char *seeds = g_getenv("CONFIG_SEEDS");
 	const char *first = g_getenv("CONFIG_FIRST");
@@ -649,7 +661,55 @@
 	guint32 count = seeds != NULL ? (guint32)atoi(seeds) : DEFAULT_SEEDS;
 
 	for (guint32 seed = from; seed < from + count; seed++)
-		play_seed(seed);
+		play_seed(followed, seed);
+}
+
+static int64_t newest_config(const pool_world_t *world)
+{
+	return world->config_version;
+}
+
+/* Some proxy is behind for longer than the bound, with nothing wrong at it but the store's word. */
+static void test_random_faults(void)
+{
+	static const followed_t config = {
+		.what = "",
+		.bound = CONFIG_BOUND,
+		.write = world_write_config,
+		.newest = newest_config,
+		.known = world_version_at,
+	};
+
+	play_seeds(&config);
+}
+
+static void write_members(pool_world_t *world)
+{
+	world_write_members(world, world->config_bytes);
+}
+
+static int64_t newest_members(const pool_world_t *world)
+{
+	return world->members_version;
+}
+
+static int64_t known_members(const pool_world_t *world, size_t node)
+{
+	return world->nodes[node].pooler != NULL ? world->nodes[node].members_version : 0;
+}
+
+/* The same of the list of members, which goes other ways when it is large. */
+static void test_random_faults_members(void)
+{
+	static const followed_t members = {
+		.what = " of the members",
+		.bound = LEAVING_BOUND,
+		.write = write_members,
+		.newest = newest_members,
+		.known = known_members,
+	};
+
+	play_seeds(&members);
 }
 
 int main(int argc, char **argv)
@@ -671,5 +731,6 @@
 	g_test_add_func("/members/told-if-not-read", test_members_told_if_not_read);
 	g_test_add_func("/members/age-of-a-silent-holder", test_age_of_unread_members);
 	g_test_add_func("/config/random-faults", test_random_faults);
+	g_test_add_func("/members/random-faults", test_random_faults_members);
 	return g_test_run();
 }
