--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -416,8 +416,12 @@
 {
 	peer_message_t told = *message;
 
-	if (!answers_us(pooler, message))
+	if (message->echo != 0 && !answers_us(pooler, message)) {
+		LOG_EVENT(LOG_INFO, "answer to an earlier process", LOG_STR("proxy", message->from),
+			  LOG_INT("echo", (int64_t)message->echo),
+			  LOG_INT("started", (int64_t)pooler->started));
 		told.echo = 0;
+	}
 	take_state(pooler, &told);
 }
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -319,6 +319,7 @@
 	int64_t gone_revision; /* of the roster seen then */
 	usec_t asked_us_at;    /* its last question to this proxy; see upstream.h */
 	usec_t asked_us_from;  /* the first of a row of them; 0: it need not be called */
+	bool called;	       /* since it fell silent */
 	int64_t config_at;     /* what it has been told of the directory, as it said then */
 	int64_t members_at;
 	usec_t config_told_at; /* when it was last told a configuration */
--- a/pooler/upstream.c
+++ b/pooler/upstream.c
@@ -30,6 +30,9 @@
 COUNTER_DEFINE(avoided_total, "hubs_avoided_total", COUNTER_SUM,
 	       "Times that a hub did not answer this proxy and was passed over.");
 
+COUNTER_DEFINE(calls_total, "silent_listeners_called_total", COUNTER_SUM,
+	       "Pings to proxies that asked this one regularly and no longer do.");
+
 bool upstream_applies(const pooler_t *pooler)
 {
 	return pooler->sync.proxies >= UPSTREAM_FLEET;
@@ -246,6 +249,7 @@
 	if (!upstream_listens(report, now))
 		report->asked_us_from = now;
 	report->asked_us_at = now;
+	report->called = false;
 }
 
 void upstream_on_pong(peer_report_t *report, usec_t now)
@@ -262,6 +266,19 @@
 	       now < report->asked_us_at + CALLED_FOR;
 }
 
+static void call_listener(pooler_t *pooler, const roster_node_t *node, peer_report_t *report,
+			  usec_t now)
+{
+	if (!report->called)
+		LOG_EVENT(LOG_INFO, "proxy no longer asks us, calling it",
+			  LOG_STR("proxy", node->name), LOG_STR("address", node->address),
+			  LOG_INT("silent_ms",
+				  (int64_t)((now - report->asked_us_at) / USEC_PER_MSEC)));
+	report->called = true;
+	counter_add(&calls_total, 1);
+	exchange_ping(pooler, node);
+}
+
 void upstream_tick(pooler_t *pooler, usec_t now)
 {
 	sync_t *sync = &pooler->sync;
@@ -270,11 +287,11 @@
 		return;
 	sync->call_next = now + CALL_INTERVAL;
 	list_for_each (it, &sync->reports) {
-		const peer_report_t *report = list_entry(it, peer_report_t, node);
+		peer_report_t *report = list_entry(it, peer_report_t, node);
 		const roster_node_t *node = roster_node(sync->roster, report->name);
 
 		if (node != NULL && is_called(report, now))
-			exchange_ping(pooler, node);
+			call_listener(pooler, node, report, now);
 	}
 }
 
