proxy: signals that the starter has blocked are unblocked once they are handled

What was looked for elsewhere after "ended by SIGTERM while it loaded its libraries": the other way in which a starter can keep a signal from coming too early is to block it in its child. The mask is inherited, so such a process never heard of SIGTERM and SIGHUP at all. Now it does, and with such a starter no time is left in which a signal ends the process.

--- a/proxy/main.c
+++ b/proxy/main.c
@@ -17,15 +17,20 @@
 		signals.stop = 1;
 }
 
+/* They may be blocked, by a starter that sends some before they can be handled. */
 static void catch_signals(void)
 {
+	static const int signos[] = {SIGTERM, SIGINT, SIGUSR1, SIGHUP};
 	struct sigaction action = {.sa_handler = on_signal, .sa_flags = SA_RESTART};
+	sigset_t caught;
 
-	sigaction(SIGTERM, &action, NULL);
-	sigaction(SIGINT, &action, NULL);
-	sigaction(SIGUSR1, &action, NULL);
-	sigaction(SIGHUP, &action, NULL);
+	sigemptyset(&caught);
+	for (size_t i = 0; i < sizeof(signos) / sizeof(signos[0]); i++) {
+		sigaction(signos[i], &action, NULL);
+		sigaddset(&caught, signos[i]);
+	}
 	signal(SIGPIPE, SIG_IGN);
+	sigprocmask(SIG_UNBLOCK, &caught, NULL);
 }
 
 /* The module's entry, or NULL after a message. */
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -680,6 +680,22 @@
 	close(fds[0]);
 }
 
+/* A process whose starter blocked its signals until it handles them never hears of them. */
+static void test_started_with_signals_blocked(void)
+{
+	sigset_t blocked;
+	sigset_t before;
+
+	sigemptyset(&blocked);
+	sigaddset(&blocked, SIGTERM);
+	sigprocmask(SIG_BLOCK, &blocked, &before);
+	site_start_proxy(site, 3, -1);
+	/* It comes before the program handles it, as a rule. */
+	kill(site->proxies[3], SIGTERM);
+	sigprocmask(SIG_SETMASK, &before, NULL);
+	g_assert_cmpint(harness_wait(&site->proxies[3], 20000), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	int rc;
@@ -702,6 +718,7 @@
 	g_test_add_func("/site/start-without-store", test_start_while_the_store_is_away);
 	g_test_add_func("/site/hangup-while-starting", test_hangup_while_starting);
 	g_test_add_func("/site/term-while-loading", test_term_while_loading);
+	g_test_add_func("/site/started-with-signals-blocked", test_started_with_signals_blocked);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/half-a-line-at-shutdown", test_half_a_line_at_shutdown);
 	g_test_add_func("/site/reloaded-grace", test_shutdown_with_a_reloaded_grace);
