relay: candidates of a small roster are looked at once

The circle went round more than once with fewer than 17 proxies, so some were tried more often than others. Which one is tried first differs from before.

--- a/pooler/relay.c
+++ b/pooler/relay.c
@@ -204,14 +204,16 @@
 static const roster_node_t *find_candidate(relay_t *relay, usec_t now)
 {
 	const pooler_t *pooler = relay->pooler;
-	const roster_node_t *node = roster_node(pooler->sync.roster, pooler->config.name);
+	const roster_node_t *self = roster_node(pooler->sync.roster, pooler->config.name);
+	const roster_node_t *node = self;
 	const roster_node_t *candidates[CANDIDATES_MAX];
 	size_t count = 0;
 
-	for (size_t i = 0; node != NULL && i < CANDIDATES_MAX; i++) {
+	for (size_t i = 0; self != NULL && i < CANDIDATES_MAX; i++) {
 		node = node_after(pooler->sync.roster, node);
-		if (!node->gone && strcmp(node->name, pooler->config.name) != 0 &&
-		    !is_avoided(exchange_report(pooler, node->name), now))
+		if (node == self)
+			break;
+		if (!node->gone && !is_avoided(exchange_report(pooler, node->name), now))
 			candidates[count++] = node;
 	}
 	return count != 0 ? candidates[relay->next_candidate++ % count] : NULL;
@@ -543,9 +545,8 @@
 	relay->direct = direct;
 	list_init(&relay->calls);
 	/*
-	 * Until the store has answered once it is asked again as soon as if it were quick: a fleet
-	 * that started 0.2 s before the end of an outage waited 0.7 s for calls that were lost in
-	 * it.
+	 * Until the store has answered once it is asked again as soon as if it were quick: a call
+	 * that an outage has lost would be waited for beyond its end.
 	 */
 	direct->patience_ms = PATIENCE_LEAST / USEC_PER_MSEC;
 	return relay;
