--- a/pooler/ask.c
+++ b/pooler/ask.c
@@ -66,9 +66,8 @@
 }
 
 /*
- * Changes as soon as there is something that the holder must hear at once. It is compared 20 times
- * a second, so it is made without the lists of describe(): with 334 services those would take 14%
- * of a proxy's processor time.
+ * Changes as soon as there is something that the holder must hear at once. It is compared with each
+ * tick, so it is made without the lists of describe().
  */
 static uint64_t news_digest(const pooler_t *pooler, usec_t now)
 {
@@ -148,9 +147,8 @@
 
 /*
  * The news is old: the store seems to be away, and the permission can only be prolonged together.
- * Everybody has to be heard within PERMIT_ALONE, so a part is asked each time: a fleet of 75 in
- * which all asked all four times a second had no processor left for anything else, and its holder
- * lost its lease, which made the news older still.
+ * Everybody has to be heard within PERMIT_ALONE, so a part is asked each time: if all asked all,
+ * the messages would grow with the square of the fleet.
  */
 static void ask_part(pooler_t *pooler, const peer_message_t *message)
 {
@@ -201,7 +199,7 @@
 
 /*
  * Without the store. In a large fleet hubs ask those that ask them, and each other for what they
- * have heard: 295 proxies ask 76 questions a second at most, against 400 if all asked all.
+ * have heard.
  */
 static void ask_together(pooler_t *pooler, usec_t now, peer_message_t *message)
 {
--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -184,9 +184,9 @@
 	return base + (follow->random >> 33) % base;
 }
 
-/* Returns how long to wait. */
-static usec_t note_failure(follow_t *follow, follow_retry_t *retry, follow_way_t way,
-			   kv_status_t status)
+/* Log the failure, and try again after the back-off. */
+static void retry_later(follow_t *follow, follow_retry_t *retry, follow_way_t way,
+			kv_status_t status, timer_cb_t on_retry)
 {
 	usec_t wait = backoff(follow, retry->failures);
 
@@ -201,7 +201,7 @@
 			  LOG_INT("failures", retry->failures),
 			  LOG_INT("retry_ms", (int64_t)(wait / USEC_PER_MSEC)));
 	retry->failures++;
-	return wait;
+	timers_arm(follow->timers, &retry->timer, clock_now(follow->clock) + wait, on_retry);
 }
 
 static void note_success(const follow_t *follow, follow_retry_t *retry, follow_way_t way)
@@ -249,21 +249,14 @@
 	follow->unanswered_at = 0;
 }
 
-static void on_page_failure(follow_t *follow, kv_status_t status)
-{
-	usec_t wait = note_failure(follow, &follow->page_retry, FOLLOW_BY_READING, status);
-
-	timers_arm(follow->timers, &follow->page_retry.timer, clock_now(follow->clock) + wait,
-		   on_page_retry);
-}
-
 static void on_page(void *data, const kv_result_t *result)
 {
 	follow_t *follow = data;
 
 	follow->page_asked = false;
 	if (result->status != KV_OK) {
-		on_page_failure(follow, result->status);
+		retry_later(follow, &follow->page_retry, FOLLOW_BY_READING, result->status,
+			    on_page_retry);
 		return;
 	}
 	note_success(follow, &follow->page_retry, FOLLOW_BY_READING);
@@ -310,10 +303,7 @@
 /* A peer may still read for us what the watch would have told. */
 static void on_watch_failure(follow_t *follow, kv_status_t status)
 {
-	usec_t wait = note_failure(follow, &follow->watch_retry, FOLLOW_BY_WATCH, status);
-
-	timers_arm(follow->timers, &follow->watch_retry.timer, clock_now(follow->clock) + wait,
-		   on_watch_retry);
+	retry_later(follow, &follow->watch_retry, FOLLOW_BY_WATCH, status, on_watch_retry);
 	if (!follow->fed && !follow->reading)
 		start_reading(follow);
 	go_on(follow);
@@ -556,8 +546,7 @@
 
 /*
  * Also while this follower reads the store itself, which may take long when the store does not
- * answer: 16 proxies back from a partition were told everything by their hubs four times a second
- * until then, which filled the hubs' links of 2 Mbit/s for two seconds.
+ * answer; it would be told everything with each answer until then.
  */
 void follow_take(follow_t *follow, const follow_changes_t *changes)
 {
--- a/pooler/follow.h
+++ b/pooler/follow.h
@@ -13,9 +13,9 @@
 
 /*
  * For changes that may be heard a little late: so long after one the next call is made, and brings
- * all that came meanwhile. Twenty changes 20 ms apart cost four calls instead of one each
- * (/follow/gathers): members that register at a fleet's start. A member's failure is seen by its
- * silence long before its entry tells of it, and a leaving one is left alone within some seconds.
+ * all that came meanwhile, as when members register at a fleet's start. A member's failure is seen
+ * by its silence long before its entry tells of it, and a leaving one is left alone within some
+ * seconds.
  */
 #define FOLLOW_GATHER (250 * USEC_PER_MSEC)
 
@@ -91,7 +91,7 @@
 
 /*
  * Whether a peer tells what changes, by follow_take(). A watch that is waiting goes on until it
- * ends. Without this each proxy watches: 295 calls for one change of a member.
+ * ends.
  */
 void follow_set_fed(follow_t *follow, bool fed);
 
--- a/pooler/refresh.c
+++ b/pooler/refresh.c
@@ -33,9 +33,8 @@
 #define STALE_BELOW_PERCENT 50
 /*
  * Between two configurations that a proxy is told, in parts of the bound for it. Each of a quick
- * succession, 12 a second of 8 KB, told to hubs and by them to all, filled links of 2 Mbit/s for
- * ten seconds: probes of members timed out at several proxies at once, and well primaries were
- * replaced.
+ * succession, told to hubs and by them to all, could fill slow links, on which probes of members
+ * time out then.
  */
 #define CONFIG_SPACING_PERCENT 15
 /* A reading of the configuration has ended within this. */
--- a/pooler/relay.h
+++ b/pooler/relay.h
@@ -2,8 +2,7 @@
  * The store through a peer. A store may turn single proxies away, or not answer them, and serve
  * the others. A proxy that it does not serve has a peer that reaches it make the call: the same
  * call, the same conditions, one hop. Without this a holder of the duty that is turned away in
- * the middle of a change of primary can neither finish it nor prolong its hold:
- * callers were refused for six seconds.
+ * the middle of a change of primary can neither finish it nor prolong its hold.
  *
  * Nothing rests on the peer's clock: a hold or a permission counts from when the call was made
  * here, which is before it reaches the store by either way. A call that a peer makes late is like
--- a/pooler/upstream.h
+++ b/pooler/upstream.h
@@ -2,8 +2,7 @@
  * Whom a proxy asks for news of the roster, the operators' configuration and the members, and who
  * asks it. In a small fleet all ask the holder of the duty. In a larger one each zone has some
  * hubs: these ask the holder, and the others of the zone ask one of them, which passes on what they
- * report. So the holder hears from one proxy in sixteen, or in 64 where hubs have a core: with 295
- * it answered 1,180 questions a second, more than an eighth of a core can.
+ * report. So the holder hears from one proxy in sixteen, or in 64 where hubs have a core.
  *
  * Everybody works out the hubs from the roster. A hub that does not answer is passed over; without
  * one the holder is asked.
