--- a/pooler/ask.c
+++ b/pooler/ask.c
@@ -19,6 +19,8 @@
 #define ASK_ROUNDS 3
 /* So many are asked each time in any case: all of a small fleet. */
 #define ASK_LEAST 12
+/* Proxies of a large fleet that are asked in turn when neither hubs nor holder are heard. */
+#define ASK_OTHERS 16
 /* Ticks within which a link to a proxy that lives is made. */
 #define LINK_TRIES 3
 
@@ -218,9 +220,55 @@
 	return !upstream_applies(pooler) || upstream_is_hub(pooler) || hold_is_ours(pooler, now);
 }
 
+static size_t index_on_roster(const pooler_t *pooler, const char *name)
+{
+	size_t index = 0;
+
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		if (strcmp(list_entry(it, roster_node_t, node)->name, name) == 0)
+			return index;
+		index++;
+	}
+	return 0;
+}
+
+/* The first of the roster from that place on that is not gone, or NULL. */
+static const roster_node_t *node_from(const pooler_t *pooler, size_t index)
+{
+	const roster_node_t *first = NULL;
+	size_t i = 0;
+
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+
+		if (!node->gone && i >= index)
+			return node;
+		if (!node->gone && first == NULL)
+			first = node;
+		i++;
+	}
+	return first;
+}
+
+/*
+ * One of a few proxies, in turn: links to few, whatever the size of the fleet. They are spread over
+ * the roster, since those that follow each other may be of one zone.
+ */
+static const roster_node_t *spread_peer(pooler_t *pooler)
+{
+	sync_t *sync = &pooler->sync;
+	size_t step = sync->proxies / (ASK_OTHERS + 1);
+	size_t turn = 1 + sync->next_peer++ % ASK_OTHERS;
+	size_t index = index_on_roster(pooler, pooler->config.name) + turn * step;
+	const roster_node_t *node = node_from(pooler, index % sync->proxies);
+
+	return node != NULL && strcmp(node->name, pooler->config.name) != 0 ? node : NULL;
+}
+
 static void ask_other(pooler_t *pooler, const peer_message_t *message)
 {
-	const roster_node_t *other = other_peer(pooler);
+	const roster_node_t *other =
+		upstream_applies(pooler) ? spread_peer(pooler) : other_peer(pooler);
 
 	if (other != NULL)
 		exchange_send(pooler, other->name, other->address, message);
--- a/tests/test_pooler_upstream.c
+++ b/tests/test_pooler_upstream.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "adopt.h"
+#include "ask.h"
 #include "exchange.h"
 #include "permit.h"
 #include "pool_check.h"
@@ -16,7 +17,8 @@
 #include "sync.h"
 #include "upstream.h"
 
-#define FLEET 20
+#define FLEET	   20
+#define WIDE_FLEET 80
 
 static pool_world_t *make_fleet(void)
 {
@@ -131,6 +133,31 @@
 	world_destroy(world);
 }
 
+/* A proxy that hears nobody makes links to all of a large fleet, which a small VM has no memory
+ * for. */
+static void test_few_others_are_asked(void)
+{
+	pool_world_t *world = world_create(WIDE_FLEET, NULL);
+	size_t plain;
+	size_t links = 0;
+
+	world_settle(world);
+	world_run(world, 2 * SEC);
+	plain = find_plain(world, FLEET);
+	world->kv->down = true;
+	for (size_t i = 0; i < WIDE_FLEET; i++) {
+		if (i != plain)
+			world_freeze(world, i);
+	}
+	world->new_links = true;
+	world_run(world, WIDE_FLEET * ASK_INTERVAL);
+	for (size_t i = 0; i < WIDE_FLEET; i++)
+		links += world->nodes[plain].link_at[i] != 0;
+	g_assert_cmpuint(links, >=, 10);
+	g_assert_cmpuint(links, <=, 32);
+	world_destroy(world);
+}
+
 /*
  * What the caller sees: nothing, for 9 s without the store. Hubs ask those that ask them, add up
  * who agrees with the roster, and tell each other.
@@ -389,6 +416,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/upstream/few-others-are-asked", test_few_others_are_asked);
 	g_test_add_func("/upstream/holder-hears-hubs", test_holder_hears_hubs_only);
 	g_test_add_func("/upstream/hub-dies", test_hub_dies);
 	g_test_add_func("/upstream/hub-freezes", test_hub_freezes);
