--- a/tests/test_pooler_config.c
+++ b/tests/test_pooler_config.c
@@ -312,25 +312,45 @@
 	refresh_describe(world->nodes[node].pooler, to, &ask, state, parent);
 }
 
-/* A proxy whose reading of the store takes too long is told to read it for ever. */
-static void test_told_if_not_read(void)
+typedef const char *(*packed_t)(const peer_message_t *state);
+
+static const char *packed_config(const peer_message_t *state)
+{
+	return state->config_packed;
+}
+
+static const char *packed_members(const peer_message_t *state)
+{
+	return state->members_packed;
+}
+
+/* Who lacks what is newer than known is told to read it, and so much later all of it. */
+static void expect_told_if_not_read(pool_world_t *world, int64_t known, packed_t packed,
+				    usec_t later)
 {
-	pool_world_t *world = start(LARGE);
 	size_t holder = find_holder(world);
-	int64_t known = world->nodes[holder].config.told;
 	void *parent = talloc_new(NULL);
 	peer_message_t state;
 
-	world_write_config(world);
-	world_run(world, 100 * MSEC);
 	describe(world, holder, "new", known, &state, parent);
 	g_assert_true(state.read_directory);
-	g_assert_null(state.config_packed);
-	world_run(world, 1 * SEC);
+	g_assert_null(packed(&state));
+	world_run(world, later);
 	describe(world, holder, "new", known, &state, parent);
-	g_assert_nonnull(state.config_packed);
+	g_assert_nonnull(packed(&state));
 	g_assert_false(state.read_directory);
 	talloc_free(parent);
+}
+
+/* A proxy whose reading of the store takes too long is told to read it for ever. */
+static void test_told_if_not_read(void)
+{
+	pool_world_t *world = start(LARGE);
+	int64_t known = world->nodes[find_holder(world)].config.told;
+
+	world_write_config(world);
+	world_run(world, 100 * MSEC);
+	expect_told_if_not_read(world, known, packed_config, 1 * SEC);
 	world_destroy(world);
 }
 
@@ -338,23 +358,14 @@
 static void test_members_told_if_not_read(void)
 {
 	pool_world_t *world = start(SMALL);
-	size_t holder = find_holder(world);
-	int64_t known = world->nodes[holder].members.told;
-	void *parent = talloc_new(NULL);
-	peer_message_t state;
+	world_node_t *holder = &world->nodes[find_holder(world)];
+	int64_t known = holder->members.told;
 
 	/* Slow, so that so many do not fit. */
-	world->nodes[holder].pooler->config.link = LARGE;
+	holder->pooler->config.link = LARGE;
 	world_write_members(world, LARGE);
 	world_run(world, 2 * FOLLOW_GATHER);
-	describe(world, holder, "new", known, &state, parent);
-	g_assert_true(state.read_directory);
-	g_assert_null(state.members_packed);
-	world_run(world, 2 * SEC);
-	describe(world, holder, "new", known, &state, parent);
-	g_assert_nonnull(state.members_packed);
-	g_assert_false(state.read_directory);
-	talloc_free(parent);
+	expect_told_if_not_read(world, known, packed_members, 2 * SEC);
 	world_destroy(world);
 }
 
