soak: says by how much it was late, and how long before its end

Traced: all members of both services were silent for all six proxies from 13:26:36.0 on and answered all of them again at 36.328 to 36.330; both primaries were replaced on that. The soak carries the links to all members in its own process, and counted 13 late ticks without saying when.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -55,6 +55,8 @@
 	usec_t next_look;
 	usec_t last_tick;
 	size_t late_ticks;
+	usec_t late_most; /* between two ticks */
+	usec_t late_last; /* when the last late one came */
 	run_timer_t tick;
 } soak_t;
 
@@ -162,9 +164,13 @@
 
 static void note_lateness(soak_t *soak, usec_t now)
 {
-	if (soak->last_tick != 0 && now - soak->last_tick > LATE_TICK) {
+	usec_t late = soak->last_tick != 0 ? now - soak->last_tick : 0;
+
+	if (late > LATE_TICK) {
 		soak->clients->late_until = now + LATE_SPAN;
 		soak->late_ticks++;
+		soak->late_most = MAX(soak->late_most, late);
+		soak->late_last = now;
 	}
 	soak->last_tick = now;
 }
@@ -207,11 +213,14 @@
 	finding_names(names, sizeof(names));
 	printf("seed %u, %u proxies, %.0f s: broken promises: %s; %u faults, %zu promotes, %zu sessions, "
 	       "%zu statements (%zu done, %zu refused, %zu unsure), at most %ld KB and %ld descriptors, "
-	       "soak late %zu times\n",
+	       "soak late %zu times, by %.0f ms at most, last %.1f s before its end\n",
 	       options->seed, options->proxies, (double)took / USEC_PER_SEC, names,
 	       soak->inject->next, soak->ledger->promotes, clients->opened, clients->statements,
 	       clients->fates[FATE_DONE], clients->fates[FATE_REFUSED], clients->fates[FATE_UNSURE],
-	       kb, fds, soak->late_ticks);
+	       kb, fds, soak->late_ticks, (double)soak->late_most / USEC_PER_MSEC,
+	       soak->late_ticks != 0
+		       ? (double)(clock_now(soak->loop.clock) - soak->late_last) / USEC_PER_SEC
+		       : 0.0);
 }
 
 static void remove_dir(const char *path)
