--- /dev/null
+++ b/pooler/choice.h
@@ -0,0 +1,19 @@
+/*
+ * The choice of the member that serves a statement: the primary, or for a read the member that is
+ * expected to answer first among those whose data is recent enough.
+ */
+#pragma once
+
+#include "state.h"
+
+/*
+ * Returns the member that serves the caller's statement now, or NULL if none can. *servable is set
+ * if some member can serve it once it has a free connection.
+ */
+member_t *choice_find(caller_t *caller, usec_t now, bool *servable);
+
+/*
+ * When the choice for the waiting caller may change merely because time passes; USEC_NEVER: no
+ * longer.
+ */
+usec_t choice_next_change(const caller_t *caller, usec_t now);
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -625,30 +625,3 @@
 	}
 	return best;
 }
-
-/*
- * True if the connection may be evicted: no caller of its own customer waits, or the other caller
- * takes precedence (waited). A connection that has served no statement yet was opened for a waiting
- * caller. If it were evicted too, connections would be opened and evicted in turn under load, and
- * no caller would be served.
- */
-static bool is_evictable(const conn_t *conn, bool waited)
-{
-	return conn->customer_pool->waiting == 0 || (waited && conn->has_served);
-}
-
-conn_t *conn_find_evictable(const member_t *member, const caller_t *caller, bool waited)
-{
-	conn_t *longest = NULL;
-
-	list_for_each (it, &member->conns) {
-		conn_t *conn = list_entry(it, conn_t, node);
-
-		if (conn->state != CONN_IDLE || conn->probe ||
-		    conn->customer_pool == caller->customer_pool || !is_evictable(conn, waited))
-			continue;
-		if (longest == NULL || conn->state_since < longest->state_since)
-			longest = conn;
-	}
-	return longest;
-}
--- a/pooler/conn.h
+++ b/pooler/conn.h
@@ -34,13 +34,6 @@
 /* Detaches the caller, which no longer waits for the reply to the running statement. */
 void conn_orphan(conn_t *conn);
 
-/*
- * Returns the connection of another customer that has been idle for longest and may be closed to
- * make room for one of the caller's customer, or NULL. waited: the caller has waited so long that
- * it takes precedence over waiting callers of that other customer.
- */
-conn_t *conn_find_evictable(const member_t *member, const caller_t *caller, bool waited);
-
 /*
  * Returns an idle connection of the caller's customer to the member, preferably one whose session
  * values need no reset; NULL if there is none.
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -7,8 +7,8 @@
 #include <xxhash.h>
 
 #include "exchange.h"
-#include "member.h"
 #include "permit.h"
+#include "room.h"
 #include "upstream.h"
 
 #define LOG_MODULE "home"
@@ -146,7 +146,7 @@
 static size_t limit_homes(const service_t *service, size_t zone_count)
 {
 	size_t max_homes =
-		(size_t)service->max_connections / MEMBER_SHARED_DIVISOR / MIN_CONNS_PER_HOME;
+		(size_t)service->max_connections / ROOM_SHARED_DIVISOR / MIN_CONNS_PER_HOME;
 
 	if (max_homes == 0)
 		max_homes = 1;
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -6,14 +6,6 @@
 
 #include "state.h"
 
-/*
- * Half of a member's connections are divided evenly among the proxies. The other half is for uneven
- * demand, and for the restart of the fleet after a loss of power: a member keeps the connections of
- * vanished VMs for 3 s. If those were all that it accepts, no caller could be served during that
- * time.
- */
-#define MEMBER_SHARED_DIVISOR 2
-
 /*
  * A member with an unanswered request that has sent no reply at all for this long is probed over a
  * new connection.
@@ -50,12 +42,6 @@
  */
 void member_tick(member_t *member, usec_t now);
 
-/* True if one more connection may be opened now; borrow: also beyond this proxy's share. */
-bool member_can_open(const member_t *member, usec_t now, bool borrow);
-
-/* Connections to the member that this proxy may always have. */
-size_t member_share(const member_t *member);
-
 /* Probes the member: queries its status over a new connection, since it may be down. */
 void member_probe(member_t *member);
 
@@ -71,12 +57,6 @@
 /* Adds the response time of a statement to the member's average. */
 void member_record_response_time(member_t *member, usec_t took);
 
-/* True if one more statement may be sent to the member now. */
-bool member_has_room(const member_t *member);
-
-/* Number of statements in progress over all connections. */
-size_t member_load(const member_t *member);
-
 /* Records the outcome of a statement at the member; may eject the member from reads. */
 void member_record_outcome(member_t *member, statement_outcome_t outcome);
 
--- a/pooler/metrics.c
+++ b/pooler/metrics.c
@@ -2,8 +2,8 @@
 
 #include <inttypes.h>
 
-#include "member.h"
 #include "permit.h"
+#include "room.h"
 #include "state.h"
 
 static void write_header(FILE *out, const char *name, const char *help)
@@ -69,7 +69,7 @@
 
 static double running_statements(const member_t *member)
 {
-	return (double)member_load(member);
+	return (double)room_used(member);
 }
 
 static double response_seconds(const member_t *member)
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -21,6 +21,7 @@
 #include "quota.h"
 #include "refresh.h"
 #include "relay.h"
+#include "room.h"
 #include "sync.h"
 
 #define LOG_MODULE "pooler"
@@ -535,7 +536,7 @@
 			 member->id, "address", member->address, "zone", member->zone, "leaving",
 			 member->leaving, "gone", member->unlisted, "down", member->down,
 			 "says_primary", member->claims_primary, "connections",
-			 (int)member->conn_count, "load", (int)member_load(member), "response_usec",
+			 (int)member->conn_count, "load", (int)room_used(member), "response_usec",
 			 (json_int_t)member->response_time, "last_reply_ms",
 			 (json_int_t)((now - member->last_reply_at) / USEC_PER_MSEC));
 }
