pooler: failover: the writing of groups to the roster is a module of its own

Moves only, but for group_write_cancel(), which three places wrote out. test_pooler, test_pooler_primary, test_pooler_scale and test_pooler_verdict passed.

--- a/pooler/failover.c
+++ b/pooler/failover.c
@@ -7,10 +7,10 @@
 #include "active.h"
 #include "conn.h"
 #include "exchange.h"
+#include "group_write.h"
 #include "leader.h"
 #include "member.h"
 #include "permit.h"
-#include "push.h"
 #include "restore.h"
 #include "survey.h"
 #include "sweep.h"
@@ -94,8 +94,7 @@
 {
 	talloc_free(service->change.target);
 	service->change = (change_t){.step = CHANGE_NONE};
-	talloc_free(service->pending_write.primary);
-	service->pending_write.primary = NULL;
+	group_write_cancel(service);
 }
 
 void failover_abandon(pooler_t *pooler)
@@ -106,68 +105,6 @@
 
 /* --- marking the change in the roster --- */
 
-static void on_groups_written(void *data, const kv_result_t *result)
-{
-	pooler_t *pooler = data;
-
-	(void)result; /* the roster, read again, shows which groups are in force */
-	pooler->sync.writing_groups = false;
-	list_for_each (it, &pooler->active_services) {
-		service_t *service = list_entry(it, service_t, active);
-
-		if (service->write_in_flight) {
-			service->write_in_flight = false;
-			service->change.write_pending = service->pending_write.primary != NULL;
-		}
-	}
-	failover_tick(pooler, now_of(pooler));
-}
-
-/*
- * Writes all queued groups to the roster, one write at a time. When each service wrote on its own,
- * of N services that started or lost their primaries together, one write succeeded and N - 1
- * conflicted: 30 first primaries took 465 writes of the whole roster, and a fleet with 100
- * databases never became ready.
- */
-static void write_groups(pooler_t *pooler, usec_t now)
-{
-	roster_t *roster = NULL;
-
-	if (pooler->sync.writing_groups || now < pooler->sync.groups_write_next)
-		return;
-	list_for_each (it, &pooler->active_services) {
-		service_t *service = list_entry(it, service_t, active);
-
-		if (service->pending_write.primary == NULL)
-			continue;
-		if (roster == NULL)
-			roster = roster_copy(NULL, pooler->sync.roster);
-		roster_put_group(roster, service->name, service->pending_write.primary,
-				 service->pending_write.changing, service->pending_write.term,
-				 pooler->sync.own_token);
-		talloc_free(service->pending_write.primary);
-		service->pending_write.primary = NULL;
-		service->write_in_flight = true;
-	}
-	if (roster == NULL)
-		return;
-	pooler->sync.writing_groups = true;
-	/* Every write is sent to the whole fleet. */
-	pooler->sync.groups_write_next = now + push_interval(pooler);
-	sync_commit_roster(pooler, roster, on_groups_written, pooler);
-	talloc_free(roster);
-}
-
-static void queue_group_write(service_t *service, const char *primary, bool changing, uint64_t term)
-{
-	service->change.write_pending = true;
-	active_add_service(service);
-	talloc_free(service->pending_write.primary);
-	service->pending_write.primary = talloc_strdup(service, primary);
-	service->pending_write.changing = changing;
-	service->pending_write.term = term;
-}
-
 /* Ends the change with this primary: queues the roster write that names it. */
 static void commit_primary(service_t *service, const member_t *primary, uint64_t term, usec_t now)
 {
@@ -177,7 +114,7 @@
 	service->change.target = copy;
 	service->change.new_term = term;
 	set_step(service, CHANGE_COMMITTING, now);
-	queue_group_write(service, copy, false, term);
+	group_write_queue(service, copy, false, term);
 }
 
 static void start_change(service_t *service, const char *reason, usec_t now)
@@ -192,7 +129,7 @@
 		  LOG_STR("member", service_roster_group(service)->primary));
 	change->due_to_failures = reason == verdict_reason_failing;
 	set_step(service, CHANGE_MARKING, now);
-	queue_group_write(service, service_roster_group(service)->primary, true,
+	group_write_queue(service, service_roster_group(service)->primary, true,
 			  service_roster_group(service)->term);
 }
 
@@ -214,7 +151,7 @@
 		if (change->started == 0)
 			change->started = now;
 		if (member->survey_answered || now >= change->started + FIRST_TERM_TIMEOUT) {
-			queue_group_write(service, member->id, false, member->status.term);
+			group_write_queue(service, member->id, false, member->status.term);
 		} else if (now >= change->next_probe) {
 			change->next_probe = now + SURVEY_INTERVAL;
 			member_query_status(member);
@@ -263,7 +200,7 @@
 	change->promote_not_before = earlier_calls_expiry(service, is_own);
 	change->may_have_promoted = !is_own || service->last_promote_call_at != 0;
 	set_step(service, CHANGE_MARKING, now);
-	queue_group_write(service, group->primary, true, group->term);
+	group_write_queue(service, group->primary, true, group->term);
 }
 
 /*
@@ -556,7 +493,7 @@
 	if (change->write_pending)
 		return;
 	if (group->changing) {
-		queue_group_write(service, change->target, false, change->new_term);
+		group_write_queue(service, change->target, false, change->new_term);
 		return;
 	}
 	if (!change->primary_kept)
@@ -626,7 +563,7 @@
 	list_for_each (it, &pooler->active_services)
 		run_step(list_entry(it, service_t, active), now);
 	check_inactive_services(pooler, now);
-	write_groups(pooler, now);
+	group_write_send(pooler, now);
 }
 
 usec_t failover_remaining(const service_t *service, usec_t now)
