State of a service's members in a log line and in the dump

A statement that is refused for want of a connection or a member says nothing of what it waited for. "state of a service" and "state of a member" tell it, at most once a second for each service and for eight members: connections by state, the share and whether one more may be opened, the age of the oldest one that is being opened and of the oldest request without a reply, back-off, probe, last reply, the home and what it owes. The dump has the same.

--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -17,6 +17,7 @@
 #include "job.h"
 #include "leader.h"
 #include "member.h"
+#include "member_state.h"
 #include "permit.h"
 #include "quota.h"
 #include "refresh.h"
@@ -532,28 +533,34 @@
 
 static json_t *dump_member(const member_t *member, usec_t now)
 {
-	return json_pack("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:I, s:I}", "id",
-			 member->id, "address", member->address, "zone", member->zone, "leaving",
-			 member->leaving, "gone", member->unlisted, "down", member->down,
-			 "says_primary", member->claims_primary, "connections",
-			 (int)member->conn_count, "load", (int)room_used(member), "response_usec",
-			 (json_int_t)member->response_time, "last_reply_ms",
-			 (json_int_t)((now - member->last_reply_at) / USEC_PER_MSEC));
+	json_t *object = json_pack(
+		"{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:I, s:I}", "id", member->id,
+		"address", member->address, "zone", member->zone, "leaving", member->leaving,
+		"gone", member->unlisted, "down", member->down, "says_primary",
+		member->claims_primary, "connections", (int)member->conn_count, "load",
+		(int)room_used(member), "response_usec", (json_int_t)member->response_time,
+		"last_reply_ms", (json_int_t)((now - member->last_reply_at) / USEC_PER_MSEC));
+
+	json_object_update_new(object, member_state_to_json(member, now));
+	return object;
 }
 
-static json_t *dump_service(const service_t *service, usec_t now)
+static json_t *dump_service(service_t *service, usec_t now)
 {
 	const member_t *primary = permit_primary(service, now);
 	json_t *members = json_array();
+	json_t *object;
 
 	list_for_each (it, &service->members)
 		json_array_append_new(members,
 				      dump_member(list_entry(it, member_t, in_service), now));
-	return json_pack("{s:s, s:s, s:i, s:i, s:i, s:o}", "name", service->name, "primary",
-			 primary != NULL ? primary->id : "", "waiting",
-			 (int)list_length(&service->waiting), "samples",
-			 service->freshness != NULL ? (int)service->freshness->len : 0,
-			 "change_step", (int)service->change.step, "members", members);
+	object = json_pack("{s:s, s:s, s:i, s:i, s:i, s:o}", "name", service->name, "primary",
+			   primary != NULL ? primary->id : "", "waiting",
+			   (int)list_length(&service->waiting), "samples",
+			   service->freshness != NULL ? (int)service->freshness->len : 0,
+			   "change_step", (int)service->change.step, "members", members);
+	json_object_update_new(object, member_state_home_to_json(service, now));
+	return object;
 }
 
 json_t *pooler_dump(const pooler_t *pooler)
--- a/pooler/report.c
+++ b/pooler/report.c
@@ -1,5 +1,7 @@
 #include "report.h"
 
+#include "member_state.h"
+
 #define LOG_MODULE "report"
 #include "counter.h"
 #include "histogram.h"
@@ -143,4 +145,7 @@
 		  LOG_INT("roster", caller->pooler->sync.roster->revision),
 		  LOG_INT("roster_age_ms", roster_age_msec(caller, now)),
 		  LOG_INT("keys_age_ms", keys_age_msec(caller, now)));
+	if (caller->service != NULL &&
+	    (reason == REASON_NO_CONNECTION || reason == REASON_NO_MEMBER))
+		member_state_log(caller->service, now);
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -41,6 +41,7 @@
 	CONN_ROLLING_BACK, /* a ROLLBACK sent by this proxy is at the member */
 	CONN_ORPHANED,	   /* caller gone or answered; the member still runs its statement */
 	CONN_PROBING,	   /* a status query is at the member */
+	CONN_STATES,	   /* number of states */
 } conn_state_t;
 
 /* Maximum number of values that a session may set; applications set far fewer. */
@@ -95,6 +96,8 @@
 	usec_t no_borrow_until;	   /* after the member refused a connection, this proxy opens none
 				      beyond its share until then */
 	usec_t connect_not_before; /* back-off after a failed connection attempt */
+	usec_t opening_timeout;	   /* time that the member has for accepting a connection; see
+				      member.c */
 	/* Health as this proxy observes it. */
 	usec_t last_reply_at;
 	usec_t suspect_since; /* first sign of failure since the last reply; USEC_NEVER: none */
@@ -295,6 +298,7 @@
 	votes_t reported_votes; /* reported by other proxies, in the counting round below */
 	uint64_t reported_votes_round;
 	usec_t suspected_at; /* when the leader last reported that the primary does not answer it */
+	usec_t state_logged_at;	       /* when member_state_log() last wrote; 0: never */
 	usec_t last_forward_at;	       /* when another proxy last forwarded a statement; 0: never */
 	bool change_taken_over;	       /* another leader began the current change */
 	usec_t last_promote_call_at;   /* last promote call by this process; 0: none */
