Connections that a member never accepts are given up

A request for one that is lost while the connection itself stays up (a member or a path silent for a moment) took up one of the few that a proxy may have to a member, for good. Such connections count twice: against the share, and in opening_open(), which opens no more connections than callers wait for. So a few of them end the use of the member without a line in the log, and if it is or becomes the primary, that of the service.

Now a connection that is not accepted in 500 ms is given up (the caller that waits has 800 ms), twice that after each time-out up to 3 s until the member accepts one, so that an overloaded member that accepts late still serves. A member that has sent nothing meanwhile is probed.

Looked for elsewhere: who ends each state of a connection, each flag of a call under way, each wait. - A probe that can't even be begun (no socket) was never repeated, and the member counted as alive. - A transaction that had failed was kept open at the member as long as its session lasted: only open ones had an idle time-out. - At a proxy whose ticks are all late no connection was ever given up: after five late ticks in a row connections that are being opened are, after 3 s. Without finding: calls to store and platform (all with a time-out of 50 ms at least), calls through peers, survey, orphaned, preparing, rolling back, status queries (3 s at most).

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -802,7 +802,7 @@
 {
 	const routes_t *routes = caller->pooler->routes;
 
-	if (caller->busy || caller->tx != TX_OPEN || caller->conn == NULL)
+	if (caller->busy || caller->tx == TX_NONE || caller->conn == NULL)
 		return;
 	if (routes == NULL || now < caller->idle_since + routes->tx_idle_timeout)
 		return;
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -160,7 +160,7 @@
 {
 	member_t *member = conn->member;
 
-	member_on_reply(member);
+	member_on_accepted(member);
 	if (conn->probe) {
 		conn_query_status(conn);
 		return;
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -12,6 +12,7 @@
 #include "verdict.h"
 
 #define LOG_MODULE "member"
+#include "counter.h"
 #include "log.h"
 
 /* Response time assumed for a new member: the mean duration of a statement. */
@@ -30,6 +31,13 @@
 #define NOT_LEAVING (USEC_NEVER / 2)
 /* A connection on which a reply is overdue for this long is closed. */
 #define CONN_SILENCE_TIMEOUT (3 * USEC_PER_SEC)
+/*
+ * A connection that the member has not accepted after this time is given up, 40 times a handshake;
+ * a statement that waits for it still has time for another one. The time doubles with each time-out
+ * up to CONN_SILENCE_TIMEOUT until the member accepts a connection: an overloaded member that
+ * accepts late must not lose all its connections right before.
+ */
+#define OPENING_TIMEOUT (500 * USEC_PER_MSEC)
 /*
  * A read is overdue after this factor times the usual response time plus this floor: 8 x 15 ms + 50
  * ms.
@@ -39,6 +47,16 @@
 /* How long a connection whose caller gave up is kept for a late reply. */
 #define ORPHAN_TIMEOUT (150 * USEC_PER_MSEC)
 
+/*
+ * After a late tick replies may lie unread, so nothing counts as overdue. A proxy that lacks
+ * processor time is late at every tick, though; after so many in a row it gives up at least what it
+ * would wait for without an end.
+ */
+#define LATE_TICKS_MAX 5
+
+COUNTER_DEFINE(opening_timeouts_total, "member_opening_timeouts_total", COUNTER_SUM,
+	       "Connections given up since the member did not accept them in time.");
+
 /* Closes the idle connections to a member that is leaving or no longer listed. */
 static void close_idle_conns(member_t *member)
 {
@@ -67,6 +85,7 @@
 	member->lagged_at = 0;
 	member->no_borrow_until = 0;
 	member->connect_not_before = 0;
+	member->opening_timeout = OPENING_TIMEOUT;
 	member->response_time = INITIAL_RESPONSE_TIME;
 	member->outlier = (outlier_t){0};
 	member->survey_answered = false;
@@ -139,6 +158,7 @@
 	member->address = talloc_strdup(member, entry->address);
 	member->zone = talloc_strdup(member, entry->zone);
 	member->response_time = INITIAL_RESPONSE_TIME;
+	member->opening_timeout = OPENING_TIMEOUT;
 	member->suspect_since = USEC_NEVER;
 	member->leaving_since = NOT_LEAVING;
 	list_init(&member->conns);
@@ -170,11 +190,20 @@
 	dispatch_run(member->service);
 }
 
+void member_on_accepted(member_t *member)
+{
+	member->opening_timeout = OPENING_TIMEOUT;
+	member_on_reply(member);
+}
+
 void member_probe(member_t *member)
 {
 	if (member->probe_conn != NULL)
 		return;
 	member->probe_conn = conn_open(member, NULL);
+	/* Not even begun, so nothing will end it; a member that is down is probed again. */
+	if (member->probe_conn == NULL)
+		member_mark_down(member, "no connection can be opened");
 }
 
 void member_query_status(member_t *member)
@@ -299,6 +328,51 @@
 	}
 }
 
+/* The connection that has waited for the member's acceptance for the longest time, or NULL. */
+static conn_t *longest_opening_conn(const member_t *member)
+{
+	conn_t *oldest = NULL;
+
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->state == CONN_OPENING && !conn->probe &&
+		    (oldest == NULL || conn->state_since < oldest->state_since))
+			oldest = conn;
+	}
+	return oldest;
+}
+
+/*
+ * Gives up connections that the member does not accept: the request for one may be lost, so that
+ * nothing will arrive. Each takes up one of the connections that this proxy may have, so some of
+ * them would end the use of the member for good.
+ */
+static void check_opening(member_t *member, usec_t now, usec_t timeout)
+{
+	conn_t *oldest = longest_opening_conn(member);
+	size_t closed = 0;
+
+	if (oldest == NULL || now < oldest->state_since + timeout)
+		return;
+	member->opening_timeout =
+		usec_clamp(2 * member->opening_timeout, OPENING_TIMEOUT, CONN_SILENCE_TIMEOUT);
+	if (now >= member->last_reply_at + timeout)
+		member_suspect(member, "accepts no connection");
+	do {
+		conn_close(oldest, "not accepted in time");
+		closed++;
+		oldest = longest_opening_conn(member);
+	} while (oldest != NULL && now >= oldest->state_since + timeout);
+	counter_add(&opening_timeouts_total, (int64_t)closed);
+	LOG_EVENT(
+		LOG_WARN, "connections not accepted in time",
+		LOG_STR("service", member->service->name), LOG_STR("member", member->id),
+		LOG_INT("connections", (int64_t)closed),
+		LOG_INT("after_ms", (int64_t)(timeout / USEC_PER_MSEC)),
+		LOG_INT("last_reply_ms", (int64_t)((now - member->last_reply_at) / USEC_PER_MSEC)));
+}
+
 static void check_probe(member_t *member, usec_t now)
 {
 	conn_t *probe = member->probe_conn;
@@ -313,8 +387,11 @@
 {
 	if (now != member->pooler->resumed_at) {
 		check_silence(member, now);
+		check_opening(member, now, member->opening_timeout);
 		check_overdue(member, now);
 		check_probe(member, now);
+	} else if (member->pooler->late_ticks >= LATE_TICKS_MAX) {
+		check_opening(member, now, CONN_SILENCE_TIMEOUT);
 	}
 	close_one_idle_conn(member, now);
 }
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -30,6 +30,9 @@
 /* Records that the member has sent a reply, so that it counts as alive. */
 void member_on_reply(member_t *member);
 
+/* As member_on_reply(), for the reply that accepts a connection. */
+void member_on_accepted(member_t *member);
+
 /* Marks the member as down, after a probe that it did not answer. */
 void member_mark_down(member_t *member, const char *reason);
 
@@ -37,8 +40,8 @@
 void member_suspect(member_t *member, const char *reason);
 
 /*
- * Checks for overdue replies, repeats probes, and closes connections that have been idle for too
- * long.
+ * Checks for overdue replies and connections not accepted in time, repeats probes, and closes
+ * connections that have been idle for too long.
  */
 void member_tick(member_t *member, usec_t now);
 
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -299,7 +299,8 @@
 		LOG_EVENT(LOG_WARN, "process was paused",
 			  LOG_INT("ms", (int64_t)((now - pooler->last_tick) / USEC_PER_MSEC)));
 	}
-	if (now > pooler->tick_due + STALL_THRESHOLD)
+	pooler->late_ticks = now > pooler->tick_due + STALL_THRESHOLD ? pooler->late_ticks + 1 : 0;
+	if (pooler->late_ticks != 0)
 		pooler->resumed_at = now;
 	if (now > pooler->tick_due)
 		histogram_add(&late_seconds, now - pooler->tick_due);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -501,6 +501,7 @@
 	usec_t tick_due; /* when the next tick is due */
 	usec_t started;
 	usec_t last_permitted; /* when a permission was last in force; 0: never */
+	unsigned late_ticks;   /* in a row, up to the present one */
 	usec_t resumed_at;     /* when a tick last ran late, after a stall; see on_tick() */
 	summary_t summary;
 	int64_t connected_homes_revision; /* nodes_revision at the last connecting to homes */
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -154,6 +154,33 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against a transaction that a member keeps open for as long as its session lasts: one of
+ * its statements failed, and the client pauses without a ROLLBACK. It may be idle as long as any
+ * other.
+ */
+static void test_failed_transaction_is_idle(void)
+{
+	pool_world_t *world = world_create(2, NULL);
+	world_caller_t *caller;
+
+	world_wait_until_ready(world);
+	caller = world_open_session(world, 0);
+	assert_has_prefix(world_send_and_wait(caller, "BEGIN"), "DONE");
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 a"), "DONE core-0");
+	world->db->members[0].fail_percent = 100;
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-2 a"), "ERR FAILED");
+	world->db->members[0].fail_percent = 0;
+	world_run(world, 2 * SEC);
+	g_assert_true(world_has_transaction(world));
+	world_run(world, 2 * SEC);
+	g_assert_false(world_has_transaction(world));
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-3 a"), "ERR ABORTED");
+	assert_has_prefix(world_send_and_wait(caller, "ROLLBACK"), "DONE");
+	assert_has_prefix(world_send_and_wait(caller, "READ job-1"), "ROW none");
+	world_destroy(world);
+}
+
 /*
  * A caller disconnects inside its transaction. The next caller on the connection must not run
  * inside that transaction, and nothing of it may be kept.
@@ -411,6 +438,7 @@
 	g_test_add_func("/calm/one-flight", test_prepare_and_exec_in_one_round_trip);
 	g_test_add_func("/calm/too-many-values", test_too_many_values);
 	g_test_add_func("/calm/member-refuses-values", test_member_refuses_values);
+	g_test_add_func("/calm/failed-transaction-idle", test_failed_transaction_is_idle);
 	g_test_add_func("/calm/caller-leaves", test_caller_leaves_in_transaction);
 	g_test_add_func("/calm/unknown-database", test_unknown_database);
 	g_test_add_func("/fresh/session", test_session_reads_its_write);
