links: an edit id in the store that is no string ends no process

The edits in the table's head were compared with strcmp() without a look at their type: a number or null there, by hand or by another version, ended every proxy that read the head after an edit. etcd_head_has_edit() is the same code in etcd.c, so that test_fuzz reaches it: a new target, table, plays heads and entries as the store holds them.

--- a/links/etcd.c
+++ b/links/etcd.c
@@ -70,6 +70,17 @@
 	talloc_free(text);
 }
 
+bool etcd_head_has_edit(const etcd_head_t *head, const char *edit_id)
+{
+	for (size_t i = 0; edit_id != NULL && i < json_array_size(head->edits); i++) {
+		const char *found = json_string_value(json_array_get(head->edits, i));
+
+		if (found != NULL && strcmp(found, edit_id) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Decode a stored entry; returns false if the entry is malformed. */
 static bool decode_entry(const char *prefix, void *parent, const json_t *kv, table_entry_t *out)
 {
--- a/links/etcd.h
+++ b/links/etcd.h
@@ -29,6 +29,9 @@
 
 void etcd_read_head(const json_t *kv, etcd_head_t *head);
 
+/* Return true if the edit is among the latest ones; edit_id NULL: no edit. */
+bool etcd_head_has_edit(const etcd_head_t *head, const char *edit_id);
+
 /*
  * Decode stored entries as an array that is a child of parent, and skip malformed ones. Returns the
  * number of entries in the array.
--- a/links/platform.c
+++ b/links/platform.c
@@ -107,15 +107,6 @@
 	talloc_free(op);
 }
 
-static bool contains_edit(const json_t *edits, const char *edit_id)
-{
-	for (size_t i = 0; edit_id != NULL && i < json_array_size(edits); i++) {
-		if (strcmp(json_string_value(json_array_get(edits, i)), edit_id) == 0)
-			return true;
-	}
-	return false;
-}
-
 static void report_result(store_op_t *op, const table_entry_t *entries, size_t count)
 {
 	event_t event = {
@@ -126,7 +117,7 @@
 			  .entry_count = count,
 			  .table_version = op->head.version,
 			  .head_revision = op->head.revision,
-			  .edit_found = contains_edit(op->head.edits, op->edit_id)},
+			  .edit_found = etcd_head_has_edit(&op->head, op->edit_id)},
 	};
 
 	adapter_submit(op->platform->adapter, &event);
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -18,6 +18,7 @@
 #include "config_decode.h"
 #include "config_hash_keys.h"
 #include "entry.h"
+#include "etcd.h"
 #include "fleet_codec.h"
 #include "framing.h"
 #include "protocol.h"
@@ -265,6 +266,42 @@
 	framing_is_ambiguous(data, len);
 }
 
+/* Returns a key of the store as etcd's gateway sends it, whose value is this text. */
+static json_t *make_stored_key(const char *data, size_t len)
+{
+	gchar *value = g_base64_encode((const guchar *)data, len);
+	json_t *kv = json_pack("{s:s, s:s, s:s}", "key", "aXRlbS9h" /* item/a */, "mod_revision",
+			       "7", "value", value);
+
+	g_free(value);
+	return kv;
+}
+
+/* The table's head and entries as the store holds them; the ids of edits are kept in the next head.
+ */
+static void check_table(const char *data, size_t len)
+{
+	void *parent = talloc_new(NULL);
+	json_t *kv = make_stored_key(data, len);
+	json_t *kvs = json_pack("[O]", kv);
+	const commit_action_t commit = {.table_version = 2, .edit_id = "next", .author = "fuzz"};
+	table_entry_t *entries;
+	etcd_head_t head = {0};
+	json_t *request;
+
+	etcd_read_head(kv, &head);
+	etcd_head_has_edit(&head, "e2");
+	g_assert_false(etcd_head_has_edit(&head, NULL));
+	request = etcd_commit_request("", &commit, head.edits);
+	g_assert_nonnull(request);
+	g_assert_cmpuint(etcd_read_entries("", parent, kvs, &entries), <=, 1);
+	json_decref(request);
+	json_decref(head.edits);
+	json_decref(kvs);
+	json_decref(kv);
+	talloc_free(parent);
+}
+
 /* --- changing input --- */
 
 static const char *const words[] = {
@@ -398,7 +435,7 @@
 static const target_t targets[] = {
 	{"caller", check_caller}, {"reply", check_reply},     {"fleet", check_fleet},
 	{"config", check_config}, {"entry", check_entry},     {"wire", check_wire},
-	{"token", check_token},	  {"framing", check_framing},
+	{"token", check_token},	  {"framing", check_framing}, {"table", check_table},
 };
 
 static void check_exact_buffer(const target_t *target, const char *data, size_t len)
