Module not found: the message names the folder; sync.c's comments fit its constants

- sync.c: a vacant leadership is looked at after 400 ms, not after the 700 of a leader without a renewal; the figures of saved reads rested on neither and are gone.

--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -23,10 +23,9 @@
 #include "log.h"
 
 /*
- * Age of the roster's last confirmation at which the leader reads the roster again. Renewals of the
- * leader lease usually confirm the roster earlier, since only the leader changes groups: this
- * saves 2.5 reads a second, for an idle fleet of 19 proxies a third of all its calls to the store.
- * A vacant leadership is checked as often.
+ * Age of the roster's last confirmation at which the leader reads the roster again. While its
+ * renewals of the lease succeed (RENEW_INTERVAL, 400 ms) they confirm the roster, since only the
+ * leader changes groups, and READ_LEADER_INTERVAL alone applies: one read a second.
  */
 #define READ_LEADER_AGE (700 * USEC_PER_MSEC)
 /*
@@ -34,7 +33,10 @@
  * exists, nor that no proxy has added itself to the roster.
  */
 #define READ_LEADER_INTERVAL (1 * USEC_PER_SEC)
-/* Interval of reads while no state of the leader arrives, since the leadership may be vacant. */
+/*
+ * Age of the last confirmation at which a proxy of a fleet without hubs reads the roster while no
+ * state of the leader arrives, plus half of READ_JITTER: the leadership may be vacant.
+ */
 #define READ_VACANT_INTERVAL (400 * USEC_PER_MSEC)
 /*
  * A proxy whose roster was not confirmed for this time reads the store itself; jitter is added so
--- a/proxy/main.c
+++ b/proxy/main.c
@@ -1,7 +1,11 @@
 /* Installs the signal handlers, then loads the module of the proxy and runs it; see serve.h. */
 #include <dlfcn.h>
+#include <errno.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "serve.h"
 
@@ -36,6 +40,38 @@
 	sigprocmask(SIG_UNBLOCK, &handled, NULL);
 }
 
+/*
+ * Tell where the module was searched for and what to check. The program may have been started where
+ * its own directory is hidden from it, such as one under a private /tmp.
+ */
+static void explain_missing_module(const char *reason)
+{
+	char program[PATH_MAX] = "";
+	ssize_t len = readlink("/proc/self/exe", program, sizeof(program) - 1);
+	char *slash = len > 0 ? strrchr(program, '/') : NULL;
+	char module[PATH_MAX + sizeof("/" SERVE_MODULE)];
+
+	fprintf(stderr, "cyclamenspan: can't load module " SERVE_MODULE ": %s\n", reason);
+	if (slash == NULL) {
+		fprintf(stderr, "cyclamenspan: the directory of the program is not known, since "
+				"/proc/self/exe can't be read; check that /proc is mounted\n");
+		return;
+	}
+	*slash = '\0';
+	snprintf(module, sizeof(module), "%s/" SERVE_MODULE, program);
+	if (access(module, R_OK) == 0)
+		fprintf(stderr,
+			"cyclamenspan: %s is there; check that its libraries are installed (ldd) "
+			"and that it is of this version\n",
+			module);
+	else
+		fprintf(stderr,
+			"cyclamenspan: searched for in %s, the directory of the program: %s; check "
+			"that the module is there and that this process sees that directory (a "
+			"private /tmp or a mount namespace hides it)\n",
+			program, strerror(errno));
+}
+
 /* Load the module and return its entry function; on an error, print a message and return NULL. */
 static serve_t load_module(void)
 {
@@ -43,8 +79,7 @@
 	serve_t serve = module != NULL ? (serve_t)dlsym(module, SERVE_ENTRY) : NULL;
 
 	if (serve == NULL)
-		fprintf(stderr, "cyclamenspan: can't load module " SERVE_MODULE ": %s\n",
-			dlerror());
+		explain_missing_module(dlerror());
 	return serve;
 }
 
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -9,6 +9,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <glib/gstdio.h>
+
 #include "harness.h"
 
 static harness_t *h;
@@ -168,6 +170,39 @@
 	g_free(path);
 }
 
+/*
+ * Guards against a start that fails without a hint: the program stands without its module, as where
+ * its own directory is hidden from it. The message names the directory and what to check.
+ */
+static void test_module_missing(void)
+{
+	char *dir = g_strdup_printf("%s/alone", h->dir);
+	char *copy = g_strdup_printf("%s/cyclamenspan", dir);
+	char *program = harness_program_path("proxy/cyclamenspan");
+	char *argv[] = {copy, "--version", NULL};
+	char *data = NULL;
+	char *errors = NULL;
+	char *searched;
+	gsize len = 0;
+	gint status = 0;
+
+	g_assert_cmpint(g_mkdir(dir, 0700), ==, 0);
+	g_assert_true(g_file_get_contents(program, &data, &len, NULL));
+	g_assert_true(g_file_set_contents_full(copy, data, (gssize)len, G_FILE_SET_CONTENTS_NONE,
+					       0700, NULL));
+	g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, NULL, &errors, &status, NULL);
+	g_assert_cmpint(WEXITSTATUS(status), ==, 1);
+	searched = g_strdup_printf("searched for in %s, the directory of the program", dir);
+	g_assert_nonnull(strstr(errors, searched));
+	g_assert_nonnull(strstr(errors, "check that the module is there"));
+	g_free(searched);
+	g_free(errors);
+	g_free(data);
+	g_free(program);
+	g_free(copy);
+	g_free(dir);
+}
+
 /*
  * Two callers happen to choose the same request id. The second one's write is not done, and it gets
  * an error instead of the first one's answer. A resend of the first one still gets its answer.
@@ -330,6 +365,7 @@
 	g_test_add_func("/input/operators-token", test_operators_token);
 	g_test_add_func("/input/ctl", test_ctl);
 	g_test_add_func("/input/settings", test_settings);
+	g_test_add_func("/input/module-missing", test_module_missing);
 	g_test_add_func("/input/same-request-id", test_same_request_id);
 	g_test_add_func("/input/ambiguous-length", test_ambiguous_length);
 	g_test_add_func("/input/clear-length", test_unambiguous_length);
