--- a/tests/test_pooler_relay.c
+++ b/tests/test_pooler_relay.c
@@ -259,6 +259,38 @@
 	world_destroy(world);
 }
 
+/* The proxy has heard of no peer that reaches the store, as right after its start. */
+static void forget_access_reports(const pool_world_t *world, size_t node)
+{
+	list_for_each (it, &world->nodes[node].pooler->sync.reports)
+		list_entry(it, peer_report_t, node)->access_reported_at = 0;
+}
+
+/*
+ * Guards against a read that fails although a peer could make it: the store refuses this proxy, and
+ * no peer has told it yet that it reaches the store. Any peer is asked then.
+ */
+static void test_read_without_known_helper(void)
+{
+	pool_world_t *world = world_create(5, NULL);
+	outcome_t outcome = {0};
+	size_t node;
+	kv_t *kv;
+
+	world_wait_until_ready(world);
+	node = find_non_leader(world);
+	kv = pooler_store(world->nodes[node].pooler);
+	world->nodes[node].kv.unreachable = true;
+	kv->ops->range(kv, "fleet/", "", on_outcome, &outcome);
+	for (int i = 0; i < 1000 && !outcome.ended; i++) {
+		forget_access_reports(world, node);
+		world_run(world, MSEC);
+	}
+	g_assert_true(outcome.ended);
+	g_assert_cmpint(outcome.status, ==, KV_OK);
+	world_destroy(world);
+}
+
 /* Messages arrive unchanged, also with values that are not text, and deletions. */
 static void test_messages(void)
 {
@@ -310,6 +342,7 @@
 	g_test_add_func("/relay/commit", test_commit_through_a_peer);
 	g_test_add_func("/relay/taken-back", test_direct_calls_resume);
 	g_test_add_func("/relay/store-away", test_store_unreachable_for_all);
+	g_test_add_func("/relay/no-known-helper", test_read_without_known_helper);
 	g_test_add_func("/relay/messages", test_messages);
 	g_test_add_func("/permission/half-goes-on", test_half_of_the_fleet_continues);
 	g_test_add_func("/permission/half-is-waited-for", test_half_of_the_fleet_is_waited_for);
