pooler: queue order by customer and objective, admission by expected wait

Cause: the queue of a service went by lateness, priority and arrival; callers that could not be answered in time were held until their time-out, or sent with one response time left, and the backlog of a burst lasted 9 s.

Now: flows by priority and customer (deficit round robin on work, a floor for lower priorities), newest first among late ones; a statement is refused as soon as the work ahead leaves it no time, and late ones while statements on time have been waiting for a whole objective. Work and response times are estimated by route, with their deviation.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -317,9 +317,10 @@
 
 void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply)
 {
-	if (reply->ok)
+	if (reply->ok) {
+		dispatch_record_response(caller, conn);
 		on_success(caller, conn, reply);
-	else
+	} else
 		on_error(caller, conn, reply);
 	hangup_after_answer(caller);
 }
--- a/pooler/choice.c
+++ b/pooler/choice.c
@@ -165,3 +165,24 @@
 		       ? USEC_NEVER
 		       : caller->received_at + HEALTHY_ONLY_WAIT(caller->objective);
 }
+
+choice_capacity_t choice_capacity(const caller_t *caller, usec_t now)
+{
+	const member_t *primary = permit_primary(caller->service, now);
+	choice_capacity_t capacity = {.primary_only = true};
+	sample_t required;
+	bool fresh = caller->target == TARGET_ANY && !caller->primary_only &&
+		     required_position(caller, &required);
+
+	list_for_each (it, &caller->service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (!member_is_usable(member) ||
+		    (member != primary &&
+		     (!fresh || !replica_probably_current(member, &required, now))))
+			continue;
+		capacity.slots += room_slots(member);
+		capacity.primary_only = capacity.primary_only && member == primary;
+	}
+	return capacity;
+}
--- a/pooler/choice.h
+++ b/pooler/choice.h
@@ -17,3 +17,11 @@
  * longer.
  */
 usec_t choice_next_change(const caller_t *caller, usec_t now);
+
+/* What the members that may serve a statement can do. */
+typedef struct choice_capacity {
+	double slots;	   /* of these members, this proxy's part; 0: there is none */
+	bool primary_only; /* it is the only one */
+} choice_capacity_t;
+
+choice_capacity_t choice_capacity(const caller_t *caller, usec_t now);
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -1,14 +1,23 @@
 #include "dispatch.h"
 
+#include <string.h>
+
 #include "active.h"
 #include "caller.h"
 #include "choice.h"
 #include "conn.h"
 #include "failover.h"
 #include "forward.h"
+#include "home.h"
 #include "member.h"
 #include "opening.h"
+#include "overload.h"
 #include "permit.h"
+#include "room.h"
+
+#define LOG_MODULE "dispatch"
+#include "counter.h"
+#include "log.h"
 
 /* Round trip between a caller and this proxy, with some margin. */
 #define CALLER_ROUND_TRIP (10 * USEC_PER_MSEC)
@@ -40,6 +49,23 @@
  */
 #define RETRY_AFTER_MAX (1500 * USEC_PER_MSEC)
 
+/* Objective of callers that are served in order of arrival. */
+#define NEVER_LATE (3600 * USEC_PER_SEC)
+/* Jitter of the retry-after time, as a part of it: callers refused together don't return together.
+ */
+#define RETRY_JITTER_DIVISOR 2
+
+static const char *const verdict_names[OVERLOAD_VERDICTS] = {
+	[OVERLOAD_ADMIT] = "admitted",
+	[OVERLOAD_REFUSE_WAIT] = "queue_too_long",
+	[OVERLOAD_REFUSE_TIME] = "no_time_to_run",
+	[OVERLOAD_REFUSE_LATE] = "too_late",
+};
+static const char *const moment_names[] = {"arrival", "later"};
+
+COUNTER_GRID_DEFINE(refused_total, "overload_refusals_total", "verdict", verdict_names, "moment",
+		    moment_names, "Statements refused for overload, by verdict and moment.");
+
 /* Sends the caller's statement to a member or to its home; returns false if it still waits. */
 static bool try_to_place(caller_t *caller, usec_t now)
 {
@@ -62,6 +88,7 @@
 		return false;
 	conn = conn_find_idle(member, caller);
 	if (conn != NULL) {
+		wait_queue_on_served(caller->service->queue, &caller->waiter);
 		dispatch_dequeue(caller);
 		conn_run(conn, caller);
 		return true;
@@ -70,6 +97,72 @@
 	return false;
 }
 
+/* --- expectations --- */
+
+static route_estimate_t *estimate_of(const caller_t *caller)
+{
+	return route_estimate_get(&caller->service->estimates, caller->service, caller->database);
+}
+
+/*
+ * The slots' time that the statement took. Beyond one statement for each slot that this proxy
+ * counts on, the response includes time in the member's queue.
+ */
+static usec_t work_of_response(const member_t *member, usec_t took)
+{
+	double slots = room_slots(member);
+	double used = (double)room_used(member);
+
+	return used > slots ? (usec_t)((double)took * slots / used) : took;
+}
+
+void dispatch_record_response(const caller_t *caller, const conn_t *conn)
+{
+	usec_t now = now_of(caller->pooler);
+	usec_t took = now - conn->sent_at;
+	route_estimate_t *estimate = estimate_of(caller);
+
+	estimate_add(&estimate->response, took, now);
+	estimate_add(&estimate->work, work_of_response(conn->member, took), now);
+}
+
+/* The quickest member that may serve the caller, or NULL. */
+static const member_t *quickest_member(const caller_t *caller, usec_t now)
+{
+	const member_t *quickest = permit_primary(caller->service, now);
+
+	list_for_each (it, &caller->service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (caller->target == TARGET_ANY && member_is_usable(member) &&
+		    (quickest == NULL || member->response_time < quickest->response_time))
+			quickest = member;
+	}
+	return quickest;
+}
+
+/* Expected time from sending the caller's statement until its answer. */
+static estimate_t expected_response(const caller_t *caller, usec_t now)
+{
+	const route_estimate_t *estimate = estimate_of(caller);
+	const member_t *member;
+
+	if (estimate->response.updated_at != 0)
+		return estimate_at(&estimate->response, now);
+	member = quickest_member(caller, now);
+	return member != NULL ? (estimate_t){.mean = member->response_time,
+					     .deviation = member->response_deviation}
+			      : (estimate_t){0};
+}
+
+static usec_t expected_work(const caller_t *caller, usec_t now)
+{
+	const route_estimate_t *estimate = estimate_of(caller);
+
+	return estimate->work.updated_at != 0 ? estimate->work.mean
+					      : expected_response(caller, now).mean;
+}
+
 /* --- the queue --- */
 
 void dispatch_dequeue(caller_t *caller)
@@ -77,21 +170,49 @@
 	if (!caller->is_waiting)
 		return;
 	list_del(&caller->queue_node);
+	wait_queue_remove(caller->service->queue, &caller->waiter);
 	caller->customer_pool->waiting--;
 	caller->is_waiting = false;
 }
 
-static void insert_by_priority(service_t *service, caller_t *caller)
+/*
+ * Under overload, serving in order of arrival would make all callers wait for the whole queue and
+ * miss their objective. At 133 % of a primary's capacity for 4 s (test_pooler_load), 399 of 534
+ * statements meet the objective, against 70 in order of arrival.
+ */
+static void add_in_arrival_order(caller_t *caller)
 {
-	list_t *pos = &service->waiting;
+	caller->waiter = (waiter_t){.priority = caller->priority,
+				    .arrived_at = caller->received_at,
+				    .objective = NEVER_LATE};
+	wait_queue_add(caller->service->queue, &caller->waiter);
+}
 
-	list_for_each (it, &service->waiting) {
-		if (list_entry(it, caller_t, queue_node)->priority > caller->priority) {
-			pos = it;
-			break;
-		}
+static void add_to_queue(caller_t *caller, usec_t now)
+{
+	estimate_t response = expected_response(caller, now);
+
+	if (caller->pooler->config.serve_in_arrival_order) {
+		add_in_arrival_order(caller);
+		return;
 	}
-	list_add_before(pos, &caller->queue_node);
+	caller->waiter = (waiter_t){
+		.customer = caller->customer_pool,
+		.priority = caller->priority,
+		.arrived_at = caller->received_at,
+		.objective = caller->objective,
+		.work = expected_work(caller, now),
+		.response = CALLER_ROUND_TRIP +
+			    overload_response_bound(response.mean, response.deviation, false),
+		.primary_only = choice_capacity(caller, now).primary_only,
+	};
+	wait_queue_add(caller->service->queue, &caller->waiter);
+}
+
+static void enqueue(caller_t *caller, usec_t now)
+{
+	list_add_tail(&caller->service->waiting, &caller->queue_node);
+	add_to_queue(caller, now);
 	caller->customer_pool->waiting++;
 	caller->is_waiting = true;
 }
@@ -109,65 +230,75 @@
 	timers_arm(service->pooler->timers, &service->retry_timer, at, on_retry);
 }
 
-/* Returns the shortest recent response time of the members that may serve the caller. */
-static usec_t expected_response(const caller_t *caller, usec_t now)
+/*
+ * True if the statement would probably not complete before its deadline. A write that is sent in
+ * spite of that ends in doubt, whereas a write refused now has certainly not run. The check applies
+ * only in the second half of the time-out: if all callers were refused at once, a member that was
+ * slow for a while would never be measured as fast again.
+ */
+static bool lacks_time_to_run(const caller_t *caller, usec_t now)
 {
-	const member_t *primary = permit_primary(caller->service, now);
-	usec_t least = primary != NULL ? primary->response_time : USEC_NEVER;
+	estimate_t response;
 
-	list_for_each (it, &caller->service->members) {
-		const member_t *member = list_entry(it, member_t, in_service);
+	if (now - caller->received_at <= caller->timeout / 2)
+		return false;
+	response = expected_response(caller, now);
+	return now + overload_response_bound(response.mean, response.deviation,
+					     caller_may_commit(caller)) >=
+	       caller->deadline;
+}
 
-		if (caller->target == TARGET_ANY && member_is_usable(member) &&
-		    member->response_time < least)
-			least = member->response_time;
-	}
-	return least != USEC_NEVER ? least : 0;
+static usec_t earlier(usec_t a, usec_t b)
+{
+	return a < b ? a : b;
 }
 
-/*
- * True if the caller will probably not be answered within its route's objective. Such callers are
- * served after the others. Under overload, serving in order of arrival would make all callers wait
- * for the whole queue and miss their objective. At 133 % of a primary's capacity for 4 s
- * (test_pooler_load), 399 of 534 statements meet the objective, against 70 in order of arrival.
- */
-static bool will_miss_objective(const caller_t *caller, usec_t now)
+/* True if a member has room for one more statement. */
+static bool has_room(const service_t *service)
 {
-	return !caller->pooler->config.serve_in_arrival_order &&
-	       now + expected_response(caller, now) + CALLER_ROUND_TRIP >=
-		       caller->received_at + caller->objective;
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (member_is_usable(member) && room_is_free(member))
+			return true;
+	}
+	return false;
 }
 
-/*
- * True if the statement would probably not complete before its deadline. A write that is sent in
- * spite of that ends in doubt, whereas a write refused now has certainly not run. Half of all
- * responses take longer than the expected time, so a write needs twice that: at three times a
- * primary's capacity (test_pooler_load) 64 of 910 writes ended in doubt without this check, and
- * none with it. The check applies only in the second half of the time-out: if all callers were
- * refused at once, a member that was slow for a while would never be measured as fast again.
- */
-static bool lacks_time_to_run(const caller_t *caller, usec_t now)
+/* True if the statements of this proxy's own callers go to another proxy. */
+static bool forwards(service_t *service, usec_t now)
 {
-	usec_t needed = expected_response(caller, now) * (caller_may_commit(caller) ? 2 : 1);
+	const roster_node_t *home;
 
-	return now - caller->received_at > caller->timeout / 2 && now + needed >= caller->deadline;
+	if (!home_is_needed(service) || permit_primary(service, now) == NULL)
+		return false;
+	home = home_find(service, now);
+	return home != NULL && strcmp(home->name, service->pooler->config.name) != 0;
 }
 
-static usec_t earlier(usec_t a, usec_t b)
+/* True if the caller waits for the link to its home. */
+static bool awaits_home(const caller_t *caller, usec_t now)
 {
-	return a < b ? a : b;
+	return caller->job == NULL && forwards(caller->service, now);
 }
 
 /*
- * Serves the first caller that can be served among those that will miss their objective (late) or
- * those that will not. Returns false if there is none; *next is then when to try again.
+ * Serves the first caller in the queue's order that can be served. Returns false if there is none;
+ * *next is then when to try again.
  */
-static bool serve_first(service_t *service, bool late, usec_t now, usec_t *next)
+static bool serve_next(service_t *service, usec_t now, usec_t *next)
 {
-	list_for_each (it, &service->waiting) {
-		caller_t *caller = list_entry(it, caller_t, queue_node);
+	waiter_t *waiter;
 
-		if (will_miss_objective(caller, now) != late || lacks_time_to_run(caller, now))
+	*next = USEC_NEVER;
+	/* A reply makes room and calls dispatch_run(). */
+	if (!has_room(service) && !forwards(service, now))
+		return false;
+	for (waiter = wait_queue_first(service->queue, now); waiter != NULL;
+	     waiter = wait_queue_next(service->queue, waiter)) {
+		caller_t *caller = list_entry(waiter, caller_t, waiter);
+
+		if (lacks_time_to_run(caller, now))
 			continue;
 		if (caller->next_attempt_at > now) {
 			*next = earlier(*next, caller->next_attempt_at);
@@ -183,10 +314,23 @@
 	return false;
 }
 
-static bool serve_next(service_t *service, usec_t now, usec_t *next)
+/* Keeps *since, when a state began that lasts; 0: it does not last now. */
+static void update_since(usec_t *since, bool lasts, usec_t now)
 {
-	*next = USEC_NEVER;
-	return serve_first(service, false, now, next) || serve_first(service, true, now, next);
+	if (!lasts)
+		*since = 0;
+	else if (*since == 0)
+		*since = now;
+}
+
+static void update_busy(service_t *service, usec_t now)
+{
+	const member_t *primary = permit_primary(service, now);
+	bool on_time = wait_queue_has_on_time(service->queue, now);
+
+	update_since(&service->members_busy_since, on_time && !has_room(service), now);
+	update_since(&service->primary_busy_since,
+		     on_time && primary != NULL && !room_is_free(primary), now);
 }
 
 void dispatch_run(service_t *service)
@@ -206,6 +350,7 @@
 			;
 	} while (service->dispatch_again);
 	service->dispatching = false;
+	update_busy(service, now);
 	arm_retry(service, next);
 }
 
@@ -233,10 +378,121 @@
 	return USEC_NEVER;
 }
 
+/* --- admission --- */
+
+/* Work in the queue and the slots that do it. */
+typedef struct backlog {
+	usec_t ahead;
+	usec_t total;
+	double slots;
+} backlog_t;
+
+static double all_slots(const service_t *service)
+{
+	double slots = 0;
+
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (member_is_usable(member))
+			slots += room_slots(member);
+	}
+	return slots;
+}
+
+/* The backlog that the caller waits for: that of all members, or that of the primary if longer. */
+static backlog_t backlog_of(const caller_t *caller, choice_capacity_t capacity, usec_t now)
+{
+	service_t *service = caller->service;
+	wait_work_t ahead = wait_queue_work_ahead(service->queue, &caller->waiter, now);
+	wait_work_t total = wait_queue_work(service->queue);
+	double slots = all_slots(service);
+
+	if (capacity.primary_only &&
+	    (double)ahead.primary * slots > (double)ahead.all * capacity.slots)
+		return (backlog_t){ahead.primary, total.primary, capacity.slots};
+	return (backlog_t){ahead.all, total.all, slots};
+}
+
+static usec_t limit_retry_after(const caller_t *caller, usec_t retry_after, usec_t now)
+{
+	usec_t left = caller->deadline > now ? caller->deadline - now : 0;
+
+	retry_after += pooler_random(caller->pooler, retry_after / RETRY_JITTER_DIVISOR + 1);
+	/* A caller that is refused at its deadline may still return once, if it waits for longer
+	 * than this proxy knows. */
+	return usec_clamp(left / 2, QUEUE_RETRY_AFTER,
+			  retry_after < RETRY_AFTER_MAX ? retry_after : RETRY_AFTER_MAX);
+}
+
+static const reason_t refusal_reasons[OVERLOAD_VERDICTS] = {
+	[OVERLOAD_REFUSE_WAIT] = REASON_QUEUE_TOO_LONG,
+	[OVERLOAD_REFUSE_TIME] = REASON_NO_CONNECTION,
+	[OVERLOAD_REFUSE_LATE] = REASON_TOO_LATE,
+};
+
+static int64_t msec(usec_t duration)
+{
+	return (int64_t)(duration / USEC_PER_MSEC);
+}
+
+static void refuse_for_overload(caller_t *caller, const overload_input_t *input,
+				const overload_decision_t *decision, bool arriving)
+{
+	reason_t reason = refusal_reasons[decision->verdict];
+
+	counter_grid_increment(&refused_total, decision->verdict, arriving ? 0 : 1);
+	LOG_EVENT(LOG_INFO, arriving ? "refused at arrival" : "refused while waiting",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("service", caller->service->name),
+		  LOG_STR("reason", reason_names[reason]), LOG_INT("priority", caller->priority),
+		  LOG_INT("work_ahead_ms", msec(input->work_ahead)),
+		  LOG_INT("slots_percent", (int64_t)(input->slots * 100)),
+		  LOG_INT("expected_wait_ms", msec(decision->expected_wait)),
+		  LOG_INT("response_ms", msec(input->response)),
+		  LOG_INT("spread_ms", msec(input->spread)),
+		  LOG_INT("left_ms",
+			  input->deadline > input->now ? msec(input->deadline - input->now) : 0),
+		  LOG_INT("busy_ms",
+			  input->busy_since != 0 ? msec(input->now - input->busy_since) : 0),
+		  LOG_INT("waiting", (int64_t)wait_queue_len(caller->service->queue)));
+	caller_refuse(caller, CODE_BUSY, reason,
+		      limit_retry_after(caller, decision->retry_after, input->now));
+}
+
+/* Refuses the caller if the queue leaves no time for it. Returns false if it may wait. */
+static bool refuse_if_overloaded(caller_t *caller, bool arriving, usec_t now)
+{
+	const service_t *service = caller->service;
+	choice_capacity_t capacity = choice_capacity(caller, now);
+	backlog_t backlog = backlog_of(caller, capacity, now);
+	estimate_t response = expected_response(caller, now);
+	overload_input_t input = {
+		.now = now,
+		.arrived_at = caller->received_at,
+		.objective = caller->objective,
+		.deadline = caller->deadline,
+		.work_ahead = backlog.ahead,
+		.work = backlog.total,
+		.slots = backlog.slots,
+		.response = response.mean + CALLER_ROUND_TRIP,
+		.spread = response.deviation,
+		.may_commit = caller_may_commit(caller),
+		.busy_since = capacity.primary_only ? service->primary_busy_since
+						    : service->members_busy_since,
+	};
+	overload_decision_t decision = overload_decide(&input);
+
+	if (decision.verdict == OVERLOAD_ADMIT)
+		return false;
+	refuse_for_overload(caller, &input, &decision, arriving);
+	return true;
+}
+
 /* Refuses the caller if no member is expected to serve it before its deadline. */
-static void refuse_if_unservable(caller_t *caller, usec_t now)
+static void refuse_if_unservable(caller_t *caller, bool arriving, usec_t now)
 {
-	usec_t end = expected_recovery(caller->service, now);
+	usec_t end;
 	bool servable;
 	usec_t retry_after;
 
@@ -245,7 +501,13 @@
 		return;
 	}
 	choice_find(caller, now, &servable);
-	if (servable || (end != USEC_NEVER && end < caller->deadline))
+	if (servable) {
+		if (!caller->pooler->config.serve_in_arrival_order && !awaits_home(caller, now))
+			refuse_if_overloaded(caller, arriving, now);
+		return;
+	}
+	end = expected_recovery(caller->service, now);
+	if (end != USEC_NEVER && end < caller->deadline)
 		return;
 	retry_after = end != USEC_NEVER && end > now ? end - now : DEFAULT_RETRY_AFTER;
 	if (retry_after > RETRY_AFTER_MAX)
@@ -253,6 +515,13 @@
 	caller_refuse(caller, CODE_BUSY, REASON_NO_MEMBER, retry_after);
 }
 
+/* Sorts the caller anew, since what is expected of its statement has changed. */
+static void update_in_queue(caller_t *caller, usec_t now)
+{
+	wait_queue_remove(caller->service->queue, &caller->waiter);
+	add_to_queue(caller, now);
+}
+
 void dispatch_tick(service_t *service, usec_t now)
 {
 	/*
@@ -261,8 +530,11 @@
 	 */
 	if (now != service->pooler->resumed_at)
 		opening_reclaim_idle_tx(service, now);
+	list_for_each (it, &service->waiting)
+		update_in_queue(list_entry(it, caller_t, queue_node), now);
 	list_for_each_safe (it, &service->waiting)
-		refuse_if_unservable(list_entry(it, caller_t, queue_node), now);
+		refuse_if_unservable(list_entry(it, caller_t, queue_node), false, now);
+	update_busy(service, now);
 }
 
 void dispatch_enqueue(caller_t *caller)
@@ -270,9 +542,9 @@
 	usec_t now = now_of(caller->pooler);
 	service_t *service = caller->service;
 
-	insert_by_priority(service, caller);
+	enqueue(caller, now);
 	active_add_service(service);
 	dispatch_run(service);
 	if (caller->is_waiting)
-		refuse_if_unservable(caller, now);
+		refuse_if_unservable(caller, true, now);
 }
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -68,6 +68,7 @@
 	member->no_borrow_until = 0;
 	member->connect_not_before = 0;
 	member->response_time = INITIAL_RESPONSE_TIME;
+	member->response_deviation = INITIAL_RESPONSE_TIME / 2;
 	member->outlier = (outlier_t){0};
 	member->survey_answered = false;
 	member->status = (member_status_t){0};
@@ -139,6 +140,7 @@
 	member->address = talloc_strdup(member, entry->address);
 	member->zone = talloc_strdup(member, entry->zone);
 	member->response_time = INITIAL_RESPONSE_TIME;
+	member->response_deviation = INITIAL_RESPONSE_TIME / 2;
 	member->suspect_since = USEC_NEVER;
 	member->leaving_since = NOT_LEAVING;
 	list_init(&member->conns);
@@ -321,6 +323,12 @@
 
 void member_record_response_time(member_t *member, usec_t took)
 {
+	usec_t error = took > member->response_time ? took - member->response_time
+						    : member->response_time - took;
+
+	member->response_deviation =
+		(member->response_deviation * (RESPONSE_SMOOTHING - 1) + error) /
+		RESPONSE_SMOOTHING;
 	member->response_time =
 		(member->response_time * (RESPONSE_SMOOTHING - 1) + took) / RESPONSE_SMOOTHING;
 }
--- /dev/null
+++ b/pooler/overload.c
@@ -0,0 +1,59 @@
+#include "overload.h"
+
+/* A fifth of all responses take longer than the mean and its mean deviation. */
+#define READ_DEVIATIONS 1
+/* A write that is sent too late ends in doubt, so it gets the time that most of them need. */
+#define WRITE_DEVIATIONS 3
+/* The shortest time after which a return makes sense: some statements have ended by then. */
+#define RETRY_AFTER_MIN (20 * USEC_PER_MSEC)
+/* Slots assumed at least, so that a wait is finite. */
+#define SLOTS_MIN 0.05
+/* Longest wait that is told apart. */
+#define WAIT_MAX (60 * USEC_PER_SEC)
+
+usec_t overload_response_bound(usec_t response, usec_t spread, bool may_commit)
+{
+	return response + spread * (may_commit ? WRITE_DEVIATIONS : READ_DEVIATIONS);
+}
+
+/* Time in which the slots get that much work done. */
+static usec_t time_for(usec_t work, double slots)
+{
+	double wait = (double)work / (slots > SLOTS_MIN ? slots : SLOTS_MIN);
+
+	return wait < (double)WAIT_MAX ? (usec_t)wait : WAIT_MAX;
+}
+
+static overload_verdict_t judge(const overload_input_t *input, usec_t wait)
+{
+	usec_t needed = overload_response_bound(input->response, input->spread, input->may_commit);
+	usec_t answered =
+		input->now + wait + overload_response_bound(input->response, input->spread, false);
+
+	/*
+	 * Not in the first half of the time: a member that was slow for a while has to get some
+	 * statements to be measured as fast again.
+	 */
+	if (input->now + needed >= input->deadline &&
+	    input->now - input->arrived_at > (input->deadline - input->arrived_at) / 2)
+		return OVERLOAD_REFUSE_TIME;
+	if (wait != 0 && input->now + wait + needed >= input->deadline)
+		return OVERLOAD_REFUSE_WAIT;
+	if (answered >= input->arrived_at + input->objective && input->busy_since != 0 &&
+	    input->now >= input->busy_since + input->objective)
+		return OVERLOAD_REFUSE_LATE;
+	return OVERLOAD_ADMIT;
+}
+
+overload_decision_t overload_decide(const overload_input_t *input)
+{
+	overload_decision_t decision = {
+		.expected_wait = time_for(input->work_ahead, input->slots),
+		.retry_after = time_for(input->work, input->slots),
+	};
+
+	if (decision.retry_after < RETRY_AFTER_MIN)
+		decision.retry_after = RETRY_AFTER_MIN;
+	decision.verdict = judge(input, decision.expected_wait);
+	return decision;
+}
--- a/pooler/overload.h
+++ b/pooler/overload.h
@@ -15,6 +15,7 @@
 	usec_t objective;  /* response time objective, counted from arrived_at */
 	usec_t deadline;   /* the caller stops waiting */
 	usec_t work_ahead; /* expected work of the statements that are served before this one */
+	usec_t work;	   /* of all that wait, this one included */
 	double slots;	   /* of the members that may serve the statement, this proxy's part */
 	usec_t response;   /* expected time from sending the statement until its answer */
 	usec_t spread;	   /* mean deviation of that time */
@@ -29,6 +30,7 @@
 	OVERLOAD_REFUSE_TIME, /* sent now, it would probably be answered too late */
 	OVERLOAD_REFUSE_LATE, /* it will miss its objective, and no capacity is left for such ones
 			       */
+	OVERLOAD_VERDICTS,
 } overload_verdict_t;
 
 typedef struct overload_decision {
@@ -38,3 +40,6 @@
 } overload_decision_t;
 
 overload_decision_t overload_decide(const overload_input_t *input);
+
+/* Time in which a statement that is sent is probably answered. */
+usec_t overload_response_bound(usec_t response, usec_t spread, bool may_commit);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -110,6 +110,8 @@
 	service->changing_since = USEC_NEVER;
 	list_init(&service->members);
 	list_init(&service->waiting);
+	list_init(&service->estimates);
+	service->queue = wait_queue_create(service);
 	list_init(&service->active);
 	list_add_tail(&pooler->services, &service->node);
 	HASH_ADD_KEYPTR(hh, pooler->services_by_name, service->name, strlen(name), service);
--- a/pooler/reason.c
+++ b/pooler/reason.c
@@ -3,6 +3,8 @@
 const char *const reason_names[REASON_COUNT] = {
 	[REASON_NO_MEMBER] = "no_member",
 	[REASON_NO_CONNECTION] = "no_connection",
+	[REASON_QUEUE_TOO_LONG] = "queue_too_long",
+	[REASON_TOO_LATE] = "too_late",
 	[REASON_MEMBER_REFUSED] = "member_refused",
 	[REASON_SHUTTING_DOWN] = "shutting_down",
 	[REASON_NOT_SERVED_ELSEWHERE] = "not_served_elsewhere",
@@ -30,6 +32,8 @@
 	static const char *const texts[REASON_COUNT] = {
 		[REASON_NO_MEMBER] = "no member can serve this now",
 		[REASON_NO_CONNECTION] = "no connection came free in time",
+		[REASON_QUEUE_TOO_LONG] = "the queue is longer than the time left",
+		[REASON_TOO_LATE] = "it would miss its objective, and the members are busy",
 		[REASON_MEMBER_REFUSED] = "the members refused it",
 		[REASON_SHUTTING_DOWN] = "shutting down",
 		[REASON_NOT_SERVED_ELSEWHERE] = "the home could not have it served",
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "follow.h"
+#include "estimate.h"
 #include "freshness.h"
 #include "shard_owners.h"
 #include "outbox.h"
@@ -13,6 +14,7 @@
 #include "roster.h"
 #include "summary.h"
 #include "variables.h"
+#include "wait_queue.h"
 
 struct member;
 struct service;
@@ -101,9 +103,10 @@
 	bool down;	      /* a probe found that the member does not answer */
 	conn_t *probe_conn;
 	/* For the placement of reads. */
-	usec_t response_time; /* smoothed time from sending a statement until its reply */
-	position_t applied;   /* log position that the member has applied, from its last reply */
-	usec_t applied_at;    /* when that reply arrived */
+	usec_t response_time;	   /* smoothed time from sending a statement until its reply */
+	usec_t response_deviation; /* its smoothed deviation */
+	position_t applied; /* log position that the member has applied, from its last reply */
+	usec_t applied_at;  /* when that reply arrived */
 	usec_t lagged_at; /* when the member last had not applied the position that a read needed */
 	outlier_t outlier;
 	usec_t conn_lost_at; /* when a connection last broke while a statement ran on it */
@@ -175,6 +178,7 @@
 	run_timer_t timer;
 	usec_t idle_since;
 	list_t queue_node; /* in service_t.waiting */
+	waiter_t waiter;   /* in service_t.queue */
 	bool is_waiting;
 	statement_target_t target;
 	bool primary_only; /* a replica refused: its log lacked the position in after */
@@ -273,8 +277,16 @@
 	struct member *primary; /* the primary of that group; NULL: none, or the platform's list
 				   does not have it */
 	customer_pool_t *customer_pools; /* by customer */
-	list_t waiting;			 /* caller_t.queue_node, by priority, then by arrival */
-	run_timer_t retry_timer;	 /* first delayed attempt of a waiting statement */
+	list_t waiting;			 /* caller_t.queue_node, in order of arrival */
+	wait_queue_t *queue;		 /* the same callers in the order of service */
+	list_t estimates;		 /* route_estimate_t, by database */
+	/*
+	 * Since when statements that can meet their objective have been waiting without
+	 * interruption while all usable members, or the primary, had no slot left; 0: none wait.
+	 */
+	usec_t members_busy_since;
+	usec_t primary_busy_since;
+	run_timer_t retry_timer; /* first delayed attempt of a waiting statement */
 	bool dispatching;
 	bool dispatch_again;
 	freshness_t *freshness;	 /* NULL: no samples yet */
--- a/pooler/wait_queue.h
+++ b/pooler/wait_queue.h
@@ -5,17 +5,30 @@
  * Waiters that can still be answered within their objective come before those that can't. Among
  * them the higher priority goes first, with a floor for the lower ones. Within a priority the
  * customers take turns by deficit round robin on work, so a customer that sends many times its
- * usual waits for itself. Within a customer the earliest objective goes first; among waiters that
- * will miss it, the newest, which has the most time left to be answered at all.
+ * usual waits for itself. Within a customer the one that has to be sent first to meet its objective
+ * goes first; among waiters that will miss it, the newest, which has the most time left to be
+ * answered at all.
+ *
+ * Bounds: while waiters of lower priorities can meet their objective, a tenth of the work served
+ * goes to them (1 / WAIT_QUEUE_FLOOR_DIVISOR), to each of these priorities in turn. Of the work of
+ * a priority, each of N customers with waiters gets a share of 1 / N, to within WAIT_QUEUE_QUANTUM
+ * and the work of one statement.
  */
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "clock.h"
 #include "list.h"
 
+#define WAIT_QUEUE_FLOOR_DIVISOR 10
+/* Work that a customer may have served in one turn: some statements. */
+#define WAIT_QUEUE_QUANTUM (20 * USEC_PER_MSEC)
+/* Upper bound of the work that a waiter counts for. */
+#define WAIT_QUEUE_WORK_MAX (1 * USEC_PER_SEC)
+
 typedef struct wait_queue wait_queue_t;
 
 typedef struct waiter {
@@ -23,15 +36,22 @@
 	const void *customer; /* identifies the customer; NULL: none */
 	int64_t priority;     /* 0 is the highest */
 	usec_t arrived_at;
-	usec_t objective; /* response time objective, counted from arrived_at */
-	usec_t deadline;
-	usec_t work;	 /* expected time that a member spends on the statement */
-	usec_t response; /* expected time from sending the statement until its answer */
+	usec_t objective;  /* response time objective, counted from arrived_at */
+	usec_t work;	   /* expected time that a member spends on the statement */
+	usec_t response;   /* time from sending the statement in which it is probably answered */
+	bool primary_only; /* no other member can serve it */
 	/* Used by the queue only. */
 	struct wait_flow *flow; /* NULL: not in the queue */
+	bool late;		/* it will miss its objective */
 	list_t node;
 } waiter_t;
 
+/* Expected work of a part of the queue. */
+typedef struct wait_work {
+	usec_t all;
+	usec_t primary; /* the part that only the primary can serve */
+} wait_work_t;
+
 wait_queue_t *wait_queue_create(void *parent);
 
 void wait_queue_add(wait_queue_t *queue, waiter_t *waiter);
@@ -41,16 +61,26 @@
 
 /*
  * The waiters in the order of service at that time. The second function returns the one that
- * follows, for a waiter that can't be served now since its members are full; NULL: none.
+ * follows, for a waiter that can't be served now since its members are full; NULL: none. No waiter
+ * may be added or removed between the calls.
  */
 waiter_t *wait_queue_first(wait_queue_t *queue, usec_t now);
-waiter_t *wait_queue_next(wait_queue_t *queue, const waiter_t *waiter, usec_t now);
+waiter_t *wait_queue_next(wait_queue_t *queue, const waiter_t *waiter);
 
-/* Charges the waiter's work to its customer; to be called when it is sent to a member. */
+/*
+ * Charges the waiter's work to its customer; to be called when it is sent to a member, while it is
+ * still in the queue.
+ */
 void wait_queue_on_served(wait_queue_t *queue, waiter_t *waiter);
 
 /* Number of waiters. */
 size_t wait_queue_len(const wait_queue_t *queue);
 
+/* True if a waiter can still be answered within its objective. */
+bool wait_queue_has_on_time(wait_queue_t *queue, usec_t now);
+
+/* Expected work of all waiters. */
+wait_work_t wait_queue_work(const wait_queue_t *queue);
+
 /* Expected work of all waiters that would be served before this one if nothing else arrived. */
-usec_t wait_queue_work_ahead(wait_queue_t *queue, const waiter_t *waiter, usec_t now);
+wait_work_t wait_queue_work_ahead(wait_queue_t *queue, const waiter_t *waiter, usec_t now);
