--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -477,6 +477,7 @@
 		.slots = backlog.slots,
 		.response = response.mean + CALLER_ROUND_TRIP,
 		.spread = response.deviation,
+		.arriving = arriving,
 		.may_commit = caller_may_commit(caller),
 		.busy_since = capacity.primary_only ? service->primary_busy_since
 						    : service->members_busy_since,
--- a/pooler/overload.c
+++ b/pooler/overload.c
@@ -4,6 +4,8 @@
 #define READ_DEVIATIONS 1
 /* A write that is sent too late ends in doubt, so it gets the time that most of them need. */
 #define WRITE_DEVIATIONS 3
+/* For an arriving statement the queue ahead counts several times. */
+#define ARRIVAL_WAIT_FACTOR 2
 /* The shortest time after which a return makes sense: some statements have ended by then. */
 #define RETRY_AFTER_MIN (20 * USEC_PER_MSEC)
 /* Slots assumed at least, so that a wait is finite. */
@@ -24,11 +26,24 @@
 	return wait < (double)WAIT_MAX ? (usec_t)wait : WAIT_MAX;
 }
 
+/*
+ * True if the statement will miss its objective. One that has just arrived must probably meet it
+ * although others of higher priority arrive while it waits. So the queue stays short enough to
+ * empty soon after an overload.
+ */
+static bool will_be_late(const overload_input_t *input, usec_t wait)
+{
+	usec_t factor = input->arriving ? ARRIVAL_WAIT_FACTOR : 1;
+
+	return input->now + wait * factor +
+		       overload_response_bound(input->response, input->spread, false) >=
+	       input->arrived_at + input->objective;
+}
+
 static overload_verdict_t judge(const overload_input_t *input, usec_t wait)
 {
 	usec_t needed = overload_response_bound(input->response, input->spread, input->may_commit);
-	usec_t answered =
-		input->now + wait + overload_response_bound(input->response, input->spread, false);
+	bool busy = input->busy_since != 0 && input->now >= input->busy_since + input->objective;
 
 	/*
 	 * Not in the first half of the time: a member that was slow for a while has to get some
@@ -39,8 +54,7 @@
 		return OVERLOAD_REFUSE_TIME;
 	if (wait != 0 && input->now + wait + needed >= input->deadline)
 		return OVERLOAD_REFUSE_WAIT;
-	if (answered >= input->arrived_at + input->objective && input->busy_since != 0 &&
-	    input->now >= input->busy_since + input->objective)
+	if (busy && will_be_late(input, wait))
 		return OVERLOAD_REFUSE_LATE;
 	return OVERLOAD_ADMIT;
 }
--- a/pooler/overload.h
+++ b/pooler/overload.h
@@ -19,6 +19,7 @@
 	double slots;	   /* of the members that may serve the statement, this proxy's part */
 	usec_t response;   /* expected time from sending the statement until its answer */
 	usec_t spread;	   /* mean deviation of that time */
+	bool arriving;	   /* it has waited for nothing yet */
 	bool may_commit;   /* sent too late, it would end in doubt */
 	usec_t busy_since; /* since when statements that can meet their objective have been waiting
 			      without interruption; 0: none wait */
--- a/pooler/wait_queue.c
+++ b/pooler/wait_queue.c
@@ -446,29 +446,50 @@
 
 	for (list_t *it = flow->waiters[kind].next; it != &waiter->node; it = it->next)
 		add_work(&ahead, waiter_of(it));
+	/* Customers whose turn comes first are a turn ahead of those that follow. */
 	turn = ahead.all + waiter->work;
 	list_for_each (it, &flow->level->flows) {
 		const wait_flow_t *other = list_entry(it, wait_flow_t, node);
 
-		if (other != flow)
+		if (other == flow)
+			turn -= waiter->work;
+		else
 			add_sum(&ahead, limit_work(other->work[kind], turn));
 	}
 	return ahead;
 }
 
+/* Number of priorities, but for the highest, that have waiters on time. */
+static size_t count_lower_levels(const wait_queue_t *queue)
+{
+	size_t count = 0;
+
+	list_for_each (it, &queue->levels)
+		count += level_of(it)->counts[ON_TIME] != 0;
+	return count > 1 ? count - 1 : 1;
+}
+
 wait_work_t wait_queue_work_ahead(wait_queue_t *queue, const waiter_t *waiter, usec_t now)
 {
+	wait_work_t higher = {0};
 	wait_work_t sum;
+	usec_t own;
 
 	move_late(queue, now);
 	sum = work_ahead_in_level(waiter);
+	own = sum.all + waiter->work;
 	list_for_each (it, &queue->levels) {
 		const wait_level_t *level = level_of(it);
 
+		if (level->priority < waiter->priority)
+			add_sum(&higher, level->work[waiter->late ? LATE : ON_TIME]);
 		if (waiter->late)
 			add_sum(&sum, level->work[ON_TIME]);
-		if (level->priority < waiter->priority)
-			add_sum(&sum, level->work[waiter->late ? LATE : ON_TIME]);
 	}
+	/* The floor limits how long higher priorities are served first. */
+	if (!waiter->late)
+		higher = limit_work(higher,
+				    own * WAIT_QUEUE_FLOOR_DIVISOR * count_lower_levels(queue));
+	add_sum(&sum, higher);
 	return sum;
 }
--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -2,10 +2,14 @@
  * Poolers with a manual clock under more load than their members can serve: the order of the queue
  * and the use of connections. Each test plays a load and checks what callers get.
  */
+#include <stdlib.h>
+#include <string.h>
+
 #include <glib.h>
 #include <talloc.h>
 
 #include "pool_check.h"
+#include "state.h"
 
 /* One member with a capacity of 100 statements per second. */
 static const fake_db_config_t one_slow_member = {
@@ -262,6 +266,225 @@
 	world_destroy(world);
 }
 
+/* --- overload --- */
+
+/* Times that a client returns after a refusal, after the Retry-After that it was told. */
+#define RETURNS 2
+#define STEP	(5 * MSEC / 2)
+
+/* One operation of a client, with its returns. */
+typedef struct operation {
+	const char *database;
+	const char *key;
+	world_caller_t *caller; /* of the try in progress; NULL: none */
+	size_t node;
+	usec_t first_sent_at;
+	usec_t return_at;
+	unsigned tries;
+	usec_t took; /* from the first try to the success; 0: none yet */
+	usec_t held; /* the longest that a try waited for an error */
+	bool ended;
+} operation_t;
+
+typedef struct clients {
+	pool_world_t *world;
+	operation_t *operations; /* talloc array */
+	size_t count;
+	size_t tries;
+} clients_t;
+
+static usec_t world_time(const clients_t *clients)
+{
+	return clock_now(&clients->world->clock.base);
+}
+
+static void try_once(clients_t *clients, operation_t *operation)
+{
+	operation->caller = world_open_session_with_key(clients->world, operation->node,
+							operation->database, operation->key);
+	operation->return_at = world_time(clients);
+	operation->tries++;
+	clients->tries++;
+	world_send(operation->caller, "READ job-1");
+}
+
+static void begin_operation(clients_t *clients, const char *database, const char *key)
+{
+	size_t node = clients->count % clients->world->node_count;
+
+	clients->operations = talloc_realloc(clients->world, clients->operations, operation_t,
+					     clients->count + 1);
+	clients->operations[clients->count] = (operation_t){.database = database,
+							    .key = key,
+							    .node = node,
+							    .first_sent_at = world_time(clients)};
+	try_once(clients, &clients->operations[clients->count++]);
+}
+
+/* Handles the answer to the try in progress; an error with a Retry-After brings the client back. */
+static void on_answer(operation_t *operation, usec_t now)
+{
+	const char *reply = operation->caller->reply;
+	const char *after = strstr(reply, "retry-after-ms=");
+	usec_t waited = now - operation->return_at;
+
+	if (g_str_has_prefix(reply, "ROW") || g_str_has_prefix(reply, "DONE")) {
+		operation->took = now - operation->first_sent_at;
+		operation->ended = true;
+	} else {
+		if (waited > operation->held)
+			operation->held = waited;
+		operation->ended = operation->tries > RETURNS || after == NULL;
+		operation->return_at =
+			after != NULL
+				? now + strtoull(after + strlen("retry-after-ms="), NULL, 10) * MSEC
+				: now;
+	}
+	world_leave(operation->caller);
+	operation->caller = NULL;
+}
+
+/* Runs for one step, in which answers are handled and clients return. */
+static void step(clients_t *clients)
+{
+	usec_t now;
+
+	world_run(clients->world, STEP);
+	now = world_time(clients);
+	for (size_t i = 0; i < clients->count; i++) {
+		operation_t *operation = &clients->operations[i];
+
+		if (operation->ended)
+			continue;
+		if (operation->caller != NULL && operation->caller->reply_count != 0)
+			on_answer(operation, now);
+		else if (operation->caller == NULL && now >= operation->return_at)
+			try_once(clients, operation);
+	}
+}
+
+/* One of the streams of operations that are sent at the same time. */
+typedef struct stream {
+	const char *database;
+	const char *key;
+	unsigned rate;	/* operations per second */
+	usec_t next_at; /* when the next one is sent; 0: now */
+} stream_t;
+
+static void play_streams(clients_t *clients, stream_t *streams, size_t count, usec_t length)
+{
+	usec_t end = world_time(clients) + length;
+
+	while (world_time(clients) < end) {
+		for (size_t i = 0; i < count; i++) {
+			stream_t *stream = &streams[i];
+
+			if (stream->next_at == 0)
+				stream->next_at = world_time(clients);
+			for (; stream->next_at <= world_time(clients);
+			     stream->next_at += SEC / stream->rate)
+				begin_operation(clients, stream->database, stream->key);
+		}
+		step(clients);
+	}
+}
+
+/* Operations that were first sent in that time and answered with success within the objective. */
+static size_t count_in_time(const clients_t *clients, usec_t from, usec_t to, const char *database)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < clients->count; i++) {
+		const operation_t *operation = &clients->operations[i];
+
+		count += operation->first_sent_at >= from && operation->first_sent_at < to &&
+			 operation->took != 0 && operation->took <= WORLD_OBJECTIVE &&
+			 (database == NULL || strcmp(operation->database, database) == 0);
+	}
+	return count;
+}
+
+static usec_t longest_held(const clients_t *clients)
+{
+	usec_t longest = 0;
+
+	for (size_t i = 0; i < clients->count; i++) {
+		if (clients->operations[i].held > longest)
+			longest = clients->operations[i].held;
+	}
+	return longest;
+}
+
+static size_t count_waiting(const pool_world_t *world)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < world->node_count; i++)
+		count += list_length(&service_get(world->nodes[i].pooler, WORLD_SERVICE)->waiting);
+	return count;
+}
+
+/* Runs until nobody has waited for 200 ms and returns the time until then, 200 ms not counted. */
+static usec_t time_until_nobody_waits(clients_t *clients, stream_t *stream)
+{
+	usec_t start = world_time(clients);
+	usec_t empty_since = start;
+
+	while (world_time(clients) < empty_since + 200 * MSEC &&
+	       world_time(clients) < start + 5 * SEC) {
+		play_streams(clients, stream, 1, STEP * 4);
+		if (count_waiting(clients->world) != 0)
+			empty_since = world_time(clients);
+	}
+	return empty_since - start;
+}
+
+/* Plays 4 s of a load in percent of the capacity, then 80 %. */
+static void play_overload(size_t nodes, unsigned percent)
+{
+	clients_t clients = {.world = world_create(nodes, &one_slow_member)};
+	stream_t stream = {"strict", "", percent, 0};
+	stream_t below = {"strict", "", 80, 0};
+	usec_t start;
+	size_t in_time;
+	usec_t until_empty;
+
+	world_wait_until_ready(clients.world);
+	start = world_time(&clients);
+	play_streams(&clients, &stream, 1, 4 * SEC);
+	until_empty = time_until_nobody_waits(&clients, &below);
+	in_time = count_in_time(&clients, start + SEC, start + 4 * SEC, NULL);
+	g_test_message(
+		"%zu proxies, %u %%: %zu operations, %zu tries, %zu of 300 in time, held %d ms, "
+		"nobody waits after %d ms",
+		nodes, percent, clients.count, clients.tries, in_time,
+		(int)(longest_held(&clients) / MSEC), (int)(until_empty / MSEC));
+	{
+		size_t done = 0, dt = 0;
+		size_t bytry[4] = {0};
+		for (size_t i = 0; i < clients.count; i++) {
+			operation_t *o = &clients.operations[i];
+			if (o->took) {
+				done++;
+				bytry[o->tries]++;
+				dt += o->took;
+			}
+		}
+			       done ? dt / done / 1000 : 0, bytry[1], bytry[2], bytry[3]);
+	}
+	world_destroy(clients.world);
+}
+
+static void test_goodput(void)
+{
+	static const unsigned percents[] = {130, 170, 300};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+		play_overload(1, percents[i]);
+		play_overload(9, percents[i]);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -271,5 +494,6 @@
 	g_test_add_func("/load/late-last", test_late_callers_go_last);
 	g_test_add_func("/load/few-in-doubt", test_few_writes_in_doubt);
 	g_test_add_func("/load/kill-of-all", test_restart_of_all_proxies);
+	g_test_add_func("/load/goodput", test_goodput);
 	return g_test_run();
 }
