--- /dev/null
+++ b/pooler/overload.c
@@ -0,0 +1,73 @@
+#include "overload.h"
+
+/* A fifth of all responses take longer than the mean and its mean deviation. */
+#define READ_DEVIATIONS 1
+/* A write that is sent too late ends in doubt, so it gets the time that most of them need. */
+#define WRITE_DEVIATIONS 3
+/* For an arriving statement the queue ahead counts several times. */
+#define ARRIVAL_WAIT_FACTOR 2
+/* The shortest time after which a return makes sense: some statements have ended by then. */
+#define RETRY_AFTER_MIN (20 * USEC_PER_MSEC)
+/* Slots assumed at least, so that a wait is finite. */
+#define SLOTS_MIN 0.05
+/* Longest wait that is told apart. */
+#define WAIT_MAX (60 * USEC_PER_SEC)
+
+usec_t overload_response_bound(usec_t response, usec_t spread, bool may_commit)
+{
+	return response + spread * (may_commit ? WRITE_DEVIATIONS : READ_DEVIATIONS);
+}
+
+/* Time in which the slots get that much work done. */
+static usec_t time_for(usec_t work, double slots)
+{
+	double wait = (double)work / (slots > SLOTS_MIN ? slots : SLOTS_MIN);
+
+	return wait < (double)WAIT_MAX ? (usec_t)wait : WAIT_MAX;
+}
+
+/*
+ * True if the statement will miss its objective. One that has just arrived must probably meet it
+ * although others of higher priority arrive while it waits. So the queue stays short enough to
+ * empty soon after an overload.
+ */
+static bool will_be_late(const overload_input_t *input, usec_t wait)
+{
+	usec_t factor = input->arriving ? ARRIVAL_WAIT_FACTOR : 1;
+
+	return input->now + wait * factor +
+		       overload_response_bound(input->response, input->spread, false) >=
+	       input->arrived_at + input->objective;
+}
+
+static overload_verdict_t judge(const overload_input_t *input, usec_t wait)
+{
+	usec_t needed = overload_response_bound(input->response, input->spread, input->may_commit);
+	bool busy = input->busy_since != 0 && input->now >= input->busy_since + input->objective;
+
+	/*
+	 * Not in the first half of the time: a member that was slow for a while has to get some
+	 * statements to be measured as fast again.
+	 */
+	if (input->now + needed >= input->deadline &&
+	    input->now - input->arrived_at > (input->deadline - input->arrived_at) / 2)
+		return OVERLOAD_REFUSE_TIME;
+	if (wait != 0 && input->now + wait + needed >= input->deadline)
+		return OVERLOAD_REFUSE_WAIT;
+	if (busy && will_be_late(input, wait))
+		return OVERLOAD_REFUSE_LATE;
+	return OVERLOAD_ADMIT;
+}
+
+overload_decision_t overload_decide(const overload_input_t *input)
+{
+	overload_decision_t decision = {
+		.expected_wait = time_for(input->work_ahead, input->slots),
+		.retry_after = time_for(input->work, input->slots),
+	};
+
+	if (decision.retry_after < RETRY_AFTER_MIN)
+		decision.retry_after = RETRY_AFTER_MIN;
+	decision.verdict = judge(input, decision.expected_wait);
+	return decision;
+}
