pooler: connections are opened once per caller and give way by worth; limits go to higher priorities first

Now one opening per waiting caller over all members that may serve it, none for a caller that will be gone, and openings paced while the member's slots are used (opening_rule); the connection that gives way is the one whose loss is expected to cost the fewest openings, by the owner's rate, hold time and number of connections (conn_evict, conn_use). Counters tell why connections are opened.

The owner of a limit shard grants tokens by priority, with a reserve for what higher ones ask for and a floor of a tenth for the others, and tells each priority when a token is likely free (token_order). Messages carry "by" and "waits"; a process that does not know them sees the fields that it had. The sum over shards is untouched: one bucket a shard as before.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -23,11 +23,19 @@
 #define FULL_RETRY_INTERVAL (60 * USEC_PER_MSEC)
 /* Connections lost within this time have one cause: the resets arrive some ms apart. */
 #define LOSS_MERGE_WINDOW (50 * USEC_PER_MSEC)
+/* A connection that is opened within this time after another one was closed could have been it. */
+#define RECENT_END (1 * USEC_PER_SEC)
 /* Maximum number of statements prepared on a connection; more need a reset first. */
 #define PREPARED_MAX 256
 
 COUNTER_DEFINE(opened_total, "member_connections_total", COUNTER_SUM,
 	       "Attempts to open a connection to a member.");
+static const char *const open_counts[] = {"recent", "earlier", "never"};
+
+COUNTER_GRID_DEFINE(opened_causes, "member_connections_opened_total", "cause", conn_cause_names,
+		    "closed", open_counts,
+		    "Connections opened to a member, by why, and by when the last one of the same "
+		    "customer to the same member was closed: within a second, earlier or never.");
 COUNTER_DEFINE(full_total, "member_full_total", COUNTER_SUM,
 	       "Connections refused by a member at its connection limit.");
 COUNTER_DEFINE(setups_total, "member_setups_total", COUNTER_SUM,
@@ -78,6 +86,23 @@
 
 /* --- open and close --- */
 
+/* Counts the opening of a connection for a customer by its cause. */
+static void record_opening(conn_t *conn)
+{
+	conn_use_t *use = conn_use_get(conn->member, &conn->member->conn_uses, conn->customer_pool);
+	usec_t now = now_of(conn->member->pooler);
+	conn_cause_t cause = conn_use_on_open(use);
+	size_t when = use->ended_at == 0 ? 2 : now >= use->ended_at + RECENT_END ? 1 : 0;
+
+	conn->use = use;
+	counter_grid_increment(&opened_causes, cause, when);
+	LOG_EVENT(LOG_DBG, "connection opened", LOG_STR("member", conn->member->id),
+		  LOG_STR("customer", conn->customer_pool->customer),
+		  LOG_STR("cause", conn_cause_names[cause]),
+		  LOG_INT("of_customer", (int64_t)use->count),
+		  LOG_INT("of_member", (int64_t)conn->member->conn_count));
+}
+
 /* Customer name that a probe's connection sends; a probe runs no customer's statements. */
 #define PROBE_CUSTOMER "cyclamenspan"
 
@@ -103,8 +128,10 @@
 	active_add_member(member);
 	counter_add(&opened_total, 1);
 	set_state(conn, CONN_OPENING);
-	if (!probe)
+	if (!probe) {
 		member->conn_count++;
+		record_opening(conn);
+	}
 	return conn;
 }
 
@@ -114,10 +141,14 @@
 	member_t *member = conn->member;
 
 	list_del(&conn->node);
-	if (conn->probe)
+	if (conn->probe) {
 		member->probe_conn = NULL;
-	else
+	} else {
 		member->conn_count--;
+		conn_use_on_closed(conn->use,
+				   conn->end != CONN_END_NONE ? conn->end : CONN_END_LOST,
+				   now_of(member->pooler));
+	}
 	talloc_free(conn);
 }
 
@@ -366,6 +397,8 @@
 {
 	conn->caller = caller;
 	conn->has_served = true;
+	conn->taken_at = now_of(caller->pooler);
+	conn_use_on_taken(conn->use, conn->taken_at);
 	caller->conn = conn;
 	caller->placed_at = now_of(caller->pooler);
 	conn_run_in_tx(conn);
@@ -565,6 +598,14 @@
 
 /* --- release --- */
 
+/* Counts the time for which a caller had the connection. */
+static void record_return(conn_t *conn)
+{
+	if (conn->taken_at != 0)
+		conn_use_on_returned(conn->use, now_of(conn->member->pooler) - conn->taken_at);
+	conn->taken_at = 0;
+}
+
 void conn_release(conn_t *conn)
 {
 	member_request_t rollback = {.kind = REQUEST_ROLLBACK};
@@ -578,6 +619,7 @@
 		send_requests(conn, &rollback, 1);
 		return;
 	}
+	record_return(conn);
 	set_state(conn, CONN_IDLE);
 	if (!member_is_usable(conn->member))
 		conn_close(conn, "member is leaving");
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -8,6 +8,7 @@
 #include "follow.h"
 #include "kv.h"
 #include "statement.h"
+#include "token_order.h"
 #include "variables.h"
 
 struct conn;
@@ -136,6 +137,8 @@
 	const char *customer;
 	unsigned shard;
 	unsigned wanted;
+	token_counts_t by_priority; /* the wanted ones by the priority of their routes; what is
+				       missing to wanted counts as the lowest */
 	bool release; /* the sender owns the shard now; the receiver is to grant no more tokens */
 } quota_request_t;
 
@@ -149,6 +152,8 @@
 	bool released;	/* answers release: the sender owned the shard and grants no more tokens for
 			   it */
 	usec_t retry_after; /* with too few tokens: time until another request makes sense */
+	bool has_waits;	    /* waits is valid; a process of an earlier version sends none */
+	usec_t waits[TOKEN_PRIORITIES]; /* the same for each priority that got too few; 0: others */
 } quota_answer_t;
 
 /* A message between proxies. Each message is complete in itself; any may be lost or repeated. */
--- a/pooler/limit_shards.c
+++ b/pooler/limit_shards.c
@@ -32,11 +32,20 @@
 COUNTER_DEFINE(denied_total, "limit_denied_total", COUNTER_SUM,
 	       "Requests to this proxy as the owner of a limit shard that found no token.");
 
+static const char *const priority_names[TOKEN_PRIORITIES] = {"0", "1", "2", "3"};
+static const char *const outcome_names[] = {"granted", "denied"};
+
+COUNTER_GRID_DEFINE(asked_total, "limit_asked_total", "priority", priority_names, "outcome",
+		    outcome_names,
+		    "Tokens that this proxy was asked for as the owner of a limit shard, by the "
+		    "priority of the route (3: and all lower ones) and the outcome.");
+
 typedef struct limit_shard {
 	UT_hash_handle hh;  /* in limit_shards_t.by_name */
 	char *name;	    /* "NUMBER CUSTOMER" */
 	usec_t owned_since; /* shard_owners_owned_since() at the last request */
 	bucket_t bucket;
+	token_order_t order;
 	usec_t last_owned_at;	  /* when this proxy was last seen to be the owner */
 	bool granting;		  /* tokens were granted since owned_since */
 	bool released;		  /* released to a successor since owned_since */
@@ -44,7 +53,8 @@
 	bool taken_over;	  /* the predecessor has released the shard since owned_since */
 	uint64_t release_request; /* number of the current release request; 0: none */
 	usec_t release_sent_at;
-	unsigned denied;	    /* requests that found no token since denied_window_start */
+	/* Requests that found no token since denied_window_start, by priority. */
+	unsigned denied[TOKEN_PRIORITIES];
 	usec_t denied_window_start; /* start of the second in which they are counted */
 } limit_shard_t;
 
@@ -133,6 +143,7 @@
 		return;
 	}
 	shard->granting = true;
+	shard->order = (token_order_t){0};
 	bucket_init(&shard->bucket, limit->rate, limit->burst, limit->initial,
 		    from < now ? from : now);
 }
@@ -209,20 +220,75 @@
 	}
 }
 
-/* Delay after which a proxy that got no token may send the next request. */
-static usec_t retry_delay(limit_shard_t *shard, usec_t now)
+/*
+ * Delay after which a proxy that got no token may send the next request, however soon a token is
+ * free: the customer's proxies send no more than MAX_DENIALS_PER_S of a priority in vain.
+ */
+static usec_t least_retry_delay(limit_shard_t *shard, unsigned priority, usec_t now)
 {
-	usec_t wait = bucket_wait_time(&shard->bucket, now);
-	usec_t spread;
-
 	if (now >= shard->denied_window_start + USEC_PER_SEC) {
 		shard->denied_window_start = now;
-		shard->denied = 0;
+		memset(shard->denied, 0, sizeof(shard->denied));
 	}
-	shard->denied++;
+	shard->denied[priority]++;
+	return shard->denied[priority] * USEC_PER_SEC / MAX_DENIALS_PER_S;
+}
+
+/* Counts those as of the lowest priority whose priority the request does not tell. */
+static token_counts_t counts_of(const quota_request_t *request)
+{
+	token_counts_t wanted = request->by_priority;
+	unsigned sum = 0;
+
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++)
+		sum += wanted.by_priority[i];
+	if (sum < request->wanted)
+		wanted.by_priority[TOKEN_PRIORITIES - 1] += request->wanted - sum;
+	return wanted;
+}
+
+/* Sets when each priority that got too few tokens may be asked for again. */
+static void set_waits(limit_shard_t *shard, const token_counts_t *wanted,
+		      const token_counts_t *granted, quota_answer_t *answer, usec_t now)
+{
 	counter_add(&denied_total, 1);
-	spread = shard->denied * USEC_PER_SEC / MAX_DENIALS_PER_S;
-	return wait > spread ? wait : spread;
+	answer->has_waits = true;
+	answer->retry_after = USEC_NEVER;
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++) {
+		unsigned lacking = wanted->by_priority[i] - granted->by_priority[i];
+		usec_t wait;
+		usec_t least;
+
+		if (lacking == 0)
+			continue;
+		wait = token_order_place(&shard->order, &shard->bucket, i,
+					 (double)lacking / LIMIT_SHARDS, now);
+		least = least_retry_delay(shard, i, now);
+		answer->waits[i] = wait > least ? wait : least;
+		if (answer->waits[i] < answer->retry_after)
+			answer->retry_after = answer->waits[i];
+	}
+}
+
+static void count_outcomes(unsigned priority, unsigned wanted, unsigned granted)
+{
+	for (unsigned i = 0; i < wanted; i++)
+		counter_grid_increment(&asked_total, priority, i < granted ? 0 : 1);
+}
+
+/* Grants tokens in the order of priorities. */
+static void grant(limit_shard_t *shard, const quota_request_t *request, quota_answer_t *answer,
+		  usec_t now)
+{
+	token_counts_t wanted = counts_of(request);
+	token_counts_t granted;
+
+	answer->granted = token_order_take(&shard->order, &shard->bucket, &wanted, &granted, now);
+	counter_add(&granted_total, answer->granted);
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++)
+		count_outcomes(i, wanted.by_priority[i], granted.by_priority[i]);
+	if (answer->granted < request->wanted)
+		set_waits(shard, &wanted, &granted, answer, now);
 }
 
 /* Since when this proxy has owned the requested shard; USEC_NEVER: it does not own it. */
@@ -259,9 +325,6 @@
 	answer.not_owner = false;
 	limit = shard_limit_compute(customer, &pooler->config.slack);
 	start_granting(pooler, shard, &limit, now);
-	answer.granted = bucket_take(&shard->bucket, request->wanted, now);
-	counter_add(&granted_total, answer.granted);
-	if (answer.granted < request->wanted)
-		answer.retry_after = retry_delay(shard, now);
+	grant(shard, request, &answer, now);
 	return answer;
 }
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -129,6 +129,12 @@
 	close_idle_conns(member);
 }
 
+static int member_destructor(member_t *member)
+{
+	HASH_CLEAR(hh, member->conn_uses);
+	return 0;
+}
+
 member_t *member_create(pooler_t *pooler, const member_entry_t *entry)
 {
 	member_t *member = talloc_zero(pooler, member_t);
@@ -143,6 +149,7 @@
 	member->leaving_since = NOT_LEAVING;
 	list_init(&member->conns);
 	list_init(&member->active);
+	talloc_set_destructor(member, member_destructor);
 	list_add_tail(&pooler->members, &member->node);
 	list_add_tail(&member->service->members, &member->in_service);
 	return member;
@@ -222,6 +229,7 @@
 
 		if (conn->state == CONN_IDLE && !conn->probe &&
 		    now >= conn->state_since + idle_timeout && member->conn_count > kept) {
+			conn->end = CONN_END_IDLE;
 			conn_close(conn, "idle");
 			return;
 		}
--- a/pooler/opening.c
+++ b/pooler/opening.c
@@ -1,10 +1,14 @@
 #include "opening.h"
 
 #include "conn.h"
+#include "conn_evict.h"
 #include "member.h"
+#include "opening_rule.h"
 #include "permit.h"
 #include "room.h"
 
+#include "counter.h"
+
 /* Wait after which a caller may use more connections than this proxy's share: one connect time. */
 #define EXCEED_SHARE_WAIT (15 * USEC_PER_MSEC)
 /*
@@ -20,6 +24,17 @@
  */
 #define TX_IDLE_RECLAIM (100 * USEC_PER_MSEC)
 
+/* After this time without an answer of the member an opening is not waited for: five usual ones. */
+#define OPENING_OVERDUE (60 * USEC_PER_MSEC)
+
+static const char *const target_names[] = {"primary", "any"};
+
+COUNTER_GRID_DEFINE(
+	verdicts_total, "opening_verdicts_total", "verdict", opening_verdict_names, "target",
+	target_names,
+	"Decisions whether to open a connection for a waiting caller, by verdict and by "
+	"the members that may serve it.");
+
 /* True if the caller has waited long enough for a connection beyond this proxy's share. */
 static bool can_exceed_share(const caller_t *caller, usec_t now)
 {
@@ -37,52 +52,115 @@
 	return conn->customer_pool->waiting == 0 || (waited && conn->has_served);
 }
 
-/*
- * Returns the connection of another customer that has been idle for longest and may be closed to
- * make room for one of the caller's customer, or NULL. waited: the caller has waited so long that
- * it takes precedence over waiting callers of that other customer.
- */
-static conn_t *find_evictable_conn(const member_t *member, const caller_t *caller, bool waited)
+/* True if the connection of another customer may be closed now for the caller. */
+static bool may_give_way(const conn_t *conn, const caller_t *caller, usec_t now)
 {
-	conn_t *longest = NULL;
+	/* The caller has waited so long that it takes precedence over the other's callers. */
+	bool waited = now >= caller->received_at + EVICT_WAIT;
 
-	list_for_each (it, &member->conns) {
-		conn_t *conn = list_entry(it, conn_t, node);
+	return conn->state == CONN_IDLE && !conn->probe &&
+	       conn->customer_pool != caller->customer_pool && is_evictable(conn, waited);
+}
 
-		if (conn->state != CONN_IDLE || conn->probe ||
-		    conn->customer_pool == caller->customer_pool || !is_evictable(conn, waited))
-			continue;
-		if (longest == NULL || conn->state_since < longest->state_since)
-			longest = conn;
+/* True if connections of other customers may be closed for callers of this proxy. */
+static bool can_evict(const member_t *member, usec_t now)
+{
+	return now >= member->connect_not_before && room_conn_share(member) != 0;
+}
+
+static bool has_evictable(const member_t *member, const caller_t *caller, usec_t now)
+{
+	if (!can_evict(member, now))
+		return false;
+	list_for_each (it, &member->conns) {
+		if (may_give_way(list_entry(it, conn_t, node), caller, now))
+			return true;
 	}
-	return longest;
+	return false;
+}
+
+static evict_candidate_t candidate_of(const conn_t *conn, usec_t now)
+{
+	return (evict_candidate_t){
+		.rate = conn_use_rate(conn->use, now),
+		.hold = conn->use->hold,
+		.count = conn->use->count,
+		.idle = now - conn->state_since,
+	};
 }
 
-/* Returns another customer's idle connection that may be closed for the caller, or NULL. */
-static conn_t *find_evictable(const member_t *member, const caller_t *caller, usec_t now)
+/* Returns the idle connection of another customer that gives way to the caller's, or NULL. */
+static conn_t *choose_evictable(const member_t *member, const caller_t *caller, usec_t now)
 {
-	if (now < member->connect_not_before || room_conn_share(member) == 0)
+	conn_t *best = NULL;
+	evict_candidate_t best_candidate;
+
+	if (!can_evict(member, now))
 		return NULL;
-	return find_evictable_conn(member, caller, now >= caller->received_at + EVICT_WAIT);
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+		evict_candidate_t candidate;
+
+		if (!may_give_way(conn, caller, now))
+			continue;
+		candidate = candidate_of(conn, now);
+		if (best != NULL && !conn_evict_before(&candidate, &best_candidate))
+			continue;
+		best = conn;
+		best_candidate = candidate;
+	}
+	return best;
 }
 
 bool opening_is_possible(const member_t *member, const caller_t *caller, usec_t now)
 {
 	return room_can_open(member, now, can_exceed_share(caller, now)) ||
-	       find_evictable(member, caller, now) != NULL;
+	       has_evictable(member, caller, now);
 }
 
-/* Counts the connections to the member that are being opened for the customer. */
-static size_t count_opening(const member_t *member, const customer_pool_t *customer_pool)
+/*
+ * Adds the connections to the member: those that are being opened for the caller's customer and,
+ * if it is the member that is to serve the caller, the others that matter. An opening that takes
+ * far longer than usual does not count as one that will serve the caller.
+ */
+static void count_conns(const member_t *member, const caller_t *caller, bool serves, usec_t now,
+			opening_case_t *c)
 {
-	size_t count = 0;
-
 	list_for_each (it, &member->conns) {
 		const conn_t *conn = list_entry(it, conn_t, node);
+		bool own = conn->customer_pool == caller->customer_pool;
+		bool opening = conn->state == CONN_OPENING && !conn->probe;
 
-		count += conn->state == CONN_OPENING && conn->customer_pool == customer_pool;
+		c->own_opening +=
+			opening && own && (serves || now < conn->state_since + OPENING_OVERDUE);
+		if (!serves)
+			continue;
+		c->opening += opening;
+		c->own_in_use +=
+			own && (conn->state == CONN_PREPARING || conn->state == CONN_RUNNING);
 	}
-	return count;
+}
+
+/* Decides whether a connection to the member is opened for the caller now. */
+static opening_verdict_t decide(const member_t *member, const caller_t *caller, usec_t now)
+{
+	opening_case_t c = {
+		.waited = now - caller->received_at,
+		.objective = caller->objective,
+		.time_left = caller->deadline > now ? caller->deadline - now : 0,
+		.response_time = member->response_time,
+		.own_waiting = caller->customer_pool->waiting,
+		.running = room_used(member),
+		.slots = room_slots(member),
+	};
+
+	list_for_each (it, &caller->service->members) {
+		const member_t *other = list_entry(it, member_t, in_service);
+
+		if (other == member || caller->target == TARGET_ANY)
+			count_conns(other, caller, other == member, now, &c);
+	}
+	return opening_decide(&c);
 }
 
 /*
@@ -94,22 +172,31 @@
 	conn_t *evicted;
 
 	if (!room_can_open(member, now, false)) {
-		evicted = find_evictable(member, caller, now);
-		if (evicted != NULL)
+		evicted = choose_evictable(member, caller, now);
+		if (evicted != NULL) {
+			evicted->end = CONN_END_EVICTED;
 			conn_close(evicted, "evicted for another customer");
+		}
 	}
 	conn_open(member, caller->customer_pool);
 }
 
 void opening_open(member_t *member, const caller_t *caller, usec_t now)
 {
-	if (count_opening(member, caller->customer_pool) < caller->customer_pool->waiting)
+	opening_verdict_t verdict = decide(member, caller, now);
+
+	counter_grid_increment(&verdicts_total, verdict, caller->target == TARGET_ANY);
+	if (verdict == OPENING_NOW)
 		open_one(member, caller, now);
 }
 
 usec_t opening_next_change(const caller_t *caller, usec_t now)
 {
-	return can_exceed_share(caller, now) ? USEC_NEVER : caller->received_at + EXCEED_SHARE_WAIT;
+	usec_t patience_ends = caller->received_at + opening_patience(caller->objective);
+
+	if (can_exceed_share(caller, now))
+		return now < patience_ends ? patience_ends : USEC_NEVER;
+	return caller->received_at + EXCEED_SHARE_WAIT;
 }
 
 /* --- idle transactions --- */
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -54,12 +54,15 @@
 	UT_hash_handle hh; /* in quota_t.by_customer */
 	quota_t *quota;
 	char *customer;
-	list_t waiting;		 /* caller_t.quota_node, by arrival */
+	list_t waiting;		 /* caller_t.quota_node, by priority, then by arrival */
 	uint64_t request_number; /* number of the request in flight; 0: none */
 	unsigned shard;		 /* the shard that the request is for */
 	unsigned first_shard;	 /* shard to begin with; differs between proxies */
 	unsigned tried_shards;	 /* shards already tried in this round, as bits */
-	usec_t empty_until[LIMIT_SHARDS];
+	usec_t asked_at;	 /* when the request in flight was sent */
+	token_counts_t asked;	 /* the operations that the request in flight is for */
+	/* Until when a shard has no token for a priority, as its owner said. */
+	usec_t empty_until[LIMIT_SHARDS][TOKEN_PRIORITIES];
 	run_timer_t timer; /* time-out of the request, or start of the next round */
 } quota_queue_t;
 
@@ -136,36 +139,61 @@
 	list_del(&caller->quota_node);
 }
 
+static void insert_by_priority(quota_queue_t *queue, caller_t *caller)
+{
+	list_t *pos = &queue->waiting;
+
+	list_for_each (it, &queue->waiting) {
+		if (list_entry(it, caller_t, quota_node)->priority > caller->priority) {
+			pos = it;
+			break;
+		}
+	}
+	list_add_before(pos, &caller->quota_node);
+}
+
+/* Returns the first waiting caller that the request in flight was for, or NULL. */
+static caller_t *first_asked_caller(const quota_queue_t *queue)
+{
+	list_for_each (it, &queue->waiting) {
+		caller_t *caller = list_entry(it, caller_t, quota_node);
+
+		if (caller->received_at <= queue->asked_at)
+			return caller;
+	}
+	return NULL;
+}
+
 static void admit_callers(quota_queue_t *queue, unsigned count)
 {
 	caller_t *caller;
 
-	while (count-- != 0 && (caller = first_waiting_caller(queue)) != NULL) {
+	while (count-- != 0 && (caller = first_asked_caller(queue)) != NULL) {
 		quota_cancel(caller);
 		caller_on_admitted(caller);
 	}
 }
 
 /*
- * Time until a shard owner may have a token again, according to the owners' last answers, but at
- * least RETRY_MIN.
+ * Time until a shard owner may have a token for the priority again, according to the owners' last
+ * answers, but at least RETRY_MIN.
  */
-static usec_t time_until_token(const quota_queue_t *queue, usec_t now)
+static usec_t time_until_token(const quota_queue_t *queue, unsigned priority, usec_t now)
 {
 	usec_t earliest = USEC_NEVER;
 
 	for (unsigned shard = 0; shard < LIMIT_SHARDS; shard++) {
-		if (queue->empty_until[shard] < earliest)
-			earliest = queue->empty_until[shard];
+		if (queue->empty_until[shard][priority] < earliest)
+			earliest = queue->empty_until[shard][priority];
 	}
 	return earliest > now + RETRY_MIN ? earliest - now : RETRY_MIN;
 }
 
-/* True if a shard owner has reported that it has no token for now. */
-static bool is_limit_reached(const quota_queue_t *queue, usec_t now)
+/* True if a shard owner has reported that it has no token for the priority for now. */
+static bool is_limit_reached(const quota_queue_t *queue, unsigned priority, usec_t now)
 {
 	for (unsigned shard = 0; shard < LIMIT_SHARDS; shard++) {
-		if (now < queue->empty_until[shard])
+		if (now < queue->empty_until[shard][priority])
 			return true;
 	}
 	return false;
@@ -183,14 +211,13 @@
 		      retry_after);
 }
 
-static void refuse_all(quota_queue_t *queue, reason_t reason, usec_t retry_after)
+/*
+ * When a refused caller is to return. Callers that are refused by one answer of the owner are
+ * spread over as much time again, or they would return together for one token.
+ */
+static usec_t spread_return(quota_queue_t *queue, usec_t wait)
 {
-	caller_t *caller;
-
-	while ((caller = first_waiting_caller(queue)) != NULL) {
-		quota_cancel(caller);
-		refuse_caller(caller, queue, reason, retry_after);
-	}
+	return wait + pooler_random(queue->quota->pooler, wait);
 }
 
 /* --- requests to shard owners --- */
@@ -224,8 +251,22 @@
 	timers_arm(queue->quota->pooler->timers, &queue->timer, until, on_timer);
 }
 
+/* Counts the waiting callers that the shard may have tokens for, by priority. */
+static token_counts_t count_waiting(const quota_queue_t *queue, unsigned shard, usec_t now)
+{
+	token_counts_t counts = {0};
+
+	list_for_each (it, &queue->waiting) {
+		unsigned index = token_order_index(list_entry(it, caller_t, quota_node)->priority);
+
+		if (now >= queue->empty_until[shard][index])
+			counts.by_priority[index]++;
+	}
+	return counts;
+}
+
 /*
- * Requests tokens for all waiting callers from the owner of a shard; if that is this proxy, the
+ * Requests tokens for the waiting callers from the owner of a shard; if that is this proxy, the
  * answer is handled at once. False if the shard has no owner, or there is no link to it yet.
  */
 static bool request_tokens(quota_queue_t *queue, unsigned shard, usec_t now)
@@ -239,13 +280,17 @@
 		.number = pooler_next_number(quota->pooler),
 		.customer = queue->customer,
 		.shard = shard,
-		.wanted = (unsigned)list_length(&queue->waiting),
 	};
 	peer_message_t message = {.kind = PEER_QUOTA_REQUEST, .quota_request = &request};
 	quota_answer_t answer;
 
 	if (owner == NULL)
 		return false;
+	request.by_priority = count_waiting(queue, shard, now);
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++)
+		request.wanted += request.by_priority.by_priority[i];
+	queue->asked = request.by_priority;
+	queue->asked_at = now;
 	counter_add(&requests_total, 1);
 	queue->shard = shard;
 	queue->request_number = request.number;
@@ -290,32 +335,57 @@
 
 static bool may_request(const quota_queue_t *queue, unsigned shard, usec_t now)
 {
-	return (queue->tried_shards & 1u << shard) == 0 && now >= queue->empty_until[shard] &&
-	       !is_passed_over(queue, shard, now);
+	if ((queue->tried_shards & 1u << shard) != 0 || is_passed_over(queue, shard, now))
+		return false;
+	list_for_each (it, &queue->waiting) {
+		const caller_t *caller = list_entry(it, caller_t, quota_node);
+
+		if (now >= queue->empty_until[shard][token_order_index(caller->priority)])
+			return true;
+	}
+	return false;
 }
 
 /*
- * Ends a round in which no shard owner had a token. If an owner reported so, the limit is reached,
- * and the waiting callers are refused unless the next token is due soon: shards are small, and one
- * without a token now may have one within milliseconds. Otherwise no owner answered, as when all
- * proxies have just started, and all are tried again.
+ * Decides about a caller after a round in which no shard owner had a token for it. If an owner
+ * reported so, the limit is reached, and the caller is refused unless the next token is due soon:
+ * shards are small, and one without a token now may have one within milliseconds. Otherwise no
+ * owner answered, as when all proxies have just started, and all are tried again. Returns when the
+ * next round begins for the caller; USEC_NEVER if it was refused.
  */
-static void end_round(quota_queue_t *queue, const caller_t *oldest, usec_t now)
+static usec_t end_round_of(quota_queue_t *queue, caller_t *caller, usec_t now)
 {
-	usec_t wait = time_until_token(queue, now);
+	unsigned index = token_order_index(caller->priority);
+	usec_t wait = time_until_token(queue, index, now);
 
-	if (is_limit_reached(queue, now)) {
-		queue->tried_shards = 0;
-		if (now + wait <= oldest->received_at + TOKEN_WAIT_MAX)
-			set_timer(queue, now + wait);
-		else
-			refuse_all(queue, REASON_LIMIT_REACHED, wait);
-	} else if (now >= oldest->received_at + QUOTA_WAIT_MAX) {
-		refuse_all(queue, REASON_LIMIT_UNKNOWN, RETRY_NO_OWNER);
-	} else {
-		queue->tried_shards = 0;
-		set_timer(queue, now + ROUND_INTERVAL);
+	if (is_limit_reached(queue, index, now)) {
+		if (now + wait <= caller->received_at + TOKEN_WAIT_MAX)
+			return now + wait;
+		quota_cancel(caller);
+		refuse_caller(caller, queue, REASON_LIMIT_REACHED, spread_return(queue, wait));
+		return USEC_NEVER;
 	}
+	if (now < caller->received_at + QUOTA_WAIT_MAX)
+		return now + ROUND_INTERVAL;
+	quota_cancel(caller);
+	refuse_caller(caller, queue, REASON_LIMIT_UNKNOWN, RETRY_NO_OWNER);
+	return USEC_NEVER;
+}
+
+/* Ends a round in which no shard owner had a token for the waiting callers. */
+static void end_round(quota_queue_t *queue, usec_t now)
+{
+	usec_t next = USEC_NEVER;
+
+	queue->tried_shards = 0;
+	list_for_each_safe (it, &queue->waiting) {
+		usec_t at = end_round_of(queue, list_entry(it, caller_t, quota_node), now);
+
+		if (at < next)
+			next = at;
+	}
+	if (next != USEC_NEVER)
+		set_timer(queue, next);
 }
 
 /*
@@ -340,12 +410,10 @@
  */
 static void request_next(quota_queue_t *queue, usec_t now)
 {
-	const caller_t *oldest = first_waiting_caller(queue);
-
-	if (oldest == NULL || queue->request_number != 0)
+	if (list_empty(&queue->waiting) || queue->request_number != 0)
 		return;
 	if (!request_from_one(queue, true, now) && !request_from_one(queue, false, now))
-		end_round(queue, oldest, now);
+		end_round(queue, now);
 }
 
 bool quota_admit(caller_t *caller)
@@ -355,14 +423,15 @@
 		customers_find_by_name(pooler->routes->customers, caller->customer);
 	usec_t now = now_of(pooler);
 	quota_queue_t *queue;
-	bool was_empty;
+	bool may_ask;
 
 	if (customer == NULL || customer->rate <= 0)
 		return true;
 	queue = get_queue(pooler->quota, caller->customer);
-	was_empty = list_empty(&queue->waiting);
-	list_add_tail(&queue->waiting, &caller->quota_node);
-	if (!was_empty)
+	insert_by_priority(queue, caller);
+	/* The others wait for the next round, for which this priority need not wait. */
+	may_ask = first_waiting_caller(queue) == caller && queue->request_number == 0;
+	if (!may_ask && list_length(&queue->waiting) != 1)
 		return false;
 	queue->tried_shards = 0;
 	timers_cancel(pooler->timers, &queue->timer);
@@ -371,6 +440,17 @@
 	return false;
 }
 
+/* Records until when the shard has no token for the priorities that it was asked for. */
+static void record_waits(quota_queue_t *queue, const quota_answer_t *answer, usec_t now)
+{
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++) {
+		usec_t wait = answer->has_waits ? answer->waits[i] : answer->retry_after;
+
+		if (queue->asked.by_priority[i] != 0)
+			queue->empty_until[queue->shard][i] = wait != 0 ? now + wait : 0;
+	}
+}
+
 static void handle_answer(quota_queue_t *queue, const quota_answer_t *answer, usec_t now)
 {
 	unsigned shard = queue->shard;
@@ -380,8 +460,7 @@
 	if (answer->granted == 0)
 		queue->tried_shards |= 1u << shard;
 	if (!answer->not_owner)
-		queue->empty_until[shard] =
-			answer->retry_after != 0 ? now + answer->retry_after : 0;
+		record_waits(queue, answer, now);
 	admit_callers(queue, answer->granted);
 	/*
 	 * A round ends when a caller was admitted: for the remaining callers every shard may be
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -1,6 +1,7 @@
 /* Internal structures of the pooler; only its own modules include this header. */
 #pragma once
 
+#include "conn_use.h"
 #include "follow.h"
 #include "freshness.h"
 #include "shard_owners.h"
@@ -52,10 +53,13 @@
 	list_t node; /* in member_t.conns */
 	struct member *member;
 	customer_pool_t *customer_pool; /* NULL for a probe, which runs no statements */
+	conn_use_t *use;		/* that customer's use of the member; NULL for a probe */
 	void *link;			/* connection handle of the environment (env_t) */
 	conn_state_t state;
 	bool probe;
 	bool has_served;    /* has run at least one statement */
+	conn_end_t end;	    /* why it is closed; CONN_END_NONE: it was lost */
+	usec_t taken_at;    /* when a caller last took it; 0: it is not in use */
 	usec_t state_since; /* when the present state began */
 	usec_t ready_at;    /* when the member accepted the connection */
 	usec_t sent_at;	    /* when the last request was sent */
@@ -92,6 +96,7 @@
 	usec_t claim_changed_at; /* when the member's entry last changed claims_primary */
 	list_t conns;
 	size_t conn_count;	   /* without probe connections */
+	conn_use_t *conn_uses;	   /* by customer pool */
 	usec_t no_borrow_until;	   /* after the member refused a connection, this proxy opens none
 				      beyond its share until then */
 	usec_t connect_not_before; /* back-off after a failed connection attempt */
