pooler: homes by processor share with a bound, liveness of peers as a module, pongs kept until a link is up

Cause: homes were chosen by hash with weights 1 to 4, so a service was served by a machine of .08 of a core beside two of .5. home_rank.c (pure) ranks the proxies of a zone: those with at least half of the largest share, by rendezvous hash, each home of no more services than its part of the candidates' share, rounded up. Where all shares are alike the order is as before (test /home-rank/equal-shares).

liveness.c takes what home.c did for silence. A ping that could not be sent for want of a link counted as sent for 100 ms, and an answer to a ping was lost if there was no link back yet: a peer had 250 ms for two links, and lost two pings in them. Now a peer without a link is pinged as soon as there is one (20 ms steps), the answer waits in the outbox for the link back, and the time-out follows the measured round trips (rtt.c) between 250 and 400 ms.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -11,8 +11,8 @@
 #include "dispatch.h"
 #include "forward.h"
 #include "hangup.h"
-#include "home.h"
 #include "job.h"
+#include "liveness.h"
 #include "member.h"
 #include "permit.h"
 #include "quota.h"
@@ -473,7 +473,7 @@
 {
 	if (caller->forward_number == 0 || !caller_may_commit(caller) ||
 	    now >= caller->deadline + REFUSAL_TIMEOUT ||
-	    home_is_suspect(caller->pooler, caller->helper, now))
+	    liveness_is_suspect(caller->pooler, caller->helper, now))
 		return false;
 	timers_arm(caller->pooler->timers, &caller->timer, caller->deadline + REFUSAL_TIMEOUT,
 		   on_deadline);
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -13,6 +13,7 @@
 #include "job.h"
 #include "join.h"
 #include "leader.h"
+#include "liveness.h"
 #include "permit.h"
 #include "push.h"
 #include "quota.h"
@@ -207,19 +208,16 @@
 	return exchange_send(pooler, peer->name, peer->address, &message);
 }
 
-static void on_ping(const pooler_t *pooler, const peer_message_t *message)
+static void on_ping(pooler_t *pooler, const peer_message_t *message)
 {
-	peer_message_t pong = {.kind = PEER_PONG};
-
-	exchange_fill_sender(pooler, &pong);
-	exchange_send(pooler, message->from, message->address, &pong);
+	outbox_send_pong(&pooler->outbox, message->from, message->address);
 }
 
 static void on_pong(pooler_t *pooler, const peer_message_t *message)
 {
 	peer_report_t *report = exchange_get_report(pooler, message->from);
 
-	report->ping_answered = true;
+	liveness_on_pong(report, now_of(pooler));
 	upstream_on_pong(report, now_of(pooler));
 }
 
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -9,6 +9,7 @@
 #include "dispatch.h"
 #include "exchange.h"
 #include "home.h"
+#include "liveness.h"
 #include "permit.h"
 
 #define LOG_MODULE "forward"
@@ -79,7 +80,7 @@
 	caller->placed_at = now;
 	list_add_tail(&pooler->forwarded, &caller->forwarded_node);
 	counter_add(&forwarded_total, 1);
-	home_on_sent(pooler, helper->name, now);
+	liveness_on_sent(pooler, helper->name, now);
 	return true;
 }
 
@@ -112,7 +113,7 @@
 	 * stays unanswered, and the next candidate is chosen soon.
 	 */
 	caller->remote_tx = 0;
-	home_on_sent(pooler, home->name, now);
+	liveness_on_unsent(pooler, home->name, now);
 	return FORWARD_WAIT;
 }
 
@@ -121,7 +122,7 @@
 	const pooler_t *pooler = caller->pooler;
 	const roster_node_t *helper = roster_find_node(pooler->sync.roster, caller->helper);
 
-	if (helper == NULL || helper->gone || home_is_suspect(pooler, caller->helper, now))
+	if (helper == NULL || helper->gone || liveness_is_suspect(pooler, caller->helper, now))
 		return false;
 	return forward_to(caller, helper, now);
 }
@@ -174,7 +175,7 @@
 		caller = NULL;
 	forward_on_peer_message(pooler, message->from);
 	if (message->result->declined)
-		home_on_declined(pooler, message->from, now_of(pooler));
+		liveness_on_declined(pooler, message->from, now_of(pooler));
 	if (caller != NULL)
 		caller_on_forward_result(caller, message->result);
 }
@@ -184,7 +185,8 @@
 	const peer_report_t *report = exchange_find_report(pooler, peer);
 
 	if (report != NULL && report->unanswered_since != 0)
-		home_on_received(pooler, peer, count_forwarded_to(pooler, peer), now_of(pooler));
+		liveness_on_received(pooler, peer, count_forwarded_to(pooler, peer),
+				     now_of(pooler));
 }
 
 /*
@@ -195,7 +197,7 @@
 {
 	if (caller_may_commit(caller))
 		return false;
-	return home_is_suspect(caller->pooler, caller->helper, now);
+	return liveness_is_suspect(caller->pooler, caller->helper, now);
 }
 
 void forward_tick(pooler_t *pooler, usec_t now)
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -6,7 +6,8 @@
 #include <talloc.h>
 #include <xxhash.h>
 
-#include "exchange.h"
+#include "home_rank.h"
+#include "liveness.h"
 #include "permit.h"
 #include "room.h"
 #include "upstream.h"
@@ -28,17 +29,6 @@
  * fewer homes.
  */
 #define MIN_CONNS_PER_HOME 2
-/*
- * A home that has not answered a statement after this time, which is longer than usual work takes,
- * is pinged.
- */
-#define PING_AFTER (100 * USEC_PER_MSEC)
-/*
- * Time between two pings of a peer: half of the time since the peer last answered, within these
- * bounds.
- */
-#define PING_INTERVAL	  (100 * USEC_PER_MSEC)
-#define PING_INTERVAL_MAX (400 * USEC_PER_MSEC)
 /*
  * New links to homes per tick. Each takes some 10 ms on a VM with an eighth of a core: connecting
  * to all homes of a zone at once would block the event loop for 100 to 260 ms, just when callers
@@ -53,23 +43,13 @@
  * both ends.
  */
 #define PRECONNECT_SERVICES_MAX 32
-/*
- * A peer that has sent nothing for this long since a statement was forwarded to it is suspect;
- * enough for a ping, its answer and a tick.
- */
-#define SUSPECT_AFTER (250 * USEC_PER_MSEC)
 /* Home candidates in this proxy's zone; see compute_homes(). */
 #define HOMES_IN_ZONE 2
-/*
- * How long a peer gets no statements after it declined one, because it shuts down or has another
- * configuration.
- */
-#define DECLINED_TIME (100 * USEC_PER_MSEC)
 /* How long a proxy keeps its connections after another proxy forwarded a statement to it. */
 #define KEEP_CONNS_TIME (2 * USEC_PER_SEC)
 
-COUNTER_DEFINE(suspected_total, "homes_suspected_total", COUNTER_SUM,
-	       "Times that a home of this proxy's services did not answer.");
+COUNTER_DEFINE(moved_total, "homes_moved_total", COUNTER_SUM,
+	       "Times that another proxy became the first home of a service for this proxy.");
 
 bool home_is_needed(const service_t *service)
 {
@@ -80,13 +60,13 @@
 
 /* --- the order of the candidates --- */
 
-/* The two proxies of a zone that come first for a service by hash. */
+/* A zone with its proxies and the home of a service there. */
 typedef struct zone_homes {
 	const char *zone;
-	const roster_node_t *first;
-	const roster_node_t *second; /* NULL: the zone has only one proxy */
-	uint64_t first_hash;
-	uint64_t second_hash;
+	const roster_node_t **proxies;
+	size_t proxy_count;
+	home_rank_t rank;
+	uint64_t hash; /* of the home for the service */
 } zone_homes_t;
 
 static int compare_by_hash(const void *a, const void *b)
@@ -94,52 +74,88 @@
 	const zone_homes_t *x = a;
 	const zone_homes_t *y = b;
 
-	return (x->first_hash > y->first_hash) - (x->first_hash < y->first_hash);
+	return (x->hash > y->hash) - (x->hash < y->hash);
 }
 
-static zone_homes_t *get_zone(zone_homes_t *ranked, size_t *count, const char *zone)
+static int compare_numbers(const void *a, const void *b)
+{
+	const uint64_t *x = a;
+	const uint64_t *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+static uint64_t hash_service(const char *name)
+{
+	return XXH64(name, strlen(name), 0);
+}
+
+/* The hashes of the configuration's services in ascending order; a talloc child of parent. */
+static uint64_t *hash_services(const pooler_t *pooler, void *parent, size_t *count)
+{
+	uint64_t *hashes;
+
+	*count = 0;
+	if (pooler->routes == NULL)
+		return NULL;
+	hashes = talloc_array(parent, uint64_t, list_length(&pooler->routes->services));
+	list_for_each (it, &pooler->routes->services)
+		hashes[(*count)++] = hash_service(list_entry(it, service_limits_t, node)->name);
+	qsort(hashes, *count, sizeof(*hashes), compare_numbers);
+	return hashes;
+}
+
+static zone_homes_t *get_zone(zone_homes_t *zones, size_t *count, const char *zone,
+			      size_t proxy_count)
 {
 	for (size_t i = 0; i < *count; i++) {
-		if (strcmp(ranked[i].zone, zone) == 0)
-			return &ranked[i];
+		if (strcmp(zones[i].zone, zone) == 0)
+			return &zones[i];
 	}
-	ranked[*count] = (zone_homes_t){.zone = zone, .first_hash = UINT64_MAX};
-	return &ranked[(*count)++];
+	zones[*count] = (zone_homes_t){
+		.zone = zone,
+		.proxies = talloc_array(zones, const roster_node_t *, proxy_count),
+	};
+	return &zones[(*count)++];
 }
 
-static void rank_proxy(zone_homes_t *zone_homes, const roster_node_t *node, uint64_t hash)
+/* The zones of the roster with their live proxies; a talloc child of parent. */
+static zone_homes_t *collect_zones(const pooler_t *pooler, void *parent, size_t *count)
 {
-	if (zone_homes->first == NULL || hash < zone_homes->first_hash) {
-		zone_homes->second = zone_homes->first;
-		zone_homes->second_hash = zone_homes->first_hash;
-		zone_homes->first = node;
-		zone_homes->first_hash = hash;
-	} else if (zone_homes->second == NULL || hash < zone_homes->second_hash) {
-		zone_homes->second = node;
-		zone_homes->second_hash = hash;
+	size_t proxy_count = pooler->sync.proxy_count;
+	zone_homes_t *zones = talloc_array(parent, zone_homes_t, proxy_count);
+
+	*count = 0;
+	list_for_each (it, &pooler->sync.roster->nodes) {
+		const roster_node_t *node = list_entry(it, roster_node_t, node);
+		zone_homes_t *zone;
+
+		if (node->gone)
+			continue;
+		zone = get_zone(zones, count, node->zone, proxy_count);
+		zone->proxies[zone->proxy_count++] = node;
 	}
+	return zones;
 }
 
 /*
- * The zones of the roster with their first two proxies, sorted by hash; a talloc child of parent.
- * One pass over the proxies, for each service in use after each change of the fleet.
+ * The zones of the roster with the service's home in each, sorted by the homes' hashes; a talloc
+ * child of parent. Runs for each service in use after each change of the fleet.
  */
 static zone_homes_t *rank_zones(const service_t *service, void *parent, size_t *count)
 {
-	const pooler_t *pooler = service->pooler;
-	zone_homes_t *ranked = talloc_array(parent, zone_homes_t, pooler->sync.proxy_count);
-	uint64_t hash = XXH64(service->name, strlen(service->name), 0);
+	uint64_t hash = hash_service(service->name);
+	zone_homes_t *zones = collect_zones(service->pooler, parent, count);
+	size_t service_count;
+	const uint64_t *services = hash_services(service->pooler, zones, &service_count);
 
-	*count = 0;
-	list_for_each (it, &pooler->sync.roster->nodes) {
-		const roster_node_t *node = list_entry(it, roster_node_t, node);
-
-		if (!node->gone)
-			rank_proxy(get_zone(ranked, count, node->zone), node,
-				   upstream_hash(node, hash));
+	for (size_t i = 0; i < *count; i++) {
+		zones[i].rank = home_rank_find(zones[i].proxies, zones[i].proxy_count, services,
+					       service_count, hash);
+		zones[i].hash = upstream_hash(zones[i].rank.home, hash);
 	}
-	qsort(ranked, *count, sizeof(*ranked), compare_by_hash);
-	return ranked;
+	qsort(zones, *count, sizeof(*zones), compare_by_hash);
+	return zones;
 }
 
 /* Number of homes: one per zone, or fewer if each would have too few connections. */
@@ -169,51 +185,77 @@
 	return NULL;
 }
 
+static int64_t get_config_version(const pooler_t *pooler)
+{
+	return pooler->routes != NULL ? pooler->routes->version : 0;
+}
+
+/* Why the former home is not the first candidate any more. */
+static const char *reason_of_move(const service_t *service, const homes_t *former)
+{
+	const roster_node_t *node =
+		roster_find_node(service->pooler->sync.roster, former->names[0]);
+
+	if (node == NULL || node->gone)
+		return "the former home left";
+	if (!home_rank_is_candidate(node->capacity, service->homes.share))
+		return "a proxy with more processor share registered";
+	if (former->config_version != service->homes.config_version)
+		return "the configuration's services changed";
+	return "another proxy of its share registered or left";
+}
+
+static void report_move(const service_t *service, const homes_t *former)
+{
+	const homes_t *homes = &service->homes;
+
+	if (former->len == 0 || homes->len == 0 || strcmp(former->names[0], homes->names[0]) == 0)
+		return;
+	counter_add(&moved_total, 1);
+	LOG_EVENT(LOG_INFO, "home moved", LOG_STR("service", service->name),
+		  LOG_STR("from", former->names[0]), LOG_STR("to", homes->names[0]),
+		  LOG_INT("share_percent", homes->share),
+		  LOG_INT("proxies", (int64_t)service->pooler->sync.proxy_count),
+		  LOG_STR("reason", reason_of_move(service, former)));
+}
+
 static void compute_homes(service_t *service)
 {
 	homes_t *homes = &service->homes;
+	const homes_t former = *homes;
+	const pooler_t *pooler = service->pooler;
+	const roster_node_t *first;
 	size_t count;
 	zone_homes_t *ranked = rank_zones(service, NULL, &count);
 	const zone_homes_t *own_zone;
 
-	talloc_free(homes->parent);
 	homes->parent = talloc_new(service);
-	homes->nodes_revision = service->pooler->sync.roster->nodes_revision;
+	homes->nodes_revision = pooler->sync.roster->nodes_revision;
+	homes->config_version = get_config_version(pooler);
 	homes->len = 0;
 	homes->fleet_count = limit_homes(service, count);
 	/* This zone's home and its substitute, then the homes of the other zones. */
 	own_zone = find_own_zone(service, ranked);
 	if (own_zone != NULL) {
-		add_candidate(homes, own_zone->first);
-		add_candidate(homes, own_zone->second);
+		add_candidate(homes, own_zone->rank.home);
+		add_candidate(homes, own_zone->rank.substitute);
 	}
 	for (size_t i = 0; i < count; i++) {
 		if (&ranked[i] != own_zone)
-			add_candidate(homes, ranked[i].first);
+			add_candidate(homes, ranked[i].rank.home);
 	}
 	talloc_free(ranked);
-}
-
-/* Pings a peer unless it was pinged within the interval; without an answer it becomes suspect. */
-static void ping(pooler_t *pooler, const char *name, usec_t now, usec_t interval)
-{
-	const roster_node_t *node = roster_find_node(pooler->sync.roster, name);
-	peer_report_t *report;
-
-	if (node == NULL || strcmp(name, pooler->config.name) == 0)
-		return;
-	home_on_sent(pooler, name, now);
-	report = exchange_get_report(pooler, name);
-	if (now < report->pinged_at + interval)
-		return;
-	report->pinged_at = now;
-	exchange_send_ping(pooler, node);
+	first = homes->len != 0 ? roster_find_node(pooler->sync.roster, homes->names[0]) : NULL;
+	homes->share = first != NULL ? first->capacity : 0;
+	report_move(service, &former);
+	talloc_free(former.parent);
 }
 
 static const homes_t *get_homes(service_t *service)
 {
 	if (service->homes.parent == NULL ||
-	    service->homes.nodes_revision != service->pooler->sync.roster->nodes_revision)
+	    service->homes.nodes_revision != service->pooler->sync.roster->nodes_revision ||
+	    service->homes.config_version != get_config_version(service->pooler))
 		compute_homes(service);
 	return &service->homes;
 }
@@ -230,7 +272,6 @@
 	const homes_t *homes;
 	const char *name;
 	const roster_node_t *node;
-	peer_report_t *report;
 
 	if (!home_is_needed(service))
 		return true;
@@ -239,20 +280,7 @@
 	node = name != NULL ? roster_find_node(pooler->sync.roster, name) : NULL;
 	if (node == NULL || strcmp(name, pooler->config.name) == 0)
 		return true;
-	report = exchange_get_report(pooler, name);
-	if (!report->ping_answered && *links_left > 0 &&
-	    now >= report->pinged_at + PING_INTERVAL_MAX) {
-		(*links_left)--;
-		/*
-		 * The first ping only makes the link from here; the one that arrives makes the
-		 * home's link back.
-		 */
-		if (exchange_send_ping(pooler, node))
-			report->pinged_at = now;
-		else
-			report->pinged_at = now + PING_INTERVAL - PING_INTERVAL_MAX;
-	}
-	return report->ping_answered;
+	return liveness_connect(pooler, node, now, links_left);
 }
 
 /*
@@ -300,26 +328,6 @@
 
 /* --- choice of the home --- */
 
-/*
- * True if the process that the roster lists is shutting down, or has left the roster, so that no
- * statement has to find that out by waiting for SUSPECT_AFTER.
- */
-static bool is_leaving(const pooler_t *pooler, const peer_report_t *report)
-{
-	const roster_node_t *node = roster_find_node(pooler->sync.roster, report->name);
-
-	return node == NULL || node->incarnation <= report->drained_incarnation;
-}
-
-static bool is_usable(const pooler_t *pooler, const char *name, usec_t now)
-{
-	const peer_report_t *report = exchange_find_report(pooler, name);
-
-	return report == NULL ||
-	       (now >= report->declined_until && !home_is_suspect(pooler, name, now) &&
-		!is_leaving(pooler, report));
-}
-
 const roster_node_t *home_find(service_t *service, usec_t now)
 {
 	const pooler_t *pooler = service->pooler;
@@ -327,7 +335,7 @@
 
 	for (size_t i = 0; i < homes->len; i++) {
 		if (strcmp(homes->names[i], pooler->config.name) == 0 ||
-		    is_usable(pooler, homes->names[i], now))
+		    liveness_is_usable(pooler, homes->names[i], now))
 			return roster_find_node(pooler->sync.roster, homes->names[i]);
 	}
 	return NULL;
@@ -343,49 +351,14 @@
 	return home != NULL && strcmp(home->name, service->pooler->config.name) == 0;
 }
 
-/* --- availability of peers --- */
-
-void home_on_sent(pooler_t *pooler, const char *name, usec_t now)
-{
-	peer_report_t *report = exchange_get_report(pooler, name);
-
-	if (report->unanswered_since == 0)
-		report->unanswered_since = now;
-	if (list_empty(&report->unanswered_node))
-		list_add_tail(&pooler->sync.unanswered_reports, &report->unanswered_node);
-	pooler_hasten_tick(pooler);
-}
-
-void home_on_received(pooler_t *pooler, const char *name, size_t outstanding, usec_t now)
-{
-	peer_report_t *report = exchange_get_report(pooler, name);
-
-	if (report->suspected)
-		LOG_EVENT(LOG_INFO, "home answers again", LOG_STR("proxy", name));
-	report->suspected = false;
-	report->unanswered_since = outstanding != 0 ? now : 0;
-}
-
-void home_on_declined(pooler_t *pooler, const char *name, usec_t now)
-{
-	exchange_get_report(pooler, name)->declined_until = now + DECLINED_TIME;
-}
-
-bool home_is_suspect(const pooler_t *pooler, const char *name, usec_t now)
-{
-	const peer_report_t *report = exchange_find_report(pooler, name);
-
-	return report != NULL && report->unanswered_since != 0 &&
-	       now >= report->unanswered_since + SUSPECT_AFTER &&
-	       now >= pooler->resumed_at + SUSPECT_AFTER;
-}
+/* --- availability of homes --- */
 
 /* Index of the first home candidate that is not suspect; their number if all are. */
 static size_t first_not_suspect(const pooler_t *pooler, const homes_t *homes, usec_t now)
 {
 	size_t next = 0;
 
-	while (next < homes->len && home_is_suspect(pooler, homes->names[next], now))
+	while (next < homes->len && liveness_is_suspect(pooler, homes->names[next], now))
 		next++;
 	return next;
 }
@@ -409,46 +382,12 @@
 		next = first_not_suspect(pooler, homes, now);
 		end = next < HOMES_IN_ZONE ? next + 1 : homes->len;
 		for (size_t i = next; i < end && i < homes->len; i++)
-			ping(pooler, homes->names[i], now, PING_INTERVAL);
+			liveness_ping(pooler, homes->names[i], now);
 	}
 }
 
-/* The longer a peer is silent, the less often it is pinged. */
-static usec_t ping_interval(const peer_report_t *report, usec_t now)
-{
-	return usec_clamp((now - report->unanswered_since) / 2, PING_INTERVAL, PING_INTERVAL_MAX);
-}
-
-static void check_suspect(pooler_t *pooler, peer_report_t *report, usec_t now)
-{
-	if (report->suspected || !home_is_suspect(pooler, report->name, now))
-		return;
-	report->suspected = true;
-	counter_add(&suspected_total, 1);
-	LOG_EVENT(
-		LOG_WARN, "home does not answer", LOG_STR("proxy", report->name),
-		LOG_INT("silent_ms", (int64_t)((now - report->unanswered_since) / USEC_PER_MSEC)));
-	ping_next_candidates(pooler, report->name, now);
-}
-
 void home_tick(pooler_t *pooler, usec_t now)
 {
 	preconnect_all(pooler, now);
-	list_for_each_safe (it, &pooler->sync.unanswered_reports) {
-		peer_report_t *report = list_entry(it, peer_report_t, unanswered_node);
-		const roster_node_t *node;
-
-		if (report->unanswered_since == 0) {
-			list_del(&report->unanswered_node);
-			continue;
-		}
-		if (now < report->unanswered_since + PING_AFTER)
-			continue;
-		check_suspect(pooler, report, now);
-		node = roster_find_node(pooler->sync.roster, report->name);
-		if (node == NULL || node->gone)
-			report->unanswered_since = 0;
-		else
-			ping(pooler, report->name, now, ping_interval(report, now));
-	}
+	liveness_tick(pooler, now, ping_next_candidates);
 }
--- a/pooler/home.h
+++ b/pooler/home.h
@@ -36,22 +36,5 @@
  */
 bool home_holds_conns(service_t *service, usec_t now);
 
-/* --- availability of peers to which statements are forwarded --- */
-
-/* Records that a message was sent to the peer that it must answer. */
-void home_on_sent(pooler_t *pooler, const char *name, usec_t now);
-
-/*
- * Records that a message from the peer has arrived. outstanding: number of forwarded statements
- * that the peer has not answered yet.
- */
-void home_on_received(pooler_t *pooler, const char *name, size_t outstanding, usec_t now);
-
-/* Records that the peer declined a statement. */
-void home_on_declined(pooler_t *pooler, const char *name, usec_t now);
-
-/* True if the peer has sent nothing for too long since home_on_sent(). */
-bool home_is_suspect(const pooler_t *pooler, const char *name, usec_t now);
-
-/* Connects to homes ahead of use, and pings peers whose answers are overdue. */
+/* Connects to homes ahead of use, and looks after the liveness of peers (liveness.h). */
 void home_tick(pooler_t *pooler, usec_t now);
--- a/pooler/outbox.c
+++ b/pooler/outbox.c
@@ -24,9 +24,9 @@
 	list_t node; /* in outbox_t.pending */
 	char *to;
 	char *address;
-	bool is_answer;
-	forward_result_t result;
-	quota_answer_t answer; /* valid if is_answer, else result is */
+	peer_message_kind_t kind; /* of the message: a result, an answer or a pong */
+	forward_result_t result;  /* valid for PEER_FORWARD_RESULT */
+	quota_answer_t answer;	  /* valid for PEER_QUOTA_ANSWER */
 	usec_t since;
 } pending_t;
 
@@ -66,11 +66,23 @@
 	return fill_and_send(outbox, to, address, &message);
 }
 
+static bool send_pong(const outbox_t *outbox, const char *to, const char *address)
+{
+	peer_message_t message = {.kind = PEER_PONG};
+
+	return fill_and_send(outbox, to, address, &message);
+}
+
 static bool resend(const outbox_t *outbox, const pending_t *entry)
 {
-	if (entry->is_answer)
+	switch (entry->kind) {
+	case PEER_QUOTA_ANSWER:
 		return send_answer(outbox, entry->to, entry->address, &entry->answer);
-	return send_result(outbox, entry->to, entry->address, &entry->result);
+	case PEER_PONG:
+		return send_pong(outbox, entry->to, entry->address);
+	default:
+		return send_result(outbox, entry->to, entry->address, &entry->result);
+	}
 }
 
 static void remove_pending(pending_t *entry)
@@ -101,10 +113,12 @@
 		timers_arm(outbox->pooler->timers, timer, now + RETRY_INTERVAL, on_retry);
 }
 
-static pending_t *add_pending(outbox_t *outbox, const char *to, const char *address)
+static pending_t *add_pending(outbox_t *outbox, const char *to, const char *address,
+			      peer_message_kind_t kind)
 {
 	pending_t *entry = talloc_zero(outbox->pooler, pending_t);
 
+	entry->kind = kind;
 	entry->to = talloc_strdup(entry, to);
 	entry->address = talloc_strdup(entry, address);
 	entry->since = now_of(outbox->pooler);
@@ -122,7 +136,7 @@
 
 	if (send_result(outbox, to, address, result))
 		return;
-	entry = add_pending(outbox, to, address);
+	entry = add_pending(outbox, to, address, PEER_FORWARD_RESULT);
 	entry->result = *result;
 	entry->result.raw =
 		slice_of(talloc_strndup(entry, result->raw.at, result->raw.len), result->raw.len);
@@ -130,6 +144,23 @@
 	entry->result.text = talloc_strdup(entry, result->text);
 }
 
+static bool has_pending_pong(const outbox_t *outbox, const char *to)
+{
+	list_for_each (it, &outbox->pending) {
+		const pending_t *entry = list_entry(it, pending_t, node);
+
+		if (entry->kind == PEER_PONG && strcmp(entry->to, to) == 0)
+			return true;
+	}
+	return false;
+}
+
+void outbox_send_pong(outbox_t *outbox, const char *to, const char *address)
+{
+	if (!send_pong(outbox, to, address) && !has_pending_pong(outbox, to))
+		add_pending(outbox, to, address, PEER_PONG);
+}
+
 void outbox_send_quota_answer(outbox_t *outbox, const char *to, const char *address,
 			      const quota_answer_t *answer)
 {
@@ -137,8 +168,7 @@
 
 	if (send_answer(outbox, to, address, answer))
 		return;
-	entry = add_pending(outbox, to, address);
-	entry->is_answer = true;
+	entry = add_pending(outbox, to, address, PEER_QUOTA_ANSWER);
 	entry->answer = *answer;
 	entry->answer.customer = talloc_strdup(entry, answer->customer);
 }
--- a/pooler/outbox.h
+++ b/pooler/outbox.h
@@ -25,6 +25,12 @@
 void outbox_send_result(outbox_t *outbox, const char *to, const char *address,
 			const forward_result_t *result);
 
+/*
+ * The same for the answer to a ping. At most one is kept for each proxy, since one shows that this
+ * proxy is alive.
+ */
+void outbox_send_pong(outbox_t *outbox, const char *to, const char *address);
+
 /* The same for the answer to a request for operations within a customer's limit. */
 void outbox_send_quota_answer(outbox_t *outbox, const char *to, const char *address,
 			      const quota_answer_t *answer);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -335,6 +335,7 @@
 {
 	timers_cancel(pooler->timers, &pooler->tick);
 	timers_cancel(pooler->timers, &pooler->hangup_timer);
+	timers_cancel(pooler->timers, &pooler->link_timer);
 	sync_destroy(pooler);
 	outbox_destroy(&pooler->outbox);
 	list_for_each (it, &pooler->services) {
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -8,8 +8,8 @@
 #include "bucket.h"
 #include "caller.h"
 #include "exchange.h"
-#include "home.h"
 #include "limit_shards.h"
+#include "liveness.h"
 
 #define LOG_MODULE "quota"
 #include "counter.h"
@@ -261,8 +261,9 @@
 	 * Detects a silent owner from the requests for all customers together; the owner is then
 	 * pinged.
 	 */
-	home_on_sent(pooler, owner->name, now);
+	liveness_on_sent(pooler, owner->name, now);
 	if (!pooler->env->ops->peer_send(pooler->env, owner->name, owner->address, &message)) {
+		liveness_on_unsent(pooler, owner->name, now);
 		queue->request_number = 0;
 		return false;
 	}
@@ -285,7 +286,7 @@
 	const peer_report_t *report = name != NULL ? exchange_find_report(pooler, name) : NULL;
 
 	return report != NULL && (now < report->shard_owner_avoided_until ||
-				  home_is_suspect(pooler, report->name, now));
+				  liveness_is_suspect(pooler, report->name, now));
 }
 
 static bool may_request(const quota_queue_t *queue, unsigned shard, usec_t now)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -11,6 +11,7 @@
 #include "cache_validity.h"
 #include "reason.h"
 #include "roster.h"
+#include "rtt.h"
 #include "summary.h"
 #include "variables.h"
 
@@ -243,8 +244,10 @@
 	void *parent;		/* talloc context of the names; NULL: not computed yet */
 	int64_t nodes_revision; /* roster_t.nodes_revision from which the candidates were computed
 				 */
+	int64_t config_version; /* version of the configuration with whose services they were */
 	const char *names[HOME_CANDIDATES];
-	size_t len;	    /* number of names */
+	int64_t share; /* processor share of the first one in percent of a core; 0: not reported */
+	size_t len;    /* number of names */
 	size_t fleet_count; /* homes of the service in the whole fleet */
 } homes_t;
 
@@ -329,8 +332,13 @@
 	usec_t unanswered_since; /* since a statement was forwarded to it and no message has come
 				    from it; 0: none */
 	list_t unanswered_node;	 /* in sync_t.unanswered_reports while unanswered_since is set */
-	usec_t pinged_at;
-	bool ping_answered; /* it has answered a ping, so there are links in both directions */
+	usec_t pinged_at;	 /* when a ping was last sent to it */
+	usec_t ping_unanswered_since; /* when the first ping that it has not answered was sent; 0:
+					 none */
+	unsigned unsent_count; /* messages not sent for want of a link, since its last message */
+	bool lacks_link;       /* it is pinged as soon as there is a link to it */
+	rtt_t rtt;	       /* of pings */
+	bool ping_answered;    /* it has answered a ping, so there are links in both directions */
 	usec_t declined_until;
 	bool suspected;	      /* its silence was logged */
 	usec_t listed_since;  /* when it first appeared on the roster */
@@ -492,6 +500,7 @@
 	struct relay *relay; /* access to the store, directly or through a peer */
 	outbox_t outbox;
 	run_timer_t tick;
+	run_timer_t link_timer;	  /* pings peers without a link; see liveness.h */
 	run_timer_t hangup_timer; /* closes the next batch of sessions */
 	usec_t last_tick;
 	usec_t tick_due; /* when the next tick is due */
