--- a/tests/pool_peers.c
+++ b/tests/pool_peers.c
@@ -39,7 +39,7 @@
 
 /*
  * With links_need_setup the first message to a proxy only opens the link and is not sent. Opening
- * takes one round trip.
+ * takes one round trip, or link_setup_time.
  */
 static bool is_link_ready(world_node_t *from, const world_node_t *to)
 {
@@ -48,7 +48,9 @@
 	if (!from->world->links_need_setup)
 		return true;
 	if (*at == 0)
-		*at = world_now(from->world) + 2 * LINK_DELAY;
+		*at = world_now(from->world) + (from->world->link_setup_time != 0
+							? from->world->link_setup_time
+							: 2 * LINK_DELAY);
 	return world_now(from->world) >= *at;
 }
 
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -278,6 +278,7 @@
 	pooler_config_t config = {
 		.name = node->name,
 		.zone = node->zone,
+		.capacity = node->capacity,
 		.address = node->address,
 		.prefix = "fleet/",
 		.incarnation = ++node->incarnation,
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -46,6 +46,7 @@
 	follow_t config;	 /* where proxies read the directory from the store */
 	follow_t members;
 	int64_t members_version; /* of the list of members that it has received; 0: none */
+	int64_t capacity;	 /* processor share in percent of a core; 0: not reported */
 	usec_t peer_delay;	 /* added to LINK_DELAY for messages to this proxy */
 	size_t messages_sent;	 /* to other proxies */
 	size_t bytes_sent;	 /* length of these messages */
@@ -100,6 +101,7 @@
 	int64_t added_in_version; /* first version with WORLD_ADDED_DATABASE; 0: none */
 	size_t config_bytes;	  /* in the store; 0: the test passes it to the proxies */
 	bool links_need_setup;	  /* the first message to a proxy is not sent, but opens the link */
+	usec_t link_setup_time;	  /* that this takes; 0: one round trip */
 	bool baseline;	    /* proxies that start serve in order of arrival and without homes */
 	bool sync_replicas; /* what the configuration sets for the service */
 	/* If there are any, all routes but "open" and WORLD_ADDED_DATABASE need a key. */
