--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -37,6 +37,8 @@
 
 COUNTER_DEFINE(retried_total, "statements_retried_total", COUNTER_SUM,
 	       "Retries of statements that callers did not notice.");
+COUNTER_DEFINE(retries_denied_total, "statements_retries_denied_total", COUNTER_SUM,
+	       "Retries that were not made since the service's budget for them was used up.");
 COUNTER_DEFINE(transactions_total, "transactions_total", COUNTER_SUM, "Transactions begun.");
 COUNTER_DEFINE(open_callers, "callers_open", COUNTER_GAUGE, "Open sessions of callers.");
 
@@ -93,10 +95,12 @@
 {
 	caller_reply_t reply = {.kind = REPLY_RAW, .raw = from->raw};
 
-	if (from->ok)
+	if (from->ok) {
+		retry_budget_on_success(&caller->service->retry_budget);
 		report_success(caller);
-	else
+	} else {
 		report_failure(caller, from->code, REASON_MEMBER_FAILED, code_name(from->code));
+	}
 	send_answer(caller, &reply, from);
 }
 
@@ -172,6 +176,18 @@
 	dispatch_enqueue(caller);
 }
 
+/* Takes a retry from the service's budget; returns false, with a log line, if none is left. */
+static bool take_retry(caller_t *caller)
+{
+	if (retry_budget_take(&caller->service->retry_budget, now_of(caller->pooler)))
+		return true;
+	counter_add(&retries_denied_total, 1);
+	LOG_EVENT(LOG_INFO, "retry budget used up",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("service", caller->service->name), LOG_INT("attempts", caller->attempts));
+	return false;
+}
+
 /* The statement certainly did not run: retries it, or refuses it with a code that says so. */
 static void retry_or_refuse(caller_t *caller, code_t code, reason_t reason, const char *detail)
 {
@@ -181,7 +197,8 @@
 		fail_statement(caller, CODE_ABORTED, reason, detail);
 		return;
 	}
-	if (caller->attempts >= RETRIES_MAX) {
+	/* A replica that lags refuses at once, and the primary serves the read. */
+	if (caller->attempts >= RETRIES_MAX || (code != CODE_LAGGING && !take_retry(caller))) {
 		caller_refuse(caller, CODE_BUSY, reason, RETRY_BACKOFF * RETRIES_MAX);
 		return;
 	}
@@ -200,7 +217,8 @@
 
 bool caller_retry_read(caller_t *caller)
 {
-	if (caller->tx != TX_NONE || is_write(caller) || caller->attempts >= READ_RETRIES_MAX)
+	if (caller->tx != TX_NONE || is_write(caller) || caller->attempts >= READ_RETRIES_MAX ||
+	    !take_retry(caller))
 		return false;
 	conn_orphan(caller->conn);
 	requeue(caller, 0);
@@ -320,8 +338,9 @@
 	if (reply->ok) {
 		dispatch_record_response(caller, conn);
 		on_success(caller, conn, reply);
-	} else
+	} else {
 		on_error(caller, conn, reply);
+	}
 	hangup_after_answer(caller);
 }
 
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -51,6 +51,8 @@
 
 /* Objective of callers that are served in order of arrival. */
 #define NEVER_LATE (3600 * USEC_PER_SEC)
+/* Each arrival counts for a 16th of the part that is refused. */
+#define REFUSED_SMOOTHING 16
 /* Jitter of the retry-after time, as a part of it: callers refused together don't return together.
  */
 #define RETRY_JITTER_DIVISOR 2
@@ -414,15 +416,17 @@
 	return (backlog_t){ahead.all, total.all, slots};
 }
 
+/*
+ * Adds jitter, and leaves the caller as much time for its return as it waits until then. One that
+ * is refused at its deadline may return as well, if it waits for longer than this proxy knows.
+ */
 static usec_t limit_retry_after(const caller_t *caller, usec_t retry_after, usec_t now)
 {
 	usec_t left = caller->deadline > now ? caller->deadline - now : 0;
+	usec_t max = usec_clamp(left / 2, QUEUE_RETRY_AFTER, RETRY_AFTER_MAX);
 
 	retry_after += pooler_random(caller->pooler, retry_after / RETRY_JITTER_DIVISOR + 1);
-	/* A caller that is refused at its deadline may still return once, if it waits for longer
-	 * than this proxy knows. */
-	return usec_clamp(left / 2, QUEUE_RETRY_AFTER,
-			  retry_after < RETRY_AFTER_MAX ? retry_after : RETRY_AFTER_MAX);
+	return earlier(retry_after, max);
 }
 
 static const reason_t refusal_reasons[OVERLOAD_VERDICTS] = {
@@ -463,7 +467,7 @@
 /* Refuses the caller if the queue leaves no time for it. Returns false if it may wait. */
 static bool refuse_if_overloaded(caller_t *caller, bool arriving, usec_t now)
 {
-	const service_t *service = caller->service;
+	service_t *service = caller->service;
 	choice_capacity_t capacity = choice_capacity(caller, now);
 	backlog_t backlog = backlog_of(caller, capacity, now);
 	estimate_t response = expected_response(caller, now);
@@ -478,12 +482,17 @@
 		.response = response.mean + CALLER_ROUND_TRIP,
 		.spread = response.deviation,
 		.arriving = arriving,
+		.refused_part = service->refused_part,
 		.may_commit = caller_may_commit(caller),
 		.busy_since = capacity.primary_only ? service->primary_busy_since
 						    : service->members_busy_since,
 	};
 	overload_decision_t decision = overload_decide(&input);
 
+	if (arriving)
+		service->refused_part +=
+			((decision.verdict != OVERLOAD_ADMIT) - service->refused_part) /
+			REFUSED_SMOOTHING;
 	if (decision.verdict == OVERLOAD_ADMIT)
 		return false;
 	refuse_for_overload(caller, &input, &decision, arriving);
--- a/pooler/overload.c
+++ b/pooler/overload.c
@@ -5,9 +5,11 @@
 /* A write that is sent too late ends in doubt, so it gets the time that most of them need. */
 #define WRITE_DEVIATIONS 3
 /* For an arriving statement the queue ahead counts several times. */
-#define ARRIVAL_WAIT_FACTOR 2
+#define ARRIVAL_WAIT_FACTOR 3
 /* The shortest time after which a return makes sense: some statements have ended by then. */
 #define RETRY_AFTER_MIN (20 * USEC_PER_MSEC)
+/* Part of the statements that is assumed to be admitted at least. */
+#define ADMITTED_PART_MIN 0.05
 /* Slots assumed at least, so that a wait is finite. */
 #define SLOTS_MIN 0.05
 /* Longest wait that is told apart. */
@@ -59,15 +61,42 @@
 	return OVERLOAD_ADMIT;
 }
 
+/* The longest queue ahead with which a statement that arrives now is admitted under overload. */
+static usec_t longest_wait(const overload_input_t *input)
+{
+	usec_t answered =
+		input->now + overload_response_bound(input->response, input->spread, false);
+	usec_t end = input->arrived_at + input->objective;
+
+	return answered < end ? (end - answered) / ARRIVAL_WAIT_FACTOR : 0;
+}
+
+/*
+ * When the statement would probably be admitted: when the queue has become as short as it must be,
+ * if it can still meet its objective then, else when the queue has emptied. If many are refused,
+ * the room is taken by others, and to return as early would only add to the load.
+ */
+static usec_t time_until_admitted(const overload_input_t *input, usec_t wait)
+{
+	usec_t longest = longest_wait(input);
+	usec_t excess = wait > longest ? wait - longest : 0;
+	usec_t after = excess <= longest ? excess : time_for(input->work, input->slots);
+	double admitted_part = 1 - input->refused_part;
+
+	if (after < RETRY_AFTER_MIN)
+		after = RETRY_AFTER_MIN;
+	if (admitted_part < ADMITTED_PART_MIN)
+		admitted_part = ADMITTED_PART_MIN;
+	return (usec_t)((double)after / admitted_part);
+}
+
 overload_decision_t overload_decide(const overload_input_t *input)
 {
-	overload_decision_t decision = {
-		.expected_wait = time_for(input->work_ahead, input->slots),
-		.retry_after = time_for(input->work, input->slots),
-	};
+	usec_t wait = time_for(input->work_ahead, input->slots);
 
-	if (decision.retry_after < RETRY_AFTER_MIN)
-		decision.retry_after = RETRY_AFTER_MIN;
-	decision.verdict = judge(input, decision.expected_wait);
-	return decision;
+	return (overload_decision_t){
+		.verdict = judge(input, wait),
+		.expected_wait = wait,
+		.retry_after = time_until_admitted(input, wait),
+	};
 }
--- a/pooler/overload.h
+++ b/pooler/overload.h
@@ -12,15 +12,16 @@
 typedef struct overload_input {
 	usec_t now;
 	usec_t arrived_at;
-	usec_t objective;  /* response time objective, counted from arrived_at */
-	usec_t deadline;   /* the caller stops waiting */
-	usec_t work_ahead; /* expected work of the statements that are served before this one */
-	usec_t work;	   /* of all that wait, this one included */
-	double slots;	   /* of the members that may serve the statement, this proxy's part */
-	usec_t response;   /* expected time from sending the statement until its answer */
-	usec_t spread;	   /* mean deviation of that time */
-	bool arriving;	   /* it has waited for nothing yet */
-	bool may_commit;   /* sent too late, it would end in doubt */
+	usec_t objective;    /* response time objective, counted from arrived_at */
+	usec_t deadline;     /* the caller stops waiting */
+	usec_t work_ahead;   /* expected work of the statements that are served before this one */
+	usec_t work;	     /* of all that wait, this one included */
+	double slots;	     /* of the members that may serve the statement, this proxy's part */
+	usec_t response;     /* expected time from sending the statement until its answer */
+	usec_t spread;	     /* mean deviation of that time */
+	bool arriving;	     /* it has waited for nothing yet */
+	bool may_commit;     /* sent too late, it would end in doubt */
+	double refused_part; /* of the statements that arrived lately, those refused */
 	usec_t busy_since; /* since when statements that can meet their objective have been waiting
 			      without interruption; 0: none wait */
 } overload_input_t;
@@ -37,7 +38,7 @@
 typedef struct overload_decision {
 	overload_verdict_t verdict;
 	usec_t expected_wait; /* until the statement would be sent */
-	usec_t retry_after;   /* if refused: when the queue has probably emptied, before jitter */
+	usec_t retry_after;   /* if refused: when it would probably be admitted, before jitter */
 } overload_decision_t;
 
 overload_decision_t overload_decide(const overload_input_t *input);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -11,6 +11,7 @@
 #include "prepared.h"
 #include "cache_validity.h"
 #include "reason.h"
+#include "retry_budget.h"
 #include "roster.h"
 #include "summary.h"
 #include "variables.h"
@@ -280,12 +281,14 @@
 	list_t waiting;			 /* caller_t.queue_node, in order of arrival */
 	wait_queue_t *queue;		 /* the same callers in the order of service */
 	list_t estimates;		 /* route_estimate_t, by database */
+	retry_budget_t retry_budget;
 	/*
 	 * Since when statements that can meet their objective have been waiting without
 	 * interruption while all usable members, or the primary, had no slot left; 0: none wait.
 	 */
 	usec_t members_busy_since;
 	usec_t primary_busy_since;
+	double refused_part;	 /* smoothed: of the statements that had to wait, those refused */
 	run_timer_t retry_timer; /* first delayed attempt of a waiting statement */
 	bool dispatching;
 	bool dispatch_again;
