pooler: a read waits for a slot where its customer has an idle connection; floor of lower priorities a fifth

Such a read now waits for as long as an opening takes, and an opening counts in the choice with the slot time that it takes from others.

--- a/access/token_order.c
+++ b/access/token_order.c
@@ -8,8 +8,14 @@
  * customer at its limit, and short beside the time for which a customer exceeds it.
  */
 #define DEMAND_TIME_S 1.0
-/* Part of the tokens given to higher priorities that a lower one gets in any case if it asks. */
-#define FLOOR_PART 0.1
+/*
+ * Part of the tokens given to a higher priority that those below it get in any case, divided by
+ * what they ask for: callers of a low priority wait longer, but none is without service as long as
+ * its customer has any.
+ */
+#define FLOOR_PART 0.2
+/* Tokens that a priority may have due; with more, one that asks seldom would get a burst. */
+#define FLOOR_MAX 2.0
 /* Largest part of the bucket that is reserved for higher priorities. */
 #define RESERVE_PART_MAX 0.5
 /* A priority without this demand, one operation in some seconds, has no reserve and no floor. */
@@ -91,6 +97,20 @@
 	return left < bucket->burst - 1 ? left : bucket->burst - 1;
 }
 
+/* Notes what is due to the priorities below this one for a token that it takes. */
+static void raise_floors(token_order_t *order, unsigned priority)
+{
+	double below = 0;
+
+	for (unsigned i = priority + 1; i < TOKEN_PRIORITIES; i++)
+		below += order->demand[i];
+	for (unsigned i = priority + 1; i < TOKEN_PRIORITIES && below > 0; i++) {
+		order->floor[i] += FLOOR_PART * order->demand[i] / below;
+		if (order->floor[i] > FLOOR_MAX)
+			order->floor[i] = FLOOR_MAX;
+	}
+}
+
 /* Takes one token for the priority, unless too few are left for others. */
 static bool take_one(token_order_t *order, bucket_t *bucket, unsigned priority, usec_t now)
 {
@@ -99,11 +119,7 @@
 		return false;
 	if (order->floor[priority] >= 1)
 		order->floor[priority] -= 1;
-	for (unsigned i = priority + 1; i < TOKEN_PRIORITIES; i++) {
-		order->floor[i] += FLOOR_PART;
-		if (order->floor[i] > 2)
-			order->floor[i] = 2;
-	}
+	raise_floors(order, priority);
 	return true;
 }
 
--- a/pooler/choice.c
+++ b/pooler/choice.c
@@ -17,8 +17,15 @@
 #define PRIMARY_COST (8 * USEC_PER_MSEC)
 /* A member that has just failed this read, or is ejected as an outlier: chosen if no other can. */
 #define LAST_RESORT_COST (1 * USEC_PER_SEC)
-/* No idle connection: a new one occupies a slot of the member for 12 ms. */
-#define CONNECT_COST (15 * USEC_PER_MSEC)
+/* Time until a new connection is ready: it occupies a slot of the member for 12 ms. */
+#define CONNECT_TIME (15 * USEC_PER_MSEC)
+/* No idle connection: that time, and as much of others whose statements wait for the slot. */
+#define CONNECT_COST (2 * CONNECT_TIME)
+/*
+ * How long a read waits for a slot of a member where its customer has an idle connection before one
+ * is opened at another member: as long as the opening takes, in which most such slots come free.
+ */
+#define IDLE_CONN_WAIT CONNECT_TIME
 /* How long after a refusal for lag the replica's last measured lag is assumed to be unchanged. */
 #define LAG_CACHE_TIME (300 * USEC_PER_MSEC)
 /* Added to that lag: the interval between samples of the primary's position. */
@@ -87,6 +94,17 @@
 	       (conn_find_idle(member, caller) != NULL || opening_is_possible(member, caller, now));
 }
 
+static bool has_idle_conn(const member_t *member, const caller_t *caller)
+{
+	return member_is_usable(member) && conn_find_idle(member, caller) != NULL;
+}
+
+/* True if the caller would be served sooner without a new connection: see IDLE_CONN_WAIT. */
+static bool waits_for_idle_conn(const caller_t *caller, usec_t now)
+{
+	return now < caller->received_at + IDLE_CONN_WAIT;
+}
+
 /*
  * True if the replica has probably applied the position that the read requires, estimated from its
  * lag at its last reply. A wrong estimate costs one round trip. Without the estimate, while the
@@ -115,6 +133,7 @@
 	bool fresh = required_position(caller, &required) && !caller->primary_only;
 	member_t *best = NULL;
 	usec_t best_cost = USEC_NEVER;
+	bool idle_conn_lacks_slot = false;
 
 	*servable = false;
 	list_for_each (it, &caller->service->members) {
@@ -125,8 +144,13 @@
 		    (!fresh || !replica_probably_current(member, &required, now)))
 			continue;
 		*servable = *servable || member_is_usable(member);
-		if (!can_read_at(member, caller, now) || !can_serve(member, caller, now))
+		if (!can_read_at(member, caller, now))
+			continue;
+		if (!can_serve(member, caller, now)) {
+			idle_conn_lacks_slot =
+				idle_conn_lacks_slot || has_idle_conn(member, caller);
 			continue;
+		}
 		cost = cost_of(member, caller, member == primary);
 		if (cost < best_cost) {
 			best = member;
@@ -136,6 +160,9 @@
 	caller->has_after = best != primary;
 	if (caller->has_after)
 		caller->after = required.position;
+	if (best != NULL && idle_conn_lacks_slot && !has_idle_conn(best, caller) &&
+	    waits_for_idle_conn(caller, now))
+		return NULL;
 	return best;
 }
 
@@ -161,7 +188,11 @@
 
 usec_t choice_next_change(const caller_t *caller, usec_t now)
 {
-	return caller->target != TARGET_ANY || accepts_failing_member(caller, now)
+	if (caller->target != TARGET_ANY)
+		return USEC_NEVER;
+	if (waits_for_idle_conn(caller, now))
+		return caller->received_at + IDLE_CONN_WAIT;
+	return accepts_failing_member(caller, now)
 		       ? USEC_NEVER
 		       : caller->received_at + HEALTHY_ONLY_WAIT(caller->objective);
 }
--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -3,6 +3,7 @@
  * accepted, and how many operations the limits allow.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -10,6 +11,7 @@
 
 #include "caller.h"
 #include "conn.h"
+#include "fleet_codec.h"
 #include "limit_shards.h"
 #include "pool_world.h"
 
@@ -606,6 +608,73 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against a fleet of two versions in which limits fail: priorities and their times pass
+ * between proxies of this version, and messages without them are what earlier ones send and expect.
+ */
+static void test_priorities_on_the_wire(void)
+{
+	quota_request_t request = {.number = 1, .customer = "ada", .wanted = 3};
+	quota_answer_t answer = {.number = 1, .customer = "ada", .retry_after = 70 * MSEC};
+	peer_message_t message = {.kind = PEER_QUOTA_REQUEST, .from = "p", .address = "q"};
+	void *parent = talloc_new(NULL);
+	const peer_message_t *back;
+	char *text;
+
+	request.by_priority.by_priority[1] = 3;
+	message.quota_request = &request;
+	text = peer_message_encode(&message);
+	back = peer_message_decode(parent, text, strlen(text));
+	g_assert_cmpuint(back->quota_request->wanted, ==, 3);
+	g_assert_cmpuint(back->quota_request->by_priority.by_priority[1], ==, 3);
+	g_assert_cmpuint(back->quota_request->by_priority.by_priority[0], ==, 0);
+	free(text);
+	message = (peer_message_t){
+		.kind = PEER_QUOTA_ANSWER, .from = "p", .address = "q", .quota_answer = &answer};
+	text = peer_message_encode(&message);
+	g_assert_null(strstr(text, "waits"));
+	back = peer_message_decode(parent, text, strlen(text));
+	g_assert_false(back->quota_answer->has_waits);
+	g_assert_cmpuint(back->quota_answer->retry_after, ==, 70 * MSEC);
+	free(text);
+	answer.has_waits = true;
+	answer.waits[2] = 90 * MSEC;
+	text = peer_message_encode(&message);
+	back = peer_message_decode(parent, text, strlen(text));
+	g_assert_cmpuint(back->quota_answer->waits[2], ==, 90 * MSEC);
+	g_assert_cmpuint(back->quota_answer->waits[1], ==, 0);
+	free(text);
+	talloc_free(parent);
+}
+
+/*
+ * Guards against a shard owner that gives a lookup the token of a booking: with few tokens left a
+ * request of a low priority gets none after one of the highest has asked, which still does.
+ */
+static void test_owner_keeps_order(void)
+{
+	pool_world_t *world = start_limited(3);
+	limit_shards_t *shards = limit_shards_create(NULL, world->nodes[0].pooler);
+	quota_request_t urgent = {.number = 1, .customer = "ada", .wanted = 1};
+	quota_request_t lookup = {.number = 2, .customer = "ada", .wanted = 1};
+	quota_answer_t answer;
+	usec_t now = current_time(world);
+
+	urgent.shard = lookup.shard = shard_of_first_proxy(world);
+	urgent.by_priority.by_priority[0] = 1;
+	lookup.by_priority.by_priority[2] = 1;
+	g_assert_cmpuint(limit_shards_take(shards, &urgent, now).granted, ==, 1);
+	do
+		answer = limit_shards_take(shards, &lookup, now);
+	while (answer.granted == 1);
+	g_assert_true(answer.has_waits);
+	g_assert_cmpuint(answer.waits[2], >, 0);
+	g_assert_cmpuint(answer.waits[0], ==, 0);
+	g_assert_cmpuint(limit_shards_take(shards, &urgent, now).granted, ==, 1);
+	talloc_free(shards);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -626,5 +695,7 @@
 	g_test_add_func("/access/flood-of-restarts", test_flood_during_restarts);
 	g_test_add_func("/access/lower-limit", test_lower_limit);
 	g_test_add_func("/access/successor-for-a-moment", test_short_lived_successor);
+	g_test_add_func("/access/priorities-on-the-wire", test_priorities_on_the_wire);
+	g_test_add_func("/access/owner-keeps-order", test_owner_keeps_order);
 	return g_test_run();
 }
