A statement whose set-up is unanswered moves to another connection

An idle connection that has gone silent is noticed when it is used: a read that was sent was asked elsewhere after eight usual response times and 50 ms, a statement whose set-up (values, BEGIN) was sent waited until its time was over, though it had certainly not run. It moves now after the same time, twice at most, unless its transaction has run something; a set-up whose caller left is given up, too, in place of 3 s.

/opening/silent-set-up fails on the code before.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -207,6 +207,12 @@
 	return true;
 }
 
+bool caller_may_move(const caller_t *caller)
+{
+	return caller->attempts < READ_RETRIES_MAX &&
+	       !(caller->tx == TX_OPEN && caller->tx_has_run);
+}
+
 static void on_lost_while_running(caller_t *caller, const char *detail)
 {
 	if (caller_may_commit(caller)) {
--- a/pooler/caller.h
+++ b/pooler/caller.h
@@ -29,6 +29,11 @@
  */
 bool caller_retry_read(caller_t *caller);
 
+/*
+ * True if the caller's statement, which was not sent yet, may be tried again on another connection.
+ */
+bool caller_may_move(const caller_t *caller);
+
 /* Handles a set-up request that the member refused, so that the statement itself did not run. */
 void caller_on_setup_refused(caller_t *caller, code_t code);
 
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -292,8 +292,9 @@
 /*
  * Handles overdue replies: a reply may be lost, so that the member has run the statement and
  * nothing will arrive. A read is tried again once at another member when it has taken far longer
- * than usual. A connection that no caller waits for is closed sooner, since it takes the place of
- * another one.
+ * than usual, and so is any statement whose set-up is unanswered, since it was not sent yet: an
+ * idle connection may have gone silent long before. A connection that no caller waits for is closed
+ * sooner, since it takes the place of another one.
  */
 static void check_overdue(member_t *member, usec_t now)
 {
@@ -307,6 +308,17 @@
 			conn_close(conn, "no reply to an abandoned statement");
 			return;
 		}
+		if (conn->state == CONN_PREPARING && now >= conn->sent_at + usual &&
+		    conn->caller != NULL && !conn->in_tx && caller_may_move(conn->caller)) {
+			conn->caller->failed_member = member;
+			conn_close(conn, "no reply to the set-up");
+			return;
+		}
+		if (conn->state == CONN_PREPARING && conn->caller == NULL &&
+		    now >= conn->sent_at + usual + ORPHAN_TIMEOUT) {
+			conn_close(conn, "no reply to an abandoned set-up");
+			return;
+		}
 		if (conn->state == CONN_RUNNING && now >= conn->sent_at + usual &&
 		    caller_retry_read(conn->caller))
 			return;
@@ -328,6 +340,13 @@
 	}
 }
 
+/* Time since the member's last reply in ms; -1: there was none. */
+static int64_t last_reply_msec(const member_t *member, usec_t now)
+{
+	return member->last_reply_at != 0 ? (int64_t)((now - member->last_reply_at) / USEC_PER_MSEC)
+					  : -1;
+}
+
 /* The connection that has waited for the member's acceptance for the longest time, or NULL. */
 static conn_t *longest_opening_conn(const member_t *member)
 {
@@ -365,12 +384,11 @@
 		oldest = longest_opening_conn(member);
 	} while (oldest != NULL && now >= oldest->state_since + timeout);
 	counter_add(&opening_timeouts_total, (int64_t)closed);
-	LOG_EVENT(
-		LOG_WARN, "connections not accepted in time",
-		LOG_STR("service", member->service->name), LOG_STR("member", member->id),
-		LOG_INT("connections", (int64_t)closed),
-		LOG_INT("after_ms", (int64_t)(timeout / USEC_PER_MSEC)),
-		LOG_INT("last_reply_ms", (int64_t)((now - member->last_reply_at) / USEC_PER_MSEC)));
+	LOG_EVENT(LOG_WARN, "connections not accepted in time",
+		  LOG_STR("service", member->service->name), LOG_STR("member", member->id),
+		  LOG_INT("connections", (int64_t)closed),
+		  LOG_INT("after_ms", (int64_t)(timeout / USEC_PER_MSEC)),
+		  LOG_INT("last_reply_ms", last_reply_msec(member, now)));
 }
 
 static void check_probe(member_t *member, usec_t now)
--- a/tests/test_pooler_opening.c
+++ b/tests/test_pooler_opening.c
@@ -130,6 +130,47 @@
 	world_destroy(world);
 }
 
+/* --- connections that are silent when they are used --- */
+
+/* Sends the statement on an idle connection with other values; the request for its set-up is lost.
+ */
+static const char *lose_setup(world_caller_t *caller, const char *text)
+{
+	pool_world_t *world = caller->proxy->world;
+	size_t node = (size_t)(caller->proxy - world->nodes);
+
+	world_set_members_unreachable(world, node, true);
+	world_send(caller, text);
+	world_run(world, 5 * MSEC);
+	world_set_members_unreachable(world, node, false);
+	world_run(world, 300 * MSEC);
+	return caller->reply;
+}
+
+/*
+ * Guards against a statement that is refused although members could serve it: an idle connection
+ * has gone silent, and the statement waits for the reply to its set-up until its own time is over.
+ */
+static void test_silent_setup(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *other;
+	world_caller_t *caller;
+
+	world_wait_until_ready(world);
+	other = world_open_session_on(world, 0, "strict");
+	assert_has_prefix(world_send_and_wait(other, "WRITE job-1 a"), "DONE core-0");
+	caller = world_open_session_on(world, 0, "strict");
+	world_send_and_wait(caller, "SET zone b");
+	assert_has_prefix(lose_setup(caller, "WRITE job-1 b"), "DONE core-0");
+	g_assert_cmpuint(count_runs(world, caller->id), ==, 1);
+	world_send_and_wait(caller, "BEGIN");
+	assert_has_prefix(lose_setup(caller, "WRITE job-1 c"), "DONE core-0");
+	assert_has_prefix(world_send_and_wait(caller, "COMMIT"), "DONE core-0");
+	assert_has_prefix(world_send_and_wait(other, "READ job-1"), "ROW c");
+	world_destroy(world);
+}
+
 /* --- connections that can't be begun --- */
 
 static unsigned connects;
@@ -225,6 +266,7 @@
 	g_test_add_func("/opening/late-ticks", test_lost_requests_while_ticks_are_late);
 	g_test_add_func("/opening/waiting-callers", test_waiting_callers_are_served);
 	g_test_add_func("/opening/late-acceptance", test_late_acceptance);
+	g_test_add_func("/opening/silent-set-up", test_silent_setup);
 	g_test_add_func("/opening/probe-cannot-begin", test_probe_cannot_begin);
 	g_test_add_func("/opening/dump", test_dump_tells_the_state);
 	return g_test_run();
