--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -1,6 +1,6 @@
 /*
- * Admission under overload and the estimates that it uses, without a queue or members. Each test's
- * comment says which failure it guards against.
+ * Admission under overload, the estimates that it uses and the budget of retries, without a queue
+ * or members. Each test's comment says which failure it guards against.
  */
 #include "overload.h"
 
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "estimate.h"
+#include "retry_budget.h"
 
 #define MSEC  USEC_PER_MSEC
 #define START (100 * USEC_PER_SEC)
@@ -141,6 +142,16 @@
 	g_rand_free(rand);
 }
 
+/* Guards against a customer that is held for large long after its flood. */
+static void test_usage_is_forgotten(void)
+{
+	usage_t usage = {0};
+
+	usage_add(&usage, 800 * MSEC, START);
+	g_assert_cmpuint(usage_at(&usage, START), ==, 800 * MSEC);
+	g_assert_cmpuint(usage_at(&usage, START + 2 * USEC_PER_SEC), <=, 100 * MSEC);
+}
+
 /* Guards against estimates of one route used for another. */
 static void test_estimates_by_database(void)
 {
@@ -155,6 +166,34 @@
 	talloc_free(parent);
 }
 
+static size_t count_retries(retry_budget_t *budget, size_t wanted, usec_t now)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < wanted; i++)
+		count += retry_budget_take(budget, now);
+	return count;
+}
+
+/*
+ * Guards against retries that double an overload, when every statement fails at a member, and
+ * against a change of primary, in which all that are in flight fail once, without retries.
+ */
+static void test_retry_budget(void)
+{
+	retry_budget_t budget = {0};
+
+	g_assert_cmpuint(count_retries(&budget, 60, START), ==, 60);
+	g_assert_cmpuint(count_retries(&budget, 1000, START), <=, RETRY_BUDGET_MAX);
+	for (int i = 0; i < 1000; i++)
+		retry_budget_on_success(&budget);
+	g_assert_cmpuint(count_retries(&budget, 1000, START), >=,
+			 1000 / RETRY_BUDGET_SUCCESSES - 1);
+	g_assert_cmpuint(count_retries(&budget, 1000, START), ==, 0);
+	/* Without any success some are left, so that it is seen when they succeed again. */
+	g_assert_cmpuint(count_retries(&budget, 1000, START + USEC_PER_SEC), ==, RETRY_BUDGET_RATE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -164,6 +203,8 @@
 	g_test_add_func("/overload/late", test_late_callers);
 	g_test_add_func("/overload/retry-after", test_retry_after);
 	g_test_add_func("/estimate/spread", test_estimate);
+	g_test_add_func("/estimate/usage", test_usage_is_forgotten);
 	g_test_add_func("/estimate/databases", test_estimates_by_database);
+	g_test_add_func("/retry-budget", test_retry_budget);
 	return g_test_run();
 }
--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -282,9 +282,10 @@
 	usec_t first_sent_at;
 	usec_t return_at;
 	unsigned tries;
-	usec_t took;	 /* from the first try to the success; 0: none yet */
-	usec_t try_took; /* from the last try to the success */
-	usec_t held;	 /* the longest that a try waited for an error */
+	usec_t took;	  /* from the first try to the success; 0: none yet */
+	usec_t try_took;  /* from the last try to the success */
+	bool ran_in_vain; /* a try ended at its deadline although it was sent */
+	usec_t held;	  /* the longest that a try waited for an error */
 	bool ended;
 } operation_t;
 
@@ -339,6 +340,9 @@
 	} else {
 		if (waited > operation->held)
 			operation->held = waited;
+		if (g_str_has_prefix(reply, "ERR INDOUBT") ||
+		    g_str_has_prefix(reply, "ERR TIMEOUT"))
+			operation->ran_in_vain = true;
 		operation->ended = operation->tries > RETURNS || after == NULL;
 		operation->return_at =
 			after != NULL
@@ -599,6 +603,51 @@
 	}
 }
 
+/* A load of 80 % to 240 % of the capacity, at a member whose statements take 10 to 50 ms. */
+static size_t play_random_load(clients_t *clients, guint32 seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed);
+	size_t in_vain = 0;
+
+	world_wait_until_ready(clients->world);
+	for (size_t i = 0; i < 20; i++) {
+		stream_t streams[] = {
+			{"strict", "", "READ job-1", (unsigned)g_rand_int_range(rand, 40, 120), 0},
+			{"strict", "", "WRITE job-1 a", (unsigned)g_rand_int_range(rand, 40, 120),
+			 0}};
+
+		clients->world->db->members[0].extra_service_time =
+			(usec_t)g_rand_int_range(rand, 0, 40) * MSEC;
+		play_streams(clients, streams, G_N_ELEMENTS(streams), 200 * MSEC);
+	}
+	play_streams(clients, NULL, 0, 2 * SEC);
+	for (size_t i = 0; i < clients->count; i++)
+		in_vain += clients->operations[i].ran_in_vain;
+	g_rand_free(rand);
+	return in_vain;
+}
+
+/*
+ * Guards against statements that are sent with too little time left, run at the member and count
+ * for nobody.
+ */
+static void test_few_run_in_vain(void)
+{
+	size_t in_vain = 0;
+	size_t tries = 0;
+
+	for (guint32 seed = 1; seed <= 10; seed++) {
+		clients_t clients = {.world =
+					     world_create(seed % 2 == 0 ? 9 : 1, &one_slow_member)};
+
+		in_vain += play_random_load(&clients, seed);
+		tries += clients.tries;
+		world_destroy(clients.world);
+	}
+	g_test_message("%zu tries, %zu ran in vain", tries, in_vain);
+	g_assert_cmpuint(in_vain * 100, <, tries);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -611,5 +660,6 @@
 	g_test_add_func("/load/goodput", test_goodput);
 	g_test_add_func("/load/customers", test_customers_share);
 	g_test_add_func("/load/priority", test_priority_while_replicas_lag);
+	g_test_add_func("/load/few-run-in-vain", test_few_run_in_vain);
 	return g_test_run();
 }
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -248,6 +248,33 @@
 	}
 }
 
+/*
+ * Guards against callers of a small customer refused for a queue that a large one fills, or that it
+ * has lately used.
+ */
+static void test_largest_gives_way(void)
+{
+	scene_t scene;
+	const waiter_t *last;
+	const waiter_t *other;
+	waiter_t *arrival;
+
+	start(&scene);
+	add(&scene, 0, 0, START, LONG, 10 * MSEC);
+	add(&scene, 0, 0, START, LONG, 10 * MSEC);
+	last = add(&scene, 0, 0, START, LONG, 10 * MSEC);
+	add(&scene, 0, 1, START, LONG, 10 * MSEC);
+	other = add(&scene, 1, 0, START, LONG, 10 * MSEC);
+	arrival = add(&scene, 2, 0, START, LONG, 10 * MSEC);
+	g_assert_true(wait_queue_displaced_by(scene.queue, arrival, START) == last);
+	g_assert_null(wait_queue_displaced_by(scene.queue, last, START));
+	scene.waiters[4].usage = 100 * MSEC;
+	wait_queue_remove(scene.queue, &scene.waiters[4]);
+	wait_queue_add(scene.queue, &scene.waiters[4], START);
+	g_assert_true(wait_queue_displaced_by(scene.queue, arrival, START) == other);
+	end(&scene);
+}
+
 /* Guards against memory that grows with the customers that ever waited. */
 static void test_empty_queue_keeps_nothing(void)
 {
@@ -274,6 +301,7 @@
 	g_test_add_func("/wait-queue/served-alone", test_served_alone_is_no_debt);
 	g_test_add_func("/wait-queue/walk", test_walk_meets_each_once);
 	g_test_add_func("/wait-queue/work-ahead", test_work_ahead);
+	g_test_add_func("/wait-queue/largest-gives-way", test_largest_gives_way);
 	g_test_add_func("/wait-queue/memory", test_empty_queue_keeps_nothing);
 	return g_test_run();
 }
