--- a/pooler/wait_queue.c
+++ b/pooler/wait_queue.c
@@ -7,6 +7,9 @@
 #define DEBT_MAX(waiter)                                                                           \
 	((int64_t)((waiter)->work > WAIT_QUEUE_QUANTUM ? (waiter)->work : WAIT_QUEUE_QUANTUM))
 
+/* Work beyond its floor that is held against a lower priority. */
+#define FLOOR_DEBT_MAX ((int64_t)(100 * USEC_PER_MSEC))
+
 /* Waiters of each kind are served after all of the kind before. */
 enum { ON_TIME, LATE, KINDS };
 
@@ -30,15 +33,14 @@
 	wait_flow_t *flows_by_customer;
 	size_t counts[KINDS];
 	wait_work_t work[KINDS];
+	int64_t floor_credit; /* work that is due to it before higher priorities */
 	usec_t on_time_since; /* when the first of the present waiters on time came */
 } wait_level_t;
 
 struct wait_queue {
 	list_t levels; /* wait_level_t.node, by priority */
 	size_t counts[KINDS];
-	usec_t next_late_at;  /* no waiter on time becomes late before that time */
-	int64_t floor_credit; /* work that is due to lower priorities */
-	int64_t floor_turn;   /* priority that got such work last */
+	usec_t next_late_at; /* no waiter on time becomes late before that time */
 };
 
 wait_queue_t *wait_queue_create(void *parent)
@@ -275,28 +277,25 @@
 }
 
 /*
- * The lower priority whose turn it is to be served before the highest, or NULL. The highest is the
+ * The lower priority to which most work is due before the highest, or NULL. The highest is the
  * first one with waiters on time.
  */
 static wait_level_t *find_due_level(const wait_queue_t *queue)
 {
-	wait_level_t *first_lower = NULL;
+	wait_level_t *due = NULL;
 	bool has_highest = false;
 
-	if (queue->floor_credit <= 0)
-		return NULL;
 	list_for_each (it, &queue->levels) {
 		wait_level_t *level = level_of(it);
 
 		if (level->counts[ON_TIME] == 0)
 			continue;
-		if (has_highest && level->priority > queue->floor_turn)
-			return level;
-		if (has_highest && first_lower == NULL)
-			first_lower = level;
+		if (has_highest && level->floor_credit > 0 &&
+		    (due == NULL || level->floor_credit > due->floor_credit))
+			due = level;
 		has_highest = true;
 	}
-	return first_lower;
+	return due;
 }
 
 /*
@@ -377,31 +376,39 @@
 	return next;
 }
 
-/* True if waiters of a lower priority than the level's can meet their objective. */
-static bool has_lower_on_time(const wait_queue_t *queue, const wait_level_t *level)
+/* Number of priorities below the level's with waiters on time. */
+static int64_t count_lower(const wait_queue_t *queue, const wait_level_t *level)
 {
-	for (const list_t *it = level->node.next; it != &queue->levels; it = it->next) {
-		if (list_entry(it, const wait_level_t, node)->counts[ON_TIME] != 0)
-			return true;
-	}
-	return false;
+	int64_t count = 0;
+
+	for (const list_t *it = level->node.next; it != &queue->levels; it = it->next)
+		count += list_entry(it, const wait_level_t, node)->counts[ON_TIME] != 0;
+	return count;
 }
 
+/*
+ * Work done for a priority is charged to it, also if no higher one waited, and a part of it is
+ * credited to the lower ones. Neither is saved up for long.
+ */
 static void charge_floor(wait_queue_t *queue, const waiter_t *waiter)
 {
-	const wait_level_t *level = waiter->flow->level;
+	wait_level_t *level = waiter->flow->level;
+	int64_t work = (int64_t)waiter->work;
+	int64_t lower = count_lower(queue, level);
 
 	if (waiter->late)
 		return;
-	if (level == find_due_level(queue)) {
-		queue->floor_credit -= (int64_t)waiter->work;
-		queue->floor_turn = level->priority;
-	} else if (has_lower_on_time(queue, level)) {
-		queue->floor_credit += (int64_t)waiter->work / WAIT_QUEUE_FLOOR_DIVISOR;
-		/* Work that no lower priority could take while its members were full is not saved
-		 * up. */
-		if (queue->floor_credit > (int64_t)WAIT_QUEUE_QUANTUM)
-			queue->floor_credit = (int64_t)WAIT_QUEUE_QUANTUM;
+	level->floor_credit -= work;
+	if (level->floor_credit < -FLOOR_DEBT_MAX)
+		level->floor_credit = -FLOOR_DEBT_MAX;
+	for (list_t *it = level->node.next; it != &queue->levels; it = it->next) {
+		wait_level_t *credited = level_of(it);
+
+		if (credited->counts[ON_TIME] == 0)
+			continue;
+		credited->floor_credit += work / WAIT_QUEUE_FLOOR_DIVISOR / lower;
+		if (credited->floor_credit > (int64_t)WAIT_QUEUE_QUANTUM)
+			credited->floor_credit = (int64_t)WAIT_QUEUE_QUANTUM;
 	}
 }
 
--- a/pooler/wait_queue.h
+++ b/pooler/wait_queue.h
@@ -9,8 +9,9 @@
  * goes first; among waiters that will miss it, the newest, which has the most time left to be
  * answered at all.
  *
- * Bounds: while waiters of lower priorities can meet their objective, a tenth of the work served
- * goes to them (1 / WAIT_QUEUE_FLOOR_DIVISOR), to each of these priorities in turn. Of the work of
+ * Bounds: while waiters of lower priorities can meet their objective, work for them is at least a
+ * tenth of that for higher ones (1 / WAIT_QUEUE_FLOOR_DIVISOR), divided evenly among these
+ * priorities, to within 100 ms of work and the work of one statement. Of the work of
  * a priority, each of N customers with waiters gets a share of 1 / N, to within WAIT_QUEUE_QUANTUM
  * and the work of one statement.
  */
