--- a/pooler/join.c
+++ b/pooler/join.c
@@ -260,23 +260,27 @@
 	sync_t *sync = &pooler->sync;
 	const char *name;
 	const char *address;
+	bool sent;
 
 	if (!find_join_target(pooler, now, &name, &address))
 		return false;
 	raise_incarnation(pooler);
+	sent = ask_send_query(pooler, name, address);
 	/* The first message only establishes the link; it is sent again soon. */
-	if (!ask_send_query(pooler, name, address) && now < sync->join_started_at + LINK_TIMEOUT) {
+	if (!sent && now < sync->join_started_at + LINK_TIMEOUT) {
 		retry_soon(pooler, now);
 		return true;
 	}
 	sync->join_requested = true;
 	sync->join_conflict = false;
 	sync->join_target_answered = false;
-	sync->join_requested_at = now;
+	/* A proxy without a link, such as a leader that has not started yet, is not waited for. */
+	sync->join_requested_at = sent ? now : 0;
 	sync->join_requests++;
 	talloc_free(sync->join_target);
 	sync->join_target = talloc_strdup(pooler, name);
-	return true;
+	/* In a large fleet another hub is asked next. */
+	return sent || joins_through_hubs(pooler);
 }
 
 /*
--- a/pooler/sync.c
+++ b/pooler/sync.c
@@ -116,11 +116,6 @@
 	sync->fencing_token = token;
 	sync->leader_seen_at = now_of(pooler);
 	sync->query_next = 0;
-	/*
-	 * The proxy that was asked to add us may not be the one that writes now: the new leader is
-	 * asked without waiting for the other.
-	 */
-	sync->join_requested = false;
 	LOG_EVENT(LOG_INFO, "leader changed", LOG_STR("holder", name),
 		  LOG_INT("fence", (int64_t)token));
 }
--- a/tests/test_pooler_liveness.c
+++ b/tests/test_pooler_liveness.c
@@ -10,6 +10,7 @@
 #include "exchange.h"
 #include "home.h"
 #include "liveness.h"
+#include "permit.h"
 #include "pool_check.h"
 
 #define FLEET 24
@@ -211,12 +212,46 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against callers of a process that has just started who wait for the links to their homes
+ * after its registration: they are made meanwhile.
+ */
+static void test_links_are_made_ahead(void)
+{
+	pool_world_t *world = create_fleet();
+	size_t origin = find_origin(world);
+	pooler_t *pooler;
+	world_caller_t *caller;
+	usec_t registered;
+
+	world->links_need_setup = true;
+	for (size_t i = 0; i < FLEET; i++) {
+		for (size_t j = 0; j < FLEET; j++)
+			world->nodes[i].link_ready_at[j] = i != origin && j != origin;
+	}
+	world->link_setup_time = 30 * MSEC;
+	world_kill(world, origin);
+	world_start_proxy(world, origin);
+	pooler = world->nodes[origin].pooler;
+	caller = world_open_session_on(world, origin, "session");
+	world_send(caller, "READ job-1");
+	while (!permit_is_registered(pooler))
+		world_run(world, MSEC);
+	registered = now_of(pooler);
+	while (caller->reply_count == 0)
+		world_run(world, MSEC);
+	g_test_message("%zu ms", (size_t)((now_of(pooler) - registered) / MSEC));
+	g_assert_cmpuint(now_of(pooler) - registered, <=, 30 * MSEC);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/liveness/links-being-made", test_links_being_made);
 	g_test_add_func("/liveness/slow-home", test_slow_home);
 	g_test_add_func("/liveness/dead-home", test_dead_home_is_found_in_time);
+	g_test_add_func("/home/links-ahead", test_links_are_made_ahead);
 	g_test_add_func("/home/start-together", test_unequal_fleet_starts_together);
 	return g_test_run();
 }
