--- a/pooler/choice.c
+++ b/pooler/choice.c
@@ -17,10 +17,8 @@
 #define PRIMARY_COST (8 * USEC_PER_MSEC)
 /* A member that has just failed this read, or is ejected as an outlier: chosen if no other can. */
 #define LAST_RESORT_COST (1 * USEC_PER_SEC)
-/* Time until a new connection is ready: it occupies a slot of the member for 12 ms. */
+/* No idle connection: until a new one is ready, which occupies a slot of the member for 12 ms. */
 #define CONNECT_TIME (15 * USEC_PER_MSEC)
-/* No idle connection: that time, and as much of others whose statements wait for the slot. */
-#define CONNECT_COST (2 * CONNECT_TIME)
 /*
  * How long a read waits for a slot of a member where its customer has an idle connection before one
  * is opened at another member: as long as the opening takes, in which most such slots come free.
@@ -60,6 +58,16 @@
 
 /* --- choosing a member for a read --- */
 
+/*
+ * The time until a connection is ready; and as much again if another one gives way for it, which
+ * its owner will have to open again.
+ */
+static usec_t opening_cost(const member_t *member, const caller_t *caller)
+{
+	return room_can_open(member, now_of(caller->pooler), false) ? CONNECT_TIME
+								    : 2 * CONNECT_TIME;
+}
+
 static usec_t cost_of(const member_t *member, const caller_t *caller, bool primary)
 {
 	usec_t cost = member->response_time * (1 + room_used(member));
@@ -69,7 +77,7 @@
 	if (primary)
 		cost += PRIMARY_COST;
 	if (conn_find_idle(member, caller) == NULL)
-		cost += CONNECT_COST;
+		cost += opening_cost(member, caller);
 	if (!outlier_accepts_read(&member->outlier, room_used(member), now_of(caller->pooler)) ||
 	    (caller->attempts != 0 && caller->failed_member == member))
 		cost += LAST_RESORT_COST;
--- a/pooler/opening.c
+++ b/pooler/opening.c
@@ -24,8 +24,12 @@
  */
 #define TX_IDLE_RECLAIM (100 * USEC_PER_MSEC)
 
-/* After this time without an answer of the member an opening is not waited for: five usual ones. */
-#define OPENING_OVERDUE (60 * USEC_PER_MSEC)
+/*
+ * After this time without an answer of the member an opening counts no more, since the answer may
+ * be lost. Openings take as long behind the full queue of a member, and a caller still has time for
+ * another one within most objectives.
+ */
+#define OPENING_OVERDUE (150 * USEC_PER_MSEC)
 
 static const char *const target_names[] = {"primary", "any"};
 
@@ -120,8 +124,7 @@
 
 /*
  * Adds the connections to the member: those that are being opened for the caller's customer and,
- * if it is the member that is to serve the caller, the others that matter. An opening that takes
- * far longer than usual does not count as one that will serve the caller.
+ * if it is the member that is to serve the caller, the others that matter.
  */
 static void count_conns(const member_t *member, const caller_t *caller, bool serves, usec_t now,
 			opening_case_t *c)
@@ -129,10 +132,10 @@
 	list_for_each (it, &member->conns) {
 		const conn_t *conn = list_entry(it, conn_t, node);
 		bool own = conn->customer_pool == caller->customer_pool;
-		bool opening = conn->state == CONN_OPENING && !conn->probe;
+		bool opening = conn->state == CONN_OPENING && !conn->probe &&
+			       now < conn->state_since + OPENING_OVERDUE;
 
-		c->own_opening +=
-			opening && own && (serves || now < conn->state_since + OPENING_OVERDUE);
+		c->own_opening += opening && own;
 		if (!serves)
 			continue;
 		c->opening += opening;
@@ -193,10 +196,13 @@
 usec_t opening_next_change(const caller_t *caller, usec_t now)
 {
 	usec_t patience_ends = caller->received_at + opening_patience(caller->objective);
+	usec_t overdue = caller->received_at + OPENING_OVERDUE;
 
-	if (can_exceed_share(caller, now))
-		return now < patience_ends ? patience_ends : USEC_NEVER;
-	return caller->received_at + EXCEED_SHARE_WAIT;
+	if (!can_exceed_share(caller, now))
+		return caller->received_at + EXCEED_SHARE_WAIT;
+	if (now < patience_ends)
+		return patience_ends;
+	return now < overdue ? overdue : USEC_NEVER;
 }
 
 /* --- idle transactions --- */
