pooler: reads for which a replica catches up within the objective count on the replicas

Cause: while replicas lag, a read was refused by the primary's slots alone although a replica would serve it in time. /load/catching-up: 587 of 600 reads within their objective before, 600 after.

--- a/pooler/choice.c
+++ b/pooler/choice.c
@@ -87,6 +87,20 @@
 	       (conn_find_idle(member, caller) != NULL || opening_is_possible(member, caller, now));
 }
 
+/*
+ * When the replica has probably applied the position that the read requires, by its lag at its last
+ * reply; USEC_NEVER: not known.
+ */
+static usec_t replica_current_at(const member_t *replica, const sample_t *required)
+{
+	usec_t caught_up_to =
+		freshness_position_time(replica->service->freshness, replica->applied);
+
+	return caught_up_to != 0
+		       ? required->sent_at + (replica->applied_at - caught_up_to) + LAG_MARGIN
+		       : USEC_NEVER;
+}
+
 /*
  * True if the replica has probably applied the position that the read requires, estimated from its
  * lag at its last reply. A wrong estimate costs one round trip. Without the estimate, while the
@@ -94,14 +108,10 @@
  */
 static bool replica_probably_current(member_t *replica, const sample_t *required, usec_t now)
 {
-	usec_t caught_up_to;
-
 	if (position_covers(replica->applied, required->position) ||
 	    now >= replica->lagged_at + LAG_CACHE_TIME)
 		return true;
-	caught_up_to = freshness_position_time(replica->service->freshness, replica->applied);
-	return caught_up_to != 0 &&
-	       required->sent_at + (replica->applied_at - caught_up_to) + LAG_MARGIN <= now;
+	return replica_current_at(replica, required) <= now;
 }
 
 /*
@@ -169,20 +179,25 @@
 choice_capacity_t choice_capacity(const caller_t *caller, usec_t now)
 {
 	const member_t *primary = permit_primary(caller->service, now);
-	choice_capacity_t capacity = {.primary_only = true};
-	sample_t required;
+	choice_capacity_t capacity = {.primary_only = true, .replica_at = USEC_NEVER};
+	sample_t required = {0};
 	bool fresh = caller->target == TARGET_ANY && !caller->primary_only &&
 		     required_position(caller, &required);
 
 	list_for_each (it, &caller->service->members) {
 		member_t *member = list_entry(it, member_t, in_service);
+		usec_t at;
 
-		if (!member_is_usable(member) ||
-		    (member != primary &&
-		     (!fresh || !replica_probably_current(member, &required, now))))
+		if (!member_is_usable(member) || (member != primary && !fresh))
 			continue;
-		capacity.slots += room_slots(member);
-		capacity.primary_only = capacity.primary_only && member == primary;
+		if (member == primary || replica_probably_current(member, &required, now)) {
+			capacity.slots += room_slots(member);
+			capacity.primary_only = capacity.primary_only && member == primary;
+			continue;
+		}
+		at = replica_current_at(member, &required);
+		if (at < capacity.replica_at)
+			capacity.replica_at = at;
 	}
 	return capacity;
 }
--- a/pooler/choice.h
+++ b/pooler/choice.h
@@ -22,6 +22,8 @@
 typedef struct choice_capacity {
 	double slots;	   /* of these members, this proxy's part; 0: there is none */
 	bool primary_only; /* it is the only one */
+	usec_t replica_at; /* when a replica that lags can probably serve it as well; USEC_NEVER:
+			      not known */
 } choice_capacity_t;
 
 choice_capacity_t choice_capacity(const caller_t *caller, usec_t now);
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -190,6 +190,25 @@
 	       overload_response_bound(response.mean, response.deviation, false);
 }
 
+/*
+ * What the members can do that may serve the caller. A read for which a replica will be recent
+ * enough within its objective counts on the replicas as well.
+ */
+static choice_capacity_t capacity_for(const caller_t *caller, usec_t now)
+{
+	choice_capacity_t capacity = choice_capacity(caller, now);
+	usec_t end = caller->received_at + caller->objective;
+
+	if (!capacity.primary_only) {
+		capacity.replica_at = USEC_NEVER;
+	} else if (capacity.replica_at < end &&
+		   end - capacity.replica_at > response_bound(caller, now)) {
+		capacity.slots = dispatch_slots(caller->service);
+		capacity.primary_only = false;
+	}
+	return capacity;
+}
+
 /*
  * Under overload, serving in order of arrival would make all callers wait for the whole queue and
  * miss their objective. At 133 % of a primary's capacity for 4 s (test_pooler_load), 399 of 534
@@ -208,7 +227,7 @@
 		waiter->objective = caller->objective;
 		waiter->work = expected_work(caller, now);
 		waiter->response = response_bound(caller, now);
-		waiter->primary_only = choice_capacity(caller, now).primary_only;
+		waiter->primary_only = capacity_for(caller, now).primary_only;
 	}
 	wait_queue_add(caller->service->queue, waiter, now);
 }
@@ -415,6 +434,13 @@
 	if (capacity.primary_only &&
 	    (double)ahead.primary * slots > (double)ahead.all * capacity.slots)
 		return (backlog_t){ahead.primary, total.primary, capacity.slots};
+	/* Until a replica has caught up, its slots are of no use. */
+	if (!capacity.primary_only && capacity.replica_at != USEC_NEVER &&
+	    capacity.replica_at > now) {
+		usec_t until = (usec_t)((double)(capacity.replica_at - now) * slots);
+
+		ahead.all = ahead.all > until ? ahead.all : until;
+	}
 	return (backlog_t){ahead.all, total.all, slots};
 }
 
@@ -487,7 +513,7 @@
 static overload_input_t overload_input(const caller_t *caller, bool arriving, usec_t now)
 {
 	const service_t *service = caller->service;
-	choice_capacity_t capacity = choice_capacity(caller, now);
+	choice_capacity_t capacity = capacity_for(caller, now);
 	backlog_t backlog = backlog_of(caller, capacity, now);
 	estimate_t response = expected_response(caller, now);
 
@@ -584,7 +610,7 @@
 	if (!caller->pooler->config.serve_in_arrival_order)
 		wait_queue_update(caller->service->queue, &caller->waiter,
 				  expected_work(caller, now), response_bound(caller, now),
-				  choice_capacity(caller, now).primary_only);
+				  capacity_for(caller, now).primary_only);
 }
 
 void dispatch_tick(service_t *service, usec_t now)
