--- a/pooler/home.h
+++ b/pooler/home.h
@@ -4,9 +4,9 @@
  * A member accepts few connections, and each new one costs it time. In a fleet with too many
  * proxies for that, one proxy in each zone, the home, holds the connections permanently, and all
  * others forward their statements to it (forward.h). The home of a zone is the first of its proxies
- * by a hash of their names and the service's (rendezvous hashing), so that all proxies choose the
- * same one without communication, and the homes of different services lie on different proxies. In
- * a small fleet every proxy is its own home.
+ * by processor share and a hash of their names and the service's (home_rank.h), so that all proxies
+ * choose the same one without communication, and the homes of different services lie on different
+ * proxies. In a small fleet every proxy is its own home.
  *
  * If a home does not answer, the next candidate is used: a second proxy in the zone, then the homes
  * of other zones. If none answers, a proxy connects to the members itself.
--- a/pooler/liveness.c
+++ b/pooler/liveness.c
@@ -113,6 +113,7 @@
 			continue;
 		sent = send_ping(pooler, report, peer, now);
 		any_sent |= sent;
+		report->ping_makes_link |= sent;
 		report->lacks_link = !sent && !is_overdue(pooler, report, now);
 		any |= report->lacks_link;
 	}
@@ -162,6 +163,7 @@
 	if (!report->link_requested && (*links_left)-- <= 0)
 		return false;
 	report->link_requested = !send_ping(pooler, report, peer, now);
+	report->ping_makes_link = true;
 	return false;
 }
 
@@ -182,7 +184,8 @@
 
 /*
  * The round trip is measured from the first unanswered ping, so that a peer too slow to answer
- * between two pings is measured too.
+ * between two pings is measured too. The answer to the first ping over a new link is no sample: it
+ * has waited for the link back.
  */
 void liveness_on_pong(peer_report_t *report, usec_t now)
 {
@@ -193,7 +196,9 @@
 		return;
 	report->ping_unanswered_since = 0;
 	histogram_add(&round_trip_seconds, sample);
-	rtt_add(&report->rtt, sample < SUSPECT_AFTER_MAX ? sample : SUSPECT_AFTER_MAX);
+	if (!report->ping_makes_link)
+		rtt_add(&report->rtt, sample < SUSPECT_AFTER_MAX ? sample : SUSPECT_AFTER_MAX);
+	report->ping_makes_link = false;
 }
 
 /* Forgets pings that the peer has certainly not read, as it was cut off or not running. */
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -339,7 +339,8 @@
 	unsigned unsent_count; /* messages not sent for want of a link, since its last message */
 	bool lacks_link;       /* it is pinged as soon as there is a link to it */
 	bool link_requested;   /* a link ahead of use is being made; see liveness_connect() */
-	rtt_t rtt;	       /* of pings */
+	bool ping_makes_link;  /* the unanswered ping was the first over a new link */
+	rtt_t rtt;	       /* of pings over links that were there */
 	bool ping_answered;    /* it has answered a ping, so there are links in both directions */
 	usec_t declined_until;
 	bool suspected;	      /* its silence was logged */
