pooler: log lines for connections that give way and refusals at a limit, by request

From a request's id to whose connection was closed for it, and to the priority and time with which a limit refused it; both at level debug.

--- a/pooler/opening.c
+++ b/pooler/opening.c
@@ -7,7 +7,9 @@
 #include "permit.h"
 #include "room.h"
 
+#define LOG_MODULE "opening"
 #include "counter.h"
+#include "log.h"
 
 /* Wait after which a caller may use more connections than this proxy's share: one connect time. */
 #define EXCEED_SHARE_WAIT (15 * USEC_PER_MSEC)
@@ -166,6 +168,22 @@
 	return opening_decide(&c);
 }
 
+/* Closes the connection of another customer for the caller's. */
+static void evict(conn_t *conn, const caller_t *caller, usec_t now)
+{
+	evict_candidate_t candidate = candidate_of(conn, now);
+
+	LOG_EVENT(LOG_DBG, "connection evicted", LOG_STR("member", conn->member->id),
+		  LOG_STR("customer", conn->customer_pool->customer),
+		  LOG_STR("for_customer", caller->customer_pool->customer),
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_INT("idle_ms", (int64_t)(candidate.idle / USEC_PER_MSEC)),
+		  LOG_INT("of_customer", (int64_t)candidate.count),
+		  LOG_INT("served", conn->has_served));
+	conn->end = CONN_END_EVICTED;
+	conn_close(conn, "evicted for another customer");
+}
+
 /*
  * Opens a connection for the caller's customer. If this proxy's share is used up, an evictable
  * connection is closed for it; without one, the new connection goes beyond the share.
@@ -176,10 +194,8 @@
 
 	if (!room_can_open(member, now, false)) {
 		evicted = choose_evictable(member, caller, now);
-		if (evicted != NULL) {
-			evicted->end = CONN_END_EVICTED;
-			conn_close(evicted, "evicted for another customer");
-		}
+		if (evicted != NULL)
+			evict(evicted, caller, now);
 	}
 	conn_open(member, caller->customer_pool);
 }
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -208,7 +208,8 @@
 	if (reason == REASON_LIMIT_REACHED)
 		counter_add(&refused_total, 1);
 	LOG_EVENT(LOG_DBG, "operation not admitted", LOG_STR("customer", queue->customer),
-		  LOG_STR("reason", reason_text(reason)),
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_INT("priority", caller->priority), LOG_STR("reason", reason_text(reason)),
 		  LOG_INT("back_ms", (int64_t)(retry_after / USEC_PER_MSEC)));
 	caller_refuse(caller, reason == REASON_LIMIT_REACHED ? CODE_TOO_MANY : CODE_BUSY, reason,
 		      retry_after);
