Homes lend each other the room at a member that they do not use

Cause: the homes of a service divide a member's statements evenly, without looking at each other; the part of a home without callers is unused while callers of another zone wait.

A home whose callers have waited 15 ms for a member that is full for it asks the homes of the other zones; each lends what it has not used of late, for 400 ms by the borrower's clock and 500 ms by its own. Only statements in progress are lent, in whole ones: hundredths of a slot are lost in the rounding of the parts; a connection in a transaction outlives a loan.

--- a/pooler/env.h
+++ b/pooler/env.h
@@ -61,6 +61,8 @@
 	PEER_STORE_ANSWER,
 	PEER_QUOTA_REQUEST,
 	PEER_QUOTA_ANSWER,
+	PEER_LOAN_REQUEST,
+	PEER_LOAN_ANSWER,
 } peer_message_kind_t;
 
 /*
@@ -151,6 +153,23 @@
 	usec_t retry_after; /* with too few tokens: time until another request makes sense */
 } quota_answer_t;
 
+/* Members that one message about loans can name; a service has few. */
+#define LOAN_MEMBERS_MAX 16
+
+/*
+ * PEER_LOAN_REQUEST: statements in progress that a home would borrow from the receiver at members
+ * of a service. PEER_LOAN_ANSWER: those that are lent; see loan.h.
+ */
+typedef struct loan_terms {
+	uint64_t number; /* chosen by the sender of the request; the answer carries it */
+	const char *service;
+	struct {
+		const char *member;
+		unsigned statements;
+	} members[LOAN_MEMBERS_MAX];
+	size_t count;
+} loan_terms_t;
+
 /* A message between proxies. Each message is complete in itself; any may be lost or repeated. */
 typedef struct peer_message {
 	peer_message_kind_t kind;
@@ -215,6 +234,7 @@
 	const store_answer_t *store_answer;
 	const quota_request_t *quota_request;
 	const quota_answer_t *quota_answer;
+	const loan_terms_t *loan;
 	usec_t keys_confirmed_age; /* STATE: time since the sender's configuration and keys were
 				      confirmed to be current */
 	bool cut_off;		   /* the sender's own calls to the store fail */
--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -13,6 +13,7 @@
 #include "job.h"
 #include "join.h"
 #include "leader.h"
+#include "loan_exchange.h"
 #include "permit.h"
 #include "push.h"
 #include "quota.h"
@@ -500,6 +501,12 @@
 	case PEER_QUOTA_ANSWER:
 		quota_on_answer(pooler, message);
 		break;
+	case PEER_LOAN_REQUEST:
+		loan_exchange_on_request(pooler, message);
+		break;
+	case PEER_LOAN_ANSWER:
+		loan_exchange_on_answer(pooler, message);
+		break;
 	}
 }
 
@@ -508,4 +515,5 @@
 	push_tick(pooler, now);
 	ask_tick(pooler, now);
 	upstream_tick(pooler, now);
+	loan_exchange_tick(pooler, now);
 }
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -333,6 +333,23 @@
 	return NULL;
 }
 
+size_t home_list_others(service_t *service, usec_t now, const roster_node_t **others, size_t max)
+{
+	const pooler_t *pooler = service->pooler;
+	const homes_t *homes = get_homes(service);
+	size_t count = 0;
+
+	/* The candidates of other zones are in the order of the homes. */
+	for (size_t i = 0; i < homes->len && count < max && count + 1 < homes->fleet_count; i++) {
+		const roster_node_t *node = roster_find_node(pooler->sync.roster, homes->names[i]);
+
+		if (node != NULL && strcmp(node->zone, pooler->config.zone) != 0 &&
+		    is_usable(pooler, node->name, now))
+			others[count++] = node;
+	}
+	return count;
+}
+
 bool home_holds_conns(service_t *service, usec_t now)
 {
 	const roster_node_t *home;
--- a/pooler/home.h
+++ b/pooler/home.h
@@ -24,6 +24,12 @@
 /* Number of homes of the service in the fleet. */
 size_t home_count(service_t *service);
 
+/*
+ * Stores the homes of the other zones that are not suspect, at most max; returns their number. Of
+ * more than three zones not all are known here.
+ */
+size_t home_list_others(service_t *service, usec_t now, const roster_node_t **others, size_t max);
+
 /*
  * The home to which this proxy forwards its callers' statements, which may be this proxy itself;
  * NULL: no candidate answers.
--- a/pooler/loan.h
+++ b/pooler/loan.h
@@ -1,47 +1,72 @@
 /*
- * Loans of a member's capacity among the homes of a service. Each home owns an equal part of a
- * member's slots and connections. A home whose callers wait asks the others, and one with capacity
- * to spare lends some of it for a stated time.
+ * Loans of a member's capacity among the homes of a service. Each home owns an equal part of the
+ * statements that a member may have in progress. A home whose callers wait asks the others, and one
+ * with capacity to spare lends some of it for a stated time.
  *
  * A lender counts a loan as used from before the message that grants it is sent until after the
- * borrower has stopped using it, so the homes together never exceed the member's capacity,
- * whichever messages are lost, late or repeated. Each side counts by its own clock: the borrower
- * from when it sent the request that the loan answers, the lender from when it granted it.
+ * borrower has stopped using it, and never lends more than it owns. So at any time the homes
+ * together may have no more statements at a member than their own parts add up to, whichever
+ * messages are lost, late or repeated, and whichever homes are paused or start anew. Each side
+ * counts by its own clock: the borrower from when it sent the request that the loan answers, the
+ * lender from when it granted it. Two things can exceed the sum, by no more than the loans that are
+ * out: a part that shrinks while some of it is lent, and a statement that takes longer than
+ * LOAN_MARGIN and was sent at the end of a loan.
+ *
+ * Connections are not lent: a connection with an open transaction outlives any loan, so the lender
+ * could not know when it has its part back.
  */
 #pragma once
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
-
 #include "clock.h"
 
 /* Time for which a loan may be used. */
 #define LOAN_TIME (400 * USEC_PER_MSEC)
 /* Added to it by the lender: the borrower may send its last statement at the end of the loan. */
 #define LOAN_MARGIN (100 * USEC_PER_MSEC)
+/* Statements of its part that a home never lends, so that a first caller of its own need not wait.
+ */
+#define LOAN_KEPT 1
 
-/* Capacity of one member: slots in hundredths, and connections. */
-typedef struct loan_amount {
-	unsigned slot_percent;
-	unsigned connections;
-} loan_amount_t;
-
-/* The loans of one home at one member, given and taken. */
+/* The loans of one home at one member, given and taken. Amounts are statements in progress. */
 typedef struct loan_book loan_book_t;
 
-loan_book_t *loan_book_create(void *parent);
+/*
+ * started: when this process started. An earlier one of the same proxy may have lent all but
+ * LOAN_KEPT just before, so the book allows no more than that until such loans have ended.
+ */
+loan_book_t *loan_book_create(void *parent, usec_t started);
+
+/* What a process that started then, and has neither given nor taken loans, may use of its part. */
+unsigned loan_without_book(unsigned own, usec_t started, usec_t now);
 
-/* Capacity that this home may use now, of a part that it owns: less given, plus taken loans. */
-loan_amount_t loan_book_available(const loan_book_t *book, loan_amount_t own, usec_t now);
+/* What this home may use now, of a part that it owns: less given, plus taken loans. */
+unsigned loan_book_available(const loan_book_t *book, unsigned own, usec_t now);
 
 /*
- * Decides what is lent to a home that asks for wanted, while this home itself uses, or expects to
- * use, in_use of its own part; records the loan. Returns what is lent, which may be nothing.
+ * Records what this home uses of the member, with the callers that wait for it. It lends nothing
+ * that it has needed within the time for which a loan is out.
  */
-loan_amount_t loan_book_lend(loan_book_t *book, const char *borrower, loan_amount_t wanted,
-			     loan_amount_t own, loan_amount_t in_use, usec_t now);
+void loan_book_note_use(loan_book_t *book, unsigned in_use, usec_t now);
 
-/* Records a loan that answers a request sent at asked_at; too late, it is not used. */
-void loan_book_borrow(loan_book_t *book, const char *lender, loan_amount_t amount, usec_t asked_at,
+/* The most that was recorded of late. */
+unsigned loan_book_recent_use(const loan_book_t *book, usec_t now);
+
+/*
+ * Decides what is lent to a home that asks for wanted, while this home itself uses in_use of its
+ * own part; records the loan. Returns what is lent, which may be nothing. A loan replaces an
+ * earlier one to the same borrower, which is counted all the same until it ends, since the answer
+ * may be lost.
+ */
+unsigned loan_book_lend(loan_book_t *book, const char *borrower, unsigned wanted, unsigned own,
+			unsigned in_use, usec_t now);
+
+/*
+ * Records a loan that answers a request sent at asked_at; it replaces one that answers an earlier
+ * request. Too late, or older than what the book has, it is not used.
+ */
+void loan_book_borrow(loan_book_t *book, const char *lender, unsigned amount, usec_t asked_at,
 		      usec_t now);
+
+/* What is lent now, and what was borrowed and may be used now. */
+unsigned loan_book_lent(const loan_book_t *book, usec_t now);
+unsigned loan_book_taken(const loan_book_t *book, usec_t now);
--- a/pooler/metrics.c
+++ b/pooler/metrics.c
@@ -72,6 +72,21 @@
 	return (double)room_used(member);
 }
 
+static double room_of_own(const member_t *member)
+{
+	return (double)room_part(member);
+}
+
+static double lent_statements(const member_t *member)
+{
+	return (double)room_lent(member, now_of(member->pooler));
+}
+
+static double borrowed_statements(const member_t *member)
+{
+	return (double)room_borrowed(member, now_of(member->pooler));
+}
+
 static double response_seconds(const member_t *member)
 {
 	return to_seconds(member->response_time);
@@ -103,6 +118,12 @@
 		      connection_count);
 	write_members(pooler, out, "member_statements_running", "Statements running at the member.",
 		      running_statements);
+	write_members(pooler, out, "member_statements_part",
+		      "Statements that are this proxy's own part at the member.", room_of_own);
+	write_members(pooler, out, "member_statements_lent",
+		      "Statements of that part that are lent to other homes.", lent_statements);
+	write_members(pooler, out, "member_statements_borrowed",
+		      "Statements borrowed from other homes.", borrowed_statements);
 	write_members(pooler, out, "member_response_seconds",
 		      "Smoothed time from a statement to the member's reply.", response_seconds);
 	write_members(pooler, out, "member_down", "1 if the member does not answer.", is_down);
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -547,8 +547,10 @@
 	json_t *members = json_array();
 
 	list_for_each (it, &service->members)
-		json_array_append_new(members,
-				      dump_member(list_entry(it, member_t, in_service), now));
+		json_array_append_new(
+			members,
+			room_add_to_dump(dump_member(list_entry(it, member_t, in_service), now),
+					 list_entry(it, member_t, in_service), now));
 	return json_pack("{s:s, s:s, s:i, s:i, s:i, s:o}", "name", service->name, "primary",
 			 primary != NULL ? primary->id : "", "waiting",
 			 (int)list_length(&service->waiting), "samples",
--- a/pooler/room.c
+++ b/pooler/room.c
@@ -53,6 +53,25 @@
 	return member->conn_count < limit;
 }
 
+unsigned room_part(const member_t *member)
+{
+	size_t proxies = count_sharing_proxies(member->service);
+	size_t limit = (size_t)member->slots * STATEMENTS_PER_SLOT;
+
+	/* Rounded up, so that each proxy may have one statement there. */
+	return (unsigned)(proxies != 0 ? (limit + proxies - 1) / proxies : limit);
+}
+
+/* Loans are only made among homes: with few proxies each one has a part for itself. */
+static unsigned available(const member_t *member, unsigned part, usec_t now)
+{
+	if (!home_is_needed(member->service))
+		return part;
+	if (member->loans == NULL)
+		return loan_without_book(part, member->pooler->started, now);
+	return loan_book_available(member->loans, part, now);
+}
+
 /*
  * A member runs its queued statements in order of arrival, whether or not they are late, and the
  * outcome of one whose time runs out is unknown. A statement that is queued here can be overtaken
@@ -61,14 +80,9 @@
  */
 bool room_is_free(const member_t *member)
 {
-	size_t proxies = count_sharing_proxies(member->service);
-	size_t limit = (size_t)member->slots * STATEMENTS_PER_SLOT;
+	unsigned part = room_part(member);
 
-	/*
-	 * Rounded up, so that each proxy may have one statement there; a member's entry without
-	 * slots sets no limit.
-	 */
-	return limit == 0 || room_used(member) * proxies < limit;
+	return part == 0 || room_used(member) < available(member, part, now_of(member->pooler));
 }
 
 size_t room_used(const member_t *member)
@@ -84,7 +98,42 @@
 	return load;
 }
 
+/* A home that lends keeps at least so much of a slot to count on. */
+#define SLOTS_MIN 0.1
+
 double room_slots(const member_t *member)
 {
-	return (double)member->slots / (double)count_sharing_proxies(member->service);
+	usec_t now = now_of(member->pooler);
+	double own = (double)member->slots / (double)count_sharing_proxies(member->service);
+	double lent = (double)room_lent(member, now) / STATEMENTS_PER_SLOT;
+	double borrowed = (double)room_borrowed(member, now) / STATEMENTS_PER_SLOT;
+
+	return (own > lent + SLOTS_MIN ? own - lent : SLOTS_MIN) + borrowed;
+}
+
+/* --- loans --- */
+
+loan_book_t *room_loans(member_t *member)
+{
+	if (member->loans == NULL)
+		member->loans = loan_book_create(member, member->pooler->started);
+	return member->loans;
+}
+
+unsigned room_lent(const member_t *member, usec_t now)
+{
+	return member->loans != NULL ? loan_book_lent(member->loans, now) : 0;
+}
+
+unsigned room_borrowed(const member_t *member, usec_t now)
+{
+	return member->loans != NULL ? loan_book_taken(member->loans, now) : 0;
+}
+
+json_t *room_add_to_dump(json_t *dump, const member_t *member, usec_t now)
+{
+	json_object_set_new(dump, "part", json_integer(room_part(member)));
+	json_object_set_new(dump, "lent", json_integer(room_lent(member, now)));
+	json_object_set_new(dump, "borrowed", json_integer(room_borrowed(member, now)));
+	return dump;
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -4,6 +4,7 @@
 #include "follow.h"
 #include "freshness.h"
 #include "shard_owners.h"
+#include "loan.h"
 #include "outbox.h"
 #include "outlier.h"
 #include "pooler.h"
@@ -112,6 +113,7 @@
 	usec_t unused_probed_at; /* when verdict.c last had the member probed, because the member
 				    had no traffic or other proxies suspect it */
 	member_status_t status;
+	loan_book_t *loans; /* see room.h; NULL: none were made yet */
 } member_t;
 
 /* --- callers --- */
@@ -248,6 +250,21 @@
 	size_t fleet_count; /* homes of the service in the whole fleet */
 } homes_t;
 
+/* Requests for loans whose answers are awaited, for as long as a loan may be used. */
+#define LOAN_REQUESTS_MAX 4
+
+/* Requests for loans of one service; see loan_exchange.h. */
+typedef struct loan_requests {
+	struct {
+		uint64_t number; /* 0: none */
+		usec_t sent_at;
+	} sent[LOAN_REQUESTS_MAX];
+	size_t count;	   /* sent so far */
+	usec_t next_at;	   /* when the next one may be sent */
+	usec_t spacing;	   /* between the last one and the next */
+	bool was_answered; /* something was lent since the last one */
+} loan_requests_t;
+
 /* How many proxies report each state of a primary; see verdict_count_votes(). */
 typedef struct votes {
 	size_t down;
@@ -286,6 +303,7 @@
 	int64_t primary_revision;   /* revision of that roster */
 	change_t change;
 	homes_t homes;
+	loan_requests_t loan_requests;
 	struct {
 		char *primary; /* NULL: none */
 		bool changing;
