Loans: at most half of a part, decided by the lender's present use

A lender that kept one statement delayed its own callers under even load, one that kept the most that it had used in the last second seldom lent. A process that starts anew may use half of its part at once: after a loss of power all homes start together.

--- a/pooler/loan.c
+++ b/pooler/loan.c
@@ -15,8 +15,6 @@
 #define TAKEN_MAX 4
 /* Time after which a loan no longer counts at the lender. */
 #define GIVEN_TIME (LOAN_TIME + LOAN_MARGIN)
-/* Recorded use is kept as the maximum of two periods, the present one and the one before. */
-#define USE_PERIOD GIVEN_TIME
 
 typedef struct given {
 	char *borrower;
@@ -36,9 +34,6 @@
 	size_t given_count;
 	taken_t taken[TAKEN_MAX];
 	size_t taken_count;
-	usec_t period_start;
-	unsigned use_before;
-	unsigned use_now;
 };
 
 loan_book_t *loan_book_create(void *parent, usec_t started)
@@ -115,10 +110,16 @@
 	return from > amount ? from - amount : 0;
 }
 
+/* What of its part a home never lends. */
+static unsigned get_kept(unsigned own)
+{
+	return own - own / LOAN_DIVISOR;
+}
+
 unsigned loan_book_lend(loan_book_t *book, const char *borrower, unsigned wanted, unsigned own,
 			unsigned in_use, usec_t now)
 {
-	unsigned kept = at_least(at_least(in_use, loan_book_recent_use(book, now)), LOAN_KEPT);
+	unsigned kept = at_least(in_use, get_kept(own));
 	unsigned usable = loan_without_book(own, book->started, now);
 	unsigned spare = less(less(usable, lent_except(book, borrower, now)), kept);
 	unsigned amount = wanted < spare ? wanted : spare;
@@ -195,7 +196,7 @@
 
 unsigned loan_without_book(unsigned own, usec_t started, usec_t now)
 {
-	return now >= started + GIVEN_TIME || own < LOAN_KEPT ? own : LOAN_KEPT;
+	return now >= started + GIVEN_TIME ? own : get_kept(own);
 }
 
 unsigned loan_book_available(const loan_book_t *book, unsigned own, usec_t now)
@@ -204,24 +205,5 @@
 	unsigned left = less(usable, loan_book_lent(book, now));
 
 	/* Less is left than what is never lent if the part has shrunk since. */
-	return at_least(left, own < LOAN_KEPT ? own : LOAN_KEPT) + loan_book_taken(book, now);
-}
-
-void loan_book_note_use(loan_book_t *book, unsigned in_use, usec_t now)
-{
-	if (now >= book->period_start + USE_PERIOD) {
-		bool adjacent = now < book->period_start + 2 * USE_PERIOD;
-
-		book->use_before = adjacent ? book->use_now : 0;
-		book->use_now = 0;
-		book->period_start = now;
-	}
-	book->use_now = at_least(book->use_now, in_use);
-}
-
-unsigned loan_book_recent_use(const loan_book_t *book, usec_t now)
-{
-	if (now >= book->period_start + 2 * USE_PERIOD)
-		return 0;
-	return at_least(book->use_before, book->use_now);
+	return at_least(left, get_kept(own)) + loan_book_taken(book, now);
 }
--- a/pooler/loan.h
+++ b/pooler/loan.h
@@ -23,16 +23,20 @@
 #define LOAN_TIME (400 * USEC_PER_MSEC)
 /* Added to it by the lender: the borrower may send its last statement at the end of the loan. */
 #define LOAN_MARGIN (100 * USEC_PER_MSEC)
-/* Statements of its part that a home never lends, so that a first caller of its own need not wait.
+/*
+ * A home lends at most one in this many statements of its part. A first caller of its own need not
+ * wait then, and a process that has just started can serve, though it does not know what the one
+ * before it lent. More would not help the borrower: with half of the others' parts of two
+ * statements a slot it keeps all slots busy.
  */
-#define LOAN_KEPT 1
+#define LOAN_DIVISOR 2
 
 /* The loans of one home at one member, given and taken. Amounts are statements in progress. */
 typedef struct loan_book loan_book_t;
 
 /*
- * started: when this process started. An earlier one of the same proxy may have lent all but
- * LOAN_KEPT just before, so the book allows no more than that until such loans have ended.
+ * started: when this process started. An earlier one of the same proxy may have lent what can be
+ * lent just before, so the book does not allow its use until such loans have ended.
  */
 loan_book_t *loan_book_create(void *parent, usec_t started);
 
@@ -43,16 +47,7 @@
 unsigned loan_book_available(const loan_book_t *book, unsigned own, usec_t now);
 
 /*
- * Records what this home uses of the member, with the callers that wait for it. It lends nothing
- * that it has needed within the time for which a loan is out.
- */
-void loan_book_note_use(loan_book_t *book, unsigned in_use, usec_t now);
-
-/* The most that was recorded of late. */
-unsigned loan_book_recent_use(const loan_book_t *book, usec_t now);
-
-/*
- * Decides what is lent to a home that asks for wanted, while this home itself uses in_use of its
+ * Decides what is lent to a home that asks for wanted, while this home itself needs in_use of its
  * own part; records the loan. Returns what is lent, which may be nothing. A loan replaces an
  * earlier one to the same borrower, which is counted all the same until it ends, since the answer
  * may be lost.
--- a/pooler/loan_exchange.c
+++ b/pooler/loan_exchange.c
@@ -22,10 +22,10 @@
 /* The same after one that was answered: early enough to renew the loan before it ends. */
 #define RENEWAL_SPACING (LOAN_TIME / 2)
 /*
- * A caller has waited for this long before a loan is requested for it: the usual run time of a
- * statement. Shorter waits end before an answer arrives from another zone.
+ * A caller has waited for this long before a loan is requested for it: a statement or two that run
+ * before it. Such waits end by themselves, and messages between zones are charged.
  */
-#define WAIT_MIN (15 * USEC_PER_MSEC)
+#define WAIT_MIN (30 * USEC_PER_MSEC)
 
 COUNTER_DEFINE(requests_total, "loan_requests_total", COUNTER_SUM,
 	       "Requests to other homes to lend room at members.");
@@ -138,32 +138,13 @@
 	send_to_others(service, &terms, now);
 }
 
-/* What this home needs of the member: what runs there, and all callers that wait, for any reason.
- */
-static unsigned get_use(const member_t *member, usec_t now)
-{
-	return (unsigned)room_used(member) + count_waiting_for(member->service, member, now, 0);
-}
-
-static void note_use(const service_t *service, usec_t now)
-{
-	list_for_each (it, &service->members) {
-		member_t *member = list_entry(it, member_t, in_service);
-
-		if (member->loans != NULL || !list_empty(&member->conns))
-			loan_book_note_use(room_loans(member), get_use(member, now), now);
-	}
-}
-
 void loan_exchange_tick(pooler_t *pooler, usec_t now)
 {
 	list_for_each (it, &pooler->active_services) {
 		service_t *service = list_entry(it, service_t, active);
 
-		if (!home_is_needed(service))
-			continue;
-		note_use(service, now);
-		request_loans(service, now);
+		if (home_is_needed(service))
+			request_loans(service, now);
 	}
 }
 
@@ -187,6 +168,13 @@
 	return member != NULL && member->service == service ? member : NULL;
 }
 
+/* What this home needs of the member: what runs there, and all callers that wait, for any reason.
+ */
+static unsigned get_use(const member_t *member, usec_t now)
+{
+	return (unsigned)room_used(member) + count_waiting_for(member->service, member, now, 0);
+}
+
 static unsigned lend(member_t *member, const char *borrower, unsigned wanted, usec_t now)
 {
 	loan_book_t *book = room_loans(member);
@@ -203,7 +191,6 @@
 			  LOG_STR("member", member->id), LOG_STR("to", borrower),
 			  LOG_INT("statements", amount), LOG_INT("wanted", wanted),
 			  LOG_INT("part", part), LOG_INT("used", use),
-			  LOG_INT("used_lately", loan_book_recent_use(book, now)),
 			  LOG_INT("lent_before", lent_before));
 	return amount;
 }
--- a/pooler/loan_exchange.h
+++ b/pooler/loan_exchange.h
@@ -8,7 +8,7 @@
 
 #include "state.h"
 
-/* Records the use of the members, and asks for loans for the services with waiting callers. */
+/* Asks for loans for the services with waiting callers. */
 void loan_exchange_tick(pooler_t *pooler, usec_t now);
 
 /* Handles another home's request for a loan. */
