--- a/pooler/loan_exchange.c
+++ b/pooler/loan_exchange.c
@@ -78,6 +78,8 @@
 {
 	unsigned full = count_full(service);
 
+	if (full == 0)
+		return;
 	list_for_each (it, &service->members) {
 		member_t *member = list_entry(it, member_t, in_service);
 		unsigned waiting;
