--- a/pooler/loan_exchange.c
+++ b/pooler/loan_exchange.c
@@ -129,8 +129,7 @@
 {
 	loan_terms_t terms = {.service = service->name};
 
-	if (list_empty(&service->waiting) || now < service->loan_requests.next_at ||
-	    !home_holds_conns(service, now))
+	if (now < service->loan_requests.next_at || !home_holds_conns(service, now))
 		return;
 	fill_wanted(service, &terms, now);
 	if (terms.count == 0)
@@ -145,8 +144,10 @@
 	list_for_each (it, &pooler->active_services) {
 		service_t *service = list_entry(it, service_t, active);
 
-		if (home_is_needed(service))
-			request_loans(service, now);
+		if (!home_is_needed(service) || list_empty(&service->waiting))
+			continue;
+		service->loan_requests.waited_at = now;
+		request_loans(service, now);
 	}
 }
 
@@ -170,10 +171,16 @@
 	return member != NULL && member->service == service ? member : NULL;
 }
 
-/* What this home needs of the member: what runs there, and all callers that wait, for any reason.
+/*
+ * What this home needs of its part of the member. A home whose own callers have waited of late, for
+ * whatever reason, needs all of it: they may come again before a loan ends.
  */
-static unsigned get_use(const member_t *member, usec_t now)
+static unsigned get_need(const member_t *member, usec_t now)
 {
+	usec_t waited_at = member->service->loan_requests.waited_at;
+
+	if (waited_at != 0 && now < waited_at + LOAN_TIME)
+		return room_part(member);
 	return (unsigned)room_used(member) + count_waiting_for(member->service, member, now, 0);
 }
 
@@ -181,9 +188,9 @@
 {
 	loan_book_t *book = room_loans(member);
 	unsigned part = room_part(member);
-	unsigned use = get_use(member, now);
+	unsigned need = get_need(member, now);
 	unsigned lent_before = loan_book_lent(book, now);
-	unsigned amount = loan_book_lend(book, borrower, wanted, part, use, now);
+	unsigned amount = loan_book_lend(book, borrower, wanted, part, need, now);
 
 	if (amount != 0)
 		counter_add(&given_total, 1);
@@ -192,7 +199,7 @@
 		LOG_EVENT(LOG_INFO, "room lent", LOG_STR("service", member->service->name),
 			  LOG_STR("member", member->id), LOG_STR("to", borrower),
 			  LOG_INT("statements", amount), LOG_INT("wanted", wanted),
-			  LOG_INT("part", part), LOG_INT("used", use),
+			  LOG_INT("part", part), LOG_INT("needed", need),
 			  LOG_INT("lent_before", lent_before));
 	return amount;
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -263,6 +263,7 @@
 	usec_t next_at;	   /* when the next one may be sent */
 	usec_t spacing;	   /* between the last one and the next */
 	bool was_answered; /* something was lent since the last one */
+	usec_t waited_at;  /* when callers of the service last waited here at a tick; 0: never */
 } loan_requests_t;
 
 /* How many proxies report each state of a primary; see verdict_count_votes(). */
