--- a/pooler/loan_exchange.c
+++ b/pooler/loan_exchange.c
@@ -139,6 +139,16 @@
 	send_to_others(service, &terms, now);
 }
 
+static void note_lack_of_room(service_t *service, usec_t now)
+{
+	list_for_each (it, &service->members) {
+		member_t *member = list_entry(it, member_t, in_service);
+
+		if (is_full(member) && count_waiting_for(service, member, now, 0) != 0)
+			member->room_lacked_at = now;
+	}
+}
+
 void loan_exchange_tick(pooler_t *pooler, usec_t now)
 {
 	list_for_each (it, &pooler->active_services) {
@@ -146,7 +156,7 @@
 
 		if (!home_is_needed(service) || list_empty(&service->waiting))
 			continue;
-		service->loan_requests.waited_at = now;
+		note_lack_of_room(service, now);
 		request_loans(service, now);
 	}
 }
@@ -172,14 +182,12 @@
 }
 
 /*
- * What this home needs of its part of the member. A home whose own callers have waited of late, for
- * whatever reason, needs all of it: they may come again before a loan ends.
+ * What this home needs of its part of the member: all of it if its own callers have waited for room
+ * there of late, since they may do so again before a loan ends.
  */
 static unsigned get_need(const member_t *member, usec_t now)
 {
-	usec_t waited_at = member->service->loan_requests.waited_at;
-
-	if (waited_at != 0 && now < waited_at + LOAN_TIME)
+	if (member->room_lacked_at != 0 && now < member->room_lacked_at + LOAN_TIME)
 		return room_part(member);
 	return (unsigned)room_used(member) + count_waiting_for(member->service, member, now, 0);
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -113,7 +113,9 @@
 	usec_t unused_probed_at; /* when verdict.c last had the member probed, because the member
 				    had no traffic or other proxies suspect it */
 	member_status_t status;
-	loan_book_t *loans; /* see room.h; NULL: none were made yet */
+	loan_book_t *loans;    /* see room.h; NULL: none were made yet */
+	usec_t room_lacked_at; /* when callers last waited at a tick while this proxy might send the
+				  member no more statements; 0: never */
 } member_t;
 
 /* --- callers --- */
@@ -263,7 +265,6 @@
 	usec_t next_at;	   /* when the next one may be sent */
 	usec_t spacing;	   /* between the last one and the next */
 	bool was_answered; /* something was lent since the last one */
-	usec_t waited_at;  /* when callers of the service last waited here at a tick; 0: never */
 } loan_requests_t;
 
 /* How many proxies report each state of a primary; see verdict_count_votes(). */
