--- a/pooler/loan.h
+++ b/pooler/loan.h
@@ -8,9 +8,10 @@
  * together may have no more statements at a member than their own parts add up to, whichever
  * messages are lost, late or repeated, and whichever homes are paused or start anew. Each side
  * counts by its own clock: the borrower from when it sent the request that the loan answers, the
- * lender from when it granted it. Two things can exceed the sum, by no more than the loans that are
- * out: a part that shrinks while some of it is lent, and a statement that takes longer than
- * LOAN_MARGIN and was sent at the end of a loan.
+ * lender from when it granted it. Three things can exceed the sum, by no more than the loans that
+ * are out: a home that takes the place of one that lent and is silent, a part that shrinks while
+ * some of it is lent, and a statement that takes longer than LOAN_MARGIN and was sent at the end of
+ * a loan.
  *
  * Connections are not lent: a connection with an open transaction outlives any loan, so the lender
  * could not know when it has its part back.
