--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -33,6 +33,7 @@
 	usec_t min_lease;     /* shortest lease that the store grants */
 	usec_t revoke_bound;  /* time within which a revoked key must be refused; 0: no bound */
 	limit_slack_t slack;  /* tolerance by which customers' limits may be exceeded */
+	bool lend_room;	      /* take part in loans between homes; see loan.h */
 	/* Switch off safeguards, to measure what they achieve (./dev/measure pooler). */
 	bool serve_in_arrival_order; /* callers that will miss their objective are not put last */
 	bool no_homes;		     /* every proxy has its own connections to the members */
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -22,6 +22,13 @@
 	promote_status_t status;
 } promote_answer_t;
 
+static bool lend_room;
+
+void world_set_lending(bool lend)
+{
+	lend_room = lend;
+}
+
 static void on_promote_answer(run_timer_t *timer, usec_t now)
 {
 	promote_answer_t *answer = list_entry(timer, promote_answer_t, timer);
@@ -303,6 +310,7 @@
 		.slack = world->slack,
 		.serve_in_arrival_order = node->world->baseline,
 		.no_homes = node->world->baseline,
+		.lend_room = lend_room,
 	};
 
 	node->drained = false;
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -126,6 +126,9 @@
 pool_world_t *world_create(size_t nodes, const fake_db_config_t *config);
 void world_destroy(pool_world_t *world);
 
+/* Sets whether homes that start later, in any world, lend each other room; at first they don't. */
+void world_set_lending(bool lend);
+
 /* As world_create(), with customers; the key of customer NAME is "key-NAME". */
 pool_world_t *world_create_with_customers(size_t nodes, const fake_db_config_t *config,
 					  const world_customer_t *customers, size_t count);
