Openings: a stale response time no longer rules out connections

Cause: OPENING_IN_VAIN compared the caller's whole time left with the member's usual response time. That time changes by replies only. A member that was slow for a while and lost its connections got no opening from callers whose time-out was below the old figure, so no reply ever corrected it.

What callers saw: waits up to their time-out although the member could serve them again.

Change: the response time counts only for a caller that has waited for over half of its time-out; the opening time alone counts always.

Test: /conns/stale-response-time. The rule with its case returned "in_vain" before and "now" after. /conns/none-in-vain gave a caller that had not waited 25 ms in all; it was the faulty rule itself, and now asserts both bounds: at the end of a time-out by the response time, and for one that has just come by the opening time.

--- a/pooler/opening_rule.c
+++ b/pooler/opening_rule.c
@@ -26,13 +26,25 @@
 	return objective / PATIENCE_DIVISOR;
 }
 
+/*
+ * True if the caller will be gone when it could be served. The usual response time counts only for
+ * a caller that has waited for over half of its time-out: it changes by replies alone, so without
+ * an opening that of a member without connections would stay as it is.
+ */
+static bool is_in_vain(const opening_case_t *c)
+{
+	if (c->time_left <= OPENING_TIME)
+		return true;
+	return c->waited > c->time_left && c->time_left <= OPENING_TIME + c->response_time;
+}
+
 opening_verdict_t opening_decide(const opening_case_t *c)
 {
 	bool slots_used = c->slots > 0 && (double)(c->running + c->opening) >= c->slots;
 
 	if (c->own_opening >= c->own_waiting)
 		return OPENING_UNDER_WAY;
-	if (c->time_left <= OPENING_TIME + c->response_time)
+	if (is_in_vain(c))
 		return OPENING_IN_VAIN;
 	if (!slots_used)
 		return OPENING_NOW;
--- a/tests/test_pooler_conns.c
+++ b/tests/test_pooler_conns.c
@@ -128,8 +128,27 @@
 {
 	opening_case_t c = usual_case();
 
+	c.waited = 975 * MSEC;
 	c.time_left = 25 * MSEC;
 	g_assert_cmpint(opening_decide(&c), ==, OPENING_IN_VAIN);
+	c.waited = 0;
+	c.time_left = 10 * MSEC;
+	g_assert_cmpint(opening_decide(&c), ==, OPENING_IN_VAIN);
+}
+
+/*
+ * Guards against a member that is never measured again: it was slow and has lost its connections,
+ * and only replies on new ones change its usual response time.
+ */
+static void test_stale_response_time(void)
+{
+	opening_case_t c = usual_case();
+
+	c.response_time = 2000 * MSEC;
+	g_assert_cmpint(opening_decide(&c), ==, OPENING_NOW);
+	c.waited = 600 * MSEC;
+	c.time_left = 400 * MSEC;
+	g_assert_cmpint(opening_decide(&c), ==, OPENING_IN_VAIN);
 }
 
 /* Guards against openings that take all slots of a member while statements wait for them. */
@@ -253,6 +272,7 @@
 	g_test_add_func("/conns/causes", test_causes);
 	g_test_add_func("/conns/one-for-each-caller", test_one_for_each_caller);
 	g_test_add_func("/conns/none-in-vain", test_none_in_vain);
+	g_test_add_func("/conns/stale-response-time", test_stale_response_time);
 	g_test_add_func("/conns/paced", test_paced);
 	g_test_add_func("/conns/long-objective-waits", test_long_objective_waits);
 	g_test_add_func("/conns/uneven-customers", test_uneven_customers);
