Limits: a token goes to the priority that the owner granted it to

Cause: the answer of a shard's owner told only how many tokens it granted, and the proxy admitted its first waiting callers by priority. When the owner denied the highest priority and gave a low one its token of the floor, the proxy admitted a caller of the highest.

What callers saw: operations of a low priority got nothing at a proxy where callers of a higher one waited, however long; the floor of a fifth that PROMISES.md states did not hold.

Tokens without a priority, as of an earlier version, or whose callers are gone, go to the first callers as before.

Test: /access/token-of-floor (with the old order the caller of the low priority was not run: 0 == 1), /access/priorities-on-the-wire.

--- a/pooler/env.h
+++ b/pooler/env.h
@@ -147,10 +147,12 @@
 	uint64_t number;
 	const char *customer;
 	unsigned granted;
-	bool not_owner; /* the sender does not own the shard, or not yet */
-	bool release;	/* answers a request with release set */
-	bool released;	/* answers release: the sender owned the shard and grants no more tokens for
-			   it */
+	token_counts_t granted_to; /* the granted ones by priority; what is missing to granted goes
+				      by the order of the callers */
+	bool not_owner;		   /* the sender does not own the shard, or not yet */
+	bool release;		   /* answers a request with release set */
+	bool released; /* answers release: the sender owned the shard and grants no more tokens for
+			  it */
 	usec_t retry_after; /* with too few tokens: time until another request makes sense */
 	bool has_waits;	    /* waits is valid; a process of an earlier version sends none */
 	usec_t waits[TOKEN_PRIORITIES]; /* the same for each priority that got too few; 0: others */
--- a/pooler/limit_shards.c
+++ b/pooler/limit_shards.c
@@ -284,6 +284,7 @@
 	token_counts_t granted;
 
 	answer->granted = token_order_take(&shard->order, &shard->bucket, &wanted, &granted, now);
+	answer->granted_to = granted;
 	counter_add(&granted_total, answer->granted);
 	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++)
 		count_outcomes(i, wanted.by_priority[i], granted.by_priority[i]);
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -152,26 +152,50 @@
 	list_add_before(pos, &caller->quota_node);
 }
 
-/* Returns the first waiting caller that the request in flight was for, or NULL. */
-static caller_t *first_asked_caller(const quota_queue_t *queue)
+/* Stands for callers of all priorities. */
+#define ANY_PRIORITY TOKEN_PRIORITIES
+
+/* Returns the first waiting caller of the priority that the request in flight was for, or NULL. */
+static caller_t *first_asked_caller(const quota_queue_t *queue, unsigned priority)
 {
 	list_for_each (it, &queue->waiting) {
 		caller_t *caller = list_entry(it, caller_t, quota_node);
 
-		if (caller->received_at <= queue->asked_at)
+		if (caller->received_at <= queue->asked_at &&
+		    (priority == ANY_PRIORITY || token_order_index(caller->priority) == priority))
 			return caller;
 	}
 	return NULL;
 }
 
-static void admit_callers(quota_queue_t *queue, unsigned count)
+/* Admits at most count callers of the priority; returns how many. */
+static unsigned admit_callers(quota_queue_t *queue, unsigned priority, unsigned count)
 {
+	unsigned admitted = 0;
 	caller_t *caller;
 
-	while (count-- != 0 && (caller = first_asked_caller(queue)) != NULL) {
+	while (admitted < count && (caller = first_asked_caller(queue, priority)) != NULL) {
 		quota_cancel(caller);
 		caller_on_admitted(caller);
+		admitted++;
+	}
+	return admitted;
+}
+
+/*
+ * Admits callers of the priorities that the owner granted tokens to. Tokens without a priority, as
+ * of a process of an earlier version, or whose callers are gone, go to the first callers.
+ */
+static void admit_granted(quota_queue_t *queue, const quota_answer_t *answer)
+{
+	unsigned left = answer->granted;
+
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++) {
+		unsigned count = answer->granted_to.by_priority[i];
+
+		left -= admit_callers(queue, i, count < left ? count : left);
 	}
+	admit_callers(queue, ANY_PRIORITY, left);
 }
 
 /*
@@ -468,7 +492,7 @@
 		queue->tried_shards |= 1u << shard;
 	if (!answer->not_owner)
 		record_waits(queue, answer, now);
-	admit_callers(queue, answer->granted);
+	admit_granted(queue, answer);
 	/*
 	 * A round ends when a caller was admitted: for the remaining callers every shard may be
 	 * tried again.
--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -14,6 +14,7 @@
 #include "fleet_codec.h"
 #include "limit_shards.h"
 #include "pool_world.h"
+#include "quota.h"
 
 #define MSEC USEC_PER_MSEC
 #define SEC  USEC_PER_SEC
@@ -674,13 +675,18 @@
 	back = peer_message_decode(parent, text, strlen(text));
 	g_assert_false(back->quota_answer->has_waits);
 	g_assert_cmpuint(back->quota_answer->retry_after, ==, 70 * MSEC);
+	g_assert_cmpuint(back->quota_answer->granted_to.by_priority[3], ==, 0);
 	free(text);
+	answer.granted = 1;
+	answer.granted_to.by_priority[3] = 1;
 	answer.has_waits = true;
 	answer.waits[2] = 90 * MSEC;
 	text = peer_message_encode(&message);
 	back = peer_message_decode(parent, text, strlen(text));
 	g_assert_cmpuint(back->quota_answer->waits[2], ==, 90 * MSEC);
 	g_assert_cmpuint(back->quota_answer->waits[1], ==, 0);
+	g_assert_cmpuint(back->quota_answer->granted_to.by_priority[3], ==, 1);
+	g_assert_cmpuint(back->quota_answer->granted_to.by_priority[0], ==, 0);
 	free(text);
 	talloc_free(parent);
 }
@@ -713,6 +719,84 @@
 	world_destroy(world);
 }
 
+static const env_ops_t *usual_ops;
+static uint64_t last_request; /* number of the last request for tokens that was not sent */
+
+static bool keep_quota_requests(env_t *env, const char *name, const char *address,
+				const peer_message_t *message)
+{
+	if (message->kind != PEER_QUOTA_REQUEST)
+		return usual_ops->peer_send(env, name, address, message);
+	last_request = message->quota_request->number;
+	return true;
+}
+
+/* A proxy that owns no limit shard of customer ada. */
+static size_t find_proxy_without_shard(const pool_world_t *world)
+{
+	const shard_owners_t *owners = world->nodes[0].pooler->shard_owners;
+
+	for (size_t i = 0; i < world->node_count; i++) {
+		bool is_owner = false;
+
+		for (unsigned shard = 0; shard < LIMIT_SHARDS; shard++)
+			is_owner = is_owner || strcmp(shard_owners_find(owners, "ada", shard),
+						      world->nodes[i].name) == 0;
+		if (!is_owner)
+			return i;
+	}
+	g_assert_not_reached();
+}
+
+/* The owner answers the last request of the proxy with one token for a priority, or none. */
+static void answer_last(pool_world_t *world, size_t node, unsigned granted, unsigned priority)
+{
+	quota_answer_t answer = {.number = last_request, .customer = "ada", .granted = granted};
+	peer_message_t message = {.kind = PEER_QUOTA_ANSWER, .quota_answer = &answer};
+
+	if (priority < TOKEN_PRIORITIES)
+		answer.granted_to.by_priority[priority] = granted;
+	quota_on_answer(world->nodes[node].pooler, &message);
+}
+
+/*
+ * Guards against a low priority without service: its token of the floor goes to a caller of a
+ * higher one that waits at the same proxy and whose own request was denied. An answer that names no
+ * priority is one of an earlier version; its token goes to the first caller.
+ */
+static void check_token_goes_to(unsigned granted_priority, bool lower_is_served)
+{
+	pool_world_t *world = start_limited(6);
+	size_t node = find_proxy_without_shard(world);
+	world_caller_t *lower = world_open_session_with_key(world, node, "bounded", "key-ada");
+	world_caller_t *higher = world_open_session_with_key(world, node, "strict", "key-ada");
+	env_ops_t keeping;
+
+	world->bounded_priority = 3;
+	publish_new_version(world);
+	world_run(world, SEC);
+	usual_ops = world->nodes[node].env.ops;
+	keeping = *usual_ops;
+	keeping.peer_send = keep_quota_requests;
+	world->nodes[node].env.ops = &keeping;
+	world_send(lower, "READ a");
+	world_send(higher, "READ a");
+	answer_last(world, node, 0, TOKEN_PRIORITIES);
+	answer_last(world, node, 1, granted_priority);
+	world_run(world, 40 * MSEC);
+	g_assert_cmpint(customer_of_run(world, lower->id) != NULL, ==, lower_is_served);
+	g_assert_cmpint(customer_of_run(world, higher->id) != NULL, ==, !lower_is_served);
+	world->nodes[node].env.ops = usual_ops;
+	world_destroy(world);
+}
+
+static void test_token_of_floor(void)
+{
+	check_token_goes_to(3, true);
+	check_token_goes_to(0, false);
+	check_token_goes_to(TOKEN_PRIORITIES, false);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -735,6 +819,7 @@
 	g_test_add_func("/access/successor-for-a-moment", test_short_lived_successor);
 	g_test_add_func("/access/priorities-on-the-wire", test_priorities_on_the_wire);
 	g_test_add_func("/access/owner-keeps-order", test_owner_keeps_order);
+	g_test_add_func("/access/token-of-floor", test_token_of_floor);
 	g_test_add_func("/access/told-times-with-silent-owner", test_told_times_with_silent_owner);
 	return g_test_run();
 }
