Openings: overdue ones still count for the pace

Cause: an opening without an answer for 150 ms (OPENING_OVERDUE) left both counts: that of the customer's callers, as intended, and that by which openings are paced. At an overloaded member, whose accepts take longer, a full set was opened again each 150 ms, and each evicted an idle connection.

What callers saw: a busy member that spent its slots on openings, and customers whose idle connections were closed for them.

Change: overdue openings no longer stand for a waiting caller, as before, but count for the pace while the member has replied since they began. To a member that has not replied they were probably lost. Beside overdue ones one opening at a time goes on in any case, so lost ones block nobody.

The tests of lost requests are unchanged.

--- a/pooler/opening.c
+++ b/pooler/opening.c
@@ -27,9 +27,9 @@
 #define TX_IDLE_RECLAIM (100 * USEC_PER_MSEC)
 
 /*
- * After this time without an answer of the member an opening counts no more, since the answer may
- * be lost. Openings take as long behind the full queue of a member, and a caller still has time for
- * another one within most objectives.
+ * After this time without an answer of the member an opening no longer stands for a waiting caller,
+ * since the answer may be lost. Openings take as long behind the full queue of a member, and a
+ * caller still has time for another one within most objectives.
  */
 #define OPENING_OVERDUE (150 * USEC_PER_MSEC)
 
@@ -126,7 +126,9 @@
 
 /*
  * Adds the connections to the member: those that are being opened for the caller's customer and,
- * if it is the member that is to serve the caller, the others that matter.
+ * if it is the member that is to serve the caller, the others that matter. An overdue opening still
+ * takes slot time of a member that has replied since it began: it probably waits there. Those to a
+ * member that has not replied were probably lost.
  */
 static void count_conns(const member_t *member, const caller_t *caller, bool serves, usec_t now,
 			opening_case_t *c)
@@ -134,13 +136,14 @@
 	list_for_each (it, &member->conns) {
 		const conn_t *conn = list_entry(it, conn_t, node);
 		bool own = conn->customer_pool == caller->customer_pool;
-		bool opening = conn->state == CONN_OPENING && !conn->probe &&
-			       now < conn->state_since + OPENING_OVERDUE;
+		bool opening = conn->state == CONN_OPENING && !conn->probe;
+		bool overdue = opening && now >= conn->state_since + OPENING_OVERDUE;
 
-		c->own_opening += opening && own;
+		c->own_opening += opening && !overdue && own;
 		if (!serves)
 			continue;
-		c->opening += opening;
+		c->opening += opening && !overdue;
+		c->overdue += overdue && member->last_reply_at > conn->state_since;
 		c->own_in_use +=
 			own && (conn->state == CONN_PREPARING || conn->state == CONN_RUNNING);
 	}
--- a/pooler/opening_rule.c
+++ b/pooler/opening_rule.c
@@ -40,7 +40,8 @@
 
 opening_verdict_t opening_decide(const opening_case_t *c)
 {
-	bool slots_used = c->slots > 0 && (double)(c->running + c->opening) >= c->slots;
+	size_t opening = c->opening + c->overdue;
+	bool slots_used = c->slots > 0 && (double)(c->running + opening) >= c->slots;
 
 	if (c->own_opening >= c->own_waiting)
 		return OPENING_UNDER_WAY;
@@ -48,7 +49,8 @@
 		return OPENING_IN_VAIN;
 	if (!slots_used)
 		return OPENING_NOW;
-	if (c->opening != 0 && (double)(c->opening + 1) > c->slots * OPENING_SLOTS_PART)
+	/* One at a time goes on beside overdue ones, which may be lost. */
+	if (c->opening != 0 && (double)(opening + 1) > c->slots * OPENING_SLOTS_PART)
 		return OPENING_PACED;
 	if (c->own_in_use != 0 && c->waited < opening_patience(c->objective))
 		return OPENING_CAN_WAIT;
--- a/pooler/opening_rule.h
+++ b/pooler/opening_rule.h
@@ -29,6 +29,7 @@
 	size_t own_opening;   /* connections being opened for them, wherever the caller is served */
 	size_t own_in_use;    /* the customer's connections to the member that are in use */
 	size_t opening;	      /* connections to the member that this proxy opens */
+	size_t overdue;	      /* more of them, whose answer may be late or lost */
 	size_t running;	      /* statements that it runs there */
 	double slots;	      /* of the member that it can count on; 0: not known */
 } opening_case_t;
--- a/tests/test_pooler_conns.c
+++ b/tests/test_pooler_conns.c
@@ -172,6 +172,24 @@
 	g_assert_cmpint(opening_decide(&c), ==, OPENING_NOW);
 }
 
+/*
+ * Guards against openings that multiply at an overloaded member, since overdue ones were counted no
+ * more; and against a member that is never opened a connection to, since lost ones are counted.
+ */
+static void test_overdue_are_paced(void)
+{
+	opening_case_t c = usual_case();
+
+	c.slots = 4;
+	c.running = 4;
+	c.overdue = 2;
+	g_assert_cmpint(opening_decide(&c), ==, OPENING_NOW);
+	c.opening = 1;
+	g_assert_cmpint(opening_decide(&c), ==, OPENING_PACED);
+	c.overdue = 0;
+	g_assert_cmpint(opening_decide(&c), ==, OPENING_NOW);
+}
+
 /* Guards against a lookup with much time that opens a connection beside those of its customer. */
 static void test_long_objective_waits(void)
 {
@@ -274,6 +292,7 @@
 	g_test_add_func("/conns/none-in-vain", test_none_in_vain);
 	g_test_add_func("/conns/stale-response-time", test_stale_response_time);
 	g_test_add_func("/conns/paced", test_paced);
+	g_test_add_func("/conns/overdue-are-paced", test_overdue_are_paced);
 	g_test_add_func("/conns/long-objective-waits", test_long_objective_waits);
 	g_test_add_func("/conns/uneven-customers", test_uneven_customers);
 	return g_test_run();
--- a/tests/test_pooler_opening.c
+++ b/tests/test_pooler_opening.c
@@ -130,6 +130,47 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against openings that multiply at an overloaded member: it answers, but accepts
+ * connections late, and each 150 ms as many were opened again as its slots allow.
+ */
+static void test_overdue_openings_are_paced(void)
+{
+	static const fake_db_config_t config = {
+		.service = WORLD_SERVICE,
+		.members = 1,
+		.slots = 4,
+		.max_connections = 24,
+		.service_time = 4 * MSEC,
+	};
+	pool_world_t *world = world_create(1, &config);
+	world_caller_t *busy;
+	size_t opening = 0;
+
+	world_wait_until_ready(world);
+	busy = world_open_session_on(world, 0, "strict");
+	world_send_and_wait(busy, "BEGIN");
+	assert_has_prefix(world_send_and_wait(busy, "READ job-1"), "ROW none");
+	world->db->config.connect_time = 700 * MSEC;
+	for (size_t i = 0; i < 3 * CALLERS; i++)
+		world_send(world_open_session_on(world, 0, "strict"), "WRITE job-1 a");
+	for (int i = 0; i < 8; i++) {
+		if (!caller_is_busy(busy->caller))
+			world_send(busy, "READ job-1");
+		world_run(world, 50 * MSEC);
+	}
+	list_for_each (it, &member_find(world->nodes[0].pooler, "core-0")->conns) {
+		const conn_t *conn = list_entry(it, conn_t, node);
+
+		opening += conn->state == CONN_OPENING && !conn->probe;
+	}
+	/* All slots at once, and one more after each 150 ms. */
+	g_test_message("%zu being opened", opening);
+	g_assert_cmpuint(opening, >=, 1);
+	g_assert_cmpuint(opening, <=, 4 + 2);
+	world_destroy(world);
+}
+
 /* --- connections that are silent when they are used --- */
 
 /* Sends the statement on an idle connection with other values; the request for its set-up is lost.
@@ -268,6 +309,7 @@
 	g_test_add_func("/opening/late-ticks", test_lost_requests_while_ticks_are_late);
 	g_test_add_func("/opening/waiting-callers", test_waiting_callers_are_served);
 	g_test_add_func("/opening/late-acceptance", test_late_acceptance);
+	g_test_add_func("/opening/overdue-are-paced", test_overdue_openings_are_paced);
 	g_test_add_func("/opening/silent-set-up", test_silent_setup);
 	g_test_add_func("/opening/probe-cannot-begin", test_probe_cannot_begin);
 	g_test_add_func("/opening/dump", test_dump_tells_the_state);
