Limits: no client is told to stay away for more than a second

Cause: the least delay by which a shard's owner keeps the requests in vain to 40 per second grew by 25 ms with each denial of a priority in a second, without a bound, while PROMISES.md and limit-order.md state 1 s at most.

What callers saw: in a flood, told times of seconds: 2.3 s after 100 requests in one instant. They came back long after tokens were free.

Change: the delay ends at PLACE_TIME_MAX, as the places do.

Test: /access/told-times-are-bounded (2325000 us before, 1 s at most now).

--- a/access/token_order.c
+++ b/access/token_order.c
@@ -20,11 +20,6 @@
 #define RESERVE_PART_MAX 0.5
 /* A priority without this demand, one operation in some seconds, has no reserve and no floor. */
 #define DEMAND_MIN_PER_S 0.05
-/*
- * Latest place that is promised; clients that are told more have given up by then, and the demand
- * has changed.
- */
-#define PLACE_TIME_MAX (1 * USEC_PER_SEC)
 
 unsigned token_order_index(int64_t priority)
 {
--- a/access/token_order.h
+++ b/access/token_order.h
@@ -18,6 +18,11 @@
 
 /* Priorities that are told apart: 0 is the highest, the last one stands for all lower ones. */
 #define TOKEN_PRIORITIES 4
+/*
+ * Latest place that is promised; clients that are told more have given up by then, and the demand
+ * has changed.
+ */
+#define PLACE_TIME_MAX (1 * USEC_PER_SEC)
 
 /* Operations by priority. */
 typedef struct token_counts {
--- a/pooler/limit_shards.c
+++ b/pooler/limit_shards.c
@@ -226,12 +226,15 @@
  */
 static usec_t least_retry_delay(limit_shard_t *shard, unsigned priority, usec_t now)
 {
+	usec_t delay;
+
 	if (now >= shard->denied_window_start + USEC_PER_SEC) {
 		shard->denied_window_start = now;
 		memset(shard->denied, 0, sizeof(shard->denied));
 	}
 	shard->denied[priority]++;
-	return shard->denied[priority] * USEC_PER_SEC / MAX_DENIALS_PER_S;
+	delay = shard->denied[priority] * USEC_PER_SEC / MAX_DENIALS_PER_S;
+	return delay < PLACE_TIME_MAX ? delay : PLACE_TIME_MAX;
 }
 
 /* Counts those as of the lowest priority whose priority the request does not tell. */
--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -719,6 +719,24 @@
 	world_destroy(world);
 }
 
+/* Guards against clients that are told to stay away for longer than promised in a flood. */
+static void test_told_times_are_bounded(void)
+{
+	pool_world_t *world = start_limited(3);
+	limit_shards_t *shards = limit_shards_create(NULL, world->nodes[0].pooler);
+	quota_request_t request = {.number = 1, .customer = "ada", .wanted = 1};
+	quota_answer_t answer;
+
+	request.shard = shard_of_first_proxy(world);
+	for (int i = 0; i < 100; i++)
+		answer = limit_shards_take(shards, &request, current_time(world));
+	g_assert_cmpuint(answer.granted, ==, 0);
+	g_assert_cmpuint(answer.waits[TOKEN_PRIORITIES - 1], <=, SEC);
+	g_assert_cmpuint(answer.retry_after, <=, SEC);
+	talloc_free(shards);
+	world_destroy(world);
+}
+
 static const env_ops_t *usual_ops;
 static uint64_t last_request; /* number of the last request for tokens that was not sent */
 
@@ -819,6 +837,7 @@
 	g_test_add_func("/access/successor-for-a-moment", test_short_lived_successor);
 	g_test_add_func("/access/priorities-on-the-wire", test_priorities_on_the_wire);
 	g_test_add_func("/access/owner-keeps-order", test_owner_keeps_order);
+	g_test_add_func("/access/told-times-are-bounded", test_told_times_are_bounded);
 	g_test_add_func("/access/token-of-floor", test_token_of_floor);
 	g_test_add_func("/access/told-times-with-silent-owner", test_told_times_with_silent_owner);
 	return g_test_run();
