Limits: a request gets no more tokens than it wants

Cause: counts_of() raised the counts by priority to the number wanted, but did not cut them when they were larger; the counts come from another process.

A wrong request took tokens that nobody used, so its customer's operations were refused below their limit.

Change: the counts are cut to the number wanted, the lowest priorities first.

Test: /access/no-more-than-wanted (3 tokens for 1 wanted before, 1 now).

--- a/pooler/limit_shards.c
+++ b/pooler/limit_shards.c
@@ -237,16 +237,21 @@
 	return delay < PLACE_TIME_MAX ? delay : PLACE_TIME_MAX;
 }
 
-/* Counts those as of the lowest priority whose priority the request does not tell. */
+/*
+ * The wanted operations by priority. Those whose priority the request does not tell count as of the
+ * lowest; counts beyond the number wanted are left out, the lowest priorities first.
+ */
 static token_counts_t counts_of(const quota_request_t *request)
 {
 	token_counts_t wanted = request->by_priority;
-	unsigned sum = 0;
+	unsigned left = request->wanted;
 
-	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++)
-		sum += wanted.by_priority[i];
-	if (sum < request->wanted)
-		wanted.by_priority[TOKEN_PRIORITIES - 1] += request->wanted - sum;
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++) {
+		if (wanted.by_priority[i] > left)
+			wanted.by_priority[i] = left;
+		left -= wanted.by_priority[i];
+	}
+	wanted.by_priority[TOKEN_PRIORITIES - 1] += left;
 	return wanted;
 }
 
--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -737,6 +737,24 @@
 	world_destroy(world);
 }
 
+/* Guards against tokens for operations that a request does not want, by counts that are wrong. */
+static void test_no_more_than_wanted(void)
+{
+	pool_world_t *world = start_limited(3);
+	limit_shards_t *shards = limit_shards_create(NULL, world->nodes[0].pooler);
+	quota_request_t request = {.number = 1, .customer = "ada", .wanted = 1};
+	quota_answer_t answer;
+
+	request.shard = shard_of_first_proxy(world);
+	request.by_priority.by_priority[1] = 2;
+	request.by_priority.by_priority[2] = 1;
+	answer = limit_shards_take(shards, &request, current_time(world));
+	g_assert_cmpuint(answer.granted, ==, 1);
+	g_assert_cmpuint(answer.granted_to.by_priority[1], ==, 1);
+	talloc_free(shards);
+	world_destroy(world);
+}
+
 static const env_ops_t *usual_ops;
 static uint64_t last_request; /* number of the last request for tokens that was not sent */
 
@@ -838,6 +856,7 @@
 	g_test_add_func("/access/priorities-on-the-wire", test_priorities_on_the_wire);
 	g_test_add_func("/access/owner-keeps-order", test_owner_keeps_order);
 	g_test_add_func("/access/told-times-are-bounded", test_told_times_are_bounded);
+	g_test_add_func("/access/no-more-than-wanted", test_no_more_than_wanted);
 	g_test_add_func("/access/token-of-floor", test_token_of_floor);
 	g_test_add_func("/access/told-times-with-silent-owner", test_told_times_with_silent_owner);
 	return g_test_run();
