--- a/pooler/limit_shards.c
+++ b/pooler/limit_shards.c
@@ -226,24 +226,32 @@
  */
 static usec_t least_retry_delay(limit_shard_t *shard, unsigned priority, usec_t now)
 {
+	usec_t delay;
+
 	if (now >= shard->denied_window_start + USEC_PER_SEC) {
 		shard->denied_window_start = now;
 		memset(shard->denied, 0, sizeof(shard->denied));
 	}
 	shard->denied[priority]++;
-	return shard->denied[priority] * USEC_PER_SEC / MAX_DENIALS_PER_S;
+	delay = shard->denied[priority] * USEC_PER_SEC / MAX_DENIALS_PER_S;
+	return delay < PLACE_TIME_MAX ? delay : PLACE_TIME_MAX;
 }
 
-/* Counts those as of the lowest priority whose priority the request does not tell. */
+/*
+ * The wanted operations by priority. Those whose priority the request does not tell count as of the
+ * lowest; counts beyond the number wanted are left out, the lowest priorities first.
+ */
 static token_counts_t counts_of(const quota_request_t *request)
 {
 	token_counts_t wanted = request->by_priority;
-	unsigned sum = 0;
+	unsigned left = request->wanted;
 
-	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++)
-		sum += wanted.by_priority[i];
-	if (sum < request->wanted)
-		wanted.by_priority[TOKEN_PRIORITIES - 1] += request->wanted - sum;
+	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++) {
+		if (wanted.by_priority[i] > left)
+			wanted.by_priority[i] = left;
+		left -= wanted.by_priority[i];
+	}
+	wanted.by_priority[TOKEN_PRIORITIES - 1] += left;
 	return wanted;
 }
 
@@ -284,6 +292,7 @@
 	token_counts_t granted;
 
 	answer->granted = token_order_take(&shard->order, &shard->bucket, &wanted, &granted, now);
+	answer->granted_to = granted;
 	counter_add(&granted_total, answer->granted);
 	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++)
 		count_outcomes(i, wanted.by_priority[i], granted.by_priority[i]);
