liveness: a home that receives nothing of ours becomes suspect although it sends messages

Cause: liveness_on_received() reset unanswered_since on any message of the peer. A home to which no link could be made, or that our statements never reached, while its own messages arrived, was never suspect, and was not even pinged if they came more often than every 100 ms.

Callers saw: a service that waited at this proxy without an end.

What could not be sent, and pings that were not answered (400 ms), now count by their own age; a forwarded statement is followed by a ping after 100 ms whatever else the peer sends. Silence is bounded as before. quota.c records a request as sent only once it is.

Test: /liveness/one-way-link, no link and lost messages; failed before (home p9 after 700 ms). test_pooler_liveness (6), forward (21), fleet (22), join (2) pass, among them /liveness/dead-home and /liveness/slow-home.

--- a/pooler/exchange.c
+++ b/pooler/exchange.c
@@ -218,6 +218,7 @@
 	peer_report_t *report = exchange_get_report(pooler, message->from);
 
 	liveness_on_pong(report, now_of(pooler));
+	forward_on_peer_message(pooler, message->from);
 	upstream_on_pong(report, now_of(pooler));
 }
 
@@ -465,7 +466,7 @@
 		record_draining(pooler, message);
 	if (message->config_version > pooler->newest_config_version)
 		pooler->newest_config_version = message->config_version;
-	if (message->kind != PEER_FORWARD_RESULT)
+	if (message->kind != PEER_FORWARD_RESULT && message->kind != PEER_PONG)
 		forward_on_peer_message(pooler, message->from);
 	switch (message->kind) {
 	case PEER_QUERY:
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -173,6 +173,7 @@
 		forward_cancel(caller);
 	else
 		caller = NULL;
+	liveness_on_answer(pooler, message->from);
 	forward_on_peer_message(pooler, message->from);
 	if (message->result->declined)
 		liveness_on_declined(pooler, message->from, now_of(pooler));
@@ -184,7 +185,7 @@
 {
 	const peer_report_t *report = exchange_find_report(pooler, peer);
 
-	if (report != NULL && report->unanswered_since != 0)
+	if (report != NULL && (report->unanswered_since != 0 || report->suspected))
 		liveness_on_received(pooler, peer, count_forwarded_to(pooler, peer),
 				     now_of(pooler));
 }
--- a/pooler/liveness.c
+++ b/pooler/liveness.c
@@ -52,12 +52,29 @@
 	return usec_clamp(PING_AFTER + rtt_timeout(&report->rtt), SUSPECT_AFTER, SUSPECT_AFTER_MAX);
 }
 
+static bool has_passed(usec_t since, usec_t limit, usec_t now)
+{
+	return since != 0 && now >= since + limit;
+}
+
+/*
+ * Messages of the peer show that it is alive, but not that it receives ours, so what could not be
+ * sent, and pings that it has not answered, count by their own age.
+ */
 static bool is_overdue(const pooler_t *pooler, const peer_report_t *report, usec_t now)
 {
 	usec_t limit = suspect_after(report);
 
-	return report->unanswered_since != 0 && now >= report->unanswered_since + limit &&
-	       now >= pooler->resumed_at + limit;
+	return now >= pooler->resumed_at + limit &&
+	       (has_passed(report->unanswered_since, limit, now) ||
+		has_passed(report->unsent_since, limit, now) ||
+		has_passed(report->unread_since, SUSPECT_AFTER_MAX, now));
+}
+
+static bool is_waited_for(const peer_report_t *report)
+{
+	return report->unanswered_since != 0 || report->unsent_since != 0 ||
+	       report->unread_since != 0;
 }
 
 static void note_unanswered(pooler_t *pooler, peer_report_t *report, usec_t now)
@@ -71,7 +88,12 @@
 
 void liveness_on_sent(pooler_t *pooler, const char *name, usec_t now)
 {
-	note_unanswered(pooler, exchange_get_report(pooler, name), now);
+	peer_report_t *report = exchange_get_report(pooler, name);
+
+	report->unsent_since = 0;
+	if (report->awaited_since == 0)
+		report->awaited_since = now;
+	note_unanswered(pooler, report, now);
 }
 
 /* --- pings --- */
@@ -83,6 +105,9 @@
 	if (!exchange_send_ping(pooler, peer))
 		return false;
 	report->pinged_at = now;
+	report->unsent_since = 0;
+	if (report->unread_since == 0 && report->unanswered_since != 0)
+		report->unread_since = now;
 	if (report->ping_unanswered_since == 0)
 		report->ping_unanswered_since = now;
 	return true;
@@ -109,7 +134,7 @@
 		peer_report_t *report = list_entry(it, peer_report_t, unanswered_node);
 		const roster_node_t *peer = roster_find_node(pooler->sync.roster, report->name);
 
-		if (!report->lacks_link || report->unanswered_since == 0 || peer == NULL)
+		if (!report->lacks_link || peer == NULL)
 			continue;
 		sent = send_ping(pooler, report, peer, now);
 		any_sent |= sent;
@@ -129,6 +154,8 @@
 	peer_report_t *report = exchange_get_report(pooler, name);
 
 	note_unanswered(pooler, report, now);
+	if (report->unsent_since == 0)
+		report->unsent_since = now;
 	report->lacks_link = true;
 	report->unsent_count++;
 	arm_link_timer(pooler, now);
@@ -192,6 +219,8 @@
 	usec_t sample = now - report->ping_unanswered_since;
 
 	report->ping_answered = true;
+	report->unread_since = 0;
+	report->awaited_since = 0;
 	if (report->ping_unanswered_since == 0)
 		return;
 	report->ping_unanswered_since = 0;
@@ -202,9 +231,9 @@
 }
 
 /* Forgets pings that the peer has certainly not read, as it was cut off or not running. */
-static void forget_lost_pings(peer_report_t *report, usec_t now)
+static void forget_lost_pings(peer_report_t *report, usec_t silent_since, usec_t now)
 {
-	if (now >= report->unanswered_since + 2 * SUSPECT_AFTER_MAX)
+	if (now >= silent_since + 2 * SUSPECT_AFTER_MAX)
 		report->ping_unanswered_since = 0;
 }
 
@@ -212,18 +241,31 @@
 {
 	peer_report_t *report = exchange_get_report(pooler, name);
 
-	if (report->suspected) {
+	usec_t since = report->unanswered_since;
+
+	report->unanswered_since = outstanding != 0 ? now : 0;
+	if (outstanding == 0 || report->awaited_since == 0)
+		report->awaited_since = report->unanswered_since;
+	if (report->suspected && !is_overdue(pooler, report, now)) {
 		counter_add(&answers_again_total, 1);
 		LOG_EVENT(LOG_INFO, "home answers again", LOG_STR("proxy", name),
-			  LOG_INT("silent_ms",
-				  (int64_t)((now - report->unanswered_since) / USEC_PER_MSEC)),
+			  LOG_INT("silent_ms", (int64_t)((now - since) / USEC_PER_MSEC)),
 			  LOG_INT("ping_ms", ping_age_ms(report, now)));
+		report->suspected = false;
 	}
-	forget_lost_pings(report, now);
-	report->suspected = false;
+	forget_lost_pings(report, since, now);
+	if (report->unsent_since != 0)
+		return;
 	report->lacks_link = false;
 	report->unsent_count = 0;
-	report->unanswered_since = outstanding != 0 ? now : 0;
+}
+
+void liveness_on_answer(pooler_t *pooler, const char *name)
+{
+	peer_report_t *report = exchange_get_report(pooler, name);
+
+	report->unread_since = 0;
+	report->awaited_since = 0;
 }
 
 void liveness_on_declined(pooler_t *pooler, const char *name, usec_t now)
@@ -274,6 +316,15 @@
 	on_suspect(pooler, report->name, now);
 }
 
+static void forget_waiting(peer_report_t *report)
+{
+	report->unanswered_since = 0;
+	report->awaited_since = 0;
+	report->unread_since = 0;
+	report->unsent_since = 0;
+	report->lacks_link = false;
+}
+
 void liveness_tick(pooler_t *pooler, usec_t now,
 		   void (*on_suspect)(pooler_t *pooler, const char *name, usec_t now))
 {
@@ -281,16 +332,18 @@
 		peer_report_t *report = list_entry(it, peer_report_t, unanswered_node);
 		const roster_node_t *peer;
 
-		if (report->unanswered_since == 0) {
+		if (!is_waited_for(report)) {
 			list_del(&report->unanswered_node);
 			continue;
 		}
-		if (now < report->unanswered_since + PING_AFTER)
+		if (report->unsent_since == 0 && report->unread_since == 0 &&
+		    !has_passed(report->awaited_since, PING_AFTER, now) &&
+		    now < report->unanswered_since + PING_AFTER)
 			continue;
 		check_suspect(pooler, report, now, on_suspect);
 		peer = roster_find_node(pooler->sync.roster, report->name);
 		if (peer == NULL || peer->gone)
-			report->unanswered_since = 0;
+			forget_waiting(report);
 		else
 			ping(pooler, report, now, ping_interval(report, now));
 	}
--- a/pooler/liveness.h
+++ b/pooler/liveness.h
@@ -2,7 +2,7 @@
  * Liveness of the proxies to which this one sends messages that they must answer: homes and owners
  * of limit shards. Any message from such a peer shows that it is alive. One that stays silent is
  * pinged, and becomes suspect once an answer to the ping is overdue by the peer's measured round
- * trips, within bounds.
+ * trips, within bounds. A peer that sends messages but does not receive ours becomes suspect too.
  *
  * A link carries messages in one direction and takes a while to make, so a peer without a link to
  * it is pinged as soon as there is one: its answer makes the link back.
@@ -23,13 +23,19 @@
  */
 void liveness_on_received(pooler_t *pooler, const char *name, size_t outstanding, usec_t now);
 
+/* Records that the peer has answered a statement, so it receives messages of this proxy. */
+void liveness_on_answer(pooler_t *pooler, const char *name);
+
 /* Records that the peer has answered a ping. */
 void liveness_on_pong(peer_report_t *report, usec_t now);
 
 /* Records that the peer declined a statement. */
 void liveness_on_declined(pooler_t *pooler, const char *name, usec_t now);
 
-/* True if the peer has sent nothing for too long since liveness_on_sent(). */
+/*
+ * True if the peer has sent nothing for too long since liveness_on_sent(), or nothing could be sent
+ * to it for too long, or it has not answered pings, whatever else it has sent.
+ */
 bool liveness_is_suspect(const pooler_t *pooler, const char *name, usec_t now);
 
 /*
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -307,16 +307,16 @@
 		return true;
 	}
 	exchange_fill_sender(pooler, &message);
-	/*
-	 * Detects a silent owner from the requests for all customers together; the owner is then
-	 * pinged.
-	 */
-	liveness_on_sent(pooler, owner->name, now);
 	if (!pooler->env->ops->peer_send(pooler->env, owner->name, owner->address, &message)) {
 		liveness_on_unsent(pooler, owner->name, now);
 		queue->request_number = 0;
 		return false;
 	}
+	/*
+	 * Detects a silent owner from the requests for all customers together; the owner is then
+	 * pinged.
+	 */
+	liveness_on_sent(pooler, owner->name, now);
 	set_timer(queue, now + ANSWER_TIMEOUT);
 	return true;
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -361,6 +361,11 @@
 	usec_t pinged_at;	 /* when a ping was last sent to it */
 	usec_t ping_unanswered_since; /* when the first ping that it has not answered was sent; 0:
 					 none */
+	usec_t awaited_since; /* since when it has answered none of our forwarded statements and no
+	ping; 0: none is forwarded */
+	usec_t unread_since; /* when the first ping was sent since which it has answered nothing; 0:
+				none */
+	usec_t unsent_since; /* since when no message to it could be sent; 0: the last one was */
 	unsigned unsent_count; /* messages not sent for want of a link, since its last message */
 	bool lacks_link;       /* it is pinged as soon as there is a link to it */
 	bool link_requested;   /* a link ahead of use is being made; see liveness_connect() */
--- a/tests/test_pooler_liveness.c
+++ b/tests/test_pooler_liveness.c
@@ -154,6 +154,42 @@
 	}
 }
 
+/*
+ * Guards against a service that waits without an end for a home which sends messages but receives
+ * none: its messages counted as answers. There is no link to the home, or the messages are lost.
+ */
+static void test_one_way_link(void)
+{
+	for (int lost = 0; lost < 2; lost++) {
+		pool_world_t *world = create_fleet();
+		size_t origin = find_origin(world);
+		size_t home = index_of(world, home_of(world, origin));
+		const char *name = world->nodes[home].name;
+		const pooler_t *sender = world->nodes[home].pooler;
+		world_caller_t *caller = world_open_session_on(world, origin, "session");
+
+		world->links_need_setup = true;
+		for (size_t i = 0; i < FLEET; i++) {
+			for (size_t j = 0; j < FLEET; j++)
+				world->nodes[i].link_ready_at[j] = 1;
+		}
+		world->link_setup_time = 100 * SEC;
+		if (lost)
+			world->nodes[home].peer_delay = 100 * SEC;
+		else
+			world->nodes[origin].link_ready_at[home] = 0;
+		world_send(caller, "READ job-1");
+		for (int i = 0; i < 70; i++) {
+			exchange_send_ping(sender, roster_find_node(sender->sync.roster,
+								    world->nodes[origin].name));
+			world_run(world, 10 * MSEC);
+		}
+		g_assert_cmpstr(home_of(world, origin), !=, name);
+		g_assert_cmpuint(caller->reply_count, ==, 1);
+		world_destroy(world);
+	}
+}
+
 static void restart_all(pool_world_t *world)
 {
 	for (size_t i = 0; i < world->node_count; i++)
@@ -251,6 +287,7 @@
 	g_test_add_func("/liveness/links-being-made", test_links_being_made);
 	g_test_add_func("/liveness/slow-home", test_slow_home);
 	g_test_add_func("/liveness/dead-home", test_dead_home_is_found_in_time);
+	g_test_add_func("/liveness/one-way-link", test_one_way_link);
 	g_test_add_func("/home/links-ahead", test_links_are_made_ahead);
 	g_test_add_func("/home/start-together", test_unequal_fleet_starts_together);
 	return g_test_run();
