liveness: a lost ping gives no false round trip, and old round trips are forgotten

Cause: ping_unanswered_since was set only if 0 and forgotten only after 800 ms of silence, so after one lost ping the next answer, hours later, gave a sample of hours in the histogram and of the ceiling (400 ms) in the round trip.

Callers saw: a dead home found after 400 instead of 250 ms.

A ping of over 800 ms ago is taken for lost, samples stay below the ceiling in the histogram too, and a round trip without a sample for 30 s is forgotten.

--- a/pooler/liveness.c
+++ b/pooler/liveness.c
@@ -33,6 +33,10 @@
  * before its callers' statements reach the usual time-outs of 800 ms.
  */
 #define SUSPECT_AFTER_MAX (400 * USEC_PER_MSEC)
+/* A ping that was not answered by then is lost. */
+#define PING_LOST_AFTER (2 * SUSPECT_AFTER_MAX)
+/* A measured round trip is used for this long after its last sample. */
+#define ROUND_TRIP_LIFETIME (30 * USEC_PER_SEC)
 /*
  * How long a peer gets no statements after it declined one, because it shuts down or has another
  * configuration.
@@ -77,10 +81,18 @@
 	       report->unread_since != 0;
 }
 
+static void forget_old_round_trip(peer_report_t *report, usec_t now)
+{
+	if (now >= report->measured_at + ROUND_TRIP_LIFETIME)
+		report->rtt = (rtt_t){0};
+}
+
 static void note_unanswered(pooler_t *pooler, peer_report_t *report, usec_t now)
 {
-	if (report->unanswered_since == 0)
+	if (report->unanswered_since == 0) {
+		forget_old_round_trip(report, now);
 		report->unanswered_since = now;
+	}
 	if (list_empty(&report->unanswered_node))
 		list_add_tail(&pooler->sync.unanswered_reports, &report->unanswered_node);
 	pooler_hasten_tick(pooler);
@@ -108,7 +120,9 @@
 	report->unsent_since = 0;
 	if (report->unread_since == 0 && report->unanswered_since != 0)
 		report->unread_since = now;
-	if (report->ping_unanswered_since == 0)
+	/* A ping or its answer may be lost, so an old one is not waited for. */
+	if (report->ping_unanswered_since == 0 ||
+	    now >= report->ping_unanswered_since + PING_LOST_AFTER)
 		report->ping_unanswered_since = now;
 	return true;
 }
@@ -216,7 +230,7 @@
  */
 void liveness_on_pong(peer_report_t *report, usec_t now)
 {
-	usec_t sample = now - report->ping_unanswered_since;
+	usec_t sample = usec_clamp(now - report->ping_unanswered_since, 0, SUSPECT_AFTER_MAX);
 
 	report->ping_answered = true;
 	report->unread_since = 0;
@@ -225,15 +239,18 @@
 		return;
 	report->ping_unanswered_since = 0;
 	histogram_add(&round_trip_seconds, sample);
-	if (!report->ping_makes_link)
-		rtt_add(&report->rtt, sample < SUSPECT_AFTER_MAX ? sample : SUSPECT_AFTER_MAX);
+	if (!report->ping_makes_link) {
+		forget_old_round_trip(report, now);
+		rtt_add(&report->rtt, sample);
+		report->measured_at = now;
+	}
 	report->ping_makes_link = false;
 }
 
 /* Forgets pings that the peer has certainly not read, as it was cut off or not running. */
 static void forget_lost_pings(peer_report_t *report, usec_t silent_since, usec_t now)
 {
-	if (now >= silent_since + 2 * SUSPECT_AFTER_MAX)
+	if (now >= silent_since + PING_LOST_AFTER)
 		report->ping_unanswered_since = 0;
 }
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -371,6 +371,7 @@
 	bool link_requested;   /* a link ahead of use is being made; see liveness_connect() */
 	bool ping_makes_link;  /* the unanswered ping was the first over a new link */
 	rtt_t rtt;	       /* of pings over links that were there */
+	usec_t measured_at;    /* when a sample was last added to rtt */
 	bool ping_answered;    /* it has answered a ping, so there are links in both directions */
 	usec_t declined_until;
 	bool suspected;	      /* its silence was logged */
--- a/tests/test_pooler_liveness.c
+++ b/tests/test_pooler_liveness.c
@@ -190,6 +190,39 @@
 	}
 }
 
+/*
+ * Guards against a round trip of minutes after one lost ping, and against one measured long ago:
+ * either made a dead home be found only after 400 ms.
+ */
+static void test_lost_ping(void)
+{
+	pool_world_t *world = create_fleet();
+	size_t origin = find_origin(world);
+	size_t home = index_of(world, home_of(world, origin));
+	pooler_t *pooler = world->nodes[origin].pooler;
+	const char *name = world->nodes[home].name;
+	peer_report_t *report = exchange_get_report(pooler, name);
+
+	world->nodes[home].cut_from_peers = true;
+	liveness_ping(pooler, name, now_of(pooler));
+	world_run(world, 10 * MSEC);
+	world->nodes[home].cut_from_peers = false;
+	liveness_on_received(pooler, name, 0, now_of(pooler));
+	report->unread_since = 0;
+	world_run(world, 40 * SEC);
+	report->rtt = (rtt_t){0};
+	liveness_ping(pooler, name, now_of(pooler));
+	world_run(world, 100 * MSEC);
+	g_assert_cmpuint(report->rtt.smoothed, >, 0);
+	g_assert_cmpuint(report->rtt.smoothed, <=, 20 * MSEC);
+
+	report->rtt.smoothed = 300 * MSEC;
+	world_run(world, 31 * SEC);
+	liveness_on_sent(pooler, name, now_of(pooler));
+	g_assert_cmpuint(report->rtt.smoothed, <=, 20 * MSEC);
+	world_destroy(world);
+}
+
 static void restart_all(pool_world_t *world)
 {
 	for (size_t i = 0; i < world->node_count; i++)
@@ -288,6 +321,7 @@
 	g_test_add_func("/liveness/slow-home", test_slow_home);
 	g_test_add_func("/liveness/dead-home", test_dead_home_is_found_in_time);
 	g_test_add_func("/liveness/one-way-link", test_one_way_link);
+	g_test_add_func("/liveness/lost-ping", test_lost_ping);
 	g_test_add_func("/home/links-ahead", test_links_are_made_ahead);
 	g_test_add_func("/home/start-together", test_unequal_fleet_starts_together);
 	return g_test_run();
