pooler: writes are served by a primary that is leaving or unlisted as long as it is used

Cause: choose_primary() still served such a primary, but has_room(), choice_capacity() and dispatch_slots() counted usable members only. With no room elsewhere no caller was tried at all, and with replicas the writes had a capacity of no slots. Callers saw writes held and then refused in the seconds of a planned change. One predicate, choice_may_take_statements(), now says it.

--- a/pooler/choice.c
+++ b/pooler/choice.c
@@ -184,13 +184,26 @@
 	return best;
 }
 
+/* True if the permitted primary is still used: also while it is unlisted, or about to leave. */
+static bool primary_is_servable(const member_t *primary, usec_t now)
+{
+	usec_t leaving_use = primary->pooler->config.leaving_bound * LEAVING_USABLE_PERCENT / 100;
+
+	return !primary->down && now < primary->leaving_since + leaving_use;
+}
+
+bool choice_may_take_statements(const member_t *member, usec_t now)
+{
+	return member_is_usable(member) ||
+	       (permit_allows(member, now) && primary_is_servable(member, now));
+}
+
 static member_t *choose_primary(caller_t *caller, usec_t now, bool *servable)
 {
 	member_t *primary = permit_primary(caller->service, now);
-	usec_t leaving_use = caller->pooler->config.leaving_bound * LEAVING_USABLE_PERCENT / 100;
 
 	caller->has_after = false;
-	*servable = primary != NULL && !primary->down && now < primary->leaving_since + leaving_use;
+	*servable = primary != NULL && primary_is_servable(primary, now);
 	if (!*servable || !room_is_free(primary) ||
 	    (conn_find_idle(primary, caller) == NULL && !opening_is_possible(primary, caller, now)))
 		return NULL;
@@ -227,7 +240,9 @@
 		member_t *member = list_entry(it, member_t, in_service);
 		usec_t at;
 
-		if (!member_is_usable(member) || (member != primary && !fresh))
+		if ((member != primary && !fresh) ||
+		    !(caller->target == TARGET_PRIMARY ? choice_may_take_statements(member, now)
+						       : member_is_usable(member)))
 			continue;
 		if (member == primary || replica_probably_current(member, &required, now)) {
 			capacity.slots += room_slots(member);
--- a/pooler/choice.h
+++ b/pooler/choice.h
@@ -26,4 +26,10 @@
 			      not known */
 } choice_capacity_t;
 
+/*
+ * True if the member may get new statements. A primary that is leaving or unlisted gets writes for
+ * some time, since no other member can serve them.
+ */
+bool choice_may_take_statements(const member_t *member, usec_t now);
+
 choice_capacity_t choice_capacity(const caller_t *caller, usec_t now);
--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -277,12 +277,12 @@
 }
 
 /* True if a member has room for one more statement. */
-static bool has_room(const service_t *service)
+static bool has_room(const service_t *service, usec_t now)
 {
 	list_for_each (it, &service->members) {
 		const member_t *member = list_entry(it, member_t, in_service);
 
-		if (member_is_usable(member) && room_is_free(member))
+		if (choice_may_take_statements(member, now) && room_is_free(member))
 			return true;
 	}
 	return false;
@@ -315,7 +315,7 @@
 
 	*next = USEC_NEVER;
 	/* A reply makes room and calls dispatch_run(). */
-	if (!has_room(service) && !forwards(service, now))
+	if (!has_room(service, now) && !forwards(service, now))
 		return false;
 	for (waiter = wait_queue_first(service->queue, now); waiter != NULL;
 	     waiter = wait_queue_next(service->queue, waiter)) {
@@ -351,7 +351,7 @@
 	const member_t *primary = permit_primary(service, now);
 	bool on_time = wait_queue_has_on_time(service->queue, now);
 
-	update_since(&service->members_busy_since, on_time && !has_room(service), now);
+	update_since(&service->members_busy_since, on_time && !has_room(service, now), now);
 	update_since(&service->primary_busy_since,
 		     on_time && primary != NULL && !room_is_free(primary), now);
 }
@@ -412,12 +412,13 @@
 
 double dispatch_slots(const service_t *service)
 {
+	usec_t now = now_of(service->pooler);
 	double slots = 0;
 
 	list_for_each (it, &service->members) {
 		const member_t *member = list_entry(it, member_t, in_service);
 
-		if (member_is_usable(member))
+		if (choice_may_take_statements(member, now))
 			slots += room_slots(member);
 	}
 	return slots;
--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -679,6 +679,43 @@
 	g_assert_cmpuint(in_vain * 100, <, tries);
 }
 
+/*
+ * Guards against writes held, or refused as if no member had slots, while the primary is leaving:
+ * until its replacement it still serves them.
+ */
+static void test_leaving_primary_serves_writes(void)
+{
+	static const size_t members[] = {1, 3};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+		fake_db_config_t config = one_slow_member;
+		pool_world_t *world;
+		member_t *primary;
+		load_t load;
+
+		config.members = members[i];
+		world = world_create(3, &config);
+		load = (load_t){.world = world};
+		world_wait_until_ready(world);
+		/* Only the last proxy has been told, so that the leader does not replace it yet. */
+		world->directory_is_frozen = true;
+		primary = service_get(world->nodes[2].pooler, WORLD_SERVICE)->primary;
+		primary->leaving = true;
+		primary->leaving_since = now_in(&load);
+		for (size_t j = 0; j < 25; j++) {
+			send_one(&load, 2, "WRITE job-1 a");
+			world_run(world, 20 * MSEC);
+			collect_replies(&load);
+		}
+		world_run(world, WORLD_OBJECTIVE / 2);
+		collect_replies(&load);
+		g_test_message("%zu members: %zu of %zu in time", members[i], load.in_time,
+			       load.count);
+		g_assert_cmpuint(load.in_time, ==, load.count);
+		world_destroy(world);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -693,5 +730,6 @@
 	g_test_add_func("/load/priority", test_priority_while_replicas_lag);
 	g_test_add_func("/load/catching-up", test_replicas_about_to_catch_up);
 	g_test_add_func("/load/few-run-in-vain", test_few_run_in_vain);
+	g_test_add_func("/load/leaving", test_leaving_primary_serves_writes);
 	return g_test_run();
 }
