pooler: a member that is only paused does not count as busy

Cause: members_busy_since and primary_busy_since ran while a full member sent no reply. After one objective all late callers and arrivals were refused as if no capacity were left for them, though they had time to be served after the pause. A full member that is suspect, or has answered nothing for 4 usual responses and at least 50 ms, is no longer counted.

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -50,6 +50,12 @@
  */
 #define RETRY_AFTER_MAX (1500 * USEC_PER_MSEC)
 
+/*
+ * A member that runs statements and has sent no reply for this many usual responses, and for this
+ * time at least, counts as paused: what waits for it can be served after the pause.
+ */
+#define SILENT_RESPONSES 4
+#define SILENT_MIN	 (50 * USEC_PER_MSEC)
 /* Objective of callers that are served in order of arrival. */
 #define NEVER_LATE (3600 * USEC_PER_SEC)
 /* Each arrival counts for a 16th of the part that is refused. */
@@ -346,14 +352,47 @@
 		*since = now;
 }
 
+/*
+ * True if the member is probably paused: it runs statements, and none was answered for several
+ * times the usual time.
+ */
+static bool is_silent(const member_t *member, usec_t now)
+{
+	usec_t usual = member->response_time * SILENT_RESPONSES;
+
+	if (member->suspect_since != USEC_NEVER)
+		return true;
+	return room_used(member) != 0 &&
+	       now >= member->last_reply_at + (usual > SILENT_MIN ? usual : SILENT_MIN);
+}
+
+/* True if the member works through the statements that keep its slots busy. */
+static bool is_busy(const member_t *member, usec_t now)
+{
+	return !room_is_free(member) && !is_silent(member, now);
+}
+
+/* True if no member has room, and at least one is not merely silent. */
+static bool members_are_busy(const service_t *service, usec_t now)
+{
+	bool busy = false;
+
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		busy = busy || (choice_may_take_statements(member, now) && is_busy(member, now));
+	}
+	return busy && !has_room(service, now);
+}
+
 static void update_busy(service_t *service, usec_t now)
 {
 	const member_t *primary = permit_primary(service, now);
 	bool on_time = wait_queue_has_on_time(service->queue, now);
 
-	update_since(&service->members_busy_since, on_time && !has_room(service, now), now);
+	update_since(&service->members_busy_since, on_time && members_are_busy(service, now), now);
 	update_since(&service->primary_busy_since,
-		     on_time && primary != NULL && !room_is_free(primary), now);
+		     on_time && primary != NULL && is_busy(primary, now), now);
 }
 
 void dispatch_run(service_t *service)
--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -716,6 +716,30 @@
 	}
 }
 
+/*
+ * Guards against callers refused as if no capacity were left when the primary is only paused for a
+ * moment: they have time left to be served after it.
+ */
+static void test_paused_primary_sheds_nothing(void)
+{
+	load_t load = {.world = world_create(1, &one_slow_member)};
+	size_t too_late = 0;
+
+	world_wait_until_ready(load.world);
+	play_load(&load, "READ job-1", 20 * MSEC, 500 * MSEC);
+	load.world->db->members[0].extra_service_time = 300 * MSEC;
+	play_load(&load, "READ job-1", 5 * MSEC, 20 * MSEC);
+	load.world->db->members[0].extra_service_time = 0;
+	play_load(&load, "READ job-1", 20 * MSEC, 400 * MSEC);
+	play_load(&load, "READ job-1", 100 * MSEC, 600 * MSEC);
+	for (size_t i = 0; i < load.count; i++)
+		too_late += strstr(load.sent[i].caller->reply, "the members are busy") != NULL;
+	g_test_message("%zu of %zu served, %zu refused as too late", load.done, load.count,
+		       too_late);
+	g_assert_cmpuint(too_late, ==, 0);
+	world_destroy(load.world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -731,5 +755,6 @@
 	g_test_add_func("/load/catching-up", test_replicas_about_to_catch_up);
 	g_test_add_func("/load/few-run-in-vain", test_few_run_in_vain);
 	g_test_add_func("/load/leaving", test_leaving_primary_serves_writes);
+	g_test_add_func("/load/paused", test_paused_primary_sheds_nothing);
 	return g_test_run();
 }
