Limits: an owner without tokens is asked again after 100 ms at most

Cause: quota.c refused every new caller of a priority without a request until the time that the owner had told was over, up to a second. That time is the place of one operation by the demand of that moment; the demand may have ended, and others of the priority get later places.

What callers saw: refusals for up to a second per shard although the shard had tokens again.

Change: the time without requests ends after 100 ms (UNASKED_MAX); what clients are told stays as the owner said. A proxy may thus send an owner ten requests a second and priority in vain; the comment of the owner's bound says so. How many more requests that is in a large fleet was not measured.

Test: /access/owner-is-asked-again (before: no further request 110 ms after a told time of 800 ms; the time told to the client is checked too). Green: test_pooler_access, test_pooler_load, test_pooler, test_token_order, test_protocol, test_pooler_conns, test_pooler_opening, test_pooler_fleet, test_fleet, test_pooler_forward, test_pooler_faults, test_access, test_fuzz (sanitizers).

--- a/pooler/limit_shards.c
+++ b/pooler/limit_shards.c
@@ -222,7 +222,8 @@
 
 /*
  * Delay after which a proxy that got no token may send the next request, however soon a token is
- * free: the customer's proxies send no more than MAX_DENIALS_PER_S of a priority in vain.
+ * free: the customer's proxies send no more than MAX_DENIALS_PER_S of a priority in vain, or each
+ * of them one in the time for which it refuses operations without a request.
  */
 static usec_t least_retry_delay(limit_shard_t *shard, unsigned priority, usec_t now)
 {
--- a/pooler/quota.c
+++ b/pooler/quota.c
@@ -34,6 +34,12 @@
 #define TOKEN_WAIT_MAX (50 * USEC_PER_MSEC)
 /* How long an operation waits for a shard owner that answers. */
 #define QUOTA_WAIT_MAX (400 * USEC_PER_MSEC)
+/*
+ * Longest time for which the operations of a priority are refused without a request to the owner of
+ * a shard that has told that it has no token for them. The demand that it told the time by may have
+ * ended; a tenth of the longest time that clients are told.
+ */
+#define UNASKED_MAX (100 * USEC_PER_MSEC)
 /* Retry delay for clients if no shard owner answers. */
 #define RETRY_NO_OWNER (200 * USEC_PER_MSEC)
 /* Shortest retry delay if a limit is reached. */
@@ -63,6 +69,8 @@
 	token_counts_t asked;	 /* the operations that the request in flight is for */
 	/* Until when a shard has no token for a priority, as its owner said. */
 	usec_t empty_until[LIMIT_SHARDS][TOKEN_PRIORITIES];
+	/* Until when it is not asked for the priority; at most UNASKED_MAX after that answer. */
+	usec_t unasked_until[LIMIT_SHARDS][TOKEN_PRIORITIES];
 	run_timer_t timer; /* time-out of the request, or start of the next round */
 } quota_queue_t;
 
@@ -200,16 +208,17 @@
 
 /*
  * Time until a shard owner may have a token for the priority again, according to the owners' last
- * answers, but at least RETRY_MIN. A shard whose owner is silent, or may not grant yet, has told no
- * time: a caller that waits here asks it again soon, but one that is told to return (told) would
- * return in vain.
+ * answers, but at least RETRY_MIN; for a caller that waits here, until one is asked again. A shard
+ * whose owner is silent, or may not grant yet, has told no time: a caller that waits here asks it
+ * again soon, but one that is told to return (told) would return in vain.
  */
 static usec_t time_until_token(const quota_queue_t *queue, unsigned priority, bool told, usec_t now)
 {
 	usec_t earliest = USEC_NEVER;
 
 	for (unsigned shard = 0; shard < LIMIT_SHARDS; shard++) {
-		usec_t until = queue->empty_until[shard][priority];
+		usec_t until = told ? queue->empty_until[shard][priority]
+				    : queue->unasked_until[shard][priority];
 
 		if ((until > now || !told) && until < earliest)
 			earliest = until;
@@ -288,7 +297,7 @@
 	list_for_each (it, &queue->waiting) {
 		unsigned index = token_order_index(list_entry(it, caller_t, quota_node)->priority);
 
-		if (now >= queue->empty_until[shard][index])
+		if (now >= queue->unasked_until[shard][index])
 			counts.by_priority[index]++;
 	}
 	return counts;
@@ -370,7 +379,7 @@
 	list_for_each (it, &queue->waiting) {
 		const caller_t *caller = list_entry(it, caller_t, quota_node);
 
-		if (now >= queue->empty_until[shard][token_order_index(caller->priority)])
+		if (now >= queue->unasked_until[shard][token_order_index(caller->priority)])
 			return true;
 	}
 	return false;
@@ -477,8 +486,11 @@
 	for (unsigned i = 0; i < TOKEN_PRIORITIES; i++) {
 		usec_t wait = answer->has_waits ? answer->waits[i] : answer->retry_after;
 
-		if (queue->asked.by_priority[i] != 0)
-			queue->empty_until[queue->shard][i] = wait != 0 ? now + wait : 0;
+		if (queue->asked.by_priority[i] == 0)
+			continue;
+		queue->empty_until[queue->shard][i] = wait != 0 ? now + wait : 0;
+		queue->unasked_until[queue->shard][i] =
+			now + (wait < UNASKED_MAX ? wait : UNASKED_MAX);
 	}
 }
 
--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -833,6 +833,42 @@
 	check_token_goes_to(TOKEN_PRIORITIES, false);
 }
 
+/*
+ * Guards against callers that are refused for up to a second by an answer that is no longer true:
+ * the demand has ended, but the proxy does not ask the owners again.
+ */
+static void test_owner_is_asked_again(void)
+{
+	pool_world_t *world = start_limited(6);
+	size_t node = find_proxy_without_shard(world);
+	world_caller_t *caller = world_open_session_with_key(world, node, "strict", "key-ada");
+	quota_answer_t answer = {.customer = "ada", .retry_after = 800 * MSEC};
+	peer_message_t message = {.kind = PEER_QUOTA_ANSWER, .quota_answer = &answer};
+	env_ops_t keeping;
+
+	usual_ops = world->nodes[node].env.ops;
+	keeping = *usual_ops;
+	keeping.peer_send = keep_quota_requests;
+	world->nodes[node].env.ops = &keeping;
+	world_send(caller, "READ a");
+	for (unsigned i = 0; i < LIMIT_SHARDS; i++) {
+		answer.number = last_request;
+		quota_on_answer(world->nodes[node].pooler, &message);
+	}
+	world_run(world, 10 * MSEC);
+	g_assert_nonnull(strstr(caller->reply, "retry-after-ms="));
+	g_assert_cmpint(atoi(strstr(caller->reply, "retry-after-ms=") + strlen("retry-after-ms=")),
+			>=, 700);
+	world_send(caller, "READ a");
+	g_assert_cmpuint(last_request, ==, answer.number);
+	world_run(world, 110 * MSEC);
+	if (!caller_is_busy(caller->caller))
+		world_send(caller, "READ a");
+	g_assert_cmpuint(last_request, !=, answer.number);
+	world->nodes[node].env.ops = usual_ops;
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -858,6 +894,7 @@
 	g_test_add_func("/access/told-times-are-bounded", test_told_times_are_bounded);
 	g_test_add_func("/access/no-more-than-wanted", test_no_more_than_wanted);
 	g_test_add_func("/access/token-of-floor", test_token_of_floor);
+	g_test_add_func("/access/owner-is-asked-again", test_owner_is_asked_again);
 	g_test_add_func("/access/told-times-with-silent-owner", test_told_times_with_silent_owner);
 	return g_test_run();
 }
