liveness, join: messages to peers without a link back off

Cause: a ping that failed for want of a link did not set pinged_at, so each tick (50 ms) tried again and armed the 20 ms timer, for a dead peer without an end; notify_added() encoded and tried the whole state every 15 ms for each unreachable joiner until add_timeout.

A suspect peer is now tried at the usual interval of pings, a joiner after 15, 30, 60 ms and so on.

--- a/pooler/join.c
+++ b/pooler/join.c
@@ -61,6 +61,8 @@
 	uint64_t incarnation;
 	int64_t revision; /* of the roster that the proxy holds */
 	usec_t requested_at;
+	usec_t send_not_before; /* next attempt to send the roster */
+	usec_t send_backoff;	/* until the attempt after that; 0: there was none */
 	bool send_roster; /* this proxy sends it the roster; otherwise its hub does, or it reads the
 			     store again */
 } joiner_t;
@@ -124,6 +126,20 @@
 	talloc_free(joiner);
 }
 
+/* Sends the roster to the joiner; without a link it is sent again soon, ever less often. */
+static bool send_roster(pooler_t *pooler, joiner_t *joiner, usec_t now)
+{
+	if (now >= joiner->send_not_before) {
+		if (exchange_send_state(pooler, joiner->name, joiner->address))
+			return true;
+		joiner->send_backoff =
+			joiner->send_backoff != 0 ? 2 * joiner->send_backoff : LINK_RETRY_INTERVAL;
+		joiner->send_not_before = now + joiner->send_backoff;
+	}
+	retry_soon(pooler, now);
+	return false;
+}
+
 /* Sends the roster to the joiners that are on it now. */
 static void notify_added(pooler_t *pooler)
 {
@@ -135,12 +151,8 @@
 
 		if (!is_registered(roster, joiner))
 			continue;
-		/* Without a link to the joiner the roster is sent again soon. */
-		if (joiner->send_roster &&
-		    !exchange_send_state(pooler, joiner->name, joiner->address)) {
-			retry_soon(pooler, now_of(pooler));
+		if (joiner->send_roster && !send_roster(pooler, joiner, now_of(pooler)))
 			continue;
-		}
 		counter_add(&added_total, 1);
 		drop_joiner(sync, joiner);
 	}
--- a/pooler/liveness.c
+++ b/pooler/liveness.c
@@ -182,7 +182,12 @@
 	if (peer == NULL || strcmp(report->name, pooler->config.name) == 0)
 		return;
 	note_unanswered(pooler, report, now);
-	if (now >= report->pinged_at + interval && !send_ping(pooler, report, peer, now))
+	if (now < report->pinged_at + interval || send_ping(pooler, report, peer, now))
+		return;
+	/* A link to a dead peer is tried no more often than a ping of it. */
+	if (is_overdue(pooler, report, now))
+		report->pinged_at = now;
+	else
 		liveness_on_unsent(pooler, report->name, now);
 }
 
