home_rank: no division by zero for processor shares that are zero or negative

Cause: max_load() divided by the sum of the candidates' shares, which is 0 if a stored roster has shares of 0 and a negative one. Proxies of that zone ended their process.

Decoding a roster takes a negative share for 0 (not reported); without a positive sum no bound applies.

Tests: /home-rank/shares-without-a-sum (division by zero before), /roster/negative-share (-5 before). test_home_rank, test_pooler_roster pass.

--- a/pooler/home_rank.c
+++ b/pooler/home_rank.c
@@ -101,7 +101,7 @@
 
 /*
  * Assigns the services in the order of their hashes, up to the one looked for. Returns NULL if it
- * is not among them, or if all proxies are candidates, so that no bound applies.
+ * is not among them, or if no bound applies: all proxies are candidates, or no share is known.
  */
 static const roster_node_t *find_bounded(const roster_node_t *const *proxies, size_t count,
 					 const uint64_t *services, size_t service_count,
@@ -110,9 +110,11 @@
 	void *parent = talloc_new(NULL);
 	candidates_t candidates = {0};
 	const roster_node_t *home = NULL;
+	bool is_bounded;
 
 	collect_candidates(&candidates, proxies, count, parent);
-	for (size_t i = 0; candidates.len < count && i < service_count; i++) {
+	is_bounded = candidates.len < count && candidates.total_share > 0;
+	for (size_t i = 0; is_bounded && i < service_count; i++) {
 		const roster_node_t *assigned = assign(&candidates, service_count, services[i]);
 
 		if (services[i] != service)
--- a/pooler/roster.c
+++ b/pooler/roster.c
@@ -225,6 +225,8 @@
 		node = roster_put_node(roster, name, address, zone, (uint64_t)incarnation);
 		node->gone = gone != 0;
 		node->capacity = json_integer_value(json_object_get(value, "capacity"));
+		if (node->capacity < 0)
+			node->capacity = 0;
 	}
 	return 0;
 }
--- a/tests/test_home_rank.c
+++ b/tests/test_home_rank.c
@@ -204,6 +204,18 @@
 	g_assert_cmpuint(moves, ==, SERVICES / 2);
 }
 
+/* Guards against a division by zero if no processor share is positive, and one is negative. */
+static void test_shares_without_a_sum(void)
+{
+	zone_t zone;
+
+	init_zone(&zone);
+	add_proxies(&zone, 2, 0);
+	add_proxy(&zone, -LARGE);
+	for (size_t i = 0; i < SERVICES; i++)
+		g_assert_nonnull(find(&zone, i).home);
+}
+
 /* --- round trips --- */
 
 /* Guards against a slow peer that is taken for dead, and a fast one that is waited for too long. */
@@ -233,6 +245,7 @@
 	g_test_add_func("/home-rank/small-zones", test_small_zones);
 	g_test_add_func("/home-rank/next-class", test_next_class_follows);
 	g_test_add_func("/home-rank/roster-fills", test_moves_while_roster_fills);
+	g_test_add_func("/home-rank/shares-without-a-sum", test_shares_without_a_sum);
 	g_test_add_func("/rtt/timeout", test_timeout_follows_round_trips);
 	return g_test_run();
 }
--- a/tests/test_pooler_roster.c
+++ b/tests/test_pooler_roster.c
@@ -202,6 +202,23 @@
 	talloc_free(sender);
 }
 
+/* Guards against a negative processor share, by which homes can't be ranked. */
+static void test_negative_share(void)
+{
+	roster_t *roster = make_fleet(2);
+	const char *text;
+	roster_t *decoded;
+
+	list_for_each (it, &roster->nodes)
+		list_entry(it, roster_node_t, node)->capacity = -5;
+	text = roster_encode(roster);
+	decoded = roster_decode(NULL, text, strlen(text), 1);
+	list_for_each (it, &decoded->nodes)
+		g_assert_cmpint(list_entry(it, roster_node_t, node)->capacity, ==, 0);
+	talloc_free(decoded);
+	talloc_free(roster);
+}
+
 /* A text that is not a roster is rejected as a whole. */
 static void test_broken_text(void)
 {
@@ -226,6 +243,7 @@
 	g_test_add_func("/roster/removal-and-return", test_removal_and_return);
 	g_test_add_func("/roster/unknown-past", test_unknown_history);
 	g_test_add_func("/roster/many-removals", test_many_removals);
+	g_test_add_func("/roster/negative-share", test_negative_share);
 	g_test_add_func("/roster/broken-text", test_broken_text);
 	return g_test_run();
 }
