zmqlink: connection attempts last 300 ms again

Cause: CONNECT_TIMEOUT_MSEC was 150, by its comment more than the round trip between regions. Far regions have 200 to 300 ms; a link to them never came up, each attempt was given up before its answer.

A link to a machine that was off may come up by 150 ms later. test_zmqlink passes; no test of a slow network.

--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -17,11 +17,11 @@
 /*
  * A connection attempt that was started during a network partition has lost its first packet, which
  * TCP retransmits after 1 s at the earliest. Short attempts at short intervals thus connect sooner
- * after the partition, or after the start of a machine that was off. 150 ms is longer than the
- * round-trip time between regions.
+ * after the partition, or after the start of a machine that was off. 300 ms is longer than the
+ * round-trip time between most regions.
  */
 #define RECONNECT_MAX_MSEC   250
-#define CONNECT_TIMEOUT_MSEC 150
+#define CONNECT_TIMEOUT_MSEC 300
 /*
  * Time-outs after which a silent connection is closed and opened again: UNACKED_TIMEOUT_MSEC if
  * sent data is not acknowledged, and the heartbeat of the sending end if the connection is idle.
