outbox: answers to pings have their own counters and a debug line

Cause: results_unsent_total, results_sent_late_total and the warning 'result could not be sent' included pongs, so a peer that had ended looked to operators like callers left in doubt.

--- a/pooler/outbox.c
+++ b/pooler/outbox.c
@@ -20,6 +20,11 @@
 COUNTER_DEFINE(lost_total, "results_unsent_total", COUNTER_SUM,
 	       "Results for other proxies that were dropped for want of a link.");
 
+COUNTER_DEFINE(pongs_late_total, "pongs_sent_late_total", COUNTER_SUM,
+	       "Answers to pings that were sent once their link was up.");
+COUNTER_DEFINE(pongs_lost_total, "pongs_unsent_total", COUNTER_SUM,
+	       "Answers to pings that were dropped for want of a link.");
+
 typedef struct pending {
 	list_t node; /* in outbox_t.pending */
 	char *to;
@@ -91,6 +96,17 @@
 	talloc_free(entry);
 }
 
+static void record_lost(const pending_t *entry, usec_t now)
+{
+	bool is_pong = entry->kind == PEER_PONG;
+
+	counter_add(is_pong ? &pongs_lost_total : &lost_total, 1);
+	LOG_EVENT(is_pong ? LOG_DBG : LOG_WARN,
+		  is_pong ? "pong could not be sent" : "result could not be sent",
+		  LOG_STR("proxy", entry->to),
+		  LOG_INT("kept_ms", (int64_t)((now - entry->since) / USEC_PER_MSEC)));
+}
+
 static void on_retry(run_timer_t *timer, usec_t now)
 {
 	outbox_t *outbox = list_entry(timer, outbox_t, timer);
@@ -99,13 +115,10 @@
 		pending_t *entry = list_entry(it, pending_t, node);
 
 		if (resend(outbox, entry)) {
-			counter_add(&late_total, 1);
+			counter_add(entry->kind == PEER_PONG ? &pongs_late_total : &late_total, 1);
 			remove_pending(entry);
 		} else if (now >= entry->since + PENDING_TIMEOUT) {
-			counter_add(&lost_total, 1);
-			LOG_EVENT(LOG_WARN, "result could not be sent", LOG_STR("proxy", entry->to),
-				  LOG_INT("kept_ms",
-					  (int64_t)((now - entry->since) / USEC_PER_MSEC)));
+			record_lost(entry, now);
 			remove_pending(entry);
 		}
 	}
