--- a/tests/test_pooler_liveness.c
+++ b/tests/test_pooler_liveness.c
@@ -223,6 +223,30 @@
 	world_destroy(world);
 }
 
+/* Guards against a dead peer to which a link is tried at each tick for ever. */
+static void test_attempts_at_a_dead_peer(void)
+{
+	pool_world_t *world = create_fleet();
+	size_t origin = find_origin(world);
+	size_t home = index_of(world, home_of(world, origin));
+	pooler_t *pooler = world->nodes[origin].pooler;
+	const peer_report_t *report = exchange_get_report(pooler, world->nodes[home].name);
+
+	world->links_need_setup = true;
+	for (size_t i = 0; i < FLEET; i++) {
+		for (size_t j = 0; j < FLEET; j++)
+			world->nodes[i].link_ready_at[j] = 1;
+	}
+	world->link_setup_time = 100 * SEC;
+	world->nodes[origin].link_ready_at[home] = 0;
+	liveness_on_unsent(pooler, world->nodes[home].name, now_of(pooler));
+	world_run(world, SEC);
+	g_assert_true(liveness_is_suspect(pooler, world->nodes[home].name, now_of(pooler)));
+	g_assert_cmpuint(report->unsent_count, >, 0);
+	g_assert_cmpuint(report->unsent_count, <=, 10);
+	world_destroy(world);
+}
+
 static void restart_all(pool_world_t *world)
 {
 	for (size_t i = 0; i < world->node_count; i++)
@@ -322,6 +346,7 @@
 	g_test_add_func("/liveness/dead-home", test_dead_home_is_found_in_time);
 	g_test_add_func("/liveness/one-way-link", test_one_way_link);
 	g_test_add_func("/liveness/lost-ping", test_lost_ping);
+	g_test_add_func("/liveness/attempts", test_attempts_at_a_dead_peer);
 	g_test_add_func("/home/links-ahead", test_links_are_made_ahead);
 	g_test_add_func("/home/start-together", test_unequal_fleet_starts_together);
 	return g_test_run();
