pooler: writes held for the next primary are not in the way of reads at the replicas

Cause: without a servable primary the slots are those of the replicas, but the work ahead contained the held writes, which the replicas never run. During a change of primary with a few hundred writes held, reads that replicas would serve at once were refused as queue_too_long.

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -463,6 +463,14 @@
 	return slots;
 }
 
+/* True if a member serves statements that only the primary can serve. */
+static bool has_servable_primary(const service_t *service, usec_t now)
+{
+	const member_t *primary = permit_primary(service, now);
+
+	return primary != NULL && choice_may_take_statements(primary, now);
+}
+
 /* The backlog that the caller waits for: that of all members, or that of the primary if longer. */
 static backlog_t backlog_of(const caller_t *caller, choice_capacity_t capacity, usec_t now)
 {
@@ -474,6 +482,11 @@
 	if (capacity.primary_only &&
 	    (double)ahead.primary * slots > (double)ahead.all * capacity.slots)
 		return (backlog_t){ahead.primary, total.primary, capacity.slots};
+	/* What waits for the next primary is in nobody's way at the replicas. */
+	if (!capacity.primary_only && !has_servable_primary(service, now)) {
+		ahead.all -= ahead.primary;
+		total.all -= total.primary;
+	}
 	/* Until a replica has caught up, its slots are of no use. */
 	if (!capacity.primary_only && capacity.replica_at != USEC_NEVER &&
 	    capacity.replica_at > now) {
--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -740,6 +740,45 @@
 	world_destroy(load.world);
 }
 
+/*
+ * Guards against reads refused during a change of primary for the writes that are held meanwhile:
+ * these are not in the way of reads that replicas serve.
+ */
+static void test_held_writes_are_in_no_reads_way(void)
+{
+	fake_db_config_t config = three_slow_members;
+	load_t writes;
+	clients_t reads;
+	stream_t before[] = {{"strict", "", "WRITE job-1 a", 50, 0},
+			     {"bounded", "", "READ job-1", 150, 0}};
+	size_t served = 0;
+
+	config.lag = 5 * MSEC;
+	config.promote_delay = SEC;
+	writes = (load_t){.world = world_create(1, &config)};
+	reads = (clients_t){.world = writes.world};
+	writes.world->max_age = 10 * SEC;
+	writes.world->bounded_objective = 300 * MSEC;
+	writes.world->config_version++;
+	world_wait_until_ready(writes.world);
+	play_streams(&reads, before, G_N_ELEMENTS(before), SEC);
+	play_streams(&reads, NULL, 0, 100 * MSEC);
+	world_crash_member(writes.world, 0);
+	/* From here on the writes have enough time to be held for the next primary. */
+	world_run(writes.world, 700 * MSEC);
+	for (size_t i = 0; i < 400; i++)
+		send_one(&writes, 0, "WRITE job-1 a");
+	for (size_t i = 0; i < 25; i++)
+		begin_operation(&reads, "bounded", "", "READ job-1");
+	g_test_message("%zu wait", count_waiting(writes.world));
+	play_streams(&reads, NULL, 0, 600 * MSEC);
+	for (size_t i = 0; i < reads.count; i++)
+		served += reads.operations[i].took != 0 && reads.operations[i].tries == 1;
+	g_test_message("%zu of %zu served at the first try", served, reads.count);
+	g_assert_cmpuint(served, ==, reads.count);
+	world_destroy(writes.world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -756,5 +795,6 @@
 	g_test_add_func("/load/few-run-in-vain", test_few_run_in_vain);
 	g_test_add_func("/load/leaving", test_leaving_primary_serves_writes);
 	g_test_add_func("/load/paused", test_paused_primary_sheds_nothing);
+	g_test_add_func("/load/held-writes", test_held_writes_are_in_no_reads_way);
 	return g_test_run();
 }
