pooler: the expected work of statements is forgotten as their response time is

Cause: expected_work() took the mean as of the last sample, however old. After a slow time and a pause, a burst was refused as queue_too_long by work that statements no longer take.

The six test programs pass.

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -171,7 +171,7 @@
 {
 	const route_estimate_t *estimate = estimate_of(caller);
 
-	return estimate->work.updated_at != 0 ? estimate->work.mean
+	return estimate->work.updated_at != 0 ? estimate_at(&estimate->work, now).mean
 					      : expected_response(caller, now).mean;
 }
 
--- a/pooler/estimate.c
+++ b/pooler/estimate.c
@@ -12,6 +12,11 @@
  * most objectives, and short beside an overload.
  */
 #define HALF_LIFE (500 * USEC_PER_MSEC)
+/*
+ * Time without a sample after which the next one starts the estimate anew: else it would bring back
+ * what has been halved.
+ */
+#define FORGOTTEN_AFTER (4 * HALF_LIFE)
 /* Halvings after which nothing is left of any estimate. */
 #define HALVINGS_MAX 32
 
@@ -25,7 +30,7 @@
 {
 	usec_t error;
 
-	if (estimate->updated_at == 0) {
+	if (estimate->updated_at == 0 || now - estimate->updated_at >= FORGOTTEN_AFTER) {
 		*estimate = (estimate_t){sample, sample / 2, now};
 		return;
 	}
--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -779,6 +779,29 @@
 	world_destroy(writes.world);
 }
 
+/*
+ * Guards against a burst refused by the work that statements took long ago, when the member was
+ * slow.
+ */
+static void test_old_slowness_is_forgotten(void)
+{
+	load_t load = {.world = world_create(1, &one_slow_member)};
+
+	world_wait_until_ready(load.world);
+	load.world->db->members[0].extra_service_time = 200 * MSEC;
+	play_load(&load, "READ job-1", 250 * MSEC, 5 * SEC);
+	load.world->db->members[0].extra_service_time = 0;
+	world_run(load.world, 5 * SEC);
+	collect_replies(&load);
+	for (size_t i = 0; i < 20; i++)
+		send_one(&load, 0, "READ job-1");
+	world_run(load.world, SEC);
+	collect_replies(&load);
+	g_test_message("%zu of %zu served", load.done, load.count);
+	g_assert_cmpuint(load.done, ==, load.count);
+	world_destroy(load.world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -796,5 +819,6 @@
 	g_test_add_func("/load/leaving", test_leaving_primary_serves_writes);
 	g_test_add_func("/load/paused", test_paused_primary_sheds_nothing);
 	g_test_add_func("/load/held-writes", test_held_writes_are_in_no_reads_way);
+	g_test_add_func("/load/old-slowness", test_old_slowness_is_forgotten);
 	return g_test_run();
 }
