pooler: statements served at once count as admitted in the refused part

Cause: only arrivals that had to wait were counted, so after an overload the part stayed as it was while all were served at once, for hours, and the first refusals of the next one told callers to stay away for up to 20 times as long.

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -691,4 +691,6 @@
 	dispatch_run(service);
 	if (caller->is_waiting)
 		refuse_if_unservable(caller, true, now);
+	else
+		count_refused(service, false);
 }
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -301,7 +301,7 @@
 	 */
 	usec_t members_busy_since;
 	usec_t primary_busy_since;
-	double refused_part;	 /* smoothed: of the statements that had to wait, those refused */
+	double refused_part;	 /* smoothed: of the statements that arrived, those refused */
 	run_timer_t retry_timer; /* first delayed attempt of a waiting statement */
 	bool dispatching;
 	bool dispatch_again;
--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -802,6 +802,26 @@
 	world_destroy(load.world);
 }
 
+/*
+ * Guards against callers told to stay away for long since many were refused hours ago, though all
+ * that arrived in between were served at once.
+ */
+static void test_old_overload_is_forgotten(void)
+{
+	load_t load = {.world = world_create(1, &one_slow_member)};
+	const service_t *service;
+
+	world_wait_until_ready(load.world);
+	service = service_get(load.world->nodes[0].pooler, WORLD_SERVICE);
+	play_load(&load, "READ job-1", 3 * MSEC, 2 * SEC);
+	g_assert_cmpfloat(service->refused_part, >, 0.3);
+	world_run(load.world, 2 * SEC);
+	play_load(&load, "READ job-1", 50 * MSEC, 5 * SEC);
+	g_test_message("%d %% refused lately", (int)(service->refused_part * 100));
+	g_assert_cmpfloat(service->refused_part, <, 0.05);
+	world_destroy(load.world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -820,5 +840,6 @@
 	g_test_add_func("/load/paused", test_paused_primary_sheds_nothing);
 	g_test_add_func("/load/held-writes", test_held_writes_are_in_no_reads_way);
 	g_test_add_func("/load/old-slowness", test_old_slowness_is_forgotten);
+	g_test_add_func("/load/old-overload", test_old_overload_is_forgotten);
 	return g_test_run();
 }
