--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -740,6 +740,88 @@
 	world_destroy(load.world);
 }
 
+/*
+ * Guards against reads refused during a change of primary for the writes that are held meanwhile:
+ * these are not in the way of reads that replicas serve.
+ */
+static void test_held_writes_are_in_no_reads_way(void)
+{
+	fake_db_config_t config = three_slow_members;
+	load_t writes;
+	clients_t reads;
+	stream_t before[] = {{"strict", "", "WRITE job-1 a", 50, 0},
+			     {"bounded", "", "READ job-1", 150, 0}};
+	size_t served = 0;
+
+	config.lag = 5 * MSEC;
+	config.promote_delay = SEC;
+	writes = (load_t){.world = world_create(1, &config)};
+	reads = (clients_t){.world = writes.world};
+	writes.world->max_age = 10 * SEC;
+	writes.world->bounded_objective = 300 * MSEC;
+	writes.world->config_version++;
+	world_wait_until_ready(writes.world);
+	play_streams(&reads, before, G_N_ELEMENTS(before), SEC);
+	play_streams(&reads, NULL, 0, 100 * MSEC);
+	world_crash_member(writes.world, 0);
+	/* From here on the writes have enough time to be held for the next primary. */
+	world_run(writes.world, 700 * MSEC);
+	for (size_t i = 0; i < 400; i++)
+		send_one(&writes, 0, "WRITE job-1 a");
+	for (size_t i = 0; i < 25; i++)
+		begin_operation(&reads, "bounded", "", "READ job-1");
+	g_test_message("%zu wait", count_waiting(writes.world));
+	play_streams(&reads, NULL, 0, 600 * MSEC);
+	for (size_t i = 0; i < reads.count; i++)
+		served += reads.operations[i].took != 0 && reads.operations[i].tries == 1;
+	g_test_message("%zu of %zu served at the first try", served, reads.count);
+	g_assert_cmpuint(served, ==, reads.count);
+	world_destroy(writes.world);
+}
+
+/*
+ * Guards against a burst refused by the work that statements took long ago, when the member was
+ * slow.
+ */
+static void test_old_slowness_is_forgotten(void)
+{
+	load_t load = {.world = world_create(1, &one_slow_member)};
+
+	world_wait_until_ready(load.world);
+	load.world->db->members[0].extra_service_time = 200 * MSEC;
+	play_load(&load, "READ job-1", 250 * MSEC, 5 * SEC);
+	load.world->db->members[0].extra_service_time = 0;
+	world_run(load.world, 5 * SEC);
+	collect_replies(&load);
+	for (size_t i = 0; i < 20; i++)
+		send_one(&load, 0, "READ job-1");
+	world_run(load.world, SEC);
+	collect_replies(&load);
+	g_test_message("%zu of %zu served", load.done, load.count);
+	g_assert_cmpuint(load.done, ==, load.count);
+	world_destroy(load.world);
+}
+
+/*
+ * Guards against callers told to stay away for long since many were refused hours ago, though all
+ * that arrived in between were served at once.
+ */
+static void test_old_overload_is_forgotten(void)
+{
+	load_t load = {.world = world_create(1, &one_slow_member)};
+	const service_t *service;
+
+	world_wait_until_ready(load.world);
+	service = service_get(load.world->nodes[0].pooler, WORLD_SERVICE);
+	play_load(&load, "READ job-1", 3 * MSEC, 2 * SEC);
+	g_assert_cmpfloat(service->refused_part, >, 0.3);
+	world_run(load.world, 2 * SEC);
+	play_load(&load, "READ job-1", 50 * MSEC, 5 * SEC);
+	g_test_message("%d %% refused lately", (int)(service->refused_part * 100));
+	g_assert_cmpfloat(service->refused_part, <, 0.05);
+	world_destroy(load.world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -756,5 +838,8 @@
 	g_test_add_func("/load/few-run-in-vain", test_few_run_in_vain);
 	g_test_add_func("/load/leaving", test_leaving_primary_serves_writes);
 	g_test_add_func("/load/paused", test_paused_primary_sheds_nothing);
+	g_test_add_func("/load/held-writes", test_held_writes_are_in_no_reads_way);
+	g_test_add_func("/load/old-slowness", test_old_slowness_is_forgotten);
+	g_test_add_func("/load/old-overload", test_old_overload_is_forgotten);
 	return g_test_run();
 }
