pooler: a statement's denied retry is counted and logged once

Cause: caller_retry_read() is called with each tick for a read that is overdue at its member, and with the budget spent each call counted and logged another denial. The six test programs pass; no test of its own, since no test reads counters or log lines.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -180,11 +180,15 @@
 	dispatch_enqueue(caller);
 }
 
-/* Takes a retry from the service's budget; returns false, with a log line, if none is left. */
+/* Takes a retry from the service's budget; returns false, with a log line once a statement, if none
+ * is left. */
 static bool take_retry(caller_t *caller)
 {
 	if (retry_budget_take(&caller->service->retry_budget, now_of(caller->pooler)))
 		return true;
+	if (caller->retry_denied)
+		return false;
+	caller->retry_denied = true;
 	counter_add(&retries_denied_total, 1);
 	LOG_EVENT(LOG_INFO, "retry budget used up",
 		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
@@ -747,6 +751,7 @@
 	caller->busy = true;
 	caller->received_at = now_of(caller->pooler);
 	caller->attempts = 0;
+	caller->retry_denied = false;
 	caller->exec = NULL;
 	copy_statement(caller, statement);
 	if (caller->tx == TX_NONE)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -198,6 +198,7 @@
 	bool has_after;
 	position_t after;
 	unsigned attempts;
+	bool retry_denied;		    /* counted and logged for this statement */
 	const struct member *failed_member; /* where it last failed; only compared, never read */
 	usec_t next_attempt_at;		    /* earliest time of the next attempt */
 	prepared_t *exec;		    /* the prepared statement that an EXEC names */
