wait_queue: waiters that become on time again start the time of their priority anew

Cause: on_time_since was set by wait_queue_add() only. A late waiter that wait_queue_update() made on time kept the time of earlier waiters, so callers were refused as if waiters on time had been there for an objective.

/wait_queue/on-time-again fails without the change (0 ms in place of 100 ms).

--- a/pooler/dispatch.c
+++ b/pooler/dispatch.c
@@ -663,7 +663,7 @@
 	if (!caller->pooler->config.serve_in_arrival_order)
 		wait_queue_update(caller->service->queue, &caller->waiter,
 				  expected_work(caller, now), response_bound(caller, now),
-				  capacity_for(caller, now).primary_only);
+				  capacity_for(caller, now).primary_only, now);
 }
 
 void dispatch_tick(service_t *service, usec_t now)
--- a/pooler/wait_queue.c
+++ b/pooler/wait_queue.c
@@ -214,10 +214,15 @@
 }
 
 void wait_queue_update(wait_queue_t *queue, waiter_t *waiter, usec_t work, usec_t response,
-		       bool primary_only)
+		       bool primary_only, usec_t now)
 {
+	wait_level_t *level = waiter->flow->level;
+
+	work = work < WAIT_QUEUE_WORK_MAX ? work : WAIT_QUEUE_WORK_MAX;
+	if (level->counts[ON_TIME] == 0)
+		level->on_time_since = now;
 	unlink_waiter(queue, waiter);
-	set_work(waiter, work);
+	waiter->work = work;
 	waiter->response = response;
 	waiter->primary_only = primary_only;
 	waiter->late = false;
--- a/pooler/wait_queue.h
+++ b/pooler/wait_queue.h
@@ -60,7 +60,7 @@
 
 /* Sorts a waiter of the queue anew, with other expectations. */
 void wait_queue_update(wait_queue_t *queue, waiter_t *waiter, usec_t work, usec_t response,
-		       bool primary_only);
+		       bool primary_only, usec_t now);
 
 /* Removes the waiter, if it is in the queue. */
 void wait_queue_remove(wait_queue_t *queue, waiter_t *waiter);
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -292,6 +292,25 @@
 	end(&scene);
 }
 
+/*
+ * Guards against a queue that seems to have been waiting on time since long ago, when a late waiter
+ * can meet its objective again by a quicker member.
+ */
+static void test_on_time_again(void)
+{
+	scene_t scene;
+	waiter_t *waiter;
+
+	start(&scene);
+	waiter = add(&scene, 0, 0, START, 200 * MSEC, 20 * MSEC);
+	wait_queue_update(scene.queue, waiter, 20 * MSEC, 190 * MSEC, false, START);
+	g_assert_false(wait_queue_has_on_time(scene.queue, START + 50 * MSEC));
+	wait_queue_update(scene.queue, waiter, 20 * MSEC, 20 * MSEC, false, START + 100 * MSEC);
+	g_assert_cmpuint(wait_queue_on_time_since(scene.queue, 0, START + 100 * MSEC), ==,
+			 START + 100 * MSEC);
+	end(&scene);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -303,5 +322,6 @@
 	g_test_add_func("/wait-queue/work-ahead", test_work_ahead);
 	g_test_add_func("/wait-queue/largest-gives-way", test_largest_gives_way);
 	g_test_add_func("/wait-queue/memory", test_empty_queue_keeps_nothing);
+	g_test_add_func("/wait_queue/on-time-again", test_on_time_again);
 	return g_test_run();
 }
