test_pooler_load: /load/goodput checks its limit of time and how long callers are held

Cause: time_until_nobody_waits() returned a small time also when it gave up after 5 s, and the time that a refused caller is held was printed only. Now the limit must not be reached, and a refusal must come by the time-out less one response.

--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -461,6 +461,7 @@
 			below_since = world_time(clients);
 		tries = clients->tries;
 	}
+	g_assert_cmpuint(world_time(clients), <, limit);
 	return empty_since > below_since ? empty_since - below_since : 0;
 }
 
@@ -486,6 +487,8 @@
 		(int)(longest_held(&clients) / MSEC), (int)(until_empty / MSEC));
 	g_assert_cmpuint(in_time, >=, 300 * 90 / 100);
 	g_assert_cmpuint(until_empty, <=, SEC);
+	/* A refusal comes while one more try still fits into the time that the caller waits. */
+	g_assert_cmpuint(longest_held(&clients), <=, 800 * MSEC - one_slow_member.service_time);
 	world_destroy(clients.world);
 }
 
