--- a/pooler/join.c
+++ b/pooler/join.c
@@ -263,16 +263,6 @@
 	return true;
 }
 
-/*
- * Spreads the writes of a fleet that has lost power: none of it reaches a leader that starts late,
- * and writes at the same time conflict.
- */
-static void delay_own_write(pooler_t *pooler, usec_t now)
-{
-	pooler->sync.write_not_before = now + pooler_random(pooler, ADD_TIMEOUT);
-	retry_soon(pooler, now);
-}
-
 /*
  * Asks another proxy to add us; false if there is none to ask. A fleet of 24 proxies that started
  * together made 34 writes when each tried its own first, and most of them conflicted.
@@ -301,10 +291,6 @@
 	sync->join_requests++;
 	talloc_free(sync->join_target);
 	sync->join_target = talloc_strdup(pooler, name);
-	if (!sent && !joins_through_hubs(pooler)) {
-		delay_own_write(pooler, now);
-		return true;
-	}
 	/* In a large fleet another hub is asked next. */
 	return sent || joins_through_hubs(pooler);
 }
@@ -350,10 +336,6 @@
 	    restore_is_pending(pooler) || pooler->draining || permit_is_registered(pooler) ||
 	    join_is_pending(pooler, now))
 		return;
-	if (now < sync->write_not_before) {
-		retry_soon(pooler, now);
-		return;
-	}
 	if (sync->join_started_at == 0)
 		sync->join_started_at = now;
 	reset_join_target(pooler, now);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -462,8 +462,7 @@
 	bool join_requested; /* another proxy was asked to add us to the roster; if it does not,
 				we write our own entry */
 	usec_t join_started_at;
-	bool join_conflict;	 /* our own write to join the roster conflicted with another one */
-	usec_t write_not_before; /* own entry; after a leader without a link */
+	bool join_conflict; /* our own write to join the roster conflicted with another one */
 	usec_t join_requested_at;
 	char *join_target;
 	bool join_target_answered; /* join_target has answered since join_requested_at */
