pooler: dispatch is split: expect, shed and recovery are modules of their own

Moves only: what is expected of a statement (expect.c), refusals under overload (shed.c), when a primary is expected back (recovery.c); choice_has_room() is used by two.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -9,6 +9,7 @@
 #include "admission.h"
 #include "conn.h"
 #include "dispatch.h"
+#include "expect.h"
 #include "forward.h"
 #include "hangup.h"
 #include "job.h"
@@ -350,7 +351,7 @@
 void caller_on_reply(caller_t *caller, conn_t *conn, const reply_t *reply)
 {
 	if (reply->ok) {
-		dispatch_record_response(caller, conn);
+		expect_record(caller, conn);
 		on_success(caller, conn, reply);
 	} else {
 		on_error(caller, conn, reply);
--- a/pooler/choice.c
+++ b/pooler/choice.c
@@ -255,3 +255,14 @@
 	}
 	return capacity;
 }
+
+bool choice_has_room(const service_t *service, usec_t now)
+{
+	list_for_each (it, &service->members) {
+		const member_t *member = list_entry(it, member_t, in_service);
+
+		if (choice_may_take_statements(member, now) && room_is_free(member))
+			return true;
+	}
+	return false;
+}
--- a/pooler/choice.h
+++ b/pooler/choice.h
@@ -32,4 +32,7 @@
  */
 bool choice_may_take_statements(const member_t *member, usec_t now);
 
+/* True if a member of the service has room for one more statement. */
+bool choice_has_room(const service_t *service, usec_t now);
+
 choice_capacity_t choice_capacity(const caller_t *caller, usec_t now);
--- a/pooler/dispatch.h
+++ b/pooler/dispatch.h
@@ -21,9 +21,3 @@
  * waiting callers whose deadline will pass before the service can serve them.
  */
 void dispatch_tick(service_t *service, usec_t now);
-
-/* Records how long the member took for the caller's statement, which it has just answered. */
-void dispatch_record_response(const caller_t *caller, const conn_t *conn);
-
-/* Slots of all usable members that this proxy can count on. */
-double dispatch_slots(const service_t *service);
--- a/pooler/metrics.c
+++ b/pooler/metrics.c
@@ -2,9 +2,9 @@
 
 #include <inttypes.h>
 
-#include "dispatch.h"
 #include "permit.h"
 #include "room.h"
+#include "shed.h"
 #include "state.h"
 
 static void write_header(FILE *out, const char *name, const char *help)
@@ -73,7 +73,7 @@
 
 static double queue_wait_seconds(service_t *service, const wait_priority_t *priority)
 {
-	double slots = dispatch_slots(service);
+	double slots = shed_slots(service);
 
 	return slots > 0 ? to_seconds(priority->work) / slots : 0;
 }
