pooler: members without a limit of slots have a finite capacity that is not 0

Cause: room_slots() was 0 for a member whose entry has no slots, so its queue seemed to take for ever and statements were refused as queue_too_long; with no proxy counted it was infinite. The connections limit such a member. The product in limit_work() could overflow with very long queues.

--- a/pooler/room.c
+++ b/pooler/room.c
@@ -86,5 +86,10 @@
 
 double room_slots(const member_t *member)
 {
-	return (double)member->slots / (double)count_sharing_proxies(member->service);
+	size_t proxies = count_sharing_proxies(member->service);
+	/* Without a limit of slots, the connections limit how many statements run at a time. */
+	int64_t slots =
+		member->slots != 0 ? member->slots : (int64_t)member->service->max_connections;
+
+	return (double)slots / (double)(proxies != 0 ? proxies : 1);
 }
--- a/pooler/wait_queue.c
+++ b/pooler/wait_queue.c
@@ -506,7 +506,9 @@
 {
 	if (work.all <= limit)
 		return work;
-	return (wait_work_t){.all = limit, .primary = work.primary * limit / work.all};
+	return (wait_work_t){
+		.all = limit,
+		.primary = (usec_t)((double)work.primary * (double)limit / (double)work.all)};
 }
 
 /* Work ahead of the waiter in its own level, of its own kind. */
