--- a/pooler/room.c
+++ b/pooler/room.c
@@ -104,7 +104,11 @@
 double room_slots(const member_t *member)
 {
 	usec_t now = now_of(member->pooler);
-	double own = (double)member->slots / (double)count_sharing_proxies(member->service);
+	size_t proxies = count_sharing_proxies(member->service);
+	/* Without a limit of slots, the connections limit how many statements run at a time. */
+	int64_t slots =
+		member->slots != 0 ? member->slots : (int64_t)member->service->max_connections;
+	double own = (double)slots / (double)(proxies != 0 ? proxies : 1);
 	double lent = (double)room_lent(member, now) / STATEMENTS_PER_SLOT;
 	double borrowed = (double)room_borrowed(member, now) / STATEMENTS_PER_SLOT;
 
