--- a/tests/test_pooler_load.c
+++ b/tests/test_pooler_load.c
@@ -574,6 +574,40 @@
 	.lag = 3 * SEC,
 };
 
+/* Percentage of the writes, and number of the reads, that were answered in time. */
+typedef struct beside {
+	size_t writes_percent;
+	size_t reads;
+} beside_t;
+
+/*
+ * Plays 4 s of writes of high priority and a short objective, and of reads of low priority and a
+ * long one, while replicas lag and the primary alone serves them all.
+ */
+static beside_t play_reads_beside_writes(size_t nodes, unsigned writes_per_s)
+{
+	clients_t clients = {.world = world_create(nodes, &three_slow_members)};
+	stream_t streams[] = {{"strict", "", "WRITE job-1 a", writes_per_s, 0},
+			      {"bounded", "", "READ job-1", 130, 0}};
+	beside_t beside;
+	usec_t start;
+
+	clients.world->max_age = 100 * MSEC;
+	clients.world->bounded_priority = 2;
+	clients.world->bounded_objective = SEC;
+	clients.world->config_version++;
+	world_wait_until_ready(clients.world);
+	start = world_time(&clients);
+	play_streams(&clients, streams, G_N_ELEMENTS(streams), 4 * SEC);
+	play_streams(&clients, streams, 0, 2 * SEC);
+	beside.writes_percent = percent_in_time(&clients, "strict", "");
+	beside.reads = count_in_time(&clients, start, start + 4 * SEC, "bounded", SEC);
+	g_test_message("%zu proxies, %u writes: %zu %% of the writes in time, %zu reads", nodes,
+		       writes_per_s, beside.writes_percent, beside.reads);
+	world_destroy(clients.world);
+	return beside;
+}
+
 /*
  * Guards against valuable statements with a short objective that wait behind others with a long
  * one, when replicas lag and the primary alone serves them all.
@@ -583,29 +617,26 @@
 	static const size_t nodes[] = {1, 9};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++) {
-		clients_t clients = {.world = world_create(nodes[i], &three_slow_members)};
-		stream_t streams[] = {{"strict", "", "WRITE job-1 a", 70, 0},
-				      {"bounded", "", "READ job-1", 130, 0}};
-		usec_t start;
-		size_t low;
-
-		clients.world->max_age = 100 * MSEC;
-		clients.world->bounded_priority = 2;
-		clients.world->bounded_objective = SEC;
-		clients.world->config_version++;
-		world_wait_until_ready(clients.world);
-		start = world_time(&clients);
-		play_streams(&clients, streams, G_N_ELEMENTS(streams), 4 * SEC);
-		play_streams(&clients, streams, 0, 2 * SEC);
-		low = count_in_time(&clients, start, start + 4 * SEC, "bounded", SEC);
-		g_test_message("%zu proxies: %zu %% of the high priority in time, %zu of the low",
-			       nodes[i], percent_in_time(&clients, "strict", ""), low);
-		g_assert_cmpuint(percent_in_time(&clients, "strict", ""), >=, 90);
-		g_assert_cmpuint(low, >=, 400 / WAIT_QUEUE_FLOOR_DIVISOR);
-		world_destroy(clients.world);
+		beside_t beside = play_reads_beside_writes(nodes[i], 70);
+
+		g_assert_cmpuint(beside.writes_percent, >=, 90);
+		g_assert_cmpuint(beside.reads, >=, 400 / WAIT_QUEUE_FLOOR_DIVISOR);
 	}
 }
 
+/*
+ * Guards against a low priority without service while a higher one asks for all that the primary
+ * can do.
+ */
+static void test_floor_of_low_priority(void)
+{
+	static const size_t nodes[] = {1, 9};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++)
+		g_assert_cmpuint(play_reads_beside_writes(nodes[i], 100).reads, >=,
+				 400 / WAIT_QUEUE_FLOOR_DIVISOR);
+}
+
 /*
  * Guards against reads that allow old data refused, or served late, since the primary is full and
  * no replica is current, although replicas catch up within the objective.
@@ -837,6 +868,7 @@
 	g_test_add_func("/load/goodput", test_goodput);
 	g_test_add_func("/load/customers", test_customers_share);
 	g_test_add_func("/load/priority", test_priority_while_replicas_lag);
+	g_test_add_func("/load/floor", test_floor_of_low_priority);
 	g_test_add_func("/load/catching-up", test_replicas_about_to_catch_up);
 	g_test_add_func("/load/few-run-in-vain", test_few_run_in_vain);
 	g_test_add_func("/load/leaving", test_leaving_primary_serves_writes);
