--- a/tests/test_pooler_access.c
+++ b/tests/test_pooler_access.c
@@ -692,7 +692,7 @@
 }
 
 /*
- * Guards against a shard owner that gives a lookup the token of a booking: with few tokens left a
+ * Guards against an owner that gives a token to a low priority before a high one: with few left a
  * request of a low priority gets none after one of the highest has asked, which still does.
  */
 static void test_owner_keeps_order(void)
@@ -700,16 +700,16 @@
 	pool_world_t *world = start_limited(3);
 	limit_shards_t *shards = limit_shards_create(NULL, world->nodes[0].pooler);
 	quota_request_t urgent = {.number = 1, .customer = "ada", .wanted = 1};
-	quota_request_t lookup = {.number = 2, .customer = "ada", .wanted = 1};
+	quota_request_t casual = {.number = 2, .customer = "ada", .wanted = 1};
 	quota_answer_t answer;
 	usec_t now = current_time(world);
 
-	urgent.shard = lookup.shard = shard_of_first_proxy(world);
+	urgent.shard = casual.shard = shard_of_first_proxy(world);
 	urgent.by_priority.by_priority[0] = 1;
-	lookup.by_priority.by_priority[2] = 1;
+	casual.by_priority.by_priority[2] = 1;
 	g_assert_cmpuint(limit_shards_take(shards, &urgent, now).granted, ==, 1);
 	do
-		answer = limit_shards_take(shards, &lookup, now);
+		answer = limit_shards_take(shards, &casual, now);
 	while (answer.granted == 1);
 	g_assert_true(answer.has_waits);
 	g_assert_cmpuint(answer.waits[2], >, 0);
--- a/tests/test_pooler_conns.c
+++ b/tests/test_pooler_conns.c
@@ -190,7 +190,7 @@
 	g_assert_cmpint(opening_decide(&c), ==, OPENING_NOW);
 }
 
-/* Guards against a lookup with much time that opens a connection beside those of its customer. */
+/* Guards against a read with much time that opens a connection beside those of its customer. */
 static void test_long_objective_waits(void)
 {
 	opening_case_t c = usual_case();
--- a/tests/test_token_order.c
+++ b/tests/test_token_order.c
@@ -157,7 +157,7 @@
 }
 
 /*
- * Guards against lookups that take the tokens of bookings: while the higher priorities need less
+ * Guards against low priorities that take the tokens of high ones: while those need less
  * than the limit, nearly all of them are served, and more than as they come.
  */
 static void test_higher_first(void)
