A proxy that joins a large fleet ends no longer when its first own write conflicts

Cause: after a conflict of its own write reset_join_target() avoided the proxy that had been asked, though none had been (sync->join_target NULL): a former leader writes without asking.

Evidence: the stack of 30 of 30 crashes in a trial with a handler that prints it: on_registered, join_run, upstream_avoid_hub, exchange_get_report, strlen. Ruled out: large configurations, memory.

/join/first-write-conflicts ends by the sanitizer (exchange.c:231, null pointer) without the mend.

--- a/pooler/join.c
+++ b/pooler/join.c
@@ -322,7 +322,9 @@
 	if (!sync->join_requested || !joins_through_hubs(pooler) ||
 	    sync->join_requests >= JOIN_REQUESTS_MAX)
 		return;
-	upstream_avoid_hub(pooler, sync->join_target, now);
+	/* NULL: our own write conflicted, and no proxy was asked before it. */
+	if (sync->join_target != NULL)
+		upstream_avoid_hub(pooler, sync->join_target, now);
 	sync->join_requested = false;
 	sync->join_started_at = now;
 }
--- a/tests/test_pooler_join.c
+++ b/tests/test_pooler_join.c
@@ -77,10 +77,34 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against a process that ends when the first write of its own entry conflicts with another
+ * write: a previous leader asks no proxy before, so none is avoided.
+ */
+static void test_first_write_conflicts(void)
+{
+	size_t leader;
+	pool_world_t *world = make_powered_off(&leader);
+	const char *key = "fleet/roster";
+	char *roster = g_strdup(fake_kv_get(world->kv, key));
+
+	g_assert_nonnull(roster);
+	world_start_proxy(world, leader);
+	for (int i = 0; i < 1000 && !world->nodes[leader].pooler->sync.registering; i++)
+		world_run(world, MSEC);
+	g_assert_true(world->nodes[leader].pooler->sync.registering);
+	fake_kv_put(world->kv, key, roster);
+	world_run(world, 4 * SEC);
+	g_assert_cmpuint(count_registered_proxies(world), ==, 1);
+	g_free(roster);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/join/by-hubs", test_large_fleet_joins_through_hubs);
 	g_test_add_func("/join/without-the-holder", test_large_fleet_without_its_leader);
+	g_test_add_func("/join/first-write-conflicts", test_first_write_conflicts);
 	return g_test_run();
 }
