One piece of code for round trips, a proxy's own home, and ages in log lines

- rtt.c was written again beside update_rtt() of core/group.c.
It moves to kernel/ and serves both, with the arithmetic of core: the copy took the decay from the sum instead of the former value, so its mean settled at 7/8 and its deviation at 3/4 of the samples', not as RFC 6298 says.
- home_is_self() in place of two written-out comparisons; usec_since_ms() in place of two statics of report.c and member_state.c; member_last_reply_ms() in place of two.
- expect_record() walked the member's connections twice for each reply to work out the same figure.
- The bound of a waiter's work stood twice in wait_queue.c.

No test is changed.

--- a/core/dump.c
+++ b/core/dump.c
@@ -23,7 +23,7 @@
 			 (json_int_t)member->report.log.lsn, "says_primary", member->report.primary,
 			 "report_age_ms", age_msec(core, member->reported_as_of), "data_age_ms",
 			 age_msec(core, member->data_as_of), "misses", member->misses, "running",
-			 (json_int_t)member->running, "srtt_us", (json_int_t)member->srtt);
+			 (json_int_t)member->running, "srtt_us", (json_int_t)member->rtt.smoothed);
 }
 
 static json_t *dump_ranks(const ranks_t *ranks)
--- a/core/group.c
+++ b/core/group.c
@@ -10,9 +10,6 @@
 #include "samples.h"
 #include "takeover.h"
 
-/* Weights of a new sample in the round-trip time and its variation, as in RFC 6298. */
-#define SRTT_SHIFT   3
-#define RTTVAR_SHIFT 2
 /* A member is responsive if it answered within this many poll intervals. */
 #define RESPONSIVE_POLLS 3
 /* Lower bound for the time that a slot works on a run, in member_run_limit(). */
@@ -81,7 +78,7 @@
 int64_t member_run_limit(const member_t *member)
 {
 	const group_t *group = member->group;
-	usec_t rtt = member->srtt;
+	usec_t rtt = member->rtt.smoothed;
 	usec_t run = group->service_time[ROW_READ];
 	usec_t busy = run > rtt + MIN_BUSY_TIME ? run - rtt : MIN_BUSY_TIME;
 	int64_t extra = (int64_t)((usec_t)member->spec.slots * rtt / busy);
@@ -256,27 +253,13 @@
 	samples_update_members(group);
 }
 
-static void update_rtt(member_t *member, usec_t rtt)
-{
-	usec_t gap;
-
-	if (member->srtt == 0) {
-		member->srtt = rtt;
-		member->rttvar = rtt / 2;
-		return;
-	}
-	gap = rtt > member->srtt ? rtt - member->srtt : member->srtt - rtt;
-	member->rttvar += (gap >> RTTVAR_SHIFT) - (member->rttvar >> RTTVAR_SHIFT);
-	member->srtt += (rtt >> SRTT_SHIFT) - (member->srtt >> SRTT_SHIFT);
-}
-
 static void handle_report_done(group_t *group, member_t *member, const order_event_t *event)
 {
 	usec_t sent = member->report_sent;
 
 	member->report_order = 0;
 	if (event->status == ORDER_OK) {
-		update_rtt(member, group->core->now - sent);
+		rtt_add(&member->rtt, group->core->now - sent);
 		group_apply_report(group, member, &event->report, sent);
 	} else {
 		member->misses++;
--- a/core/state.h
+++ b/core/state.h
@@ -12,6 +12,7 @@
 #include "core.h"
 #include "fleet.h"
 #include "list.h"
+#include "rtt.h"
 #include "table.h"
 #include "timer.h"
 
@@ -67,10 +68,9 @@
 	uint64_t report_order;
 	usec_t report_sent;
 	usec_t next_report;
-	int misses;	 /* consecutive requests for a report without an answer */
-	int unreachable; /* how many of the misses were refused connections */
-	usec_t srtt;
-	usec_t rttvar;
+	int misses;	   /* consecutive requests for a report without an answer */
+	int unreachable;   /* how many of the misses were refused connections */
+	rtt_t rtt;	   /* of requests for a report */
 	usec_t data_as_of; /* its data is at least as new as the primary's was then; 0: unknown */
 	usec_t follow_sent;
 	uint64_t follow_order;
--- a/core/takeover.c
+++ b/core/takeover.c
@@ -29,7 +29,7 @@
 static usec_t answer_timeout(const member_t *member)
 {
 	usec_t floor = member->group->core->config.timings.detect_floor;
-	usec_t usual_time = member->srtt + 4 * member->rttvar;
+	usec_t usual_time = rtt_timeout(&member->rtt);
 
 	return usual_time > floor ? usual_time : floor;
 }
--- a/kernel/clock.h
+++ b/kernel/clock.h
@@ -46,6 +46,12 @@
 	return age != USEC_NEVER ? (int64_t)(age / USEC_PER_MSEC) : -1;
 }
 
+/* The time since then in milliseconds for logs; -1 if then is later than now, as USEC_NEVER is. */
+static inline int64_t usec_since_ms(usec_t then, usec_t now)
+{
+	return then <= now ? (int64_t)((now - then) / USEC_PER_MSEC) : -1;
+}
+
 /* The VM's monotonic clock. It includes the time that the VM was suspended (CLOCK_BOOTTIME). */
 const run_clock_t *clock_system(void);
 
--- a/pooler/rtt.c
+++ b/kernel/rtt.c
@@ -15,10 +15,8 @@
 		return;
 	}
 	error = sample > rtt->smoothed ? sample - rtt->smoothed : rtt->smoothed - sample;
-	rtt->deviation += error / DEVIATION_DIVISOR;
-	rtt->deviation -= rtt->deviation / DEVIATION_DIVISOR;
-	rtt->smoothed += sample / MEAN_DIVISOR;
-	rtt->smoothed -= rtt->smoothed / MEAN_DIVISOR;
+	rtt->deviation += error / DEVIATION_DIVISOR - rtt->deviation / DEVIATION_DIVISOR;
+	rtt->smoothed += sample / MEAN_DIVISOR - rtt->smoothed / MEAN_DIVISOR;
 }
 
 usec_t rtt_timeout(const rtt_t *rtt)
--- a/pooler/rtt.h
+++ b/kernel/rtt.h
@@ -1,6 +1,6 @@
 /*
- * Round-trip time of a peer: its smoothed mean and mean deviation, and the time after which an
- * answer is overdue (RFC 6298). Pure.
+ * Round-trip time of a peer or a backend server: its smoothed mean and mean deviation, and the time
+ * after which an answer is overdue (RFC 6298). Pure.
  */
 #pragma once
 
--- a/pooler/expect.c
+++ b/pooler/expect.c
@@ -26,11 +26,12 @@
 {
 	usec_t now = now_of(caller->pooler);
 	usec_t took = now - conn->sent_at;
+	usec_t work = work_of_response(conn->member, took);
 	route_estimate_t *estimate = estimate_of(caller);
 
 	estimate_add(&estimate->response, took, now);
-	estimate_add(&estimate->work, work_of_response(conn->member, took), now);
-	usage_add(&caller->customer_pool->usage, work_of_response(conn->member, took), now);
+	estimate_add(&estimate->work, work, now);
+	usage_add(&caller->customer_pool->usage, work, now);
 }
 
 /* The quickest member that may serve the caller, or NULL. */
--- a/pooler/home.c
+++ b/pooler/home.c
@@ -358,16 +358,20 @@
 	return count;
 }
 
-bool home_holds_conns(service_t *service, usec_t now)
+bool home_is_self(service_t *service, usec_t now)
 {
-	const roster_node_t *home;
+	const roster_node_t *home = home_find(service, now);
 
-	if (service->last_forward_at != 0 && now < service->last_forward_at + KEEP_CONNS_TIME)
-		return true;
-	home = home_find(service, now);
 	return home != NULL && strcmp(home->name, service->pooler->config.name) == 0;
 }
 
+bool home_holds_conns(service_t *service, usec_t now)
+{
+	return (service->last_forward_at != 0 &&
+		now < service->last_forward_at + KEEP_CONNS_TIME) ||
+	       home_is_self(service, now);
+}
+
 /* --- availability of homes --- */
 
 /* Index of the first home candidate that is not suspect; their number if all are. */
--- a/pooler/home.h
+++ b/pooler/home.h
@@ -36,6 +36,9 @@
  */
 const roster_node_t *home_find(service_t *service, usec_t now);
 
+/* True if this proxy itself is the home to which it would forward. */
+bool home_is_self(service_t *service, usec_t now);
+
 /*
  * True if this proxy holds connections to the service's members: as its zone's home, or because
  * another proxy recently forwarded a statement to it.
--- a/pooler/liveness.c
+++ b/pooler/liveness.c
@@ -262,7 +262,6 @@
 void liveness_on_received(pooler_t *pooler, const char *name, size_t outstanding, usec_t now)
 {
 	peer_report_t *report = exchange_get_report(pooler, name);
-
 	usec_t since = report->unanswered_since;
 
 	report->unanswered_since = outstanding != 0 ? now : 0;
--- a/pooler/loan_exchange.c
+++ b/pooler/loan_exchange.c
@@ -1,7 +1,5 @@
 #include "loan_exchange.h"
 
-#include <string.h>
-
 #include "dispatch.h"
 #include "exchange.h"
 #include "home.h"
@@ -168,12 +166,8 @@
 /* True if this proxy owns a part of the service's members: it is the home of its zone. */
 static bool owns_part(service_t *service, usec_t now)
 {
-	const roster_node_t *home;
-
-	if (!home_is_needed(service) || !permit_is_registered(service->pooler))
-		return false;
-	home = home_find(service, now);
-	return home != NULL && strcmp(home->name, service->pooler->config.name) == 0;
+	return home_is_needed(service) && permit_is_registered(service->pooler) &&
+	       home_is_self(service, now);
 }
 
 static member_t *find_member(const service_t *service, const char *id)
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -350,11 +350,9 @@
 	}
 }
 
-/* Time since the member's last reply in ms; -1: there was none. */
-static int64_t last_reply_msec(const member_t *member, usec_t now)
+int64_t member_last_reply_ms(const member_t *member, usec_t now)
 {
-	return member->last_reply_at != 0 ? (int64_t)((now - member->last_reply_at) / USEC_PER_MSEC)
-					  : -1;
+	return member->last_reply_at != 0 ? usec_since_ms(member->last_reply_at, now) : -1;
 }
 
 /* The connection that has waited for the member's acceptance for the longest time, or NULL. */
@@ -398,7 +396,7 @@
 		  LOG_STR("service", member->service->name), LOG_STR("member", member->id),
 		  LOG_INT("connections", (int64_t)closed),
 		  LOG_INT("after_ms", (int64_t)(timeout / USEC_PER_MSEC)),
-		  LOG_INT("last_reply_ms", last_reply_msec(member, now)));
+		  LOG_INT("last_reply_ms", member_last_reply_ms(member, now)));
 }
 
 static void check_probe(member_t *member, usec_t now)
--- a/pooler/member.h
+++ b/pooler/member.h
@@ -33,6 +33,9 @@
 /* As member_on_reply(), for the reply that accepts a connection. */
 void member_on_accepted(member_t *member);
 
+/* Time since the member's last reply in ms, for logs; -1: there was none. */
+int64_t member_last_reply_ms(const member_t *member, usec_t now);
+
 /* Marks the member as down, after a probe that it did not answer. */
 void member_mark_down(member_t *member, const char *reason);
 
--- a/pooler/member_state.c
+++ b/pooler/member_state.c
@@ -4,6 +4,7 @@
 
 #include "exchange.h"
 #include "home.h"
+#include "member.h"
 #include "permit.h"
 #include "room.h"
 
@@ -18,11 +19,6 @@
 	[CONN_ORPHANED] = "orphaned",	[CONN_PROBING] = "probing",
 };
 
-static int64_t msec_since(usec_t then, usec_t now)
-{
-	return then <= now ? (int64_t)((now - then) / USEC_PER_MSEC) : -1;
-}
-
 static int64_t msec_until(usec_t then, usec_t now)
 {
 	return then > now ? (int64_t)((then - now) / USEC_PER_MSEC) : 0;
@@ -30,7 +26,7 @@
 
 static void count_conn(member_state_t *state, const conn_t *conn, usec_t now)
 {
-	int64_t age = msec_since(conn->state_since, now);
+	int64_t age = usec_since_ms(conn->state_since, now);
 
 	if (conn->probe) {
 		state->probe_ms = age;
@@ -42,7 +38,7 @@
 			state->opening_ms = age;
 		return;
 	}
-	age = msec_since(conn->sent_at, now);
+	age = usec_since_ms(conn->sent_at, now);
 	if (conn->state != CONN_IDLE && conn->state != CONN_HELD && age > state->request_ms)
 		state->request_ms = age;
 }
@@ -56,10 +52,9 @@
 		.request_ms = -1,
 		.backoff_ms = msec_until(member->connect_not_before, now),
 		.no_borrow_ms = msec_until(member->no_borrow_until, now),
-		.suspect_ms = msec_since(member->suspect_since, now),
+		.suspect_ms = usec_since_ms(member->suspect_since, now),
 		.probe_ms = -1,
-		.last_reply_ms =
-			member->last_reply_at != 0 ? msec_since(member->last_reply_at, now) : -1,
+		.last_reply_ms = member_last_reply_ms(member, now),
 	};
 
 	list_for_each (it, &member->conns)
@@ -85,7 +80,7 @@
 	if (report == NULL || report->unanswered_since == 0)
 		return (home_state_t){.name = home->name, .unanswered_ms = -1};
 	return (home_state_t){.name = home->name,
-			      .unanswered_ms = msec_since(report->unanswered_since, now)};
+			      .unanswered_ms = usec_since_ms(report->unanswered_since, now)};
 }
 
 static const char *primary_id(const service_t *service, usec_t now)
--- a/pooler/report.c
+++ b/pooler/report.c
@@ -52,11 +52,6 @@
 	[READS_SESSION] = &session_failed,
 };
 
-static int64_t elapsed_msec(usec_t now, usec_t then)
-{
-	return then <= now ? (int64_t)((now - then) / USEC_PER_MSEC) : -1;
-}
-
 /* Age of the cached keys in ms; -1: not confirmed yet. */
 static int64_t keys_age_msec(const caller_t *caller, usec_t now)
 {
@@ -68,7 +63,7 @@
 {
 	usec_t confirmed = caller->pooler->sync.confirmed_at;
 
-	return confirmed != USEC_NEVER ? elapsed_msec(now, confirmed) : -1;
+	return confirmed != USEC_NEVER ? usec_since_ms(confirmed, now) : -1;
 }
 
 void report_success(const caller_t *caller)
@@ -93,9 +88,9 @@
 		LOG_STR("database", caller->database), LOG_STR("service", caller->service->name),
 		LOG_STR("customer", caller->customer != NULL ? caller->customer : ""),
 		LOG_INT("took_ms", took / USEC_PER_MSEC),
-		LOG_INT("waited_ms", elapsed_msec(caller->placed_at, caller->received_at)),
+		LOG_INT("waited_ms", usec_since_ms(caller->received_at, caller->placed_at)),
 		LOG_INT("ran_ms",
-			elapsed_msec(now, conn != NULL ? conn->sent_at : caller->forwarded_at)),
+			usec_since_ms(conn != NULL ? conn->sent_at : caller->forwarded_at, now)),
 		LOG_INT("attempts", caller->attempts),
 		LOG_STR("member", conn != NULL ? conn->member->id : ""),
 		LOG_INT("member_usual_ms",
@@ -137,7 +132,7 @@
 		  LOG_STR("outcome", code_name(code)), LOG_STR("reason", reason_text(reason)),
 		  LOG_STR("detail", detail != NULL ? detail : ""),
 		  LOG_INT("attempts", caller->attempts),
-		  LOG_INT("waited_ms", elapsed_msec(now, caller->received_at)),
+		  LOG_INT("waited_ms", usec_since_ms(caller->received_at, now)),
 		  LOG_STR("member", caller->conn != NULL ? caller->conn->member->id : ""),
 		  LOG_STR("helper", caller->helper != NULL ? caller->helper : ""),
 		  LOG_STR("for", caller->job != NULL ? caller->job->origin : ""),
--- a/pooler/wait_queue.c
+++ b/pooler/wait_queue.c
@@ -195,9 +195,9 @@
 	queue->counts[kind]--;
 }
 
-static void set_work(waiter_t *waiter, usec_t work)
+static usec_t bounded_work(usec_t work)
 {
-	waiter->work = work < WAIT_QUEUE_WORK_MAX ? work : WAIT_QUEUE_WORK_MAX;
+	return work < WAIT_QUEUE_WORK_MAX ? work : WAIT_QUEUE_WORK_MAX;
 }
 
 void wait_queue_add(wait_queue_t *queue, waiter_t *waiter, usec_t now)
@@ -206,7 +206,7 @@
 
 	if (level->counts[ON_TIME] == 0)
 		level->on_time_since = now;
-	set_work(waiter, waiter->work);
+	waiter->work = bounded_work(waiter->work);
 	waiter->flow = get_flow(level, waiter->customer);
 	waiter->flow->usage = waiter->usage;
 	waiter->late = false;
@@ -218,7 +218,7 @@
 {
 	wait_level_t *level = waiter->flow->level;
 
-	work = work < WAIT_QUEUE_WORK_MAX ? work : WAIT_QUEUE_WORK_MAX;
+	work = bounded_work(work);
 	if (waiter->work == work && waiter->response == response &&
 	    waiter->primary_only == primary_only)
 		return;
