wait_queue: work that a member refused without running it is not charged

Cause: the work of a statement is charged to its priority and customer when it is sent. Replicas whose lag was measured more than 300 ms ago are tried, and refuse at once (LAGGING); the charge stayed. Eight such tries in 340 ms used up more credit than the writes of that time earned, so no read went to the primary for 1.8 s.

Now the charge is taken back when it turns out that the statement has not run: refused, refused in its set-up, or its connection lost before it was sent. Both charges are kept as they were made, since each has a bound. The same fault in the order of turns: a customer sent out of its turn went to the end of the order, so one that is refused again and again never came to the front; it keeps its place, with a debt.

Left: a token of a customer's limit spent on a statement that members then refuse is not given back.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -217,6 +217,7 @@
 void caller_on_setup_refused(caller_t *caller, code_t code)
 {
 	caller->conn = NULL;
+	wait_queue_on_refused(caller->service->queue, &caller->waiter);
 	if (caller->link == NULL) {
 		caller_on_session_end(caller);
 		return;
@@ -262,10 +263,12 @@
 		caller->tx_lost = true;
 		return;
 	}
-	if (sent)
+	if (sent) {
 		on_lost_while_running(caller, detail);
-	else
-		retry_or_refuse(caller, CODE_OTHER, REASON_CONNECTION_LOST, detail);
+		return;
+	}
+	wait_queue_on_refused(caller->service->queue, &caller->waiter);
+	retry_or_refuse(caller, CODE_OTHER, REASON_CONNECTION_LOST, detail);
 }
 
 /* --- replies of members --- */
@@ -344,6 +347,7 @@
 		answer_member_error(caller, conn, reply);
 		return;
 	}
+	wait_queue_on_refused(caller->service->queue, &caller->waiter);
 	conn_release(conn);
 	retry_or_refuse(caller, reply->code, REASON_MEMBER_REFUSED, code_name(reply->code));
 }
@@ -559,6 +563,7 @@
 	caller->deadline = caller->received_at + caller->timeout;
 	timers_arm(pooler->timers, &caller->timer, caller->deadline, on_deadline);
 	if (caller->conn != NULL) {
+		caller->waiter.charged = false;
 		caller->placed_at = caller->received_at;
 		conn_run_in_tx(caller->conn);
 		return;
--- a/pooler/wait_queue.c
+++ b/pooler/wait_queue.c
@@ -66,19 +66,24 @@
 	return 0;
 }
 
-static wait_level_t *get_level(wait_queue_t *queue, int64_t priority)
+static wait_level_t *find_level(const wait_queue_t *queue, int64_t priority)
 {
-	list_t *pos = &queue->levels;
-	wait_level_t *level;
-
 	list_for_each (it, &queue->levels) {
 		if (level_of(it)->priority == priority)
 			return level_of(it);
-		if (level_of(it)->priority > priority) {
-			pos = it;
-			break;
-		}
 	}
+	return NULL;
+}
+
+static wait_level_t *get_level(wait_queue_t *queue, int64_t priority)
+{
+	wait_level_t *level = find_level(queue, priority);
+	list_t *pos = queue->levels.next;
+
+	if (level != NULL)
+		return level;
+	while (pos != &queue->levels && level_of(pos)->priority < priority)
+		pos = pos->next;
 	level = talloc_zero(queue, wait_level_t);
 	level->priority = priority;
 	talloc_set_destructor(level, free_table);
@@ -87,11 +92,18 @@
 	return level;
 }
 
-static wait_flow_t *get_flow(wait_level_t *level, const void *customer)
+static wait_flow_t *find_flow(const wait_level_t *level, const void *customer)
 {
 	wait_flow_t *flow;
 
 	HASH_FIND_PTR(level->flows_by_customer, &customer, flow);
+	return flow;
+}
+
+static wait_flow_t *get_flow(wait_level_t *level, const void *customer)
+{
+	wait_flow_t *flow = find_flow(level, customer);
+
 	if (flow != NULL)
 		return flow;
 	flow = talloc_zero(level, wait_flow_t);
@@ -394,49 +406,96 @@
 	return count;
 }
 
-/*
- * Work done for a priority is charged to it, also if no higher one waited, and a part of it is
- * credited to the lower ones. Neither is saved up for long.
- */
-static void charge_floor(wait_queue_t *queue, const waiter_t *waiter)
+static int64_t clamp(int64_t value, int64_t min, int64_t max)
+{
+	if (value < min)
+		return min;
+	return value < max ? value : max;
+}
+
+/* Adds work to what is due to the priority, which is not saved up for long. */
+static void add_floor_credit(wait_level_t *level, int64_t work)
+{
+	level->floor_credit =
+		clamp(level->floor_credit + work, -FLOOR_DEBT_MAX, (int64_t)WAIT_QUEUE_QUANTUM);
+}
+
+/* Credits the lower priorities with a part of the work done for this one. */
+static void credit_lower(wait_queue_t *queue, const wait_level_t *level, int64_t work)
 {
-	wait_level_t *level = waiter->flow->level;
-	int64_t work = (int64_t)waiter->work;
 	int64_t lower = count_lower(queue, level);
 
+	for (list_t *it = level->node.next; lower != 0 && it != &queue->levels; it = it->next) {
+		if (level_of(it)->counts[ON_TIME] != 0)
+			add_floor_credit(level_of(it), work / WAIT_QUEUE_FLOOR_DIVISOR / lower);
+	}
+}
+
+/* Charges the work to its priority, also if no higher one waited. */
+static void charge_floor(wait_queue_t *queue, waiter_t *waiter)
+{
+	wait_level_t *level = waiter->flow->level;
+	int64_t credit = level->floor_credit;
+
 	if (waiter->late)
 		return;
-	level->floor_credit -= work;
-	if (level->floor_credit < -FLOOR_DEBT_MAX)
-		level->floor_credit = -FLOOR_DEBT_MAX;
-	if (lower == 0)
-		return;
-	for (list_t *it = level->node.next; it != &queue->levels; it = it->next) {
-		wait_level_t *credited = level_of(it);
-
-		if (credited->counts[ON_TIME] == 0)
-			continue;
-		credited->floor_credit += work / WAIT_QUEUE_FLOOR_DIVISOR / lower;
-		if (credited->floor_credit > (int64_t)WAIT_QUEUE_QUANTUM)
-			credited->floor_credit = (int64_t)WAIT_QUEUE_QUANTUM;
-	}
+	add_floor_credit(level, -(int64_t)waiter->work);
+	waiter->floor_charge = credit - level->floor_credit;
+	credit_lower(queue, level, (int64_t)waiter->work);
 }
 
-void wait_queue_on_served(wait_queue_t *queue, waiter_t *waiter)
+/* A customer that is served out of its turn keeps its place, with a debt. */
+static void charge_turn(waiter_t *waiter)
 {
 	wait_flow_t *flow = waiter->flow;
+	int64_t deficit = flow->deficit;
 
-	charge_floor(queue, waiter);
-	flow->deficit -= (int64_t)waiter->work;
-	if (flow->deficit > 0)
-		return;
 	/* Statements served while those of other customers could not be are not held against it. */
-	if (flow->deficit < -DEBT_MAX(waiter))
-		flow->deficit = -DEBT_MAX(waiter);
+	flow->deficit = clamp(deficit - (int64_t)waiter->work, -DEBT_MAX(waiter), deficit);
+	waiter->turn_charge = deficit - flow->deficit;
+	if (deficit <= 0 || flow->deficit > 0)
+		return;
 	list_del(&flow->node);
 	list_add_tail(&flow->level->flows, &flow->node);
 }
 
+/* Returns the charge; the customer goes on with its turn if the charge ended it. */
+static void refund_turn(wait_flow_t *flow, int64_t charge)
+{
+	bool had_ended = flow->deficit <= 0;
+
+	flow->deficit = clamp(flow->deficit + charge, -(int64_t)WAIT_QUEUE_WORK_MAX,
+			      (int64_t)WAIT_QUEUE_QUANTUM);
+	if (!had_ended || flow->deficit <= 0)
+		return;
+	list_del(&flow->node);
+	list_add_before(flow->level->flows.next, &flow->node);
+}
+
+void wait_queue_on_served(wait_queue_t *queue, waiter_t *waiter)
+{
+	waiter->charged = true;
+	charge_floor(queue, waiter);
+	charge_turn(waiter);
+}
+
+void wait_queue_on_refused(wait_queue_t *queue, waiter_t *waiter)
+{
+	wait_level_t *level = find_level(queue, waiter->priority);
+	wait_flow_t *flow = level != NULL ? find_flow(level, waiter->customer) : NULL;
+
+	if (!waiter->charged)
+		return;
+	waiter->charged = false;
+	/* What was charged to a level or flow that has been empty since went with it. */
+	if (level != NULL && !waiter->late) {
+		add_floor_credit(level, waiter->floor_charge);
+		credit_lower(queue, level, -(int64_t)waiter->work);
+	}
+	if (flow != NULL)
+		refund_turn(flow, waiter->turn_charge);
+}
+
 static usec_t demand_of(const wait_flow_t *flow)
 {
 	return flow->work[ON_TIME].all + flow->usage;
--- a/pooler/wait_queue.h
+++ b/pooler/wait_queue.h
@@ -45,6 +45,9 @@
 	/* Used by the queue only. */
 	struct wait_flow *flow; /* NULL: not in the queue */
 	bool late;		/* it will miss its objective */
+	bool charged;		/* the following charges were made when it was sent */
+	int64_t floor_charge;	/* to its priority */
+	int64_t turn_charge;	/* to its customer */
 	list_t node;
 } waiter_t;
 
@@ -79,6 +82,12 @@
  */
 void wait_queue_on_served(wait_queue_t *queue, waiter_t *waiter);
 
+/*
+ * Takes the charge, if any, back; to be called when it turns out that the statement has not run.
+ * The waiter need not be in the queue any more.
+ */
+void wait_queue_on_refused(wait_queue_t *queue, waiter_t *waiter);
+
 /*
  * The waiter that gives way if the queue is too long with this one: the last on time of the
  * customer with most work in its priority, if that is another customer; else NULL.
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -121,6 +121,64 @@
 	end(&scene);
 }
 
+/* The first waiter of the customer and priority is sent, refused by its member, and waits again. */
+static void send_in_vain(scene_t *scene, int customer, int64_t priority)
+{
+	waiter_t *waiter = wait_queue_first(scene->queue, START);
+
+	while (waiter->customer != &customers[customer] || waiter->priority != priority)
+		waiter = wait_queue_next(scene->queue, waiter);
+	wait_queue_on_served(scene->queue, waiter);
+	wait_queue_remove(scene->queue, waiter);
+	wait_queue_on_refused(scene->queue, waiter);
+	wait_queue_add(scene->queue, waiter, START);
+}
+
+/*
+ * Guards against a priority without service because statements count as work done for it that its
+ * members refused without running them, as lagging replicas do.
+ */
+static void test_refused_is_no_work_of_priority(void)
+{
+	scene_t scene;
+	size_t low = 0;
+
+	start(&scene);
+	for (int i = 0; i < 100; i++)
+		add(&scene, 0, 0, START, LONG, 10 * MSEC);
+	for (int i = 0; i < 20; i++)
+		add(&scene, 0, 1, START, LONG, 10 * MSEC);
+	for (int i = 0; i < 100; i++) {
+		for (int j = 0; j < 4; j++)
+			send_in_vain(&scene, 0, 1);
+		low += serve(&scene, START)->priority == 1;
+	}
+	g_assert_cmpuint(low, >=, 100 / WAIT_QUEUE_FLOOR_DIVISOR - 1);
+	g_assert_cmpuint(low, <=, 100 / WAIT_QUEUE_FLOOR_DIVISOR + 1);
+	end(&scene);
+}
+
+/* Guards against the same for a customer among others of its priority. */
+static void test_refused_is_no_work_of_customer(void)
+{
+	scene_t scene;
+	usec_t work = 0;
+
+	start(&scene);
+	for (int i = 0; i < 40; i++) {
+		for (int customer = 0; customer < 3; customer++)
+			add(&scene, customer, 0, START, LONG, 10 * MSEC);
+	}
+	for (int i = 0; i < 60; i++) {
+		for (int j = 0; j < 4; j++)
+			send_in_vain(&scene, 1, 0);
+		work += serve_work_of(&scene, 1, 1);
+	}
+	g_assert_cmpuint(work, >=, 20 * 10 * MSEC - WAIT_QUEUE_QUANTUM);
+	g_assert_cmpuint(work, <=, 20 * 10 * MSEC + WAIT_QUEUE_QUANTUM);
+	end(&scene);
+}
+
 /*
  * Guards against a customer that sends many times as much as the others and has them wait, and
  * against shares by number of statements although their work differs.
@@ -316,6 +374,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/wait-queue/late-last", test_late_last_newest_first);
 	g_test_add_func("/wait-queue/floor", test_floor);
+	g_test_add_func("/wait-queue/refused-priority", test_refused_is_no_work_of_priority);
+	g_test_add_func("/wait-queue/refused-customer", test_refused_is_no_work_of_customer);
 	g_test_add_func("/wait-queue/customers", test_customers_share_work);
 	g_test_add_func("/wait-queue/served-alone", test_served_alone_is_no_debt);
 	g_test_add_func("/wait-queue/walk", test_walk_meets_each_once);
