shed: a refusal as too late has in its log line what it was decided by

What operators saw: "refused while waiting reason=too_late" with expected_wait_ms 9 to 351 and left_ms about 1,000, so by its line the statement would have been in time. left_ms counts to the deadline; too_late is decided by the objective, the time waited and, on arrival, twice the wait, none of which stood there; and a statement that gave way to another customer's looked the same.

Added: waited_ms, objective_ms, counted_wait_ms (a field of the decision, so that line and verdict have one source), gave_way. /overload/late-is-explained: the verdict follows from the fields, at arrival and later; it did not compile before, since there was no counted_wait.

Elsewhere: nothing else refuses by the objective. `statement missed its objective` names took_ms, waited_ms and ran_ms, not the objective itself; left as it is.

--- a/pooler/overload.c
+++ b/pooler/overload.c
@@ -29,15 +29,19 @@
 }
 
 /*
- * True if the statement will miss its objective. One that has just arrived must probably meet it
- * although others of higher priority arrive while it waits. So the queue stays short enough to
- * empty soon after an overload.
+ * The wait that is counted against the objective. A statement that has just arrived must probably
+ * meet it although others of higher priority arrive while it waits. So the queue stays short enough
+ * to empty soon after an overload.
  */
-static bool will_be_late(const overload_input_t *input, usec_t wait)
+static usec_t counted_wait(const overload_input_t *input, usec_t wait)
 {
-	usec_t factor = input->arriving ? ARRIVAL_WAIT_FACTOR : 1;
+	return input->arriving ? wait * ARRIVAL_WAIT_FACTOR : wait;
+}
 
-	return input->now + wait * factor +
+/* True if the statement will miss its objective. */
+static bool will_be_late(const overload_input_t *input, usec_t wait)
+{
+	return input->now + counted_wait(input, wait) +
 		       overload_response_bound(input->response, input->spread, false) >=
 	       input->arrived_at + input->objective;
 }
@@ -97,6 +101,7 @@
 	return (overload_decision_t){
 		.verdict = judge(input, wait),
 		.expected_wait = wait,
+		.counted_wait = counted_wait(input, wait),
 		.retry_after = time_until_admitted(input, wait),
 	};
 }
--- a/pooler/overload.h
+++ b/pooler/overload.h
@@ -38,6 +38,8 @@
 typedef struct overload_decision {
 	overload_verdict_t verdict;
 	usec_t expected_wait; /* until the statement would be sent */
+	usec_t counted_wait;  /* the same as counted against the objective: with a margin for others
+				 of higher priority that arrive meanwhile */
 	usec_t retry_after;   /* if refused: when it would probably be admitted, before jitter */
 } overload_decision_t;
 
--- a/pooler/shed.c
+++ b/pooler/shed.c
@@ -186,8 +186,9 @@
 	return (int64_t)(duration / USEC_PER_MSEC);
 }
 
+/* gave_way: it is refused in favour of another customer's statement, and would not be late. */
 static void refuse_for_overload(caller_t *caller, const overload_input_t *input,
-				const overload_decision_t *decision, bool arriving)
+				const overload_decision_t *decision, bool arriving, bool gave_way)
 {
 	reason_t reason = refusal_reasons[decision->verdict];
 
@@ -199,13 +200,17 @@
 		  LOG_INT("work_ahead_ms", msec(input->work_ahead)),
 		  LOG_INT("slots_percent", (int64_t)(input->slots * 100)),
 		  LOG_INT("expected_wait_ms", msec(decision->expected_wait)),
+		  LOG_INT("counted_wait_ms", msec(decision->counted_wait)),
 		  LOG_INT("response_ms", msec(input->response)),
 		  LOG_INT("spread_ms", msec(input->spread)),
+		  LOG_INT("waited_ms", msec(input->now - input->arrived_at)),
+		  LOG_INT("objective_ms", msec(input->objective)),
 		  LOG_INT("left_ms",
 			  input->deadline > input->now ? msec(input->deadline - input->now) : 0),
 		  LOG_INT("busy_ms",
 			  input->busy_since != 0 ? msec(input->now - input->busy_since) : 0),
-		  LOG_INT("waiting", (int64_t)wait_queue_len(caller->service->queue)));
+		  LOG_INT("waiting", (int64_t)wait_queue_len(caller->service->queue)),
+		  LOG_INT("gave_way", gave_way));
 	caller_refuse(caller, CODE_BUSY, reason,
 		      limit_retry_after(caller, decision->retry_after, input->now));
 }
@@ -271,7 +276,7 @@
 	input = overload_input(caller, false, input.now);
 	decision = overload_decide(&input);
 	decision.verdict = OVERLOAD_REFUSE_LATE;
-	refuse_for_overload(caller, &input, &decision, false);
+	refuse_for_overload(caller, &input, &decision, false, true);
 	return true;
 }
 
@@ -292,7 +297,7 @@
 	if (decision.verdict == OVERLOAD_ADMIT || (decision.verdict == OVERLOAD_REFUSE_LATE &&
 						   arriving && displace_another(caller, input)))
 		return;
-	refuse_for_overload(caller, &input, &decision, arriving);
+	refuse_for_overload(caller, &input, &decision, arriving, false);
 }
 
 void shed_on_served(service_t *service)
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -97,6 +97,31 @@
 	g_assert_cmpint(verdict(input), ==, OVERLOAD_ADMIT);
 }
 
+/* Guards against a refusal as late that its log line does not explain. */
+static void test_late_is_explained(void)
+{
+	overload_input_t input = arrival();
+	size_t late = 0;
+
+	input.busy_since = START - 300 * MSEC;
+	for (int i = 0; i < 2 * 200; i++) {
+		overload_decision_t decision;
+		usec_t answered;
+
+		input.arriving = i % 2 == 0;
+		input.now = START + (usec_t)(i / 8) * MSEC;
+		input.work_ahead = (usec_t)i * MSEC;
+		decision = overload_decide(&input);
+		answered = input.now - input.arrived_at + decision.counted_wait + input.response +
+			   input.spread;
+		g_assert_cmpint(decision.verdict == OVERLOAD_REFUSE_LATE, ==,
+				answered >= input.objective);
+		late += decision.verdict == OVERLOAD_REFUSE_LATE;
+	}
+	g_assert_cmpuint(late, >, 0);
+	g_assert_cmpuint(late, <, 2 * 200);
+}
+
 /*
  * Guards against a Retry-After that brings callers back before the queue has room for them, or so
  * late that the objective is missed although there was room before, and against returns that add to
@@ -201,6 +226,7 @@
 	g_test_add_func("/overload/time-to-run", test_time_to_run);
 	g_test_add_func("/overload/slow-member", test_slow_member_is_tried);
 	g_test_add_func("/overload/late", test_late_callers);
+	g_test_add_func("/overload/late-is-explained", test_late_is_explained);
 	g_test_add_func("/overload/retry-after", test_retry_after);
 	g_test_add_func("/estimate/spread", test_estimate);
 	g_test_add_func("/estimate/usage", test_usage_is_forgotten);
