zmqlink: a signal does not end the wait for queued messages at the exit

What callers saw, at another proxy: the last answers of a proxy that got a second signal while it ended did not arrive, so a write that had been answered was in doubt.

Cause: zmq_ctx_term() returns EINTR when a signal comes, and the result was not looked at. The process exited with ZeroMQ's thread still writing.

--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -400,5 +400,7 @@
 	zmq_close(self->router);
 	if (self->zap != NULL)
 		zmq_close(self->zap);
-	zmq_ctx_term(self->zmq);
+	/* A signal interrupts the wait for the sockets; ZeroMQ's thread then still has to write. */
+	while (zmq_ctx_term(self->zmq) < 0 && errno == EINTR)
+		;
 }
--- a/tests/test_zmqlink.c
+++ b/tests/test_zmqlink.c
@@ -1,5 +1,10 @@
 /* Transport of messages between proxies over real sockets: long queues, idle links, the stop. */
+#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/time.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "ports.h"
 #include "zmqlink.h"
@@ -121,6 +126,52 @@
 	ports_release(&pair.ports);
 }
 
+static void on_alarm(int signo)
+{
+	(void)signo;
+}
+
+/* Send to the receiver on port, and end the process right after a stop that signals interrupt. */
+static void send_and_exit(int port)
+{
+	static const struct itimerval often = {{.tv_usec = 50}, {.tv_usec = 1}};
+	static const struct sigaction action = {.sa_handler = on_alarm};
+	char *address = g_strdup_printf("127.0.0.1:%d", port);
+	pair_t pair = {0};
+
+	g_assert_cmpint(loop_init(&loop, clock_system()), ==, 0);
+	start_link(&pair.sender, ignore_frame, port + 1);
+	while (zmqlink_send(&pair.sender, "b", address, pair.message, MESSAGE_BYTES) < 0)
+		run_loop_once();
+	g_assert_cmpint(pair_send(&pair, MESSAGES), ==, MESSAGES);
+	sigaction(SIGALRM, &action, NULL);
+	setitimer(ITIMER_REAL, &often, NULL);
+	zmqlink_stop(&pair.sender);
+	_exit(EXIT_SUCCESS);
+}
+
+/*
+ * Guards against answers lost at the exit of a proxy that gets another signal while it waits until
+ * ZeroMQ's thread has written them.
+ */
+static void test_interrupted_stop(void)
+{
+	receiver_t receiver = {0};
+	ports_t ports;
+	pid_t sender;
+
+	ports_reserve(&ports);
+	sender = fork();
+	if (sender == 0)
+		send_and_exit(ports.first);
+	start_link(&receiver.link, on_frame, ports.first);
+	receive_until(&receiver, MESSAGES + 1);
+	g_assert_cmpint(receiver.received, ==, MESSAGES + 1);
+	g_assert_cmpint(waitpid(sender, NULL, 0), ==, sender);
+	zmqlink_stop(&receiver.link);
+	ports_release(&ports);
+}
+
 /* Queued messages to a peer that has stopped must not delay the exit of the process. */
 static void test_stop_without_peer(void)
 {
@@ -205,6 +256,7 @@
 	g_assert_cmpint(loop_init(&loop, clock_system()), ==, 0);
 	g_test_add_func("/zmqlink/unused-link", test_unused_link_is_closed);
 	g_test_add_func("/zmqlink/last-messages-arrive", test_stop_sends_queue);
+	g_test_add_func("/zmqlink/interrupted-stop", test_interrupted_stop);
 	g_test_add_func("/zmqlink/peer-is-gone", test_stop_without_peer);
 	g_test_add_func("/zmqlink/receive-before-the-end", test_receive_all);
 	g_test_add_func("/zmqlink/timers-between", test_timers_between_messages);
