proxy: a process that was told to end ends in a bounded time, and logs where it was

What the log could not tell: lines are buffered until the end of an iteration of the loop or exit(), so whatever came after the loop was lost with the process; it may have been in any plug-in's destruction or in an iteration that did not end. Nothing limited the time of either: the grace stops the loop, and zmq_ctx_term(), curl_multi_cleanup() and an iteration have no bound.

Now a thread counts the time from SIGTERM (grace and 0.7 s) and from the end of the loop (0.7 s, more than the links linger), in ticks of 50 ms, so that a process that was stopped goes on within the same tick. When it is over, the buffered lines, the call and plug-in and the main thread's stack are written, and the process exits with status 1. Buffered lines are also written before each plug-in is destroyed, and one that takes over 0.1 s is logged.

--- a/kernel/log.c
+++ b/kernel/log.c
@@ -73,21 +73,34 @@
 
 /* --- output --- */
 
-void log_flush(void)
+/* Writes as much as the output accepts without blocking; returns the number of bytes. */
+static size_t write_ready(const char *bytes, size_t len)
 {
-	while (backlog_len != 0) {
+	size_t written = 0;
+
+	while (written < len) {
 		struct pollfd ready = {.fd = log_fd, .events = POLLOUT};
-		size_t len = backlog_len < CHUNK_BYTES ? backlog_len : CHUNK_BYTES;
+		size_t rest = len - written;
 		ssize_t n;
 
 		if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
-			return;
-		n = write(log_fd, backlog, len);
+			break;
+		n = write(log_fd, bytes + written, rest < CHUNK_BYTES ? rest : CHUNK_BYTES);
 		if (n <= 0)
-			return;
-		backlog_len -= (size_t)n;
-		memmove(backlog, backlog + n, backlog_len);
+			break;
+		written += (size_t)n;
 	}
+	return written;
+}
+
+void log_flush(void)
+{
+	size_t written = write_ready(backlog, backlog_len);
+
+	if (written == 0)
+		return;
+	backlog_len -= written;
+	memmove(backlog, backlog + written, backlog_len);
 }
 
 static void enqueue_line(const log_buffer_t *line)
@@ -213,12 +226,24 @@
 	append_text_field(line, "", text, SIZE_MAX);
 }
 
+static void append_fields(log_buffer_t *line, const log_field_t *fields, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		const log_field_t *field = &fields[i];
+
+		if (field->kind == LOG_FIELD_INT)
+			append_int_field(line, field->key, field->number);
+		else
+			append_text_field(line, field->key, field->text != NULL ? field->text : "",
+					  field->text != NULL ? field->len : 0);
+	}
+}
+
 static void finish_line(log_buffer_t *line)
 {
 	if (log_json)
 		line->bytes[line->len++] = '}';
 	line->bytes[line->len++] = '\n';
-	enqueue_line(line);
 }
 
 /* --- interface --- */
@@ -236,6 +261,7 @@
 	va_end(ap);
 	begin_line(&line, level, module, text);
 	finish_line(&line);
+	enqueue_line(&line);
 }
 
 static int64_t monotonic_seconds(void)
@@ -279,16 +305,21 @@
 	if (!log_enabled(level) || !admit_line(site, &suppressed))
 		return;
 	begin_line(&line, level, module, text);
-	for (size_t i = 0; i < count; i++) {
-		const log_field_t *field = &fields[i];
-
-		if (field->kind == LOG_FIELD_INT)
-			append_int_field(&line, field->key, field->number);
-		else
-			append_text_field(&line, field->key, field->text != NULL ? field->text : "",
-					  field->text != NULL ? field->len : 0);
-	}
+	append_fields(&line, fields, count);
 	if (suppressed != 0)
 		append_int_field(&line, "left_out", suppressed);
 	finish_line(&line);
+	enqueue_line(&line);
+}
+
+void log_last_event(log_level_t level, const char *module, const char *text,
+		    const log_field_t *fields, size_t count)
+{
+	log_buffer_t line;
+
+	begin_line(&line, level, module, text);
+	append_fields(&line, fields, count);
+	finish_line(&line);
+	write_ready(backlog, backlog_len);
+	write_ready(line.bytes, line.len);
 }
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -53,6 +53,13 @@
 
 bool log_enabled(log_level_t level);
 
+/*
+ * Writes the buffered lines and another one. For a thread that is about to end the process while
+ * the thread that logs may be anywhere: a line of the latter may be incomplete, or written twice.
+ */
+void log_last_event(log_level_t level, const char *module, const char *text,
+		    const log_field_t *fields, size_t count);
+
 /* Writes the buffered lines. The event loop calls this function once in each iteration. */
 void log_flush(void);
 
--- a/kernel/plugin.c
+++ b/kernel/plugin.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+#define LOG_MODULE "kernel"
+#include "log.h"
+
+/* A plug-in that takes longer to be destroyed is logged. */
+#define SLOW_DESTROY (100 * USEC_PER_MSEC)
+
 static list_t registered = {.prev = &registered, .next = &registered};
 
 void plugin_register(plugin_t *plugin)
@@ -24,6 +30,12 @@
 	return strcmp(plugin->ops->family, family) == 0;
 }
 
+static void set_step(kernel_t *kernel, const char *call, const char *plugin)
+{
+	atomic_store(&kernel->step.call, call);
+	atomic_store(&kernel->step.plugin, plugin);
+}
+
 int kernel_init(kernel_t *kernel, const run_clock_t *clock, const char *family,
 		const void *settings, void *context)
 {
@@ -31,6 +43,7 @@
 	kernel->settings = settings;
 	kernel->context = context;
 	list_init(&kernel->started);
+	set_step(kernel, "", "");
 	return loop_init(&kernel->loop, clock);
 }
 
@@ -55,9 +68,11 @@
 	list_for_each (it, &kernel->started) {
 		plugin_t *plugin = list_entry(it, plugin_t, started);
 
+		set_step(kernel, "drain", plugin->ops->name);
 		if (plugin->ops->drain != NULL)
 			plugin->ops->drain(plugin);
 	}
+	set_step(kernel, "", "");
 }
 
 bool kernel_close_idle(kernel_t *kernel)
@@ -67,9 +82,11 @@
 	list_for_each (it, &kernel->started) {
 		plugin_t *plugin = list_entry(it, plugin_t, started);
 
+		set_step(kernel, "close_idle", plugin->ops->name);
 		if (plugin->ops->close_idle != NULL && !plugin->ops->close_idle(plugin))
 			all_closed = false;
 	}
+	set_step(kernel, "", "");
 	return all_closed;
 }
 
@@ -86,13 +103,31 @@
 	return out;
 }
 
+/* Destroys the plug-in. What it and those before it have logged is written, in case it hangs. */
+static void destroy_plugin(kernel_t *kernel, plugin_t *plugin)
+{
+	usec_t began = clock_now(kernel->loop.clock);
+	usec_t took;
+
+	log_flush();
+	set_step(kernel, "destroy", plugin->ops->name);
+	plugin->ops->destroy(plugin);
+	took = clock_now(kernel->loop.clock) - began;
+	if (took > SLOW_DESTROY)
+		LOG_EVENT(LOG_WARN, "plug-in took long to stop",
+			  LOG_STR("plugin", plugin->ops->name),
+			  LOG_INT("ms", took / USEC_PER_MSEC));
+}
+
 void kernel_destroy(kernel_t *kernel)
 {
 	while (!list_empty(&kernel->started)) {
 		plugin_t *plugin = list_entry(kernel->started.next, plugin_t, started);
 
 		list_del(&plugin->started);
-		plugin->ops->destroy(plugin);
+		destroy_plugin(kernel, plugin);
 	}
+	set_step(kernel, "exit", "");
 	loop_destroy(&kernel->loop);
+	log_flush();
 }
--- a/kernel/plugin.h
+++ b/kernel/plugin.h
@@ -5,6 +5,8 @@
  */
 #pragma once
 
+#include <stdatomic.h>
+
 #include <jansson.h>
 
 #include "err.h"
@@ -13,6 +15,12 @@
 
 struct plugin;
 
+/* Which call of which plug-in is running; another thread may read it. Both are "" between them. */
+typedef struct kernel_step {
+	_Atomic(const char *) call;
+	_Atomic(const char *) plugin;
+} kernel_step_t;
+
 /* What the plug-ins of a process share. */
 typedef struct kernel {
 	loop_t loop;
@@ -20,6 +28,7 @@
 	void *context;	      /* shared by the program's plug-ins */
 	const char *family;   /* of the plug-ins to start; see plugin_ops_t */
 	list_t started;	      /* plugin_t, the last started one first */
+	kernel_step_t step;   /* of a shutdown */
 } kernel_t;
 
 typedef struct plugin_ops {
--- a/proxy/serve.c
+++ b/proxy/serve.c
@@ -12,6 +12,7 @@
 #include <sodium.h>
 #include <talloc.h>
 
+#include "exit_watch.h"
 #include "mode.h"
 
 #define LOG_MODULE "main"
@@ -26,6 +27,11 @@
 #define CONFIG_ENV "CYCLAMENSPAN_SETTINGS"
 /* Time for the last answers to be written to their sockets before the connections are closed. */
 #define FLUSH_DELAY (100 * USEC_PER_MSEC)
+/*
+ * Time from the end of the event loop to the exit: more than the links to other proxies linger.
+ * With the grace it is also the longest shutdown.
+ */
+#define EXIT_TIME (700 * USEC_PER_MSEC)
 /* Interval between attempts to close idle connections, in which the loop serves late requests. */
 #define CLOSE_IDLE_INTERVAL (10 * USEC_PER_MSEC)
 
@@ -161,6 +167,15 @@
 	loop_stop(&process->kernel.loop);
 }
 
+/* Logs an error, since the process goes on without the watch. */
+static void watch_exit(const process_t *process, usec_t within)
+{
+	int rc = exit_watch_start(&process->kernel, within);
+
+	if (rc < 0)
+		LOG_ERROR("the time of the shutdown can't be limited: %s", strerror(-rc));
+}
+
 static void start_drain(process_t *process)
 {
 	loop_t *loop = &process->kernel.loop;
@@ -172,6 +187,7 @@
 		   on_grace_expired);
 	LOG_INFORM("shutting down, grace %llu ms",
 		   (unsigned long long)(process->grace / USEC_PER_MSEC));
+	watch_exit(process, process->grace + EXIT_TIME);
 	kernel_drain(&process->kernel);
 }
 
@@ -267,6 +283,7 @@
 		loop_run(&process->kernel.loop);
 		LOG_INFORM("stopped");
 	}
+	watch_exit(process, EXIT_TIME);
 	kernel_destroy(&process->kernel);
 	return rc;
 }
