zmqlink: messages that go on arriving do not keep a process from its exit

What operators would see: a hub that is slower than its peers send does not exit before its grace is over.

Cause: zmqlink_receive_all() went on for as long as any message arrived. It handles what has arrived before the end, but messages come in meanwhile, and answers to what it sends.

--- a/links/zmqlink.c
+++ b/links/zmqlink.c
@@ -57,8 +57,13 @@
  * renewing its leader lease for over 4 s.
  */
 #define RECEIVE_BATCH_MAX 32
-#define ZAP_ENDPOINT	  "inproc://zeromq.zap.01"
-#define ZAP_FRAMES	  7
+/*
+ * Batches handled at the end of the process: as many messages as a peer can have queued. Peers may
+ * send faster than a slow VM handles, or answer what was sent to them meanwhile.
+ */
+#define RECEIVE_ALL_BATCHES (HIGH_WATER_MARK / RECEIVE_BATCH_MAX)
+#define ZAP_ENDPOINT	    "inproc://zeromq.zap.01"
+#define ZAP_FRAMES	    7
 
 COUNTER_DEFINE(sent_total, "peer_messages_sent_total", COUNTER_SUM, "Messages sent to peers.");
 COUNTER_DEFINE(sent_bytes, "peer_bytes_sent_total", COUNTER_SUM, "Bytes sent to peers.");
@@ -155,8 +160,10 @@
 
 void zmqlink_receive_all(zmqlink_t *self)
 {
-	while (receive_batch(self))
-		;
+	for (int i = 0; i < RECEIVE_ALL_BATCHES; i++) {
+		if (!receive_batch(self))
+			return;
+	}
 }
 
 /* ZeroMQ's descriptor is edge-triggered, so read in batches until no message is left. */
--- a/links/zmqlink.h
+++ b/links/zmqlink.h
@@ -34,7 +34,10 @@
 /* Close all sockets; wait up to 500 ms until queued messages to connected peers are written. */
 void zmqlink_stop(zmqlink_t *link);
 
-/* Handle every message that has arrived, without waiting for the event loop to report it. */
+/*
+ * Handle the messages that have arrived, without waiting for the event loop to report them; at most
+ * as many as one peer can have queued.
+ */
 void zmqlink_receive_all(zmqlink_t *link);
 
 /*
--- a/tests/test_zmqlink.c
+++ b/tests/test_zmqlink.c
@@ -223,6 +223,50 @@
 	ports_release(&pair.ports);
 }
 
+/* More messages than a proxy may handle at its exit. */
+#define ECHO_MESSAGES 20000
+
+/* A receiver that sends a message to itself for each one that it gets. */
+typedef struct echo {
+	zmqlink_t link; /* first, so that on_echo() can cast the link to its echo */
+	const char *address;
+	int received;
+} echo_t;
+
+static void on_echo(zmqlink_t *link, const void *data, size_t len)
+{
+	echo_t *echo = (echo_t *)link;
+
+	if (++echo->received >= ECHO_MESSAGES)
+		return;
+	zmqlink_send(link, "echo", echo->address, data, len);
+	/* The message arrives before the next one is looked for. */
+	g_usleep(100);
+}
+
+/*
+ * Guards against a process that does not exit since messages arrive as fast as it handles those
+ * that arrived before its end.
+ */
+static void test_receive_all_ends(void)
+{
+	echo_t echo = {0};
+	ports_t ports;
+	char *address;
+
+	ports_reserve(&ports);
+	address = g_strdup_printf("127.0.0.1:%d", ports.first);
+	echo.address = address;
+	start_link(&echo.link, on_echo, ports.first);
+	for (int sent = 0; sent < 64; run_loop_once())
+		sent += zmqlink_send(&echo.link, "echo", address, "x", 1) == 0;
+	zmqlink_receive_all(&echo.link);
+	g_assert_cmpint(echo.received, <, ECHO_MESSAGES);
+	zmqlink_stop(&echo.link);
+	ports_release(&ports);
+	g_free(address);
+}
+
 /*
  * Guards against a leader that loses its leader lease although it runs and the store answers: after
  * a power failure 1,813 messages were in its queue, and it took 4.3 s to handle them all before it
@@ -259,6 +303,7 @@
 	g_test_add_func("/zmqlink/interrupted-stop", test_interrupted_stop);
 	g_test_add_func("/zmqlink/peer-is-gone", test_stop_without_peer);
 	g_test_add_func("/zmqlink/receive-before-the-end", test_receive_all);
+	g_test_add_func("/zmqlink/receive-before-the-end-is-bounded", test_receive_all_ends);
 	g_test_add_func("/zmqlink/timers-between", test_timers_between_messages);
 	return g_test_run();
 }
