exit_watch: a process that had to be ended has an exit status of its own

With status 1 the soak would take such an exit for one whose grace ended with requests in progress, and find nothing where it found "has not exited 5.0 s after SIGTERM" before. Test: /exit-watch/* check the status.

--- a/proxy/exit_watch.c
+++ b/proxy/exit_watch.c
@@ -4,7 +4,6 @@
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
-#include <stdlib.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -60,7 +59,7 @@
 		       sizeof(fields) / sizeof(fields[0]));
 	if (pthread_kill(watch->watched, STACK_SIGNAL) == 0)
 		sleep_for(STACK_TIME);
-	_exit(EXIT_FAILURE);
+	_exit(EXIT_WATCH_STATUS);
 }
 
 static void *run(void *data)
--- a/tests/test_exit_watch.c
+++ b/tests/test_exit_watch.c
@@ -110,7 +110,7 @@
 {
 	char *output;
 
-	g_assert_cmpint(run_child(destroy_in_time, &output), ==, EXIT_FAILURE);
+	g_assert_cmpint(run_child(destroy_in_time, &output), ==, EXIT_WATCH_STATUS);
 	g_assert_nonnull(strstr(output, "last line\n"));
 	g_assert_nonnull(strstr(output, "shutdown did not end in time, exiting call=destroy "
 					"plugin=stuck-link\n"));
@@ -131,7 +131,7 @@
 {
 	char *output;
 
-	g_assert_cmpint(run_child(loop_forever, &output), ==, EXIT_FAILURE);
+	g_assert_cmpint(run_child(loop_forever, &output), ==, EXIT_WATCH_STATUS);
 	g_assert_nonnull(strstr(output, "last line\n"));
 	g_assert_nonnull(strstr(output, "shutdown did not end in time"));
 	g_free(output);
@@ -151,7 +151,7 @@
 {
 	char *output;
 
-	g_assert_cmpint(run_child(shorten, &output), ==, EXIT_FAILURE);
+	g_assert_cmpint(run_child(shorten, &output), ==, EXIT_WATCH_STATUS);
 	g_free(output);
 }
 
