--- a/kernel/plugin.h
+++ b/kernel/plugin.h
@@ -15,7 +15,10 @@
 
 struct plugin;
 
-/* Which call of which plug-in is running; another thread may read it. Both are "" between them. */
+/*
+ * Which call of which plug-in is running in a shutdown; another thread may read it. Both are ""
+ * between them; the call is "exit" after the last one.
+ */
 typedef struct kernel_step {
 	_Atomic(const char *) call;
 	_Atomic(const char *) plugin;
@@ -28,7 +31,7 @@
 	void *context;	      /* shared by the program's plug-ins */
 	const char *family;   /* of the plug-ins to start; see plugin_ops_t */
 	list_t started;	      /* plugin_t, the last started one first */
-	kernel_step_t step;   /* of a shutdown */
+	kernel_step_t step;
 } kernel_t;
 
 typedef struct plugin_ops {
--- a/proxy/exit_watch.c
+++ b/proxy/exit_watch.c
@@ -1,5 +1,6 @@
 #include "exit_watch.h"
 
+#include <errno.h>
 #include <execinfo.h>
 #include <pthread.h>
 #include <signal.h>
@@ -28,16 +29,19 @@
 /* The only instance: the signal handler has no argument to find it by. */
 static exit_watch_t state;
 
+/* Signals don't shorten the sleep. */
 static void sleep_for(usec_t duration)
 {
-	const struct timespec ts = {
+	struct timespec left = {
 		.tv_sec = (time_t)(duration / USEC_PER_SEC),
 		.tv_nsec = (long)(duration % USEC_PER_SEC * 1000),
 	};
 
-	nanosleep(&ts, NULL);
+	while (nanosleep(&left, &left) < 0 && errno == EINTR)
+		;
 }
 
+/* May hang if the thread holds a lock that backtrace() needs; the process ends nevertheless. */
 static void write_stack(int signo)
 {
 	void *frames[FRAMES_MAX];
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -382,6 +382,6 @@
 	g_test_add_func("/wait-queue/work-ahead", test_work_ahead);
 	g_test_add_func("/wait-queue/largest-gives-way", test_largest_gives_way);
 	g_test_add_func("/wait-queue/memory", test_empty_queue_keeps_nothing);
-	g_test_add_func("/wait_queue/on-time-again", test_on_time_again);
+	g_test_add_func("/wait-queue/on-time-again", test_on_time_again);
 	return g_test_run();
 }
