--- a/pooler/shed.c
+++ b/pooler/shed.c
@@ -186,6 +186,12 @@
 	return (int64_t)(duration / USEC_PER_MSEC);
 }
 
+/* 0 if to is before from: the time of a tick is older than what has happened since in it. */
+static int64_t msec_between(usec_t from, usec_t to)
+{
+	return from < to ? msec(to - from) : 0;
+}
+
 /* gave_way: it is refused in favour of another customer's statement, and would not be late. */
 static void refuse_for_overload(caller_t *caller, const overload_input_t *input,
 				const overload_decision_t *decision, bool arriving, bool gave_way)
@@ -203,12 +209,11 @@
 		  LOG_INT("counted_wait_ms", msec(decision->counted_wait)),
 		  LOG_INT("response_ms", msec(input->response)),
 		  LOG_INT("spread_ms", msec(input->spread)),
-		  LOG_INT("waited_ms", msec(input->now - input->arrived_at)),
+		  LOG_INT("waited_ms", msec_between(input->arrived_at, input->now)),
 		  LOG_INT("objective_ms", msec(input->objective)),
-		  LOG_INT("left_ms",
-			  input->deadline > input->now ? msec(input->deadline - input->now) : 0),
+		  LOG_INT("left_ms", msec_between(input->now, input->deadline)),
 		  LOG_INT("busy_ms",
-			  input->busy_since != 0 ? msec(input->now - input->busy_since) : 0),
+			  input->busy_since != 0 ? msec_between(input->busy_since, input->now) : 0),
 		  LOG_INT("waiting", (int64_t)wait_queue_len(caller->service->queue)),
 		  LOG_INT("gave_way", gave_way));
 	caller_refuse(caller, CODE_BUSY, reason,
