soak: checks no longer keep the callers and the members waiting

Cause: once a second the soak checked all answers of that second in one go, up to 85 ms, and then the memory and descriptors of all processes, 10 to 25 ms, in the loop that is also all callers and all links to the members. A caller was idle in its transaction for longer than the 100 ms after which a proxy may roll it back for others, and all members were silent for all proxies.

Now a tick checks answers for 2 ms at most, each proxy has its turn for the check of its bounds once a second, and a read is compared with the highest commit that it must show, found by a search in the order of acknowledgements; only where its log lacks that one are the others looked at, as before.

--- a/soak/check.c
+++ b/soak/check.c
@@ -36,23 +36,6 @@
 	return NULL;
 }
 
-/*
- * Returns the statement whose commit is acknowledged: the last write of a transaction for its
- * COMMIT, otherwise the statement itself.
- */
-static const statement_t *find_acknowledged_write(const statement_t *acknowledged)
-{
-	const statement_t *write = acknowledged;
-
-	if (acknowledged->kind != KIND_COMMIT)
-		return write;
-	for (const statement_t *it = acknowledged->attempt->first; it != NULL; it = it->next) {
-		if (it->kind == KIND_WRITE && it->status == STATUS_DONE)
-			write = it;
-	}
-	return write;
-}
-
 /* --- reads --- */
 
 /*
@@ -60,9 +43,8 @@
  * by a promote.
  */
 static void check_read_includes(const ledger_t *ledger, const statement_t *read, const run_t *run,
-				const statement_t *acknowledged)
+				const statement_t *acknowledged, const statement_t *write)
 {
-	const statement_t *write = find_acknowledged_write(acknowledged);
 	unsigned service = read->attempt->service;
 	usec_t rolled_back_at;
 
@@ -81,23 +63,31 @@
 	}
 }
 
-static void check_read_freshness(const ledger_t *ledger, const statement_t *read, const run_t *run)
+/*
+ * If the log of the read includes the highest of the commits that it must show, it includes all of
+ * them but those that were rolled back. Otherwise they are checked one by one.
+ */
+static void check_read_freshness(ledger_t *ledger, const statement_t *read, const run_t *run)
 {
 	const attempt_t *attempt = read->attempt;
-	const GPtrArray *acks = ledger->services[attempt->service].acknowledged_writes;
-	size_t checked = 0;
-
-	for (guint i = acks->len; i > 0 && checked < ACKS_CHECKED_MAX; i--) {
-		const statement_t *acknowledged = acks->pdata[i - 1];
-
-		if (acknowledged->ended_at + attempt->max_age >= attempt->began_at)
-			continue;
-		checked++;
-		check_read_includes(ledger, read, run, acknowledged);
+	const statement_t *previous = attempt->previous_commit;
+	const GArray *acks = ledger->services[attempt->service].acks;
+	guint count =
+		ledger_count_acks(ledger, attempt->service, attempt->began_at - attempt->max_age);
+	position_t newest = ledger_newest_commit(ledger, attempt->service, count);
+	guint unchecked = count;
+
+	if (ledger_log_includes(ledger, attempt->service, run->log_position, newest))
+		unchecked = 0;
+	for (guint i = count; i > count - MIN(unchecked, ACKS_CHECKED_MAX); i--) {
+		const ack_t *ack = &g_array_index(acks, ack_t, i - 1);
+
+		check_read_includes(ledger, read, run, ack->statement, ack->write);
 	}
-	if (attempt->reads == READS_OWN_WRITES && attempt->previous_commit != NULL &&
-	    attempt->previous_commit->status == STATUS_DONE)
-		check_read_includes(ledger, read, run, attempt->previous_commit);
+	if (attempt->reads == READS_OWN_WRITES && previous != NULL &&
+	    previous->status == STATUS_DONE && ledger_find_acknowledged_write(previous) != NULL)
+		check_read_includes(ledger, read, run, previous,
+				    ledger_find_acknowledged_write(previous));
 }
 
 /* --- writes --- */
@@ -158,11 +148,12 @@
 		check_read_freshness(clients->ledger, statement, run);
 }
 
-void check_answers(clients_t *clients)
+void check_answers(clients_t *clients, usec_t until)
 {
+	const run_clock_t *clock = clients->fleet->loop->clock;
 	guint done = 0;
 
-	while (done < clients->unchecked->len) {
+	while (done < clients->unchecked->len && clock_now(clock) < until) {
 		const statement_t *statement = clients->unchecked->pdata[done];
 
 		if (statement->ended_at + RECORD_SLACK > clients->ledger->complete_until)
@@ -211,12 +202,13 @@
 {
 	const ledger_t *ledger = clients->ledger;
 
-	check_answers(clients);
+	check_answers(clients, USEC_NEVER);
 	for (const attempt_t *it = ledger->attempts; it != NULL; it = it->next)
 		check_attempt(ledger, it);
 	for (unsigned i = 0; i < SERVICES_MAX; i++) {
-		for (guint k = 0; k < ledger->services[i].acknowledged_writes->len; k++)
-			check_acknowledged(clients,
-					   ledger->services[i].acknowledged_writes->pdata[k]);
+		const GArray *acks = ledger->services[i].acks;
+
+		for (guint k = 0; k < acks->len; k++)
+			check_acknowledged(clients, g_array_index(acks, ack_t, k).statement);
 	}
 }
--- a/soak/check.h
+++ b/soak/check.h
@@ -6,8 +6,8 @@
 
 #include "client.h"
 
-/* Checks the answers that the members' record covers by now. */
-void check_answers(clients_t *clients);
+/* Checks the answers that the members' record covers by now, as many as it can before until. */
+void check_answers(clients_t *clients, usec_t until);
 
 /* Checks the promises about the whole run, after its last statement has ended. */
 void check_whole_run(clients_t *clients);
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -41,6 +41,8 @@
  */
 #define EXIT_SLACK (1 * USEC_PER_SEC)
 
+/* Interval of the checks of memory, descriptors and log size of a proxy. */
+#define BOUNDS_INTERVAL (1 * USEC_PER_SEC)
 /* Limits of memory and descriptors that the deployment sets for a proxy. */
 #define MEMORY_MAX_KB (260 * 1024)
 #define FDS_MAX	      4200
@@ -333,18 +335,21 @@
 			    (long)log, (double)age / USEC_PER_SEC);
 }
 
+static void check_proxy_bounds(fleet_t *fleet, proxy_t *proxy, usec_t now)
+{
+	/* Between fork() and exec() the child has the memory and descriptors of the soak itself. */
+	if (proxy->state != PROXY_DOWN && now >= proxy->started_at + LOAD_TIME_MAX)
+		check_bounds(fleet, proxy, now);
+}
+
 void fleet_check_bounds(fleet_t *fleet, usec_t now)
 {
-	for (unsigned i = 0; i < fleet->options.proxies; i++) {
-		const proxy_t *proxy = &fleet->proxies[i];
-
-		/*
-		 * Between fork() and exec() the child has the memory and descriptors of the soak
-		 * itself.
-		 */
-		if (proxy->state != PROXY_DOWN && now >= proxy->started_at + LOAD_TIME_MAX)
-			check_bounds(fleet, &fleet->proxies[i], now);
-	}
+	unsigned proxies = fleet->options.proxies;
+
+	if (fleet->next_bounds_at + BOUNDS_INTERVAL < now)
+		fleet->next_bounds_at = now - BOUNDS_INTERVAL;
+	for (; fleet->next_bounds_at <= now; fleet->next_bounds_at += BOUNDS_INTERVAL / proxies)
+		check_proxy_bounds(fleet, &fleet->proxies[fleet->next_bounds++ % proxies], now);
 }
 
 /* --- the platform --- */
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -72,6 +72,8 @@
 	link_t **member_links;
 	/* span_t: faults of members, or of the links to them */
 	GArray *member_faults[SERVICES_MAX];
+	unsigned next_bounds;  /* number of the next check of bounds; the proxies take turns */
+	usec_t next_bounds_at; /* when that check is due */
 	unsigned config_version;
 	unsigned timeout_ms; /* time-out of all routes */
 	bool stopping;
@@ -86,7 +88,10 @@
 /* Handles exits of processes, restarts them, and resumes those whose pause is over. */
 void fleet_tick(fleet_t *fleet, usec_t now);
 
-/* Checks the memory, the descriptors and the log size of each proxy against their bounds. */
+/*
+ * Checks the memory, the descriptors and the log size of the proxies whose turn it is against their
+ * bounds; each proxy has its turn once a second.
+ */
 void fleet_check_bounds(fleet_t *fleet, usec_t now);
 
 /* Returns the port on which the proxy accepts callers. */
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -38,7 +38,7 @@
 {
 	for (size_t i = 0; i < SERVICES_MAX; i++) {
 		g_array_unref(ledger->services[i].branches);
-		g_ptr_array_unref(ledger->services[i].acknowledged_writes);
+		g_array_unref(ledger->services[i].acks);
 	}
 	g_hash_table_unref(ledger->statements);
 	g_hash_table_unref(ledger->transactions);
@@ -53,7 +53,7 @@
 	ledger->transactions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (size_t i = 0; i < SERVICES_MAX; i++) {
 		ledger->services[i].branches = g_array_new(FALSE, TRUE, sizeof(branch_t));
-		ledger->services[i].acknowledged_writes = g_ptr_array_new();
+		ledger->services[i].acks = g_array_new(FALSE, FALSE, sizeof(ack_t));
 	}
 	talloc_set_destructor(ledger, destructor);
 	return ledger;
@@ -89,19 +89,30 @@
 	return statement;
 }
 
-static bool acknowledges_writes(const statement_t *statement)
+statement_t *ledger_find_acknowledged_write(const statement_t *statement)
 {
 	const attempt_t *attempt = statement->attempt;
+	statement_t *write = NULL;
 
-	if (statement->kind == KIND_WRITE)
-		return !attempt->in_tx;
-	if (statement->kind != KIND_COMMIT)
-		return false;
-	for (const statement_t *it = attempt->first; it != NULL; it = it->next) {
+	if (statement->kind != KIND_COMMIT && (statement->kind != KIND_WRITE || attempt->in_tx))
+		return NULL;
+	for (statement_t *it = attempt->first; it != NULL; it = it->next) {
 		if (it->kind == KIND_WRITE && it->status == STATUS_DONE)
-			return true;
+			write = it;
 	}
-	return false;
+	return write;
+}
+
+static void add_ack(ledger_t *ledger, const statement_t *statement)
+{
+	GArray *acks = ledger->services[statement->attempt->service].acks;
+	statement_t *write = ledger_find_acknowledged_write(statement);
+	const ack_t ack = {.statement = statement, .write = write};
+
+	if (write == NULL)
+		return;
+	g_array_append_val(acks, ack);
+	write->ack_number = acks->len;
 }
 
 void ledger_record_answer(ledger_t *ledger, statement_t *statement, statement_status_t status,
@@ -111,9 +122,46 @@
 	statement->ended_at = now;
 	if (status == STATUS_REFUSED)
 		statement->attempt->refused = true;
-	if (status == STATUS_DONE && acknowledges_writes(statement))
-		g_ptr_array_add(ledger->services[statement->attempt->service].acknowledged_writes,
-				statement);
+	if (status == STATUS_DONE)
+		add_ack(ledger, statement);
+}
+
+guint ledger_count_acks(const ledger_t *ledger, unsigned service, usec_t before)
+{
+	const GArray *acks = ledger->services[service].acks;
+	guint low = 0;
+	guint high = acks->len;
+
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+
+		if (g_array_index(acks, ack_t, middle).statement->ended_at < before)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static bool position_is_before(position_t left, position_t right)
+{
+	return left.term < right.term || (left.term == right.term && left.number < right.number);
+}
+
+position_t ledger_newest_commit(ledger_t *ledger, unsigned service, guint count)
+{
+	ledger_service_t *of = &ledger->services[service];
+
+	for (; of->ranked_acks < count; of->ranked_acks++) {
+		ack_t *ack = &g_array_index(of->acks, ack_t, of->ranked_acks);
+
+		ack->newest = of->ranked_acks != 0 ? ack[-1].newest : (position_t){0};
+		for (const commit_t *it = ack->write->commits; it != NULL; it = it->next) {
+			if (position_is_before(ack->newest, it->position))
+				ack->newest = it->position;
+		}
+	}
+	return count != 0 ? g_array_index(of->acks, ack_t, count - 1).newest : (position_t){0};
 }
 
 const statement_t *ledger_find_committed_write(const attempt_t *attempt)
@@ -316,6 +364,7 @@
 static void on_commit(ledger_t *ledger, char *const *fields)
 {
 	statement_t *statement = find_statement(ledger, fields);
+	ledger_service_t *service;
 	commit_t *commit;
 
 	if (statement == NULL)
@@ -325,6 +374,10 @@
 	commit->position = parse_position(fields[4]);
 	commit->next = statement->commits;
 	statement->commits = commit;
+	/* The positions of the acknowledgements from this one on are determined again. */
+	service = &ledger->services[statement->attempt->service];
+	if (statement->ack_number != 0)
+		service->ranked_acks = MIN(service->ranked_acks, statement->ack_number - 1);
 	if (statement->attempt->in_tx && !statement->attempt->commit_requested)
 		finding_add(PROMISE_UNASKED, statement->id,
 			    "committed at %s, but its caller has not sent COMMIT", fields[3]);
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -90,8 +90,16 @@
 	char signature[80];
 	run_t *runs;
 	commit_t *commits;
+	guint ack_number; /* of the acknowledgement that names this write, from 1 on; 0: none */
 } statement_t;
 
+/* An acknowledged write. */
+typedef struct ack {
+	const statement_t *statement; /* the write itself, or the COMMIT of its transaction */
+	const statement_t *write;     /* of a transaction, its last write */
+	position_t newest;	      /* the highest commit of this write and of those before it */
+} ack_t;
+
 /* The log branch that a promote started, when the member applied it. */
 typedef struct branch {
 	position_t base; /* last entry shared with the previous branch */
@@ -100,8 +108,9 @@
 } branch_t;
 
 typedef struct ledger_service {
-	GArray *branches;		/* branch_t; index: term - 2; at is 0 for unknown terms */
-	GPtrArray *acknowledged_writes; /* statement_t, in order of acknowledgement */
+	GArray *branches;  /* branch_t; index: term - 2; at is 0 for unknown terms */
+	GArray *acks;	   /* ack_t, in order of acknowledgement */
+	guint ranked_acks; /* number of acks, from the first on, whose newest is valid */
 } ledger_service_t;
 
 typedef struct ledger {
@@ -138,6 +147,21 @@
 /* Parses a part of the stand-in's output; it may end within a line. */
 void ledger_parse_output(ledger_t *ledger, const char *data, size_t len);
 
+/*
+ * Returns the write that a success of the statement acknowledges: the statement itself, or the last
+ * successful write of the transaction that it commits. Returns NULL if it acknowledges none.
+ */
+statement_t *ledger_find_acknowledged_write(const statement_t *statement);
+
+/* Returns how many writes of the service were acknowledged before the given time. */
+guint ledger_count_acks(const ledger_t *ledger, unsigned service, usec_t before);
+
+/*
+ * Returns the highest position at which any of the first count acknowledged writes was committed,
+ * as far as the record has arrived; 0.0 if none was.
+ */
+position_t ledger_newest_commit(ledger_t *ledger, unsigned service, guint count);
+
 /* Returns the first statement of the attempt that a member has committed, or NULL. */
 const statement_t *ledger_find_committed_write(const attempt_t *attempt);
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -28,11 +28,8 @@
 #define CLOCK_UNRELIABLE_TIME (300 * USEC_PER_MSEC)
 /* Interval of the marks that the stand-in writes to its record; see ledger_t.complete_until. */
 #define SYNC_INTERVAL (200 * USEC_PER_MSEC)
-/*
- * Interval of the checks of memory, descriptors and logs, and of the answers that the record covers
- * by then.
- */
-#define CHECK_INTERVAL (1 * USEC_PER_SEC)
+/* Time in each tick for checks of answers; the callers and their time-outs wait meanwhile. */
+#define CHECK_TIME (2 * USEC_PER_MSEC)
 /* At its first start a fleet has to find its primaries. */
 #define START_TIMEOUT (25 * USEC_PER_SEC)
 /* All callers must be served again this long after the last fault. */
@@ -54,7 +51,6 @@
 	stage_t stage;
 	usec_t stage_until;
 	usec_t next_sync;
-	usec_t next_check;
 	usec_t last_tick;
 	size_t late_ticks;
 	usec_t longest_tick; /* longest time between two ticks */
@@ -194,11 +190,8 @@
 		fleet_send_command(soak->fleet, "sync now");
 		soak->next_sync = now + SYNC_INTERVAL;
 	}
-	if (now >= soak->next_check) {
-		fleet_check_bounds(soak->fleet, now);
-		check_answers(soak->clients);
-		soak->next_check = now + CHECK_INTERVAL;
-	}
+	fleet_check_bounds(soak->fleet, now);
+	check_answers(soak->clients, clock_now(soak->loop.clock) + CHECK_TIME);
 	advance_stage(soak, now);
 	if (stop_asked)
 		loop_stop(&soak->loop);
