soak: a proxy whose event loop stands still while it is up is named

Each proxy is now asked on its probe address once a second. One that has answered, is up and not paused, and does not answer for 3 s is a finding of process; time by which the soak itself was late doesn't count.

Without it, none.

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -81,6 +81,11 @@
 	       PORTS_PER_PROXY * (int)(proxy % PROXIES_PER_BLOCK);
 }
 
+int fleet_probe_port(const fleet_t *fleet, unsigned proxy)
+{
+	return fleet_caller_port(fleet, proxy) + 1;
+}
+
 static char *proxy_path(const fleet_t *fleet, const proxy_t *proxy, const char *suffix)
 {
 	return g_strdup_printf("%s/%s.%s", fleet->options.dir, proxy->name, suffix);
@@ -117,9 +122,10 @@
 		"[operators]\nlisten = \"127.0.0.1:%d\"\n[peers]\nlisten = \"127.0.0.1:%d\"\n"
 		"[store]\naddress = \"127.0.0.1:%d\"\n[promotion]\naddress = \"127.0.0.1:%d\"\n"
 		"[shutdown]\ngrace_s = %d\n[log]\nlevel = \"%s\"\n",
-		proxy->name, index % 3 == 0 ? "plateau" : "almadies", port, port + 1, port + 2,
-		port + 3, port + 4, fleet_store_port(fleet) + 1,
-		(int)(FLEET_SHUTDOWN_GRACE / USEC_PER_SEC), proxy->log_verbose ? "debug" : "info");
+		proxy->name, index % 3 == 0 ? "plateau" : "almadies", port,
+		fleet_probe_port(fleet, index), port + 2, port + 3, port + 4,
+		fleet_store_port(fleet) + 1, (int)(FLEET_SHUTDOWN_GRACE / USEC_PER_SEC),
+		proxy->log_verbose ? "debug" : "info");
 
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -97,6 +97,9 @@
 /* Returns the port on which the proxy accepts callers. */
 int fleet_caller_port(const fleet_t *fleet, unsigned proxy);
 
+/* Returns the port on which the proxy answers health probes. */
+int fleet_probe_port(const fleet_t *fleet, unsigned proxy);
+
 /* Appends a span_t to spans. */
 void fleet_add_span(GArray *spans, usec_t from, usec_t duration);
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -20,6 +20,7 @@
 #include "fleet.h"
 #include "inject.h"
 #include "plan.h"
+#include "probe.h"
 
 #define TICK (10 * USEC_PER_MSEC)
 /* The soak itself was delayed if two ticks are further apart than this. */
@@ -46,6 +47,7 @@
 	fleet_t *fleet;
 	ledger_t *ledger;
 	clients_t *clients;
+	probes_t *probes;
 	plan_t *plan;
 	inject_t *inject;
 	stage_t stage;
@@ -166,7 +168,8 @@
 	}
 }
 
-static void record_late_tick(soak_t *soak, usec_t now)
+/* Returns the time by which the tick is late. */
+static usec_t record_late_tick(soak_t *soak, usec_t now)
 {
 	usec_t interval = soak->last_tick != 0 ? now - soak->last_tick : 0;
 
@@ -177,13 +180,14 @@
 		soak->last_late_at = now;
 	}
 	soak->last_tick = now;
+	return interval > TICK ? interval - TICK : 0;
 }
 
 static void on_tick(run_timer_t *timer, usec_t now)
 {
 	soak_t *soak = list_entry(timer, soak_t, tick);
 
-	record_late_tick(soak, now);
+	probes_tick(soak->probes, now, record_late_tick(soak, now));
 	inject_tick(soak->inject, now);
 	fleet_tick(soak->fleet, now);
 	if (now >= soak->next_sync) {
@@ -264,6 +268,7 @@
 	if (soak->fleet == NULL)
 		return -1;
 	soak->clients = clients_create(parent, soak->fleet, soak->ledger, &client_options);
+	soak->probes = probes_create(parent, soak->fleet);
 	soak->inject = inject_create(parent, soak->fleet, soak->plan, options->verbose);
 	now = clock_now(soak->loop.clock);
 	enter_stage(soak, STAGE_START, now);
@@ -284,6 +289,7 @@
 		return 2;
 	}
 	loop_run(&soak.loop);
+	probes_stop(soak.probes);
 	fleet_stop(soak.fleet);
 	/* The record of an interrupted run is incomplete. */
 	if (!stop_asked)
