--- a/soak/probe.c
+++ b/soak/probe.c
@@ -18,9 +18,9 @@
 	stream_t stream;
 	fleet_t *fleet;
 	unsigned proxy;
-	usec_t started_at; /* of the process that answered last */
-	usec_t counts_from;
-	usec_t next_at;
+	usec_t started_at;  /* of the process that answered last */
+	usec_t counts_from; /* the next answer is due ANSWER_TIME_MAX after this time */
+	usec_t next_at;	    /* time of the next question */
 } probe_t;
 
 struct probes {
