stream: a stream that is connected again no longer writes to the stack of an earlier call

Cause: deliver_input() keeps a flag on its stack to which the stream points, so that it learns of a close in on_data, and returns at once if there was one. The pointer stayed. A stream that is connected again and closed before any input came, as by a refused connection, wrote a byte to that address, which is another function's stack by then.

The proxy has a new stream for each connection (platform/members, platform/front) and never uses one again: not concerned.

Looked for elsewhere: other pointers to flags on a stack. links/pgio has one and resets it; there is none else in kernel, core, access, pooler, links, platform and proxy.

--- a/kernel/stream.c
+++ b/kernel/stream.c
@@ -103,6 +103,8 @@
 	stream->pending_size = 0;
 	if (stream->closed_flag != NULL)
 		*stream->closed_flag = true;
+	/* The flag is on the stack of deliver_input(); a stream may be connected again later. */
+	stream->closed_flag = NULL;
 }
 
 static void close_with_reason(stream_t *stream, const char *reason)
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -24,6 +24,7 @@
 	int peer;
 	GString *received;	 /* input that on_data has received */
 	bool close_when_flushed; /* call stream_close_if_idle() when all output is sent */
+	bool close_on_data;	 /* call stream_close() when input arrives */
 	stream_close_result_t result;
 } fixture_t;
 
@@ -32,6 +33,8 @@
 	fixture_t *f = list_entry(stream, fixture_t, stream);
 
 	g_string_append_len(f->received, data, (gssize)len);
+	if (f->close_on_data)
+		stream_close(stream);
 	return len;
 }
 
@@ -71,22 +74,28 @@
 	stream_accept(&f->stream, &loop, sock, 1000);
 }
 
-static fixture_t *setup(void)
+static void connect_peer(fixture_t *f)
 {
-	fixture_t *f = g_new0(fixture_t, 1);
 	struct sockaddr_storage address;
 	socklen_t len = sizeof(address);
 	int listener = stream_listen("127.0.0.1:0", NULL);
 
 	g_assert_cmpint(listener, >=, 0);
-	f->received = g_string_new(NULL);
-	f->stream.ops = &ops;
 	g_assert_cmpint(getsockname(listener, (struct sockaddr *)&address, &len), ==, 0);
 	f->peer = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	g_assert_cmpint(connect(f->peer, (struct sockaddr *)&address, len), ==, 0);
 	accept_peer(f, listener);
 	close(listener);
 	run_iterations(2);
+}
+
+static fixture_t *setup(void)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+
+	f->received = g_string_new(NULL);
+	f->stream.ops = &ops;
+	connect_peer(f);
 	return f;
 }
 
@@ -207,10 +216,29 @@
 	teardown(f);
 }
 
+/*
+ * Guards against a write to the stack by a stream that was closed in on_data, connected again, and
+ * closed before any input came.
+ */
+static void test_connected_again(void)
+{
+	fixture_t *f = setup();
+
+	f->close_on_data = true;
+	send_from_peer(f, "answer");
+	run_iterations(ITERATIONS);
+	g_assert_null(f->stream.sock);
+	close(f->peer);
+	connect_peer(f);
+	g_assert_null(f->stream.closed_flag);
+	teardown(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(loop_init(&loop, clock_system()), ==, 0);
+	g_test_add_func("/stream/connected-again", test_connected_again);
 	g_test_add_func("/stream/unread-input", test_unread_input);
 	g_test_add_func("/stream/request-behind-the-look", test_request_after_check);
 	g_test_add_func("/stream/request-behind-an-answer", test_request_after_answer);
