--- a/soak/client.c
+++ b/soak/client.c
@@ -258,6 +258,17 @@
 
 /* --- statements --- */
 
+static void count_sent(clients_t *clients, const statement_t *statement)
+{
+	proxy_t *proxy = &clients->fleet->proxies[statement->proxy];
+
+	clients->statements_sent++;
+	proxy->statements_sent++;
+	proxy->setups_sent += statement->kind == KIND_SETUP;
+	if (proxy->first_sent_at == 0)
+		proxy->first_sent_at = statement->sent_at;
+}
+
 static void send_statement(session_t *session, statement_t *statement)
 {
 	char line[TEXT_MAX + 64];
@@ -273,8 +284,7 @@
 		 session->values);
 	session->pending = statement;
 	session->state = SESSION_WAITING;
-	session->clients->statements_sent++;
-	session->clients->fleet->proxies[session->proxy].statements_sent++;
+	count_sent(session->clients, statement);
 	arm_timer(session, ANSWER_TIMEOUT, on_answer_timeout);
 	stream_send(&session->stream, line, (size_t)len);
 }
@@ -605,6 +615,8 @@
 		proxy_t *proxy = &clients->fleet->proxies[i];
 
 		proxy->statements_sent = 0;
+		proxy->setups_sent = 0;
+		proxy->first_sent_at = 0;
 		proxy->operations_done = 0;
 	}
 }
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -51,6 +51,8 @@
 	long peak_kb;
 	long peak_fds;
 	size_t statements_sent; /* since the last clients_reset_counts() */
+	size_t setups_sent;	/* those of them that set up a session */
+	usec_t first_sent_at;	/* time of the first of them, 0: none was sent */
 	size_t operations_done; /* successful operations since then */
 } proxy_t;
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -126,11 +126,16 @@
 	if (now < soak->stage_until)
 		return;
 	for (unsigned i = 0; i < soak->fleet->options.proxies; i++) {
+		const proxy_t *proxy = &soak->fleet->proxies[i];
+
 		/* With few callers a proxy may have received no statement in this time. */
-		if (soak->fleet->proxies[i].operations_done == 0 &&
-		    soak->fleet->proxies[i].statements_sent != 0)
-			finding_add(PROMISE_RECOVERY, soak->fleet->proxies[i].name,
-				    "has served no operation after the last fault");
+		if (proxy->operations_done == 0 && proxy->statements_sent != 0)
+			finding_add(
+				PROMISE_RECOVERY, proxy->name,
+				"has served no operation after the last fault; it was sent %zu "
+				"statements, %zu of them to set up a session, the first %.0f ms ago",
+				proxy->statements_sent, proxy->setups_sent,
+				(double)(now - proxy->first_sent_at) / USEC_PER_MSEC);
 	}
 	enter_stage(soak, STAGE_RECORD, now);
 }
