soak: the directory of a run is in memory, so that nothing in it waits for the disk

Cause: not fsync() alone. Evidence: p1.toml was written at 48:53.7 and p1 started at 48:58.7, p2.toml at 48:58.6 and p2 at 49:00.7; from 48:49 to 49:00 more than one task waited for the disk all the time (/proc/stat), steal nothing. A build of 30 s before was written back then; creating, renaming and opening a file for writing wait for that too.

Now settings and logs are on the file system in memory, if there is one; logs that are kept are copied at the end. No check and no bound changes.

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -111,20 +111,6 @@
 
 /* --- proxies --- */
 
-/*
- * Replaces the file in one step, since a proxy may be reading it. Unlike g_file_set_contents() it
- * does not wait for the disk, which takes seconds on a VM whose disk is busy.
- */
-static void replace_file(const char *path, const char *text)
-{
-	char *new_path = g_strconcat(path, ".new", NULL);
-
-	g_assert_true(
-		g_file_set_contents_full(new_path, text, -1, G_FILE_SET_CONTENTS_NONE, 0600, NULL));
-	g_assert_cmpint(g_rename(new_path, path), ==, 0);
-	g_free(new_path);
-}
-
 static void write_settings(const fleet_t *fleet, unsigned index)
 {
 	const proxy_t *proxy = &fleet->proxies[index];
@@ -141,7 +127,7 @@
 		fleet_store_port(fleet) + 1, (int)(FLEET_SHUTDOWN_GRACE / USEC_PER_SEC),
 		proxy->log_verbose ? "debug" : "info");
 
-	replace_file(path, text);
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
 	g_free(path);
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -40,6 +40,10 @@
 /* Time-out for the rest of the members' record at the end of the run. */
 #define RECORD_TIMEOUT (5 * USEC_PER_SEC)
 
+#define DIR_TEMPLATE "cyclamenspan-soak-XXXXXX"
+/* A file system in memory. */
+#define MEMORY_DIR "/dev/shm"
+
 typedef enum { STAGE_START, STAGE_FAULTS, STAGE_RECOVER, STAGE_SERVED, STAGE_RECORD } stage_t;
 
 typedef struct soak {
@@ -234,7 +238,37 @@
 		       : 0.0);
 }
 
-static void remove_dir(const char *path)
+/*
+ * Creates the directory of the run. It is in memory if it can be, so that neither the soak nor a
+ * proxy that logs waits for a busy disk, which can take seconds. Returns NULL on an error.
+ */
+static char *create_dir(void)
+{
+	char *path = g_build_filename(MEMORY_DIR, DIR_TEMPLATE, NULL);
+
+	if (g_mkdtemp(path) != NULL)
+		return path;
+	g_free(path);
+	return g_dir_make_tmp(DIR_TEMPLATE, NULL);
+}
+
+/* Copies a file to a directory on disk. */
+static void keep_file(const char *path, const char *name, const char *kept_dir)
+{
+	char *copy = g_build_filename(kept_dir, name, NULL);
+	char *text = NULL;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, NULL) ||
+	    !g_file_set_contents_full(copy, text, (gssize)len, G_FILE_SET_CONTENTS_NONE, 0600,
+				      NULL))
+		fprintf(stderr, "soak: %s can't be kept in %s\n", path, kept_dir);
+	g_free(text);
+	g_free(copy);
+}
+
+/* Removes the directory. Its files are copied to kept_dir before, if this is not NULL. */
+static void remove_dir(const char *path, const char *kept_dir)
 {
 	GDir *dir = g_dir_open(path, 0, NULL);
 	const char *name;
@@ -242,6 +276,8 @@
 	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
 		char *file = g_build_filename(path, name, NULL);
 
+		if (kept_dir != NULL)
+			keep_file(file, name, kept_dir);
 		g_unlink(file);
 		g_free(file);
 	}
@@ -250,6 +286,21 @@
 	g_rmdir(path);
 }
 
+/* Ends the use of the directory of the run, and prints where the logs are if they are kept. */
+static void finish_dir(const char *path, bool keep)
+{
+	char *kept_dir = keep ? g_dir_make_tmp(DIR_TEMPLATE, NULL) : NULL;
+
+	if (keep && kept_dir == NULL) {
+		printf("logs are in %s\n", path);
+		return;
+	}
+	remove_dir(path, kept_dir);
+	if (keep)
+		printf("logs are in %s: cyclamenctl explain ID %s/p*.log\n", kept_dir, kept_dir);
+	g_free(kept_dir);
+}
+
 static int start_soak(soak_t *soak, void *parent, const options_t *options, const char *dir)
 {
 	const fleet_options_t fleet_options = {
@@ -284,9 +335,8 @@
 static int run_soak(const options_t *options, void *parent, plan_t *plan)
 {
 	static soak_t soak;
-	char *dir = g_dir_make_tmp("cyclamenspan-soak-XXXXXX", NULL);
+	char *dir = create_dir();
 	usec_t started_at = clock_now(clock_system());
-	bool keep;
 
 	soak.plan = plan;
 	if (dir == NULL || start_soak(&soak, parent, options, dir) < 0) {
@@ -300,11 +350,7 @@
 	if (!stop_asked)
 		check_whole_run(soak.clients);
 	print_report(&soak, options, clock_now(soak.loop.clock) - started_at);
-	keep = finding_count() != 0 || options->keep;
-	if (keep)
-		printf("logs are in %s: cyclamenctl explain ID %s/p*.log\n", dir, dir);
-	else
-		remove_dir(dir);
+	finish_dir(dir, finding_count() != 0 || options->keep);
 	g_free(dir);
 	talloc_free(soak.fleet);
 	/* One more iteration of the event loop frees the closed sockets. */
