--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -150,18 +150,18 @@
 
 position_t ledger_newest_commit(ledger_t *ledger, unsigned service, guint count)
 {
-	ledger_service_t *of = &ledger->services[service];
+	ledger_service_t *entry = &ledger->services[service];
 
-	for (; of->ranked_acks < count; of->ranked_acks++) {
-		ack_t *ack = &g_array_index(of->acks, ack_t, of->ranked_acks);
+	for (; entry->ranked_acks < count; entry->ranked_acks++) {
+		ack_t *ack = &g_array_index(entry->acks, ack_t, entry->ranked_acks);
 
-		ack->newest = of->ranked_acks != 0 ? ack[-1].newest : (position_t){0};
+		ack->newest = entry->ranked_acks != 0 ? ack[-1].newest : (position_t){0};
 		for (const commit_t *it = ack->write->commits; it != NULL; it = it->next) {
 			if (position_is_before(ack->newest, it->position))
 				ack->newest = it->position;
 		}
 	}
-	return count != 0 ? g_array_index(of->acks, ack_t, count - 1).newest : (position_t){0};
+	return count != 0 ? g_array_index(entry->acks, ack_t, count - 1).newest : (position_t){0};
 }
 
 const statement_t *ledger_find_committed_write(const attempt_t *attempt)
--- a/soak/probe.c
+++ b/soak/probe.c
@@ -7,7 +7,7 @@
 #include "finding.h"
 #include "stream.h"
 
-/* Time from an answer, or the end of a connection, to the next question. */
+/* Time from an answer, or the end of a connection without one, to the next question. */
 #define PROBE_INTERVAL (1 * USEC_PER_SEC)
 /* A proxy whose event loop runs answers within this time, on a busy VM too. */
 #define ANSWER_TIME_MAX (3 * USEC_PER_SEC)
@@ -71,6 +71,7 @@
 	snprintf(address, sizeof(address), "127.0.0.1:%d",
 		 fleet_probe_port(probe->fleet, probe->proxy));
 	probe->next_at = now + PROBE_INTERVAL;
+	/* A question that can't be sent is one without an answer. */
 	stream_connect(&probe->stream, probe->fleet->loop, address, TCP_USER_TIMEOUT_MS, &err);
 }
 
