--- a/review/loop.c
+++ b/review/loop.c
@@ -167,8 +167,7 @@
 	size_t sent = 0;
 
 	while (!conn->dead && sent < conn->out_len) {
-		ssize_t n =
-			send(conn->fd, conn->out + sent, conn->out_len - sent, MSG_NOSIGNAL);
+		ssize_t n = send(conn->fd, conn->out + sent, conn->out_len - sent, MSG_NOSIGNAL);
 
 		if (n <= 0)
 			break;
--- a/review/members.c
+++ b/review/members.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define PREPARED_MAX 300
 #define WRITES_MAX   16
@@ -18,6 +19,7 @@
 
 /* A connection to a member. */
 typedef struct session {
+	struct session *next;
 	member_t *member;
 	conn_t *conn; /* NULL once it is closed */
 	bool started;
@@ -58,6 +60,8 @@
 static unsigned pinned_broken;
 static unsigned signature;
 static bool promote_pending;
+static session_t *sessions;
+static unsigned id_serial;
 
 static void on_accept(conn_t *conn, void *arg);
 static void on_input(conn_t *conn);
@@ -81,6 +85,16 @@
 	return NULL;
 }
 
+static void session_free(session_t *s)
+{
+	session_t **at = &sessions;
+
+	while (*at != s)
+		at = &(*at)->next;
+	*at = s->next;
+	free(s);
+}
+
 /* --- the log --- */
 
 static size_t received(const member_t *member)
@@ -142,11 +156,14 @@
 	char text[400];
 
 	snprintf(key, sizeof(key), "servers/%s", member->id);
-	snprintf(text, sizeof(text),
-		 "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"zone-%d\",\"version\":\"v1\","
-		 "\"slots\":%d,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":%u,\"dbRole\":\"%s\"}",
-		 config.service, member->port, member->index, config.slots, ++member->seq,
-		 member->primary ? "primary" : "replica");
+	snprintf(
+		text, sizeof(text),
+		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"zone-%d\",\"version\":\"v1\","
+		"\"slots\":%d,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":%u,\"dbRole\":\"%s\","
+		"\"born\":%lld}",
+		config.service, member->port, member->index, config.slots,
+		member->draining ? "draining" : "ready", ++member->seq,
+		member->primary ? "primary" : "replica", member->born);
 	store_put(key, text);
 }
 
@@ -160,7 +177,8 @@
 	promote_pending = false;
 	if (!target->running || target->primary)
 		return;
-	lost_entries = realloc(lost_entries, (lost_len + log_len - kept + 1) * sizeof(*log_entries));
+	lost_entries =
+		realloc(lost_entries, (lost_len + log_len - kept + 1) * sizeof(*log_entries));
 	for (size_t i = kept; i < log_len; i++)
 		lost_entries[lost_len++] = log_entries[i];
 	log_len = kept;
@@ -359,7 +377,7 @@
 	if (s->conn != NULL)
 		on_input(s->conn);
 	else if (s->users == 0)
-		free(s);
+		session_free(s);
 }
 
 static void start_work(member_t *member)
@@ -371,7 +389,7 @@
 		member->queue = work->next;
 		if (work->session->conn == NULL) {
 			if (--work->session->users == 0)
-				free(work->session);
+				session_free(work->session);
 			free(work);
 			continue;
 		}
@@ -549,7 +567,7 @@
 	session_t *s = arg;
 
 	if (--s->users == 0 && s->conn == NULL) {
-		free(s);
+		session_free(s);
 		return;
 	}
 	s->started = true;
@@ -565,7 +583,7 @@
 	conn_close(s->conn);
 	s->conn = NULL;
 	if (s->users == 0)
-		free(s);
+		session_free(s);
 }
 
 static void on_start(session_t *s, const char *line)
@@ -619,7 +637,7 @@
 	if (s->tx != 'I' && s->users == 0)
 		end_tx(s);
 	if (s->users == 0)
-		free(s);
+		session_free(s);
 }
 
 static const conn_ops_t ops = {.on_input = on_input, .on_closed = on_closed};
@@ -628,15 +646,119 @@
 {
 	session_t *s = calloc(1, sizeof(*s));
 
+	s->next = sessions;
+	sessions = s;
 	s->member = arg;
 	s->conn = conn;
 	s->tx = 'I';
 	s->tx_caller = -1;
 	s->member->conns++;
+	s->member->accepts++;
 	conn->ops = &ops;
 	conn->owner = s;
 }
 
+/* --- planned replacement --- */
+
+static void close_sessions(const member_t *member)
+{
+	session_t *next;
+
+	for (session_t *s = sessions; s != NULL; s = next) {
+		next = s->next;
+		if (s->member != member || s->conn == NULL)
+			continue;
+		conn_close(s->conn);
+		s->conn = NULL;
+		if (s->users == 0)
+			session_free(s);
+	}
+}
+
+static void name_member(member_t *member)
+{
+	snprintf(member->id, sizeof(member->id), "i-%d%04x", member->index, 0x3a91 + id_serial++);
+}
+
+static long long wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return ts.tv_sec * 1000LL + ts.tv_nsec / 1000000;
+}
+
+/* --- a crash, after which the member starts again under its id, with its log --- */
+
+static void on_registered(void *arg)
+{
+	member_t *member = arg;
+
+	record("member %s writes its entry, accepted %u connections since its start", member->id,
+	       member->accepts);
+	list_member(member);
+}
+
+static void on_restart(void *arg)
+{
+	member_t *member = arg;
+
+	record("member %s starts again", member->id);
+	member->running = true;
+	member->conns = 0;
+	member->seq = 0;
+	member->accepts = 0;
+	member->born = wall_ms();
+	listen_again(member->port, on_accept, member, &member->listen_fd);
+	after_ms(member->register_ms, on_registered, member);
+}
+
+void members_crash(member_t *member, double down_ms, double register_ms)
+{
+	record("member %s crashes", member->id);
+	member->running = false;
+	member->register_ms = register_ms;
+	listen_stop(member->listen_fd);
+	close_sessions(member);
+	after_ms(down_ms, on_restart, member);
+}
+
+static void on_new_member(void *arg)
+{
+	member_t *member = arg;
+
+	name_member(member);
+	member->born = wall_ms();
+	member->running = true;
+	member->draining = false;
+	member->conns = 0;
+	listen_again(member->port, on_accept, member, &member->listen_fd);
+	list_member(member);
+	record("member %s begins, with the log of the one before", member->id);
+}
+
+static void on_drained(void *arg)
+{
+	member_t *member = arg;
+	char key[40];
+
+	snprintf(key, sizeof(key), "servers/%s", member->id);
+	record("member %s ends", member->id);
+	member->running = false;
+	listen_stop(member->listen_fd);
+	close_sessions(member);
+	store_put(key, NULL);
+	after_ms(1000, on_new_member, member);
+}
+
+void members_release(member_t *member, double drain_ms)
+{
+	record("member %s reports draining", member->id);
+	member->draining = true;
+	list_member(member);
+	after_ms(drain_ms, on_drained, member);
+}
+
 void members_start(const member_config_t *new_config)
 {
 	config = *new_config;
@@ -644,7 +766,8 @@
 		member_t *member = &members[i];
 
 		member->index = i;
-		snprintf(member->id, sizeof(member->id), "i-%d%04x", i, 0x3a91 + i);
+		name_member(member);
+		member->born = wall_ms();
 		member->port = listen_any(on_accept, member, &member->listen_fd);
 		member->running = true;
 		member->primary = i == 0;
--- a/review/proxies.c
+++ b/review/proxies.c
@@ -1,4 +1,5 @@
-/* Starts the project's proxies with the command of the deploy file, and asks whether they are ready. */
+/* Starts the project's proxies with the command of the deploy file, and asks whether they are
+ * ready. */
 #include "standin.h"
 
 #include <fcntl.h>
@@ -6,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -56,6 +58,9 @@
 	if (proxy->pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+		/* No proxy outlives this process. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		setenv("CYCLAMENSPAN_SETTINGS", proxy->settings, 1);
@@ -109,23 +114,84 @@
 
 /* --- all of them --- */
 
-void proxies_start(const proxy_config_t *new_config, int count)
+void proxies_add(int count)
 {
-	config = *new_config;
-	proxy_count = count;
-	for (int i = 0; i < count; i++) {
+	int first = proxy_count;
+
+	proxy_count += count;
+	for (int i = first; i < proxy_count; i++) {
 		proxies[i].port = free_port();
 		proxies[i].ready_port = free_port();
 		proxies[i].operators_port = free_port();
 		proxies[i].peers_port = free_port();
 	}
-	for (int i = 0; i < count; i++) {
+	for (int i = first; i < proxy_count; i++) {
 		write_settings(i);
 		spawn(i);
 		on_probe_due(&proxies[i]);
 	}
 }
 
+void proxies_start(const proxy_config_t *new_config, int count)
+{
+	config = *new_config;
+	proxies_add(count);
+}
+
+/* --- the memory of a machine --- */
+
+static double memory_limit;
+
+static double resident_mb(pid_t pid)
+{
+	char path[64];
+	long pages = 0;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%d/statm", (int)pid);
+	file = fopen(path, "r");
+	if (file == NULL)
+		return 0;
+	if (fscanf(file, "%*d %ld", &pages) != 1)
+		pages = 0;
+	fclose(file);
+	return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
+}
+
+static void on_start_again(void *arg)
+{
+	spawn((int)((proxy_t *)arg - proxies));
+}
+
+static void on_memory_check(void *arg)
+{
+	for (int i = 0; i < proxy_count; i++) {
+		proxy_t *proxy = &proxies[i];
+		double mb = proxy->pid > 0 ? resident_mb(proxy->pid) : 0;
+
+		if (mb > proxy->peak_mb)
+			proxy->peak_mb = mb;
+		if (mb <= memory_limit)
+			continue;
+		record("proxy %d holds %.0f MB, its machine has %.0f: it is killed", i, mb,
+		       memory_limit);
+		proxy->killed++;
+		kill(proxy->pid, SIGKILL);
+		waitpid(proxy->pid, NULL, 0);
+		proxy->pid = 0;
+		after_ms(1000, on_start_again, proxy);
+	}
+	after_ms(50, on_memory_check, arg);
+}
+
+void proxies_limit_memory(double mb)
+{
+	memory_limit = mb;
+	on_memory_check(NULL);
+}
+
+/* --- waiting and ending --- */
+
 bool proxies_wait_ready(double ms)
 {
 	double end = now_ms() + ms;
--- a/review/standin.h
+++ b/review/standin.h
@@ -89,11 +89,15 @@
 	int listen_fd;
 	bool running;
 	bool primary;
+	bool draining;
 	int slots_used;
 	int conns;
 	double grey_until; /* until then it fails a part of its requests */
 	double grey_part;
 	unsigned seq;
+	long long born;	  /* Unix milliseconds of its start */
+	unsigned accepts; /* connections since its start */
+	double register_ms;
 	struct work *queue;
 	uint64_t runs; /* statements of callers */
 } member_t;
@@ -112,6 +116,14 @@
 
 void members_start(const member_config_t *config);
 member_t *members_primary(void);
+/*
+ * The member reports that it is draining, ends after that time, and a new one comes in its place.
+ */
+void members_release(member_t *member, double drain_ms);
+/*
+ * The member crashes and starts again under its id, with its log; its entry follows so much later.
+ */
+void members_crash(member_t *member, double down_ms, double register_ms);
 /* False: this member is not running. */
 bool members_promote(const char *id);
 /* True if the log holds the write; *rolled_back: a promote has taken it out. */
@@ -178,6 +190,11 @@
 void callers_check_writes(void);
 const caller_t *caller_of_id(const char *id, unsigned *seq);
 
+/* --- rude clients --- */
+
+/* For so long, each sends so many kilobytes a second of questions, and reads its answers. */
+void rude_flood(int peers_per_proxy, double kbytes_per_s, double ms);
+
 /* --- proxies --- */
 
 typedef struct proxy {
@@ -190,7 +207,8 @@
 	double answered_at;   /* when it last answered at all */
 	double longest_quiet; /* longest time without an answer, in milliseconds */
 	bool watched;
-	bool exited;
+	double peak_mb; /* of the memory that it holds */
+	int killed;	/* times that the platform has ended it for its memory */
 	char settings[256];
 } proxy_t;
 
@@ -205,9 +223,13 @@
 } proxy_config_t;
 
 void proxies_start(const proxy_config_t *config, int count);
+/* Starts further ones. */
+void proxies_add(int count);
 /* Waits until all answer 200; false if they don't in time. */
 bool proxies_wait_ready(double ms);
 /* From now on, a process that ends or does not answer its probes counts. */
 void proxies_watch(void);
+/* Kills a process that exceeds the memory of its machine, and starts it again a second later. */
+void proxies_limit_memory(double mb);
 /* Ends all processes; returns how many had ended before by themselves. */
 int proxies_end(void);
--- a/review/store.c
+++ b/review/store.c
@@ -108,8 +108,8 @@
 static json_t *encode(const char *key, const char *value, long rev, long created, long lease)
 {
 	if (value == NULL)
-		return json_pack("{s:s, s:I, s:b}", "key", key, "rev", (json_int_t)rev,
-				 "tombstone", 1);
+		return json_pack("{s:s, s:I, s:b}", "key", key, "rev", (json_int_t)rev, "tombstone",
+				 1);
 	return json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", key, "value", value, "rev",
 			 (json_int_t)rev, "createdRev", (json_int_t)created, "lease",
 			 (json_int_t)lease);
@@ -433,7 +433,8 @@
 static void on_http_input(conn_t *conn)
 {
 	for (;;) {
-		char *end = conn->in_len != 0 ? memmem(conn->in, conn->in_len, "\r\n\r\n", 4) : NULL;
+		char *end =
+			conn->in_len != 0 ? memmem(conn->in, conn->in_len, "\r\n\r\n", 4) : NULL;
 		const char *length;
 		size_t head_len;
 		size_t body_len = 0;
