--- a/review/callers.c
+++ b/review/callers.c
@@ -34,6 +34,7 @@
 static caller_t *callers;
 static int count;
 static bool stopping;
+static double hurry = 1;
 static write_t *writes;
 static size_t write_count;
 static unsigned data_serial;
@@ -157,7 +158,7 @@
 {
 	caller->phase = PHASE_IDLE;
 	caller->in_tx = false;
-	after_ms(random_exponential(config.pause_ms), next_operation, caller);
+	after_ms(random_exponential(config.pause_ms / hurry), next_operation, caller);
 }
 
 static void prepare_session(caller_t *caller)
@@ -339,12 +340,11 @@
 	writes = calloc(WRITES_TRACKED, sizeof(*writes));
 	for (int i = 0; i < count; i++) {
 		caller_t *caller = &callers[i];
-		int customer = config.customers != 0 ? i % config.customers : 0;
 
 		caller->index = i;
 		snprintf(caller->database, sizeof(caller->database), "%s",
 			 config.database_names[i % config.databases]);
-		snprintf(caller->key, sizeof(caller->key), "key%04d", customer);
+		snprintf(caller->key, sizeof(caller->key), "who%d", i % 10);
 		if (random_unit() < config.set_part) {
 			caller->value_count = 1;
 			snprintf(caller->values[0][0], 24, "lang");
@@ -355,6 +355,11 @@
 	on_check(NULL);
 }
 
+void callers_hurry(double times)
+{
+	hurry = times;
+}
+
 void callers_stop(void)
 {
 	stopping = true;
--- a/review/cases.c
+++ b/review/cases.c
@@ -11,52 +11,59 @@
 #include <string.h>
 
 #define READY_MS 15000.0
+typedef struct route {
+	const char *database;
+	const char *kind;
+	int timeout_ms;
+	int objective_ms;
+	int priority;
+	int max_stale_ms;
+} route_t;
 
 typedef struct play {
 	const char *name;
 	int proxies;
 	int zones;
 	int callers;
+	const route_t *routes; /* three */
 	member_config_t members;
 	caller_config_t load;
 	const char *settings;
-	bool (*run)(bool trouble); /* true: the rule was broken */
+	bool (*run)(bool trouble, const char *dir); /* true: the rule was broken */
 } play_t;
 
-static const char *const databases[] = {"assign", "lookup", "update"};
+/* Shares of the callers' kinds: 15, 15 and 70 percent, about. */
+static const char *const databases[] = {"assign", "lookup", "update", "update",
+					"update", "update", "update"};
 
+static const route_t dakar_routes[] = {
+	{"assign", "primary", 800, 100, 1, 0},
+	{"lookup", "bounded", 1200, 300, 2, 1500},
+	{"update", "session", 800, 200, 2, 2500},
+};
 /* --- the operators' configuration --- */
 
 static void put_config(const play_t *play)
 {
-	char text[8192];
-	int len;
+	char text[4096] = "{\"version\":7,\"routes\":[";
+	size_t len = strlen(text);
+
+	for (int i = 0; i < 3; i++) {
+		const route_t *route = &play->routes[i];
 
-	len = snprintf(
-		text, sizeof(text),
-		"{\"version\":7,\"routes\":["
-		"{\"name\":\"r-1\",\"host\":\"assign\",\"prefix\":\"/\",\"kind\":\"primary\","
-		"\"timeoutMs\":800,\"sloMs\":100,\"priority\":1,\"service\":\"%s\",\"attempts\":2,"
-		"\"public\":%s},"
-		"{\"name\":\"r-2\",\"host\":\"lookup\",\"prefix\":\"/\",\"kind\":\"bounded\","
-		"\"timeoutMs\":1200,\"sloMs\":300,\"priority\":2,\"service\":\"%s\",\"attempts\":2,"
-		"\"maxStaleMs\":1500,\"public\":%s},"
-		"{\"name\":\"r-3\",\"host\":\"update\",\"prefix\":\"/\",\"kind\":\"session\","
-		"\"timeoutMs\":800,\"sloMs\":200,\"priority\":2,\"service\":\"%s\",\"attempts\":2,"
-		"\"maxStaleMs\":2500,\"public\":%s}],"
-		"\"services\":[{\"name\":\"%s\",\"healthPath\":\"/health\",\"maxConns\":%d,"
-		"\"syncReplicas\":0}],\"limits\":{\"txIdleMs\":3000}",
-		play->members.service, play->load.customers == 0 ? "true" : "false",
-		play->members.service, play->load.customers == 0 ? "true" : "false",
-		play->members.service, play->load.customers == 0 ? "true" : "false",
-		play->members.service, play->members.max_conns);
-	for (int i = 0; i < play->load.customers; i++)
-		len += snprintf(text + len, sizeof(text) - (size_t)len,
-				"%s{\"name\":\"tenant%d\",\"apiKeys\":[\"key%04d\"],"
-				"\"ratePerS\":100000,\"burst\":100000}",
-				i == 0 ? ",\"tenants\":[" : ",", i, i);
-	snprintf(text + len, sizeof(text) - (size_t)len, "%s}",
-		 play->load.customers != 0 ? "]" : "");
+		len += (size_t)snprintf(
+			text + len, sizeof(text) - len,
+			"%s{\"name\":\"r-%d\",\"host\":\"%s\",\"prefix\":\"/\",\"kind\":\"%s\","
+			"\"timeoutMs\":%d,\"sloMs\":%d,\"priority\":%d,\"service\":\"%s\","
+			"\"attempts\":2,\"maxStaleMs\":%d}",
+			i != 0 ? "," : "", i, route->database, route->kind, route->timeout_ms,
+			route->objective_ms, route->priority, play->members.service,
+			route->max_stale_ms);
+	}
+	snprintf(text + len, sizeof(text) - len,
+		 "],\"services\":[{\"name\":\"%s\",\"healthPath\":\"/health\",\"maxConns\":%d,"
+		 "\"syncReplicas\":0}],\"limits\":{\"txIdleMs\":3000}}",
+		 play->members.service, play->members.max_conns);
 	store_put("op/config", text);
 }
 
@@ -65,10 +72,11 @@
 	loop_until(now_ms() + ms, NULL);
 }
 
-/* --- case 1: a member that fails a part of what it is asked --- */
+/* --- a member that fails a part of what it is asked --- */
 
-static bool run_grey(bool trouble)
+static bool run_grey(bool trouble, const char *dir)
 {
+	(void)dir;
 	settle(4000);
 	for (int round = 0; round < 3; round++) {
 		member_t *member = members_primary();
@@ -95,65 +103,13 @@
 	return caller_stats.lost_writes != 0 || members_pinned_broken() != 0;
 }
 
-/* --- case 2: a member starts again under its id --- */
-
-static bool run_restart(bool trouble)
-{
-	settle(4000);
-	proxies_watch();
-	for (int round = 0; round < 6; round++) {
-		if (trouble)
-			members_crash(&members[round % MEMBERS], 300, 600);
-		settle(8000);
-	}
-	callers_stop();
-	for (int i = 0; i < proxy_count; i++) {
-		record("proxy %d: longest time without an answer to GET /ready %.0f ms", i,
-		       proxies[i].longest_quiet);
-		printf("proxy %d: longest quiet %.0f ms\n", i, proxies[i].longest_quiet);
-	}
-	printf("answered %u, unanswered %u, promotes %u\n", caller_stats.answered,
-	       caller_stats.unanswered, members_promotes());
-	return false;
-}
-
-/* --- case 3: a planned change of primary after the fleet has grown --- */
+/* --- floods of questions --- */
 
-static bool run_change(bool trouble)
-{
-	bool hung = false;
-
-	settle(5000);
-	record("four proxies are added");
-	proxies_add(4);
-	if (!proxies_wait_ready(10000))
-		return false;
-	settle(2000);
-	proxies_watch();
-	for (int round = 0; round < 7 && !hung; round++) {
-		if (trouble)
-			members_release(members_primary(), 8000);
-		settle(11500);
-		for (int k = 0; k < proxy_count; k++)
-			hung = hung || proxies[k].longest_quiet > 10000;
-	}
-	callers_stop();
-	for (int k = 0; k < proxy_count; k++) {
-		record("proxy %d: longest time without an answer to GET /ready %.0f ms", k,
-		       proxies[k].longest_quiet);
-		printf("proxy %d: longest quiet %.0f ms\n", k, proxies[k].longest_quiet);
-	}
-	printf("answered %u, unanswered %u, promotes %u\n", caller_stats.answered,
-	       caller_stats.unanswered, members_promotes());
-	return hung;
-}
-
-/* --- case: floods of questions --- */
-
-static bool run_flood(bool trouble)
+static bool run_flood(bool trouble, const char *dir)
 {
 	int machines = 0;
 
+	(void)dir;
 	proxies_limit_memory(260);
 	settle(4000);
 	for (int round = 0; round < 3; round++) {
@@ -176,12 +132,44 @@
 	return machines >= 2;
 }
 
+/* --- a member whose time of day has jumped back between two starts --- */
+
+static bool run_born(bool trouble, const char *dir)
+{
+	(void)dir;
+	settle(4000);
+	for (int round = 0; round < 3; round++) {
+		member_t *member = members_primary() == &members[1] ? &members[2] : &members[1];
+
+		if (trouble) {
+			record("the time of day jumps ahead by 2400 ms at %s", member->id);
+			member->clock_ms = 2400;
+			members_crash(member, 400, 50);
+			settle(1400);
+			record("the time of day jumps back at %s", member->id);
+			member->clock_ms = 0;
+			members_crash(member, 400, 50);
+			settle(600);
+		}
+		settle(8000);
+		members_release(member, 12000);
+		settle(18000);
+	}
+	callers_stop();
+	record("statements that reached a draining member later than drainMs: %u",
+	       members_late_runs());
+	printf("statements that reached a draining member later than drainMs: %u\n",
+	       members_late_runs());
+	return members_late_runs() != 0;
+}
+
 static const play_t plays[] = {
 	{
 		.name = "grey",
 		.proxies = 3,
 		.zones = 3,
 		.callers = 60,
+		.routes = dakar_routes,
 		.members = {.service = "core",
 			    .slots = 2,
 			    .max_conns = 16,
@@ -198,35 +186,12 @@
 		.settings = "[bounds]\nconfig_ms = 3000\nleaving_ms = 7000\n",
 		.run = run_grey,
 	},
-	{
-		.name = "restart",
-		.proxies = 7,
-		.zones = 3,
-		.callers = 210,
-		.members = {.service = "core",
-			    .slots = 2,
-			    .max_conns = 16,
-			    .work_ms = 6,
-			    .handshake_ms = 12,
-			    .lag_ms = 60,
-			    .promote_ms = 1000},
-		.load =
-			{
-				.pause_ms = 700,
-				.tx_part = 0.3,
-				.write_part = 0.2,
-				.set_part = 0,
-				.databases = 3,
-				.database_names = databases,
-			},
-		.settings = "[bounds]\nconfig_ms = 3000\nleaving_ms = 7000\n",
-		.run = run_restart,
-	},
 	{
 		.name = "flood",
 		.proxies = 3,
 		.zones = 3,
 		.callers = 60,
+		.routes = dakar_routes,
 		.members = {.service = "core",
 			    .slots = 2,
 			    .max_conns = 16,
@@ -244,27 +209,27 @@
 		.run = run_flood,
 	},
 	{
-		.name = "change",
+		.name = "born",
 		.proxies = 3,
 		.zones = 3,
-		.callers = 240,
+		.callers = 60,
+		.routes = dakar_routes,
 		.members = {.service = "core",
 			    .slots = 2,
-			    .max_conns = 36,
+			    .max_conns = 16,
 			    .work_ms = 6,
 			    .handshake_ms = 12,
-			    .lag_ms = 60,
-			    .promote_ms = 1000},
-		.load = {.pause_ms = 450,
-			 .tx_part = 0.3,
+			    .lag_ms = 20,
+			    .promote_ms = 600,
+			    .drain_ms = 7000},
+		.load = {.pause_ms = 500,
+			 .tx_part = 0.25,
 			 .write_part = 0.2,
-			 .set_part = 0,
-			 .databases = 3,
-			 .database_names = databases,
-			 .customers = 40},
-		.settings = "[bounds]\nconfig_ms = 3000\nleaving_ms = 7000\nrevoke_ms = 5000\n"
-			    "[limits]\nexcess = 0.1\nslack = 20\n",
-		.run = run_change,
+			 .set_part = 0.5,
+			 .databases = 7,
+			 .database_names = databases},
+		.settings = "[bounds]\nconfig_ms = 3000\nleaving_ms = 7000\n",
+		.run = run_born,
 	},
 };
 
@@ -302,7 +267,7 @@
 		return 2;
 	}
 	callers_start(&play->load, play->callers);
-	broken = play->run(atoi(argv[2]) != 0);
+	broken = play->run(atoi(argv[2]) != 0, argv[5]);
 	record("statements answered %u, succeeded %u, refused %u, in doubt %u, unanswered %u",
 	       caller_stats.answered, caller_stats.succeeded, caller_stats.refused,
 	       caller_stats.in_doubt, caller_stats.unanswered);
--- a/review/loop.c
+++ b/review/loop.c
@@ -150,6 +150,7 @@
 	if (conn->dead)
 		return;
 	conn->dead = true;
+	epoll_ctl(epoll_fd, EPOLL_CTL_DEL, conn->fd, NULL);
 	close(conn->fd);
 }
 
@@ -256,7 +257,11 @@
 
 /* --- listeners --- */
 
-static int bind_port(int port)
+/* Below the ports that the kernel gives to outgoing connections, which could take one meanwhile. */
+#define PORT_FIRST 20000
+#define PORT_COUNT 12000
+
+static int try_port(int port)
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET,
 				  .sin_port = htons((uint16_t)port),
@@ -265,7 +270,23 @@
 	int on = 1;
 
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (fd < 0 || bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 || listen(fd, 1024) < 0) {
+	if (fd >= 0 && bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 && listen(fd, 1024) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* 0: any free port. */
+static int bind_port(int port)
+{
+	static int next;
+	int fd = -1;
+
+	if (next == 0)
+		next = (int)getpid() * 37 % PORT_COUNT;
+	for (int i = 0; fd < 0 && i < PORT_COUNT; i++)
+		fd = try_port(port != 0 ? port : PORT_FIRST + next++ % PORT_COUNT);
+	if (fd < 0) {
 		perror("listen");
 		exit(2);
 	}
--- a/review/members.c
+++ b/review/members.c
@@ -23,8 +23,9 @@
 	member_t *member;
 	conn_t *conn; /* NULL once it is closed */
 	bool started;
-	bool busy; /* a statement waits for a slot or uses one */
-	char tx;   /* I, T or E */
+	bool busy;	   /* a statement waits for a slot or uses one */
+	double arrived_at; /* of that statement */
+	char tx;	   /* I, T or E */
 	bool tx_read;
 	bool tx_term_lost; /* the member has lost the lead in this transaction */
 	unsigned tx_statements;
@@ -59,6 +60,7 @@
 static unsigned promotes;
 static unsigned pinned_broken;
 static unsigned signature;
+static unsigned late_runs;
 static bool promote_pending;
 static session_t *sessions;
 static unsigned id_serial;
@@ -76,6 +78,11 @@
 	return pinned_broken;
 }
 
+unsigned members_late_runs(void)
+{
+	return late_runs;
+}
+
 member_t *members_primary(void)
 {
 	for (int i = 0; i < MEMBERS; i++) {
@@ -326,6 +333,11 @@
 
 	sscanf(text, "%23s %23s %23s", word, name, data);
 	s->member->runs++;
+	if (s->member->draining && s->arrived_at > s->member->draining_at + config.drain_ms) {
+		late_runs++;
+		record("DRAIN broken: %s %s reaches %s %.0f ms after its draining was accepted", id,
+		       text, s->member->id, s->arrived_at - s->member->draining_at);
+	}
 	check_pinned(s, id, text);
 	record("%s runs %s %s in state %c", s->member->id, id, text, s->tx);
 	s->tx_statements++;
@@ -411,6 +423,7 @@
 	*at = work;
 	s->users++;
 	s->busy = true;
+	s->arrived_at = now_ms();
 	start_work(s->member);
 }
 
@@ -566,8 +579,10 @@
 {
 	session_t *s = arg;
 
-	if (--s->users == 0 && s->conn == NULL) {
-		session_free(s);
+	s->users--;
+	if (s->conn == NULL) {
+		if (s->users == 0)
+			session_free(s);
 		return;
 	}
 	s->started = true;
@@ -703,12 +718,12 @@
 {
 	member_t *member = arg;
 
-	record("member %s starts again", member->id);
 	member->running = true;
 	member->conns = 0;
 	member->seq = 0;
 	member->accepts = 0;
-	member->born = wall_ms();
+	member->born = wall_ms() + member->clock_ms;
+	record("member %s starts again, born %lld", member->id, member->born);
 	listen_again(member->port, on_accept, member, &member->listen_fd);
 	after_ms(member->register_ms, on_registered, member);
 }
@@ -728,7 +743,7 @@
 	member_t *member = arg;
 
 	name_member(member);
-	member->born = wall_ms();
+	member->born = wall_ms() + member->clock_ms;
 	member->running = true;
 	member->draining = false;
 	member->conns = 0;
@@ -755,6 +770,7 @@
 {
 	record("member %s reports draining", member->id);
 	member->draining = true;
+	member->draining_at = now_ms();
 	list_member(member);
 	after_ms(drain_ms, on_drained, member);
 }
@@ -767,7 +783,7 @@
 
 		member->index = i;
 		name_member(member);
-		member->born = wall_ms();
+		member->born = wall_ms() + member->clock_ms;
 		member->port = listen_any(on_accept, member, &member->listen_fd);
 		member->running = true;
 		member->primary = i == 0;
--- a/review/standin.h
+++ b/review/standin.h
@@ -98,6 +98,8 @@
 	long long born;	  /* Unix milliseconds of its start */
 	unsigned accepts; /* connections since its start */
 	double register_ms;
+	long long clock_ms; /* by which its time of day is ahead */
+	double draining_at; /* when its report was accepted */
 	struct work *queue;
 	uint64_t runs; /* statements of callers */
 } member_t;
@@ -110,6 +112,7 @@
 	double handshake_ms; /* until a new connection is accepted */
 	double lag_ms;	     /* of the replicas */
 	double promote_ms;   /* from the call to the lead */
+	double drain_ms;     /* after that a draining member may get no statement */
 } member_config_t;
 
 extern member_t members[MEMBERS];
@@ -129,6 +132,8 @@
 /* True if the log holds the write; *rolled_back: a promote has taken it out. */
 bool members_have(const char *item, const char *data, bool *rolled_back);
 unsigned members_promotes(void);
+/* Statements that reached a draining member too late. */
+unsigned members_late_runs(void);
 /* Statements that ran where the rules forbid it. */
 unsigned members_pinned_broken(void);
 
@@ -168,7 +173,6 @@
 	double set_part; /* of the sessions that set values */
 	int databases;
 	const char *const *database_names;
-	int customers; /* 0: the platform has none */
 } caller_config_t;
 
 typedef struct caller_stats {
@@ -184,6 +188,8 @@
 extern caller_stats_t caller_stats;
 
 void callers_start(const caller_config_t *config, int count);
+/* So many times the usual operations. */
+void callers_hurry(double times);
 /* Begins no more operations. */
 void callers_stop(void);
 /* Compares the acknowledged writes with the members' log. */
