conn: a set-up that fails, and a statement answered in another transaction state, are logged

No line of any proxy's log told what had become of the connections on which they ran, so hypotheses could not be told apart: a set-up that failed and was taken for a complete one, a transaction that was not rolled back, a reply taken for another request's, values noted that the member never got.

The requests of a set-up and their replies are a module of their own, setup.c. What is done with a connection is as before.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -97,6 +97,7 @@
 	conn->use = use;
 	counter_grid_increment(&opened_causes, cause, when);
 	LOG_EVENT(LOG_DBG, "connection opened", LOG_STR("member", conn->member->id),
+		  LOG_INT("connection", conn->number),
 		  LOG_STR("customer", conn->customer_pool->customer),
 		  LOG_STR("cause", conn_cause_names[cause]),
 		  LOG_INT("of_customer", (int64_t)use->count),
@@ -114,6 +115,7 @@
 	conn_t *conn = talloc_zero(member, conn_t);
 
 	conn->member = member;
+	conn->number = ++member->last_conn_number;
 	conn->customer_pool = customer_pool;
 	conn->probe = probe;
 	variables_init(&conn->variables);
@@ -226,8 +228,8 @@
 	bool opening = conn->state == CONN_OPENING;
 
 	LOG_EVENT(LOG_DBG, "connection closed", LOG_STR("member", member->id),
-		  LOG_STR("reason", reason), LOG_STR("code", code_name(code)),
-		  LOG_INT("state", conn->state));
+		  LOG_INT("connection", conn->number), LOG_STR("reason", reason),
+		  LOG_STR("code", code_name(code)), LOG_INT("state", conn->state));
 	if (opening && code != CODE_NONE) {
 		on_refused(conn, code);
 	} else if (conn->probe) {
@@ -273,16 +275,14 @@
 /* Requests that are sent to the member together. */
 typedef struct batch {
 	conn_t *conn;
-	member_request_t requests[CONN_SETUP_MAX + 1];
+	member_request_t requests[SETUP_MAX + 1];
 	size_t len;
 } batch_t;
 
 static void add_setup_request(batch_t *batch, member_request_t request)
 {
-	conn_t *conn = batch->conn;
-
 	batch->requests[batch->len++] = request;
-	conn->setup[conn->setup_len++] = request.kind;
+	setup_add(&batch->conn->setup, request.kind);
 }
 
 static slice_t slice_of_string(const char *text)
@@ -363,8 +363,7 @@
 {
 	batch_t batch = {.conn = conn};
 
-	conn->setup_len = 0;
-	conn->setup_done = 0;
+	setup_start(&conn->setup);
 	add_statement(&batch, conn->caller);
 	send_batch(&batch, CONN_RUNNING);
 }
@@ -378,9 +377,7 @@
 	conn_t *conn = batch->conn;
 	caller_t *caller = conn->caller;
 
-	conn->setup_len = 0;
-	conn->setup_done = 0;
-	conn->setup_code = CODE_NONE;
+	setup_start(&conn->setup);
 	/* A value that the caller has not set can only be removed by a reset. */
 	if (!conn->in_tx && (!variables_is_subset(&conn->variables, &caller->variables) ||
 			     conn->prepared_count >= PREPARED_MAX)) {
@@ -410,13 +407,13 @@
 	bool only_prepare;
 
 	build_setup(&batch);
-	only_prepare = conn->setup_len == 1 && conn->setup[0] == REQUEST_PREPARE;
+	only_prepare = conn->setup.len == 1 && conn->setup.requests[0] == REQUEST_PREPARE;
 	/*
 	 * The statement is sent only after the replies to its set-up. If it were sent together with
 	 * BEGIN and that failed, a write would run and commit outside its transaction. Only a
 	 * PREPARE may be sent together with its EXEC, which does not run if the PREPARE fails.
 	 */
-	if (conn->setup_len != 0 && !only_prepare) {
+	if (conn->setup.len != 0 && !only_prepare) {
 		counter_add(&setups_total, 1);
 		send_batch(&batch, CONN_PREPARING);
 		return;
@@ -427,31 +424,46 @@
 
 /* --- replies --- */
 
+static void log_setup_failure(const conn_t *conn, bool kept)
+{
+	const caller_t *caller = conn->caller;
+	const setup_t *setup = &conn->setup;
+
+	LOG_EVENT(LOG_WARN, "set-up failed",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("member", conn->member->id), LOG_INT("connection", conn->number),
+		  LOG_INT("requests", setup->len), LOG_INT("failed", setup->failed),
+		  LOG_STR("first_failed", request_name(setup->first_failed)),
+		  LOG_STR("code", code_name(setup->code)),
+		  LOG_INT("begins", setup_begins_tx(setup)),
+		  LOG_STR("transaction", tx_state_name(setup->tx)), LOG_INT("kept", kept));
+}
+
 static void on_setup_reply(conn_t *conn, const reply_t *reply)
 {
 	caller_t *caller = conn->caller;
-	request_kind_t kind = conn->setup[conn->setup_done++];
+	bool begins = setup_begins_tx(&conn->setup);
 	code_t code;
 
-	if (!reply->ok && conn->setup_code == CODE_NONE)
-		conn->setup_code = reply->code;
-	if (reply->ok && (kind == REQUEST_BEGIN || kind == REQUEST_BEGIN_READ))
-		conn->in_tx = true;
-	if (conn->setup_done < conn->setup_len)
+	setup_on_reply(&conn->setup, reply);
+	if (!setup_is_answered(&conn->setup))
 		return;
-	if (conn->setup_code == CODE_NONE) {
+	if (begins && reply->ok)
+		conn->in_tx = true;
+	code = conn->setup.code;
+	if (code == CODE_NONE) {
 		send_statement(conn);
 		return;
 	}
-	if (conn->setup_code == CODE_BUSY)
+	if (code == CODE_BUSY)
 		record_failure(conn, STATEMENT_REFUSED);
+	log_setup_failure(conn, begins);
 	/*
 	 * After a refused BEGIN the state of the connection is certain; after another refused
 	 * request it is not.
 	 */
 	conn->caller = NULL;
-	code = conn->setup_code;
-	if (kind == REQUEST_BEGIN || kind == REQUEST_BEGIN_READ)
+	if (begins)
 		set_state(conn, CONN_IDLE);
 	else
 		conn_close(conn, "set-up failed");
@@ -461,7 +473,7 @@
 /* Handles the reply to a PREPARE that was sent together with its EXEC, whose reply is next. */
 static void on_prepare_reply(conn_t *conn, const reply_t *reply)
 {
-	conn->setup_done++;
+	setup_on_reply(&conn->setup, reply);
 	if (!reply->ok)
 		conn->prepared_count = 0;
 }
@@ -507,7 +519,7 @@
 /* Handles a reply that no caller waits for: to an abandoned statement or to a ROLLBACK. */
 static void on_late_reply(conn_t *conn, const reply_t *reply)
 {
-	if (conn->setup_done < conn->setup_len) {
+	if (!setup_is_answered(&conn->setup)) {
 		on_prepare_reply(conn, reply);
 		return;
 	}
@@ -546,6 +558,18 @@
 	return true;
 }
 
+static void log_tx_mismatch(const conn_t *conn, const reply_t *reply)
+{
+	const caller_t *caller = conn->caller;
+
+	LOG_EVENT(LOG_WARN, "transaction state of the member differs",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("member", conn->member->id), LOG_INT("connection", conn->number),
+		  LOG_STR("transaction", tx_state_name(reply->tx)),
+		  LOG_STR("caller_transaction", tx_state_name(caller->tx)),
+		  LOG_STR("outcome", reply->ok ? "done" : code_name(reply->code)));
+}
+
 /* Handles the reply to the caller's statement, after those to its set-up. */
 static void on_statement_reply(conn_t *conn, const reply_t *reply, usec_t now)
 {
@@ -556,6 +580,8 @@
 		conn->member->lagged_at = now;
 	conn->in_tx = reply->tx != TX_NONE;
 	record_outcome(conn, reply);
+	if (conn->caller->tx == TX_NONE && reply->tx != TX_NONE)
+		log_tx_mismatch(conn, reply);
 	if (!retry_failed_read(conn, reply))
 		caller_on_reply(conn->caller, conn, reply);
 }
@@ -574,14 +600,15 @@
 	case CONN_PREPARING:
 		if (conn->caller == NULL) {
 			/* The caller has left; the remaining set-up replies still arrive. */
-			if (++conn->setup_done == conn->setup_len)
+			setup_on_reply(&conn->setup, reply);
+			if (setup_is_answered(&conn->setup))
 				conn_close(conn, "caller left during set-up");
 			return;
 		}
 		on_setup_reply(conn, reply);
 		break;
 	case CONN_RUNNING:
-		if (conn->setup_done < conn->setup_len) {
+		if (!setup_is_answered(&conn->setup)) {
 			on_prepare_reply(conn, reply);
 			return;
 		}
@@ -614,7 +641,7 @@
 		conn->caller->conn = NULL;
 	conn->caller = NULL;
 	if (conn->in_tx) {
-		conn->setup_done = conn->setup_len;
+		setup_start(&conn->setup);
 		set_state(conn, CONN_ROLLING_BACK);
 		send_requests(conn, &rollback, 1);
 		return;
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -16,6 +16,7 @@
 #include "retry_budget.h"
 #include "roster.h"
 #include "rtt.h"
+#include "setup.h"
 #include "startup.h"
 #include "summary.h"
 #include "variables.h"
@@ -52,14 +53,10 @@
 	CONN_STATES,	   /* number of states */
 } conn_state_t;
 
-/* Maximum number of values that a session may set; applications set far fewer. */
-#define VARIABLES_MAX 48
-/* Maximum number of set-up requests before a statement: RESET, values, one PREPARE, BEGIN. */
-#define CONN_SETUP_MAX (VARIABLES_MAX + 3)
-
 typedef struct conn {
 	list_t node; /* in member_t.conns */
 	struct member *member;
+	uint64_t number;		/* of those opened to the member, from 1 */
 	customer_pool_t *customer_pool; /* NULL for a probe, which runs no statements */
 	conn_use_t *use;		/* that customer's use of the member; NULL for a probe */
 	void *link;			/* connection handle of the environment (env_t) */
@@ -75,10 +72,7 @@
 	variables_t variables;
 	char **prepared; /* talloc array: aliases prepared on this connection */
 	size_t prepared_count;
-	request_kind_t setup[CONN_SETUP_MAX]; /* set-up requests sent, in order */
-	size_t setup_len;
-	size_t setup_done;
-	code_t setup_code; /* first error among the set-up replies */
+	setup_t setup;
 	bool in_tx;
 } conn_t;
 
@@ -103,6 +97,7 @@
 	bool claims_primary;
 	usec_t claim_changed_at; /* when the member's entry last changed claims_primary */
 	list_t conns;
+	uint64_t last_conn_number; /* of the connection that was opened last */
 	size_t conn_count;	   /* without probe connections */
 	conn_use_t *conn_uses;	   /* by customer pool */
 	usec_t no_borrow_until;	   /* after the member refused a connection, this proxy opens none
--- a/pooler/statement.c
+++ b/pooler/statement.c
@@ -25,6 +25,14 @@
 	return code_names[code];
 }
 
+const char *tx_state_name(tx_state_t tx)
+{
+	static const char *const names[] = {
+		[TX_NONE] = "none", [TX_OPEN] = "open", [TX_FAILED] = "failed"};
+
+	return names[tx];
+}
+
 bool code_means_not_run(code_t code)
 {
 	switch (code) {
--- a/pooler/statement.h
+++ b/pooler/statement.h
@@ -67,6 +67,9 @@
 
 const char *code_name(code_t code);
 
+/* Name of the state for logs, such as "open". */
+const char *tx_state_name(tx_state_t tx);
+
 /* True if a member that answers with this code has not run the statement. */
 bool code_means_not_run(code_t code);
 
--- a/pooler/variables.h
+++ b/pooler/variables.h
@@ -8,6 +8,9 @@
 #include "list.h"
 #include "statement.h"
 
+/* Maximum number of values that a session may set; applications set far fewer. */
+#define VARIABLES_MAX 48
+
 typedef struct variable {
 	list_t node;
 	char *name;
