conn: a connection whose set-up has failed serves others only if just its BEGIN was refused

Cause: RESET, values, a prepared name and BEGIN are sent together, and the last reply alone decided about the connection. Once the last request was a BEGIN it was kept, whatever had failed before. If the BEGIN had succeeded, its transaction stayed open; in both cases the values and names were noted as set though the member had refused them.

Now all replies count, and what the member says of its session with each of them: a set-up is complete, or just its BEGIN was refused and no transaction is open, or the session is not known and the connection is closed, which rolls back. This holds for a DONE in another transaction state than the request leads to as well. A connection whose BEGIN was refused goes back to the pool the way all others do, so that waiting callers get it even when the refused one is not tried again.

Tests: /setup/outcome, /setup/unexpected-state, and /setup/failed-requests, which plays ten scripts with each request ahead of a statement failing, alone and with another, with five codes, and with its reply lost, 20 ms and 400 ms late, and compares what the member ran with the callers' sessions.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -363,7 +363,7 @@
 {
 	batch_t batch = {.conn = conn};
 
-	setup_start(&conn->setup);
+	setup_start(&conn->setup, conn->in_tx ? TX_OPEN : TX_NONE);
 	add_statement(&batch, conn->caller);
 	send_batch(&batch, CONN_RUNNING);
 }
@@ -377,7 +377,7 @@
 	conn_t *conn = batch->conn;
 	caller_t *caller = conn->caller;
 
-	setup_start(&conn->setup);
+	setup_start(&conn->setup, conn->in_tx ? TX_OPEN : TX_NONE);
 	/* A value that the caller has not set can only be removed by a reset. */
 	if (!conn->in_tx && (!variables_is_subset(&conn->variables, &caller->variables) ||
 			     conn->prepared_count >= PREPARED_MAX)) {
@@ -433,43 +433,46 @@
 		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
 		  LOG_STR("member", conn->member->id), LOG_INT("connection", conn->number),
 		  LOG_INT("requests", setup->len), LOG_INT("failed", setup->failed),
-		  LOG_STR("first_failed", request_name(setup->first_failed)),
+		  LOG_STR("first_failed",
+			  setup->failed != 0 ? request_name(setup->first_failed) : ""),
 		  LOG_STR("code", code_name(setup->code)),
 		  LOG_INT("begins", setup_begins_tx(setup)),
 		  LOG_STR("transaction", tx_state_name(setup->tx)), LOG_INT("kept", kept));
 }
 
-static void on_setup_reply(conn_t *conn, const reply_t *reply)
+/* Hands the connection back, or closes it if its session at the member is not known. */
+static void on_setup_failed(conn_t *conn, setup_outcome_t outcome)
 {
 	caller_t *caller = conn->caller;
-	bool begins = setup_begins_tx(&conn->setup);
-	code_t code;
+	code_t code = conn->setup.failed != 0 ? conn->setup.code : CODE_OTHER;
 
-	setup_on_reply(&conn->setup, reply);
-	if (!setup_is_answered(&conn->setup))
-		return;
-	if (begins && reply->ok)
-		conn->in_tx = true;
-	code = conn->setup.code;
-	if (code == CODE_NONE) {
-		send_statement(conn);
-		return;
-	}
 	if (code == CODE_BUSY)
 		record_failure(conn, STATEMENT_REFUSED);
-	log_setup_failure(conn, begins);
-	/*
-	 * After a refused BEGIN the state of the connection is certain; after another refused
-	 * request it is not.
-	 */
+	log_setup_failure(conn, outcome == SETUP_BEGIN_REFUSED);
 	conn->caller = NULL;
-	if (begins)
-		set_state(conn, CONN_IDLE);
+	caller->conn = NULL;
+	if (outcome == SETUP_BEGIN_REFUSED)
+		conn_release(conn);
 	else
 		conn_close(conn, "set-up failed");
 	caller_on_setup_refused(caller, code);
 }
 
+static void on_setup_reply(conn_t *conn, const reply_t *reply)
+{
+	setup_outcome_t outcome;
+
+	setup_on_reply(&conn->setup, reply);
+	if (!setup_is_answered(&conn->setup))
+		return;
+	conn->in_tx = reply->tx != TX_NONE;
+	outcome = setup_outcome(&conn->setup);
+	if (outcome == SETUP_COMPLETE)
+		send_statement(conn);
+	else
+		on_setup_failed(conn, outcome);
+}
+
 /* Handles the reply to a PREPARE that was sent together with its EXEC, whose reply is next. */
 static void on_prepare_reply(conn_t *conn, const reply_t *reply)
 {
@@ -641,7 +644,7 @@
 		conn->caller->conn = NULL;
 	conn->caller = NULL;
 	if (conn->in_tx) {
-		setup_start(&conn->setup);
+		setup_start(&conn->setup, TX_OPEN);
 		set_state(conn, CONN_ROLLING_BACK);
 		send_requests(conn, &rollback, 1);
 		return;
--- a/pooler/setup.h
+++ b/pooler/setup.h
@@ -10,6 +10,12 @@
 /* Maximum number of requests: RESET, values, one PREPARE, BEGIN. */
 #define SETUP_MAX (VARIABLES_MAX + 3)
 
+typedef enum {
+	SETUP_COMPLETE,	     /* the statement can be sent */
+	SETUP_BEGIN_REFUSED, /* values and names are set up, and no transaction is open */
+	SETUP_UNCERTAIN,     /* what the member's session holds is not known */
+} setup_outcome_t;
+
 typedef struct setup {
 	request_kind_t requests[SETUP_MAX]; /* in the order in which they were sent */
 	size_t len;
@@ -18,10 +24,12 @@
 	request_kind_t first_failed; /* valid if failed is not 0 */
 	code_t code;		     /* first error; CODE_NONE: none */
 	tx_state_t tx;		     /* of the member's session, by the latest reply */
+	tx_state_t expected_tx;	     /* that the replies so far should have left */
+	bool tx_differs;	     /* a reply has told another state */
 } setup_t;
 
-/* Begins a set-up without requests. */
-void setup_start(setup_t *setup);
+/* Begins a set-up without requests in a session of this state, which is TX_NONE or TX_OPEN. */
+void setup_start(setup_t *setup, tx_state_t tx);
 
 /* Adds a request that is about to be sent. */
 void setup_add(setup_t *setup, request_kind_t request);
@@ -32,6 +40,9 @@
 /* True if each request has its reply. */
 bool setup_is_answered(const setup_t *setup);
 
+/* What the replies mean for the connection; each request has its reply. */
+setup_outcome_t setup_outcome(const setup_t *setup);
+
 /* True if the set-up begins a transaction; BEGIN is always its last request. */
 bool setup_begins_tx(const setup_t *setup);
 
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -47,9 +47,11 @@
 	list_t prepared;
 	list_t queue; /* of line_t, in order of arrival */
 	run_timer_t timer;
-	bool busy;	    /* the timer runs for the first line of the queue */
-	bool peer_closed;   /* the client closed while a statement ran */
-	bool reset_pending; /* the connection is closed in place of the reply */
+	bool busy;		/* the timer runs for the first line of the queue */
+	bool peer_closed;	/* the client closed while a statement ran */
+	const char *told_state; /* transaction state in replies; NULL: the true one */
+	fake_fault_t fault;	/* that the first line of the queue meets */
+	bool reset_pending;	/* the connection is closed in place of the reply */
 	list_t node;
 };
 
@@ -186,6 +188,8 @@
 
 static const char *session_state_text(const fake_session_t *session)
 {
+	if (session->told_state != NULL)
+		return session->told_state;
 	if (session->state == SESSION_TX)
 		return "T";
 	return session->state == SESSION_FAILED ? "E" : "I";
@@ -449,6 +453,11 @@
 
 static void run_commit(fake_session_t *session, const char *id)
 {
+	if (session->state == SESSION_FAILED) {
+		discard_transaction(session);
+		reply_error(session, "ABORTED");
+		return;
+	}
 	if (session->write_count != 0 && !session->member->primary) {
 		discard_transaction(session);
 		reply_error(session, "READONLY");
@@ -480,6 +489,12 @@
 	return text + len;
 }
 
+/* True for the statements that a failed transaction accepts. */
+static bool ends_transaction(const char *text)
+{
+	return strcmp(text, "COMMIT") == 0 || strcmp(text, "ROLLBACK") == 0;
+}
+
 static void run_statement(fake_session_t *session, const char *id, char *text)
 {
 	const char *whole = text;
@@ -497,6 +512,10 @@
 		}
 		whole = text;
 	}
+	if (session->state == SESSION_FAILED && !ends_transaction(text)) {
+		reply_error(session, "MALFORMED");
+		return;
+	}
 	if (strcmp(text, "BEGIN READ") == 0)
 		run_begin(session, true);
 	else if (strcmp(text, "BEGIN") == 0)
@@ -526,17 +545,25 @@
 
 /* --- scheduling of lines --- */
 
-/* True for reads, writes and commits. line is "QUERY id [AFTER position] text". */
-static bool takes_slot(const char *line)
+/* The statement in a request "QUERY id [AFTER position] statement"; "" if there is none. */
+static const char *statement_of(const char *line)
 {
-	static const char *const words[] = {"READ ", "WRITE ", "EXEC ", "COMMIT"};
 	const char *text = strchr(line, ' ');
 
 	text = text != NULL ? strchr(text + 1, ' ') : NULL;
 	if (text != NULL && strncmp(text, " AFTER ", 7) == 0)
 		text = strchr(text + 7, ' ');
-	for (size_t i = 0; text != NULL && i < sizeof(words) / sizeof(words[0]); i++) {
-		if (strncmp(text + 1, words[i], strlen(words[i])) == 0)
+	return text != NULL ? text + 1 : "";
+}
+
+/* True for reads, writes and commits. line is "QUERY id [AFTER position] text". */
+static bool takes_slot(const char *line)
+{
+	static const char *const words[] = {"READ ", "WRITE ", "EXEC ", "COMMIT"};
+	const char *text = statement_of(line);
+
+	for (size_t i = 0; i < sizeof(words) / sizeof(words[0]); i++) {
+		if (strncmp(text, words[i], strlen(words[i])) == 0)
 			return true;
 	}
 	return false;
@@ -561,6 +588,40 @@
 	return true;
 }
 
+/* Takes the fault that the request meets; its word is NULL if there is none. */
+static fake_fault_t take_fault(fake_member_t *member, const char *line)
+{
+	const char *statement = statement_of(line);
+
+	for (size_t i = 0; i < FAKE_FAULTS_MAX; i++) {
+		fake_fault_t *fault = &member->faults[i];
+
+		if (fault->count != 0 &&
+		    strncmp(statement, fault->word, strlen(fault->word)) == 0) {
+			fault->count--;
+			return *fault;
+		}
+	}
+	return (fake_fault_t){0};
+}
+
+/* Runs the request, or not, as its fault tells. */
+static void run_with_fault(fake_session_t *session, const char *id, char *body)
+{
+	const fake_fault_t *fault = &session->fault;
+	fake_reply_t reply = session->reply;
+
+	session->told_state = fault->state;
+	if (fault->lost)
+		session->reply = ignore_reply;
+	if (fault->code != NULL)
+		reply_error(session, fault->code);
+	else
+		run_statement(session, id, body);
+	session->reply = reply;
+	session->told_state = NULL;
+}
+
 static void run_query(fake_session_t *session, char *text)
 {
 	fake_member_t *member = session->member;
@@ -577,6 +638,10 @@
 	*body++ = '\0';
 	catch_up(member);
 	from_caller = strcmp(id, "-") != 0;
+	if (session->fault.word != NULL) {
+		run_with_fault(session, id, body);
+		return;
+	}
 	if (member->refuse_begins != 0 && strncmp(body, "BEGIN", strlen("BEGIN")) == 0) {
 		member->refuse_begins--;
 		reply_error(session, "BUSY");
@@ -673,13 +738,15 @@
 
 static void schedule_next_line(fake_session_t *session)
 {
+	const char *text;
+
 	if (session->busy || list_empty(&session->queue))
 		return;
 	session->busy = true;
-	timers_arm(
-		session->member->db->timers, &session->timer,
-		reserve_slot(session->member, list_entry(session->queue.next, line_t, node)->text),
-		on_line_due);
+	text = list_entry(session->queue.next, line_t, node)->text;
+	session->fault = take_fault(session->member, text);
+	timers_arm(session->member->db->timers, &session->timer,
+		   reserve_slot(session->member, text) + session->fault.delay, on_line_due);
 }
 
 static void enqueue(fake_session_t *session, const char *text, size_t len)
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -38,6 +38,18 @@
 	char data[64];
 } fake_entry_t;
 
+/* What happens to the next requests that begin with a word. */
+typedef struct fake_fault {
+	const char *word; /* such as "SET" or "BEGIN"; NULL: the fault is unused */
+	const char *code; /* error code of the reply, and the request does not run; NULL: it runs */
+	const char *state; /* transaction state that the reply tells; NULL: the true one */
+	bool lost;	   /* the reply is not sent */
+	usec_t delay;	/* by which the reply comes later, and all that follow on the connection */
+	unsigned count; /* requests left */
+} fake_fault_t;
+
+#define FAKE_FAULTS_MAX 4
+
 struct fake_db;
 
 typedef struct fake_member {
@@ -63,6 +75,7 @@
 	usec_t extra_lag;	   /* added to the lag */
 	unsigned fail_percent;	   /* percentage of statements that fail, spread evenly */
 	const char *fail_code;	   /* error code of these failures; NULL: FAILED */
+	fake_fault_t faults[FAKE_FAULTS_MAX];
 	unsigned fail_accumulator; /* of fail_percent; a statement fails at 100 */
 	usec_t demote_at;	   /* when a superseded primary becomes a replica */
 } fake_member_t;
--- /dev/null
+++ b/tests/test_setup.c
@@ -0,0 +1,417 @@
+/*
+ * The set-up of a connection for a statement (setup.h), and members that fail parts of it. What the
+ * members ran is compared with what the callers' sessions hold.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "pool_check.h"
+#include "setup.h"
+
+/* --- replies --- */
+
+static reply_t done_in(tx_state_t tx)
+{
+	return (reply_t){.ok = true, .tx = tx};
+}
+
+static reply_t error_in(tx_state_t tx)
+{
+	return (reply_t){.code = CODE_FAILED, .tx = tx};
+}
+
+/* Plays a set-up of SET and BEGIN with these replies and returns its outcome. */
+static setup_outcome_t play_set_and_begin(reply_t to_set, reply_t to_begin)
+{
+	setup_t setup;
+
+	setup_start(&setup, TX_NONE);
+	setup_add(&setup, REQUEST_SET);
+	setup_add(&setup, REQUEST_BEGIN);
+	setup_on_reply(&setup, &to_set);
+	g_assert_false(setup_is_answered(&setup));
+	setup_on_reply(&setup, &to_begin);
+	g_assert_true(setup_is_answered(&setup));
+	return setup_outcome(&setup);
+}
+
+/* Guards against a set-up that is judged by its last reply alone. */
+static void test_outcome(void)
+{
+	g_assert_cmpint(play_set_and_begin(done_in(TX_NONE), done_in(TX_OPEN)), ==, SETUP_COMPLETE);
+	g_assert_cmpint(play_set_and_begin(done_in(TX_NONE), error_in(TX_NONE)), ==,
+			SETUP_BEGIN_REFUSED);
+	g_assert_cmpint(play_set_and_begin(error_in(TX_NONE), done_in(TX_OPEN)), ==,
+			SETUP_UNCERTAIN);
+	g_assert_cmpint(play_set_and_begin(error_in(TX_NONE), error_in(TX_NONE)), ==,
+			SETUP_UNCERTAIN);
+}
+
+/* Guards against a statement sent to a member whose session is in another transaction state. */
+static void test_unexpected_state(void)
+{
+	g_assert_cmpint(play_set_and_begin(done_in(TX_NONE), done_in(TX_NONE)), ==,
+			SETUP_UNCERTAIN);
+	g_assert_cmpint(play_set_and_begin(done_in(TX_OPEN), done_in(TX_OPEN)), ==,
+			SETUP_UNCERTAIN);
+	g_assert_cmpint(play_set_and_begin(done_in(TX_NONE), error_in(TX_FAILED)), ==,
+			SETUP_UNCERTAIN);
+}
+
+/* --- members that fail requests --- */
+
+/* Connections that one proxy shares among all its callers. */
+static const fake_db_config_t one_connection = {
+	.service = WORLD_SERVICE,
+	.members = 1,
+	.slots = 2,
+	.max_connections = 2,
+	.service_time = 4 * MSEC,
+	.receive_delay = 2 * MSEC,
+	.lag = 60 * MSEC,
+	.promote_delay = 1000 * MSEC,
+	.connect_time = 12 * MSEC,
+};
+
+#define VALUES_SIZE 96
+
+/* A caller and what its session holds. */
+typedef struct client {
+	world_caller_t *caller;
+	char values[VALUES_SIZE]; /* acknowledged, "name value;" */
+	uint64_t tx;		  /* number of its open transaction; 0: none */
+	char written[40];	  /* last item and data written in the transaction, "" for none */
+} client_t;
+
+/* What the run of a statement must look like. */
+typedef struct expected_run {
+	char values[VALUES_SIZE];
+	uint64_t tx;
+	bool is_exec;
+} expected_run_t;
+
+typedef struct setup_play {
+	pool_world_t *world;
+	fake_member_t *member;
+	client_t two_values;
+	client_t one_value;
+	client_t no_values;
+	GHashTable *expected;  /* expected_run_t by the statement's id */
+	GHashTable *member_tx; /* number of a transaction at the member, by its number here */
+	uint64_t last_tx;
+	size_t checked;	     /* runs that have been checked */
+	unsigned last_datum; /* data of the last write; each one writes another */
+} setup_play_t;
+
+/* True if both hold the same entries "name value;", in any order. */
+static bool has_same_values(const char *a, const char *b)
+{
+	char **entries = g_strsplit(a, ";", -1);
+	bool same = strlen(a) == strlen(b);
+
+	for (char **entry = entries; *entry != NULL; entry++) {
+		char *with_end = g_strconcat(*entry, ";", NULL);
+
+		same = same && (**entry == '\0' || strstr(b, with_end) != NULL);
+		g_free(with_end);
+	}
+	g_strfreev(entries);
+	return same;
+}
+
+/* Each transaction of a caller is one at the member, and no other caller's. */
+static void check_tx(setup_play_t *play, const fake_run_t *run, uint64_t tx)
+{
+	gpointer number = GUINT_TO_POINTER(tx);
+	gpointer at_member;
+
+	if (tx == 0 && run->tx_number != 0)
+		g_error("%s %s: run in a transaction of the member", run->id, run->text);
+	if (tx != 0 && run->tx_number == 0)
+		g_error("%s %s: run outside its transaction", run->id, run->text);
+	if (tx == 0)
+		return;
+	at_member = g_hash_table_lookup(play->member_tx, number);
+	if (at_member == NULL)
+		g_hash_table_insert(play->member_tx, number, GUINT_TO_POINTER(run->tx_number));
+	else
+		g_assert_cmpuint(GPOINTER_TO_UINT(at_member), ==, run->tx_number);
+}
+
+static void check_runs(setup_play_t *play)
+{
+	const fake_db_t *db = play->world->db;
+
+	for (; play->checked < db->run_count; play->checked++) {
+		const fake_run_t *run = &db->runs[play->checked];
+		const expected_run_t *expected = g_hash_table_lookup(play->expected, run->id);
+
+		g_assert_nonnull(expected);
+		if (!has_same_values(run->values, expected->values))
+			g_error("%s %s: run with the values \"%s\" in place of \"%s\"", run->id,
+				run->text, run->values, expected->values);
+		if (expected->is_exec)
+			g_assert_cmpstr(run->shape, ==, "shape");
+		check_tx(play, run, expected->tx);
+	}
+}
+
+static void add_expected(setup_play_t *play, const client_t *client, const char *text)
+{
+	expected_run_t *expected = g_new0(expected_run_t, 1);
+
+	g_strlcpy(expected->values, client->values, sizeof(expected->values));
+	expected->tx = client->tx;
+	expected->is_exec = g_str_has_prefix(text, "EXEC");
+	g_hash_table_insert(play->expected, g_strdup(client->caller->id), expected);
+}
+
+/* The item and data that a successful statement has committed must be the member's last. */
+static void check_committed(const setup_play_t *play, const char *written)
+{
+	char item[20] = "";
+	char data[20] = "";
+
+	if (sscanf(written, "%19s %19s", item, data) == 2)
+		g_assert_cmpstr(fake_member_last_value(play->member, item), ==, data);
+}
+
+static void add_value(client_t *client, const char *value)
+{
+	g_strlcat(client->values, value, sizeof(client->values));
+	g_strlcat(client->values, ";", sizeof(client->values));
+}
+
+static void record_reply(setup_play_t *play, client_t *client, const char *text, const char *reply)
+{
+	bool done = g_str_has_prefix(reply, "DONE") || g_str_has_prefix(reply, "ROW");
+	const char *written = strstr(text, "item ");
+
+	if (done && g_str_has_prefix(text, "SET ") && strstr(client->values, text + 4) == NULL)
+		add_value(client, text + 4);
+	if (done && written != NULL && client->tx != 0)
+		g_strlcpy(client->written, written, sizeof(client->written));
+	else if (done && written != NULL)
+		check_committed(play, written);
+	if (done && strcmp(text, "COMMIT") == 0)
+		check_committed(play, client->written);
+	if (world_reply_has_state(client->caller, "READY I"))
+		client->tx = 0;
+	if (client->tx == 0)
+		client->written[0] = '\0';
+}
+
+/* A code that promises that nothing is kept must be true. */
+static void check_promise(const setup_play_t *play, const client_t *client, const char *text,
+			  const char *reply)
+{
+	static const char *const promises[] = {"ERR BUSY", "ERR ABORTED", "ERR LAGGING"};
+	const char *data = client->tx != 0 ? strchr(client->written, ' ') : strrchr(text, ' ');
+	const char *kept = fake_member_last_value(play->member, "item");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(promises); i++) {
+		if (g_str_has_prefix(reply, promises[i]) && data != NULL && kept != NULL)
+			g_assert_cmpstr(kept, !=, data + 1);
+	}
+}
+
+/*
+ * Sends the statement for the client and compares what follows with its session. A "?" at its end
+ * stands for data that nothing else writes. Returns false once the transaction has failed.
+ */
+static bool play_statement(setup_play_t *play, client_t *client, const char *format)
+{
+	char text[64];
+	const char *reply;
+	bool failed;
+
+	g_strlcpy(text, format, sizeof(text));
+	if (strchr(text, '?') != NULL)
+		g_snprintf(strchr(text, '?'), 16, "d%u", ++play->last_datum);
+	if (g_str_has_prefix(text, "BEGIN"))
+		client->tx = ++play->last_tx;
+	world_send(client->caller, text);
+	add_expected(play, client, text);
+	for (int i = 0; i < 2000 && client->caller->reply[0] == '\0'; i++)
+		world_run(play->world, MSEC);
+	reply = client->caller->reply;
+	g_assert_cmpstr(reply, !=, "");
+	check_promise(play, client, text, reply);
+	failed = client->tx != 0 && g_str_has_prefix(reply, "ERR");
+	record_reply(play, client, text, reply);
+	check_runs(play);
+	return !failed;
+}
+
+#define SCRIPT_MAX 6
+
+static void play_script(setup_play_t *play, client_t *client, const char *const *script)
+{
+	size_t i = 0;
+
+	while (i < SCRIPT_MAX && script[i] != NULL && play_statement(play, client, script[i]))
+		i++;
+	if (client->tx != 0)
+		play_statement(play, client, "ROLLBACK");
+}
+
+static void open_client(setup_play_t *play, client_t *client)
+{
+	client->caller = world_open_session(play->world, 0);
+	assert_has_prefix(world_send_and_wait(client->caller, "PREPARE p WRITE shape"), "DONE -");
+}
+
+static void set_value(client_t *client, const char *value)
+{
+	char text[40];
+
+	g_snprintf(text, sizeof(text), "SET %s", value);
+	assert_has_prefix(world_send_and_wait(client->caller, text), "DONE -");
+	add_value(client, value);
+}
+
+static void setup_play_init(setup_play_t *play)
+{
+	*play = (setup_play_t){.world = world_create(1, &one_connection)};
+	play->world->reads = READS_PRIMARY;
+	play->member = &play->world->db->members[0];
+	play->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	play->member_tx = g_hash_table_new(NULL, NULL);
+	world_wait_until_ready(play->world);
+	open_client(play, &play->two_values);
+	set_value(&play->two_values, "lang cy");
+	set_value(&play->two_values, "tz utc");
+	open_client(play, &play->one_value);
+	set_value(&play->one_value, "lang fr");
+	open_client(play, &play->no_values);
+}
+
+static void setup_play_destroy(setup_play_t *play)
+{
+	/* Longer than any connection waits for a reply. */
+	world_run(play->world, 4 * SEC);
+	g_assert_false(world_has_transaction(play->world));
+	world_destroy(play->world);
+	g_hash_table_destroy(play->expected);
+	g_hash_table_destroy(play->member_tx);
+}
+
+/* Statements before which a connection is set up in different ways. */
+static const char *const scripts[][SCRIPT_MAX] = {
+	{"READ item"},
+	{"WRITE item ?"},
+	{"EXEC p item ?"},
+	/* PREPARE is the only request ahead of the EXEC and is sent together with it. */
+	{"READ item", "EXEC p item ?"},
+	{"BEGIN READ", "READ item", "COMMIT"},
+	{"BEGIN", "WRITE item ?", "COMMIT"},
+	{"BEGIN", "EXEC p item ?", "COMMIT"},
+	{"BEGIN", "WRITE item ?", "EXEC p item ?", "COMMIT"},
+	{"BEGIN", "WRITE item ?", "SET more x", "WRITE item ?", "COMMIT"},
+	{"BEGIN", "WRITE item ?", "ROLLBACK"},
+};
+
+/* Requests that fail together. */
+static const char *const failing[][2] = {
+	{"RESET"},
+	{"SET"},
+	{"PREPARE"},
+	{"BEGIN"},
+	{"ROLLBACK"},
+	{"RESET", "BEGIN"},
+	{"SET", "BEGIN"},
+	{"PREPARE", "BEGIN"},
+	{"RESET", "PREPARE"},
+	{"SET", "ROLLBACK"},
+};
+
+/* How they fail: with a code, or their reply is lost or late. */
+static const fake_fault_t ways[] = {
+	{.code = "FAILED"},    {.code = "TIMEOUT"}, {.code = "BUSY"},	  {.code = "LAGGING"},
+	{.code = "MALFORMED"}, {.lost = true},	    {.delay = 20 * MSEC}, {.delay = 400 * MSEC},
+};
+
+static void set_faults(fake_member_t *member, const char *const *words, const fake_fault_t *way,
+		       unsigned count)
+{
+	memset(member->faults, 0, sizeof(member->faults));
+	for (size_t i = 0; i < 2 && words[i] != NULL; i++) {
+		member->faults[i] = *way;
+		member->faults[i].word = words[i];
+		member->faults[i].count = count;
+	}
+}
+
+/* One caller's set-up fails on the connection that before has left; then all callers use it. */
+static bool play_failing(setup_play_t *play, client_t *before, client_t *client,
+			 const char *const *script, const char *const *words,
+			 const fake_fault_t *way, unsigned count)
+{
+	static const char *const lone[SCRIPT_MAX] = {"WRITE item ?"};
+	static const char *const in_tx[SCRIPT_MAX] = {"BEGIN", "WRITE item ?", "COMMIT"};
+	bool met;
+
+	play_script(play, before, lone);
+	set_faults(play->member, words, way, count);
+	play_script(play, client, script);
+	/* A ROLLBACK is answered before it has reached the member. */
+	world_run(play->world, 10 * MSEC);
+	met = play->member->faults[0].count != count;
+	memset(play->member->faults, 0, sizeof(play->member->faults));
+	play_script(play, &play->no_values, lone);
+	play_script(play, before, lone);
+	play_script(play, &play->one_value, in_tx);
+	play_script(play, &play->two_values, lone);
+	return met;
+}
+
+/* Plays all scripts with these requests failing in this way; returns how many met a failure. */
+static size_t play_scripts(const char *const *words, const fake_fault_t *way)
+{
+	size_t met = 0;
+	setup_play_t play;
+
+	setup_play_init(&play);
+	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+		for (unsigned count = 1; count <= 3; count += 2) {
+			met += play_failing(&play, &play.two_values, &play.one_value, scripts[i],
+					    words, way, count);
+			met += play_failing(&play, &play.no_values, &play.two_values, scripts[i],
+					    words, way, count);
+		}
+	}
+	setup_play_destroy(&play);
+	return met;
+}
+
+/*
+ * Guards against a connection that goes on to serve callers with an open transaction, or with other
+ * values than theirs, after a member has failed a part of a set-up.
+ */
+static void test_failed_requests(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(failing); i++) {
+		for (size_t k = 0; k < G_N_ELEMENTS(ways); k++) {
+			size_t met = play_scripts(failing[i], &ways[k]);
+
+			g_test_message("%s %s, %s: met by %zu", failing[i][0],
+				       failing[i][1] != NULL ? failing[i][1] : "",
+				       ways[k].code != NULL ? ways[k].code
+				       : ways[k].lost	    ? "lost"
+							    : "late",
+				       met);
+			g_assert_cmpuint(met, !=, 0);
+		}
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/setup/outcome", test_outcome);
+	g_test_add_func("/setup/unexpected-state", test_unexpected_state);
+	g_test_add_func("/setup/failed-requests", test_failed_requests);
+	return g_test_run();
+}
