caller: an EXEC whose prepared name the member lacks is never the caller's mistake

Found by looking for the same cause on the related paths: a PREPARE that is the only request ahead of its EXEC is sent together with it, and its failure was not connected with what the EXEC was answered.

What callers saw in a transaction that had run a statement: MALFORMED, which says that their EXEC was wrong, when the PREPARE ahead of it had failed (the member's transaction has failed then and takes nothing but its end); NOSTMT, for a name whose PREPARE we had acknowledged (PINNED names that), when the member did not have it. Neither promises that nothing is kept. Outside a transaction, and for its first statement, the EXEC was tried again already.

Now such an EXEC gets ABORTED, which is true: the connection is released with a ROLLBACK. The failed PREPARE is in the log as `set-up failed`.

Tests: /setup/failed-requests now demands that no statement of its scripts is answered with MALFORMED or NOSTMT (before: "EXEC p item d163: answered "ERR MALFORMED core-0"", for PREPARE alone with FAILED, BUSY and MALFORMED), /setup/name-unknown-to-member (before: "expected "ERR ABORTED...", got "ERR NOSTMT core-0").

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -337,13 +337,23 @@
 		conn_release(conn);
 }
 
+/*
+ * True if the EXEC did not run since the member lacks its prepared statement, for which the caller
+ * is not to blame. Once the PREPARE ahead of it has failed a transaction, EXEC gets MALFORMED.
+ */
+static bool lacks_prepared(const conn_t *conn, const reply_t *reply)
+{
+	return reply->code == CODE_NO_STATEMENT ||
+	       (reply->code == CODE_MALFORMED && conn->setup.failed != 0);
+}
+
 static void on_error(caller_t *caller, conn_t *conn, const reply_t *reply)
 {
 	bool untouched = caller->tx == TX_NONE || (!caller->tx_has_run && !is_commit(caller));
 
-	if (reply->code == CODE_NO_STATEMENT)
-		conn->prepared_count = 0;
-	if (!code_means_not_run(reply->code) || !untouched) {
+	if (lacks_prepared(conn, reply)) {
+		conn_forget_prepared(conn);
+	} else if (!code_means_not_run(reply->code) || !untouched) {
 		answer_member_error(caller, conn, reply);
 		return;
 	}
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -264,14 +264,19 @@
 	conn->prepared[conn->prepared_count++] = talloc_strdup(conn->prepared, alias);
 }
 
-static void clear_session_state(conn_t *conn)
+void conn_forget_prepared(conn_t *conn)
 {
-	variables_clear(&conn->variables);
 	talloc_free(conn->prepared);
 	conn->prepared = NULL;
 	conn->prepared_count = 0;
 }
 
+static void clear_session_state(conn_t *conn)
+{
+	variables_clear(&conn->variables);
+	conn_forget_prepared(conn);
+}
+
 /* Requests that are sent to the member together. */
 typedef struct batch {
 	conn_t *conn;
@@ -477,8 +482,11 @@
 static void on_prepare_reply(conn_t *conn, const reply_t *reply)
 {
 	setup_on_reply(&conn->setup, reply);
-	if (!reply->ok)
-		conn->prepared_count = 0;
+	if (reply->ok)
+		return;
+	conn_forget_prepared(conn);
+	if (conn->caller != NULL)
+		log_setup_failure(conn, true);
 }
 
 static void record_position(conn_t *conn, const reply_t *reply, usec_t now)
--- a/pooler/conn.h
+++ b/pooler/conn.h
@@ -28,6 +28,9 @@
 /* Takes the connection from its caller, rolls back an open transaction and serves other callers. */
 void conn_release(conn_t *conn);
 
+/* Notes that the member may have none of the statements that were prepared on the connection. */
+void conn_forget_prepared(conn_t *conn);
+
 /* Rolls back the caller's idle transaction; the caller is informed at its next statement. */
 void conn_reclaim(conn_t *conn, const char *reason);
 
--- a/tests/test_setup.c
+++ b/tests/test_setup.c
@@ -217,6 +217,14 @@
 	}
 }
 
+/* Each statement is answered, and none is blamed for what the proxy has sent ahead of it. */
+static void check_reply(const client_t *client, const char *text, const char *reply)
+{
+	if (reply[0] == '\0' || g_str_has_prefix(reply, "ERR NOSTMT") ||
+	    g_str_has_prefix(reply, "ERR MALFORMED"))
+		g_error("%s %s: answered \"%s\"", client->caller->id, text, reply);
+}
+
 /*
  * Sends the statement for the client and compares what follows with its session. A "?" at its end
  * stands for data that nothing else writes. Returns false once the transaction has failed.
@@ -237,7 +245,7 @@
 	for (int i = 0; i < 2000 && client->caller->reply[0] == '\0'; i++)
 		world_run(play->world, MSEC);
 	reply = client->caller->reply;
-	g_assert_cmpstr(reply, !=, "");
+	check_reply(client, text, reply);
 	check_promise(play, client, text, reply);
 	failed = client->tx != 0 && g_str_has_prefix(reply, "ERR");
 	record_reply(play, client, text, reply);
@@ -407,11 +415,36 @@
 	}
 }
 
+/*
+ * Guards against NOSTMT for a name whose PREPARE was acknowledged: the member that runs the
+ * transaction does not have it.
+ */
+static void test_name_unknown_to_member(void)
+{
+	pool_world_t *world = world_create(1, &one_connection);
+	fake_member_t *member = &world->db->members[0];
+	world_caller_t *caller;
+
+	world->reads = READS_PRIMARY;
+	world_wait_until_ready(world);
+	caller = world_open_session(world, 0);
+	world_send_and_wait(caller, "PREPARE p WRITE shape");
+	assert_has_prefix(world_send_and_wait(caller, "BEGIN"), "DONE -");
+	assert_has_prefix(world_send_and_wait(caller, "WRITE item d1"), "DONE core-0");
+	member->faults[0] = (fake_fault_t){.word = "EXEC", .code = "NOSTMT", .count = 1};
+	assert_has_prefix(world_send_and_wait(caller, "EXEC p item d2"), "ERR ABORTED");
+	g_assert_true(world_reply_has_state(caller, "READY E"));
+	assert_has_prefix(world_send_and_wait(caller, "ROLLBACK"), "DONE -");
+	assert_has_prefix(world_send_and_wait(caller, "READ item"), "ROW none");
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/setup/outcome", test_outcome);
 	g_test_add_func("/setup/unexpected-state", test_unexpected_state);
 	g_test_add_func("/setup/failed-requests", test_failed_requests);
+	g_test_add_func("/setup/name-unknown-to-member", test_name_unknown_to_member);
 	return g_test_run();
 }
