conn: a success in a transaction that the caller has not begun is not passed on

What callers saw: where a connection was in an open transaction of somebody else, a lone write was answered with the member's DONE, and the ROLLBACK that followed took it back.

Now such a reply closes the connection, which rolls back whatever is open there. A read is tried again, a write gets INDOUBT; log line `transaction state of the member differs`.

Test: /setup/answered-in-transaction (before: "expected "ERR INDOUBT...", got "DONE core-0 READY T 1.2").

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -591,8 +591,12 @@
 		conn->member->lagged_at = now;
 	conn->in_tx = reply->tx != TX_NONE;
 	record_outcome(conn, reply);
-	if (conn->caller->tx == TX_NONE && reply->tx != TX_NONE)
+	/* Closing the connection rolls the transaction back, whoever has begun it. */
+	if (conn->caller->tx == TX_NONE && conn->in_tx) {
 		log_tx_mismatch(conn, reply);
+		conn_close(conn, "transaction state of the member differs");
+		return;
+	}
 	if (!retry_failed_read(conn, reply))
 		caller_on_reply(conn->caller, conn, reply);
 }
--- a/tests/test_setup.c
+++ b/tests/test_setup.c
@@ -439,6 +439,26 @@
 	world_destroy(world);
 }
 
+/* Guards against a success that is passed on for a write in a transaction of somebody else. */
+static void test_answered_in_transaction(void)
+{
+	pool_world_t *world = world_create(1, &one_connection);
+	fake_member_t *member = &world->db->members[0];
+	world_caller_t *caller;
+
+	world->reads = READS_PRIMARY;
+	world_wait_until_ready(world);
+	caller = world_open_session(world, 0);
+	assert_has_prefix(world_send_and_wait(caller, "WRITE item d1"), "DONE core-0");
+	member->faults[0] = (fake_fault_t){.word = "WRITE", .state = "T", .count = 1};
+	assert_has_prefix(world_send_and_wait(caller, "WRITE item d2"), "ERR INDOUBT");
+	/* A read is tried again on another connection. */
+	member->faults[0] = (fake_fault_t){.word = "READ", .state = "E", .count = 1};
+	assert_has_prefix(world_send_and_wait(caller, "READ item"), "ROW d2");
+	g_assert_true(world_reply_has_state(caller, "READY I"));
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -446,5 +466,6 @@
 	g_test_add_func("/setup/unexpected-state", test_unexpected_state);
 	g_test_add_func("/setup/failed-requests", test_failed_requests);
 	g_test_add_func("/setup/name-unknown-to-member", test_name_unknown_to_member);
+	g_test_add_func("/setup/answered-in-transaction", test_answered_in_transaction);
 	return g_test_run();
 }
