conn: a refused BEGIN has a log line of its own

`set-up failed` was written for it too. Replicas that lag refuse BEGIN often and rightly, and since a place in the code writes 20 lines a second at most, those could have hidden the lines about connections that are closed. Tests: test_setup.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -445,6 +445,16 @@
 		  LOG_STR("transaction", tx_state_name(setup->tx)), LOG_INT("kept", kept));
 }
 
+static void log_begin_refused(const conn_t *conn)
+{
+	const caller_t *caller = conn->caller;
+
+	LOG_EVENT(LOG_INFO, "transaction refused",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("member", conn->member->id), LOG_INT("connection", conn->number),
+		  LOG_STR("code", code_name(conn->setup.code)));
+}
+
 /* Hands the connection back, or closes it if its session at the member is not known. */
 static void on_setup_failed(conn_t *conn, setup_outcome_t outcome)
 {
@@ -453,13 +463,15 @@
 
 	if (code == CODE_BUSY)
 		record_failure(conn, STATEMENT_REFUSED);
-	log_setup_failure(conn, outcome == SETUP_BEGIN_REFUSED);
-	conn->caller = NULL;
-	caller->conn = NULL;
-	if (outcome == SETUP_BEGIN_REFUSED)
+	if (outcome == SETUP_BEGIN_REFUSED) {
+		log_begin_refused(conn);
 		conn_release(conn);
-	else
+	} else {
+		log_setup_failure(conn, false);
+		conn->caller = NULL;
+		caller->conn = NULL;
 		conn_close(conn, "set-up failed");
+	}
 	caller_on_setup_refused(caller, code);
 }
 
--- a/pooler/setup.c
+++ b/pooler/setup.c
@@ -68,8 +68,7 @@
 		return SETUP_UNCERTAIN;
 	if (setup->failed == 0)
 		return SETUP_COMPLETE;
-	/* A refused BEGIN changes nothing. Of any other request it is not known what it has
-	 * changed. */
+	/* A refused BEGIN changes nothing; what another failed request has changed is not known. */
 	return setup->failed == 1 && is_begin(setup->first_failed) ? SETUP_BEGIN_REFUSED
 								   : SETUP_UNCERTAIN;
 }
