--- a/tests/play.h
+++ b/tests/play.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "pool_world.h"
+#include "session_check.h"
 
 #define MSEC USEC_PER_MSEC
 #define SEC  USEC_PER_SEC
@@ -49,6 +50,10 @@
 	usec_t began;
 	ssize_t write;	/* index of its write, -1: none */
 	usec_t read_at; /* when the proxy reads the unread request; 0: there is none */
+	/* Only in plays with failing requests. */
+	char values[SESSION_VALUES_MAX]; /* of its session */
+	char shape[16];			 /* of its prepared statement, "": none */
+	uint64_t tx;			 /* number of its transaction; 0: none */
 } client_t;
 
 typedef struct play {
@@ -57,7 +62,10 @@
 	GRand *store_rand; /* for backups and restores of the store; NULL: there are none */
 	usec_t next_backup;
 	usec_t next_restore;
-	usec_t restore_at; /* end of the restore in progress; 0: there is none */
+	usec_t restore_at;   /* end of the restore in progress; 0: there is none */
+	GRand *request_rand; /* for failing requests, values and names of sessions; NULL: there are
+				none */
+	session_check_t check; /* only used with request_rand */
 	client_t clients[CALLERS];
 	write_record_t *writes;
 	size_t write_count;
@@ -99,6 +107,9 @@
 /* Checks that the answer to a read shows all commits that its route promises to show. */
 void play_check_read(play_t *play, const client_t *client, const char *reply);
 
+/* Checks that members ran the statements in the sessions of their callers. */
+void play_check_sessions(play_t *play);
+
 /* Checks all writes after the end of the play. */
 void play_check_end(play_t *play);
 
@@ -115,6 +126,9 @@
 /* Begins a fault at random times. */
 void play_maybe_fault(play_t *play);
 
+/* Lets members fail requests of each kind at random; end: ends that. */
+void play_step_requests(play_t *play, bool end);
+
 /* Ends the faults that are over, or all of them. */
 void play_end_faults(play_t *play, bool all);
 
--- a/tests/play_callers.c
+++ b/tests/play_callers.c
@@ -6,6 +6,16 @@
 
 #define ITEMS 6
 
+static void send_statement(play_t *play, client_t *client, const char *text)
+{
+	if (g_str_has_prefix(text, "BEGIN"))
+		client->tx = session_check_begin_tx(&play->check);
+	world_send(client->caller, text);
+	if (play->request_rand != NULL)
+		session_check_add(&play->check, client->caller->id, client->values, client->tx,
+				  g_str_has_prefix(text, "EXEC") ? client->shape : "");
+}
+
 static void add_write(play_t *play, client_t *client)
 {
 	write_record_t *write = &play->writes[play->write_count];
@@ -22,19 +32,19 @@
 	char text[64];
 
 	add_write(play, client);
-	snprintf(text, sizeof(text), "WRITE i%d %s", client->item,
-		 play->writes[client->write].data);
-	world_send(client->caller, text);
+	snprintf(text, sizeof(text), "%s i%d %s", client->shape[0] != '\0' ? "EXEC w" : "WRITE",
+		 client->item, play->writes[client->write].data);
+	send_statement(play, client, text);
 	snprintf(play->writes[client->write].id, 40, "%s", client->caller->id);
 }
 
-static void send_read(client_t *client)
+static void send_read(play_t *play, client_t *client)
 {
 	char text[32];
 
 	client->is_read = true;
 	snprintf(text, sizeof(text), "READ i%d", client->item);
-	world_send(client->caller, text);
+	send_statement(play, client, text);
 }
 
 static void begin_operation(play_t *play, client_t *client)
@@ -44,15 +54,16 @@
 	client->write = -1;
 	client->is_read = false;
 	client->step = 0;
+	client->tx = 0;
 	client->replies = client->caller->reply_count;
 	client->waiting = true;
 	if (play_chance(play, 4)) {
 		client->step = 1;
-		world_send(client->caller, "BEGIN");
+		send_statement(play, client, "BEGIN");
 	} else if (play_chance(play, 3)) {
 		send_write(play, client);
 	} else {
-		send_read(client);
+		send_read(play, client);
 	}
 }
 
@@ -98,7 +109,7 @@
 			end_operation(play, client);
 		} else {
 			client->step = 4;
-			world_send(client->caller, "ROLLBACK");
+			send_statement(play, client, "ROLLBACK");
 		}
 		return;
 	}
@@ -107,7 +118,7 @@
 		send_write(play, client);
 		break;
 	case 2:
-		world_send(client->caller, "COMMIT");
+		send_statement(play, client, "COMMIT");
 		break;
 	case 3:
 		set_outcome(play, client, reply, true);
@@ -167,6 +178,30 @@
 	client->caller = NULL;
 }
 
+/* Sets up to two values, and prepares a statement in two of three sessions. */
+static void set_up_session(play_t *play, client_t *client)
+{
+	static const char *const names[] = {"lang", "tz"};
+	int shape = g_rand_int_range(play->request_rand, 0, 3);
+
+	client->values[0] = '\0';
+	client->shape[0] = '\0';
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		char text[32];
+
+		if (g_rand_int_range(play->request_rand, 0, 2) == 0)
+			continue;
+		snprintf(text, sizeof(text), "SET %s x%d", names[i],
+			 g_rand_int_range(play->request_rand, 0, 2));
+		world_send(client->caller, text);
+		session_values_set(client->values, text + strlen("SET "));
+	}
+	if (shape == 0)
+		return;
+	world_send(client->caller, shape == 1 ? "PREPARE w WRITE q1" : "PREPARE w WRITE q2");
+	snprintf(client->shape, sizeof(client->shape), "q%d", shape);
+}
+
 static void open_session(play_t *play, client_t *client)
 {
 	pool_world_t *world = play->world;
@@ -178,6 +213,8 @@
 						     play_databases[client->route], client->key);
 	if (client->caller->caller == NULL)
 		client->caller = NULL;
+	else if (play->request_rand != NULL)
+		set_up_session(play, client);
 }
 
 /* At random, lets the client's next request lie unread, as if the proxy's event loop were late. */
--- a/tests/play_check.c
+++ b/tests/play_check.c
@@ -96,6 +96,16 @@
 	}
 }
 
+void play_check_sessions(play_t *play)
+{
+	const char *problem = NULL;
+
+	if (play->request_rand != NULL)
+		problem = session_check_runs(&play->check);
+	if (problem != NULL)
+		play_fail(play, "run in another session", problem);
+}
+
 void play_check_end(play_t *play)
 {
 	fake_member_t *leader = fake_db_primary(play->world->db);
--- a/tests/play_faults.c
+++ b/tests/play_faults.c
@@ -6,6 +6,8 @@
 
 /* Average time between two faults, in ms. */
 #define FAULT_EVERY 600
+/* Average time until some more requests of a member fail, in ms. */
+#define FAILING_EVERY 100
 
 static void fault_member(play_t *play)
 {
@@ -104,6 +106,32 @@
 	}
 }
 
+/* The requests that fail, and how. */
+static const char *const failing_words[] = {"RESET", "SET",   "PREPARE", "BEGIN", "ROLLBACK",
+					    "READ",  "WRITE", "EXEC",	 "COMMIT"};
+static const fake_fault_t failing_ways[] = {
+	{.code = "FAILED"}, {.code = "TIMEOUT"},  {.code = "BUSY"},
+	{.lost = true},	    {.delay = 20 * MSEC}, {.delay = 400 * MSEC},
+};
+
+void play_step_requests(play_t *play, bool end)
+{
+	GRand *rand = play->request_rand;
+	fake_member_t *members = play->world->db->members;
+	fake_fault_t *fault;
+
+	for (size_t i = 0; end && i < FAKE_MEMBERS_MAX; i++)
+		memset(members[i].faults, 0, sizeof(members[i].faults));
+	if (end || rand == NULL ||
+	    g_rand_int_range(rand, 0, (gint32)(FAILING_EVERY * MSEC / STEP)) != 0)
+		return;
+	fault = &members[g_rand_int_range(rand, 0, 3)]
+			 .faults[g_rand_int_range(rand, 0, FAKE_FAULTS_MAX)];
+	*fault = failing_ways[g_rand_int_range(rand, 0, G_N_ELEMENTS(failing_ways))];
+	fault->word = failing_words[g_rand_int_range(rand, 0, G_N_ELEMENTS(failing_words))];
+	fault->count = (unsigned)g_rand_int_range(rand, 1, 9);
+}
+
 static usec_t store_time(play_t *play, usec_t min, usec_t max)
 {
 	return play_now(play) +
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -6,7 +6,9 @@
  *   promises that it had no effect;
  * - no write is acknowledged that the primary lacks at that moment;
  * - no read misses a commit that its route promises to show;
- * - no member runs a statement for another customer than the owner of the key.
+ * - no member runs a statement for another customer than the owner of the key, and, in plays with
+ *   failing requests, with other session values, in another transaction, or of another shape than
+ *   its caller's.
  *
  * FAULT_SEEDS=N plays N seeds from FAULT_FIRST (default 1), FAULT_SEED=S plays only S.
  */
@@ -25,7 +27,10 @@
 /* Seeds from this one on play a store that is restored from a backup some seconds old. */
 #define RESTORED_FIRST 2000000
 #define RESTORED_SEEDS 10
-#define PLAY_TIME      (20 * SEC)
+/* Seeds from this one on play members that fail requests of each kind. */
+#define FAILING_FIRST 3000000
+#define FAILING_SEEDS 20
+#define PLAY_TIME     (20 * SEC)
 
 /* So few connections that one proxy is the home of all others; used by every fifth seed. */
 static const fake_db_config_t few_connections = {
@@ -81,7 +86,10 @@
 	play->seed = seed;
 	play->nodes = seed >= LARGE_FIRST && seed < RESTORED_FIRST ? LARGE_NODES : NODES;
 	play->rand = g_rand_new_with_seed(seed);
-	play->store_rand = seed >= RESTORED_FIRST ? g_rand_new_with_seed(~seed) : NULL;
+	if (seed >= FAILING_FIRST)
+		play->request_rand = g_rand_new_with_seed(~seed);
+	else if (seed >= RESTORED_FIRST)
+		play->store_rand = g_rand_new_with_seed(~seed);
 	play->world = world_create_with_customers(play->nodes, config_of(seed), customers,
 						  G_N_ELEMENTS(customers));
 	play->writes = g_new0(write_record_t, WRITES_MAX);
@@ -91,14 +99,18 @@
 			 customers[i / 3 % G_N_ELEMENTS(customers)].name);
 	}
 	world_wait_until_ready(play->world);
+	session_check_init(&play->check, play->world->db);
 	end = play_now(play) + PLAY_TIME;
 	while (play_now(play) < end) {
 		for (size_t i = 0; i < CALLERS; i++)
 			play_step_client(play, &play->clients[i]);
 		play_maybe_fault(play);
 		play_step_store(play, true);
+		play_step_requests(play, false);
 		world_run(play->world, STEP);
+		play_check_sessions(play);
 	}
+	play_step_requests(play, true);
 	/* A shutdown takes at most its grace time. */
 	while (is_any_shutting_down(play)) {
 		for (size_t i = 0; i < CALLERS; i++)
@@ -116,6 +128,7 @@
 	world_run(play->world, 16 * SEC);
 	for (size_t i = 0; i < CALLERS; i++)
 		play_step_client(play, &play->clients[i]);
+	play_check_sessions(play);
 	play_check_end(play);
 	world_check_customers(play->world);
 	if (world_count_permitted(play->world, fake_db_primary(play->world->db)->id) != play->nodes)
@@ -128,8 +141,9 @@
 		       play->write_count, play->world->promote_count);
 	world_destroy(play->world);
 	g_rand_free(play->rand);
-	if (play->store_rand != NULL)
-		g_rand_free(play->store_rand);
+	session_check_destroy(&play->check);
+	g_clear_pointer(&play->store_rand, g_rand_free);
+	g_clear_pointer(&play->request_rand, g_rand_free);
 	g_free(play->writes);
 	g_free(play);
 }
@@ -187,6 +201,15 @@
 		run_seed(seed);
 }
 
+/* The same faults with members that fail a part of what they are asked, and are slow to answer. */
+static void test_failing_seeds(void)
+{
+	uint32_t count = env_number("FAULT_FAILING_SEEDS", FAILING_SEEDS);
+
+	for (uint32_t seed = FAILING_FIRST; seed < FAILING_FIRST + count; seed++)
+		run_seed(seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -196,5 +219,7 @@
 		g_test_add_func("/faults/large-seeds", test_large_seeds);
 	if (env_number("FAULT_SEED", 0) == 0)
 		g_test_add_func("/faults/restored-seeds", test_restored_seeds);
+	if (env_number("FAULT_SEED", 0) == 0)
+		g_test_add_func("/faults/failing-seeds", test_failing_seeds);
 	return g_test_run();
 }
--- a/tests/test_setup.c
+++ b/tests/test_setup.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "pool_check.h"
+#include "session_check.h"
 #include "setup.h"
 
 /* --- replies --- */
@@ -75,99 +76,24 @@
 	.connect_time = 12 * MSEC,
 };
 
-#define VALUES_SIZE 96
-
 /* A caller and what its session holds. */
 typedef struct client {
 	world_caller_t *caller;
-	char values[VALUES_SIZE]; /* acknowledged, "name value;" */
-	uint64_t tx;		  /* number of its open transaction; 0: none */
-	char written[40];	  /* last item and data written in the transaction, "" for none */
+	char values[SESSION_VALUES_MAX]; /* acknowledged, "name value;" */
+	uint64_t tx;			 /* number of its open transaction; 0: none */
+	char written[40]; /* last item and data written in the transaction, "" for none */
 } client_t;
 
-/* What the run of a statement must look like. */
-typedef struct expected_run {
-	char values[VALUES_SIZE];
-	uint64_t tx;
-	bool is_exec;
-} expected_run_t;
-
 typedef struct setup_play {
 	pool_world_t *world;
 	fake_member_t *member;
 	client_t two_values;
 	client_t one_value;
 	client_t no_values;
-	GHashTable *expected;  /* expected_run_t by the statement's id */
-	GHashTable *member_tx; /* number of a transaction at the member, by its number here */
-	uint64_t last_tx;
-	size_t checked;	     /* runs that have been checked */
+	session_check_t check;
 	unsigned last_datum; /* data of the last write; each one writes another */
 } setup_play_t;
 
-/* True if both hold the same entries "name value;", in any order. */
-static bool has_same_values(const char *a, const char *b)
-{
-	char **entries = g_strsplit(a, ";", -1);
-	bool same = strlen(a) == strlen(b);
-
-	for (char **entry = entries; *entry != NULL; entry++) {
-		char *with_end = g_strconcat(*entry, ";", NULL);
-
-		same = same && (**entry == '\0' || strstr(b, with_end) != NULL);
-		g_free(with_end);
-	}
-	g_strfreev(entries);
-	return same;
-}
-
-/* Each transaction of a caller is one at the member, and no other caller's. */
-static void check_tx(setup_play_t *play, const fake_run_t *run, uint64_t tx)
-{
-	gpointer number = GUINT_TO_POINTER(tx);
-	gpointer at_member;
-
-	if (tx == 0 && run->tx_number != 0)
-		g_error("%s %s: run in a transaction of the member", run->id, run->text);
-	if (tx != 0 && run->tx_number == 0)
-		g_error("%s %s: run outside its transaction", run->id, run->text);
-	if (tx == 0)
-		return;
-	at_member = g_hash_table_lookup(play->member_tx, number);
-	if (at_member == NULL)
-		g_hash_table_insert(play->member_tx, number, GUINT_TO_POINTER(run->tx_number));
-	else
-		g_assert_cmpuint(GPOINTER_TO_UINT(at_member), ==, run->tx_number);
-}
-
-static void check_runs(setup_play_t *play)
-{
-	const fake_db_t *db = play->world->db;
-
-	for (; play->checked < db->run_count; play->checked++) {
-		const fake_run_t *run = &db->runs[play->checked];
-		const expected_run_t *expected = g_hash_table_lookup(play->expected, run->id);
-
-		g_assert_nonnull(expected);
-		if (!has_same_values(run->values, expected->values))
-			g_error("%s %s: run with the values \"%s\" in place of \"%s\"", run->id,
-				run->text, run->values, expected->values);
-		if (expected->is_exec)
-			g_assert_cmpstr(run->shape, ==, "shape");
-		check_tx(play, run, expected->tx);
-	}
-}
-
-static void add_expected(setup_play_t *play, const client_t *client, const char *text)
-{
-	expected_run_t *expected = g_new0(expected_run_t, 1);
-
-	g_strlcpy(expected->values, client->values, sizeof(expected->values));
-	expected->tx = client->tx;
-	expected->is_exec = g_str_has_prefix(text, "EXEC");
-	g_hash_table_insert(play->expected, g_strdup(client->caller->id), expected);
-}
-
 /* The item and data that a successful statement has committed must be the member's last. */
 static void check_committed(const setup_play_t *play, const char *written)
 {
@@ -178,19 +104,13 @@
 		g_assert_cmpstr(fake_member_last_value(play->member, item), ==, data);
 }
 
-static void add_value(client_t *client, const char *value)
-{
-	g_strlcat(client->values, value, sizeof(client->values));
-	g_strlcat(client->values, ";", sizeof(client->values));
-}
-
 static void record_reply(setup_play_t *play, client_t *client, const char *text, const char *reply)
 {
 	bool done = g_str_has_prefix(reply, "DONE") || g_str_has_prefix(reply, "ROW");
 	const char *written = strstr(text, "item ");
 
-	if (done && g_str_has_prefix(text, "SET ") && strstr(client->values, text + 4) == NULL)
-		add_value(client, text + 4);
+	if (done && g_str_has_prefix(text, "SET "))
+		session_values_set(client->values, text + strlen("SET "));
 	if (done && written != NULL && client->tx != 0)
 		g_strlcpy(client->written, written, sizeof(client->written));
 	else if (done && written != NULL)
@@ -232,6 +152,7 @@
 static bool play_statement(setup_play_t *play, client_t *client, const char *format)
 {
 	char text[64];
+	const char *problem;
 	const char *reply;
 	bool failed;
 
@@ -239,9 +160,10 @@
 	if (strchr(text, '?') != NULL)
 		g_snprintf(strchr(text, '?'), 16, "d%u", ++play->last_datum);
 	if (g_str_has_prefix(text, "BEGIN"))
-		client->tx = ++play->last_tx;
+		client->tx = session_check_begin_tx(&play->check);
 	world_send(client->caller, text);
-	add_expected(play, client, text);
+	session_check_add(&play->check, client->caller->id, client->values, client->tx,
+			  g_str_has_prefix(text, "EXEC") ? "shape" : "");
 	for (int i = 0; i < 2000 && client->caller->reply[0] == '\0'; i++)
 		world_run(play->world, MSEC);
 	reply = client->caller->reply;
@@ -249,7 +171,9 @@
 	check_promise(play, client, text, reply);
 	failed = client->tx != 0 && g_str_has_prefix(reply, "ERR");
 	record_reply(play, client, text, reply);
-	check_runs(play);
+	problem = session_check_runs(&play->check);
+	if (problem != NULL)
+		g_error("%s", problem);
 	return !failed;
 }
 
@@ -277,7 +201,7 @@
 
 	g_snprintf(text, sizeof(text), "SET %s", value);
 	assert_has_prefix(world_send_and_wait(client->caller, text), "DONE -");
-	add_value(client, value);
+	session_values_set(client->values, value);
 }
 
 static void setup_play_init(setup_play_t *play)
@@ -285,8 +209,7 @@
 	*play = (setup_play_t){.world = world_create(1, &one_connection)};
 	play->world->reads = READS_PRIMARY;
 	play->member = &play->world->db->members[0];
-	play->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	play->member_tx = g_hash_table_new(NULL, NULL);
+	session_check_init(&play->check, play->world->db);
 	world_wait_until_ready(play->world);
 	open_client(play, &play->two_values);
 	set_value(&play->two_values, "lang cy");
@@ -302,8 +225,7 @@
 	world_run(play->world, 4 * SEC);
 	g_assert_false(world_has_transaction(play->world));
 	world_destroy(play->world);
-	g_hash_table_destroy(play->expected);
-	g_hash_table_destroy(play->member_tx);
+	session_check_destroy(&play->check);
 }
 
 /* Statements before which a connection is set up in different ways. */
