member: an entry that is ignored is logged, and entries with their revision

Supposed: the entry never came, it came and was not acted on, or it was acted on and statements were sent all the same.

Now `member listed` has the start time and the revision in the store, and an entry that is ignored has a line.

--- a/pooler/member.c
+++ b/pooler/member.c
@@ -100,8 +100,12 @@
 {
 	bool restarted = started_at > member->started_at && member->started_at != 0;
 
-	if (started_at < member->started_at)
+	if (started_at < member->started_at) {
+		LOG_EVENT(LOG_WARN, "entry of an earlier process of a member ignored",
+			  LOG_STR("service", member->service->name), LOG_STR("member", member->id),
+			  LOG_INT("born", started_at), LOG_INT("known_born", member->started_at));
 		return false;
+	}
 	member->started_at = started_at;
 	if (restarted)
 		reset_after_restart(member);
@@ -120,7 +124,8 @@
 	    member->claims_primary != entry->primary)
 		LOG_EVENT(LOG_INFO, "member listed", LOG_STR("service", member->service->name),
 			  LOG_STR("member", member->id), LOG_INT("leaving", entry->leaving),
-			  LOG_INT("primary", entry->primary));
+			  LOG_INT("primary", entry->primary), LOG_INT("born", entry->started),
+			  LOG_INT("revision", entry->revision));
 	/* The leader checks an active service at its next tick. */
 	if (member->slots != 0 &&
 	    (member->leaving != entry->leaving || member->claims_primary != entry->primary))
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -47,8 +47,9 @@
 	const char *zone;
 	int64_t slots;
 	bool leaving;
-	bool primary;	 /* the member reports that it is the primary */
-	int64_t started; /* start of its process in ms since 1970; 0: unknown */
+	bool primary;	  /* the member reports that it is the primary */
+	int64_t started;  /* start of its process in ms since 1970; 0: unknown */
+	int64_t revision; /* of the entry in the store */
 } member_entry_t;
 
 pooler_t *pooler_create(void *parent, const pooler_config_t *config, env_t *env,
