member: entries are ordered by their revision, not by the start time in them

Cause: an entry with a lower start time was taken for a late one of an earlier process and ignored, and so were all after it, for the life of the proxy.

Now the store's revision orders entries (the follower of the store does so already, for watches, full reads and what peers send; the member refuses an older one itself). A start time that differs, in either direction, tells that another process runs under the id: connections and log positions are void. An entry without a start time tells nothing.

Tests: /member/starts-again-earlier, which fails before ("'member->leaving' should be TRUE"). The last lines of /member/starts-again are gone: they demanded that an entry with a lower start time be ignored, which is the fault. What they were for, a late entry of the process before, is in the new test, by its lower revision and with a higher start time.

--- a/pooler/member.c
+++ b/pooler/member.c
@@ -95,27 +95,39 @@
 		freshness_reset(member->service->freshness);
 }
 
-/* False if the entry is from an earlier process of the member. */
-static bool update_start_time(member_t *member, int64_t started_at)
+/*
+ * Notes from which process of the member the entry is. The start time only tells two processes
+ * apart: the clock of the member's VM may have stepped back between their starts.
+ */
+static void note_process(member_t *member, int64_t started_at)
 {
-	bool restarted = started_at > member->started_at && member->started_at != 0;
+	bool restarted = started_at != member->started_at && member->started_at != 0;
 
-	if (started_at < member->started_at) {
-		LOG_EVENT(LOG_WARN, "entry of an earlier process of a member ignored",
-			  LOG_STR("service", member->service->name), LOG_STR("member", member->id),
-			  LOG_INT("born", started_at), LOG_INT("known_born", member->started_at));
-		return false;
-	}
+	if (started_at == 0)
+		return;
 	member->started_at = started_at;
 	if (restarted)
 		reset_after_restart(member);
+}
+
+/* Entries are ordered by their revision in the store. */
+static bool is_older(const member_t *member, const member_entry_t *entry)
+{
+	if (entry->revision >= member->revision)
+		return false;
+	LOG_EVENT(LOG_WARN, "older entry of a member ignored",
+		  LOG_STR("service", member->service->name), LOG_STR("member", member->id),
+		  LOG_INT("revision", entry->revision), LOG_INT("known_revision", member->revision),
+		  LOG_INT("born", entry->started), LOG_INT("known_born", member->started_at));
 	return true;
 }
 
 void member_update(member_t *member, const member_entry_t *entry)
 {
-	if (!update_start_time(member, entry->started))
+	if (is_older(member, entry))
 		return;
+	member->revision = entry->revision;
+	note_process(member, entry->started);
 	if (strcmp(member->address, entry->address) != 0) {
 		talloc_free(member->address);
 		member->address = talloc_strdup(member, entry->address);
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -94,6 +94,7 @@
 	bool unlisted;	      /* the platform's list no longer has the member */
 	usec_t unlisted_since;
 	int64_t started_at; /* start time of its process from the member's entry; 0: unknown */
+	int64_t revision;   /* of the member's entry in the store */
 	bool claims_primary;
 	usec_t claim_changed_at; /* when the member's entry last changed claims_primary */
 	list_t conns;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -420,11 +420,64 @@
 	pooler_on_member(pooler, &entry);
 	g_assert_cmpuint(member->conn_count, ==, 0);
 	g_assert_cmpuint(member->applied.lsn, ==, 0);
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 b"), "DONE core-0");
+	world_destroy(world);
+}
+
+/*
+ * Guards against a member that is draining and still gets statements: the clock of its VM has
+ * stepped back before its last start, so that its start time is lower than the one before.
+ */
+static void test_member_restarts_with_earlier_time(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *caller;
+	pooler_t *pooler;
+	member_t *member;
+	member_entry_t entry;
+
+	world_wait_until_ready(world);
+	pooler = world->nodes[0].pooler;
+	caller = world_open_session(world, 0);
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 a"), "DONE core-0");
+	world->directory_is_frozen = true;
+	member = member_find(pooler, "core-0");
+	entry = (member_entry_t){
+		.id = "core-0",
+		.service = WORLD_SERVICE,
+		.address = member->address,
+		.zone = member->zone,
+		.slots = member->slots,
+		.primary = true,
+		.started = 2000,
+		.revision = 10,
+	};
+	pooler_on_member(pooler, &entry);
+	g_assert_cmpuint(member->conn_count, !=, 0);
 	entry.started = 1500;
+	entry.revision = 11;
 	entry.leaving = true;
 	pooler_on_member(pooler, &entry);
+	g_assert_true(member->leaving);
+	/* Another process runs under the id now. */
+	g_assert_cmpuint(member->conn_count, ==, 0);
+	g_assert_cmpuint(member->applied.lsn, ==, 0);
+	/* A late entry of the process before says nothing, whatever its start time. */
+	entry.started = 2000;
+	entry.revision = 10;
+	entry.leaving = false;
+	pooler_on_member(pooler, &entry);
+	g_assert_true(member->leaving);
+	/* An entry without a start time is no sign of another process. */
+	entry.started = 0;
+	entry.revision = 12;
+	pooler_on_member(pooler, &entry);
 	g_assert_false(member->leaving);
 	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 b"), "DONE core-0");
+	entry.started = 1500;
+	entry.revision = 13;
+	pooler_on_member(pooler, &entry);
+	g_assert_cmpuint(member->conn_count, !=, 0);
 	world_destroy(world);
 }
 
@@ -449,5 +502,6 @@
 	g_test_add_func("/outcome/lost-read", test_lost_answer_of_a_read);
 	g_test_add_func("/outcome/crash-in-transaction", test_primary_crashes_in_transaction);
 	g_test_add_func("/member/starts-again", test_member_restarts);
+	g_test_add_func("/member/starts-again-earlier", test_member_restarts_with_earlier_time);
 	return g_test_run();
 }
