--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -385,41 +385,53 @@
 	world_destroy(world);
 }
 
-/*
- * A member restarts under the same id. Its connections, prepared names and log positions belong to
- * the earlier process; if they were kept, statements would fail or return old rows. A late
- * directory entry of the earlier process must be ignored.
- */
-static void test_member_restarts(void)
+/* Has the proxy use the primary, whose entries the test passes to the proxy from now on. */
+static member_t *use_listed_primary(pool_world_t *world, world_caller_t **caller)
 {
-	pool_world_t *world = world_create(1, NULL);
-	world_caller_t *caller;
-	pooler_t *pooler;
-	member_t *member;
-	member_entry_t entry;
-
 	world_wait_until_ready(world);
-	pooler = world->nodes[0].pooler;
-	caller = world_open_session(world, 0);
-	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 a"), "DONE core-0");
+	*caller = world_open_session(world, 0);
+	assert_has_prefix(world_send_and_wait(*caller, "WRITE job-1 a"), "DONE core-0");
 	world->directory_is_frozen = true;
-	member = member_find(pooler, "core-0");
-	entry = (member_entry_t){
+	return member_find(world->nodes[0].pooler, "core-0");
+}
+
+/* Passes the proxy an entry of the primary. */
+static void list_primary(member_t *member, int64_t started, int64_t revision, bool leaving)
+{
+	member_entry_t entry = {
 		.id = "core-0",
 		.service = WORLD_SERVICE,
 		.address = member->address,
 		.zone = member->zone,
 		.slots = member->slots,
 		.primary = true,
-		.started = 1000,
+		.started = started,
+		.revision = revision,
+		.leaving = leaving,
 	};
-	pooler_on_member(pooler, &entry);
+
+	pooler_on_member(member->pooler, &entry);
+}
+
+/*
+ * A member restarts under the same id. Its connections, prepared names and log positions belong to
+ * the earlier process; if they were kept, statements would fail or return old rows.
+ */
+static void test_member_restarts(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *caller;
+	member_t *member = use_listed_primary(world, &caller);
+
+	list_primary(member, 1000, 1, false);
 	g_assert_cmpuint(member->conn_count, !=, 0);
 	g_assert_cmpuint(member->applied.lsn, !=, 0);
-	entry.started = 2000;
-	pooler_on_member(pooler, &entry);
+	list_primary(member, 2000, 2, false);
 	g_assert_cmpuint(member->conn_count, ==, 0);
 	g_assert_cmpuint(member->applied.lsn, ==, 0);
+	/* A late entry of the earlier process must be ignored. */
+	list_primary(member, 1000, 1, true);
+	g_assert_false(member->leaving);
 	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 b"), "DONE core-0");
 	world_destroy(world);
 }
@@ -432,51 +444,23 @@
 {
 	pool_world_t *world = world_create(1, NULL);
 	world_caller_t *caller;
-	pooler_t *pooler;
-	member_t *member;
-	member_entry_t entry;
+	member_t *member = use_listed_primary(world, &caller);
 
-	world_wait_until_ready(world);
-	pooler = world->nodes[0].pooler;
-	caller = world_open_session(world, 0);
-	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 a"), "DONE core-0");
-	world->directory_is_frozen = true;
-	member = member_find(pooler, "core-0");
-	entry = (member_entry_t){
-		.id = "core-0",
-		.service = WORLD_SERVICE,
-		.address = member->address,
-		.zone = member->zone,
-		.slots = member->slots,
-		.primary = true,
-		.started = 2000,
-		.revision = 10,
-	};
-	pooler_on_member(pooler, &entry);
+	list_primary(member, 2000, 10, false);
 	g_assert_cmpuint(member->conn_count, !=, 0);
-	entry.started = 1500;
-	entry.revision = 11;
-	entry.leaving = true;
-	pooler_on_member(pooler, &entry);
+	list_primary(member, 1500, 11, true);
 	g_assert_true(member->leaving);
 	/* Another process runs under the id now. */
 	g_assert_cmpuint(member->conn_count, ==, 0);
 	g_assert_cmpuint(member->applied.lsn, ==, 0);
 	/* A late entry of the process before says nothing, whatever its start time. */
-	entry.started = 2000;
-	entry.revision = 10;
-	entry.leaving = false;
-	pooler_on_member(pooler, &entry);
+	list_primary(member, 2000, 10, false);
 	g_assert_true(member->leaving);
 	/* An entry without a start time is no sign of another process. */
-	entry.started = 0;
-	entry.revision = 12;
-	pooler_on_member(pooler, &entry);
+	list_primary(member, 0, 12, false);
 	g_assert_false(member->leaving);
 	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 b"), "DONE core-0");
-	entry.started = 1500;
-	entry.revision = 13;
-	pooler_on_member(pooler, &entry);
+	list_primary(member, 1500, 13, false);
 	g_assert_cmpuint(member->conn_count, !=, 0);
 	world_destroy(world);
 }
