--- a/review/stage.c
+++ b/review/stage.c
@@ -459,25 +459,6 @@
 	}
 }
 
-/* Memory of the process in kB, as the system counts it; 0: it has ended. */
-int64_t proxy_memory_kb(const proxy_t *proxy)
-{
-	char path[64];
-	char line[256];
-	long long kb = 0;
-	FILE *file;
-
-	snprintf(path, sizeof(path), "/proc/%d/status", (int)proxy->pid);
-	file = fopen(path, "r");
-	while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
-		if (sscanf(line, "VmRSS: %lld", &kb) == 1)
-			break;
-	}
-	if (file != NULL)
-		fclose(file);
-	return kb;
-}
-
 /* Processor time that the process has used. */
 int64_t proxy_processor_ms(const proxy_t *proxy)
 {
--- a/review/stage.h
+++ b/review/stage.h
@@ -101,7 +101,6 @@
 void proxy_start(proxy_t *proxy);
 void proxies_start(int count);
 void await_ready(int64_t within);
-int64_t proxy_memory_kb(const proxy_t *proxy);
 int64_t proxy_processor_ms(const proxy_t *proxy);
 bool proxy_has_ended(proxy_t *proxy);
 
