--- a/review/stage.h
+++ b/review/stage.h
@@ -12,6 +12,7 @@
 #define MEMBERS	    3 /* of a service */
 
 struct link;
+struct member;
 
 typedef struct link_ops {
 	void (*on_input)(struct link *link);
@@ -74,7 +75,9 @@
 	int max_connections; /* that a member accepts */
 	int slots;	     /* statements that a member runs at a time */
 	int work_ms;	     /* time of a statement at a member */
-	bool births;	     /* the members' entries name the start of their process */
+	int sync_replicas;
+	void (*on_promoted)(struct member *member); /* it leads, nothing was committed yet */
+	bool births; /* the members' entries name the start of their process */
 } stage_t;
 
 extern stage_t stage;
@@ -126,6 +129,7 @@
 	char id[24];
 	int service;
 	int port;
+	bool deaf;	  /* receives nothing */
 	int lag_ms;	  /* after which a replica has applied a commit */
 	bool leaving;	  /* announces that it leaves */
 	link_t *listener; /* NULL: the process is down */
@@ -148,6 +152,9 @@
 void members_start(void);
 void member_crash(member_t *member);
 void member_restart(member_t *member, int entry_delay);
+void member_announce(member_t *member);
+void member_end(member_t *member);
+void member_succeed(member_t *member);
 member_t *member_primary(int service);
 void config_put(int updates);
 bool member_promote(const char *id);
--- a/review/stage_cases.c
+++ b/review/stage_cases.c
@@ -25,6 +25,7 @@
 	int pause_ms;
 	bool failed;
 	char error[80];
+	char acked[40]; /* its last write that was acknowledged */
 } client_t;
 
 static client_t clients[CLIENTS_MAX];
@@ -54,6 +55,8 @@
 	if (took > client->longest)
 		client->longest = took;
 	note("%s <- %s after %" PRId64 " ms", client->id, done ? "done" : client->error, took);
+	if (done && strcmp(client->verb, "WRITE") == 0)
+		snprintf(client->acked, sizeof(client->acked), "%s", client->id);
 	client->id[0] = '\0';
 	after_ms(done ? client->pause_ms : 30, send_next, client);
 }
@@ -309,8 +312,74 @@
 	finish(stale != 0);
 }
 
+/* --- a replica that left, and the crash of the primary --- */
+
+#define DRAIN_MS     7000
+#define SUCCESSOR_MS 4000
+
+static int lost;
+
+/* Looks for acknowledged commits that the log of the promoted member lacks. */
+static void check_log(member_t *member)
+{
+	for (int i = 0; i < client_count; i++) {
+		bool found = clients[i].acked[0] == '\0';
+
+		for (size_t k = member->log_len; k > 0 && !found; k--)
+			found = strcmp(member->log[k - 1].id, clients[i].acked) == 0;
+		if (found)
+			continue;
+		lost++;
+		note("LOST: %s was acknowledged, and is not in the log of %s, which is promoted",
+		     clients[i].acked, member->id);
+	}
+}
+
+static void start_successor(void *arg)
+{
+	member_succeed(arg);
+}
+
+static void case_left(void)
+{
+	member_t *primary = &members[0];
+	member_t *leaves = &members[1];
+	member_t *deaf = &members[2];
+
+	stage.sync_replicas = 1;
+	stage.on_promoted = check_log;
+	config_put(0);
+	proxies_start(3);
+	await_ready(10000);
+	for (int i = 0; i < 3; i++)
+		add_clients(&stage.proxies[i], 4, "jobs", "WRITE", 60);
+	run_until(now_ms() + 2000);
+	member_announce(leaves);
+	run_until(now_ms() + DRAIN_MS + 500);
+	if (stage.trouble) {
+		note("member %s receives nothing", deaf->id);
+		deaf->deaf = true;
+	}
+	run_until(now_ms() + 1000);
+	member_end(leaves);
+	after_ms(SUCCESSOR_MS, start_successor, leaves);
+	run_until(now_ms() + 200);
+	if (stage.trouble)
+		member_crash(primary);
+	run_until(now_ms() + 5300);
+	if (stage.trouble) {
+		note("member %s receives again", deaf->id);
+		deaf->deaf = false;
+	}
+	run_until(now_ms() + 3000);
+	note("%d acknowledged commits are not in the log of the member that was promoted", lost);
+	finish(lost != 0);
+}
+
 void run_case(const char *name)
 {
+	if (strcmp(name, "left") == 0)
+		case_left();
 	if (strcmp(name, "moved") == 0)
 		case_moved();
 	if (strcmp(name, "restart") == 0)
--- a/review/stage_members.c
+++ b/review/stage_members.c
@@ -70,7 +70,7 @@
 	member_t *primary = member_primary(member->service);
 	size_t common;
 
-	if (member->primary || member->listener == NULL || primary == NULL ||
+	if (member->primary || member->listener == NULL || member->deaf || primary == NULL ||
 	    primary->listener == NULL)
 		return;
 	common = member->log_len < primary->log_len ? member->log_len : primary->log_len;
@@ -216,6 +216,75 @@
 	reply_signed(session, id, "none");
 }
 
+static void on_member_input(link_t *link);
+static void free_session(session_t *session);
+
+/* A commit whose answer waits until a replica has received it. */
+typedef struct ack {
+	session_t *session;
+	uint64_t number;
+	char id[40];
+} ack_t;
+
+static bool is_received(const member_t *primary, uint64_t number)
+{
+	for (int i = 0; i < SERVICES * MEMBERS; i++) {
+		member_t *member = &members[i];
+
+		if (member == primary || member->service != primary->service ||
+		    member->listener == NULL)
+			continue;
+		catch_up(member);
+		if (!member->deaf && member->log_len >= number)
+			return true;
+	}
+	return false;
+}
+
+static void answer_commit(void *arg)
+{
+	ack_t *ack = arg;
+	session_t *session = ack->session;
+	member_t *member = session->member;
+
+	if (member->listener == NULL || session->process != member->born) {
+		if (session->link == NULL)
+			free_session(session);
+		free(ack);
+		return;
+	}
+	if (stage.sync_replicas != 0 && !is_received(member, ack->number)) {
+		session->busy = true;
+		after_ms(2, answer_commit, ack);
+		return;
+	}
+	session->busy = false;
+	if (session->link == NULL) {
+		free_session(session);
+	} else {
+		reply_signed(session, ack->id, NULL);
+		on_member_input(session->link);
+	}
+	free(ack);
+}
+
+/* Answers a statement that may have committed. */
+static void reply_committed(session_t *session, const char *id, bool committed)
+{
+	ack_t *ack;
+
+	if (!committed || stage.sync_replicas == 0) {
+		reply_signed(session, id, NULL);
+		return;
+	}
+	ack = calloc(1, sizeof(*ack));
+	ack->session = session;
+	ack->number = session->member->log_len;
+	snprintf(ack->id, sizeof(ack->id), "%s", id);
+	session->busy = true;
+	after_ms(2, answer_commit, ack);
+}
+
 static void run_write(session_t *session, const char *id, const char *item, const char *data)
 {
 	entry_t *entry;
@@ -233,13 +302,18 @@
 	snprintf(entry->id, sizeof(entry->id), "%s", id);
 	snprintf(entry->item, sizeof(entry->item), "%s", item);
 	snprintf(entry->data, sizeof(entry->data), "%s", data);
-	if (session->state == 'I')
+	if (session->state == 'I') {
 		commit(session);
+		reply_committed(session, id, true);
+		return;
+	}
 	reply_signed(session, id, NULL);
 }
 
 static void run_commit(session_t *session, const char *id)
 {
+	bool writes;
+
 	if (session->state == 'I') {
 		reply_error(session, "MALFORMED");
 		return;
@@ -254,8 +328,9 @@
 		reply_error(session, "READONLY");
 		return;
 	}
+	writes = session->write_count != 0;
 	commit(session);
-	reply_signed(session, id, NULL);
+	reply_committed(session, id, writes);
 }
 
 static bool has_applied(member_t *member, uint64_t term, uint64_t number)
@@ -445,6 +520,9 @@
 		return;
 	}
 	run_statement(session, &words);
+	/* Busy: the answer to its commit waits. */
+	if (session->busy)
+		return;
 	if (session->link == NULL)
 		free_session(session);
 	else
@@ -577,7 +655,7 @@
 
 void member_crash(member_t *member)
 {
-	note("member %s crashes", member->id);
+	note("the process of member %s is gone", member->id);
 	link_close(member->listener);
 	member->listener = NULL;
 	for (link_t *link = stage.links; link != NULL; link = link->next) {
@@ -616,6 +694,27 @@
 	after_ms(entry_delay, write_first_entry, member);
 }
 
+void member_end(member_t *member)
+{
+	char key[64];
+
+	note("member %s ends", member->id);
+	member_crash(member);
+	snprintf(key, sizeof(key), "servers/%s", member->id);
+	store_put(key, NULL);
+}
+
+/* A new member at the address of one that has ended, with its log. */
+void member_succeed(member_t *member)
+{
+	size_t len = member->log_len;
+
+	snprintf(member->id, sizeof(member->id), "i-%08x", 0x8f000000 + member->port);
+	member->leaving = false;
+	member_restart(member, 0);
+	member->log_len = len;
+}
+
 static void demote_others(void *arg)
 {
 	member_t *primary = arg;
@@ -641,6 +740,8 @@
 	member->term = (old != NULL ? old->term : member->term) + 1;
 	member->primary = true;
 	note("member %s leads term %" PRIu64, member->id, member->term);
+	if (stage.on_promoted != NULL)
+		stage.on_promoted(member);
 	write_entry(member);
 	after_ms(DEMOTE_MS, demote_others, member);
 }
@@ -672,10 +773,10 @@
 		 "\"sloMs\":200,\"priority\":2,\"service\":\"%s\",\"maxStaleMs\":2500},"
 		 "{\"name\":\"r4\",\"host\":\"notes\",\"kind\":\"session\",\"timeoutMs\":800,"
 		 "\"sloMs\":200,\"priority\":2,\"service\":\"core\",\"maxStaleMs\":2500}],"
-		 "\"services\":[{\"name\":\"core\",\"maxConns\":16,\"syncReplicas\":0},"
-		 "{\"name\":\"ledger\",\"maxConns\":16,\"syncReplicas\":0}],"
+		 "\"services\":[{\"name\":\"core\",\"maxConns\":16,\"syncReplicas\":%d},"
+		 "{\"name\":\"ledger\",\"maxConns\":16,\"syncReplicas\":%d}],"
 		 "\"limits\":{\"txIdleMs\":3000}}",
-		 version, service_names[updates]);
+		 version, service_names[updates], stage.sync_replicas, stage.sync_replicas);
 	store_put("op/config", text);
 	note("configuration %d acknowledged, updates -> %s", version, service_names[updates]);
 	version += 2;
@@ -704,3 +805,10 @@
 		beat(member);
 	}
 }
+
+void member_announce(member_t *member)
+{
+	member->leaving = true;
+	note("member %s reports draining", member->id);
+	write_entry(member);
+}
