conn: a read that goes to a replica is logged with the positions that decided it

No line told which position the read had asked the replica for, so these could not be told apart: a proxy on an older configuration, a sample of the primary that is too old or of another service, a position of the session that is lost or replaced, and one that is kept but not sent to the member.

The line is written at level debug, since every read of a replica has one.

--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -329,6 +329,24 @@
 	add_prepared(conn, prepared->alias);
 }
 
+/* Adds the position that a replica must have applied, and logs what it was chosen by. */
+static void set_after(member_request_t *request, const caller_t *caller, const conn_t *conn)
+{
+	request->has_after = caller->has_after;
+	request->after = caller->after;
+	if (!caller->has_after)
+		return;
+	LOG_EVENT(LOG_DBG, "read sent to a replica",
+		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
+		  LOG_STR("database", caller->database), LOG_STR("service", caller->service->name),
+		  LOG_STR("member", conn->member->id), LOG_INT("after_term", caller->after.term),
+		  LOG_INT("after", caller->after.lsn),
+		  LOG_INT("applied", conn->member->applied.lsn),
+		  LOG_INT("commit_term", caller->has_commit ? caller->commit.term : 0),
+		  LOG_INT("commit", caller->has_commit ? caller->commit.lsn : 0),
+		  LOG_INT("config", caller->pooler->routes->version));
+}
+
 static void add_begin(batch_t *batch, const caller_t *caller)
 {
 	member_request_t request = {.kind = caller->tx_read_only ? REQUEST_BEGIN_READ
@@ -336,10 +354,8 @@
 
 	if (caller->tx != TX_OPEN || batch->conn->in_tx)
 		return;
-	if (caller->tx_read_only) {
-		request.has_after = caller->has_after;
-		request.after = caller->after;
-	}
+	if (caller->tx_read_only)
+		set_after(&request, caller, batch->conn);
 	add_setup_request(batch, request);
 }
 
@@ -351,10 +367,8 @@
 		request.kind = REQUEST_EXEC;
 		request.name = slice_of_string(caller->exec->alias);
 	}
-	if (caller->tx == TX_NONE && caller->target == TARGET_ANY) {
-		request.has_after = caller->has_after;
-		request.after = caller->after;
-	}
+	if (caller->tx == TX_NONE && caller->target == TARGET_ANY)
+		set_after(&request, caller, batch->conn);
 	batch->requests[batch->len++] = request;
 }
 
