caller: a session's commits are kept by service

Cause: a session kept one position of its last commit, whatever service the commit was on. The commit at the second service took the place of that at the first one, and its position was then compared with the first one's log, where a low number is covered by any replica.

Evidence: the log line of the commit before. A read by the newest configuration, at the right service, with a sample in its bound, asked a replica for 1.445 with commit=1.2, the position of the session's commit at the other service; its own there was some 1.760. Ruled out by the same line: an older configuration, a sample of another service or too old, a position that is kept but not sent.

Now a session has a list of its last commit at each service (pooler/own_commits). It is bounded: of an entry that is dropped the time stays, and a sample of the primary that was taken later covers it. A commit counts for the service of the member that ran it. A later commit replaces an earlier one of the same service, also by a lower position: they are in one log, or the log was begun anew. A statement that a home runs gets the position for the service it runs at.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -273,13 +273,15 @@
 
 /* --- replies of members --- */
 
-static void record_commit(caller_t *caller, const reply_t *reply)
+/*
+ * Records the position of a commit for the service of the member that ran it. The caller's route
+ * may have moved, and another proxy may have followed a newer configuration than this one.
+ */
+static void record_commit(caller_t *caller, const member_t *member, const reply_t *reply)
 {
-	if (!reply->has_position)
-		return;
-	caller->has_commit = true;
-	caller->commit = reply->position;
-	caller->committed_at = now_of(caller->pooler);
+	if (reply->has_position)
+		own_commits_record(&caller->own_commits, caller, member->service, &reply->position,
+				   now_of(caller->pooler));
 }
 
 /*
@@ -313,7 +315,7 @@
 		return;
 	}
 	if (caller_may_commit(caller))
-		record_commit(caller, reply);
+		record_commit(caller, conn->member, reply);
 	if (caller->tx == TX_OPEN) {
 		caller->tx_has_run = true;
 		caller->tx_wrote = caller->tx_wrote || is_write(caller);
@@ -394,7 +396,7 @@
 		return;
 	}
 	if (caller_may_commit(caller))
-		record_commit(caller, &reply);
+		record_commit(caller, member, &reply);
 	if (caller->tx == TX_OPEN) {
 		caller->tx_has_run = true;
 		caller->tx_wrote = caller->tx_wrote || is_write(caller);
@@ -794,6 +796,7 @@
 	caller->idle_since = now_of(pooler);
 	caller->closing = pooler->draining;
 	variables_init(&caller->variables);
+	own_commits_init(&caller->own_commits);
 	list_init(&caller->prepared);
 	list_init(&caller->queue_node);
 	list_init(&caller->quota_node);
--- a/pooler/choice.c
+++ b/pooler/choice.c
@@ -45,13 +45,20 @@
 static bool required_position(const caller_t *caller, sample_t *required)
 {
 	const freshness_t *freshness = caller->service->freshness;
-
-	if (!freshness_min_position(freshness, caller->received_at, caller->max_age, required))
+	usec_t max_age = caller->max_age;
+	own_commit_t commit;
+	bool has_commit = caller->reads == READS_SESSION &&
+			  own_commits_find(&caller->own_commits, caller->service, &commit);
+
+	/* A sample that was taken after a commit without a position covers it. */
+	if (has_commit && !commit.has_position && max_age > caller->received_at - commit.at)
+		max_age = caller->received_at - commit.at;
+	if (!freshness_min_position(freshness, caller->received_at, max_age, required))
 		return false;
-	if (caller->reads == READS_SESSION && caller->has_commit &&
-	    !position_covers(required->position, caller->commit)) {
-		required->position = position_max(required->position, caller->commit);
-		required->sent_at = caller->committed_at;
+	if (has_commit && commit.has_position &&
+	    !position_covers(required->position, commit.position)) {
+		required->position = position_max(required->position, commit.position);
+		required->sent_at = commit.at;
 	}
 	return true;
 }
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -332,18 +332,21 @@
 /* Adds the position that a replica must have applied, and logs what it was chosen by. */
 static void set_after(member_request_t *request, const caller_t *caller, const conn_t *conn)
 {
+	own_commit_t commit = {0};
+
 	request->has_after = caller->has_after;
 	request->after = caller->after;
 	if (!caller->has_after)
 		return;
+	own_commits_find(&caller->own_commits, caller->service, &commit);
 	LOG_EVENT(LOG_DBG, "read sent to a replica",
 		  LOG_SLICE("request", caller->statement.id.at, caller->statement.id.len),
 		  LOG_STR("database", caller->database), LOG_STR("service", caller->service->name),
 		  LOG_STR("member", conn->member->id), LOG_INT("after_term", caller->after.term),
 		  LOG_INT("after", caller->after.lsn),
 		  LOG_INT("applied", conn->member->applied.lsn),
-		  LOG_INT("commit_term", caller->has_commit ? caller->commit.term : 0),
-		  LOG_INT("commit", caller->has_commit ? caller->commit.lsn : 0),
+		  LOG_INT("commit_term", commit.position.term),
+		  LOG_INT("commit", commit.position.lsn),
 		  LOG_INT("config", caller->pooler->routes->version));
 }
 
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -78,11 +78,12 @@
 	const statement_t *statement;
 	slice_t shape; /* EXEC: the statement that its name stands for */
 	const variables_t *variables;
-	bool has_commit;
-	position_t commit;	 /* position of the session's last commit */
-	uint64_t transaction;	 /* the sender's number of the transaction; 0: a single statement
-				    outside a transaction */
-	bool begins_transaction; /* this is the transaction's first statement */
+	bool has_commit;	  /* the session has committed at the service */
+	bool has_commit_position; /* false: it has committed, up to an unknown position */
+	position_t commit;	  /* position of its last commit there */
+	uint64_t transaction;	  /* the sender's number of the transaction; 0: a single statement
+				     outside a transaction */
+	bool begins_transaction;  /* this is the transaction's first statement */
 	bool read_only;
 } forward_request_t;
 
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -52,14 +52,18 @@
 		.time_left = left > RESULT_TRANSIT_TIME ? left - RESULT_TRANSIT_TIME : left,
 		.statement = statement,
 		.variables = &caller->variables,
-		.has_commit = caller->has_commit,
-		.commit = caller->commit,
 		.transaction = caller->remote_tx,
 		.begins_transaction = !caller->tx_has_run,
 		.read_only = caller->tx_read_only,
 	};
 	peer_message_t message = {.kind = PEER_FORWARD_REQUEST, .request = &request};
+	own_commit_t commit;
 
+	if (own_commits_find(&caller->own_commits, caller->service, &commit)) {
+		request.has_commit = true;
+		request.has_commit_position = commit.has_position;
+		request.commit = commit.position;
+	}
 	if (caller->exec != NULL)
 		request.shape = slice_of(caller->exec->shape, strlen(caller->exec->shape));
 	exchange_fill_sender(pooler, &message);
--- a/pooler/job.c
+++ b/pooler/job.c
@@ -45,6 +45,15 @@
 	outbox_send_result(&pooler->outbox, message->from, message->address, &result);
 }
 
+/* The service at which the caller's statement runs. */
+static const service_t *service_of(const caller_t *caller)
+{
+	const route_t *route = routes_find(caller->pooler->routes, caller->database);
+
+	return caller->service != NULL ? caller->service
+				       : service_get(caller->pooler, route->service);
+}
+
 /* Sets up the parts of the origin's session that the statement needs. */
 static void restore_session(caller_t *caller, const forward_request_t *request)
 {
@@ -60,9 +69,14 @@
 	if (statement->kind == STATEMENT_EXEC)
 		prepared_put(&caller->prepared, caller, statement->name, request->shape,
 			     statement->writes);
-	caller->has_commit = request->has_commit;
-	caller->commit = request->commit;
-	caller->committed_at = now_of(caller->pooler);
+	/*
+	 * An unknown position counts from now on, since the origin's clock can't be compared: only
+	 * a sample of the primary that is taken later covers it.
+	 */
+	if (request->has_commit)
+		own_commits_record(&caller->own_commits, caller, service_of(caller),
+				   request->has_commit_position ? &request->commit : NULL,
+				   now_of(caller->pooler));
 }
 
 static caller_t *find_tx(const pooler_t *pooler, const peer_message_t *message)
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -1,6 +1,7 @@
 /* Internal structures of the pooler; only its own modules include this header. */
 #pragma once
 
+#include "own_commits.h"
 #include "conn_use.h"
 #include "follow.h"
 #include "estimate.h"
@@ -158,9 +159,7 @@
 	list_t quota_node;		/* in quota_queue_t.waiting */
 	variables_t variables;
 	list_t prepared;
-	bool has_commit;
-	position_t commit; /* log position of the session's last commit */
-	usec_t committed_at;
+	own_commits_t own_commits;
 	/* Transaction. */
 	tx_state_t tx;
 	bool tx_read_only;
--- a/tests/pool_links.c
+++ b/tests/pool_links.c
@@ -194,7 +194,7 @@
 	(void)address;
 	link->from = node;
 	link->conn = conn;
-	link->member = fake_db_find_member(node->world->db, member);
+	link->member = world_find_member(node->world, member);
 	list_init(&link->posts);
 	list_add_tail(&node->links, &link->node);
 	protocol_encode_start(&buffer, service, customer, member);
--- a/tests/pool_world.c
+++ b/tests/pool_world.c
@@ -16,6 +16,7 @@
 typedef struct promote_answer {
 	run_timer_t timer;
 	world_node_t *node;
+	char service[32];
 	promote_status_t status;
 } promote_answer_t;
 
@@ -32,7 +33,7 @@
 
 	(void)now;
 	if (answer->node->pooler != NULL)
-		pooler_on_promoted(answer->node->pooler, WORLD_SERVICE, answer->status);
+		pooler_on_promoted(answer->node->pooler, answer->service, answer->status);
 	talloc_free(answer);
 }
 
@@ -42,9 +43,9 @@
 	world_node_t *node = (world_node_t *)env;
 	pool_world_t *world = node->world;
 	promote_answer_t *answer = talloc_zero(world, promote_answer_t);
+	fake_member_t *target = world_find_member(world, member);
 	promote_call_t *call;
 
-	(void)service;
 	world->promotes =
 		talloc_realloc(world, world->promotes, promote_call_t, world->promote_count + 1);
 	call = &world->promotes[world->promote_count++];
@@ -53,7 +54,8 @@
 	snprintf(call->member, sizeof(call->member), "%s", member);
 	snprintf(call->leader, sizeof(call->leader), "%s", holder);
 	answer->node = node;
-	answer->status = fake_db_promote(world->db, fake_db_find_member(world->db, member))
+	snprintf(answer->service, sizeof(answer->service), "%s", service);
+	answer->status = fake_db_promote(target != NULL ? target->db : world->db, target)
 				 ? PROMOTE_OK
 				 : PROMOTE_REFUSED;
 	if (world->lose_promote_answers != 0) {
@@ -105,10 +107,10 @@
 	.drained = record_drained,
 };
 
-static route_t *add_route(routes_t *routes, const pool_world_t *world, const char *database,
-			  reads_t reads)
+static route_t *add_route_to(routes_t *routes, const pool_world_t *world, const char *database,
+			     const char *service, reads_t reads)
 {
-	route_t *route = routes_add(routes, database, WORLD_SERVICE);
+	route_t *route = routes_add(routes, database, service);
 
 	route->reads = reads;
 	route->max_age = world->max_age;
@@ -119,6 +121,20 @@
 	return route;
 }
 
+static route_t *add_route(routes_t *routes, const pool_world_t *world, const char *database,
+			  reads_t reads)
+{
+	return add_route_to(routes, world, database, WORLD_SERVICE, reads);
+}
+
+/* Adds the second service with the route that moves. */
+static void add_moved_route(routes_t *routes, const pool_world_t *world)
+{
+	add_route_to(routes, world, WORLD_MOVED_DATABASE, world->moved_route, READS_SESSION);
+	routes_add_service(routes, WORLD_SECOND_SERVICE)->max_connections =
+		(int64_t)world->second_db->config.max_connections;
+}
+
 static void add_bounded_route(routes_t *routes, const pool_world_t *world)
 {
 	route_t *route = add_route(routes, world, "bounded", READS_BOUNDED);
@@ -157,26 +173,26 @@
 	add_route(routes, world, "open", READS_BOUNDED);
 	if (world->added_in_version != 0 && version >= world->added_in_version)
 		add_route(routes, world, WORLD_ADDED_DATABASE, READS_BOUNDED);
+	if (world->moved_route != NULL)
+		add_moved_route(routes, world);
 	add_customers(routes, world);
 	limits->max_connections = (int64_t)world->db->config.max_connections;
 	limits->sync_replicas = world->sync_replicas;
 	return routes;
 }
 
-static void publish_members(pool_world_t *world, world_node_t *node)
+static void publish_service(const fake_db_t *db, const char *const *addresses, world_node_t *node)
 {
 	static const char *const zones[] = {"a", "b", "c"};
-	static const char *const addresses[FAKE_MEMBERS_MAX] = {
-		"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"};
 
-	for (size_t i = 0; i < world->db->config.members; i++) {
-		const fake_member_t *member = &world->db->members[i];
+	for (size_t i = 0; i < db->config.members; i++) {
+		const fake_member_t *member = &db->members[i];
 		member_entry_t entry = {
 			.id = member->id,
-			.service = WORLD_SERVICE,
+			.service = db->config.service,
 			.address = addresses[i],
 			.zone = zones[i % 3],
-			.slots = (int64_t)world->db->config.slots,
+			.slots = (int64_t)db->config.slots,
 			.leaving = member->leaving,
 			.primary = member->primary,
 		};
@@ -186,6 +202,18 @@
 	}
 }
 
+static void publish_members(const pool_world_t *world, world_node_t *node)
+{
+	static const char *const addresses[FAKE_MEMBERS_MAX] = {
+		"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"};
+	static const char *const second_addresses[FAKE_MEMBERS_MAX] = {
+		"10.0.2.1:1", "10.0.2.2:1", "10.0.2.3:1", "10.0.2.4:1", "10.0.2.5:1"};
+
+	publish_service(world->db, addresses, node);
+	if (world->second_db != NULL)
+		publish_service(world->second_db, second_addresses, node);
+}
+
 void world_publish_directory(pool_world_t *world)
 {
 	for (size_t i = 0; i < world->node_count; i++) {
@@ -202,6 +230,31 @@
 	}
 }
 
+void world_add_second_service(pool_world_t *world)
+{
+	fake_db_config_t config = world->db->config;
+
+	config.service = WORLD_SECOND_SERVICE;
+	world->second_db = fake_db_create(world, &config, &world->clock.base, &world->timers);
+	world_move_route(world, WORLD_SERVICE);
+}
+
+void world_move_route(pool_world_t *world, const char *service)
+{
+	world->moved_route = service;
+	world->config_version++;
+	world_publish_directory(world);
+}
+
+fake_member_t *world_find_member(const pool_world_t *world, const char *id)
+{
+	fake_member_t *member = fake_db_find_member(world->db, id);
+
+	if (member == NULL && world->second_db != NULL)
+		member = fake_db_find_member(world->second_db, id);
+	return member;
+}
+
 /* --- time --- */
 
 static usec_t next_due_time(const pool_world_t *world)
@@ -254,12 +307,9 @@
 
 	for (size_t i = 0; i < world->node_count; i++) {
 		pooler_t *pooler = world->nodes[i].pooler;
-		const member_t *primary;
+		const member_t *known = pooler != NULL ? member_find(pooler, member) : NULL;
 
-		if (pooler == NULL)
-			continue;
-		primary = permit_primary(service_get(pooler, WORLD_SERVICE), world_now(world));
-		count += primary != NULL && strcmp(primary->id, member) == 0;
+		count += known != NULL && permit_primary(known->service, world_now(world)) == known;
 	}
 	return count;
 }
@@ -453,5 +503,7 @@
 	/* The destructors would use timers and clocks that are freed before them. */
 	talloc_set_destructor(world->kv, NULL);
 	talloc_set_destructor(world->db, NULL);
+	if (world->second_db != NULL)
+		talloc_set_destructor(world->second_db, NULL);
 	talloc_free(world);
 }
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -19,6 +19,10 @@
 #define WORLD_REPLY_MAX	  512
 /* A database that added_in_version of the configuration adds; its route needs no key. */
 #define WORLD_ADDED_DATABASE "added"
+/* See world_add_second_service(). */
+#define WORLD_SECOND_SERVICE "ledger"
+/* A database with session reads whose route world_move_route() sets. */
+#define WORLD_MOVED_DATABASE "moved"
 /* Response time objective of every route. */
 #define WORLD_OBJECTIVE (200 * USEC_PER_MSEC)
 
@@ -88,6 +92,8 @@
 	timer_set_t timers; /* of all parts but the proxies, which have their own */
 	fake_kv_t *kv;
 	fake_db_t *db;
+	fake_db_t *second_db;	 /* of WORLD_SECOND_SERVICE; NULL: there is none */
+	const char *moved_route; /* service of WORLD_MOVED_DATABASE; NULL: it has no route */
 	world_node_t nodes[WORLD_NODES_MAX];
 	size_t node_count;
 	usec_t published_at;
@@ -153,6 +159,18 @@
 /* Advances the time and runs all timers that become due. */
 void world_run(pool_world_t *world, usec_t by);
 
+/* Adds a second database service like the first one, whose primary the proxies do not know yet. */
+void world_add_second_service(pool_world_t *world);
+
+/*
+ * Has the route of WORLD_MOVED_DATABASE lead to the service, by a new configuration that all
+ * proxies receive at once. NULL: the configuration has neither this route nor the second service.
+ */
+void world_move_route(pool_world_t *world, const char *service);
+
+/* Returns the member of that id, of either service, or NULL. */
+fake_member_t *world_find_member(const pool_world_t *world, const char *id);
+
 /* Sends the current configuration and list of members to every proxy that reaches the store. */
 void world_publish_directory(pool_world_t *world);
 
