job: a home runs a statement at the service for which it was begun

Callers would see, in a fleet with homes: a transaction that was begun before its route moved, and whose first statement came after it, ran at the new service, where the same transaction at a proxy that needs no home stays at the old one. The session's position went along and was compared with the log of the new service, and the commit was noted for the old one.

Cause: the request names the database, and the home followed its own route for it. Both proxies have the same version of the configuration when it arrives, but the transaction was begun by an older one.

The request now names the service.

Test, failed on the code before ('expected DONE core-0, got DONE ledger-0'): /moved-route/moves-before-home-is-asked.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -464,14 +464,20 @@
 	answer_done(caller);
 }
 
-/* Copies the route of the caller's database into the caller; returns NULL if there is no route. */
+/*
+ * Copies the route of the caller's database into the caller; returns NULL if there is no route. A
+ * statement of another proxy runs at the service for which it was begun there: the route may have
+ * moved since, and the origin's position of the session is one of that service's log.
+ */
 static const route_t *copy_route(caller_t *caller)
 {
 	const route_t *route = routes_find(caller->pooler->routes, caller->database);
 
 	if (route == NULL)
 		return NULL;
-	caller->service = service_get(caller->pooler, route->service);
+	caller->service = caller->job != NULL && caller->job->service != NULL
+				  ? caller->job->service
+				  : service_get(caller->pooler, route->service);
 	if (caller->customer != NULL)
 		caller->customer_pool = service_customer_pool(caller->service, caller->customer);
 	caller->reads = route->reads;
--- a/pooler/env.h
+++ b/pooler/env.h
@@ -73,6 +73,7 @@
 typedef struct forward_request {
 	uint64_t number; /* chosen by the sender; the result carries it */
 	const char *database;
+	const char *service; /* where it is to run; NULL: where the database's route leads */
 	const char *customer;
 	usec_t time_left; /* time until the sender stops waiting */
 	const statement_t *statement;
--- a/pooler/forward.c
+++ b/pooler/forward.c
@@ -44,6 +44,7 @@
 	forward_request_t request = {
 		.number = caller->forward_number,
 		.database = caller->database,
+		.service = caller->service->name,
 		.customer = caller->customer,
 		/*
 		 * The helper's deadline is earlier, so that its refusal, which promises that the
--- a/pooler/job.c
+++ b/pooler/job.c
@@ -45,17 +45,9 @@
 	outbox_send_result(&pooler->outbox, message->from, message->address, &result);
 }
 
-/* The service at which the caller's statement runs. */
-static const service_t *service_of(const caller_t *caller)
-{
-	const route_t *route = routes_find(caller->pooler->routes, caller->database);
-
-	return caller->service != NULL ? caller->service
-				       : service_get(caller->pooler, route->service);
-}
-
 /* Sets up the parts of the origin's session that the statement needs. */
-static void restore_session(caller_t *caller, const forward_request_t *request)
+static void restore_session(caller_t *caller, const service_t *service,
+			    const forward_request_t *request)
 {
 	const statement_t *statement = request->statement;
 
@@ -74,7 +66,7 @@
 	 * a sample of the primary that is taken later covers it.
 	 */
 	if (request->has_commit)
-		own_commits_record(&caller->own_commits, caller, service_of(caller),
+		own_commits_record(&caller->own_commits, caller, service,
 				   request->has_commit_position ? &request->commit : NULL,
 				   now_of(caller->pooler));
 }
@@ -115,28 +107,37 @@
 	job->origin_address = talloc_strdup(job, message->address);
 	job->origin_incarnation = message->incarnation;
 	job->tx_number = request->transaction;
+	if (request->service != NULL)
+		job->service = service_get(pooler, request->service);
 	if (request->transaction != 0)
 		caller_begin_tx(caller, request->read_only);
 	return caller;
 }
 
-/* Records that other proxies use the service here, since a home in use keeps its connections. */
-static void mark_service_used(const caller_t *caller)
+/* The service at which the caller's statement runs; NULL: its database has no route any more. */
+static service_t *service_of(const caller_t *caller)
 {
-	const route_t *route = routes_find(caller->pooler->routes, caller->database);
-
-	if (route != NULL)
-		service_get(caller->pooler, route->service)->last_forward_at =
-			now_of(caller->pooler);
+	const route_t *route;
+
+	if (caller->service != NULL)
+		return caller->service;
+	if (caller->job->service != NULL)
+		return caller->job->service;
+	route = routes_find(caller->pooler->routes, caller->database);
+	return route != NULL ? service_get(caller->pooler, route->service) : NULL;
 }
 
 static void run_job(caller_t *caller, const forward_request_t *request)
 {
+	service_t *service = service_of(caller);
+
 	counter_add(&jobs_total, 1);
 	caller->job->request_number = request->number;
 	caller->job->time_left = request->time_left;
-	restore_session(caller, request);
-	mark_service_used(caller);
+	restore_session(caller, service, request);
+	/* A home in use keeps its connections. */
+	if (service != NULL)
+		service->last_forward_at = now_of(caller->pooler);
 	caller_on_statement(caller, request->statement);
 }
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -141,9 +141,10 @@
 	char *origin_address;
 	uint64_t origin_incarnation;
 	uint64_t request_number;
-	uint64_t tx_number; /* transaction number chosen by the origin; 0: no transaction */
-	usec_t time_left;   /* until the statement's deadline, counted from arrival here */
-	bool done;	    /* the result that ends the job was sent */
+	uint64_t tx_number;	 /* transaction number chosen by the origin; 0: no transaction */
+	struct service *service; /* where the origin has it run; NULL: the origin did not say */
+	usec_t time_left;	 /* until the statement's deadline, counted from arrival here */
+	bool done;		 /* the result that ends the job was sent */
 } job_t;
 
 typedef struct caller {
--- a/tests/test_pooler_moved_route.c
+++ b/tests/test_pooler_moved_route.c
@@ -190,6 +190,28 @@
 	world_destroy(setting.world);
 }
 
+/*
+ * Guards against a transaction that its home runs at another service than the one for which it was
+ * begun: its commit would count for the log of the wrong service.
+ */
+static void test_route_moves_before_home_is_asked(void)
+{
+	setting_t setting = create_setting_with_homes();
+
+	assert_has_prefix(world_send_and_wait(setting.caller, "BEGIN"), "DONE");
+	world_move_route(setting.world, WORLD_SECOND_SERVICE);
+	assert_has_prefix(world_send_and_wait(setting.caller, "WRITE mine first"),
+			  "DONE " WORLD_SERVICE "-0");
+	assert_has_prefix(world_send_and_wait(setting.caller, "COMMIT"),
+			  "DONE " WORLD_SERVICE "-0");
+	assert_has_prefix(world_send_and_wait(setting.caller, "WRITE mine second"),
+			  "DONE " WORLD_SECOND_SERVICE "-0");
+	write_often(setting.world, setting.writer, 300 * MSEC);
+	world_move_route(setting.world, WORLD_SERVICE);
+	assert_has_prefix(world_send_and_wait(setting.caller, "READ mine"), "ROW first\r\n");
+	world_destroy(setting.world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -198,5 +220,7 @@
 	g_test_add_func("/moved-route/moves-in-transaction", test_route_moves_in_transaction);
 	g_test_add_func("/moved-route/service-returns", test_service_is_removed_and_returns);
 	g_test_add_func("/moved-route/home", test_home_after_return);
+	g_test_add_func("/moved-route/moves-before-home-is-asked",
+			test_route_moves_before_home_is_asked);
 	return g_test_run();
 }
