caller: a commit without a position is kept by its time

Callers would see: a read on a session route that misses the session's own write, if the reply to the write told no position ('-', which the protocol allows). No member that we know does so.

Cause: such a commit was not recorded at all, and the read went by the session's commit before.

Now it is recorded with the time of its reply. A sample of the primary that was taken later covers it; until there is one, the primary serves the session's reads. A home counts it from the request on, as clocks of two proxies can't be compared.

Tests, failed on the code before ('expected ROW first, got ROW none'): /no-position/member, /no-position/home.

--- a/pooler/caller.c
+++ b/pooler/caller.c
@@ -279,9 +279,8 @@
  */
 static void record_commit(caller_t *caller, const member_t *member, const reply_t *reply)
 {
-	if (reply->has_position)
-		own_commits_record(&caller->own_commits, caller, member->service, &reply->position,
-				   now_of(caller->pooler));
+	own_commits_record(&caller->own_commits, caller, member->service,
+			   reply->has_position ? &reply->position : NULL, now_of(caller->pooler));
 }
 
 /*
--- a/tests/fake_db.c
+++ b/tests/fake_db.c
@@ -200,9 +200,11 @@
 	fake_member_t *member = session->member;
 	size_t len = applied_len(member);
 	char text[REPLY_MAX];
-	char position[48] = "-";
+	char position[48];
 
-	if (len != 0)
+	if (member->hides_position)
+		snprintf(position, sizeof(position), "-");
+	else if (len != 0)
 		snprintf(position, sizeof(position), "%" PRIu64 ".%" PRIu64,
 			 member->log[len - 1].term, member->log[len - 1].number);
 	else
--- a/tests/fake_db.h
+++ b/tests/fake_db.h
@@ -73,6 +73,7 @@
 	unsigned refuse_runs;	   /* the next N statements that take a slot get ERR BUSY */
 	usec_t extra_service_time; /* added to the service time */
 	usec_t extra_lag;	   /* added to the lag */
+	bool hides_position;	   /* its replies tell no position */
 	unsigned fail_percent;	   /* percentage of statements that fail, spread evenly */
 	const char *fail_code;	   /* error code of these failures; NULL: FAILED */
 	fake_fault_t faults[FAKE_FAULTS_MAX];
--- a/tests/test_pooler_moved_route.c
+++ b/tests/test_pooler_own_commits.c
@@ -1,6 +1,6 @@
 /*
- * Poolers with a manual clock whose sessions use two services, one after the other: a session reads
- * its own commits at each of them, wherever its route went in between.
+ * Poolers with a manual clock: a session reads its own commits, also where its route moves between
+ * two services and where a reply tells no position.
  */
 #include <stdio.h>
 #include <string.h>
@@ -212,6 +212,36 @@
 	world_destroy(setting.world);
 }
 
+/* Guards against a session that misses its own write since the reply to it told no position. */
+static void test_commit_without_position(void)
+{
+	setting_t setting = create_setting(3, 0);
+	fake_member_t *primary = &setting.world->db->members[0];
+
+	primary->hides_position = true;
+	assert_has_prefix(world_send_and_wait(setting.caller, "WRITE mine first"),
+			  "DONE " WORLD_SERVICE "-0");
+	assert_has_prefix(world_send_and_wait(setting.caller, "READ mine"), "ROW first\r\n");
+	primary->hides_position = false;
+	/* Samples of the primary that are taken now cover the commit. */
+	write_often(setting.world, setting.writer, 300 * MSEC);
+	assert_has_prefix(world_send_and_wait(setting.caller, "READ mine"), "ROW first\r\n");
+	world_destroy(setting.world);
+}
+
+/* The same where a home runs the read. */
+static void test_commit_without_position_at_home(void)
+{
+	setting_t setting = create_setting_with_homes();
+
+	setting.world->db->members[0].hides_position = true;
+	assert_has_prefix(world_send_and_wait(setting.caller, "WRITE mine first"),
+			  "DONE " WORLD_SERVICE "-0");
+	assert_has_prefix(world_send_and_wait(setting.caller, "READ mine"), "ROW first\r\n");
+	g_assert_nonnull(setting.caller->caller->helper);
+	world_destroy(setting.world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -222,5 +252,7 @@
 	g_test_add_func("/moved-route/home", test_home_after_return);
 	g_test_add_func("/moved-route/moves-before-home-is-asked",
 			test_route_moves_before_home_is_asked);
+	g_test_add_func("/no-position/member", test_commit_without_position);
+	g_test_add_func("/no-position/home", test_commit_without_position_at_home);
 	return g_test_run();
 }
