--- a/kernel/stream.c
+++ b/kernel/stream.c
@@ -25,7 +25,7 @@
 	char *end;
 	long number;
 
-	if (colon == NULL || colon == address || colon - address > 63)
+	if (colon == NULL || colon == address || colon - address >= STREAM_HOST_SIZE)
 		return -EINVAL;
 	number = strtol(colon + 1, &end, 10);
 	if (*end != '\0' || end == colon + 1 || number < 0 || number > 65535)
@@ -38,7 +38,7 @@
 
 static int parse_address(const char *address, struct sockaddr_in *sin)
 {
-	char host[64];
+	char host[STREAM_HOST_SIZE];
 	uint16_t port;
 
 	*sin = (struct sockaddr_in){.sin_family = AF_INET};
--- a/kernel/stream.h
+++ b/kernel/stream.h
@@ -87,5 +87,8 @@
 /* Opens a listening socket on address. Returns its descriptor or a negative errno. */
 int stream_listen(const char *address, err_t *err);
 
-/* Splits IP:PORT; host must have room for 64 bytes. Returns 0 or -EINVAL. */
+/* Size of the host that stream_split_address() returns. */
+#define STREAM_HOST_SIZE 64
+
+/* Splits IP:PORT; host must have room for STREAM_HOST_SIZE bytes. Returns 0 or -EINVAL. */
 int stream_split_address(const char *address, char *host, uint16_t *port);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -5,6 +5,9 @@
 
 #include "entry.h"
 
+/* Depth of an entry that is nested for no reason. */
+#define DEEP 10000
+
 #define VALID_ENTRY                                                                                \
 	"{\"service\":\"core\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\","      \
 	"\"slots\":2,\"state\":\"ready\",\"coldLeftMs\":0,\"dbRole\":\"replica\",\"seq\":4,"       \
@@ -12,22 +15,22 @@
 
 static bool decode(const char *text, const char *id, member_entry_t *entry)
 {
-	json_t *root = json_loads(text, JSON_DECODE_ANY, NULL);
 	const char *reason;
-	bool ok = member_entry_decode(root, id, entry, &reason);
+	json_t *root = member_entry_decode(text, strlen(text), id, entry, &reason);
 
-	g_assert_true(ok == (reason == NULL));
+	g_assert_true((root != NULL) == (reason == NULL));
 	json_decref(root);
-	return ok;
+	return root != NULL;
 }
 
 static void test_valid(void)
 {
-	json_t *root = json_loads(VALID_ENTRY, 0, NULL);
 	member_entry_t entry;
 	const char *reason;
+	json_t *root =
+		member_entry_decode(VALID_ENTRY, strlen(VALID_ENTRY), "i-1", &entry, &reason);
 
-	g_assert_true(member_entry_decode(root, "i-1", &entry, &reason));
+	g_assert_nonnull(root);
 	g_assert_cmpstr(entry.service, ==, "core");
 	g_assert_cmpstr(entry.address, ==, "10.0.0.9:8080");
 	g_assert_cmpint(entry.slots, ==, 2);
@@ -81,6 +84,206 @@
 	g_assert_false(decode(VALID_ENTRY, "", &entry));
 }
 
+/* Fields of an entry, each with a valid value. */
+static const char *const fields[][2] = {
+	{"service", "\"core\""},   {"addr", "\"10.0.0.9:8080\""},
+	{"zone", "\"a\""},	   {"slots", "2"},
+	{"state", "\"ready\""},	   {"dbRole", "\"replica\""},
+	{"born", "1790000000000"},
+};
+
+/* An entry in which the field has that value; value NULL: the field is missing. */
+static char *entry_with(const char *field, const char *value)
+{
+	GString *text = g_string_new("{\"seq\":1");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		bool changed = strcmp(fields[i][0], field) == 0;
+
+		if (!changed || value != NULL)
+			g_string_append_printf(text, ",\"%s\":%s", fields[i][0],
+					       changed ? value : fields[i][1]);
+	}
+	g_string_append_c(text, '}');
+	return g_string_free(text, FALSE);
+}
+
+/* True if the entry is valid with that value of the field. */
+static bool decode_with(const char *field, const char *value)
+{
+	char *text = entry_with(field, value);
+	member_entry_t entry;
+	bool ok = decode(text, "i-1", &entry);
+
+	g_free(text);
+	return ok;
+}
+
+static void assert_invalid(const char *field, const char *value)
+{
+	if (decode_with(field, value))
+		g_error("%s: %.60s is taken for valid", field, value != NULL ? value : "missing");
+}
+
+static char *repeat(const char *unit, size_t count)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < count; i++)
+		g_string_append(text, unit);
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Guards against an entry of another writer that is used, or that ends the process: values that no
+ * field has, in each of them.
+ */
+static void test_odd_values(void)
+{
+	static const char *const values[] = {
+		"null",
+		"\"\"",
+		"[]",
+		"{}",
+		"true",
+		"-1",
+		"1e400",
+		"-1e400",
+		"9223372036854775808",
+		"2e0",
+		"-9223372036854775809",
+		"\"\\u0000\"",
+		"0.5",
+		"\"\xff\xfe\"",
+		"\"\xed\xa0\x80\"",
+		"",
+		"\"",
+		"\"\\ud800\"",
+	};
+	char *arrays = repeat("[", DEEP);
+	char *closed = repeat("]", DEEP);
+	char *nested = g_strconcat(arrays, closed, NULL);
+	char *objects = repeat("{\"a\":", DEEP);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		const char *field = fields[i][0];
+
+		g_assert_true(decode_with(field, fields[i][1]));
+		for (size_t j = 0; j < G_N_ELEMENTS(values); j++)
+			assert_invalid(field, values[j]);
+		assert_invalid(field, nested);
+		assert_invalid(field, arrays);
+		assert_invalid(field, objects);
+	}
+	for (size_t i = 0; i + 1 < G_N_ELEMENTS(fields); i++)
+		assert_invalid(fields[i][0], NULL);
+	g_free(objects);
+	g_free(nested);
+	g_free(closed);
+	g_free(arrays);
+}
+
+/* Guards against connections to a port that no member has, or that is cut down to another one. */
+static void test_addresses(void)
+{
+	static const char *const invalid[] = {
+		"10.0.0.9",
+		"10.0.0.9:",
+		"10.0.0.9:0",
+		"10.0.0.9:65536",
+		"10.0.0.9:99999",
+		"10.0.0.9:-1",
+		"10.0.0.9:8080x",
+		"10.0.0.9:73616",
+		"10.0.0.256:8080",
+		"10.0.0:8080",
+		"member-1:8080",
+		":8080",
+		"[::1]:8080",
+		"10.0.0.9:8e3",
+		"10.0.0.9:0x1f90",
+		"10.0.0.9:8080:1",
+		"10.0.0.9:18446744073709559696",
+	};
+
+	g_assert_true(decode_with("addr", "\"10.0.0.9:1\""));
+	g_assert_true(decode_with("addr", "\"10.0.0.9:65535\""));
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		char *value = g_strdup_printf("\"%s\"", invalid[i]);
+
+		assert_invalid("addr", value);
+		g_free(value);
+	}
+}
+
+/*
+ * Guards against names that are more than one word on the line that opens a connection, and against
+ * names of any length in rosters and logs.
+ */
+static void test_names(void)
+{
+	static const char *const invalid[] = {"two words", "core\\r\\nQUERY - STATUS", "\\t",
+					      "a\\u007f"};
+	static const char *const names[] = {"service", "zone"};
+	char *longest = repeat("n", 200);
+	char *longer = repeat("n", 201);
+	char *huge = repeat("n", 1 << 20);
+	member_entry_t entry;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		const char *const lengths[] = {longer, huge};
+		char *value = g_strdup_printf("\"%s\"", longest);
+
+		g_assert_true(decode_with(names[i], value));
+		g_free(value);
+		for (size_t j = 0; j < G_N_ELEMENTS(invalid); j++) {
+			value = g_strdup_printf("\"%s\"", invalid[j]);
+			assert_invalid(names[i], value);
+			g_free(value);
+		}
+		for (size_t j = 0; j < G_N_ELEMENTS(lengths); j++) {
+			value = g_strdup_printf("\"%s\"", lengths[j]);
+			assert_invalid(names[i], value);
+			g_free(value);
+		}
+	}
+	g_assert_true(decode(VALID_ENTRY, longest, &entry));
+	g_assert_false(decode(VALID_ENTRY, longer, &entry));
+	g_assert_false(decode(VALID_ENTRY, "two words", &entry));
+	g_assert_false(decode(VALID_ENTRY, "i-1\r\n", &entry));
+	g_free(huge);
+	g_free(longer);
+	g_free(longest);
+}
+
+/* Guards against counts that overflow: of the statements that all members run at a time. */
+static void test_slots(void)
+{
+	g_assert_true(decode_with("slots", "0"));
+	g_assert_true(decode_with("slots", "1000000"));
+	assert_invalid("slots", "1000001");
+	assert_invalid("slots", "2147483648");
+	assert_invalid("slots", "9223372036854775807");
+	assert_invalid("slots", "\"2\"");
+	g_assert_true(decode_with("born", "9223372036854775807"));
+}
+
+/* Bytes that are no JSON at all, or that end in the middle of it. */
+static void test_bytes(void)
+{
+	static const char nul[] = VALID_ENTRY "\0";
+	char *deep = repeat("{\"a\":", DEEP);
+	const char *reason;
+	member_entry_t entry;
+
+	for (size_t len = 0; len < strlen(VALID_ENTRY); len++)
+		g_assert_null(member_entry_decode(VALID_ENTRY, len, "i-1", &entry, &reason));
+	g_assert_null(member_entry_decode(nul, sizeof(nul), "i-1", &entry, &reason));
+	g_assert_null(member_entry_decode(deep, strlen(deep), "i-1", &entry, &reason));
+	g_assert_null(member_entry_decode(NULL, 0, "i-1", &entry, &reason));
+	g_free(deep);
+}
+
 /* An entry without a start time is valid. */
 static void test_without_start_time(void)
 {
@@ -100,5 +303,10 @@
 	g_test_add_func("/entry/whole", test_valid);
 	g_test_add_func("/entry/foreign", test_invalid);
 	g_test_add_func("/entry/without-born", test_without_start_time);
+	g_test_add_func("/entry/odd-values", test_odd_values);
+	g_test_add_func("/entry/addresses", test_addresses);
+	g_test_add_func("/entry/names", test_names);
+	g_test_add_func("/entry/slots", test_slots);
+	g_test_add_func("/entry/bytes", test_bytes);
 	return g_test_run();
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -172,11 +172,11 @@
 
 static void check_entry(const char *data, size_t len)
 {
-	json_t *root = json_loadb(data, len, 0, NULL);
 	member_entry_t entry;
 	const char *reason;
+	json_t *root = member_entry_decode(data, len, "id", &entry, &reason);
 
-	if (member_entry_decode(root, "id", &entry, &reason)) {
+	if (root != NULL) {
 		g_assert_null(reason);
 		g_assert_cmpstr(entry.service, !=, "");
 		g_assert_nonnull(strchr(entry.address, ':'));
