pooler: the newest entry of a member decides on its service and zone

Found while the readers of the list of members were read, after the report of odd entries there.

Callers would see: a member that no proxy uses, or statements at it that it refuses as misrouted, for as long as the proxies run. The first entry under its id named another service (a valid word, so the entry was accepted), and the right one came later. With the only primary among its members the service was not served at all.

Cause: service and zone were taken from the entry with which the member was first seen; member_update() took over address, state, role and slots of later ones and left these two.

Now a newer entry with another service ends the member at the service before, with its connections and positions, and begins it at the new one; an older one changes nothing, as before.

Tests, failed on the code before: /member/service-corrected ('service_has(...) should be TRUE'), /member/service-changes ('service_has(...) should be FALSE').

--- a/pooler/member.c
+++ b/pooler/member.c
@@ -132,6 +132,10 @@
 		talloc_free(member->address);
 		member->address = talloc_strdup(member, entry->address);
 	}
+	if (strcmp(member->zone, entry->zone) != 0) {
+		talloc_free(member->zone);
+		member->zone = talloc_strdup(member, entry->zone);
+	}
 	if (member->slots == 0 || member->leaving != entry->leaving || member->unlisted ||
 	    member->claims_primary != entry->primary)
 		LOG_EVENT(LOG_INFO, "member listed", LOG_STR("service", member->service->name),
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -504,10 +504,35 @@
 		cache_validity_confirm(&pooler->config_validity, asked_at);
 }
 
+static bool names_other_service(const member_t *member, const member_entry_t *entry)
+{
+	return entry->revision >= member->revision &&
+	       strcmp(member->service->name, entry->service) != 0;
+}
+
+/*
+ * Forgets a member whose newest entry names another service, since the connections, the log
+ * position and the role are those of the service before.
+ */
+static void forget_moved_member(pooler_t *pooler, member_t *member, const member_entry_t *entry)
+{
+	LOG_EVENT(LOG_WARN, "entry of a member names another service",
+		  LOG_STR("member", member->id), LOG_STR("service", entry->service),
+		  LOG_STR("before", member->service->name), LOG_INT("revision", entry->revision));
+	pooler->members_digest ^= refresh_member_digest(member);
+	/* Closing a connection must not open another one to the member. */
+	member->unlisted = true;
+	free_member(pooler, member);
+}
+
 void pooler_on_member(pooler_t *pooler, const member_entry_t *entry)
 {
 	member_t *member = member_find(pooler, entry->id);
 
+	if (member != NULL && names_other_service(member, entry)) {
+		forget_moved_member(pooler, member, entry);
+		member = NULL;
+	}
 	if (member == NULL) {
 		member = member_create(pooler, entry);
 		HASH_ADD_KEYPTR(hh, pooler->members_by_id, member->id, strlen(member->id), member);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -465,6 +465,75 @@
 	world_destroy(world);
 }
 
+/* Passes the proxy an entry of any member, at the address and in the zone of none. */
+static void list_at_service(pool_world_t *world, const char *id, const char *service,
+			    int64_t revision)
+{
+	member_entry_t entry = {
+		.id = id,
+		.service = service,
+		.address = "10.0.9.9:1",
+		.zone = service,
+		.slots = 2,
+		.revision = revision,
+	};
+
+	pooler_on_member(world->nodes[0].pooler, &entry);
+}
+
+static bool service_has(pool_world_t *world, const char *service, const member_t *member)
+{
+	list_for_each (it, &service_get(world->nodes[0].pooler, service)->members) {
+		if (list_entry(it, member_t, in_service) == member)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Guards against a member that is out of use for as long as the proxy runs: the first entry under
+ * its id named another service, and was replaced.
+ */
+static void test_service_of_entry_is_corrected(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	const member_t *member;
+
+	world_wait_until_ready(world);
+	world->directory_is_frozen = true;
+	list_at_service(world, "i-9", "nowhere", 10);
+	member = member_find(world->nodes[0].pooler, "i-9");
+	g_assert_true(service_has(world, "nowhere", member));
+	list_at_service(world, "i-9", WORLD_SERVICE, 11);
+	member = member_find(world->nodes[0].pooler, "i-9");
+	g_assert_true(service_has(world, WORLD_SERVICE, member));
+	g_assert_false(service_has(world, "nowhere", member));
+	g_assert_cmpstr(member->zone, ==, WORLD_SERVICE);
+	/* An older entry changes nothing. */
+	list_at_service(world, "i-9", "nowhere", 10);
+	g_assert_true(member == member_find(world->nodes[0].pooler, "i-9"));
+	g_assert_true(service_has(world, WORLD_SERVICE, member));
+	world_destroy(world);
+}
+
+/* The same for a primary with connections: the service goes on once its entry is right again. */
+static void test_service_of_used_member_changes(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *caller;
+	member_t *member = use_listed_primary(world, &caller);
+
+	list_primary(member, 0, 10, false);
+	g_assert_cmpuint(member->conn_count, !=, 0);
+	list_at_service(world, "core-0", "nowhere", 11);
+	member = member_find(world->nodes[0].pooler, "core-0");
+	g_assert_false(service_has(world, WORLD_SERVICE, member));
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 b"), "ERR BUSY");
+	list_at_service(world, "core-0", WORLD_SERVICE, 12);
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 c"), "DONE core-0");
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -487,5 +556,7 @@
 	g_test_add_func("/outcome/crash-in-transaction", test_primary_crashes_in_transaction);
 	g_test_add_func("/member/starts-again", test_member_restarts);
 	g_test_add_func("/member/starts-again-earlier", test_member_restarts_with_earlier_time);
+	g_test_add_func("/member/service-corrected", test_service_of_entry_is_corrected);
+	g_test_add_func("/member/service-changes", test_service_of_used_member_changes);
 	return g_test_run();
 }
