follow: a page of a full read that holds no item is read again

Found while the readers of the list of members were read, after the report of odd entries there.

Callers would see: members that are out of use, 701 of 1,201 in the test. If no item of a page could be decoded (a large odd value is a page of its own: the store ends a page at 1 MB), there was no key after which to go on, and the read ended there as if it were complete. All members behind that page counted as missing, and 2.3 s later as gone.

Now such a page counts as a failed call, so it is read again after the back-off and nothing counts as missing.

Test, failed on the code before ('removed_count == 0': 701): /follow/unusable-page.

--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -269,7 +269,9 @@
 	follow_t *follow = data;
 
 	follow->page_in_flight = false;
-	if (result->status != KV_OK) {
+	/* Without an item there is no key from which to go on, and the rest would count as missing.
+	 */
+	if (result->status != KV_OK || (result->truncated && result->count == 0)) {
 		retry_later(follow, &follow->page_retry, FOLLOW_SOURCE_READ, result->status,
 			    on_page_retry);
 		return;
@@ -293,7 +295,7 @@
 	follow->applying_page = false;
 	talloc_free(follow->last_key);
 	follow->last_key = NULL;
-	if (result->truncated && result->count != 0)
+	if (result->truncated)
 		follow->last_key =
 			talloc_strdup(follow->parent, result->items[result->count - 1].key);
 	else
--- a/tests/fake_kv.c
+++ b/tests/fake_kv.c
@@ -296,6 +296,11 @@
 {
 	kv_item_t *items = talloc_array(call, kv_item_t, PAGE_ITEMS);
 
+	if (store->empty_pages != 0 && *call->after_key != '\0') {
+		store->empty_pages--;
+		call->result.truncated = true;
+		return;
+	}
 	list_for_each (it, &store->items) {
 		item_t *item = list_entry(it, item_t, node);
 
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -24,7 +24,9 @@
 	run_timer_t timer;
 	usec_t answer_delay; /* from a call to its answer */
 	bool down;
-	bool watches_stalled;		  /* watches report no changes */
+	bool watches_stalled; /* watches report no changes */
+	unsigned empty_pages; /* next pages after a first one that hold nothing, though more follow
+			       */
 	unsigned lose_commit_answers;	  /* next commits that are done, but not answered */
 	unsigned lose_lease_keep_answers; /* next renewals that are done, but not answered */
 	size_t call_count;
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -420,6 +420,31 @@
 	follower_destroy(self);
 }
 
+/*
+ * Guards against members that count as gone since a page of the list could not be used, so that no
+ * key is known after which the next one begins.
+ */
+static void test_follow_unusable_page(void)
+{
+	follower_t *self = follower_create();
+
+	for (int i = 0; i < 1200; i++) {
+		char key[32];
+
+		g_snprintf(key, sizeof(key), "servers/x%04d", i);
+		fake_kv_put(self->store, key, "1");
+	}
+	run_for(self, SEC);
+	g_assert_cmpuint(g_hash_table_size(self->seen), ==, 1201);
+	self->store->empty_pages = 3;
+	follow_refresh(&self->follow);
+	run_for(self, 8 * SEC);
+	g_assert_cmpuint(self->removed_count, ==, 0);
+	g_assert_cmpuint(self->store->empty_pages, ==, 0);
+	g_assert_false(self->follow.reading);
+	follower_destroy(self);
+}
+
 /* --- updates from a peer, for a follower that does not read the store itself --- */
 
 /* Sends the peer's newer changes to the other follower; returns false if there are none. */
@@ -633,6 +658,7 @@
 	g_test_add_func("/follow/unanswered", test_follow_unanswered);
 	g_test_add_func("/follow/watches-turned-away", test_follow_watches_refused);
 	g_test_add_func("/follow/pages", test_follow_pages);
+	g_test_add_func("/follow/unusable-page", test_follow_unusable_page);
 	g_test_add_func("/follow/by-a-peer", test_follow_by_a_peer);
 	g_test_add_func("/follow/late-discovery", test_follow_late_discovery);
 	g_test_add_func("/follow/whole", test_follow_whole);
