follow: a value that is no UTF-8 is sent to peers as an empty one

Operators would see: a proxy that has its list of members from a peer takes a member for gone, or keeps an old entry of it, while proxies that read the store have the newest one. Their digests of the list differ for as long as the odd entry stays, so the members are read from the store again and again.

Cause: such a value can't be encoded in the packed text, so its key was left out of it: from changes, where the receiver keeps the value before, and from complete lists, where the key counts as missing.

Test, failed on the code before ('seen(fed, servers/b) == ""': "1"): /follow/packed-invalid-text.

--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -464,27 +464,32 @@
 /* --- changes as one text --- */
 
 /*
- * NULL if the value is not valid UTF-8: such a value can't be encoded, and is of use only to its
- * writer.
+ * A value that is not valid UTF-8 can't be encoded, and is of use only to its writer; it is sent as
+ * an empty one. Without it the receiver would take the key for missing, unlike proxies that read
+ * the store.
  */
+static json_t *encode_value(const follow_entry_t *entry)
+{
+	json_t *value = json_stringn(entry->value, entry->len);
+
+	return value != NULL ? value : json_string("");
+}
+
 static json_t *encode_item(const follow_entry_t *entry)
 {
 	bool present = entry->missing_since == USEC_NEVER;
-	json_t *value = present ? json_stringn(entry->value, entry->len) : json_null();
 
-	if (value == NULL)
-		return NULL;
-	return json_pack("[s, I, o]", entry->key, (json_int_t)entry->revision, value);
+	return json_pack("[s, I, o]", entry->key, (json_int_t)entry->revision,
+			 present ? encode_value(entry) : json_null());
 }
 
 static void encode_entries(json_t *items, const list_t *list, int64_t since)
 {
 	list_for_each (it, list) {
 		const follow_entry_t *entry = list_entry(it, follow_entry_t, node);
-		json_t *item = entry->receipt_revision > since ? encode_item(entry) : NULL;
 
-		if (item != NULL)
-			json_array_append_new(items, item);
+		if (entry->receipt_revision > since)
+			json_array_append_new(items, encode_item(entry));
 	}
 }
 
--- a/tests/test_pooler_parts.c
+++ b/tests/test_pooler_parts.c
@@ -522,6 +522,36 @@
 	follower_destroy(peer);
 }
 
+/*
+ * Guards against proxies that disagree on the list of members for good: an entry whose bytes are no
+ * UTF-8 is not among those that a peer sends, so the receiver takes its member for gone.
+ */
+static void test_follow_packed_invalid_text(void)
+{
+	follower_t *peer = follower_create();
+	follower_t *fed = follower_create_fed(true);
+
+	fake_kv_put(peer->store, "servers/b", "1");
+	fake_kv_put(peer->store, "servers/c", "1");
+	run_for(peer, 100 * MSEC);
+	g_assert_true(follow_apply_packed(&fed->follow, follow_pack_changes(&peer->follow, 0)));
+	g_assert_cmpstr(seen(fed, "servers/b"), ==, "1");
+	fake_kv_put(peer->store, "servers/b", "\xff\xfe");
+	fake_kv_put(peer->store, "servers/c", "2");
+	run_for(peer, 100 * MSEC);
+	g_assert_true(follow_apply_packed(&fed->follow, follow_pack_changes(&peer->follow, 0)));
+	g_assert_cmpstr(seen(fed, "servers/b"), ==, "");
+	g_assert_cmpstr(seen(fed, "servers/c"), ==, "2");
+	run_for(fed, 3 * SEC);
+	g_assert_cmpuint(fed->removed_count, ==, 0);
+	fake_kv_put(peer->store, "servers/b", "3");
+	run_for(peer, 100 * MSEC);
+	g_assert_true(follow_apply_packed(&fed->follow, follow_pack_changes(&peer->follow, 0)));
+	g_assert_cmpstr(seen(fed, "servers/b"), ==, "3");
+	follower_destroy(fed);
+	follower_destroy(peer);
+}
+
 static void test_pack_round_trip(void)
 {
 	GString *text = g_string_new("");
@@ -659,6 +689,7 @@
 	g_test_add_func("/follow/watches-turned-away", test_follow_watches_refused);
 	g_test_add_func("/follow/pages", test_follow_pages);
 	g_test_add_func("/follow/unusable-page", test_follow_unusable_page);
+	g_test_add_func("/follow/packed-invalid-text", test_follow_packed_invalid_text);
 	g_test_add_func("/follow/by-a-peer", test_follow_by_a_peer);
 	g_test_add_func("/follow/late-discovery", test_follow_late_discovery);
 	g_test_add_func("/follow/whole", test_follow_whole);
