--- a/pooler/active.c
+++ b/pooler/active.c
@@ -36,7 +36,8 @@
 
 static bool member_is_active(const member_t *member)
 {
-	return !list_empty(&member->conns) || member->down || member->unlisted;
+	return !list_empty(&member->conns) || member->down || member->unlisted ||
+	       member->invalid_since != 0;
 }
 
 static bool service_is_active(const service_t *service, usec_t now)
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -156,6 +156,7 @@
 	member->claims_primary = entry->primary;
 	member->slots = entry->slots;
 	member->unlisted = false;
+	member->invalid_since = 0;
 	if (member->leaving)
 		close_idle_conns(member);
 }
@@ -163,6 +164,7 @@
 void member_set_unlisted(member_t *member)
 {
 	member->unlisted = true;
+	member->invalid_since = 0;
 	active_add_member(member);
 	member->unlisted_since = now_of(member->pooler);
 	LOG_EVENT(LOG_INFO, "member no longer listed", LOG_STR("service", member->service->name),
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -67,6 +67,12 @@
  * after 2 s without an answer.
  */
 #define CONFIG_WAIT_TIMEOUT (1500 * USEC_PER_MSEC)
+/*
+ * Time for which a member stays in use after its entry has become invalid. A member that lives
+ * writes its entry again within a heartbeat interval, which is some 1.2 s. After this time all
+ * proxies agree on the list of members, also those that have never seen a valid entry of it.
+ */
+#define INVALID_ENTRY_GRACE (2300 * USEC_PER_MSEC)
 /* Time without permission after which sessions are closed; agreeing on a new roster takes less. */
 #define NO_PERMISSION_TIMEOUT (500 * USEC_PER_MSEC)
 /*
@@ -186,6 +192,9 @@
 		member_t *member = list_entry(it, member_t, active);
 
 		member_tick(member, now);
+		if (member->invalid_since != 0 &&
+		    now >= member->invalid_since + INVALID_ENTRY_GRACE)
+			pooler_on_member_gone(pooler, member->id);
 		if (member->unlisted && list_empty(&member->conns) &&
 		    now >= member->unlisted_since + UNLISTED_MEMBER_RETENTION)
 			free_member(pooler, member);
@@ -555,6 +564,16 @@
 	member_set_unlisted(member);
 }
 
+void pooler_on_member_invalid(pooler_t *pooler, const char *id)
+{
+	member_t *member = member_find(pooler, id);
+
+	if (member == NULL || member->unlisted || member->invalid_since != 0)
+		return;
+	member->invalid_since = now_of(pooler);
+	active_add_member(member);
+}
+
 void pooler_on_promoted(pooler_t *pooler, const char *service, promote_status_t status)
 {
 	failover_on_promoted(service_get(pooler, service), status);
--- a/pooler/pooler.h
+++ b/pooler/pooler.h
@@ -108,6 +108,11 @@
 /* Handles a query of the store, sent at asked_at, that found no newer configuration than ours. */
 void pooler_on_config_confirmed(pooler_t *pooler, usec_t asked_at);
 void pooler_on_member(pooler_t *pooler, const member_entry_t *entry);
+/*
+ * The entry under the member's id can't be used any more: the member counts as gone unless a valid
+ * entry follows soon.
+ */
+void pooler_on_member_invalid(pooler_t *pooler, const char *id);
 void pooler_on_member_gone(pooler_t *pooler, const char *id);
 void pooler_on_promoted(pooler_t *pooler, const char *service, promote_status_t status);
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -94,8 +94,9 @@
 	usec_t leaving_since; /* USEC_NEVER / 2 while the member is not leaving */
 	bool unlisted;	      /* the platform's list no longer has the member */
 	usec_t unlisted_since;
-	int64_t started_at; /* start time of its process from the member's entry; 0: unknown */
-	int64_t revision;   /* of the member's entry in the store */
+	usec_t invalid_since; /* when its entry became invalid; 0: it is valid */
+	int64_t started_at;   /* start time of its process from the member's entry; 0: unknown */
+	int64_t revision;     /* of the member's entry in the store */
 	bool claims_primary;
 	usec_t claim_changed_at; /* when the member's entry last changed claims_primary */
 	list_t conns;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -534,6 +534,40 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against proxies that disagree on the list of members for good: some had seen a valid entry
+ * before the invalid one, others had not. A member that lives soon writes a valid entry again.
+ */
+static void test_entry_becomes_invalid(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	pooler_t *pooler = world->nodes[0].pooler;
+	uint64_t without;
+
+	world_wait_until_ready(world);
+	world->directory_is_frozen = true;
+	without = pooler->members_digest;
+	pooler_on_member_invalid(pooler, "i-9");
+	list_at_service(world, "i-9", WORLD_SERVICE, 10);
+	g_assert_cmpuint(pooler->members_digest, !=, without);
+	pooler_on_member_invalid(pooler, "i-9");
+	world_run(world, 2 * SEC);
+	g_assert_false(member_find(pooler, "i-9")->unlisted);
+	list_at_service(world, "i-9", WORLD_SERVICE, 12);
+	world_run(world, 10 * SEC);
+	g_assert_false(member_find(pooler, "i-9")->unlisted);
+	pooler_on_member_invalid(pooler, "i-9");
+	/* Further ones don't prolong the time. */
+	world_run(world, 2 * SEC);
+	pooler_on_member_invalid(pooler, "i-9");
+	world_run(world, SEC);
+	g_assert_true(member_find(pooler, "i-9")->unlisted);
+	g_assert_cmpuint(pooler->members_digest, ==, without);
+	list_at_service(world, "i-9", WORLD_SERVICE, 15);
+	g_assert_false(member_find(pooler, "i-9")->unlisted);
+	world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -558,5 +592,6 @@
 	g_test_add_func("/member/starts-again-earlier", test_member_restarts_with_earlier_time);
 	g_test_add_func("/member/service-corrected", test_service_of_entry_is_corrected);
 	g_test_add_func("/member/service-changes", test_service_of_used_member_changes);
+	g_test_add_func("/member/entry-invalid", test_entry_becomes_invalid);
 	return g_test_run();
 }
