--- a/tests/standin_site.c
+++ b/tests/standin_site.c
@@ -30,7 +30,9 @@
 #define BODY_MAX      (2 * 1024 * 1024)
 #define LIST_INTERVAL (50 * USEC_PER_MSEC)
 /* Changes that the store keeps for watches; a busy fleet makes as many in a minute. */
-#define HISTORY	 2000
+#define HISTORY 2000
+/* A stored value that begins with this is sent as it is, in place of its base64. */
+#define RAW_MARK "raw:"
 #define ERA_TEXT 24
 
 /* Set by SIGUSR1 and SIGUSR2; handled by the next run of the list timer. */
@@ -114,8 +116,11 @@
 		return json_pack("{s:s, s:I, s:b}", "key", item->key, "rev",
 				 revision_to_wire(item->revision), "tombstone", 1);
 	text = talloc_size(NULL, size);
-	sodium_bin2base64(text, size, (const unsigned char *)item->value, item->len,
-			  sodium_base64_VARIANT_ORIGINAL);
+	if (strncmp(item->value, RAW_MARK, strlen(RAW_MARK)) == 0)
+		memcpy(text, item->value + strlen(RAW_MARK), item->len + 1 - strlen(RAW_MARK));
+	else
+		sodium_bin2base64(text, size, (const unsigned char *)item->value, item->len,
+				  sodium_base64_VARIANT_ORIGINAL);
 	object = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value", text, "rev",
 			   revision_to_wire(item->revision), "createdRev",
 			   revision_to_wire(item->create_revision), "lease",
@@ -259,6 +264,16 @@
 	call(&site->client.kv, id, send_result, pending_request_create(site, req));
 }
 
+/* Writes the body under a key, as any other program may that writes to the store. */
+static void handle_foreign_write(site_t *site, h2o_req_t *req, const char *key)
+{
+	char *value = talloc_strndup(NULL, req->entity.base, req->entity.len);
+
+	fake_kv_put(site->kv, key, value);
+	httpd_send_json(req, STATUS_OK, json_object(), 0);
+	talloc_free(value);
+}
+
 static int handle_store(httpd_t *httpd, h2o_req_t *req)
 {
 	site_t *site = httpd->data;
@@ -268,7 +283,9 @@
 	pending_request_t *pending;
 	int rc = 0;
 
-	if (path_has_prefix(req, "/kv-range")) {
+	if (path_has_prefix(req, "/foreign-write")) {
+		handle_foreign_write(site, req, get_query_parameter(scratch, req, "key"));
+	} else if (path_has_prefix(req, "/kv-range")) {
 		kv->ops->range(kv, get_query_parameter(scratch, req, "prefix"),
 			       get_query_parameter(scratch, req, "after"), send_result,
 			       pending_request_create(site, req));
