router: a home declines a request whose row is at another group in its table

Callers would see: a session that misses its own write. Its token holds positions by group, but a request that goes to a home carries just the one of the row's group, without its name. While an edit of the row's group spreads, the home may have a newer table: it ran the read at the new group and compared its log with the position at the old one.

Now the request names the group, and a home that has the row at another one declines it as one that does not serve the group, so the next home is asked, or the caller gets no_home with a retry-after. A proxy of an earlier version names none and is served as before.

--- a/core/router.c
+++ b/core/router.c
@@ -167,6 +167,7 @@
 	request->row = talloc_strdup(request, row->name);
 	request->group_name = talloc_strdup(request, row->group);
 	request->kind = query->verb == VERB_BEGIN ? ROW_WRITE : row->kind;
+	query->group = talloc_strdup(query, row->group);
 	query->min_position = session_min_position(request->session, row->group);
 	query->token_lost |= session_is_partial(request->session, row->group);
 	limit_deadline(request, row->timeout);
@@ -502,6 +503,15 @@
 	return core->now - message->echo >= message->query->time_left;
 }
 
+/*
+ * False if the row is at another group in the sender's table: the session's position is one of that
+ * group's log. A proxy of an earlier version names no group.
+ */
+static bool is_group_of_query(const group_t *group, const query_t *query)
+{
+	return query->group == NULL || strcmp(group->name, query->group) == 0;
+}
+
 void router_execute(core_t *core, proxy_t *from, const message_t *message)
 {
 	request_t *request = request_from_peer(core, from->name, message->request, message->query);
@@ -524,7 +534,7 @@
 		return;
 	row = table_find_row(core->table, query->service, query->class_name);
 	group = row != NULL ? group_find(core, row->group) : NULL;
-	if (group == NULL || !can_serve_group(group)) {
+	if (group == NULL || !is_group_of_query(group, query) || !can_serve_group(group)) {
 		request_refuse(request, REFUSAL_NO_HOME, RETRY_AFTER_HOME,
 			       "proxy %s does not serve the group of %s/%s", core->name,
 			       query->service, query->class_name);
--- a/core/types.c
+++ b/core/types.c
@@ -45,6 +45,7 @@
 	*copy = *query;
 	copy->service = talloc_strdup(copy, query->service);
 	copy->class_name = talloc_strdup(copy, query->class_name);
+	copy->group = talloc_strdup(copy, query->group);
 	copy->text = talloc_strdup(copy, query->text);
 	copy->params = talloc_strdup(copy, query->params);
 	copy->request_id = talloc_strdup(copy, query->request_id);
--- a/core/types.h
+++ b/core/types.h
@@ -58,6 +58,7 @@
 	verb_t verb;
 	char *service;
 	char *class_name;
+	char *group; /* of which min_position is; set by the proxy that received the request */
 	char *text;
 	char *params;	  /* JSON array, passed to the backend server as parameters */
 	char *request_id; /* stored with a write, which makes resends idempotent */
--- a/links/wire.c
+++ b/links/wire.c
@@ -38,6 +38,7 @@
 	FIELD("verb", WIRE_INT, query_t, verb),
 	FIELD("service", WIRE_TEXT, query_t, service),
 	FIELD("class", WIRE_TEXT, query_t, class_name),
+	FIELD("group", WIRE_TEXT, query_t, group),
 	FIELD("text", WIRE_TEXT, query_t, text),
 	FIELD("params", WIRE_TEXT, query_t, params),
 	FIELD("id", WIRE_TEXT, query_t, request_id),
