--- a/links/pgio.c
+++ b/links/pgio.c
@@ -166,7 +166,7 @@
 		  const char *address)
 {
 	usec_t now = clock_now(loop->clock);
-	char host[64];
+	char host[STREAM_HOST_SIZE];
 	char port[8];
 	uint16_t number;
 
