--- a/tests/standin_site.c
+++ b/tests/standin_site.c
@@ -33,6 +33,8 @@
 #define HISTORY 2000
 /* A stored value that begins with this is sent as it is, in place of its base64. */
 #define RAW_MARK "raw:"
+/* A character of a key that is sent as a NUL. */
+#define NUL_MARK '~'
 #define ERA_TEXT 24
 
 /* Set by SIGUSR1 and SIGUSR2; handled by the next run of the list timer. */
@@ -106,6 +108,19 @@
 	return kv_make_revision(kv_era(site->kv->revision), number);
 }
 
+static json_t *encode_key(const char *key)
+{
+	size_t len = strlen(key);
+	char *copy = talloc_strdup(NULL, key);
+	json_t *out;
+
+	for (size_t i = 0; i < len; i++)
+		copy[i] = copy[i] == NUL_MARK ? '\0' : copy[i];
+	out = json_stringn(copy, len);
+	talloc_free(copy);
+	return out;
+}
+
 static json_t *encode_item(const kv_item_t *item)
 {
 	size_t size = sodium_base64_encoded_len(item->len, sodium_base64_VARIANT_ORIGINAL);
@@ -113,7 +128,7 @@
 	json_t *object;
 
 	if (item->value == NULL)
-		return json_pack("{s:s, s:I, s:b}", "key", item->key, "rev",
+		return json_pack("{s:o, s:I, s:b}", "key", encode_key(item->key), "rev",
 				 revision_to_wire(item->revision), "tombstone", 1);
 	text = talloc_size(NULL, size);
 	if (strncmp(item->value, RAW_MARK, strlen(RAW_MARK)) == 0)
@@ -121,8 +136,8 @@
 	else
 		sodium_bin2base64(text, size, (const unsigned char *)item->value, item->len,
 				  sodium_base64_VARIANT_ORIGINAL);
-	object = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value", text, "rev",
-			   revision_to_wire(item->revision), "createdRev",
+	object = json_pack("{s:o, s:s, s:I, s:I, s:I}", "key", encode_key(item->key), "value", text,
+			   "rev", revision_to_wire(item->revision), "createdRev",
 			   revision_to_wire(item->create_revision), "lease",
 			   (json_int_t)item->lease);
 	talloc_free(text);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -268,6 +268,32 @@
 	g_free(valid);
 }
 
+/*
+ * Guards against a list of members that can't be read while there is a key with a NUL, or in which
+ * such a key passes for the one that ends there.
+ */
+static void test_key_with_nul(void)
+{
+	write_entry("core-0~x", VALID_ENTRY);
+	write_entry("core-after", VALID_ENTRY);
+	for (int i = 0; i < PROXIES; i++)
+		wait_until_listed(i, "core-after", true);
+	g_usleep(TWO_READS_USEC);
+	harness_kill(&site->proxies[1]);
+	site_restart_proxy(site, 1);
+	site_wait_until_ready(site, 1);
+	check_others();
+	write_entry("core-0~x", "");
+	for (int i = 0; i < PROXIES; i++) {
+		json_t *member = find_member(i, "core-0");
+
+		g_assert_cmpstr(json_string_value(json_object_get(member, "address")), !=,
+				"127.0.0.1:9");
+		g_assert_false(json_is_true(json_object_get(member, "leaving")));
+		json_decref(member);
+	}
+}
+
 /* Returns the version of the configuration in force at the proxy. */
 static int config_version(int proxy)
 {
@@ -331,6 +357,7 @@
 	g_test_add_func("/odd-entries/at-the-first-read", test_at_the_first_read);
 	g_test_add_func("/odd-entries/become-valid", test_entries_become_valid);
 	g_test_add_func("/odd-entries/in-place-of-a-member", test_in_place_of_a_member);
+	g_test_add_func("/odd-entries/key-with-nul", test_key_with_nul);
 	g_test_add_func("/odd-entries/configuration", test_configuration);
 	rc = g_test_run();
 	site_stop(site);
