--- a/pooler/follow.c
+++ b/pooler/follow.c
@@ -269,8 +269,7 @@
 	follow_t *follow = data;
 
 	follow->page_in_flight = false;
-	/* Without an item there is no key from which to go on, and the rest would count as missing.
-	 */
+	/* Without an item there is no key from which to go on; the rest would count as missing. */
 	if (result->status != KV_OK || (result->truncated && result->count == 0)) {
 		retry_later(follow, &follow->page_retry, FOLLOW_SOURCE_READ, result->status,
 			    on_page_retry);
