survey: of two members that claim to be the primary the newest is accepted

Callers would see: an acknowledged write that is lost, made at a primary that another one had superseded.

Two promote calls of one leader had taken effect without its seeing them through; the member of the first one (term 2) received nothing, so that it was not demoted by the second (term 3). The next leader's survey had answers of both.

Cause: survey_newer_primary() returned the first member in the list whose term is above the roster's. Ruled out: a survey without an answer of the newer one (all three had answered), and a late write of an earlier leader (roster 14 and 16 are the new leader's own).

Now the one of the newest term is taken, which is the last that the platform promoted.

Test, failed on the code before ('expected DONE core-2, got DONE core-1'): /primary/two-promoted.

--- a/pooler/survey.c
+++ b/pooler/survey.c
@@ -33,24 +33,27 @@
 }
 
 /*
- * Finds a member that is the primary already in a newer term than the roster's. A superseded
- * primary that is cut off also reports itself as primary: accepting it would restore rolled-back
- * writes and lose all writes since then.
+ * Finds the member that is the primary already in the newest term, which is newer than the
+ * roster's. A superseded primary that is cut off also reports itself as primary: accepting it would
+ * restore rolled-back writes and lose all writes since then.
  */
 member_t *survey_newer_primary(const service_t *service, const member_t *old)
 {
 	uint64_t term = service_roster_group(service)->term;
+	member_t *newest = NULL;
 
 	if (old != NULL && old->survey_answered && old->status.term > term)
 		term = old->status.term;
 	list_for_each (it, &service->members) {
 		member_t *member = list_entry(it, member_t, in_service);
 
-		if (member->survey_answered && member->status.primary && term != 0 &&
-		    member->status.term > term)
-			return member;
+		if (!member->survey_answered || !member->status.primary || term == 0 ||
+		    member->status.term <= term)
+			continue;
+		newest = member;
+		term = member->status.term;
 	}
-	return NULL;
+	return newest;
 }
 
 static bool have_all_answered(const service_t *service)
--- a/pooler/survey.h
+++ b/pooler/survey.h
@@ -23,7 +23,7 @@
 /* The eligible member, other than old, that has received the most; NULL if none answered. */
 member_t *survey_best_candidate(const service_t *service, const member_t *old);
 
-/* A member that reports itself as primary with a newer term than the roster's primary, or NULL. */
+/* The member that reports itself as primary in the newest term after the roster's, or NULL. */
 member_t *survey_newer_primary(const service_t *service, const member_t *old);
 
 /*
--- a/tests/test_pooler_primary.c
+++ b/tests/test_pooler_primary.c
@@ -300,6 +300,33 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against acknowledged writes that are lost: two promotions took effect that no leader saw
+ * through, the member of the first one is cut off from the second, and both claim to be the
+ * primary.
+ */
+static void test_newest_of_two_primaries_is_accepted(void)
+{
+	pool_world_t *world = world_create(3, NULL);
+	fake_member_t *members = world->db->members;
+	world_caller_t *caller;
+
+	world_wait_until_ready(world);
+	caller = world_open_session(world, 0);
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 a"), "DONE core-0");
+	world_run(world, SEC);
+	members[1].isolated = true;
+	for (size_t i = 1; i < 3; i++) {
+		members[i].primary = true;
+		members[i].term = i + 1;
+	}
+	world->db->term = 3;
+	world_crash_member(world, 0);
+	world_run(world, 5 * SEC);
+	assert_has_prefix(world_send_and_wait(caller, "WRITE job-1 b"), "DONE core-2");
+	world_destroy(world);
+}
+
 /*
  * The leader is frozen when the primary crashes. The next leader need not wait for promote calls of
  * one that had begun no change.
@@ -718,6 +745,7 @@
 			test_leader_dies_after_the_first_promote);
 	g_test_add_func("/primary/own-change", test_leader_resumes_its_own_change);
 	g_test_add_func("/primary/superseded", test_superseded_primary_is_not_accepted);
+	g_test_add_func("/primary/two-promoted", test_newest_of_two_primaries_is_accepted);
 	g_test_add_func("/primary/holder-frozen", test_leader_frozen_when_the_primary_crashes);
 	g_test_add_func("/primary/late-write", test_late_write_of_an_earlier_leader);
 	g_test_add_func("/primary/promoted-crashes", test_promoted_member_crashes_unnoticed);
