conn: walks mark the connections that they close

A member starts again under its id while callers wait: the proxy opens and closes connections to it until the callers' time-outs are over, 1.9 s. In a change of primary with customers: until the process is killed.

Cause: conn_close() serves the callers that wait, which opens connections or evicts others. Walks over a member's connections closed them one by one: reset_after_restart() closed what was opened meanwhile, the others followed a node that an eviction had freed.

Ruled out: a wait for a reply or the store (the process uses its processor), and a member that refuses (it accepts).

Now a walk marks what it is to close, and conn_close_marked() looks for the next marked one anew each time. What is opened meanwhile is not marked; a marked connection serves no caller.

--- a/pooler/adopt.c
+++ b/pooler/adopt.c
@@ -24,7 +24,7 @@
 	list_for_each (it, &service->members) {
 		member_t *member = list_entry(it, member_t, in_service);
 
-		list_for_each_safe (jt, &member->conns) {
+		list_for_each (jt, &member->conns) {
 			conn_t *conn = list_entry(jt, conn_t, node);
 
 			if (conn->caller == NULL || !caller_may_write(conn->caller))
@@ -35,8 +35,9 @@
 			 */
 			if (conn->state == CONN_RUNNING && caller_may_commit(conn->caller))
 				continue;
-			conn_close(conn, "the primary is being replaced");
+			conn->marked = true;
 		}
+		conn_close_marked(member, "the primary is being replaced");
 	}
 }
 
--- a/pooler/conn.c
+++ b/pooler/conn.c
@@ -181,6 +181,25 @@
 	terminate(conn, reason);
 }
 
+static conn_t *find_marked(const member_t *member)
+{
+	list_for_each (it, &member->conns) {
+		conn_t *conn = list_entry(it, conn_t, node);
+
+		if (conn->marked)
+			return conn;
+	}
+	return NULL;
+}
+
+void conn_close_marked(member_t *member, const char *reason)
+{
+	conn_t *conn;
+
+	while ((conn = find_marked(member)) != NULL)
+		conn_close(conn, reason);
+}
+
 void conn_query_status(conn_t *conn)
 {
 	member_request_t request = {.kind = REQUEST_STATUS};
@@ -729,7 +748,8 @@
 	list_for_each (it, &member->conns) {
 		conn_t *conn = list_entry(it, conn_t, node);
 
-		if (conn->state != CONN_IDLE || conn->customer_pool != caller->customer_pool)
+		if (conn->state != CONN_IDLE || conn->marked ||
+		    conn->customer_pool != caller->customer_pool)
 			continue;
 		if (variables_equal(&conn->variables, &caller->variables))
 			return conn;
--- a/pooler/conn.h
+++ b/pooler/conn.h
@@ -16,6 +16,13 @@
 /* Closes the connection; its caller, if any, is notified with caller_on_conn_lost(). */
 void conn_close(conn_t *conn, const char *reason);
 
+/*
+ * Closes the member's connections that are marked. Closing one may open, close and free others for
+ * the callers that wait, so a walk over connections marks those that it is to close; to close them
+ * in the walk would follow a freed node, or never come to an end.
+ */
+void conn_close_marked(member_t *member, const char *reason);
+
 /* Queries the member's status over an idle connection. */
 void conn_query_status(conn_t *conn);
 
--- a/pooler/member.c
+++ b/pooler/member.c
@@ -60,12 +60,12 @@
 /* Closes the idle connections to a member that is leaving or no longer listed. */
 static void close_idle_conns(member_t *member)
 {
-	list_for_each_safe (it, &member->conns) {
+	list_for_each (it, &member->conns) {
 		conn_t *conn = list_entry(it, conn_t, node);
 
-		if (conn->state == CONN_IDLE && !conn->probe)
-			conn_close(conn, "member is leaving");
+		conn->marked = conn->state == CONN_IDLE && !conn->probe;
 	}
+	conn_close_marked(member, "member is leaving");
 }
 
 /*
@@ -78,8 +78,9 @@
 {
 	LOG_EVENT(LOG_WARN, "member restarted", LOG_STR("service", member->service->name),
 		  LOG_STR("member", member->id), LOG_INT("born", member->started_at));
-	while (!list_empty(&member->conns))
-		conn_close(list_entry(member->conns.next, conn_t, node), "member restarted");
+	list_for_each (it, &member->conns)
+		list_entry(it, conn_t, node)->marked = true;
+	conn_close_marked(member, "member restarted");
 	member->applied = (position_t){0};
 	member->applied_at = 0;
 	member->lagged_at = 0;
--- a/pooler/pooler.c
+++ b/pooler/pooler.c
@@ -167,13 +167,13 @@
 
 		if (!member->down && now < service->changing_since + COMMIT_GRACE)
 			continue;
-		list_for_each_safe (jt, &member->conns) {
+		list_for_each (jt, &member->conns) {
 			conn_t *conn = list_entry(jt, conn_t, node);
 
-			if (conn->state == CONN_RUNNING && conn->caller != NULL &&
-			    caller_may_commit(conn->caller))
-				conn_close(conn, "the primary is being replaced");
+			conn->marked = conn->state == CONN_RUNNING && conn->caller != NULL &&
+				       caller_may_commit(conn->caller);
 		}
+		conn_close_marked(member, "the primary is being replaced");
 	}
 }
 
--- a/pooler/state.h
+++ b/pooler/state.h
@@ -64,6 +64,7 @@
 	conn_state_t state;
 	bool probe;
 	bool has_served;    /* has run at least one statement */
+	bool marked;	    /* conn_close_marked() is about to close it; it serves no caller */
 	conn_end_t end;	    /* why it is closed; CONN_END_NONE: it was lost */
 	usec_t taken_at;    /* when a caller last took it; 0: it is not in use */
 	usec_t state_since; /* when the present state began */
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -465,6 +465,39 @@
 	world_destroy(world);
 }
 
+#define READERS 40
+
+/* Guards against a proxy that opens and closes connections to a restarted member without an end. */
+static void test_member_restarts_under_load(void)
+{
+	pool_world_t *world = world_create(1, NULL);
+	world_caller_t *readers[READERS];
+	world_caller_t *caller;
+	member_t *member = use_listed_primary(world, &caller);
+	size_t opened;
+	size_t served = 0;
+
+	list_primary(member, 1000, 1, false);
+	for (size_t i = 0; i < 3; i++)
+		world->db->members[i].extra_service_time = 100 * MSEC;
+	for (size_t i = 0; i < READERS; i++) {
+		readers[i] = world_open_session_on(world, 0, "strict");
+		world_send(readers[i], "READ job-1");
+	}
+	world_run(world, 20 * MSEC);
+	g_assert_cmpuint(list_length(&member->service->waiting), !=, 0);
+	opened = member->last_conn_number;
+	list_primary(member, 2000, 2, false);
+	g_assert_cmpuint(member->last_conn_number - opened, <=, world->db->config.max_connections);
+	for (size_t i = 0; i < 3; i++)
+		world->db->members[i].extra_service_time = 0;
+	world_run(world, SEC);
+	for (size_t i = 0; i < READERS; i++)
+		served += g_str_has_prefix(readers[i]->reply, "ROW a");
+	g_assert_cmpuint(served, >, READERS / 2);
+	world_destroy(world);
+}
+
 /* Passes the proxy an entry of any member, at the address and in the zone of none. */
 static void list_at_service(pool_world_t *world, const char *id, const char *service,
 			    int64_t revision)
@@ -590,6 +623,7 @@
 	g_test_add_func("/outcome/crash-in-transaction", test_primary_crashes_in_transaction);
 	g_test_add_func("/member/starts-again", test_member_restarts);
 	g_test_add_func("/member/starts-again-earlier", test_member_restarts_with_earlier_time);
+	g_test_add_func("/member/restarts-under-load", test_member_restarts_under_load);
 	g_test_add_func("/member/service-corrected", test_service_of_entry_is_corrected);
 	g_test_add_func("/member/service-changes", test_service_of_used_member_changes);
 	g_test_add_func("/member/entry-invalid", test_entry_becomes_invalid);
--- a/tests/test_pooler_faults.c
+++ b/tests/test_pooler_faults.c
@@ -158,6 +158,9 @@
 	159,   /* a promoted member crashed unnoticed, and the old primary stayed in use */
 	10698, /* a change taken over twice counted as own, its earlier promote call was ignored */
 	5063,  /* the last write of a former leader's change arrived late, during the next change */
+	30187, /* of two primaries in newer terms the older one was accepted */
+	3001850, /* a walk over connections met one that was evicted meanwhile, and did not end */
+	3010739, /* the same */
 };
 
 static void test_regressions(void)
