--- a/tests/test_pooler_own_commits.c
+++ b/tests/test_pooler_own_commits.c
@@ -14,6 +14,7 @@
 /* Lag of the replicas, within max_age of the routes, so that they may serve reads all the while. */
 #define LONG_LAG     SEC
 #define SLOW_PRIMARY (40 * MSEC)
+#define SMALL_FLEET  3
 /* Size of a fleet in which only homes connect to members. */
 #define FLEET 24
 /* Commits at the first service before a test, so that its log is ahead of the second one's. */
@@ -58,16 +59,35 @@
 	return world;
 }
 
-/* As create_world(), with a session on the route that moves and writers on both services. */
+/* A world with two services, and sessions at one of its proxies. */
 typedef struct setting {
 	pool_world_t *world;
-	world_caller_t *caller;
-	world_caller_t *writer; /* on the first service, at the caller's proxy */
+	world_caller_t *caller; /* on the route that moves */
+	world_caller_t *writer; /* on the first service */
 } setting_t;
 
-static setting_t create_setting(size_t nodes, size_t node)
+/* Returns a proxy that is home of neither service. */
+static size_t find_forwarding_proxy(pool_world_t *world)
+{
+	for (size_t i = 0; i < world->node_count; i++) {
+		pooler_t *pooler = world->nodes[i].pooler;
+		usec_t now = now_of(pooler);
+		const char *first = home_find(service_get(pooler, WORLD_SERVICE), now)->name;
+		const char *second =
+			home_find(service_get(pooler, WORLD_SECOND_SERVICE), now)->name;
+
+		if (strcmp(first, world->nodes[i].name) != 0 &&
+		    strcmp(second, world->nodes[i].name) != 0)
+			return i;
+	}
+	g_assert_not_reached();
+}
+
+/* In a large fleet the sessions are at a proxy that forwards their statements to homes. */
+static setting_t create_setting(size_t nodes)
 {
 	setting_t setting = {.world = create_world(nodes)};
+	size_t node = nodes == FLEET ? find_forwarding_proxy(setting.world) : 0;
 
 	setting.writer = world_open_session_on(setting.world, node, "strict");
 	setting.caller = world_open_session_on(setting.world, node, WORLD_MOVED_DATABASE);
@@ -91,7 +111,7 @@
 /* Guards against a session that misses its own write once its route went elsewhere and back. */
 static void test_route_moves_and_returns(void)
 {
-	setting_t setting = create_setting(3, 0);
+	setting_t setting = create_setting(SMALL_FLEET);
 
 	write_at_both_services(&setting);
 	assert_has_prefix(world_send_and_wait(setting.caller, "READ mine"), "ROW first\r\n");
@@ -103,7 +123,7 @@
 /* The same for the reads of a transaction, whose member is chosen at its first statement. */
 static void test_transaction_after_return(void)
 {
-	setting_t setting = create_setting(3, 0);
+	setting_t setting = create_setting(SMALL_FLEET);
 
 	write_at_both_services(&setting);
 	assert_has_prefix(world_send_and_wait(setting.caller, "BEGIN READ"), "DONE");
@@ -115,7 +135,7 @@
 /* Guards against a commit of a transaction whose position is lost when the route moves in it. */
 static void test_route_moves_in_transaction(void)
 {
-	setting_t setting = create_setting(3, 0);
+	setting_t setting = create_setting(SMALL_FLEET);
 
 	assert_has_prefix(world_send_and_wait(setting.caller, "BEGIN"), "DONE");
 	assert_has_prefix(world_send_and_wait(setting.caller, "WRITE mine first"),
@@ -134,7 +154,7 @@
 /* Guards against a session that misses its own write once its service was removed and is back. */
 static void test_service_is_removed_and_returns(void)
 {
-	setting_t setting = create_setting(3, 0);
+	setting_t setting = create_setting(SMALL_FLEET);
 
 	assert_has_prefix(world_send_and_wait(setting.caller, "WRITE mine first"),
 			  "DONE " WORLD_SERVICE "-0");
@@ -150,38 +170,10 @@
 	world_destroy(setting.world);
 }
 
-/* Returns a proxy that is home of neither service. */
-static size_t find_forwarding_proxy(pool_world_t *world)
-{
-	for (size_t i = 0; i < world->node_count; i++) {
-		pooler_t *pooler = world->nodes[i].pooler;
-		usec_t now = now_of(pooler);
-		const char *first = home_find(service_get(pooler, WORLD_SERVICE), now)->name;
-		const char *second =
-			home_find(service_get(pooler, WORLD_SECOND_SERVICE), now)->name;
-
-		if (strcmp(first, world->nodes[i].name) != 0 &&
-		    strcmp(second, world->nodes[i].name) != 0)
-			return i;
-	}
-	g_assert_not_reached();
-}
-
-static setting_t create_setting_with_homes(void)
-{
-	setting_t setting = {.world = create_world(FLEET)};
-	size_t origin = find_forwarding_proxy(setting.world);
-
-	setting.writer = world_open_session_on(setting.world, origin, "strict");
-	setting.caller = world_open_session_on(setting.world, origin, WORLD_MOVED_DATABASE);
-	write_often(setting.world, setting.writer, COMMITS_AHEAD * 40 * MSEC);
-	return setting;
-}
-
 /* Guards against a home that compares its replicas with the commit at another service. */
 static void test_home_after_return(void)
 {
-	setting_t setting = create_setting_with_homes();
+	setting_t setting = create_setting(FLEET);
 
 	write_at_both_services(&setting);
 	assert_has_prefix(world_send_and_wait(setting.caller, "READ mine"), "ROW first\r\n");
@@ -197,7 +189,7 @@
  */
 static void test_route_moves_before_home_is_asked(void)
 {
-	setting_t setting = create_setting_with_homes();
+	setting_t setting = create_setting(FLEET);
 
 	assert_has_prefix(world_send_and_wait(setting.caller, "BEGIN"), "DONE");
 	world_move_route(setting.world, WORLD_SECOND_SERVICE);
@@ -216,7 +208,7 @@
 /* Guards against a session that misses its own write since the reply to it told no position. */
 static void test_commit_without_position(void)
 {
-	setting_t setting = create_setting(3, 0);
+	setting_t setting = create_setting(SMALL_FLEET);
 	fake_member_t *primary = &setting.world->db->members[0];
 
 	primary->hides_position = true;
@@ -233,7 +225,7 @@
 /* The same where a home runs the read. */
 static void test_commit_without_position_at_home(void)
 {
-	setting_t setting = create_setting_with_homes();
+	setting_t setting = create_setting(FLEET);
 
 	setting.world->db->members[0].hides_position = true;
 	assert_has_prefix(world_send_and_wait(setting.caller, "WRITE mine first"),
@@ -395,7 +387,7 @@
 {
 	random_play_t play = {.seed = seed, .rand = g_rand_new_with_seed(seed)};
 
-	play.world = create_world(one_in(&play, HOMES_ONE_IN) ? FLEET : 3);
+	play.world = create_world(one_in(&play, HOMES_ONE_IN) ? FLEET : SMALL_FLEET);
 	open_sessions(&play);
 	for (int i = 0; i < COMMITS_AHEAD; i++)
 		world_send_and_wait(play.sessions[0].writer, "WRITE other x");
