--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -4,9 +4,7 @@
 #include <glib.h>
 
 #include "entry.h"
-
-/* Depth of an entry that is nested for no reason. */
-#define DEEP 10000
+#include "odd_entry.h"
 
 #define VALID_ENTRY                                                                                \
 	"{\"service\":\"core\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\","      \
@@ -84,30 +82,6 @@
 	g_assert_false(decode(VALID_ENTRY, "", &entry));
 }
 
-/* Fields of an entry, each with a valid value. */
-static const char *const fields[][2] = {
-	{"service", "\"core\""},   {"addr", "\"10.0.0.9:8080\""},
-	{"zone", "\"a\""},	   {"slots", "2"},
-	{"state", "\"ready\""},	   {"dbRole", "\"replica\""},
-	{"born", "1790000000000"},
-};
-
-/* An entry in which the field has that value; value NULL: the field is missing. */
-static char *entry_with(const char *field, const char *value)
-{
-	GString *text = g_string_new("{\"seq\":1");
-
-	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
-		bool changed = strcmp(fields[i][0], field) == 0;
-
-		if (!changed || value != NULL)
-			g_string_append_printf(text, ",\"%s\":%s", fields[i][0],
-					       changed ? value : fields[i][1]);
-	}
-	g_string_append_c(text, '}');
-	return g_string_free(text, FALSE);
-}
-
 /* True if the entry is valid with that value of the field. */
 static bool decode_with(const char *field, const char *value)
 {
@@ -125,58 +99,29 @@
 		g_error("%s: %.60s is taken for valid", field, value != NULL ? value : "missing");
 }
 
-static char *repeat(const char *unit, size_t count)
-{
-	GString *text = g_string_new(NULL);
-
-	for (size_t i = 0; i < count; i++)
-		g_string_append(text, unit);
-	return g_string_free(text, FALSE);
-}
-
 /*
  * Guards against an entry of another writer that is used, or that ends the process: values that no
  * field has, in each of them.
  */
 static void test_odd_values(void)
 {
-	static const char *const values[] = {
-		"null",
-		"\"\"",
-		"[]",
-		"{}",
-		"true",
-		"-1",
-		"1e400",
-		"-1e400",
-		"9223372036854775808",
-		"2e0",
-		"-9223372036854775809",
-		"\"\\u0000\"",
-		"0.5",
-		"\"\xff\xfe\"",
-		"\"\xed\xa0\x80\"",
-		"",
-		"\"",
-		"\"\\ud800\"",
-	};
-	char *arrays = repeat("[", DEEP);
-	char *closed = repeat("]", DEEP);
+	char *arrays = repeat_text("[", ODD_DEPTH);
+	char *closed = repeat_text("]", ODD_DEPTH);
 	char *nested = g_strconcat(arrays, closed, NULL);
-	char *objects = repeat("{\"a\":", DEEP);
+	char *objects = repeat_text("{\"a\":", ODD_DEPTH);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
-		const char *field = fields[i][0];
+	for (size_t i = 0; i < entry_field_count; i++) {
+		const char *field = entry_fields[i][0];
 
-		g_assert_true(decode_with(field, fields[i][1]));
-		for (size_t j = 0; j < G_N_ELEMENTS(values); j++)
-			assert_invalid(field, values[j]);
+		g_assert_true(decode_with(field, entry_fields[i][1]));
+		for (size_t j = 0; j < odd_value_count; j++)
+			assert_invalid(field, odd_values[j]);
 		assert_invalid(field, nested);
 		assert_invalid(field, arrays);
 		assert_invalid(field, objects);
 	}
-	for (size_t i = 0; i + 1 < G_N_ELEMENTS(fields); i++)
-		assert_invalid(fields[i][0], NULL);
+	for (size_t i = 0; i + 1 < entry_field_count; i++)
+		assert_invalid(entry_fields[i][0], NULL);
 	g_free(objects);
 	g_free(nested);
 	g_free(closed);
@@ -225,9 +170,9 @@
 	static const char *const invalid[] = {"two words", "core\\r\\nQUERY - STATUS", "\\t",
 					      "a\\u007f"};
 	static const char *const names[] = {"service", "zone"};
-	char *longest = repeat("n", 200);
-	char *longer = repeat("n", 201);
-	char *huge = repeat("n", 1 << 20);
+	char *longest = repeat_text("n", 200);
+	char *longer = repeat_text("n", 201);
+	char *huge = repeat_text("n", 1 << 20);
 	member_entry_t entry;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -272,7 +217,7 @@
 static void test_bytes(void)
 {
 	static const char nul[] = VALID_ENTRY "\0";
-	char *deep = repeat("{\"a\":", DEEP);
+	char *deep = repeat_text("{\"a\":", ODD_DEPTH);
 	const char *reason;
 	member_entry_t entry;
 
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 #include "harness.h"
+#include "odd_entry.h"
 #include "site.h"
 
 #define PROXIES 2
@@ -17,7 +18,6 @@
 #define KNOWN_WITHIN 5
 /* Two intervals between full reads of the members. */
 #define TWO_READS_USEC 5000000
-#define DEEP	       10000
 
 #define ENTRY_START "{\"service\":\"core\",\"zone\":\"plateau\",\"state\":\"draining\","
 #define ENTRY_END   "\"dbRole\":\"replica\",\"seq\":1}"
@@ -53,21 +53,12 @@
 	{"zz-long-name", NULL},
 };
 
-static char *repeat(const char *unit, size_t count)
-{
-	GString *text = g_string_new(NULL);
-
-	for (size_t i = 0; i < count; i++)
-		g_string_append(text, unit);
-	return g_string_free(text, FALSE);
-}
-
 /* Makes the bytes that are too long for the table. */
 static void fill_table(void)
 {
-	char *name = repeat("n", 1 << 19);
+	char *name = repeat_text("n", 1 << 19);
 
-	odd_entries[G_N_ELEMENTS(odd_entries) - 2].bytes = repeat("{\"a\":", DEEP);
+	odd_entries[G_N_ELEMENTS(odd_entries) - 2].bytes = repeat_text("{\"a\":", ODD_DEPTH);
 	odd_entries[G_N_ELEMENTS(odd_entries) - 1].bytes =
 		g_strdup_printf("{\"service\":\"%s\",\"addr\":\"127.0.0.1:9\"," ENTRY_END, name);
 	g_free(name);
@@ -128,6 +119,23 @@
 	g_assert_cmpuint(count_invalid(proxy, id), ==, count);
 }
 
+/* Value of a metric of the proxy; -1: it has none of that name. */
+static double metric(int proxy, const char *name)
+{
+	GString *body = g_string_new(NULL);
+	char *start = g_strdup_printf("\ncyclamenspan_%s ", name);
+	double value = -1;
+	const char *at;
+
+	site_http_get(site, proxy, false, "/metrics", body);
+	at = strstr(body->str, start);
+	if (at != NULL)
+		value = g_ascii_strtod(at + strlen(start), NULL);
+	g_free(start);
+	g_string_free(body, TRUE);
+	return value;
+}
+
 /* The member as the proxy knows it, or NULL; the caller frees it. */
 static json_t *find_member(int proxy, const char *id)
 {
@@ -217,6 +225,76 @@
 	check_others();
 }
 
+/* Writes an entry for each field with each odd value, and returns their number. */
+static size_t write_each_field(const char *valid)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < entry_field_count; i++) {
+		for (size_t j = 0; j < odd_value_count; j++) {
+			char *id = g_strdup_printf("core-f%zu-%zu", i, j);
+			char *odd = entry_with(entry_fields[i][0], odd_values[j]);
+
+			write_entry(id, valid != NULL ? valid : odd);
+			count++;
+			g_free(odd);
+			g_free(id);
+		}
+	}
+	return count;
+}
+
+static bool any_field_is_listed(int proxy, bool all)
+{
+	size_t listed = 0;
+
+	for (size_t i = 0; i < entry_field_count; i++) {
+		for (size_t j = 0; j < odd_value_count; j++) {
+			char *id = g_strdup_printf("core-f%zu-%zu", i, j);
+
+			listed += is_listed(proxy, id);
+			g_free(id);
+		}
+	}
+	return all ? listed == entry_field_count * odd_value_count : listed != 0;
+}
+
+/* Guards against an odd value of any field: as a change, at the first read, and once it is valid.
+ */
+static void test_each_field(void)
+{
+	double before[PROXIES];
+	size_t count;
+
+	for (int i = 0; i < PROXIES; i++)
+		before[i] = metric(i, "member_entries_invalid_total");
+	count = write_each_field(NULL);
+	write_entry("core-last", VALID_ENTRY);
+	for (int i = 0; i < PROXIES; i++) {
+		wait_until_listed(i, "core-last", true);
+		g_assert_false(any_field_is_listed(i, false));
+	}
+	check_others();
+	/* They are not decoded again with each full read. */
+	g_usleep(TWO_READS_USEC);
+	for (int i = 0; i < PROXIES; i++)
+		g_assert_cmpfloat(metric(i, "member_entries_invalid_total") - before[i], ==,
+				  (double)count);
+	harness_kill(&site->proxies[1]);
+	site_restart_proxy(site, 1);
+	site_wait_until_ready(site, 1);
+	wait_until_listed(1, "core-last", true);
+	g_assert_false(any_field_is_listed(1, false));
+	check_others();
+	write_each_field(VALID_ENTRY);
+	for (int i = 0; i < PROXIES; i++) {
+		for (int j = 0; j < KNOWN_WITHIN * 20 && !any_field_is_listed(i, true); j++)
+			g_usleep(50000);
+		g_assert_true(any_field_is_listed(i, true));
+	}
+	check_others();
+}
+
 /* Guards against processes that end, or get no list, at odd entries that are there at their start.
  */
 static void test_at_the_first_read(void)
@@ -294,21 +372,6 @@
 	}
 }
 
-/* Returns the version of the configuration in force at the proxy. */
-static int config_version(int proxy)
-{
-	GString *body = g_string_new(NULL);
-	const char *at;
-	int version = -1;
-
-	site_http_get(site, proxy, false, "/metrics", body);
-	at = strstr(body->str, "\ncyclamenspan_config_version ");
-	if (at != NULL)
-		sscanf(at, "\ncyclamenspan_config_version %d", &version);
-	g_string_free(body, TRUE);
-	return version;
-}
-
 /* Guards against a configuration that ends processes, or that keeps the next one from its effect.
  */
 static void test_configuration(void)
@@ -321,15 +384,15 @@
 		"{\"version\":\"9\",\"routes\":7,\"services\":[null,{\"name\":[]}]}",
 		"\xff\xfe",
 	};
-	char *deep = repeat("[", DEEP);
-	int before = config_version(0);
+	char *deep = repeat_text("[", ODD_DEPTH);
+	int before = (int)metric(0, "config_version");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++)
 		write_key("op/config", odd[i]);
 	write_key("op/config", deep);
 	g_usleep(1000000);
 	for (int i = 0; i < PROXIES; i++)
-		g_assert_cmpint(config_version(i), ==, before);
+		g_assert_cmpint((int)metric(i, "config_version"), ==, before);
 	check_others();
 	write_key("op/config",
 		  "{\"version\":99,\"routes\":[{\"host\":\"jobs\",\"service\":\"core\","
@@ -337,9 +400,10 @@
 		  "\"priority\":0}],\"services\":[{\"name\":\"core\",\"maxConns\":16}],"
 		  "\"limits\":{\"txIdleMs\":3000}}");
 	for (int i = 0; i < PROXIES; i++) {
-		for (int j = 0; j < KNOWN_WITHIN * 20 && config_version(i) != 99; j++)
+		for (int j = 0; j < KNOWN_WITHIN * 20 && (int)metric(i, "config_version") != 99;
+		     j++)
 			g_usleep(50000);
-		g_assert_cmpint(config_version(i), ==, 99);
+		g_assert_cmpint((int)metric(i, "config_version"), ==, 99);
 	}
 	check_others();
 	g_free(deep);
@@ -356,6 +420,7 @@
 	g_test_add_func("/odd-entries/as-a-change", test_as_a_change);
 	g_test_add_func("/odd-entries/at-the-first-read", test_at_the_first_read);
 	g_test_add_func("/odd-entries/become-valid", test_entries_become_valid);
+	g_test_add_func("/odd-entries/each-field", test_each_field);
 	g_test_add_func("/odd-entries/in-place-of-a-member", test_in_place_of_a_member);
 	g_test_add_func("/odd-entries/key-with-nul", test_key_with_nul);
 	g_test_add_func("/odd-entries/configuration", test_configuration);
